--- /dev/null
+++ b/arbutusflow/__init__.py
@@ -0,0 +1,3 @@
+"""Router for servers that own keys exclusively."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/arbutusflow/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line with `python -m arbutusflow`."""
+
+from arbutusflow.cli.main import main
+
+main()
--- /dev/null
+++ b/arbutusflow/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, codecs and files around the decision core."""
--- /dev/null
+++ b/arbutusflow/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/arbutusflow/domain/__init__.py
@@ -0,0 +1,1 @@
+"""Decision core: deterministic state machines that do no I/O."""
--- /dev/null
+++ b/arbutusflow/domain/configuration.py
@@ -0,0 +1,329 @@
+"""The numbered configuration document and the patches that change it.
+
+Invariants: a patch is applied only against the number that it names; a number
+is used once; the identifier of a recent patch stays in the document, so an
+answer that was lost can be resolved by asking for the identifier.
+"""
+
+import dataclasses
+import enum
+from typing import Annotated
+
+import msgspec
+
+from arbutusflow.domain.errors import ConfigurationError
+
+REMEMBERED_PATCHES = 256  # Operators resolve a lost answer within minutes.
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=600_000)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+
+
+class Rank(enum.Enum):
+    """Importance of a kind of work; the operator sets it, never the caller."""
+
+    URGENT = "urgent"
+    NORMAL = "normal"
+    BACKGROUND = "background"
+
+
+class EndpointState(enum.Enum):
+    """What the operator wants of an endpoint."""
+
+    ACTIVE = "active"
+    DRAINING = "draining"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endpoint:
+    """One server that owns keys exclusively.
+
+    `slots` is the number of requests that it runs at once; `connections` the
+    number of connections that it accepts from all entry instances together.
+    """
+
+    name: Name
+    zone: Name
+    host: str
+    port: Port
+    slots: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 2
+    connections: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 100
+    checks_tokens: bool = True
+    weight: Annotated[float, msgspec.Meta(gt=0, le=1000)] = 1.0
+    state: EndpointState = EndpointState.ACTIVE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of work of a service."""
+
+    name: Name
+    rank: Rank
+    repeatable: bool
+    timeout_ms: Milliseconds = 5_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A service, its kinds of work and the endpoints that own its keys."""
+
+    name: Name
+    kinds: tuple[Kind, ...]
+    endpoints: tuple[Endpoint, ...] = ()
+    partitions: Annotated[int, msgspec.Meta(ge=1, le=65_536)] = 256
+
+    def kind(self, name: str) -> Kind | None:
+        """Return the kind of work called `name`, if there is one."""
+        return next((kind for kind in self.kinds if kind.name == name), None)
+
+    def endpoint(self, name: str) -> Endpoint | None:
+        """Return the endpoint called `name`, if there is one."""
+        return next((item for item in self.endpoints if item.name == name), None)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Limits that protect the entry instances."""
+
+    body_bytes: Annotated[int, msgspec.Meta(ge=1024, le=67_108_864)] = 8_388_608
+    queue_per_endpoint: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 256
+    retained_answers: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 50_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppliedPatch:
+    """A patch that took effect, and the number that it produced."""
+
+    id: str
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """One numbered state of what the operators want."""
+
+    number: int = 0
+    services: tuple[Service, ...] = ()
+    limits: Limits = Limits()
+    applied: tuple[AppliedPatch, ...] = ()
+
+    def service(self, name: str) -> Service | None:
+        """Return the service called `name`, if there is one."""
+        return next((item for item in self.services if item.name == name), None)
+
+
+class PutService(msgspec.Struct, frozen=True, tag="put_service"):
+    """Creates or replaces a service."""
+
+    service: Service
+
+
+class RemoveService(msgspec.Struct, frozen=True, tag="remove_service"):
+    """Removes a service."""
+
+    name: str
+
+
+class PutEndpoint(msgspec.Struct, frozen=True, tag="put_endpoint"):
+    """Creates or replaces an endpoint of a service."""
+
+    service: str
+    endpoint: Endpoint
+
+
+class RemoveEndpoint(msgspec.Struct, frozen=True, tag="remove_endpoint"):
+    """Removes an endpoint of a service."""
+
+    service: str
+    name: str
+
+
+class SetEndpointState(msgspec.Struct, frozen=True, tag="set_endpoint_state"):
+    """Activates or drains an endpoint."""
+
+    service: str
+    name: str
+    state: EndpointState
+
+
+class PutKind(msgspec.Struct, frozen=True, tag="put_kind"):
+    """Creates or replaces a kind of work of a service."""
+
+    service: str
+    kind: Kind
+
+
+class SetLimits(msgspec.Struct, frozen=True, tag="set_limits"):
+    """Replaces the limits."""
+
+    limits: Limits
+
+
+Operation = (
+    PutService
+    | RemoveService
+    | PutEndpoint
+    | RemoveEndpoint
+    | SetEndpointState
+    | PutKind
+    | SetLimits
+)
+
+
+class Patch(msgspec.Struct, frozen=True):
+    """Operations against one numbered configuration, applied whole or not at all."""
+
+    id: Annotated[str, msgspec.Meta(min_length=8, max_length=64)]
+    against: Annotated[int, msgspec.Meta(ge=0)]
+    operations: tuple[Operation, ...]
+
+
+class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
+    """The patch took effect as configuration `number`."""
+
+    number: int
+
+
+class Stale(msgspec.Struct, frozen=True, tag="stale"):
+    """The patch was made against another number than the current one."""
+
+    against: int
+    current: int
+
+
+class Invalid(msgspec.Struct, frozen=True, tag="invalid"):
+    """The patch breaks rules; nothing changed."""
+
+    problems: tuple[str, ...]
+
+
+PatchResult = Accepted | Stale | Invalid
+
+
+def apply_patch(
+    current: Configuration, patch: Patch
+) -> tuple[PatchResult, Configuration]:
+    """Return the result of `patch` and the configuration after it.
+
+    The configuration is `current` itself unless the patch takes effect now. A
+    patch whose identifier was applied before gives its earlier number again.
+    """
+    for applied in current.applied:
+        if applied.id == patch.id:
+            return Accepted(applied.number), current
+    if patch.against != current.number:
+        return Stale(patch.against, current.number), current
+    try:
+        changed = current
+        for operation in patch.operations:
+            changed = _apply_operation(changed, operation)
+        problems = check_configuration(changed)
+    except ConfigurationError as exc:
+        problems = (str(exc),)
+    if problems:
+        return Invalid(problems), current
+    number = current.number + 1
+    applied_patches = (*current.applied, AppliedPatch(patch.id, number))
+    return Accepted(number), dataclasses.replace(
+        changed, number=number, applied=applied_patches[-REMEMBERED_PATCHES:]
+    )
+
+
+def check_configuration(cfg: Configuration) -> tuple[str, ...]:
+    """Return one sentence for each rule that `cfg` breaks."""
+    problems = []
+    for name in _repeated(service.name for service in cfg.services):
+        problems.append(f"service {name} is defined twice; give it one definition")
+    addresses = []
+    for service in cfg.services:
+        if not service.kinds:
+            problems.append(f"service {service.name} has no kind of work; add one")
+        for name in _repeated(kind.name for kind in service.kinds):
+            problems.append(f"service {service.name} defines kind {name} twice")
+        addresses += [f"{item.host}:{item.port}" for item in service.endpoints]
+    names = (item.name for service in cfg.services for item in service.endpoints)
+    for name in _repeated(names):
+        problems.append(f"endpoint name {name} is used twice; names are global")
+    for address in _repeated(addresses):
+        problems.append(f"address {address} belongs to two endpoints")
+    return tuple(problems)
+
+
+def _repeated(names: object) -> list[str]:
+    seen: set[str] = set()
+    repeated: list[str] = []
+    for name in names:  # type: ignore[attr-defined]
+        if name in seen:
+            repeated.append(name)
+        seen.add(name)
+    return repeated
+
+
+def _apply_operation(cfg: Configuration, operation: Operation) -> Configuration:
+    match operation:
+        case PutService(service):
+            return _with_service(cfg, service)
+        case RemoveService(name):
+            _require_service(cfg, name)
+            rest = tuple(item for item in cfg.services if item.name != name)
+            return dataclasses.replace(cfg, services=rest)
+        case PutEndpoint(name, endpoint):
+            service = _require_service(cfg, name)
+            return _with_service(cfg, _with_endpoint(service, endpoint))
+        case RemoveEndpoint(service_name, name):
+            service = _require_service(cfg, service_name)
+            _require_endpoint(service, name)
+            kept = tuple(item for item in service.endpoints if item.name != name)
+            return _with_service(cfg, dataclasses.replace(service, endpoints=kept))
+        case SetEndpointState(service_name, name, state):
+            service = _require_service(cfg, service_name)
+            endpoint = _require_endpoint(service, name)
+            changed = dataclasses.replace(endpoint, state=state)
+            return _with_service(cfg, _with_endpoint(service, changed))
+        case PutKind(service_name, kind):
+            service = _require_service(cfg, service_name)
+            kinds = tuple(item for item in service.kinds if item.name != kind.name)
+            return _with_service(
+                cfg, dataclasses.replace(service, kinds=(*kinds, kind))
+            )
+        case SetLimits(limits):
+            return dataclasses.replace(cfg, limits=limits)
+
+
+def _with_service(cfg: Configuration, service: Service) -> Configuration:
+    previous = cfg.service(service.name)
+    if previous is None:
+        return dataclasses.replace(cfg, services=(*cfg.services, service))
+    if previous.partitions != service.partitions:
+        raise ConfigurationError(
+            f"service {service.name} has {previous.partitions} partitions; the number "
+            "cannot change, so remove the service and create another one"
+        )
+    services = tuple(
+        service if item.name == service.name else item for item in cfg.services
+    )
+    return dataclasses.replace(cfg, services=services)
+
+
+def _with_endpoint(service: Service, endpoint: Endpoint) -> Service:
+    if service.endpoint(endpoint.name) is None:
+        return dataclasses.replace(service, endpoints=(*service.endpoints, endpoint))
+    endpoints = tuple(
+        endpoint if item.name == endpoint.name else item for item in service.endpoints
+    )
+    return dataclasses.replace(service, endpoints=endpoints)
+
+
+def _require_service(cfg: Configuration, name: str) -> Service:
+    service = cfg.service(name)
+    if service is None:
+        raise ConfigurationError(f"there is no service {name}; create it first")
+    return service
+
+
+def _require_endpoint(service: Service, name: str) -> Endpoint:
+    endpoint = service.endpoint(name)
+    if endpoint is None:
+        raise ConfigurationError(f"service {service.name} has no endpoint {name}")
+    return endpoint
--- /dev/null
+++ b/arbutusflow/domain/errors.py
@@ -0,0 +1,35 @@
+"""Exception tree of the project.
+
+Every error that reaches an operator is one sentence that says what to do.
+"""
+
+
+class ArbutusflowError(Exception):
+    """Base of all errors that the project raises itself."""
+
+
+class SettingsError(ArbutusflowError):
+    """A settings or configuration file cannot be used as it is."""
+
+
+class ConfigurationError(ArbutusflowError):
+    """A configuration document or patch breaks a rule."""
+
+
+class PlatformError(ArbutusflowError):
+    """A platform call did not give a usable answer."""
+
+
+class PlatformUnavailableError(PlatformError):
+    """The platform refused the connection or answered with a server error.
+
+    A conditional update that ends this way may still have taken effect.
+    """
+
+
+class EndpointError(ArbutusflowError):
+    """An endpoint did not give a usable answer."""
+
+
+class PeerError(ArbutusflowError):
+    """Another entry instance did not give a usable answer."""
--- /dev/null
+++ b/arbutusflow/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the deployments, kept out of the serving path."""
--- /dev/null
+++ b/arbutusflow/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Timer service, tasks and the wiring of one entry process."""
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,81 @@
+"""Configuration patches: numbers, identifiers and rules."""
+
+import pytest
+
+from arbutusflow.domain.configuration import (
+    Accepted,
+    Configuration,
+    Endpoint,
+    EndpointState,
+    Invalid,
+    Kind,
+    Patch,
+    PutEndpoint,
+    PutService,
+    Rank,
+    RemoveEndpoint,
+    Service,
+    SetEndpointState,
+    Stale,
+    apply_patch,
+)
+
+ISSUE = Service("issuance", (Kind("issue", Rank.URGENT, repeatable=False),))
+FIRST = Endpoint("issuance-1", "a", "127.0.0.1", 9001)
+
+
+def applied(*operations):
+    patch = Patch("patch-0001", 0, operations)
+    return apply_patch(Configuration(), patch)
+
+
+def test_patch_against_the_current_number_takes_effect():
+    result, cfg = applied(PutService(ISSUE), PutEndpoint("issuance", FIRST))
+    assert result == Accepted(1)
+    assert cfg.service("issuance").endpoint("issuance-1") == FIRST
+
+
+def test_stale_patch_is_refused_with_both_numbers():
+    """Guards against a racing operator undoing an accepted change."""
+    _, cfg = applied(PutService(ISSUE))
+    result, after = apply_patch(cfg, Patch("patch-0002", 0, (PutService(ISSUE),)))
+    assert result == Stale(against=0, current=1)
+    assert after is cfg
+
+
+def test_resent_patch_gives_its_earlier_number():
+    """Guards against a lost answer turning one change into a stale refusal."""
+    _, cfg = applied(PutService(ISSUE))
+    result, after = apply_patch(cfg, Patch("patch-0001", 0, (PutService(ISSUE),)))
+    assert result == Accepted(1)
+    assert after is cfg
+
+
+@pytest.mark.parametrize(
+    ("operations", "words"),
+    [
+        ((PutEndpoint("absent", FIRST),), "no service absent"),
+        ((PutService(ISSUE), RemoveEndpoint("issuance", "x")), "no endpoint x"),
+        (
+            (
+                PutService(ISSUE),
+                SetEndpointState("issuance", "y", EndpointState.DRAINING),
+            ),
+            "no endpoint y",
+        ),
+        ((PutService(Service("empty", ())),), "no kind of work"),
+        (
+            (
+                PutService(ISSUE),
+                PutEndpoint("issuance", FIRST),
+                PutEndpoint("issuance", Endpoint("two", "a", "127.0.0.1", 9001)),
+            ),
+            "belongs to two endpoints",
+        ),
+    ],
+)
+def test_patch_that_breaks_a_rule_changes_nothing(operations, words):
+    result, cfg = applied(*operations)
+    assert isinstance(result, Invalid)
+    assert words in result.problems[0]
+    assert cfg == Configuration()
