--- a/arbutusflow/standins/demo.py
+++ b/arbutusflow/standins/demo.py
@@ -22,7 +22,6 @@
 from arbutusflow.runtime.curl_loop import CurlError, CurlLoop, CurlRequest
 from arbutusflow.standins.endpoint_server import LoggedWork
 from arbutusflow.standins.fleet import (
-    CALLER_PORT,
     ENTRIES,
     HOST,
     Fleet,
@@ -64,7 +63,10 @@
 class DemoCaller:
     """Sends a seeded mix of requests through all entry instances."""
 
-    def __init__(self, cfg: Configuration, curl: CurlLoop, seed: int) -> None:
+    def __init__(
+        self, cfg: Configuration, curl: CurlLoop, caller_port: int, seed: int
+    ) -> None:
+        self._caller_port = caller_port
         self._choices = [(s, kind) for s in cfg.services for kind in s.kinds]
         self._curl = curl
         self._random = random.Random(seed)
@@ -80,7 +82,7 @@
         key = f"key-{self._random.randrange(KEYS)}"
         request_id = str(uuid6.uuid7())
         body = self._random.randbytes(self._random.randrange(1, 20_000))
-        port = CALLER_PORT + self._random.randrange(ENTRIES)
+        port = self._caller_port + self._random.randrange(ENTRIES)
         started = time.perf_counter()
         outcome, reason, own_answer = "unknown", "caller_saw_no_answer", True
         try:
@@ -184,14 +186,14 @@
     """Run the traffic against `fleet` and return the exit status."""
     cfg = fleet.cfg
     curl = CurlLoop(asyncio.get_running_loop(), max_host_connections=CALLERS * 2)
-    client = FleetClient(curl)
+    client = FleetClient(curl, fleet.ports)
     await client.wait_until_live()
     accepted = await client.create_services(cfg)
     typer.echo(f"operator patch: {accepted.body.decode()}")
     started = time.monotonic()
     await client.wait_until_served(cfg)
     typer.echo(f"all keys served after {time.monotonic() - started:.1f} s")
-    caller = DemoCaller(cfg, curl, seed)
+    caller = DemoCaller(cfg, curl, fleet.ports.caller, seed)
     until = asyncio.get_running_loop().time() + TRAFFIC_SECONDS
     await asyncio.gather(*(caller.run(until) for _ in range(CALLERS)))
     runs = await count_runs(cfg, client)
@@ -207,6 +209,7 @@
     configuration: Annotated[pathlib.Path, typer.Argument()],
     seed: int = 1,
     logs: pathlib.Path | None = None,
+    port_offset: int = 0,
 ) -> None:
     """Run the example deployment in CONFIGURATION."""
     cfg = load_configuration(configuration)
@@ -214,7 +217,7 @@
     typer.echo(
         f"{configuration.stem}: {ENTRIES} entry instances, {endpoints} endpoints"
     )
-    with running_fleet(cfg, SERVICE_MS, logs) as fleet:
+    with running_fleet(cfg, SERVICE_MS, logs, port_offset) as fleet:
         status = asyncio.run(run_demo(fleet, seed))
         failed = fleet.stop()
     if failed:
--- a/arbutusflow/standins/fleet.py
+++ b/arbutusflow/standins/fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import os
 import pathlib
 import signal
@@ -13,6 +14,7 @@
 import sys
 import tempfile
 from collections.abc import Iterator
+from typing import Self
 
 import msgspec
 import yaml
@@ -29,21 +31,34 @@
 from arbutusflow.runtime.curl_loop import CurlError, CurlLoop, CurlRequest, CurlResponse
 
 HOST = "127.0.0.1"
-PLATFORM_PORT = 19_000
-CALLER_PORT = 19_100
-PEER_PORT = 19_200
-ADMIN_PORT = 19_300
 ENTRIES = 9
 START_SECONDS = 15.0
 STOP_SECONDS = 25.0
 POLL_SECONDS = 0.1
 
 
+class Ports(msgspec.Struct, frozen=True):
+    """Ports of the platform and of the first entry instance."""
+
+    platform: int
+    caller: int
+    peer: int
+    admin: int
+
+    @classmethod
+    def from_offset(cls, offset: int) -> Self:
+        """Return the usual ports moved by `offset`, so that fleets can coexist."""
+        return cls(19_000 + offset, 19_100 + offset, 19_200 + offset, 19_300 + offset)
+
+
 class Fleet:
     """Processes of one deployment: platform, endpoints and entry instances."""
 
-    def __init__(self, cfg: Configuration, directory: pathlib.Path) -> None:
-        self.cfg = cfg
+    def __init__(
+        self, cfg: Configuration, directory: pathlib.Path, port_offset: int = 0
+    ) -> None:
+        self.cfg = _with_port_offset(cfg, port_offset)
+        self.ports = Ports.from_offset(port_offset)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._directory = directory
         zones = sorted(
@@ -53,14 +68,16 @@
             Peer(
                 f"entry-{number + 1}",
                 zones[number % len(zones)],
-                Address(HOST, PEER_PORT + number),
+                Address(HOST, self.ports.peer + number),
             )
             for number in range(ENTRIES)
         )
 
     def start(self, service_ms: float) -> None:
         """Start all processes; endpoints take `service_ms` for a request."""
-        self._start("platform", "standin", "platform", "--port", str(PLATFORM_PORT))
+        self._start(
+            "platform", "standin", "platform", "--port", str(self.ports.platform)
+        )
         for service in self.cfg.services:
             for endpoint in service.endpoints:
                 self.start_endpoint(endpoint, service_ms)
@@ -90,10 +107,10 @@
         settings = EntrySettings(
             instance=peer.instance,
             zone=peer.zone,
-            caller=Address(HOST, CALLER_PORT + number),
+            caller=Address(HOST, self.ports.caller + number),
             peer=peer.address,
-            admin=Address(HOST, ADMIN_PORT + number),
-            platform_url=f"http://{HOST}:{PLATFORM_PORT}",
+            admin=Address(HOST, self.ports.admin + number),
+            platform_url=f"http://{HOST}:{self.ports.platform}",
             peers=self.peers,
         )
         path = self._directory / f"{peer.instance}.yaml"
@@ -148,9 +165,26 @@
             return False
 
 
+def _with_port_offset(cfg: Configuration, offset: int) -> Configuration:
+    services = tuple(
+        dataclasses.replace(
+            service,
+            endpoints=tuple(
+                dataclasses.replace(item, port=item.port + offset)
+                for item in service.endpoints
+            ),
+        )
+        for service in cfg.services
+    )
+    return dataclasses.replace(cfg, services=services)
+
+
 @contextlib.contextmanager
 def running_fleet(
-    cfg: Configuration, service_ms: float, logs: pathlib.Path | None = None
+    cfg: Configuration,
+    service_ms: float,
+    logs: pathlib.Path | None = None,
+    port_offset: int = 0,
 ) -> Iterator[Fleet]:
     """Run a fleet while the context is open; every process is ended at its close.
 
@@ -159,7 +193,7 @@
     with tempfile.TemporaryDirectory(prefix="arbutusflow-") as directory:
         if logs is not None:
             logs.mkdir(parents=True, exist_ok=True)
-        fleet = Fleet(cfg, logs or pathlib.Path(directory))
+        fleet = Fleet(cfg, logs or pathlib.Path(directory), port_offset)
         try:
             fleet.start(service_ms)
             yield fleet
@@ -170,8 +204,9 @@
 class FleetClient:
     """Caller and operator of a fleet."""
 
-    def __init__(self, curl: CurlLoop) -> None:
+    def __init__(self, curl: CurlLoop, ports: Ports) -> None:
         self._curl = curl
+        self._ports = ports
 
     async def get(self, url: str, timeout_ms: int = 2_000) -> CurlResponse:
         """Fetch `url`; `CurlError` if no whole answer arrives."""
@@ -184,20 +219,22 @@
 
     async def status(self, number: int) -> InstanceStatus:
         """Return the status of entry instance `number`."""
-        response = await self.get(f"http://{HOST}:{ADMIN_PORT + number}/status")
+        response = await self.get(f"http://{HOST}:{self._ports.admin + number}/status")
         return msgspec.json.decode(response.body, type=InstanceStatus)
 
     async def create_services(self, cfg: Configuration) -> CurlResponse:
         """Create the services of `cfg` by one patch through the first instance."""
         operations = [*(PutService(service) for service in cfg.services)]
         patch = Patch("create-services", 0, (*operations, SetLimits(cfg.limits)))
-        url = f"http://{HOST}:{ADMIN_PORT}/config/patch"
+        url = f"http://{HOST}:{self._ports.admin}/config/patch"
         return await self.post(url, patch)
 
     async def wait_until_live(self) -> None:
         """Wait until the platform and every entry instance answer."""
-        urls = [f"http://{HOST}:{PLATFORM_PORT}/instances"]
-        urls += [f"http://{HOST}:{ADMIN_PORT + i}/health/live" for i in range(ENTRIES)]
+        urls = [f"http://{HOST}:{self._ports.platform}/instances"]
+        urls += [
+            f"http://{HOST}:{self._ports.admin + i}/health/live" for i in range(ENTRIES)
+        ]
         async with asyncio.timeout(START_SECONDS):
             for url in urls:
                 while not await self._answers(url):
