--- a/arbutusflow/domain/delivery_messages.py
+++ b/arbutusflow/domain/delivery_messages.py
@@ -126,13 +126,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointExited:
-    """The endpoint's process is proven to have ended.
+    """The endpoint's process `incarnation` is proven to have ended.
 
-    Report it before the `AttemptFailed` of the attempts that were in flight, if
-    both are known at once; the order matters for no safety rule.
+    Attempts that are in flight or were lost shortly before count as suspects. A
+    second report of the same incarnation changes nothing.
     """
 
     endpoint: str
+    incarnation: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,10 +161,41 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnitLeft:
-    """This instance no longer coordinates the unit."""
+    """This instance no longer coordinates the unit.
+
+    For a planned move, take `Delivery.export_unit` first.
+    """
+
+    service: str
+    unit: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownRequest:
+    """What is known of a finished request identifier.
+
+    `created` is the creation time in the identifier, in seconds of the wall clock.
+    """
+
+    request_id: str
+    created: float
+    digest: bytes
+    repeatable: bool
+    result: Answer | Refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnitAdopted:
+    """This instance begins to coordinate the unit with its request history.
+
+    All identifiers of the unit that were created after `complete_after` and may
+    have run are in `requests`.
+    """
 
     service: str
     unit: int
+    complete_after: float
+    requests: tuple[KnownRequest, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -183,6 +215,7 @@
     | RetryDue
     | CallerLeft
     | UnitTaken
+    | UnitAdopted
     | UnitLeft
     | Tick
 )
