Add tests of delivery, queue and limits, and the queue model

Five planted faults (retry after bytes were sent, history lost at a take-over, forgotten eviction, resend not joined, first attempt forgotten) are each found by the random schedules. A lasting overload lowered the concurrency limit only once, because the decrease was re-armed by completed requests only; it is now re-armed by as many shed answers as were in flight (limit after 10 shed answers at 4 slots: 2 before, 1 after).

--- a/arbutusflow/domain/admission.py
+++ b/arbutusflow/domain/admission.py
@@ -14,6 +14,7 @@
 import collections
 import dataclasses
 import heapq
+from collections.abc import Mapping
 from typing import Self
 
 from arbutusflow.domain.configuration import Endpoint, Limits, Rank
@@ -139,13 +140,21 @@
 class EndpointQueue:
     """Requests that wait for one endpoint, and those in flight at it."""
 
-    def __init__(self, capacity: int, limit: ConcurrencyLimit) -> None:
+    def __init__(
+        self,
+        capacity: int,
+        limit: ConcurrencyLimit,
+        *,
+        shares: Mapping[Rank, int] = SHARES_OF_TEN,
+        turns: tuple[Rank, ...] = TURNS,
+    ) -> None:
         self._capacity = capacity
         self._limit = limit
         self._entries: dict[int, QueuedRequest] = {}
         self._ranks = {rank: _RankQueue() for rank in RANKS}
         self._counts = dict.fromkeys(RANKS, 0)
-        self._room = _room_by_rank(capacity)
+        self._room = _room_by_rank(capacity, shares)
+        self._turns = turns
         self._by_unit: dict[int, dict[int, None]] = {}
         self._held: set[int] = set()
         self._parked: dict[Rank, _Lane] = {
@@ -325,7 +334,7 @@
             self._typical_latency[kind] = smoothed
 
     def _rank_in_turn(self) -> _RankQueue | None:
-        first = self._ranks[TURNS[self._turn]]
+        first = self._ranks[self._turns[self._turn]]
         if first:
             return first
         return next((self._ranks[rank] for rank in RANKS if self._ranks[rank]), None)
@@ -333,7 +342,7 @@
     def _dispatch(self, request: QueuedRequest, now: float) -> None:
         self._remove(request)
         self._ranks[request.rank].end_turn(request.caller)
-        self._turn = (self._turn + 1) % len(TURNS)
+        self._turn = (self._turn + 1) % len(self._turns)
         self._runs_alone = request.alone
         in_flight = len(self._in_flight) + 1
         self._in_flight[request.ticket] = _InFlight(request, now, in_flight)
@@ -406,7 +415,7 @@
         return dropped
 
 
-def _room_by_rank(capacity: int) -> dict[Rank, int]:
+def _room_by_rank(capacity: int, shares: Mapping[Rank, int]) -> dict[Rank, int]:
     """Return the places for each rank together with all more urgent ranks."""
     if capacity < SMALLEST_SHARED_CAPACITY:
         return dict.fromkeys(RANKS, capacity)
@@ -414,5 +423,5 @@
     places = capacity
     for rank in reversed(RANKS):
         room[rank] = places
-        places -= -(-capacity * SHARES_OF_TEN[rank] // 10)
+        places -= -(-capacity * shares[rank] // 10)
     return room
--- a/arbutusflow/domain/limits.py
+++ b/arbutusflow/domain/limits.py
@@ -104,7 +104,7 @@
         self._slow_start = cold
         self._window: list[float] = []
         self._used_up = False
-        self._decreased = False
+        self._sheds_to_ignore = 0
         self._baselines: collections.deque[float] = collections.deque(
             maxlen=BASELINE_WINDOWS
         )
@@ -152,7 +152,7 @@
                 self._completed(latency, in_flight)
             case Finish.OVERLOADED:
                 self._slow_start = False
-                self._decrease()
+                self._overloaded()
             case Finish.FAILED | Finish.NOT_SENT:
                 return
 
@@ -177,14 +177,19 @@
             self._limit = min(self._limit + 1.0, float(MAX_MULTIPLE * self._slots))
         self._window.clear()
         self._used_up = False
-        self._decreased = False
+        self._sheds_to_ignore = 0
 
-    def _decrease(self) -> None:
-        # One burst of shed answers counts once.
-        if self._decreased:
+    def _overloaded(self) -> None:
+        # Requests that were in flight together with one that was shed say nothing
+        # about the lowered limit.
+        if self._sheds_to_ignore:
+            self._sheds_to_ignore -= 1
             return
+        self._sheds_to_ignore = int(self._limit) - 1
+        self._decrease()
+
+    def _decrease(self) -> None:
         self._limit = max(1.0, self._limit * DECREASE_RATIO)
-        self._decreased = True
 
 
 class RetryBudget:
--- /dev/null
+++ b/tests/test_delivery.py
@@ -0,0 +1,570 @@
+"""Life of a request at its coordinator: outcomes, resends, retries, crash guard."""
+
+import dataclasses
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import Phase, find, given, settings, strategies as st
+
+from arbutusflow.domain import delivery as delivery_module, request_history
+from arbutusflow.domain.admission import EndpointQueue
+from arbutusflow.domain.configuration import Rank
+from arbutusflow.domain.delivery import CrashGuard, Delivery
+from arbutusflow.domain.delivery_messages import (
+    Answer,
+    Answered,
+    Arrived,
+    AttemptFailed,
+    CallerLeft,
+    CancelQueued,
+    Dispatched,
+    EndpointExited,
+    Enqueue,
+    Failure,
+    LeftQueue,
+    ReplyAnswer,
+    ReplyRefusal,
+    Request,
+    RetryDue,
+    ScheduleRetry,
+    Send,
+    Tick,
+    UnitLeft,
+    UnitTaken,
+    content_digest,
+)
+from arbutusflow.domain.limits import Finish, FixedLimit
+from arbutusflow.domain.reasons import (
+    REFUSALS,
+    Outcome,
+    RefusalReason,
+    RetryReason,
+)
+
+WALL = 1_700_000_000.0
+# Whether the endpoint of the tests runs the request before the attempt fails.
+RUNS_BEFORE = {
+    Failure.REFUSED: False,
+    Failure.DRAINING: False,
+    Failure.LEASE_NOT_HELD: False,
+    Failure.CONNECTION_FAILED: False,
+    Failure.CONNECTION_LOST: True,
+    Failure.ANSWER_INCOMPLETE: True,
+    Failure.DIGEST_MISMATCH: True,
+    Failure.PROGRESS_TIMEOUT: True,
+    Failure.DEADLINE_PASSED: True,
+    Failure.ENDPOINT_EXITED: True,
+}
+
+
+def uuid7(created, number=0):
+    bits = int(created * 1000) << 80 | 7 << 76 | 0b10 << 62 | number
+    text = f"{bits:032x}"
+    return "-".join((text[:8], text[8:12], text[12:16], text[16:20], text[20:]))
+
+
+class World:
+    """Coordinators, one after the other, and an endpoint that logs what it ran."""
+
+    def __init__(self, max_entries=50, slots=2, budget=True):
+        self.now = 100.0
+        self.max_entries, self.slots = max_entries, slots
+        self.rng = random.Random(5)
+        self.ran = []  # (request identifier or ticket, digest) of each run
+        self.sent, self.replies, self.requests = {}, {}, {}
+        self.timers, self.problems, self.gone = [], [], set()
+        self.exits = 0
+        self.take_over()
+        self.now += 6.0
+
+    @property
+    def wall(self):
+        return WALL + self.now
+
+    def take_over(self):
+        """A new coordinator begins without the memory of the one before."""
+        self.gone |= set(self.requests) - set(self.replies)
+        self.delivery = Delivery(self.rng, self.max_entries, max_bytes=4000)
+        self.queue = EndpointQueue(8, FixedLimit(self.slots))
+        self.sent, self.timers = {}, []
+        self.handle(UnitTaken("shop", 1, self.wall))
+
+    def move(self):
+        """The unit's history goes to the next coordinator after a planned drain."""
+        while self.sent:
+            self.end(0)
+        for queued in self.queue.take_all():
+            self.handle(LeftQueue(queued.ticket, RefusalReason.UNIT_MOVING))
+        for _, ticket in self.timers:
+            self.handle(LeftQueue(ticket, RefusalReason.UNIT_MOVING))
+        history = self.delivery.export_unit("shop", 1, self.wall)
+        self.handle(UnitLeft("shop", 1))
+        self.take_over()
+        self.handle(history)
+
+    def arrive(self, request_id="", content="a", repeatable=False, seconds=10.0):
+        ticket = len(self.requests)
+        kind = "browse" if repeatable else "swap"
+        digest = content_digest("shop", kind, "key", content.encode())
+        request = Request(
+            service="shop",
+            unit=1,
+            endpoint="shop-1",
+            kind=kind,
+            rank=Rank.NORMAL,
+            repeatable=repeatable,
+            caller="caller",
+            digest=digest,
+            deadline=self.now + seconds,
+            request_id=request_id,
+        )
+        self.requests[ticket] = request
+        self.handle(Arrived(ticket, request, self.wall))
+        return ticket
+
+    def dispatch(self, failure=None, runs=True):
+        """Send the next request; `failure` is how the attempt will end."""
+        queued = self.queue.next(self.now)
+        self.expire()
+        if queued is None:
+            return
+        actions = self.delivery.handle(Dispatched(queued.ticket), self.now)
+        if not any(isinstance(action, Send) for action in actions):
+            self.queue.finished(queued.ticket, self.now, Finish.NOT_SENT)
+        else:
+            self.sent[queued.ticket] = failure
+            request = self.requests[queued.ticket]
+            if failure is None or (RUNS_BEFORE[failure] and runs):
+                self.ran.append(self.name(queued.ticket))
+                copies = Counter(self.ran)[self.name(queued.ticket)]
+                if copies > 1 and not request.repeatable:
+                    self.problems.append(f"{request.request_id} ran {copies} times")
+        self.carry_out(actions)
+
+    def end(self, index):
+        if not self.sent:
+            return
+        ticket = list(self.sent)[index % len(self.sent)]
+        failure = self.sent.pop(ticket)
+        self.queue.finished(ticket, self.now, Finish.COMPLETED)
+        if failure is None:
+            body = repr(self.name(ticket)).encode()
+            self.handle(Answered(ticket, Answer(200, (), body)))
+            return
+        if failure is Failure.ENDPOINT_EXITED:
+            self.exits += 1
+            self.handle(EndpointExited("shop-1", f"process-{self.exits}"))
+        self.handle(AttemptFailed(ticket, failure))
+
+    def advance(self, seconds):
+        self.now += seconds
+        due = [ticket for at, ticket in self.timers if at <= self.now]
+        self.timers = [timer for timer in self.timers if timer[0] > self.now]
+        for ticket in due:
+            self.handle(RetryDue(ticket))
+        self.expire()
+        self.handle(Tick(self.wall))
+
+    def expire(self):
+        for shed in self.queue.expire(self.now):
+            self.handle(LeftQueue(shed.request.ticket, shed.reason))
+
+    def leave(self, index):
+        waiting = sorted(set(self.requests) - set(self.replies) - self.gone)
+        if waiting:
+            ticket = waiting[index % len(waiting)]
+            self.gone.add(ticket)
+            self.handle(CallerLeft(ticket))
+
+    def settle(self):
+        """Let everything end and check that each waiting copy has its reply."""
+        for _ in range(200):
+            if not len(self.delivery):
+                break
+            self.dispatch()
+            self.end(0)
+            self.advance(0.2)
+        unanswered = set(self.requests) - set(self.replies) - self.gone
+        if unanswered or len(self.delivery) or self.queue.in_flight:
+            self.problems.append(f"no reply for tickets {sorted(unanswered)}")
+
+    def name(self, ticket):
+        request = self.requests[ticket]
+        return (request.request_id or ticket, request.digest)
+
+    def handle(self, event):
+        self.carry_out(self.delivery.handle(event, self.now))
+
+    def carry_out(self, actions):
+        for action in actions:
+            match action:
+                case Enqueue(_, queued):
+                    for shed in self.queue.offer(queued, self.now):
+                        self.handle(LeftQueue(shed.request.ticket, shed.reason))
+                case ScheduleRetry(ticket, at, _):
+                    self.timers.append((at, ticket))
+                case CancelQueued(_, ticket):
+                    self.queue.cancel(ticket)
+                case ReplyAnswer(ticket, answer):
+                    self.reply(ticket, answer)
+                    if answer.body != repr(self.name(ticket)).encode():
+                        self.problems.append(f"ticket {ticket} got another answer")
+                case ReplyRefusal(ticket, refusal):
+                    self.reply(ticket, refusal)
+                    ran = self.name(ticket) in self.ran
+                    if refusal.outcome is Outcome.NOT_RUN and ran:
+                        self.problems.append(f"{refusal.reason} of a request that ran")
+
+    def reply(self, ticket, result):
+        if ticket in self.replies or ticket in self.gone:
+            self.problems.append(f"ticket {ticket} has two replies or left")
+        self.replies[ticket] = result
+
+    def reason(self, ticket):
+        return self.replies[ticket].reason
+
+    def result(self, ticket):
+        reply = self.replies.get(ticket)
+        if reply is None or isinstance(reply, Answer):
+            return reply and "answered"
+        return (reply.outcome.value, reply.reason.value)
+
+
+failures = st.sampled_from([None, *Failure])
+arrivals = st.tuples(
+    st.just("arrive"), st.integers(0, 5), st.sampled_from([-4.0, 0.0, 4.9])
+)
+steps = st.one_of(
+    arrivals,
+    st.tuples(st.just("serve"), st.integers(0, 5)),
+    st.tuples(st.just("renew")),
+    st.tuples(st.just("anonymous"), st.booleans()),
+    st.tuples(st.just("dispatch"), failures, st.booleans()),
+    st.tuples(st.just("end"), st.integers(0, 3)),
+    st.tuples(st.just("advance"), st.sampled_from([0.01, 0.2, 3.0, 6.0, 125.0])),
+    st.tuples(st.just("leave"), st.integers(0, 3)),
+)
+changes = st.tuples(st.sampled_from(["take_over", "move"]))
+schedules = st.one_of(
+    st.lists(steps, min_size=1, max_size=60),
+    st.lists(st.one_of(steps, changes), min_size=1, max_size=60),
+)
+
+
+def run_schedule(schedule, max_entries=2):
+    """Return the promises that are broken in a schedule of arrivals and faults."""
+    world = World(max_entries)
+    identifiers = {}
+    for name, *arguments in schedule:
+        if name in ("arrive", "serve"):
+            number, *skew = arguments
+            created = identifiers.setdefault(number, world.wall + sum(skew))
+            world.arrive(uuid7(created, number), f"content-{number}", number > 3)
+            if name == "serve":
+                world.dispatch()
+                world.end(0)
+        elif name == "renew":
+            identifiers.clear()
+        elif name == "anonymous":
+            world.arrive("", "anonymous", repeatable=True)
+        else:
+            getattr(world, name)(*arguments)
+    world.settle()
+    return world.problems
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=400)
+@given(schedules)
+def test_promises_hold_under_random_faults(schedule):
+    """Guards against second runs, false `not-run` and foreign or missing answers."""
+    assert run_schedule(schedule) == []
+
+
+def plant_retry_after_bytes_were_sent(monkeypatch):
+    rules = delivery_module.FAILURE_RULES
+    rule = dataclasses.replace(rules[Failure.CONNECTION_LOST], may_have_run=False)
+    monkeypatch.setitem(rules, Failure.CONNECTION_LOST, rule)
+
+
+def plant_lost_history_at_take_over(monkeypatch):
+    handle = Delivery.handle
+
+    def without_take_over(self, event, now):
+        if isinstance(event, UnitTaken):
+            event = dataclasses.replace(event, wall=float("-inf"))
+        return handle(self, event, now)
+
+    monkeypatch.setattr(Delivery, "handle", without_take_over)
+
+
+def plant_forgotten_eviction(monkeypatch):
+    evict = request_history.RequestHistory._evict_oldest
+
+    def without_mark(self):
+        evict(self)
+        self.evicted_until = float("-inf")
+
+    monkeypatch.setattr(request_history.RequestHistory, "_evict_oldest", without_mark)
+
+
+def plant_resend_not_joined(monkeypatch):
+    find_entry = request_history.RequestHistory.find
+
+    def without_in_progress(self, request_id):
+        entry = find_entry(self, request_id)
+        return entry if entry and entry.result is not None else None
+
+    monkeypatch.setattr(request_history.RequestHistory, "find", without_in_progress)
+
+
+def plant_forgotten_first_attempt(monkeypatch):
+    refusal = delivery_module._refusal
+    monkeypatch.setattr(
+        delivery_module, "_refusal", lambda reason, **_: refusal(reason)
+    )
+
+
+@pytest.mark.parametrize(
+    "plant",
+    [
+        plant_retry_after_bytes_were_sent,
+        plant_lost_history_at_take_over,
+        plant_forgotten_eviction,
+        plant_resend_not_joined,
+        plant_forgotten_first_attempt,
+    ],
+)
+def test_planted_fault_is_caught(plant, monkeypatch):
+    """Guards against a property test that cannot fail."""
+    plant(monkeypatch)
+    assert find(
+        schedules,
+        run_schedule,
+        settings=settings(
+            max_examples=3000,
+            deadline=None,
+            database=None,
+            derandomize=True,
+            phases=[Phase.generate],
+        ),
+    )
+
+
+OUTCOMES_OF_ONE_ATTEMPT = [
+    # failure, repeatable: None if it is retried, else the outcome
+    (Failure.REFUSED, False, None),
+    (Failure.DRAINING, False, None),
+    (Failure.LEASE_NOT_HELD, True, None),
+    (Failure.CONNECTION_FAILED, False, None),
+    (Failure.CONNECTION_LOST, False, ("unknown", "endpoint_lost")),
+    (Failure.CONNECTION_LOST, True, None),
+    (Failure.ANSWER_INCOMPLETE, False, ("unknown", "answer_incomplete")),
+    (Failure.ANSWER_INCOMPLETE, True, None),
+    (Failure.DIGEST_MISMATCH, False, ("unknown", "answer_digest_mismatch")),
+    (Failure.PROGRESS_TIMEOUT, False, ("unknown", "progress_timeout")),
+    (Failure.PROGRESS_TIMEOUT, True, None),
+    (Failure.ENDPOINT_EXITED, False, ("unknown", "endpoint_lost")),
+    (Failure.ENDPOINT_EXITED, True, None),
+    (Failure.DEADLINE_PASSED, True, ("unknown", "deadline_passed_in_flight")),
+]
+
+
+@pytest.mark.parametrize(("failure", "repeatable", "expected"), OUTCOMES_OF_ONE_ATTEMPT)
+def test_outcome_of_a_failed_attempt(failure, repeatable, expected):
+    """Guards against a retry of work that may have run, and against lost retries."""
+    world = World()
+    ticket = world.arrive(uuid7(world.wall), repeatable=repeatable)
+    world.dispatch(failure)
+    world.end(0)
+    assert world.result(ticket) == expected
+    assert len(world.timers) == (expected is None)
+    world.settle()
+    assert world.problems == []
+
+
+@pytest.mark.parametrize(
+    ("request_id", "expected"),
+    [
+        ("", "request_id_missing"),
+        ("not-a-uuid", "request_id_invalid"),
+        ("c56a4180-65aa-42ec-a945-5fd21dec0538", "request_id_invalid"),
+        (lambda wall: uuid7(wall + 5.1), "request_id_skew"),
+        (lambda wall: uuid7(wall - 120.1), "request_id_expired"),
+        (lambda wall: uuid7(wall - 2.0), "before_takeover"),
+        (lambda wall: uuid7(wall + 4.9), None),
+    ],
+)
+def test_rules_for_identifiers(request_id, expected):
+    """Guards against an identifier that hides an earlier run."""
+    world = World()  # Took over 6 s ago; 5 s of skew are allowed.
+    text = request_id if isinstance(request_id, str) else request_id(world.wall)
+    ticket = world.arrive(text)
+    assert (world.reason(ticket).value if expected else None) == expected
+    assert (ticket in world.replies) == (expected is not None)
+
+
+def test_resends_share_one_run_and_its_answer():
+    """Guards against a resend that is dispatched beside the first copy."""
+    world = World()
+    request_id = uuid7(world.wall)
+    first = world.arrive(request_id)
+    world.dispatch()
+    joined = world.arrive(request_id.upper())
+    world.requests[joined] = world.requests[first]
+    world.end(0)
+    late = world.arrive(request_id)
+    assert {world.result(item) for item in (first, joined, late)} == {"answered"}
+    assert len(world.ran) == 1
+
+
+def test_identifier_with_other_content_is_a_bad_request():
+    """Guards against answering one request with the answer to another."""
+    world = World()
+    request_id = uuid7(world.wall)
+    world.arrive(request_id, "a")
+    other = world.arrive(request_id, "b")
+    assert world.result(other) == ("not-run", "bad_request")
+
+
+def test_copies_that_wait_for_one_result_are_bounded():
+    """Guards against unbounded memory under a resend storm."""
+    world = World()
+    request_id = uuid7(world.wall)
+    tickets = [world.arrive(request_id) for _ in range(delivery_module.MAX_COPIES + 1)]
+    assert world.result(tickets[-1]) == ("unknown", "in_progress")
+
+
+def test_evicted_identifier_is_unknown_and_a_younger_one_runs():
+    """Guards against a second run of a request whose record was evicted."""
+    world = World(max_entries=2)
+    ids = [uuid7(world.wall + number / 10, number) for number in range(3)]
+    for number in range(3):
+        world.arrive(ids[number], str(number))
+        world.dispatch()
+        world.end(0)
+    assert world.result(world.arrive(ids[0], "0")) == ("unknown", "answer_evicted")
+    assert world.result(world.arrive(ids[2], "2")) == "answered"
+    assert len(world.ran) == 3
+
+
+def test_retained_bytes_are_bounded_without_refusing_new_identifiers():
+    """Guards against large answers that use up memory or block new requests."""
+    history = request_history.RequestHistory(100, 1000, 120.0)
+    for number in range(20):
+        entry = request_history.Entry(
+            f"id-{number}", WALL + number, "shop", 1, b"", number
+        )
+        assert history.begin(entry)
+        history.finish(entry, Answer(200, (), b"x" * (number * 20)))
+        assert history.bytes_retained <= 1000
+    assert len(history) == 20
+    assert history.evicted_until == float("-inf")
+    assert history.find("id-19").result.reason is RefusalReason.ANSWER_EVICTED
+
+
+def test_not_run_after_an_attempt_that_may_have_run_is_unknown():
+    """Guards against a refusal at the last retry that hides the first attempt."""
+    world = World()
+    ticket = world.arrive(repeatable=True)
+    for failure in (Failure.CONNECTION_LOST, Failure.REFUSED, Failure.REFUSED):
+        world.dispatch(failure)
+        world.end(0)
+        world.advance(1.0)
+    assert world.result(ticket) == ("unknown", "endpoint_refused")
+
+
+def test_retries_stop_at_the_budget_and_at_two():
+    """Guards against retry storms."""
+    world = World()
+    results = []
+    for number in range(20):
+        ticket = world.arrive(content=str(number), repeatable=True)
+        while ticket not in world.replies:
+            world.dispatch(Failure.REFUSED)
+            world.end(0)
+            world.advance(0.5)
+        results.append(world.reason(ticket))
+    retries = delivery_module.MAX_RETRIES
+    assert results[0] is RefusalReason.ENDPOINT_REFUSED
+    assert results[-1] is RefusalReason.RETRY_BUDGET_EXHAUSTED
+    assert results.count(RefusalReason.ENDPOINT_REFUSED) * retries <= 10 + 0.1 * 20
+
+
+def test_request_that_crashes_endpoints_is_refused_and_bystanders_are_cleared():
+    """Guards against a request that takes down one endpoint after the other."""
+    world = World(slots=3)
+    poison = world.arrive(content="poison", repeatable=True)
+    bystanders = [world.arrive(content=name, repeatable=True) for name in "ab"]
+    world.dispatch(Failure.ENDPOINT_EXITED)
+    world.dispatch(Failure.CONNECTION_LOST)
+    world.dispatch(Failure.CONNECTION_LOST)
+    world.end(1)  # The connections break before the exit is proved.
+    world.end(1)
+    world.end(0)
+    world.advance(1.0)
+    while poison not in world.replies:
+        queued = world.queue.next(world.now)
+        assert queued.alone
+        assert world.queue.next(world.now) is None
+        world.handle(Dispatched(queued.ticket))
+        failure = Failure.ENDPOINT_EXITED if queued.ticket == poison else None
+        world.sent[queued.ticket] = failure
+        world.ran.append(world.name(queued.ticket))
+        world.end(0)
+    world.settle()
+    assert world.result(poison) == ("unknown", "crashes_endpoints")
+    assert {world.result(ticket) for ticket in bystanders} == {"answered"}
+    resent = world.arrive(content="poison", repeatable=True)
+    assert world.result(resent) == ("not-run", "crashes_endpoints")
+    assert (
+        world.delivery._guard.strikes("", world.requests[bystanders[0]].digest, 0) == 0
+    )
+
+
+def test_one_exit_gives_one_strike_and_memory_is_bounded():
+    """Guards against innocent copies of a hot request that share one exit."""
+    world = World()
+    tickets = [world.arrive(content="hot", repeatable=True) for _ in range(2)]
+    for _ in tickets:
+        world.dispatch(Failure.ENDPOINT_EXITED)
+    world.end(0)
+    world.handle(EndpointExited("shop-1", "process-1"))
+    world.end(0)
+    digest = world.requests[0].digest
+    assert world.delivery._guard.strikes("", digest, world.now) == 1
+    guard = CrashGuard()
+    for number in range(delivery_module.MAX_SUSPECTS + 10):
+        guard.strike({str(number)}, 0.0)
+    assert len(guard) == delivery_module.MAX_SUSPECTS
+    later = delivery_module.SUSPECT_SECONDS
+    assert guard.strikes(str(delivery_module.MAX_SUSPECTS), b"", later) == 0
+
+
+def test_planned_move_keeps_the_history_and_refuses_nothing():
+    """Guards against a planned move that makes new requests unknown for seconds."""
+    world = World()
+    request_id = uuid7(world.wall)
+    world.arrive(request_id)
+    world.dispatch()
+    world.end(0)
+    world.move()
+    assert world.result(world.arrive(request_id)) == "answered"
+    fresh = world.arrive(uuid7(world.wall, 9), "fresh")
+    world.dispatch()
+    world.end(0)
+    assert world.result(fresh) == "answered"
+    assert len(world.ran) == 2
+
+
+def test_each_reason_is_described_and_mapped():
+    """Guards against a reason without a counter name, a status or documentation."""
+    assert set(REFUSALS) == set(RefusalReason)
+    for reason in RefusalReason:
+        expected = (
+            {504} if reason.outcome is Outcome.UNKNOWN else {400, 413, 429, 431, 503}
+        )
+        assert reason.status in expected
+    for member in (*Outcome, *RefusalReason, *RetryReason):
+        assert member.description.endswith(".")
+    assert set(delivery_module.FAILURE_RULES) == set(Failure)
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,130 @@
+"""Concurrency limit, retry budget and backoff."""
+
+import random
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from arbutusflow.domain.configuration import Endpoint
+from arbutusflow.domain.limits import (
+    BACKOFF_MAX_SECONDS,
+    MAX_MULTIPLE,
+    REPORT_LIFETIME_SECONDS,
+    RETRY_RATIO,
+    RETRY_RESERVE,
+    AdaptiveLimit,
+    Finish,
+    RetryBudget,
+    backoff_seconds,
+)
+
+ENDPOINT = Endpoint("shop-1", "a", "127.0.0.1", 9001, slots=4)
+
+
+def limit_after(*observations, cold=False):
+    """Each observation: finish, latency, in flight (None: all that is allowed)."""
+    limit = AdaptiveLimit.from_config(ENDPOINT, cold=cold)
+    for finish, latency, in_flight in observations:
+        limit.observe(finish, latency, in_flight or limit.current(0.0))
+    return limit
+
+
+STEADY = (Finish.COMPLETED, 0.1, None)
+IDLE = (Finish.COMPLETED, 0.1, 1)
+SLOW = (Finish.COMPLETED, 0.5, None)
+SHED = (Finish.OVERLOADED, 0.1, None)
+FAILED = (Finish.FAILED, 0.1, None)
+
+
+@pytest.mark.parametrize(
+    ("observations", "expected"),
+    [
+        ([], 4),
+        ([STEADY] * 32, 5),
+        ([STEADY] * 2000, 4 * MAX_MULTIPLE),
+        ([IDLE] * 2000, 4),
+        ([FAILED] * 2000, 4),
+        ([SHED], 2),
+        ([SHED] * 4, 2),
+        ([SHED] * 10, 1),
+        ([STEADY] * 32 + [SLOW] * 40, 3),
+        ([SHED] * 1000, 1),
+    ],
+)
+def test_limit_follows_what_was_observed(observations, expected):
+    """Guards against a limit that ignores overload or grows without evidence."""
+    assert limit_after(*observations).current(0.0) == expected
+
+
+def test_cold_or_restarted_endpoint_starts_slowly():
+    """Guards against a full load on a process that has just started."""
+    limit = limit_after(cold=True)
+    assert limit.current(0.0) == 1
+    limit.observe(Finish.COMPLETED, 0.1, 1)
+    assert limit.current(0.0) == 2
+    limit = limit_after(*[STEADY] * 200)
+    limit.restart()
+    assert limit.current(0.0) == 1
+    for _ in range(3):
+        limit.observe(Finish.COMPLETED, 0.1, 1)
+    assert limit.current(0.0) == ENDPOINT.slots
+
+
+@pytest.mark.parametrize(
+    ("load", "expected"), [(0, 4), (4, 4), (5, 3), (1000, 2), (-5, 4)]
+)
+def test_report_lowers_the_limit_within_bounds_and_for_a_short_time(load, expected):
+    """Guards against a lagging or misleading report that stops or floods a server."""
+    limit = limit_after()
+    limit.report(load, 0.0)
+    assert limit.current(0.0) == expected
+    assert limit.current(REPORT_LIFETIME_SECONDS) == 4
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=200)
+@given(
+    slots=st.integers(1, 8),
+    seed=st.integers(0, 10**6),
+    shed=st.sampled_from([0.0, 0.01, 0.3]),
+)
+def test_limit_stays_within_its_bounds_and_reports_never_raise_it(slots, seed, shed):
+    """Guards against a limit of zero, an unbounded one, and trust in reports."""
+    rng = random.Random(seed)
+    endpoint = Endpoint("shop-1", "a", "127.0.0.1", 9001, slots=slots)
+    reported = AdaptiveLimit.from_config(endpoint)
+    observed = AdaptiveLimit.from_config(endpoint)
+    for step in range(400):
+        now = step * 0.05
+        finish = Finish.OVERLOADED if rng.random() < shed else Finish.COMPLETED
+        latency, in_flight = rng.expovariate(10.0), rng.randint(1, 4 * slots)
+        for limit in (reported, observed):
+            limit.observe(finish, latency, in_flight)
+        reported.report(rng.randint(-3, 60), now)
+        learned = observed.current(now)
+        assert 1 <= learned <= MAX_MULTIPLE * slots
+        assert min(learned, max(1, slots // 2)) <= reported.current(now) <= learned
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=100)
+@given(st.lists(st.booleans(), max_size=300))
+def test_retries_never_exceed_a_tenth_of_requests_plus_ten(events):
+    """Guards against retries that multiply an overload."""
+    budget = RetryBudget()
+    requests = retries = 0
+    for is_request in events:
+        if is_request:
+            requests += 1
+            budget.request()
+        else:
+            retries += budget.take()
+        assert retries <= RETRY_RATIO * requests + RETRY_RESERVE + 1e-6
+
+
+def test_backoff_grows_with_jitter_and_a_bound():
+    """Guards against retries that arrive together or at once."""
+    rng = random.Random(1)
+    for retry in range(1, 12):
+        full = min(BACKOFF_MAX_SECONDS, 0.025 * 2**retry)
+        times = {backoff_seconds(retry, rng) for _ in range(50)}
+        assert all(full / 2 <= time <= full for time in times)
+        assert len(times) == 50
