Add scenarios of configuration and requests

The scenarios state each fault in an operator's words and end with the promises. They drive the configuration aggregate and the delivery of one coordinator through the World of tests/test_delivery.py, so no second model of the network exists.

--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,6 @@
+"""Makes the fakes of the tests importable from the steps."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "tests"))
