Compare latencies by kind and go back from limits that only add waiting

Two faults: an answer that was late for its caller counted as overload of the endpoint, though it had waited in our own queue; and the lowest of 64 window medians is far below the usual latency (medians of 24 exponential samples vary by 29 %), so normal load looked like queueing.

Now only shed answers and progress timeouts count as overload, latencies are compared with the smoothed latency of their kind at up to half of the slots, and a raise that only makes requests wait inside the endpoint is taken back and tried again after a growing pause.

--- a/arbutusflow/domain/admission.py
+++ b/arbutusflow/domain/admission.py
@@ -266,7 +266,7 @@
             return None
         self._runs_alone = False
         latency = now - ended.since
-        self._limit.observe(finish, latency, ended.in_flight)
+        self._limit.observe(finish, latency, ended.in_flight, ended.request.kind)
         if finish is Finish.COMPLETED:
             self._learn_latency(ended.request.kind, latency)
         unit = ended.request.unit
--- a/arbutusflow/domain/limits.py
+++ b/arbutusflow/domain/limits.py
@@ -7,7 +7,6 @@
 `RETRY_RATIO` of the requests it counted.
 """
 
-import collections
 import enum
 import statistics
 from typing import Protocol, Self
@@ -16,10 +15,14 @@
 
 MAX_MULTIPLE = 4  # An endpoint that runs more at once has its slots configured wrong.
 DECREASE_RATIO = 0.7
-INFLATED_LATENCY_RATIO = 2.0  # The endpoint queues about as long as it works.
-STEADY_LATENCY_RATIO = 1.5
-SAMPLES_PER_SLOT = 8  # The median of fewer samples varies too much with 2 slots.
-BASELINE_WINDOWS = 64
+INFLATED_RATIO = 1.6  # Above the noise of a window by four standard deviations.
+# Requests that wait inside the endpoint, estimated from the latency. At the limit
+# that just fills the endpoint there are none, one step above it there is one.
+FEW_WAITING = 0.5
+MAX_PROBE_PAUSE_WINDOWS = 32
+SAMPLES_PER_SLOT = 16  # Means of exponential latencies then vary by 14 % at 3 slots.
+BASELINE_SMOOTHING = 0.02
+MAX_KINDS = 256  # Kinds with a latency of their own; a service has a few.
 REPORT_LIFETIME_SECONDS = 1.0  # Reports arrive each 0.4 s with the lease reply.
 RETRY_RATIO = 0.1
 RETRY_RESERVE = 10
@@ -30,8 +33,8 @@
 class Finish(enum.Enum):
     """How a dispatched request ended, as far as the limit is concerned."""
 
-    COMPLETED = "completed"  # Answered within its deadline.
-    OVERLOADED = "overloaded"  # Shed by the endpoint, progress timeout or late.
+    COMPLETED = "completed"  # Answered whole, even if late for the caller.
+    OVERLOADED = "overloaded"  # Shed by the endpoint, or a progress timeout.
     FAILED = "failed"  # Another failure; it says nothing about the load.
     NOT_SENT = "not_sent"  # Dispatched by the queue but never sent.
 
@@ -51,11 +54,13 @@
         """Return the limit; it is at least 1."""
         ...
 
-    def observe(self, finish: Finish, latency: float, in_flight: int) -> None:
+    def observe(
+        self, finish: Finish, latency: float, in_flight: int, kind: str = ""
+    ) -> None:
         """Learn from a request that ended after `latency` seconds.
 
         `in_flight` counts the requests at the endpoint when it was dispatched,
-        itself included.
+        itself included. Time in the router's own queue is not part of the latency.
         """
         ...
 
@@ -78,7 +83,9 @@
         """Return the fixed number."""
         return self._slots
 
-    def observe(self, finish: Finish, latency: float, in_flight: int) -> None:
+    def observe(
+        self, finish: Finish, latency: float, in_flight: int, kind: str = ""
+    ) -> None:
         """Ignore the observation."""
 
     def report(self, load: int, now: float) -> None:
@@ -92,22 +99,28 @@
     """Additive increase, multiplicative decrease over windows of completions.
 
     A gradient of latencies was not chosen: with 2 or 3 slots its steps are smaller
-    than one request, and latencies of mixed kinds differ more than the load moves
-    them. The limit rises by one after a window in which it was used up and the
-    median latency stayed near the lowest recent one; it falls when the endpoint
-    sheds or the median shows that the endpoint queues.
+    than one request. Latencies are compared with the usual latency of their kind
+    at a low load, because kinds differ more than load changes them.
+
+    The limit rises by one after a window in which it was used up and nothing waited
+    inside the endpoint. If the next window shows a wait, it goes back, and the next
+    trial comes later: urgent work cannot overtake what waits inside the endpoint.
+    The limit falls when the endpoint sheds, or down to half of the slots when
+    latencies are inflated; at that load the usual latency is learned again, so an
+    endpoint that became slower is not held down.
     """
 
     def __init__(self, slots: int, *, cold: bool = False) -> None:
         self._slots = slots
+        self._low = (slots + 1) // 2
         self._limit = 1.0 if cold else float(slots)
         self._slow_start = cold
+        self._usual: dict[str, float] = {}
         self._window: list[float] = []
         self._used_up = False
         self._sheds_to_ignore = 0
-        self._baselines: collections.deque[float] = collections.deque(
-            maxlen=BASELINE_WINDOWS
-        )
+        self._pause_windows = 0
+        self._next_pause_windows = 1
         self._reported = 0
         self._reported_until = float("-inf")
 
@@ -142,43 +155,70 @@
         self._limit = 1.0
         self._slow_start = True
         self._window.clear()
-        self._baselines.clear()
+        self._usual.clear()
+        self._pause_windows = 0
+        self._next_pause_windows = 1
         self._reported_until = float("-inf")
 
-    def observe(self, finish: Finish, latency: float, in_flight: int) -> None:
+    def observe(
+        self, finish: Finish, latency: float, in_flight: int, kind: str = ""
+    ) -> None:
         """Learn from a request that ended."""
         match finish:
             case Finish.COMPLETED:
-                self._completed(latency, in_flight)
+                self._completed(latency, in_flight, kind)
             case Finish.OVERLOADED:
                 self._slow_start = False
                 self._overloaded()
             case Finish.FAILED | Finish.NOT_SENT:
                 return
 
-    def _completed(self, latency: float, in_flight: int) -> None:
+    def _completed(self, latency: float, in_flight: int, kind: str) -> None:
         if self._slow_start:
             # Doubles the limit for each round of completions.
             self._limit = min(self._limit + 1.0, float(self._slots))
             self._slow_start = self._limit < self._slots
             return
-        self._window.append(latency)
+        usual = self._usual.get(kind, latency)
+        if kind not in self._usual and len(self._usual) >= MAX_KINDS:
+            return
+        if in_flight <= self._low or kind not in self._usual:
+            usual += BASELINE_SMOOTHING * (latency - usual)
+            self._usual[kind] = usual
+        self._window.append(latency / usual if usual > 0.0 else 1.0)
         self._used_up = self._used_up or in_flight >= int(self._limit)
-        if len(self._window) >= SAMPLES_PER_SLOT * max(1, int(self._limit)):
+        if len(self._window) >= SAMPLES_PER_SLOT * int(self._limit):
             self._close_window()
 
     def _close_window(self) -> None:
-        median = statistics.median(self._window)
-        self._baselines.append(median)
-        baseline = min(self._baselines)
-        if median > INFLATED_LATENCY_RATIO * baseline:
-            self._decrease()
-        elif self._used_up and median <= STEADY_LATENCY_RATIO * baseline:
-            self._limit = min(self._limit + 1.0, float(MAX_MULTIPLE * self._slots))
+        ratio = statistics.fmean(self._window)
+        waiting = self._limit * (1.0 - 1.0 / ratio) if ratio > 1.0 else 0.0
+        if ratio > INFLATED_RATIO:
+            lowered = max(float(self._low), self._limit * DECREASE_RATIO)
+            self._limit = min(self._limit, lowered)
+        elif waiting > FEW_WAITING:
+            self._step_back()
+        elif self._used_up:
+            self._step_up()
         self._window.clear()
         self._used_up = False
         self._sheds_to_ignore = 0
 
+    def _step_up(self) -> None:
+        if self._limit >= self._slots and self._pause_windows:
+            self._pause_windows -= 1
+            return
+        self._limit = min(self._limit + 1.0, float(MAX_MULTIPLE * self._slots))
+
+    def _step_back(self) -> None:
+        if self._limit <= self._slots:
+            return
+        self._limit = max(float(self._slots), self._limit - 1.0)
+        self._pause_windows = self._next_pause_windows
+        self._next_pause_windows = min(
+            2 * self._next_pause_windows, MAX_PROBE_PAUSE_WINDOWS
+        )
+
     def _overloaded(self) -> None:
         # Requests that were in flight together with one that was shed say nothing
         # about the lowered limit.
@@ -186,9 +226,6 @@
             self._sheds_to_ignore -= 1
             return
         self._sheds_to_ignore = int(self._limit) - 1
-        self._decrease()
-
-    def _decrease(self) -> None:
         self._limit = max(1.0, self._limit * DECREASE_RATIO)
 
 
