Queue and deliver requests through the decision core

Cause: the thin path dispatched at once, without ranks, limits, retained answers or retries. The traffic task now drives EndpointQueue and Delivery, refuses with the reasons of domain/reasons.py and sends requests of units that are not granted yet back to the entry hop.

--- a/arbutusflow/adapters/caller_http.py
+++ b/arbutusflow/adapters/caller_http.py
@@ -69,7 +69,9 @@
         if reply.outcome == "answered":
             await _send_answer(send, req, reply)
             return
-        problem = Problem(reply.outcome, reply.reason, reply.detail)
+        problem = Problem(
+            reply.outcome, reply.reason, reply.detail, reply.retry_after_ms
+        )
         await _send_problem(
             send, reply.status or STATUS_OF_OUTCOME[reply.outcome], problem
         )
--- a/arbutusflow/adapters/peer_messages.py
+++ b/arbutusflow/adapters/peer_messages.py
@@ -37,6 +37,7 @@
     status: int = 0
     body: bytes = b""
     content_type: str = ""
+    retry_after_ms: int = 0
 
 
 class CancelRequest(msgspec.Struct, frozen=True, tag="cancel"):
--- a/arbutusflow/domain/admission.py
+++ b/arbutusflow/domain/admission.py
@@ -304,6 +304,10 @@
             del self._parked[request.rank][ticket]
             self._ranks[request.rank].add(request, first=True)
 
+    def units(self) -> list[int]:
+        """Return the units that are held or have waiting requests."""
+        return [*self._held, *(self._by_unit.keys() - self._held)]
+
     def take_unit(self, unit: int) -> list[QueuedRequest]:
         """Remove and return the waiting requests of the unit, the earliest first."""
         requests = [self._entries[ticket] for ticket in self._by_unit.get(unit, ())]
--- a/arbutusflow/domain/delivery.py
+++ b/arbutusflow/domain/delivery.py
@@ -231,6 +231,10 @@
         """Return the number of requests in progress."""
         return len(self._pending)
 
+    def needs(self, ticket: int) -> bool:
+        """Tell whether a request that is in progress goes by this ticket."""
+        return ticket in self._pending
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take an event in and return what to do, in this order."""
         match event:
--- a/arbutusflow/domain/ownership.py
+++ b/arbutusflow/domain/ownership.py
@@ -216,6 +216,17 @@
             return None
         return Token(coordination.acting_term, row.sequence)
 
+    def lease_held(self, endpoint: str, now: float) -> bool:
+        """Tell whether requests may be dispatched to `endpoint` at all now."""
+        coordination = self._coordinations.get(endpoint)
+        if coordination is None or not coordination.acting_term:
+            return False
+        if now - self._last_tick > CLOCK_GAP_SECONDS:
+            return False
+        if coordination.reading_at < self._resumed_at:
+            return False
+        return now <= coordination.reading_at + LEASE_SECONDS - DISPATCH_MARGIN_SECONDS
+
     def owner_of(self, service: str, unit: int) -> str | None:
         """Return the endpoint that owns `unit`, as far as this instance knows."""
         table = self.tables.get(service)
--- a/arbutusflow/runtime/control.py
+++ b/arbutusflow/runtime/control.py
@@ -8,8 +8,8 @@
 import collections
 import random
 import time
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Coroutine
+from typing import Any, Protocol
 
 import msgspec
 
@@ -106,6 +106,28 @@
     platform_calls: dict[str, int]
 
 
+class Traffic(Protocol):
+    """What the control task tells the traffic task."""
+
+    def drain(self, service: str, unit: int) -> None:
+        """Dispatch no more for the unit and report when none is in flight."""
+        ...
+
+    def lease_renewed(self, endpoint: str, load: int) -> None:
+        """Take a load report; the lease of the endpoint was renewed."""
+        ...
+
+    def endpoint_exited(self, endpoint: str, incarnation: str) -> None:
+        """Take the proof that a process of the endpoint has ended."""
+        ...
+
+    def coordinate(
+        self, units: dict[tuple[str, int], str], fresh: set[tuple[str, int]]
+    ) -> None:
+        """Take the units that this instance coordinates now."""
+        ...
+
+
 class ControlTask:
     """Owns the ownership core, the copies of platform objects and the watch."""
 
@@ -122,7 +144,7 @@
             maxlen=DECISIONS_KEPT
         )
         self.members: dict[str, str] = {core.instance: core.zone}
-        self.drain_unit: Callable[[str, int], None] = lambda service, unit: None
+        self.traffic: Traffic | None = None
         self._platform = platform
         self._endpoints = endpoints
         self._links = links
@@ -131,6 +153,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._random = random.Random(core.instance)
         self._revision = 0
+        self._told: object = None
+        self._incarnations: dict[str, str] = {}
 
     def start(self) -> None:
         """Begin to tick, to watch and to compare versions with peers."""
@@ -147,6 +171,7 @@
         """Give an event to the core and carry out its actions."""
         for action in self.core.handle(event, time.monotonic()):
             self._carry_out(action)
+        self._tell_units()
 
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine beside the others until the task stops."""
@@ -218,6 +243,26 @@
             )
         )
 
+    def _tell_units(self) -> None:
+        """Tell the traffic task when the coordinated units have changed."""
+        acting = tuple(name for name in self.core.records if self.core.acts_for(name))
+        state = (acting, tuple(map(id, self.core.tables.values())))
+        if self.traffic is None or state == self._told:
+            return
+        self._told = state
+        units: dict[tuple[str, int], str] = {}
+        fresh: set[tuple[str, int]] = set()
+        for name in acting:
+            record = self.core.records[name]
+            table = self.core.tables.get(record.service)
+            if table is None:
+                continue
+            for unit, sequence in table.units_of(name).items():
+                units[record.service, unit] = name
+                if sequence == 1 and record.epoch == 1:
+                    fresh.add((record.service, unit))
+        self.traffic.coordinate(units, fresh)
+
     # Actions
 
     def _carry_out(self, action: Action) -> None:
@@ -248,7 +293,8 @@
                         )
                     )
             case DrainUnit(service, unit):
-                self.drain_unit(service, unit)
+                if self.traffic is not None:
+                    self.traffic.drain(service, unit)
             case Record(decision):
                 self.decisions.append(decision)
                 log_decision(decision)
@@ -282,11 +328,23 @@
         try:
             reply = await self._endpoints.renew(action.endpoint, action.renewal)
         except CurlError as exc:
+            if exc.refused:
+                self._endpoint_exited(name)
             self.handle(LeaseFailed(name, action.operation, exc.refused))
         except EndpointError:
             self.handle(LeaseFailed(name, action.operation, refused=False))
         else:
+            if self._incarnations.get(name, reply.incarnation) != reply.incarnation:
+                self._endpoint_exited(name)
+            self._incarnations[name] = reply.incarnation
             self.handle(LeaseReplied(name, action.operation, reply))
+            if self.traffic is not None and reply.refusal is None:
+                self.traffic.lease_renewed(name, reply.load)
+
+    def _endpoint_exited(self, name: str) -> None:
+        incarnation = self._incarnations.pop(name, None)
+        if incarnation is not None and self.traffic is not None:
+            self.traffic.endpoint_exited(name, incarnation)
 
     # Platform objects
 
--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -73,11 +73,12 @@
         core = OwnershipCore.from_config(
             settings.instance, settings.zone, Configuration()
         )
+        timers = TimerService(loop)
         self._control = ControlTask(
-            core, self._platform, self._endpoints, self._links, TimerService(loop)
+            core, self._platform, self._endpoints, self._links, timers
         )
-        self._traffic = TrafficTask(core, self._endpoints, self._links)
-        self._control.drain_unit = self._traffic.drain
+        self._traffic = TrafficTask(core, self._endpoints, self._links, timers)
+        self._control.traffic = self._traffic
         self._traffic.unit_drained = self._unit_drained
 
     async def run(self) -> None:
@@ -100,6 +101,7 @@
             _http_server(callers, settings.caller),
         ):
             self._control.start()
+            self._traffic.start()
             log_event("started", instance=settings.instance, zone=settings.zone)
             await self._stopping.wait()
             await self._hand_over()
--- a/arbutusflow/runtime/traffic.py
+++ b/arbutusflow/runtime/traffic.py
@@ -1,11 +1,14 @@
-"""Traffic task: takes callers' requests, forwards and dispatches them.
+"""Traffic task: takes callers' requests, forwards, queues and dispatches them.
 
-Invariants: only the coordinator of an endpoint dispatches to it; a request is
-sent again only if it is certain that it did not run.
+Invariants: only the coordinator of an endpoint queues for it and dispatches to it;
+the entry hop forwards a request again only if its last coordinator said that it
+did not run it, or if the request never left this process.
 """
 
 import asyncio
-import collections
+import dataclasses
+import itertools
+import random
 import time
 from collections.abc import Callable
 
@@ -13,18 +16,84 @@
 
 from arbutusflow.adapters.endpoint import EndpointClient, Work, digest_of
 from arbutusflow.adapters.peer import PeerCallError, PeerLink
-from arbutusflow.adapters.peer_messages import ForwardReply, ForwardRequest
-from arbutusflow.domain.configuration import Endpoint, Service
+from arbutusflow.adapters.peer_messages import (
+    CancelRequest,
+    ForwardReply,
+    ForwardRequest,
+)
+from arbutusflow.domain.admission import Drained, EndpointQueue
+from arbutusflow.domain.configuration import Endpoint, Kind, Service
+from arbutusflow.domain.delivery import Delivery
+from arbutusflow.domain.delivery_messages import (
+    Action,
+    Answer,
+    Answered,
+    Arrived,
+    AttemptFailed,
+    CallerLeft,
+    CancelAttempt,
+    CancelQueued,
+    Dispatched,
+    EndpointExited,
+    Enqueue,
+    Event,
+    Failure,
+    LeftQueue,
+    ReplyAnswer,
+    ReplyRefusal,
+    Request,
+    RetryDue,
+    ScheduleRetry,
+    Send,
+    Tick,
+    UnitAdopted,
+    UnitLeft,
+    UnitTaken,
+    content_digest,
+)
+from arbutusflow.domain.limits import Finish
 from arbutusflow.domain.ownership import OwnershipCore
 from arbutusflow.domain.partitions import unit_of_key
+from arbutusflow.domain.reasons import Outcome, Refusal, RefusalReason
+from arbutusflow.domain.records import Token
 from arbutusflow.runtime.curl_loop import CurlError, CurlResponse
+from arbutusflow.runtime.timers import Timers
 
 ROUTE_RETRY_SECONDS = 0.02
-ANSWERED, NOT_RUN, UNKNOWN = "answered", "not-run", "unknown"
-# The request has not left this product, so another route may still serve it.
+QUEUE_TICK_SECONDS = 0.05
+HISTORY_TICK_SECONDS = 1.0
+# These refusals concern the route only; another route may still serve the request.
 ROUTE_REASONS = frozenset(
-    {"no_owner", "no_coordinator", "lease_not_held", "unit_moving", "endpoint_refused"}
+    reason.value
+    for reason in (
+        RefusalReason.NO_OWNER,
+        RefusalReason.NO_COORDINATOR,
+        RefusalReason.LEASE_NOT_HELD,
+        RefusalReason.UNIT_MOVING,
+        RefusalReason.STOPPING,
+    )
 )
+# How the endpoint names its refusals, and what they mean for the request.
+REFUSAL_FAILURES = {
+    "fenced": Failure.LEASE_NOT_HELD,
+    "draining": Failure.DRAINING,
+}
+CURL_FAILURES = {
+    18: Failure.ANSWER_INCOMPLETE,  # CURLE_PARTIAL_FILE
+    28: Failure.PROGRESS_TIMEOUT,  # CURLE_OPERATION_TIMEDOUT before the deadline
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Queued:
+    """What the task keeps of a request while the delivery decides about it."""
+
+    req: ForwardRequest
+    kind: Kind
+    unit: int
+    endpoint: Endpoint
+    deadline: float
+    reply: "asyncio.Future[ForwardReply]"
 
 
 class TrafficTask:
@@ -35,14 +104,31 @@
         core: OwnershipCore,
         endpoints: EndpointClient,
         links: dict[str, PeerLink],
+        timers: Timers,
     ) -> None:
         self.unit_drained: Callable[[str, int], None] = lambda service, unit: None
         self.in_flight = 0
         self._core = core
         self._endpoints = endpoints
         self._links = links
-        self._by_unit: collections.Counter[tuple[str, int]] = collections.Counter()
-        self._draining: set[tuple[str, int]] = set()
+        self._timers = timers
+        self._loop = asyncio.get_running_loop()
+        self._delivery = Delivery.from_config(
+            core.cfg.limits, random.Random(core.instance)
+        )
+        self._queues: dict[str, EndpointQueue] = {}
+        self._requests: dict[int, _Queued] = {}
+        self._forwarded: dict[tuple[int, int], asyncio.Task[ForwardReply]] = {}
+        self._tickets = itertools.count(1)
+        self._attempts: set[asyncio.Task[None]] = set()
+        self._units: set[tuple[str, int]] = set()
+
+    def start(self) -> None:
+        """Begin to expire what waits too long."""
+        self._timers.subscribe(QUEUE_TICK_SECONDS, self._tick)
+        self._timers.subscribe(HISTORY_TICK_SECONDS, self._expire_history)
+
+    # Entry hop
 
     async def accept(self, req: ForwardRequest) -> ForwardReply:
         """Serve a caller's request through the coordinator of its endpoint."""
@@ -52,119 +138,370 @@
         finally:
             self.in_flight -= 1
 
+    async def _route(self, req: ForwardRequest) -> ForwardReply:
+        deadline = time.monotonic() + req.remaining_ms / 1000
+        while True:
+            reply = await self._attempt_route(req)
+            if reply.outcome != Outcome.NOT_RUN.value:
+                return reply
+            remaining = deadline - time.monotonic()
+            if reply.reason not in ROUTE_REASONS or remaining < ROUTE_RETRY_SECONDS * 2:
+                return reply
+            await asyncio.sleep(ROUTE_RETRY_SECONDS)
+            remaining_ms = int((deadline - time.monotonic()) * 1000)
+            req = msgspec.structs.replace(req, remaining_ms=max(1, remaining_ms))
+
+    async def _attempt_route(self, req: ForwardRequest) -> ForwardReply:
+        service = self._core.cfg.service(req.service)
+        if service is None:
+            return _refused(req, RefusalReason.UNKNOWN_SERVICE)
+        unit = unit_of_key(req.key, service.partitions)
+        endpoint = self._core.owner_of(req.service, unit)
+        if endpoint is None:
+            return _refused(req, RefusalReason.NO_OWNER)
+        coordinator = self._core.coordinator_of(endpoint)
+        if coordinator == self._core.instance:
+            return await self.dispatch(req)
+        link = self._links.get(coordinator or "")
+        if link is None:
+            return _refused(req, RefusalReason.NO_COORDINATOR)
+        return await self._forward(link, req)
+
+    async def _forward(self, link: PeerLink, req: ForwardRequest) -> ForwardReply:
+        forwarded = msgspec.structs.replace(req, id=link.next_id())
+        try:
+            reply = await link.call(forwarded, req.remaining_ms / 1000)
+        except PeerCallError as exc:
+            if not exc.sent:
+                return _refused(req, RefusalReason.NO_COORDINATOR)
+            return _refused(req, RefusalReason.COORDINATOR_LOST)
+        except asyncio.CancelledError:
+            link.send(CancelRequest(forwarded.id))
+            raise
+        assert isinstance(reply, ForwardReply)
+        return reply
+
+    # Coordinator
+
     async def dispatch(self, req: ForwardRequest) -> ForwardReply:
-        """Send a request to its endpoint if this instance coordinates that."""
+        """Queue a request for its endpoint if this instance coordinates that."""
         service = self._core.cfg.service(req.service)
         kind = None if service is None else service.kind(req.kind)
         if service is None or kind is None:
-            return _not_run(req, "unknown_kind", f"no {req.service}/{req.kind}")
+            return _refused(req, RefusalReason.UNKNOWN_KIND)
         unit = unit_of_key(req.key, service.partitions)
         endpoint = self._owner(service, unit)
         if endpoint is None:
-            return _not_run(req, "no_owner", f"unit {unit} has no owner")
-        if (req.service, unit) in self._draining:
-            return _not_run(req, "unit_moving", f"unit {unit} is being moved")
+            return _refused(req, RefusalReason.NO_OWNER)
+        if not self._core.acts_for(endpoint.name):
+            return _refused(req, RefusalReason.NO_COORDINATOR)
         now = time.monotonic()
-        token = self._core.dispatch_token(endpoint.name, req.service, unit, now)
+        ticket = next(self._tickets)
+        queued = _Queued(
+            req,
+            kind,
+            unit,
+            endpoint,
+            now + req.remaining_ms / 1000,
+            self._loop.create_future(),
+        )
+        self._requests[ticket] = queued
+        self._deliver(Arrived(ticket, _request_of(queued), time.time()), now)
+        try:
+            return await queued.reply
+        except asyncio.CancelledError:
+            self._deliver(CallerLeft(ticket), time.monotonic())
+            raise
+        finally:
+            self._forget(ticket)
+
+    def drain(self, service: str, unit: int) -> None:
+        """Dispatch no more for the unit and report when none is in flight."""
+        endpoint = self._owner_name(service, unit)
+        if endpoint is None:
+            return
+        drained = self._queue(endpoint).hold_unit(unit)
+        if drained is not None:
+            self.unit_drained(service, unit)
+
+    def lease_renewed(self, endpoint: str, load: int) -> None:
+        """Take the endpoint's load report and dispatch what waited for the lease."""
+        queue = self._queues.get(endpoint)
+        if queue is not None:
+            queue.limit.report(load, time.monotonic())
+            self._pump(endpoint)
+
+    def endpoint_exited(self, endpoint: str, incarnation: str) -> None:
+        """Count the requests in flight as suspects and start slowly afterwards."""
+        self._deliver(EndpointExited(endpoint, incarnation), time.monotonic())
+        if endpoint in self._queues:
+            self._queues[endpoint].limit.restart()
+
+    def coordinate(
+        self, units: dict[tuple[str, int], str], fresh: set[tuple[str, int]]
+    ) -> None:
+        """Take the units that this instance coordinates now, with their owners.
+
+        The units in `fresh` have never had an owner before, so no identifier can
+        have been used for them.
+        """
+        now, wall = time.monotonic(), time.time()
+        for service, unit in units.keys() - self._units:
+            if (service, unit) in fresh:
+                self._deliver(UnitAdopted(service, unit, 0.0, ()), now)
+            else:
+                self._deliver(UnitTaken(service, unit, wall), now)
+        for service, unit in self._units - units.keys():
+            self._release(service, unit, now)
+        self._units = set(units)
+        for endpoint in self._queues:
+            self._requeue_moved(endpoint, units, now)
+
+    def _release(self, service: str, unit: int, now: float) -> None:
+        self._deliver(UnitLeft(service, unit), now)
+
+    def _requeue_moved(
+        self, endpoint: str, units: dict[tuple[str, int], str], now: float
+    ) -> None:
+        """Send requests of units that this endpoint lost back to the entry hop."""
+        queue = self._queues[endpoint]
+        service = self._service_of(endpoint)
+        for unit in queue.units():
+            if units.get((service, unit)) == endpoint:
+                continue
+            for request in queue.take_unit(unit):
+                reason = RefusalReason.UNIT_MOVING
+                self._deliver(LeftQueue(request.ticket, reason), now)
+            queue.release_unit(unit)
+
+    # Delivery
+
+    def _deliver(self, event: Event, now: float) -> None:
+        for action in self._delivery.handle(event, now):
+            self._carry_out(action, now)
+
+    def _carry_out(self, action: Action, now: float) -> None:
+        match action:
+            case Enqueue(endpoint, queued):
+                for shed in self._queue(endpoint).offer(queued, now):
+                    self._deliver(LeftQueue(shed.request.ticket, shed.reason), now)
+                self._pump(endpoint)
+            case Send(ticket):
+                self._start_attempt(ticket)
+            case ScheduleRetry(ticket, at):
+                self._loop.call_later(max(0.0, at - now), self._retry, ticket)
+            case CancelQueued(endpoint, ticket):
+                self._queue(endpoint).cancel(ticket)
+            case CancelAttempt():
+                # The answer is still awaited: it decides what a resend gets.
+                pass
+            case ReplyAnswer(ticket, answer):
+                self._reply(ticket, lambda req: _answered(req, answer))
+            case ReplyRefusal(ticket, refusal):
+                self._reply(ticket, lambda req: _refusal_reply(req, refusal))
+
+    def _retry(self, ticket: int) -> None:
+        self._deliver(RetryDue(ticket), time.monotonic())
+
+    def _reply(
+        self, ticket: int, make: Callable[[ForwardRequest], ForwardReply]
+    ) -> None:
+        queued = self._requests.get(ticket)
+        if queued is not None and not queued.reply.done():
+            queued.reply.set_result(make(queued.req))
+
+    def _forget(self, ticket: int) -> None:
+        # The delivery may still run the request for other copies of it.
+        if not self._delivery.needs(ticket):
+            self._requests.pop(ticket, None)
+
+    # Endpoint
+
+    def _pump(self, endpoint: str) -> None:
+        """Dispatch what the queue and the lease allow."""
+        now = time.monotonic()
+        if not self._core.lease_held(endpoint, now):
+            return
+        queue = self._queue(endpoint)
+        while (request := queue.next(now)) is not None:
+            self._dispatch_one(endpoint, request.ticket, now)
+        for shed in queue.expire(now):
+            self._deliver(LeftQueue(shed.request.ticket, shed.reason), now)
+
+    def _dispatch_one(self, endpoint: str, ticket: int, now: float) -> None:
+        queued = self._requests[ticket]
+        if self._token(queued, now) is None:
+            # The unit is not granted yet; the entry hop tries again without using
+            # up the retry budget.
+            self._finished(endpoint, ticket, Finish.NOT_SENT)
+            self._deliver(LeftQueue(ticket, RefusalReason.LEASE_NOT_HELD), now)
+            return
+        actions = self._delivery.handle(Dispatched(ticket), now)
+        if not any(isinstance(action, Send) for action in actions):
+            self._finished(endpoint, ticket, Finish.NOT_SENT)
+        for action in actions:
+            self._carry_out(action, now)
+
+    def _start_attempt(self, ticket: int) -> None:
+        task = self._loop.create_task(self._attempt(ticket))
+        self._attempts.add(task)
+        task.add_done_callback(self._attempts.discard)
+
+    async def _attempt(self, ticket: int) -> None:
+        queued = self._requests[ticket]
+        endpoint, req = queued.endpoint, queued.req
+        now = time.monotonic()
+        token = self._token(queued, now)
         if token is None:
-            return _not_run(req, "lease_not_held", f"no lease of {endpoint.name}")
+            self._end_attempt(ticket, Finish.NOT_SENT, Failure.LEASE_NOT_HELD)
+            return
         work = Work(
             req.service,
             req.kind,
             req.key,
-            unit,
+            queued.unit,
             req.method,
             req.body,
             req.content_type,
             req.request_id,
-            kind.repeatable,
+            queued.kind.repeatable,
         )
-        self._by_unit[req.service, unit] += 1
+        remaining_ms = max(1, int((queued.deadline - now) * 1000))
         try:
-            response = await self._endpoints.run(
-                endpoint, work, token, req.remaining_ms
-            )
+            response = await self._endpoints.run(endpoint, work, token, remaining_ms)
         except CurlError as exc:
-            return _failed(req, exc)
-        finally:
-            self._by_unit[req.service, unit] -= 1
-            self._report_drained(req.service, unit)
-        return _reply_of(req, response)
+            finish, failure = _failure_of(exc, queued.deadline)
+            self._end_attempt(ticket, finish, failure)
+            return
+        self._take_response(ticket, response)
 
-    def drain(self, service: str, unit: int) -> None:
-        """Dispatch no more for the unit and report when none is in flight."""
-        self._draining.add((service, unit))
-        self._report_drained(service, unit)
+    def _token(self, queued: _Queued, now: float) -> Token | None:
+        return self._core.dispatch_token(
+            queued.endpoint.name, queued.req.service, queued.unit, now
+        )
+
+    def _take_response(self, ticket: int, response: CurlResponse) -> None:
+        if response.headers.get("arbutus-ran") == "no":
+            refusal = response.headers.get("arbutus-refusal", "")
+            finish = Finish.OVERLOADED if refusal == "shed" else Finish.FAILED
+            failure = REFUSAL_FAILURES.get(refusal, Failure.REFUSED)
+            self._end_attempt(ticket, finish, failure)
+            return
+        digest = response.headers.get("repr-digest")
+        if digest is not None and digest != digest_of(response.body):
+            self._end_attempt(ticket, Finish.FAILED, Failure.DIGEST_MISMATCH)
+            return
+        content_type = response.headers.get("content-type", "")
+        answer = Answer(
+            response.status, (("content-type", content_type),), response.body
+        )
+        self._finished(self._requests[ticket].endpoint.name, ticket, Finish.COMPLETED)
+        self._deliver(Answered(ticket, answer), time.monotonic())
+        self._ended(ticket)
+
+    def _end_attempt(self, ticket: int, finish: Finish, failure: Failure) -> None:
+        self._finished(self._requests[ticket].endpoint.name, ticket, finish)
+        self._deliver(AttemptFailed(ticket, failure), time.monotonic())
+        self._ended(ticket)
+
+    def _ended(self, ticket: int) -> None:
+        queued = self._requests[ticket]
+        if queued.reply.done():
+            self._forget(ticket)
+        self._pump(queued.endpoint.name)
+
+    def _finished(self, endpoint: str, ticket: int, finish: Finish) -> None:
+        drained = self._queue(endpoint).finished(ticket, time.monotonic(), finish)
+        if isinstance(drained, Drained):
+            self.unit_drained(self._service_of(endpoint), drained.unit)
+
+    def _tick(self) -> None:
+        now = time.monotonic()
+        for endpoint, queue in self._queues.items():
+            for shed in queue.expire(now):
+                self._deliver(LeftQueue(shed.request.ticket, shed.reason), now)
+            self._pump(endpoint)
+
+    def _expire_history(self) -> None:
+        self._deliver(Tick(time.time()), time.monotonic())
+
+    # Look-ups
 
-    def _report_drained(self, service: str, unit: int) -> None:
-        if self._by_unit[service, unit] <= 0:
-            del self._by_unit[service, unit]
-            if (service, unit) in self._draining:
-                self._draining.discard((service, unit))
-                self.unit_drained(service, unit)
+    def _queue(self, endpoint: str) -> EndpointQueue:
+        queue = self._queues.get(endpoint)
+        if queue is None:
+            configured = self._configured(endpoint)
+            queue = EndpointQueue.from_config(configured, self._core.cfg.limits)
+            self._queues[endpoint] = queue
+        return queue
+
+    def _configured(self, endpoint: str) -> Endpoint:
+        for service in self._core.cfg.services:
+            found = service.endpoint(endpoint)
+            if found is not None:
+                return found
+        raise KeyError(endpoint)
+
+    def _service_of(self, endpoint: str) -> str:
+        for service in self._core.cfg.services:
+            if service.endpoint(endpoint) is not None:
+                return service.name
+        return ""
+
+    def _owner_name(self, service: str, unit: int) -> str | None:
+        return self._core.owner_of(service, unit)
 
     def _owner(self, service: Service, unit: int) -> Endpoint | None:
         name = self._core.owner_of(service.name, unit)
         return None if name is None else service.endpoint(name)
 
-    async def _route(self, req: ForwardRequest) -> ForwardReply:
-        deadline = time.monotonic() + req.remaining_ms / 1000
-        while True:
-            reply = await self._attempt(req)
-            retry = reply.outcome == NOT_RUN and reply.reason in ROUTE_REASONS
-            remaining = deadline - time.monotonic()
-            if not retry or remaining < ROUTE_RETRY_SECONDS * 2:
-                return reply
-            await asyncio.sleep(ROUTE_RETRY_SECONDS)
-            remaining_ms = int((deadline - time.monotonic()) * 1000)
-            req = msgspec.structs.replace(req, remaining_ms=max(1, remaining_ms))
 
-    async def _attempt(self, req: ForwardRequest) -> ForwardReply:
-        service = self._core.cfg.service(req.service)
-        if service is None:
-            return _not_run(req, "unknown_service", f"no service {req.service}")
-        unit = unit_of_key(req.key, service.partitions)
-        endpoint = self._core.owner_of(req.service, unit)
-        if endpoint is None:
-            return _not_run(req, "no_owner", f"unit {unit} has no owner")
-        coordinator = self._core.coordinator_of(endpoint)
-        if coordinator == self._core.instance:
-            return await self.dispatch(req)
-        link = self._links.get(coordinator or "")
-        if link is None:
-            return _not_run(req, "no_coordinator", f"{endpoint} has no coordinator")
-        forwarded = msgspec.structs.replace(req, id=link.next_id())
-        try:
-            reply = await link.call(forwarded, req.remaining_ms / 1000)
-        except PeerCallError as exc:
-            if not exc.sent:
-                return _not_run(req, "no_coordinator", str(exc))
-            return ForwardReply(req.id, UNKNOWN, "coordinator_lost", str(exc))
-        assert isinstance(reply, ForwardReply)
-        return reply
+def _request_of(queued: _Queued) -> Request:
+    req = queued.req
+    return Request(
+        req.service,
+        queued.unit,
+        queued.endpoint.name,
+        req.kind,
+        queued.kind.rank,
+        queued.kind.repeatable,
+        req.caller,
+        content_digest(req.service, req.kind, req.key, req.body),
+        queued.deadline,
+        req.request_id,
+    )
 
 
-def _not_run(req: ForwardRequest, reason: str, detail: str) -> ForwardReply:
-    return ForwardReply(req.id, NOT_RUN, reason, detail)
+def _refused(req: ForwardRequest, reason: RefusalReason) -> ForwardReply:
+    return _refusal_reply(req, Refusal.of(reason))
 
 
-def _failed(req: ForwardRequest, exc: CurlError) -> ForwardReply:
-    if not exc.sent:
-        return _not_run(req, "connection_failed", str(exc))
-    return ForwardReply(req.id, UNKNOWN, "endpoint_lost", str(exc))
+def _refusal_reply(req: ForwardRequest, refusal: Refusal) -> ForwardReply:
+    return ForwardReply(
+        req.id,
+        refusal.outcome.value,
+        refusal.reason.value,
+        refusal.detail,
+        refusal.status,
+        retry_after_ms=refusal.retry_after_ms,
+    )
 
 
-def _reply_of(req: ForwardRequest, response: CurlResponse) -> ForwardReply:
-    if response.headers.get("arbutus-ran") == "no":
-        refusal = response.headers.get("arbutus-refusal", "")
-        return _not_run(req, "endpoint_refused", refusal)
-    digest = response.headers.get("repr-digest")
-    if digest is not None and digest != digest_of(response.body):
-        return ForwardReply(req.id, UNKNOWN, "answer_digest_mismatch")
+def _answered(req: ForwardRequest, answer: Answer) -> ForwardReply:
     return ForwardReply(
         req.id,
-        ANSWERED,
-        status=response.status,
-        body=response.body,
-        content_type=response.headers.get("content-type", ""),
+        Outcome.ANSWERED.value,
+        status=answer.status,
+        body=answer.body,
+        content_type=dict(answer.headers).get("content-type", ""),
     )
+
+
+def _failure_of(exc: CurlError, deadline: float) -> tuple[Finish, Failure]:
+    if not exc.sent:
+        return Finish.FAILED, Failure.CONNECTION_FAILED
+    if time.monotonic() >= deadline - ROUTE_RETRY_SECONDS:
+        return Finish.OVERLOADED, Failure.DEADLINE_PASSED
+    failure = CURL_FAILURES.get(exc.code, Failure.CONNECTION_LOST)
+    finish = Finish.OVERLOADED if failure is Failure.PROGRESS_TIMEOUT else Finish.FAILED
+    return finish, failure
--- a/arbutusflow/standins/fleet.py
+++ b/arbutusflow/standins/fleet.py
@@ -124,12 +124,17 @@
     def stop(self) -> list[str]:
         """Stop the entry instances gracefully, then the stand-ins.
 
-        Returns the entry instances that did not end by themselves with status 0.
+        Returns the entry instances that did not end by themselves with status 0,
+        each with its status.
         """
         entries = [peer.instance for peer in self.peers]
         for name in entries:
             self._terminate(name)
-        failed = [name for name in entries if not self._ended_well(name)]
+        failed = [
+            f"{name} ({self.processes[name].poll()})"
+            for name in entries
+            if not self._ended_well(name)
+        ]
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
