Add the heavy-hitter sketch and the hot-key policy

The sketch is space saving with 512 counters and halving per period; the policy adds hysteresis and at most four moves under way per service. It compares the guaranteed lower bound with the enter share and the upper bound with the leave share, so sketch error alone never moves a key.

Before: nothing.

Conclusion: ready to be wired to the planner; no cost per event measured yet.

--- /dev/null
+++ b/arbutusflow/domain/hotkeys.py
@@ -0,0 +1,227 @@
+"""Detection of keys that carry a large share of their endpoint's load.
+
+Invariants: the sketch holds at most `capacity` counters; the true decayed weight
+of a reported key lies between `at_least` and `at_most`; no key is moved on an
+estimate whose error could explain it.
+"""
+
+import dataclasses
+import heapq
+from collections.abc import Mapping, Sequence
+
+COUNTERS = 512
+HALVING_SECONDS = 10.0  # The hottest keys change within minutes.
+MOVES_UNDER_WAY = 4  # Bounds the ownership churn of one service.
+HOT_KEYS_PER_SERVICE = 256  # Overrides that an ownership table can hold.
+ENTER_SHARE = 0.2
+LEAVE_SHARE = 0.05
+LEAST_LOAD = 100.0  # A few requests to an idle endpoint are no hot key.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyWeight:
+    """Bounds on the decayed weight of a key."""
+
+    key_hash: int
+    at_least: float
+    at_most: float
+
+
+class HeavyHitters:
+    """Space-saving sketch whose counters are halved once per period.
+
+    A key whose weight exceeds `total / capacity` is always among the counters.
+    An observation costs amortised O(log capacity).
+    """
+
+    def __init__(
+        self, capacity: int = COUNTERS, halving_seconds: float = HALVING_SECONDS
+    ) -> None:
+        if capacity < 1 or halving_seconds <= 0:
+            raise ValueError("capacity and halving_seconds must be positive")
+        self._capacity = capacity
+        self._halving_seconds = halving_seconds
+        self._halved_at: float | None = None
+        self._counts: dict[int, float] = {}
+        self._errors: dict[int, float] = {}
+        # One entry per key. An entry may be too low until it reaches the top,
+        # so raising a counter needs no search in the heap.
+        self._heap: list[tuple[float, int]] = []
+        self._total = 0.0
+
+    @property
+    def total(self) -> float:
+        """Decayed weight of all observations."""
+        return self._total
+
+    @property
+    def error_bound(self) -> float:
+        """Upper bound on the weight of a key that has no counter."""
+        return self._total / self._capacity
+
+    def __len__(self) -> int:
+        return len(self._counts)
+
+    def observe(self, key_hash: int, weight: float, now: float) -> None:
+        """Add `weight` to a key at `now` seconds; ignores weights up to zero."""
+        self.decay(now)
+        if weight <= 0:
+            return
+        self._total += weight
+        if key_hash in self._counts:
+            self._counts[key_hash] += weight
+        elif len(self._counts) < self._capacity:
+            self._counts[key_hash] = weight
+            self._errors[key_hash] = 0.0
+            heapq.heappush(self._heap, (weight, key_hash))
+        else:
+            smallest, evicted = self._smallest()
+            del self._counts[evicted], self._errors[evicted]
+            self._counts[key_hash] = smallest + weight
+            self._errors[key_hash] = smallest
+            heapq.heapreplace(self._heap, (smallest + weight, key_hash))
+
+    def decay(self, now: float) -> None:
+        """Halve every counter once for each period that has ended by `now`."""
+        if self._halved_at is None:
+            self._halved_at = now
+        periods = int((now - self._halved_at) / self._halving_seconds)
+        if periods <= 0:
+            return
+        self._halved_at += periods * self._halving_seconds
+        factor = 0.5 ** min(periods, 64)
+        self._total *= factor
+        self._errors = {key: error * factor for key, error in self._errors.items()}
+        self._counts = {key: count * factor for key, count in self._counts.items()}
+        self._heap = [(count, key) for key, count in self._counts.items()]
+        heapq.heapify(self._heap)
+
+    def hottest(self, count: int) -> list[KeyWeight]:
+        """Return up to `count` keys, the heaviest first."""
+        keys = heapq.nsmallest(
+            count, self._counts.items(), key=lambda item: (-item[1], item[0])
+        )
+        return [
+            KeyWeight(key, weight - self._errors[key], weight) for key, weight in keys
+        ]
+
+    def _smallest(self) -> tuple[float, int]:
+        while True:
+            stored, key = self._heap[0]
+            if stored == self._counts[key]:
+                return stored, key
+            heapq.heapreplace(self._heap, (self._counts[key], key))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyLoad:
+    """Weight of a key and the endpoint that owns the key now."""
+
+    endpoint: str
+    weight: KeyWeight
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyMove:
+    """A key is to leave its endpoint (`hot`) or to lose its override."""
+
+    service: str
+    key_hash: int
+    endpoint: str
+    hot: bool
+
+
+@dataclasses.dataclass(slots=True)
+class _ServiceState:
+    hot: dict[int, str] = dataclasses.field(default_factory=dict)
+    moving: dict[int, KeyMove] = dataclasses.field(default_factory=dict)
+
+
+class HotKeyPolicy:
+    """Hysteresis and a limit on moves between a sketch and ownership."""
+
+    def __init__(
+        self,
+        enter_share: float = ENTER_SHARE,
+        leave_share: float = LEAVE_SHARE,
+        moves_under_way: int = MOVES_UNDER_WAY,
+        least_load: float = LEAST_LOAD,
+    ) -> None:
+        if not 0 < leave_share < enter_share < 1:
+            raise ValueError("shares must satisfy 0 < leave_share < enter_share < 1")
+        self._enter_share = enter_share
+        self._leave_share = leave_share
+        self._moves_under_way = moves_under_way
+        self._least_load = least_load
+        self._services: dict[str, _ServiceState] = {}
+
+    def hot_keys(self, service: str) -> frozenset[int]:
+        """Return the keys of `service` that are hot now."""
+        return frozenset(self._state(service).hot)
+
+    def decide(
+        self,
+        service: str,
+        loads: Sequence[KeyLoad],
+        endpoint_loads: Mapping[str, float],
+    ) -> list[KeyMove]:
+        """Return the moves to start.
+
+        `loads` are the heaviest keys of `service`, and `endpoint_loads` is in the
+        same decayed unit. A hot key that is missing from `loads` counts as cold.
+        """
+        state = self._state(service)
+        moves = self._cooled(service, state, loads, endpoint_loads)
+        for load in loads:
+            key = load.weight.key_hash
+            total = endpoint_loads.get(load.endpoint, 0.0)
+            if key in state.hot or key in state.moving or total < self._least_load:
+                continue
+            if load.weight.at_least <= self._enter_share * total:
+                continue
+            if not self._may_move(state) or len(state.hot) >= HOT_KEYS_PER_SERVICE:
+                break
+            state.hot[key] = load.endpoint
+            state.moving[key] = KeyMove(service, key, load.endpoint, hot=True)
+            moves.append(state.moving[key])
+        return moves
+
+    def move_ended(self, service: str, key_hash: int, *, moved: bool) -> None:
+        """Note the end of a move; one that failed leaves the key as it was before."""
+        state = self._state(service)
+        move = state.moving.pop(key_hash, None)
+        if move is None or moved:
+            return
+        if move.hot:
+            state.hot.pop(key_hash, None)
+        else:
+            state.hot[key_hash] = move.endpoint
+
+    def _cooled(
+        self,
+        service: str,
+        state: _ServiceState,
+        loads: Sequence[KeyLoad],
+        endpoint_loads: Mapping[str, float],
+    ) -> list[KeyMove]:
+        by_key = {load.weight.key_hash: load for load in loads}
+        moves = []
+        for key, endpoint in list(state.hot.items()):
+            load = by_key.get(key)
+            if load is not None:
+                endpoint = load.endpoint
+                limit = self._leave_share * endpoint_loads.get(endpoint, 0.0)
+                if load.weight.at_most >= limit:
+                    continue
+            if key in state.moving or not self._may_move(state):
+                continue
+            del state.hot[key]
+            state.moving[key] = KeyMove(service, key, endpoint, hot=False)
+            moves.append(state.moving[key])
+        return moves
+
+    def _may_move(self, state: _ServiceState) -> bool:
+        return len(state.moving) < self._moves_under_way
+
+    def _state(self, service: str) -> _ServiceState:
+        return self._services.setdefault(service, _ServiceState())
