Apply changed configurations to queues and make early or late moves safe

Cause: reading the move path again showed two holes. A history exported while a request of the unit was in flight did not cover that request, and a history that arrived after another coordinator had acted made its runs look new. Either could have run work twice. Both have a test that fails without the change; the request that ran is answered `unknown` (before_takeover) now. Queues, limits and delivery take changed limits and slots without losing waiting requests.

--- a/arbutusflow/domain/admission.py
+++ b/arbutusflow/domain/admission.py
@@ -148,11 +148,11 @@
         shares: Mapping[Rank, int] = SHARES_OF_TEN,
         turns: tuple[Rank, ...] = TURNS,
     ) -> None:
-        self._capacity = capacity
         self._limit = limit
         self._entries: dict[int, QueuedRequest] = {}
         self._ranks = {rank: _RankQueue() for rank in RANKS}
         self._counts = dict.fromkeys(RANKS, 0)
+        self._shares = shares
         self._room = _room_by_rank(capacity, shares)
         self._turns = turns
         self._by_unit: dict[int, dict[int, None]] = {}
@@ -176,6 +176,11 @@
         limit = AdaptiveLimit.from_config(endpoint, cold=cold)
         return cls(limits.queue_per_endpoint, limit)
 
+    def configure(self, endpoint: Endpoint, limits: Limits) -> None:
+        """Apply a changed configuration; requests that wait are kept."""
+        self._room = _room_by_rank(limits.queue_per_endpoint, self._shares)
+        self._limit.configure(endpoint.slots)
+
     def __len__(self) -> int:
         return len(self._entries)
 
@@ -354,6 +359,8 @@
         The places are nested: the first for urgent work, more for urgent and normal
         work together, all for the three ranks. The first that is full decides.
         """
+        if len(self._entries) < self._room[Rank.URGENT]:
+            return None
         used = 0
         for other in RANKS:
             used += self._counts[other]
--- a/arbutusflow/domain/delivery.py
+++ b/arbutusflow/domain/delivery.py
@@ -35,6 +35,7 @@
     Enqueue,
     Event,
     Failure,
+    KnownRequest,
     LeftQueue,
     ReplyAnswer,
     ReplyRefusal,
@@ -144,6 +145,8 @@
 
     def strikes(self, request_id: str, digest: bytes, now: float) -> int:
         """Return the strikes against the identifier or the digest."""
+        if not self._strikes:
+            return 0
         return max(self._count(request_id, now), self._count(digest, now))
 
     def clear(self, request_id: str, digest: bytes) -> None:
@@ -210,7 +213,7 @@
         # and an eviction only turns a later `not-run` into `unknown`.
         self._once = RequestHistory(max_entries, max_bytes, lifetime_seconds)
         self._repeatable = RequestHistory(
-            max(1, max_entries // REPEATABLE_SHARE), 0, lifetime_seconds
+            _repeatable_entries(max_entries), 0, lifetime_seconds
         )
         self._lifetime_seconds = lifetime_seconds
         self._complete_after: dict[tuple[str, int], float] = {}
@@ -258,7 +261,9 @@
                 self._complete_after[service, unit] = wall + REQUEST_ID_SKEW_SECONDS
                 return []
             case UnitAdopted(service, unit, complete_after, requests):
-                self._complete_after[service, unit] = complete_after
+                # A history that arrives after the unit was taken without it may miss
+                # what a coordinator in between ran.
+                self._complete_after.setdefault((service, unit), complete_after)
                 for known in requests:
                     history = self._repeatable if known.repeatable else self._once
                     history.adopt(service, unit, known)
@@ -271,17 +276,24 @@
                 self._repeatable.expire(wall)
                 return []
 
+    def configure(self, limits: Limits) -> None:
+        """Apply changed bounds; entries beyond them leave with the next requests."""
+        self._once.max_entries = limits.retained_answers
+        self._repeatable.max_entries = _repeatable_entries(limits.retained_answers)
+
     def export_unit(self, service: str, unit: int, wall: float) -> UnitAdopted:
-        """Return the history of a drained unit for its next coordinator."""
-        known = [
-            *self._once.export(service, unit, repeatable=False),
-            *self._repeatable.export(service, unit, repeatable=True),
-        ]
-        complete_after = max(
-            self._complete_after.get((service, unit), wall + REQUEST_ID_SKEW_SECONDS),
-            self._once.evicted_until,
-            self._repeatable.evicted_until,
-        )
+        """Return the history of a drained unit for its next coordinator.
+
+        Requests that are still in progress make all identifiers up to theirs count
+        as unknown there, so a unit that was not drained is safe, too.
+        """
+        unannounced = wall + REQUEST_ID_SKEW_SECONDS
+        complete_after = self._complete_after.get((service, unit), unannounced)
+        known: list[KnownRequest] = []
+        for history, repeatable in ((self._once, False), (self._repeatable, True)):
+            known += history.export(service, unit, repeatable=repeatable)
+            incomplete = history.incomplete_until(service, unit)
+            complete_after = max(complete_after, incomplete)
         return UnitAdopted(service, unit, complete_after, tuple(known))
 
     def _arrived(
@@ -529,6 +541,10 @@
         return pending.copies
 
 
+def _repeatable_entries(max_entries: int) -> int:
+    return max(1, max_entries // REPEATABLE_SHARE)
+
+
 def _refusal(
     reason: RefusalReason, *, may_have_run: bool = False, detail: str = ""
 ) -> Refusal:
--- a/arbutusflow/domain/delivery_messages.py
+++ b/arbutusflow/domain/delivery_messages.py
@@ -189,7 +189,8 @@
     """This instance begins to coordinate the unit with its request history.
 
     All identifiers of the unit that were created after `complete_after` and may
-    have run are in `requests`.
+    have run are in `requests`. It must come from the coordinator directly before
+    this one and before the first request; it takes the place of `UnitTaken`.
     """
 
     service: str
--- a/arbutusflow/domain/limits.py
+++ b/arbutusflow/domain/limits.py
@@ -72,6 +72,10 @@
         """Begin again slowly; the endpoint is cold."""
         ...
 
+    def configure(self, slots: int) -> None:
+        """Apply a changed number of slots."""
+        ...
+
 
 class FixedLimit:
     """A limit that never changes; the alternative for measurements."""
@@ -94,6 +98,10 @@
     def restart(self) -> None:
         """Ignore the restart."""
 
+    def configure(self, slots: int) -> None:
+        """Take the new number as the limit."""
+        self._slots = slots
+
 
 class AdaptiveLimit:
     """Additive increase, multiplicative decrease over windows of completions.
@@ -129,6 +137,13 @@
         """Return the limit of a configured endpoint."""
         return cls(endpoint.slots, cold=cold)
 
+    def configure(self, slots: int) -> None:
+        """Apply a changed number of slots; the limit begins at it again."""
+        if slots != self._slots:
+            self._slots, self._low = slots, (slots + 1) // 2
+            if not self._slow_start:
+                self._limit = float(slots)
+
     def current(self, now: float) -> int:
         """Return the learned limit, lowered by a recent report of overload."""
         learned = max(1, int(self._limit))
--- a/arbutusflow/domain/request_history.py
+++ b/arbutusflow/domain/request_history.py
@@ -55,7 +55,7 @@
     def __init__(
         self, max_entries: int, max_bytes: int, lifetime_seconds: float
     ) -> None:
-        self._max_entries = max_entries
+        self.max_entries = max_entries
         self._max_bytes = max_bytes
         self._lifetime_seconds = lifetime_seconds
         self._entries: dict[str, Entry] = {}
@@ -116,6 +116,16 @@
             and entry.result is not IN_PROGRESS
         ]
 
+    def incomplete_until(self, service: str, unit: int) -> float:
+        """Return the creation time up to which `export` may lack identifiers."""
+        in_progress = [
+            entry.created
+            for entry in self._entries.values()
+            if (entry.service, entry.unit) == (service, unit)
+            and entry.result is IN_PROGRESS
+        ]
+        return max(self.evicted_until, *in_progress, float("-inf"))
+
     def adopt(self, service: str, unit: int, known: KnownRequest) -> None:
         """Add a finished entry that another coordinator kept."""
         if known.request_id in self._entries:
@@ -129,7 +139,7 @@
             self.evicted_until = max(self.evicted_until, known.created)
 
     def _make_room(self) -> bool:
-        while len(self._entries) >= self._max_entries:
+        while len(self._entries) >= self.max_entries:
             if not self._by_creation:
                 return False
             self._evict_oldest()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,5 +1,6 @@
 """Queue of an endpoint: bounds, ranks, shares, fairness, holds, cancellation."""
 
+import dataclasses
 import random
 from collections import Counter
 
@@ -167,6 +168,11 @@
     assert len(queue) == 5 - 1  # One place is kept for background work.
     dispatched = [queue.next(0.0) for _ in range(3)]
     assert [item is None for item in dispatched] == [False, False, True]
+    more = dataclasses.replace(endpoint, slots=3)
+    queue.configure(more, Limits(queue_per_endpoint=10))
+    assert queue.next(0.0) is not None
+    assert [queue.offer(request(ticket), 0.0) for ticket in range(10, 18)] == [[]] * 8
+    assert len(queue.offer(request(18), 0.0)) == 1
 
 
 @settings(derandomize=True, deadline=None, database=None, max_examples=150)
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -52,13 +52,13 @@
     def wall(self):
         return WALL + self.now
 
-    def take_over(self):
-        """A new coordinator begins without the memory of the one before."""
+    def take_over(self, history=None):
+        """A new coordinator begins, without the memory of the one before if lost."""
         self.gone |= set(self.requests) - set(self.replies)
         self.delivery = Delivery(self.rng, self.max_entries, max_bytes=4000)
         self.queue = EndpointQueue(8, FixedLimit(self.slots))
         self.sent, self.timers = {}, []
-        self.handle(messages.UnitTaken("shop", 1, self.wall))
+        self.handle(history or messages.UnitTaken("shop", 1, self.wall))
 
     def move(self):
         """The unit's history goes to the next coordinator after a planned drain."""
@@ -70,8 +70,7 @@
             self.handle(messages.LeftQueue(ticket, RefusalReason.UNIT_MOVING))
         history = self.delivery.export_unit("shop", 1, self.wall)
         self.handle(messages.UnitLeft("shop", 1))
-        self.take_over()
-        self.handle(history)
+        self.take_over(history)
 
     def arrive(self, request_id="", content="a", repeatable=False, seconds=10.0):
         ticket = len(self.requests)
@@ -500,6 +499,30 @@
     assert len(world.ran) == 2
 
 
+def test_moved_history_marks_what_is_still_in_progress():
+    """Guards against a second run when a unit is moved before it was drained."""
+    world = World()
+    request_id = uuid7(world.wall)
+    world.arrive(request_id)
+    world.dispatch()
+    world.take_over(world.delivery.export_unit("shop", 1, world.wall))
+    resent = world.arrive(request_id)
+    assert world.result(resent) == ("unknown", "before_takeover")
+
+
+def test_late_history_does_not_hide_runs_of_a_coordinator_in_between():
+    """Guards against a delayed message that makes unknown identifiers look new."""
+    world = World()
+    history = world.delivery.export_unit("shop", 1, world.wall)
+    request_id = uuid7(world.wall)
+    world.arrive(request_id)
+    world.dispatch()
+    world.take_over()
+    world.handle(history)
+    resent = world.arrive(request_id)
+    assert world.result(resent) == ("unknown", "before_takeover")
+
+
 def test_each_reason_is_described_and_mapped():
     """Guards against a reason without a counter name, a status or documentation."""
     assert set(REFUSALS) == set(RefusalReason)
