--- a/arbutusflow/domain/admission.py
+++ b/arbutusflow/domain/admission.py
@@ -148,11 +148,11 @@
         shares: Mapping[Rank, int] = SHARES_OF_TEN,
         turns: tuple[Rank, ...] = TURNS,
     ) -> None:
-        self._capacity = capacity
         self._limit = limit
         self._entries: dict[int, QueuedRequest] = {}
         self._ranks = {rank: _RankQueue() for rank in RANKS}
         self._counts = dict.fromkeys(RANKS, 0)
+        self._shares = shares
         self._room = _room_by_rank(capacity, shares)
         self._turns = turns
         self._by_unit: dict[int, dict[int, None]] = {}
@@ -176,6 +176,11 @@
         limit = AdaptiveLimit.from_config(endpoint, cold=cold)
         return cls(limits.queue_per_endpoint, limit)
 
+    def configure(self, endpoint: Endpoint, limits: Limits) -> None:
+        """Apply a changed configuration; requests that wait are kept."""
+        self._room = _room_by_rank(limits.queue_per_endpoint, self._shares)
+        self._limit.configure(endpoint.slots)
+
     def __len__(self) -> int:
         return len(self._entries)
 
@@ -266,7 +271,7 @@
             return None
         self._runs_alone = False
         latency = now - ended.since
-        self._limit.observe(finish, latency, ended.in_flight)
+        self._limit.observe(finish, latency, ended.in_flight, ended.request.kind)
         if finish is Finish.COMPLETED:
             self._learn_latency(ended.request.kind, latency)
         unit = ended.request.unit
@@ -304,6 +309,10 @@
             del self._parked[request.rank][ticket]
             self._ranks[request.rank].add(request, first=True)
 
+    def units(self) -> list[int]:
+        """Return the units that are held or have waiting requests."""
+        return [*self._held, *(self._by_unit.keys() - self._held)]
+
     def take_unit(self, unit: int) -> list[QueuedRequest]:
         """Remove and return the waiting requests of the unit, the earliest first."""
         requests = [self._entries[ticket] for ticket in self._by_unit.get(unit, ())]
@@ -354,6 +363,8 @@
         The places are nested: the first for urgent work, more for urgent and normal
         work together, all for the three ranks. The first that is full decides.
         """
+        if len(self._entries) < self._room[Rank.URGENT]:
+            return None
         used = 0
         for other in RANKS:
             used += self._counts[other]
