Check settings, configuration and patch files with line and field

Cause: a wrong YAML file was reported without its line, unknown fields of data classes were ignored (msgspec ignores them there) and repeated keys were resolved silently by PyYAML.

Documents are now walked as nodes beside the msgspec type description, so each error names file, line, field and the accepted values.

--- a/arbutusflow/adapters/logs.py
+++ b/arbutusflow/adapters/logs.py
@@ -1,8 +1,12 @@
 """Logs as JSON lines on standard error, written by `eliot`.
 
-Invariant: no payload and no secret of a request is logged.
+Each line has a `level`; lines below the chosen level are not written. The lines
+about one request carry its `request_id` at every instance that it passes.
+
+Invariant: no payload, no header value of a caller and no secret is logged.
 """
 
+import enum
 import sys
 
 import eliot
@@ -10,19 +14,53 @@
 from arbutusflow.domain.records import Decision
 
 
-def start_logging() -> None:
+class Level(enum.Enum):
+    """Importance of a line, from the least to the most important."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+_ORDER = {level: number for number, level in enumerate(Level)}
+_least = Level.INFO
+
+
+def start_logging(least: Level = Level.INFO) -> None:
     """Send the process's log to standard error."""
+    set_level(least)
     eliot.to_file(sys.stderr)
 
 
-def log_event(name: str, /, **fields: object) -> None:
+def set_level(least: Level) -> None:
+    """Write lines of `least` importance and above from now on."""
+    global _least  # noqa: PLW0603 - the log is one stream of the process
+    _least = least
+
+
+def is_logged(level: Level) -> bool:
+    """Return whether lines of `level` are written."""
+    return _ORDER[level] >= _ORDER[_least]
+
+
+def log_event(name: str, /, level: Level = Level.INFO, **fields: object) -> None:
     """Log one event with its fields."""
-    eliot.log_message(message_type=f"arbutusflow:{name}", **fields)
+    if is_logged(level):
+        eliot.log_message(
+            message_type=f"arbutusflow:{name}", level=level.value, **fields
+        )
 
 
 def log_exception(event: str, exc: BaseException) -> None:
     """Log an error that the process goes on after."""
-    log_event("error", during=event, error=type(exc).__name__, detail=str(exc))
+    log_event(
+        "error",
+        Level.ERROR,
+        during=event,
+        error=type(exc).__name__,
+        detail=str(exc),
+    )
 
 
 def log_decision(decision: Decision) -> None:
--- a/arbutusflow/adapters/settings.py
+++ b/arbutusflow/adapters/settings.py
@@ -1,4 +1,4 @@
-"""Settings of one process and the configuration file, read from YAML.
+"""Settings of one process, the configuration file and patch files, read from YAML.
 
 Invariant: a file is used whole or not at all; an error names the line, the
 field and the accepted values.
@@ -6,73 +6,177 @@
 
 import dataclasses
 import pathlib
-from typing import Annotated, TypeVar
+import uuid
+from typing import Annotated
 
 import msgspec
-import yaml
 
-from arbutusflow.domain.configuration import Configuration, check_configuration
+from arbutusflow.adapters.documents import load_document
+from arbutusflow.adapters.logs import Level
+from arbutusflow.domain.configuration import (
+    About,
+    Configuration,
+    Host,
+    Name,
+    Operation,
+    Patch,
+    PatchId,
+    Port,
+    check_configuration,
+)
 from arbutusflow.domain.errors import SettingsError
 
-Checked = TypeVar("Checked")
+# Settings that a running process takes over on SIGHUP.
+RELOADABLE_FIELDS = frozenset({"log_level", "statsd"})
 
 
 class Address(msgspec.Struct, frozen=True):
     """An IP address and a port."""
 
-    host: str
-    port: Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+    host: Annotated[Host, About(description="IP address.")]
+    port: Annotated[Port, About(description="Port.")]
+
+    @classmethod
+    def from_text(cls, text: str) -> "Address":
+        """Return the address in `text`; `SettingsError` unless it is `host:port`."""
+        host, colon, port = text.rpartition(":")
+        if not (colon and host and port.isdecimal() and 0 < int(port) <= 65_535):
+            raise SettingsError(f"{text!r} is no address; write host:port")
+        return cls(host.strip("[]"), int(port))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Peer:
     """Another entry instance, as the settings name it."""
 
-    instance: str
-    zone: str
-    address: Address
+    instance: Annotated[Name, About(description="Name of the instance.")]
+    zone: Annotated[Name, About(description="Its availability zone.")]
+    address: Annotated[Address, About(description="Its address for instances.")]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class EntrySettings:
-    """Settings of one entry instance.
+class CallerLimits:
+    """Limits of one instance on what callers send.
 
-    `caller` is the address that callers reach, `peer` the one for other entry
-    instances and `admin` the one for operators and health checks.
+    They bound what one connection can take before a request is known; the size
+    of a body is part of the configuration document.
     """
 
-    instance: str
-    zone: str
-    caller: Address
-    peer: Address
-    admin: Address
-    platform_url: str
-    peers: tuple[Peer, ...] = ()
-    statsd: Address | None = None
+    header_bytes: Annotated[
+        int,
+        About(
+            ge=1024,
+            le=1_048_576,
+            description="Size of the request line and all headers.",
+        ),
+    ] = 16_384
+    header_count: Annotated[
+        int,
+        About(
+            ge=8,
+            le=10_000,
+            description="Number of headers.",
+            extra={"unit": "headers"},
+        ),
+    ] = 100
+    connections: Annotated[
+        int,
+        About(
+            ge=1,
+            le=100_000,
+            description="Connections of callers that are open at once.",
+            extra={"unit": "connections"},
+        ),
+    ] = 4_096
+    receive_ms: Annotated[
+        int,
+        About(
+            ge=100,
+            le=600_000,
+            description="Time from the first byte of a request to its last one.",
+        ),
+    ] = 60_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Settings of one entry instance."""
+
+    instance: Annotated[
+        Name, About(description="Name, unique among all entry instances.")
+    ]
+    zone: Annotated[Name, About(description="Availability zone of the instance.")]
+    caller: Annotated[Address, About(description="Address that callers reach.")]
+    peer: Annotated[
+        Address, About(description="Address that other entry instances reach.")
+    ]
+    admin: Annotated[
+        Address, About(description="Address of operators and health checks.")
+    ]
+    platform_url: Annotated[
+        str,
+        About(pattern=r"^https?://[^/ ]+", description="URL of the platform."),
+    ]
+    peers: Annotated[
+        tuple[Peer, ...], About(description="Entry instances to contact first.")
+    ] = ()
+    statsd: Annotated[
+        Address | None,
+        About(description="Address that metrics are sent to; null sends none."),
+    ] = None
+    log_level: Annotated[
+        Level, About(description="Least important lines that are logged.")
+    ] = Level.INFO
+    limits: Annotated[
+        CallerLimits, About(description="Limits on what callers send.")
+    ] = CallerLimits()
+
+
+class PatchFile(msgspec.Struct, frozen=True):
+    """A patch as operators write it; the command line completes it."""
+
+    operations: Annotated[
+        tuple[Operation, ...],
+        About(description="Changes, applied in this order, all or none."),
+    ]
+    against: Annotated[
+        int | None,
+        About(
+            description="Number of the configuration that the patch was made for; "
+            "null takes the number in force when the command runs."
+        ),
+    ] = None
+    id: Annotated[
+        PatchId | None,
+        About(
+            description="Identifier; null lets the command choose one. A patch that "
+            "is sent again under its identifier takes effect once.",
+        ),
+    ] = None
+
+    def complete(self, number: int, patch_id: str | None = None) -> Patch:
+        """Return the patch to send; `number` is the configuration's in force."""
+        return Patch(
+            patch_id or self.id or uuid.uuid4().hex,
+            number if self.against is None else self.against,
+            self.operations,
+        )
 
 
 def load_settings(path: pathlib.Path) -> EntrySettings:
     """Return the settings in the file at `path`."""
-    return _load(path, EntrySettings)
+    return load_document(path, EntrySettings)
+
+
+def load_patch(path: pathlib.Path) -> PatchFile:
+    """Return the patch in the file at `path`."""
+    return load_document(path, PatchFile)
 
 
 def load_configuration(path: pathlib.Path) -> Configuration:
     """Return the configuration in the file at `path`."""
-    cfg = _load(path, Configuration)
+    cfg = load_document(path, Configuration)
     problems = check_configuration(cfg)
     if problems:
         raise SettingsError(f"{path}: {'; '.join(problems)}")
     return cfg
-
-
-def _load(path: pathlib.Path, kind: type[Checked]) -> Checked:
-    try:
-        text = path.read_text()
-    except OSError as exc:
-        raise SettingsError(f"cannot read {path}: {exc.strerror}") from exc
-    try:
-        return msgspec.convert(yaml.safe_load(text), kind)
-    except yaml.YAMLError as exc:
-        raise SettingsError(f"{path} is not valid YAML: {exc}") from exc
-    except msgspec.ValidationError as exc:
-        raise SettingsError(f"{path}: {exc}") from exc
--- a/arbutusflow/domain/configuration.py
+++ b/arbutusflow/domain/configuration.py
@@ -16,8 +16,11 @@
 REMEMBERED_PATCHES = 256  # Operators resolve a lost answer within minutes.
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Host = Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
 Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=600_000)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+PatchId = Annotated[str, msgspec.Meta(min_length=8, max_length=64)]
+About = msgspec.Meta
 
 
 class Rank(enum.Enum):
@@ -43,35 +46,79 @@
     number of connections that it accepts from all entry instances together.
     """
 
-    name: Name
-    zone: Name
-    host: str
-    port: Port
-    slots: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 2
-    connections: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 100
-    checks_tokens: bool = True
-    weight: Annotated[float, msgspec.Meta(gt=0, le=1000)] = 1.0
-    state: EndpointState = EndpointState.ACTIVE
+    name: Annotated[Name, About(description="Name, unique among all endpoints.")]
+    zone: Annotated[Name, About(description="Availability zone.")]
+    host: Annotated[Host, About(description="IP address.")]
+    port: Annotated[Port, About(description="TCP port.")]
+    slots: Annotated[
+        int,
+        About(
+            ge=1,
+            le=4096,
+            description="Requests that it runs at once.",
+            extra={"unit": "requests"},
+        ),
+    ] = 2
+    connections: Annotated[
+        int,
+        About(
+            ge=1,
+            le=10_000,
+            description="Connections that it accepts from all instances together.",
+            extra={"unit": "connections"},
+        ),
+    ] = 100
+    checks_tokens: Annotated[
+        bool,
+        About(
+            description="Whether it refuses work whose fencing token is out of date."
+        ),
+    ] = True
+    weight: Annotated[
+        float,
+        About(gt=0, le=1000, description="Share of the keys relative to the others."),
+    ] = 1.0
+    state: Annotated[
+        EndpointState,
+        About(description="A draining endpoint keeps no key and gets no new one."),
+    ] = EndpointState.ACTIVE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Kind:
     """A kind of work of a service."""
 
-    name: Name
-    rank: Rank
-    repeatable: bool
-    timeout_ms: Milliseconds = 5_000
+    name: Annotated[Name, About(description="Name, unique in its service.")]
+    rank: Annotated[Rank, About(description="Importance; urgent work is served first.")]
+    repeatable: Annotated[
+        bool,
+        About(description="Whether running a request twice has the effect of once."),
+    ]
+    timeout_ms: Annotated[
+        Milliseconds, About(description="Longest time from arrival to answer.")
+    ] = 5_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """A service, its kinds of work and the endpoints that own its keys."""
 
-    name: Name
-    kinds: tuple[Kind, ...]
-    endpoints: tuple[Endpoint, ...] = ()
-    partitions: Annotated[int, msgspec.Meta(ge=1, le=65_536)] = 256
+    name: Annotated[Name, About(description="Name, unique among all services.")]
+    kinds: Annotated[
+        tuple[Kind, ...], About(description="Kinds of work; at least one.")
+    ]
+    endpoints: Annotated[
+        tuple[Endpoint, ...], About(description="Servers that own the keys.")
+    ] = ()
+    partitions: Annotated[
+        int,
+        About(
+            ge=1,
+            le=65_536,
+            description="Parts that the keys are divided into; it cannot change.",
+            extra={"unit": "partitions"},
+        ),
+    ] = 256
 
     def kind(self, name: str) -> Kind | None:
         """Return the kind of work called `name`, if there is one."""
@@ -86,27 +133,63 @@
 class Limits:
     """Limits that protect the entry instances."""
 
-    body_bytes: Annotated[int, msgspec.Meta(ge=1024, le=67_108_864)] = 8_388_608
-    queue_per_endpoint: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 256
-    retained_answers: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 50_000
+    body_bytes: Annotated[
+        int,
+        About(ge=1024, le=67_108_864, description="Largest body of a request."),
+    ] = 8_388_608
+    queue_per_endpoint: Annotated[
+        int,
+        About(
+            ge=1,
+            le=100_000,
+            description="Requests that wait for one endpoint at most.",
+            extra={"unit": "requests"},
+        ),
+    ] = 256
+    retained_answers: Annotated[
+        int,
+        About(
+            ge=1,
+            le=1_000_000,
+            description="Answers that a coordinator keeps for resent requests.",
+            extra={"unit": "answers"},
+        ),
+    ] = 50_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AppliedPatch:
     """A patch that took effect, and the number that it produced."""
 
-    id: str
-    number: int
+    id: Annotated[str, About(description="Identifier of the patch.")]
+    number: Annotated[int, About(description="Number that it produced.")]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
-    """One numbered state of what the operators want."""
+    """One numbered state of what the operators want.
+
+    `lost_zones` are availability zones that an operator declared lost: their
+    instances and endpoints count as gone until the zone is restored.
+    """
 
-    number: int = 0
-    services: tuple[Service, ...] = ()
-    limits: Limits = Limits()
-    applied: tuple[AppliedPatch, ...] = ()
+    number: Annotated[
+        int, About(ge=0, description="Number of the state; each patch raises it by 1.")
+    ] = 0
+    services: Annotated[
+        tuple[Service, ...], About(description="Services that are routed.")
+    ] = ()
+    limits: Annotated[
+        Limits, About(description="Limits that protect the entry instances.")
+    ] = Limits()
+    applied: Annotated[
+        tuple[AppliedPatch, ...],
+        About(description="The most recent patches; written by the product."),
+    ] = ()
+    lost_zones: Annotated[
+        tuple[Name, ...],
+        About(description="Zones that an operator declared lost."),
+    ] = ()
 
     def service(self, name: str) -> Service | None:
         """Return the service called `name`, if there is one."""
@@ -160,6 +243,22 @@
     limits: Limits
 
 
+class DeclareZoneLost(msgspec.Struct, frozen=True, tag="declare_zone_lost"):
+    """Declares that every instance and endpoint of a zone has stopped for good.
+
+    It is a proof on which keys move, so it has to be true: a server of the zone
+    that still runs could execute work beside its successor.
+    """
+
+    zone: Name
+
+
+class RestoreZone(msgspec.Struct, frozen=True, tag="restore_zone"):
+    """Takes back the declaration that a zone is lost."""
+
+    zone: Name
+
+
 Operation = (
     PutService
     | RemoveService
@@ -168,13 +267,15 @@
     | SetEndpointState
     | PutKind
     | SetLimits
+    | DeclareZoneLost
+    | RestoreZone
 )
 
 
 class Patch(msgspec.Struct, frozen=True):
     """Operations against one numbered configuration, applied whole or not at all."""
 
-    id: Annotated[str, msgspec.Meta(min_length=8, max_length=64)]
+    id: PatchId
     against: Annotated[int, msgspec.Meta(ge=0)]
     operations: tuple[Operation, ...]
 
@@ -289,6 +390,15 @@
             )
         case SetLimits(limits):
             return dataclasses.replace(cfg, limits=limits)
+        case DeclareZoneLost(zone):
+            _require_zone(cfg, zone)
+            lost = tuple(sorted({*cfg.lost_zones, zone}))
+            return dataclasses.replace(cfg, lost_zones=lost)
+        case RestoreZone(zone):
+            if zone not in cfg.lost_zones:
+                raise ConfigurationError(f"zone {zone} is not declared lost")
+            kept_zones = tuple(item for item in cfg.lost_zones if item != zone)
+            return dataclasses.replace(cfg, lost_zones=kept_zones)
 
 
 def _with_service(cfg: Configuration, service: Service) -> Configuration:
@@ -315,6 +425,14 @@
     return dataclasses.replace(service, endpoints=endpoints)
 
 
+def _require_zone(cfg: Configuration, zone: str) -> None:
+    """Refuse a zone without an endpoint; a typing error must not be stored."""
+    zones = {item.zone for service in cfg.services for item in service.endpoints}
+    if zone not in zones:
+        known = ", ".join(sorted(zones)) or "none"
+        raise ConfigurationError(f"there is no zone {zone}; the zones are {known}")
+
+
 def _require_service(cfg: Configuration, name: str) -> Service:
     service = cfg.service(name)
     if service is None:
