Add operator commands, caller limits, metrics and reference pages

Cause: only `entry` and `version` existed; header size, header count, connections and receive time were unbounded; a bad request could end in a bare 400 or 500 without an outcome; nothing was counted.

- Commands config, status, explain, drain, zone, reference with exit statuses 0 to 4 and one-sentence errors.
- CallerProtocol bounds what a connection may send.
A refusal never overtakes the answer of an earlier request on the same connection, which uvicorn's own 400 did: the caller would have read "not run" for a request that ran.
- Spellings of a request identifier are made one, so that a resend in capital letters cannot run twice.
- Observer keeps outcomes, logs them by request identifier and reports metrics; SIGHUP takes over log level and statsd address.
- Reference pages are printed by the code and compared by a test.

--- a/arbutusflow/adapters/admin_http.py
+++ b/arbutusflow/adapters/admin_http.py
@@ -10,39 +10,31 @@
 
 import msgspec
 
+from arbutusflow.adapters.admin_messages import KeyExplanation, Refusal, Stopping
 from arbutusflow.adapters.caller_http import Receive, Scope, Send, respond
 from arbutusflow.domain.configuration import Accepted, Invalid, Patch
 from arbutusflow.domain.partitions import unit_of_key
 from arbutusflow.runtime.control import ControlTask, PatchOutcomeUnknownError
+from arbutusflow.runtime.request_log import RequestLog
 
+MAX_BODY_BYTES = 4_194_304  # The platform holds documents of up to 1 MB.
 JSON_HEADERS = ((b"content-type", b"application/json"),)
 
 
-class Refusal(msgspec.Struct, frozen=True):
-    """JSON body of a refused operator request."""
-
-    error: str
-
-
-class KeyExplanation(msgspec.Struct, frozen=True):
-    """Who owns a key and how that came about."""
-
-    service: str
-    key: str
-    unit: int
-    owner: str | None
-    sequence: int
-    coordinator: str | None
-    term: int
-    decisions: tuple[Any, ...]
-
-
 class AdminApplication:
     """ASGI application that operators and health checks talk to."""
 
-    def __init__(self, control: ControlTask, ready: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        control: ControlTask,
+        request_log: RequestLog,
+        ready: Callable[[], bool],
+        stop: Callable[[], None],
+    ) -> None:
         self._control = control
+        self._request_log = request_log
         self._ready = ready
+        self._stop = stop
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle one HTTP request."""
@@ -53,6 +45,10 @@
             while message.get("more_body"):
                 message = await receive()
                 body += message.get("body", b"")
+                if len(body) > MAX_BODY_BYTES:
+                    error = f"a body has at most {MAX_BODY_BYTES} bytes"
+                    await self._send(send, 413, Refusal(error))
+                    return
         match scope["method"], scope["path"]:
             case "GET", "/health/live":
                 await respond(send, 200, JSON_HEADERS, b"{}")
@@ -64,10 +60,17 @@
                 await self._send(send, 200, self._control.status())
             case "GET", "/explain/key":
                 await self._explain(scope, send)
+            case "GET", "/explain/request":
+                await self._explain_request(scope, send)
             case "POST", "/config/patch":
                 await self._patch(body, send)
+            case "POST", "/drain":
+                # The instance serves on until its work is handed over.
+                await self._send(send, 202, Stopping(self._control.core.instance))
+                self._stop()
             case _:
-                await self._send(send, 404, Refusal("there is no such page"))
+                error = f"there is no page {scope['method']} {scope['path']}"
+                await self._send(send, 404, Refusal(f"{error}; see docs/operators"))
 
     async def _patch(self, body: bytes, send: Send) -> None:
         try:
@@ -90,7 +93,9 @@
         service = core.cfg.service(name)
         table = core.tables.get(name)
         if service is None or table is None:
-            await self._send(send, 404, Refusal(f"there is no service {name}"))
+            known = ", ".join(item.name for item in core.cfg.services) or "none"
+            error = f"there is no service {name}; the services are {known}"
+            await self._send(send, 404, Refusal(error))
             return
         unit = unit_of_key(key, service.partitions)
         row = table.row(unit)
@@ -109,5 +114,18 @@
         )
         await self._send(send, 200, explanation)
 
+    async def _explain_request(self, scope: Scope, send: Send) -> None:
+        query = urllib.parse.parse_qs(scope["query_string"].decode())
+        request_id = query.get("id", [""])[0].lower()
+        outcomes = self._request_log.find(request_id)
+        if not outcomes:
+            error = (
+                f"{self._control.core.instance} keeps no outcome of request "
+                f"{request_id}; ask the instance that the caller reached"
+            )
+            await self._send(send, 404, Refusal(error))
+            return
+        await self._send(send, 200, outcomes)
+
     async def _send(self, send: Send, status: int, value: Any) -> None:
         await respond(send, status, JSON_HEADERS, msgspec.json.encode(value))
--- a/arbutusflow/adapters/caller_http.py
+++ b/arbutusflow/adapters/caller_http.py
@@ -14,11 +14,22 @@
 from werkzeug.sansio.request import Request
 
 from arbutusflow.adapters.endpoint import digest_of
+from arbutusflow.adapters.logs import log_exception
+from arbutusflow.adapters.metrics import refusal_reason
 from arbutusflow.adapters.peer_messages import ForwardReply, ForwardRequest
-from arbutusflow.domain.configuration import Configuration
+from arbutusflow.domain.configuration import Configuration, Kind, Service
+from arbutusflow.domain.reasons import RefusalReason
 
-DEFAULT_DEADLINE_MS = 5_000
 MAX_DEADLINE_MS = 600_000
+MAX_CALLER_CHARACTERS = 255
+# A second value would be ignored here and might be read elsewhere.
+SINGLE_HEADERS = (
+    "Arbutus-Request-Id",
+    "Arbutus-Deadline-Ms",
+    "Arbutus-Caller",
+    "Repr-Digest",
+    "Content-Type",
+)
 METHODS = frozenset({"GET", "POST", "PUT"})
 STATUS_OF_OUTCOME = {"answered": 200, "not-run": 503, "unknown": 504}
 
@@ -39,10 +50,13 @@
 class BadRequest(Exception):  # noqa: N818 - never leaves this module
     """The request breaks a rule; carries the answer."""
 
-    def __init__(self, status: int, reason: str, detail: str) -> None:
+    def __init__(
+        self, reason: RefusalReason, detail: str, status: int | None = None
+    ) -> None:
         super().__init__(detail)
-        self.status = status
-        self.problem = Problem("not-run", reason, detail)
+        self.reason = reason
+        self.status = status or reason.status
+        self.problem = Problem("not-run", reason.value, detail)
 
 
 class CallerApplication:
@@ -52,23 +66,38 @@
         self,
         configuration: Callable[[], Configuration],
         accept: Callable[[ForwardRequest], Awaitable[ForwardReply]],
+        on_refusal: Callable[[RefusalReason], None] = lambda reason: None,
     ) -> None:
         self._configuration = configuration
         self._accept = accept
+        self._on_refusal = on_refusal
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle one HTTP request."""
         try:
             req = await self._parse(scope, receive)
         except BadRequest as exc:
+            self._on_refusal(exc.reason)
             await _send_problem(send, exc.status, exc.problem)
             return
         except ConnectionError:
             return
-        reply = await self._accept(req)
+        try:
+            reply = await self._accept(req)
+        except Exception as exc:
+            # The request may have been sent before the fault.
+            log_exception("request", exc)
+            reply = ForwardReply(
+                req.id,
+                "unknown",
+                RefusalReason.COORDINATOR_LOST.value,
+                "the instance had an internal error; see its log",
+            )
         if reply.outcome == "answered":
             await _send_answer(send, req, reply)
             return
+        if (reason := refusal_reason(reply.reason)) is not None:
+            self._on_refusal(reason)
         problem = Problem(reply.outcome, reply.reason, reply.detail)
         await _send_problem(
             send, reply.status or STATUS_OF_OUTCOME[reply.outcome], problem
@@ -77,54 +106,115 @@
     async def _parse(self, scope: Scope, receive: Receive) -> ForwardRequest:
         request = _request_of(scope)
         if request.method not in METHODS:
-            raise BadRequest(405, "bad_request", "use GET, POST or PUT")
-        path = scope["raw_path"].decode("latin-1").partition("?")[0]
-        parts = path.split("/")
-        if len(parts) != 5 or parts[:2] != ["", "v1"] or not parts[4]:
             raise BadRequest(
-                404, "bad_request", "the path is /v1/<service>/<kind>/<key>"
+                RefusalReason.BAD_REQUEST, "use the method GET, POST or PUT", 405
             )
         cfg = self._configuration()
-        service = cfg.service(parts[2])
-        if service is None:
-            raise BadRequest(404, "unknown_service", f"there is no service {parts[2]}")
-        kind = service.kind(parts[3])
-        if kind is None:
-            raise BadRequest(
-                404, "unknown_kind", f"service {parts[2]} has no kind {parts[3]}"
-            )
-        request_id = request.headers.get("Arbutus-Request-Id", "")
-        if not request_id and not kind.repeatable:
+        service, kind, key = _target_of(cfg, scope["raw_path"])
+        for name in SINGLE_HEADERS:
+            if len(request.headers.getlist(name)) > 1:
+                raise BadRequest(RefusalReason.BAD_REQUEST, f"send {name} once")
+        request_id = _request_id_of(request, kind)
+        caller = request.headers.get("Arbutus-Caller", "")
+        content_type = request.headers.get("Content-Type", "application/octet-stream")
+        if len(caller) > MAX_CALLER_CHARACTERS or not _is_printable_ascii(caller):
             raise BadRequest(
-                400,
-                "request_id_missing",
-                f"{parts[3]} may not be repeated: send a UUID version 7 in "
-                "Arbutus-Request-Id and the same one with each resend",
+                RefusalReason.BAD_REQUEST,
+                f"Arbutus-Caller has at most {MAX_CALLER_CHARACTERS} printable "
+                "characters of ASCII",
             )
-        if request_id and not _is_uuid7(request_id):
+        if not _is_printable_ascii(content_type):
             raise BadRequest(
-                400,
-                "request_id_invalid",
-                "Arbutus-Request-Id has to be a UUID version 7",
+                RefusalReason.BAD_REQUEST,
+                "Content-Type consists of printable characters of ASCII",
             )
+        deadline_ms = _deadline_ms(request, kind.timeout_ms)
+        digest = _digest_of_header(request)
         body = await _read_body(request, receive, cfg.limits.body_bytes)
-        digest = request.headers.get("Repr-Digest")
         if digest is not None and digest != digest_of(body):
             raise BadRequest(
-                400, "upload_incomplete", "the body does not match Repr-Digest"
+                RefusalReason.UPLOAD_INCOMPLETE,
+                "the body does not match Repr-Digest; send it again",
             )
         return ForwardRequest(
             0,
             service.name,
             kind.name,
-            urllib.parse.unquote(parts[4]),
+            key,
             request.method,
             body,
-            request.headers.get("Content-Type", "application/octet-stream"),
+            content_type,
             request_id or str(uuid6.uuid7()),
-            request.headers.get("Arbutus-Caller", ""),
-            _deadline_ms(request, kind.timeout_ms),
+            caller,
+            deadline_ms,
+        )
+
+
+def _target_of(cfg: Configuration, raw_path: bytes) -> tuple[Service, Kind, str]:
+    parts = raw_path.decode("latin-1").partition("?")[0].split("/")
+    if len(parts) != 5 or parts[:2] != ["", "v1"] or not parts[4]:
+        raise BadRequest(
+            RefusalReason.BAD_REQUEST, "the path is /v1/<service>/<kind>/<key>", 404
+        )
+    service = cfg.service(parts[2])
+    if service is None:
+        raise BadRequest(
+            RefusalReason.UNKNOWN_SERVICE, f"there is no service {parts[2]}"
+        )
+    kind = service.kind(parts[3])
+    if kind is None:
+        raise BadRequest(
+            RefusalReason.UNKNOWN_KIND, f"service {parts[2]} has no kind {parts[3]}"
+        )
+    try:
+        # Replacing wrong bytes would give different keys one name.
+        key = urllib.parse.unquote(parts[4], errors="strict")
+    except UnicodeDecodeError:
+        raise BadRequest(
+            RefusalReason.BAD_REQUEST, "the key is not percent-encoded UTF-8"
+        ) from None
+    return service, kind, key
+
+
+def _request_id_of(request: Request, kind: Kind) -> str:
+    """Return the canonical text, so that two spellings are one request."""
+    text = request.headers.get("Arbutus-Request-Id", "")
+    if not text:
+        if kind.repeatable:
+            return ""
+        raise BadRequest(
+            RefusalReason.REQUEST_ID_MISSING,
+            f"{kind.name} may not be repeated: send a UUID version 7 in "
+            "Arbutus-Request-Id and the same one with each resend",
         )
+    try:
+        request_id = uuid6.UUID(text)
+    except ValueError:
+        request_id = None
+    if request_id is None or request_id.version != 7:
+        raise BadRequest(
+            RefusalReason.REQUEST_ID_INVALID,
+            "Arbutus-Request-Id has to be a UUID version 7",
+        )
+    return str(request_id)
+
+
+def _digest_of_header(request: Request) -> str | None:
+    """Return the SHA-256 member of `Repr-Digest`; it may list other algorithms."""
+    text = request.headers.get("Repr-Digest")
+    if text is None:
+        return None
+    members = [item.strip() for item in text.split(",")]
+    digest = next((item for item in members if item.startswith("sha-256=")), None)
+    if digest is None:
+        raise BadRequest(
+            RefusalReason.BAD_REQUEST, "Repr-Digest needs a sha-256 member"
+        )
+    return digest
+
+
+def _is_printable_ascii(text: str) -> bool:
+    return text.isascii() and (not text or text.isprintable())
 
 
 def _request_of(scope: Scope) -> Request:
@@ -150,25 +240,23 @@
     text = request.headers.get("Arbutus-Deadline-Ms")
     if text is None:
         return kind_timeout_ms
-    if not text.isdecimal() or not 0 < int(text) <= MAX_DEADLINE_MS:
+    # The length is checked first: int() refuses thousands of digits.
+    if not (
+        text.isascii()
+        and text.isdecimal()
+        and len(text) <= len(str(MAX_DEADLINE_MS))
+        and 0 < int(text) <= MAX_DEADLINE_MS
+    ):
         raise BadRequest(
-            400,
-            "bad_request",
+            RefusalReason.BAD_REQUEST,
             f"Arbutus-Deadline-Ms has to be a number from 1 to {MAX_DEADLINE_MS}",
         )
     return min(int(text), kind_timeout_ms)
 
 
-def _is_uuid7(text: str) -> bool:
-    try:
-        return uuid6.UUID(text).version == 7
-    except ValueError:
-        return False
-
-
 async def _read_body(request: Request, receive: Receive, limit: int) -> bytes:
     if request.content_length is not None and request.content_length > limit:
-        raise BadRequest(413, "body_too_large", f"a body has at most {limit} bytes")
+        raise _too_large(limit)
     parts, size = [], 0
     while True:
         message = await receive()
@@ -177,11 +265,15 @@
         parts.append(message.get("body", b""))
         size += len(parts[-1])
         if size > limit:
-            raise BadRequest(413, "body_too_large", f"a body has at most {limit} bytes")
+            raise _too_large(limit)
         if not message.get("more_body"):
             return b"".join(parts)
 
 
+def _too_large(limit: int) -> BadRequest:
+    return BadRequest(RefusalReason.BODY_TOO_LARGE, f"a body has at most {limit} bytes")
+
+
 async def _send_answer(send: Send, req: ForwardRequest, reply: ForwardReply) -> None:
     headers = (
         (b"content-type", reply.content_type.encode("latin-1")),
@@ -193,12 +285,16 @@
 
 
 async def _send_problem(send: Send, status: int, problem: Problem) -> None:
-    headers = (
+    await respond(send, status, headers_of(problem), msgspec.json.encode(problem))
+
+
+def headers_of(problem: Problem) -> tuple[tuple[bytes, bytes], ...]:
+    """Return the headers of an answer that does not come from an endpoint."""
+    return (
         (b"content-type", b"application/json"),
         (b"arbutus-outcome", problem.outcome.encode()),
         (b"arbutus-reason", problem.reason.encode()),
     )
-    await respond(send, status, headers, msgspec.json.encode(problem))
 
 
 async def respond(
--- a/arbutusflow/adapters/documents.py
+++ b/arbutusflow/adapters/documents.py
@@ -252,3 +252,14 @@
     raise SettingsError(
         f"{place}: this is not valid YAML ({problem}); correct the line"
     )
+
+
+def top_level_fields(path: pathlib.Path) -> frozenset[str]:
+    """Return the names of the outermost fields of the document at `path`."""
+    try:
+        root = yaml.compose(read_text(path), Loader=yaml.SafeLoader)
+    except yaml.YAMLError as exc:
+        _refuse_yaml(str(path), exc)
+    if not isinstance(root, yaml.MappingNode):
+        return frozenset()
+    return frozenset(str(key.value) for key, _ in root.value)
--- a/arbutusflow/adapters/logs.py
+++ b/arbutusflow/adapters/logs.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import logging
 import sys
 
 import eliot
@@ -31,6 +32,21 @@
     """Send the process's log to standard error."""
     set_level(least)
     eliot.to_file(sys.stderr)
+    logging.basicConfig(handlers=[_LibraryHandler()], level=logging.ERROR, force=True)
+
+
+class _LibraryHandler(logging.Handler):
+    """Writes the errors of libraries as lines of the same log."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        exc = record.exc_info[1] if record.exc_info else None
+        log_event(
+            "library",
+            Level.ERROR,
+            logger=record.name,
+            detail=record.getMessage(),
+            error=repr(exc) if exc else "",
+        )
 
 
 def set_level(least: Level) -> None:
--- /dev/null
+++ b/arbutusflow/adapters/reference.py
@@ -0,0 +1,188 @@
+"""Reference pages that are made from the code.
+
+`docs/reference/` holds their output; a test compares the two.
+"""
+
+import enum
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import msgspec
+import msgspec.inspect as inspection
+
+from arbutusflow.adapters.documents import TAG_FIELD, describe, fields_of, unwrap
+from arbutusflow.adapters.metrics import METRICS
+from arbutusflow.adapters.settings import (
+    RELOADABLE_FIELDS,
+    EntrySettings,
+    PatchFile,
+)
+from arbutusflow.domain.configuration import Configuration, Operation
+from arbutusflow.domain.reasons import Outcome, RefusalReason, RetryReason
+
+UNITS_BY_SUFFIX = {"_ms": "ms", "_bytes": "bytes", "_seconds": "s"}
+
+
+def settings_page() -> str:
+    """Return the page of the settings, configuration and patch files."""
+    lines = [
+        "# Settings and configuration",
+        "",
+        "Made from the code by `arbutusflow reference settings`; do not edit.",
+        "",
+        "A file is YAML. Unknown fields, repeated fields and values outside their",
+        "range are errors, and a file with an error changes nothing.",
+        "",
+        "SIGHUP makes a running instance read its settings file again. It takes over",
+        " and ".join(f"`{name}`" for name in sorted(RELOADABLE_FIELDS))
+        + "; other changes need a restart.",
+        "",
+        "## Settings file of an entry instance",
+        "",
+        *_table(EntrySettings),
+        "## Configuration document",
+        "",
+        *_table(Configuration),
+        "## Patch file",
+        "",
+        *_table(PatchFile),
+        "### Operations",
+        "",
+        f"The field `{TAG_FIELD}` of each operation names it.",
+        "",
+        *_rows(("type", "further fields", "effect"), _operations()),
+    ]
+    return "\n".join(lines).rstrip() + "\n"
+
+
+def metrics_page() -> str:
+    """Return the page of the metrics, outcomes and reasons."""
+    metrics = ((f"`{m.name}`", m.type, m.unit, m.description) for m in METRICS)
+    outcomes = ((f"`{item.value}`", item.description) for item in Outcome)
+    refusals = (
+        (f"`{r.value}`", r.outcome.value, str(r.status), r.description)
+        for r in RefusalReason
+    )
+    retries = ((f"`{item.value}`", item.description) for item in RetryReason)
+    lines = [
+        "# Metrics, outcomes and reasons",
+        "",
+        "Made from the code by `arbutusflow reference metrics`; do not edit.",
+        "",
+        "Metrics are sent by the `statsd` protocol if the setting `statsd` names an",
+        "address. Each name starts with `arbutusflow.<instance>.`.",
+        "",
+        "## Metrics",
+        "",
+        *_rows(("name", "type", "unit", "description"), metrics),
+        "## Outcomes",
+        "",
+        "The answer's header `Arbutus-Outcome` has one of these values.",
+        "",
+        *_rows(("outcome", "meaning"), outcomes),
+        "## Reasons of refusals",
+        "",
+        "The answer's header `Arbutus-Reason` and the counter `refusals.<reason>` have",
+        "these names. Outcome and status are those of a request without an earlier",
+        "attempt that may have run; otherwise they are `unknown` and 504.",
+        "",
+        *_rows(("reason", "outcome", "status", "meaning"), refusals),
+        "Connections over the limit get `queue_full` with status 429, a request that",
+        "does not arrive whole in time gets status 408, a method other than GET, POST",
+        "and PUT 405, and a path of another form 404.",
+        "",
+        "## Reasons of retries",
+        "",
+        "The counter `retries.<reason>` has these names.",
+        "",
+        *_rows(("reason", "meaning"), retries),
+    ]
+    return "\n".join(lines).rstrip() + "\n"
+
+
+def _table(kind: Any) -> list[str]:
+    rows = list(_fields(inspection.type_info(kind), ""))
+    return _rows(("field", "accepted", "unit", "default", "description"), rows)
+
+
+def _fields(info: inspection.Type, prefix: str) -> Iterator[tuple[str, ...]]:
+    for field in fields_of(info) or ():
+        inner, notes = unwrap(field.type)
+        name = f"{prefix}{field.encode_name}"
+        yield (
+            f"`{name}`",
+            _accepted(inner),
+            _unit(field.encode_name, notes),
+            _default(field),
+            notes.get("description", ""),
+        )
+        nested, suffix = _nested(inner)
+        if nested is not None:
+            yield from _fields(nested, f"{name}{suffix}.")
+
+
+def _nested(info: inspection.Type) -> tuple[inspection.Type | None, str]:
+    """Return the mapping type below a field that has a table of its own rows."""
+    match info:
+        case inspection.VarTupleType(item):
+            item, _ = unwrap(item)
+            return (item, "[]") if fields_of(item) else (None, "")
+        case inspection.UnionType(types):
+            return next((item for item in types if fields_of(item)), None), ""
+        case _:
+            return (info, "") if fields_of(info) else (None, "")
+
+
+def _accepted(info: inspection.Type) -> str:
+    """Return the accepted values, short where the fields have rows of their own."""
+    match info:
+        case inspection.VarTupleType(item):
+            item, _ = unwrap(item)
+            if _is_tagged(item):
+                return "a list of operations"
+            return "a list of mappings" if fields_of(item) else describe(info)
+        case inspection.UnionType(types) if not _is_tagged(info):
+            return " or ".join(_accepted(unwrap(item)[0]) for item in types)
+        case _:
+            return "a mapping" if fields_of(info) else describe(info)
+
+
+def _is_tagged(info: inspection.Type) -> bool:
+    return isinstance(info, inspection.UnionType) and all(
+        isinstance(item, inspection.StructType) for item in info.types
+    )
+
+
+def _unit(name: str, notes: dict[str, Any]) -> str:
+    if "unit" in notes:
+        return str(notes["unit"])
+    return next((u for s, u in UNITS_BY_SUFFIX.items() if name.endswith(s)), "")
+
+
+def _default(field: inspection.Field) -> str:
+    if field.required:
+        return "required"
+    value = field.default
+    if isinstance(value, enum.Enum):
+        value = value.value
+    if value == () or fields_of(unwrap(field.type)[0]):
+        return "empty" if value == () else "as below"
+    return f"`{msgspec.json.encode(value).decode()}`"
+
+
+def _operations() -> Iterator[tuple[str, ...]]:
+    info = inspection.type_info(Operation)
+    assert isinstance(info, inspection.UnionType)
+    for item in info.types:
+        assert isinstance(item, inspection.StructType)
+        names = ", ".join(f"`{field.encode_name}`" for field in item.fields)
+        effect = (item.cls.__doc__ or "").partition("\n")[0]
+        yield (f"`{item.tag}`", names, effect)
+
+
+def _rows(header: tuple[str, ...], rows: Iterable[tuple[str, ...]]) -> list[str]:
+    lines = ["| " + " | ".join(header) + " |", "|" + "---|" * len(header)]
+    for row in rows:
+        cells = (cell.replace("|", "\\|") for cell in row)
+        lines.append("| " + " | ".join(cells) + " |")
+    return [*lines, ""]
--- a/arbutusflow/adapters/settings.py
+++ b/arbutusflow/adapters/settings.py
@@ -18,6 +18,7 @@
     Configuration,
     Host,
     Name,
+    Number,
     Operation,
     Patch,
     PatchId,
@@ -140,7 +141,7 @@
         About(description="Changes, applied in this order, all or none."),
     ]
     against: Annotated[
-        int | None,
+        Number | None,
         About(
             description="Number of the configuration that the patch was made for; "
             "null takes the number in force when the command runs."
--- /dev/null
+++ b/arbutusflow/cli/config.py
@@ -0,0 +1,125 @@
+"""Commands that read, check and change the configuration document."""
+
+import pathlib
+from typing import Annotated, Any
+
+import typer
+
+from arbutusflow.cli.options import (
+    AdminOption,
+    JsonOption,
+    PatchIdOption,
+    print_json,
+)
+
+app = typer.Typer(no_args_is_help=True, help="The numbered configuration document.")
+
+PatchArgument = Annotated[pathlib.Path, typer.Argument(help="Patch file (YAML).")]
+FileArgument = Annotated[
+    pathlib.Path, typer.Argument(help="Configuration or patch file (YAML).")
+]
+ConfigurationArgument = Annotated[
+    pathlib.Path, typer.Argument(help="Configuration file (YAML).")
+]
+
+
+@app.command()
+def get(admin: AdminOption, as_json: JsonOption = False) -> None:
+    """Print the configuration in force."""
+    from arbutusflow.domain.configuration import Configuration
+
+    cfg = _fetch(admin, Configuration)
+    if as_json:
+        print_json(cfg)
+    else:
+        typer.echo(to_yaml(cfg), nl=False)
+
+
+@app.command()
+def patch(
+    file: PatchArgument,
+    admin: AdminOption,
+    patch_id: PatchIdOption = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Change the configuration by a patch, whole or not at all."""
+    from arbutusflow.adapters.settings import load_patch
+    from arbutusflow.cli.changes import send_patch
+
+    send_patch(admin, load_patch(file), patch_id, as_json)
+
+
+@app.command()
+def check(file: FileArgument) -> None:
+    """Check a configuration or patch file without sending it."""
+    from arbutusflow.adapters.documents import top_level_fields
+    from arbutusflow.adapters.settings import load_configuration, load_patch
+
+    if "operations" in top_level_fields(file):
+        count = len(load_patch(file).operations)
+        typer.echo(f"{file} is a patch of {count} operations")
+        return
+    cfg = load_configuration(file)
+    endpoints = sum(len(service.endpoints) for service in cfg.services)
+    typer.echo(
+        f"{file} is a configuration of {len(cfg.services)} services and "
+        f"{endpoints} endpoints"
+    )
+
+
+@app.command()
+def diff(file: ConfigurationArgument, admin: AdminOption) -> None:
+    """Compare the configuration in force with a file; status 1 if they differ."""
+    import dataclasses
+    import difflib
+
+    from arbutusflow.adapters.settings import load_configuration
+    from arbutusflow.domain.configuration import Configuration
+
+    wanted = load_configuration(file)
+    in_force = _fetch(admin, Configuration)
+    # The number and the history belong to the document, not to what is wanted.
+    wanted = dataclasses.replace(
+        wanted, number=in_force.number, applied=in_force.applied
+    )
+    lines = list(
+        difflib.unified_diff(
+            to_yaml(in_force).splitlines(),
+            to_yaml(wanted).splitlines(),
+            f"configuration {in_force.number}",
+            str(file),
+            lineterm="",
+        )
+    )
+    for line in lines:
+        typer.echo(line)
+    if lines:
+        raise typer.Exit(1)
+
+
+@app.command()
+def history(admin: AdminOption, as_json: JsonOption = False) -> None:
+    """Print the recent patches, the newest first."""
+    from arbutusflow.domain.configuration import Configuration
+
+    applied = tuple(reversed(_fetch(admin, Configuration).applied))
+    if as_json:
+        print_json(applied)
+        return
+    for item in applied:
+        typer.echo(f"{item.number:>8}  {item.id}")
+
+
+def to_yaml(cfg: Any) -> str:
+    """Return a configuration as a YAML document that `check` accepts."""
+    import msgspec
+    import yaml
+
+    text: str = yaml.safe_dump(msgspec.to_builtins(cfg), sort_keys=False)
+    return text
+
+
+def _fetch(admin: str, kind: Any) -> Any:
+    from arbutusflow.adapters.admin_client import AdminClient
+
+    return AdminClient.from_text(admin).get("/config", kind)
--- a/arbutusflow/cli/main.py
+++ b/arbutusflow/cli/main.py
@@ -1,28 +1,51 @@
 """Command line. Heavy imports stand inside the commands that need them."""
 
-import pathlib
-import sys
-from typing import Annotated
+from typing import Any
 
 import typer
+from typer.core import TyperGroup
 
 from arbutusflow import __version__
+from arbutusflow.cli import config, drain, entry, explain, reference, standin, zone
+from arbutusflow.cli.exit_status import status_of
+from arbutusflow.cli.status import status
 from arbutusflow.domain.errors import ArbutusflowError
 
-app = typer.Typer(no_args_is_help=True, add_completion=False)
-standin = typer.Typer(no_args_is_help=True, help="Stand-ins for tests and the demo.")
-app.add_typer(standin, name="standin")
-
-
-@app.command()
-def entry(
-    settings: Annotated[pathlib.Path, typer.Argument(help="Settings file (YAML).")],
-) -> None:
-    """Run one entry instance."""
-    from arbutusflow.adapters.settings import load_settings
-    from arbutusflow.runtime.entry import run_entry
-
-    run_entry(load_settings(settings))
+EPILOG = (
+    "Exit status: 0 done, 1 refused, 2 usage or bad file, 3 instance not reached, "
+    "4 outcome unknown."
+)
+
+
+class Commands(TyperGroup):
+    """Commands whose errors end the program with one sentence and a status."""
+
+    def invoke(self, ctx: Any) -> Any:
+        """Run the chosen command."""
+        try:
+            return super().invoke(ctx)
+        except ArbutusflowError as exc:
+            typer.echo(f"arbutusflow: {exc}", err=True)
+            raise typer.Exit(status_of(exc)) from exc
+
+
+app = typer.Typer(
+    cls=Commands,
+    no_args_is_help=True,
+    add_completion=False,
+    rich_markup_mode=None,
+    pretty_exceptions_enable=False,
+    help="Router for servers that own keys exclusively.",
+    epilog=EPILOG,
+)
+app.command("entry")(entry.entry)
+app.add_typer(config.app, name="config")
+app.command("status")(status)
+app.add_typer(explain.app, name="explain")
+app.add_typer(drain.app, name="drain")
+app.add_typer(zone.app, name="zone")
+app.add_typer(reference.app, name="reference")
+app.add_typer(standin.app, name="standin")
 
 
 @app.command()
@@ -31,33 +54,6 @@
     typer.echo(__version__)
 
 
-@standin.command("platform")
-def standin_platform(host: str = "127.0.0.1", port: int = 8000) -> None:
-    """Run the stand-in for the platform."""
-    from arbutusflow.standins.platform_server import run_platform
-
-    run_platform(host, port)
-
-
-@standin.command("endpoint")
-def standin_endpoint(
-    name: str,
-    host: str = "127.0.0.1",
-    port: int = 9000,
-    slots: int = 2,
-    service_ms: float = 5.0,
-    checks_tokens: bool = True,
-) -> None:
-    """Run the stand-in for one endpoint."""
-    from arbutusflow.standins.endpoint_server import run_endpoint
-
-    run_endpoint(name, host, port, slots, service_ms, checks_tokens)
-
-
 def main() -> None:
-    """Run the command line; an error of the project ends it with one sentence."""
-    try:
-        app()
-    except ArbutusflowError as exc:
-        typer.echo(f"arbutusflow: {exc}", err=True)
-        sys.exit(2)
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/arbutusflow/cli/options.py
@@ -0,0 +1,33 @@
+"""Options that several commands share."""
+
+from typing import Annotated
+
+import typer
+
+AdminOption = Annotated[
+    str,
+    typer.Option(
+        "--admin",
+        envvar="ARBUTUSFLOW_ADMIN",
+        metavar="HOST:PORT",
+        help="Admin address of a running entry instance.",
+        show_default=False,
+    ),
+]
+JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON for programs.")]
+PatchIdOption = Annotated[
+    str | None,
+    typer.Option(
+        "--id",
+        metavar="TEXT",
+        help="Identifier of the patch, 8 to 64 characters. Sending a patch again "
+        "under its identifier takes effect once.",
+    ),
+]
+
+
+def print_json(value: object) -> None:
+    """Print `value` as one line of JSON."""
+    import msgspec
+
+    typer.echo(msgspec.json.encode(value).decode())
--- /dev/null
+++ b/arbutusflow/cli/reference.py
@@ -0,0 +1,21 @@
+"""Commands that print the reference pages."""
+
+import typer
+
+app = typer.Typer(no_args_is_help=True, help="Reference pages of docs/reference.")
+
+
+@app.command()
+def settings() -> None:
+    """Print the page of all settings and configuration fields."""
+    from arbutusflow.adapters.reference import settings_page
+
+    typer.echo(settings_page(), nl=False)
+
+
+@app.command()
+def metrics() -> None:
+    """Print the page of all metrics, outcomes and reasons."""
+    from arbutusflow.adapters.reference import metrics_page
+
+    typer.echo(metrics_page(), nl=False)
--- a/arbutusflow/domain/configuration.py
+++ b/arbutusflow/domain/configuration.py
@@ -19,6 +19,7 @@
 Host = Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
 Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=600_000)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+Number = Annotated[int, msgspec.Meta(ge=0)]
 PatchId = Annotated[str, msgspec.Meta(min_length=8, max_length=64)]
 About = msgspec.Meta
 
@@ -174,7 +175,7 @@
     """
 
     number: Annotated[
-        int, About(ge=0, description="Number of the state; each patch raises it by 1.")
+        Number, About(description="Number of the state; each patch raises it by 1.")
     ] = 0
     services: Annotated[
         tuple[Service, ...], About(description="Services that are routed.")
@@ -276,7 +277,7 @@
     """Operations against one numbered configuration, applied whole or not at all."""
 
     id: PatchId
-    against: Annotated[int, msgspec.Meta(ge=0)]
+    against: Number
     operations: tuple[Operation, ...]
 
 
--- a/arbutusflow/domain/errors.py
+++ b/arbutusflow/domain/errors.py
@@ -16,6 +16,18 @@
     """A configuration document or patch breaks a rule."""
 
 
+class RefusedError(ArbutusflowError):
+    """An entry instance refused what an operator asked for; nothing changed."""
+
+
+class AdminUnreachableError(ArbutusflowError):
+    """An entry instance was not reached; nothing changed."""
+
+
+class OutcomeUnknownError(ArbutusflowError):
+    """What an operator asked for may or may not have taken effect."""
+
+
 class PlatformError(ArbutusflowError):
     """A platform call did not give a usable answer."""
 
--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -7,17 +7,21 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import signal
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 
 import uvicorn
 
 from arbutusflow.adapters.admin_http import AdminApplication
 from arbutusflow.adapters.caller_http import CallerApplication
+from arbutusflow.adapters.caller_protocol import protocol_for
 from arbutusflow.adapters.endpoint import EndpointClient
-from arbutusflow.adapters.logs import log_event, start_logging
+from arbutusflow.adapters.logs import Level, log_event, set_level, start_logging
+from arbutusflow.adapters.metrics import SwitchedMetrics
 from arbutusflow.adapters.peer import PeerLink, peer_server
 from arbutusflow.adapters.peer_messages import (
+    ForwardReply,
     ForwardRequest,
     ObjectsChanged,
     PeerMessage,
@@ -27,8 +31,13 @@
     VersionsAsked,
 )
 from arbutusflow.adapters.platform import PlatformClient
-from arbutusflow.adapters.settings import Address, EntrySettings
+from arbutusflow.adapters.settings import (
+    RELOADABLE_FIELDS,
+    Address,
+    EntrySettings,
+)
 from arbutusflow.domain.configuration import Configuration
+from arbutusflow.domain.errors import SettingsError
 from arbutusflow.domain.ownership import OwnershipCore
 from arbutusflow.domain.ownership_messages import (
     MembersChanged,
@@ -37,6 +46,8 @@
 )
 from arbutusflow.runtime.control import ControlTask
 from arbutusflow.runtime.curl_loop import CurlLoop
+from arbutusflow.runtime.observer import COORDINATOR, ENTRY, Observer
+from arbutusflow.runtime.request_log import RequestLog
 from arbutusflow.runtime.timers import TimerService
 from arbutusflow.runtime.traffic import TrafficTask
 
@@ -45,6 +56,8 @@
 FINISH_SECONDS = 20.0
 POLL_SECONDS = 0.05
 
+Reload = Callable[[], EntrySettings]
+
 
 class _Server(uvicorn.Server):
     """A server that leaves signals to the entry process."""
@@ -58,9 +71,10 @@
 class EntryProcess:
     """All tasks of one entry instance."""
 
-    def __init__(self, settings: EntrySettings) -> None:
+    def __init__(self, settings: EntrySettings, reload: Reload | None = None) -> None:
         loop = asyncio.get_running_loop()
         self._settings = settings
+        self._load_again = reload
         self._stopping = asyncio.Event()
         self._curl = CurlLoop(loop)
         self._endpoints = EndpointClient(self._curl)
@@ -70,15 +84,21 @@
             for peer in settings.peers
             if peer.instance != settings.instance
         }
+        timers = TimerService(loop)
         core = OwnershipCore.from_config(
             settings.instance, settings.zone, Configuration()
         )
         self._control = ControlTask(
-            core, self._platform, self._endpoints, self._links, TimerService(loop)
+            core, self._platform, self._endpoints, self._links, timers
         )
         self._traffic = TrafficTask(core, self._endpoints, self._links)
         self._control.drain_unit = self._traffic.drain
         self._traffic.unit_drained = self._unit_drained
+        self._timers = timers
+        self._metrics = SwitchedMetrics(settings.instance)
+        self._metrics.switch(settings.statsd)
+        self._request_log = RequestLog()
+        self._observer = Observer(self._control, self._metrics, self._request_log)
 
     async def run(self) -> None:
         """Serve until a stop is asked for, then stop gracefully."""
@@ -86,25 +106,61 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         zones = {peer.instance: peer.zone for peer in settings.peers}
         zones[settings.instance] = settings.zone
         self._control.members = zones
         self._control.handle(MembersChanged(zones, frozenset(), frozenset()))
         callers = CallerApplication(
-            lambda: self._control.core.cfg, self._traffic.accept
+            lambda: self._control.core.cfg, self._accept, self._metrics.refused
         )
-        admin = AdminApplication(self._control, self._is_ready)
+        admin = AdminApplication(
+            self._control, self._request_log, self._is_ready, self._stopping.set
+        )
+        protocol = protocol_for(settings.limits, self._metrics.refused)
         async with (
             peer_server(settings.peer, self._on_peer_message),
             _http_server(admin, settings.admin),
-            _http_server(callers, settings.caller),
+            _http_server(callers, settings.caller, protocol),
         ):
             self._control.start()
+            self._observer.start(self._timers)
             log_event("started", instance=settings.instance, zone=settings.zone)
             await self._stopping.wait()
             await self._hand_over()
         await self._finish()
 
+    def reload(self) -> None:
+        """Take over the settings that can change while the process runs.
+
+        A wrong file changes nothing; other settings wait for the next start.
+        """
+        if self._load_again is None:
+            return
+        try:
+            fresh = self._load_again()
+        except SettingsError as exc:
+            log_event("settings_rejected", Level.ERROR, detail=str(exc))
+            return
+        changed = {
+            field.name
+            for field in dataclasses.fields(EntrySettings)
+            if getattr(fresh, field.name) != getattr(self._settings, field.name)
+        }
+        set_level(fresh.log_level)
+        if "statsd" in changed:
+            self._metrics.switch(fresh.statsd)
+        in_force = {name: getattr(fresh, name) for name in RELOADABLE_FIELDS}
+        self._settings = dataclasses.replace(self._settings, **in_force)
+        log_event(
+            "settings_reloaded",
+            changed=sorted(changed & RELOADABLE_FIELDS),
+            need_restart=sorted(changed - RELOADABLE_FIELDS),
+        )
+
+    async def _accept(self, req: ForwardRequest) -> ForwardReply:
+        return await self._observer.observe(ENTRY, self._traffic.accept, req)
+
     def _is_ready(self) -> bool:
         return not self._stopping.is_set() and self._control.core.cfg.number > 0
 
@@ -114,7 +170,9 @@
     async def _on_peer_message(self, message: PeerMessage) -> Reply | None:
         match message:
             case ForwardRequest():
-                return await self._traffic.dispatch(message)
+                return await self._observer.observe(
+                    COORDINATOR, self._traffic.dispatch, message
+                )
             case ObjectsChanged(objects):
                 self._control.learn(objects)
             case VersionsAsked():
@@ -144,22 +202,29 @@
             await link.close()
         self._curl.close()
         self._platform.close()
+        self._metrics.close()
         log_event("stopped", instance=self._settings.instance)
 
 
 @contextlib.asynccontextmanager
-async def _http_server(application: object, address: Address) -> AsyncIterator[None]:
+async def _http_server(
+    application: object,
+    address: Address,
+    protocol: type[asyncio.Protocol] | str = "httptools",
+) -> AsyncIterator[None]:
     """Serve `application` on `address` while the context is open."""
     cfg = uvicorn.Config(
         application,
         host=address.host,
         port=address.port,
-        http="httptools",
+        http=protocol,
         ws="none",
         lifespan="off",
-        log_level="warning",
+        log_config=None,
+        log_level="error",
         access_log=False,
         proxy_headers=False,
+        server_header=False,
         timeout_graceful_shutdown=int(FINISH_SECONDS),
     )
     server = _Server(cfg)
@@ -171,11 +236,11 @@
         await task
 
 
-def run_entry(settings: EntrySettings) -> None:
-    """Run one entry instance until SIGTERM."""
-    start_logging()
-    asyncio.run(_run(settings))
+def run_entry(settings: EntrySettings, reload: Reload | None = None) -> None:
+    """Run one entry instance until SIGTERM; SIGHUP calls `reload` for settings."""
+    start_logging(settings.log_level)
+    asyncio.run(_run(settings, reload))
 
 
-async def _run(settings: EntrySettings) -> None:
-    await EntryProcess(settings).run()
+async def _run(settings: EntrySettings, reload: Reload | None) -> None:
+    await EntryProcess(settings, reload).run()
--- /dev/null
+++ b/arbutusflow/runtime/observer.py
@@ -0,0 +1,112 @@
+"""Observes requests and the state of an instance for operators.
+
+It counts, logs and keeps outcomes; it never changes a request or its reply.
+"""
+
+import time
+from collections.abc import Awaitable, Callable
+
+from arbutusflow.adapters.logs import Level, is_logged, log_event
+from arbutusflow.adapters.metrics import FLUSH_SECONDS, GAUGE_SECONDS, Metrics
+from arbutusflow.adapters.peer_messages import ForwardReply, ForwardRequest
+from arbutusflow.domain.partitions import unit_of_key
+from arbutusflow.runtime.control import ControlTask
+from arbutusflow.runtime.request_log import RequestLog, RequestOutcome
+from arbutusflow.runtime.timers import Timers
+
+RequestHandler = Callable[[ForwardRequest], Awaitable[ForwardReply]]
+
+ENTRY, COORDINATOR = "entry", "coordinator"
+
+
+class Observer:
+    """Feeds the request log, the log and the metrics of one instance."""
+
+    def __init__(
+        self, control: ControlTask, metrics: Metrics, request_log: RequestLog
+    ) -> None:
+        self._control = control
+        self._metrics = metrics
+        self._request_log = request_log
+
+    def start(self, timers: Timers) -> None:
+        """Begin to send metrics."""
+        timers.subscribe(FLUSH_SECONDS, self._metrics.flush)
+        timers.subscribe(GAUGE_SECONDS, self.report_state)
+
+    async def observe(
+        self, role: str, handler: RequestHandler, req: ForwardRequest
+    ) -> ForwardReply:
+        """Return the reply of `handler`, and keep how the request ended."""
+        received, started = time.time(), time.monotonic()
+        reply = await handler(req)
+        duration_ms = (time.monotonic() - started) * 1000
+        outcome = self._outcome_of(role, received, duration_ms, req, reply)
+        self._request_log.record(outcome)
+        if role == ENTRY:
+            self._metrics.finished(
+                outcome.service, outcome.rank, outcome.outcome, duration_ms
+            )
+        level = Level.WARNING if reply.outcome == "unknown" else Level.DEBUG
+        if is_logged(level):
+            log_event(
+                "request",
+                level,
+                request_id=outcome.request_id,
+                role=role,
+                service=outcome.service,
+                kind=outcome.kind,
+                outcome=outcome.outcome,
+                reason=outcome.reason,
+                duration_ms=round(duration_ms, 3),
+                endpoint=outcome.endpoint,
+                coordinator=outcome.coordinator,
+            )
+        return reply
+
+    def report_state(self) -> None:
+        """Set the gauges."""
+        status = self._control.status()
+        acting = {item.endpoint for item in status.endpoints if item.acting}
+        for service, counts in status.units.items():
+            owned = sum(count for owner, count in counts.items() if owner in acting)
+            self._metrics.gauge(f"units_owned.{service}", owned)
+            self._metrics.gauge(f"units_unowned.{service}", counts.get("", 0))
+        for kind, calls in status.platform_calls.items():
+            self._metrics.gauge(f"platform_calls.{kind}", calls)
+        self._metrics.gauge("configuration_number", status.configuration)
+
+    def _outcome_of(
+        self,
+        role: str,
+        received: float,
+        duration_ms: float,
+        req: ForwardRequest,
+        reply: ForwardReply,
+    ) -> RequestOutcome:
+        core = self._control.core
+        service = core.cfg.service(req.service)
+        kind = service.kind(req.kind) if service else None
+        unit = unit_of_key(req.key, service.partitions) if service else -1
+        endpoint = core.owner_of(req.service, unit) if service else None
+        coordinator = core.coordinator_of(endpoint) if endpoint else None
+        return RequestOutcome(
+            request_id=req.request_id,
+            instance=core.instance,
+            role=role,
+            received=received,
+            duration_ms=duration_ms,
+            service=req.service,
+            kind=req.kind,
+            key=req.key,
+            rank=kind.rank.value if kind else "none",
+            outcome=reply.outcome,
+            reason=reply.reason,
+            detail=reply.detail,
+            status=reply.status,
+            request_bytes=len(req.body),
+            answer_bytes=len(reply.body),
+            unit=unit,
+            endpoint=endpoint or "",
+            coordinator=coordinator or "",
+        )
--- /dev/null
+++ b/tests/test_reference.py
@@ -0,0 +1,105 @@
+"""The reference pages agree with the code."""
+
+import pathlib
+import re
+
+import pytest
+
+from arbutusflow.adapters.metrics import METRICS, SwitchedMetrics
+from arbutusflow.adapters.reference import metrics_page, settings_page
+from arbutusflow.adapters.settings import Address
+from arbutusflow.domain.reasons import RefusalReason, RetryReason
+
+REFERENCE = pathlib.Path(__file__).parent.parent / "docs" / "reference"
+
+
+@pytest.mark.parametrize(
+    ("name", "page"), [("settings", settings_page), ("metrics", metrics_page)]
+)
+def test_page_is_current(name, page):
+    """Guards against a page that describes an older version.
+
+    `arbutusflow reference settings` and `arbutusflow reference metrics` print the
+    pages anew.
+    """
+    assert (REFERENCE / f"{name}.md").read_text() == page()
+
+
+def test_every_field_is_described():
+    rows = re.findall(r"^\| (`[^`]+`) \|.*\| (.*) \|$", settings_page(), re.MULTILINE)
+    assert len(rows) > 50
+    assert [name for name, description in rows if not description.endswith(".")] == []
+
+
+class Socket:
+    """Takes the place of the datagram socket of the `statsd` client."""
+
+    def __init__(self):
+        self.datagrams = []
+
+    def sendto(self, data, address):
+        self.datagrams.append(data)
+
+    def close(self):
+        pass
+
+
+@pytest.fixture
+def sending():
+    metrics = SwitchedMetrics("entry-1")
+    metrics.switch(Address("127.0.0.1", 8125))
+    sent = Socket()
+    metrics._target._client._sock.close()
+    metrics._target._client._sock = sent
+    return metrics, sent
+
+
+def report_everything(metrics):
+    for reason in RefusalReason:
+        metrics.refused(reason)
+    for reason in RetryReason:
+        metrics.retried(reason)
+    metrics.finished("registry", "urgent", "answered", 1.5)
+    for gauge in ("units_owned.registry", "configuration_number"):
+        metrics.gauge(gauge, 3)
+
+
+def test_every_sent_metric_is_listed(sending):
+    metrics, sent = sending
+    report_everything(metrics)
+    metrics.flush()
+    patterns = [re.sub(r"<\w+>", r"[a-z_-]+", item.name) for item in METRICS]
+    lines = b"\n".join(sent.datagrams).decode().splitlines()
+    names = [line.partition(":")[0] for line in lines]
+    assert all(name.startswith("arbutusflow.entry-1.") for name in names)
+    short = [name.removeprefix("arbutusflow.entry-1.") for name in names]
+    assert f"refusals.{RefusalReason.QUEUE_FULL.value}" in short
+    assert len(short) == len(RefusalReason) + len(RetryReason) + 4
+    unlisted = [
+        name for name in short if not any(re.fullmatch(p, name) for p in patterns)
+    ]
+    assert unlisted == []
+
+
+def test_flush_is_bounded_and_small_datagrams(sending):
+    """Guards against memory and network use that grow with a flood."""
+    metrics, sent = sending
+    for _ in range(10_000):
+        metrics.finished("registry", "urgent", "answered", 1.5)
+    metrics.flush()
+    lines = b"\n".join(sent.datagrams).decode().splitlines()
+    assert sum("latency" in line for line in lines) == 2_000
+    assert "arbutusflow.entry-1.requests.answered:10000|c" in lines
+    assert "arbutusflow.entry-1.timings_dropped:8000|c" in lines
+    assert max(map(len, sent.datagrams)) <= 512
+    sent.datagrams.clear()
+    metrics.flush()
+    assert sent.datagrams == []
+
+
+def test_without_an_address_nothing_is_sent(sending):
+    metrics, sent = sending
+    metrics.switch(None)
+    report_everything(metrics)
+    metrics.flush()
+    assert sent.datagrams == []
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -132,7 +132,12 @@
             PatchFile,
             ["line 2", "operations[0].name", "missing"],
         ),
-        ("against: -1\n", PatchFile, ["line 1", "operations", "missing"]),
+        ("against: 1\n", PatchFile, ["line 1", "operations", "missing"]),
+        (
+            "operations: []\nagainst: -1\n",
+            PatchFile,
+            ["line 2", "against", "'-1'", "at least 0"],
+        ),
         ("id: 2026-13-45\noperations: []\n", PatchFile, ["quotes"]),
         ("operations: &a [*a]\n", PatchFile, ["operations[0]", "type"]),
     ],
