Run membership between entry instances

Cause: entries knew each other from static settings, so a lost instance was never replaced. Each process start is now an instance of its own, found through seeds, probed over UDP on the port of its peer address; links follow the view, a refused connection is passed on as proof of exit, and the zone's watcher reads the platform's list each 5 s.

--- a/arbutusflow/adapters/peer.py
+++ b/arbutusflow/adapters/peer.py
@@ -59,9 +59,11 @@
 class PeerLink:
     """The stream to one peer, opened again whenever it breaks."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(
+        self, address: Address, on_refused: Callable[[], None] = lambda: None
+    ) -> None:
         self.address = address
-        self.refused = False
+        self._on_refused = on_refused
         self._queue: asyncio.Queue[PeerMessage] = asyncio.Queue()
         self._waiting: dict[int, asyncio.Future[Reply]] = {}
         self._ids = itertools.count(1)
@@ -107,8 +109,10 @@
         while True:
             try:
                 await self._connect()
-            except (OSError, grpclib.exceptions.StreamTerminatedError) as exc:
-                self.refused = isinstance(exc, ConnectionRefusedError)
+            except ConnectionRefusedError:
+                self._on_refused()
+            except (OSError, grpclib.exceptions.StreamTerminatedError):
+                pass
             except (grpclib.exceptions.GRPCError, msgspec.DecodeError) as exc:
                 log_exception("peer stream failed", exc)
             self._disconnect()
@@ -122,7 +126,6 @@
         try:
             async with method.open() as stream:
                 await stream.send_request()
-                self.refused = False
                 self._connected.set()
                 sender = asyncio.create_task(self._send_frames(stream))
                 try:
--- a/arbutusflow/adapters/settings.py
+++ b/arbutusflow/adapters/settings.py
@@ -46,15 +46,6 @@
         return cls(host.strip("[]"), int(port))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Peer:
-    """Another entry instance, as the settings name it."""
-
-    instance: Annotated[Name, About(description="Name of the instance.")]
-    zone: Annotated[Name, About(description="Its availability zone.")]
-    address: Annotated[Address, About(description="Its address for instances.")]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLimits:
     """Limits of one instance on what callers send.
@@ -118,8 +109,9 @@
         str,
         About(pattern=r"^https?://[^/ ]+", description="URL of the platform."),
     ]
-    peers: Annotated[
-        tuple[Peer, ...], About(description="Entry instances to contact first.")
+    seeds: Annotated[
+        tuple[Address, ...],
+        About(description="Addresses of entry instances to contact first."),
     ] = ()
     statsd: Annotated[
         Address | None,
--- a/arbutusflow/runtime/control.py
+++ b/arbutusflow/runtime/control.py
@@ -8,7 +8,7 @@
 import collections
 import random
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
 import msgspec
@@ -25,6 +25,7 @@
 )
 from arbutusflow.adapters.platform import (
     Conflict,
+    ListedInstance,
     PlatformClient,
     StoredObject,
     Unknown,
@@ -48,6 +49,7 @@
     Event,
     LeaseFailed,
     LeaseReplied,
+    MembersChanged,
     ReadObjects,
     Record,
     RecordChanged,
@@ -71,6 +73,7 @@
 TICK_SECONDS = 0.1
 ANTI_ENTROPY_SECONDS = 1.0
 WATCH_WAIT_MS = 10_000
+LIST_SECONDS = 5.0  # The list lags by tens of seconds, so it is not asked for often.
 WATCH_RETRY_SECONDS = 0.5
 PATCH_ATTEMPTS = 10
 PATCH_RETRY_SECONDS = 0.3
@@ -143,7 +146,10 @@
         self.decisions: collections.deque[Decision] = collections.deque(
             maxlen=DECISIONS_KEPT
         )
-        self.members: dict[str, str] = {core.instance: core.zone}
+        self.members = MembersChanged(
+            {core.instance: core.zone}, frozenset(), frozenset()
+        )
+        self.on_listed: Callable[[tuple[ListedInstance, ...]], None] = lambda _: None
         self.traffic: Traffic | None = None
         self._platform = platform
         self._endpoints = endpoints
@@ -161,12 +167,18 @@
         self._timers.subscribe(TICK_SECONDS, self._tick)
         self._timers.subscribe(ANTI_ENTROPY_SECONDS, self._compare_versions)
         self.spawn(self._watch())
+        self.spawn(self._list_instances())
 
     def stop(self) -> None:
         """Cancel what is under way."""
         for task in list(self._tasks):
             task.cancel()
 
+    def take_members(self, members: MembersChanged) -> None:
+        """Take over a view of the entry instances."""
+        self.members = members
+        self.handle(members)
+
     def handle(self, event: Event) -> None:
         """Give an event to the core and carry out its actions."""
         for action in self.core.handle(event, time.monotonic()):
@@ -388,13 +400,30 @@
             if fresh:
                 self._relay(fresh)
 
+    async def _list_instances(self) -> None:
+        """Read the platform's list while this instance is its zone's watcher."""
+        while True:
+            if self._is_watcher():
+                try:
+                    fut = self._platform.instances()
+                    self.on_listed(await asyncio.wrap_future(fut))
+                except PlatformUnavailableError:
+                    pass
+            await asyncio.sleep(LIST_SECONDS)
+
     def _is_watcher(self) -> bool:
-        same_zone = [i for i, zone in self.members.items() if zone == self.core.zone]
-        return rendezvous("watch", same_zone) == self.core.instance
+        live = [
+            name
+            for name, zone in self.members.zones.items()
+            if zone == self.core.zone
+            and name not in self.members.suspected
+            and name not in self.members.gone
+        ]
+        return rendezvous("watch", live) == self.core.instance
 
     def _relay(self, objects: tuple[StoredObject, ...]) -> None:
         for instance, link in self._links.items():
-            if self.members.get(instance) == self.core.zone:
+            if self.members.zones.get(instance) == self.core.zone:
                 link.send(ObjectsChanged(objects))
 
     def _compare_versions(self) -> None:
--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -8,7 +8,9 @@
 import asyncio
 import contextlib
 import dataclasses
+import secrets
 import signal
+import time
 from collections.abc import AsyncIterator, Callable, Iterator
 
 import uvicorn
@@ -19,7 +21,7 @@
 from arbutusflow.adapters.endpoint import EndpointClient
 from arbutusflow.adapters.logs import Level, log_event, set_level, start_logging
 from arbutusflow.adapters.metrics import SwitchedMetrics
-from arbutusflow.adapters.peer import PeerLink, peer_server
+from arbutusflow.adapters.peer import peer_server
 from arbutusflow.adapters.peer_messages import (
     ForwardReply,
     ForwardRequest,
@@ -30,7 +32,7 @@
     Reply,
     VersionsAsked,
 )
-from arbutusflow.adapters.platform import PlatformClient
+from arbutusflow.adapters.platform import ListedInstance, PlatformClient
 from arbutusflow.adapters.settings import (
     RELOADABLE_FIELDS,
     Address,
@@ -38,6 +40,12 @@
 )
 from arbutusflow.domain.configuration import Configuration
 from arbutusflow.domain.errors import SettingsError
+from arbutusflow.domain.membership import MembershipCore
+from arbutusflow.domain.membership_messages import (
+    Address as MemberAddress,
+    ConnectionRefused,
+    LeaveAsked,
+)
 from arbutusflow.domain.ownership import OwnershipCore
 from arbutusflow.domain.ownership_messages import (
     MembersChanged,
@@ -46,7 +54,9 @@
 )
 from arbutusflow.runtime.control import ControlTask
 from arbutusflow.runtime.curl_loop import CurlLoop
+from arbutusflow.runtime.membership_task import MembershipTask
 from arbutusflow.runtime.observer import COORDINATOR, ENTRY, Observer
+from arbutusflow.runtime.peers import PeerDirectory
 from arbutusflow.runtime.request_log import RequestLog
 from arbutusflow.runtime.timers import TimerService
 from arbutusflow.runtime.traffic import TrafficTask
@@ -55,6 +65,8 @@
 HAND_OVER_SECONDS = 5.0
 FINISH_SECONDS = 20.0
 POLL_SECONDS = 0.05
+# An instance that knows no other yet would claim the endpoints of all zones.
+JOIN_SECONDS = 1.0
 
 Reload = Callable[[], EntrySettings]
 
@@ -79,19 +91,20 @@
         self._curl = CurlLoop(loop)
         self._endpoints = EndpointClient(self._curl)
         self._platform = PlatformClient.from_config(settings.platform_url)
-        self._links = {
-            peer.instance: PeerLink(peer.address)
-            for peer in settings.peers
-            if peer.instance != settings.instance
-        }
-        core = OwnershipCore.from_config(
-            settings.instance, settings.zone, Configuration()
-        )
         timers = TimerService(loop)
+        # A process that starts again is another instance: it has kept nothing.
+        self._instance = f"{settings.instance}.{secrets.token_hex(4)}"
+        self._membership: MembershipTask | None = None
+        self._peers = PeerDirectory(
+            self._instance, settings.zone, self._take_members, self._peer_refused
+        )
+        links = self._peers.links
+        core = OwnershipCore.from_config(self._instance, settings.zone, Configuration())
         self._control = ControlTask(
-            core, self._platform, self._endpoints, self._links, timers
+            core, self._platform, self._endpoints, links, timers
         )
-        self._traffic = TrafficTask(core, self._endpoints, self._links, timers)
+        self._control.on_listed = self._take_list
+        self._traffic = TrafficTask(core, self._endpoints, links, timers)
         self._control.traffic = self._traffic
         self._traffic.unit_drained = self._unit_drained
         self._timers = timers
@@ -107,10 +120,6 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
-        zones = {peer.instance: peer.zone for peer in settings.peers}
-        zones[settings.instance] = settings.zone
-        self._control.members = zones
-        self._control.handle(MembersChanged(zones, frozenset(), frozenset()))
         callers = CallerApplication(
             lambda: self._control.core.cfg, self._accept, self._metrics.refused
         )
@@ -122,15 +131,53 @@
             peer_server(settings.peer, self._on_peer_message),
             _http_server(admin, settings.admin),
             _http_server(callers, settings.caller, protocol),
+            self._join() as membership,
         ):
-            self._control.start()
-            self._traffic.start()
-            self._observer.start(self._timers)
-            log_event("started", instance=settings.instance, zone=settings.zone)
+            self._membership = membership
+            await self._start()
             await self._stopping.wait()
             await self._hand_over()
+            membership.submit(LeaveAsked())
         await self._finish()
 
+    def _join(self) -> contextlib.AbstractAsyncContextManager[MembershipTask]:
+        settings = self._settings
+        core = MembershipCore.from_config(
+            self._instance,
+            settings.zone,
+            MemberAddress(settings.peer.host, settings.peer.port),
+            [MemberAddress(seed.host, seed.port) for seed in settings.seeds],
+            secrets.randbits(32),
+        )
+        return MembershipTask.opened(
+            core,
+            MemberAddress(settings.peer.host, settings.peer.port),
+            self._timers,
+            time.monotonic,
+            self._peers.take_view,
+        )
+
+    async def _start(self) -> None:
+        """Start the tasks once the other instances had time to answer."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(JOIN_SECONDS):
+                await self._stopping.wait()
+        self._control.start()
+        self._traffic.start()
+        self._observer.start(self._timers)
+        log_event("started", instance=self._instance, zone=self._settings.zone)
+
+    def _take_members(self, members: MembersChanged) -> None:
+        self._control.take_members(members)
+
+    def _peer_refused(self, instance: str) -> None:
+        if self._membership is not None:
+            self._membership.submit(ConnectionRefused(instance))
+
+    def _take_list(self, instances: tuple[ListedInstance, ...]) -> None:
+        if self._membership is not None:
+            self._membership.submit(self._peers.listed(instances))
+
     def reload(self) -> None:
         """Take over the settings that can change while the process runs.
 
@@ -185,7 +232,7 @@
         return None
 
     async def _hand_over(self) -> None:
-        log_event("stopping", instance=self._settings.instance)
+        log_event("stopping", instance=self._instance)
         self._control.handle(StopAsked())
         await asyncio.sleep(READINESS_LEAD_SECONDS)
         with contextlib.suppress(TimeoutError):
@@ -199,12 +246,11 @@
                 while self._traffic.in_flight:
                     await asyncio.sleep(POLL_SECONDS)
         self._control.stop()
-        for link in self._links.values():
-            await link.close()
+        await self._peers.close()
         self._curl.close()
         self._platform.close()
         self._metrics.close()
-        log_event("stopped", instance=self._settings.instance)
+        log_event("stopped", instance=self._instance)
 
 
 @contextlib.asynccontextmanager
--- a/arbutusflow/standins/fleet.py
+++ b/arbutusflow/standins/fleet.py
@@ -19,7 +19,7 @@
 import msgspec
 import yaml
 
-from arbutusflow.adapters.settings import Address, EntrySettings, Peer
+from arbutusflow.adapters.settings import Address, EntrySettings
 from arbutusflow.domain.configuration import (
     Configuration,
     Endpoint,
@@ -37,6 +37,14 @@
 POLL_SECONDS = 0.1
 
 
+class Placed(msgspec.Struct, frozen=True):
+    """An entry instance of a fleet, by its name, zone and address for peers."""
+
+    instance: str
+    zone: str
+    address: Address
+
+
 class Ports(msgspec.Struct, frozen=True):
     """Ports of the platform and of the first entry instance."""
 
@@ -69,7 +77,7 @@
             {item.zone for service in cfg.services for item in service.endpoints}
         )
         self.peers = tuple(
-            Peer(
+            Placed(
                 f"entry-{number + 1}",
                 zones[number % len(zones)],
                 Address(HOST, self.ports.peer + number),
@@ -115,7 +123,7 @@
             peer=peer.address,
             admin=Address(HOST, self.ports.admin + number),
             platform_url=f"http://{HOST}:{self.ports.platform}",
-            peers=self.peers,
+            seeds=tuple(item.address for item in self.peers),
         )
         path = self._directory / f"{peer.instance}.yaml"
         path.write_text(yaml.safe_dump(msgspec.to_builtins(settings)))
