--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -7,17 +7,23 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import secrets
 import signal
-from collections.abc import AsyncIterator, Iterator
+import time
+from collections.abc import AsyncIterator, Callable, Iterator
 
 import uvicorn
 
 from arbutusflow.adapters.admin_http import AdminApplication
 from arbutusflow.adapters.caller_http import CallerApplication
+from arbutusflow.adapters.caller_protocol import protocol_for
 from arbutusflow.adapters.endpoint import EndpointClient
-from arbutusflow.adapters.logs import log_event, start_logging
-from arbutusflow.adapters.peer import PeerLink, peer_server
+from arbutusflow.adapters.logs import Level, log_event, set_level, start_logging
+from arbutusflow.adapters.metrics import SwitchedMetrics
+from arbutusflow.adapters.peer import peer_server
 from arbutusflow.adapters.peer_messages import (
+    ForwardReply,
     ForwardRequest,
     ObjectsChanged,
     PeerMessage,
@@ -26,9 +32,20 @@
     Reply,
     VersionsAsked,
 )
-from arbutusflow.adapters.platform import PlatformClient
-from arbutusflow.adapters.settings import Address, EntrySettings
+from arbutusflow.adapters.platform import ListedInstance, PlatformClient
+from arbutusflow.adapters.settings import (
+    RELOADABLE_FIELDS,
+    Address,
+    EntrySettings,
+)
 from arbutusflow.domain.configuration import Configuration
+from arbutusflow.domain.errors import SettingsError
+from arbutusflow.domain.membership import MembershipCore
+from arbutusflow.domain.membership_messages import (
+    Address as MemberAddress,
+    ConnectionRefused,
+    LeaveAsked,
+)
 from arbutusflow.domain.ownership import OwnershipCore
 from arbutusflow.domain.ownership_messages import (
     MembersChanged,
@@ -37,6 +54,10 @@
 )
 from arbutusflow.runtime.control import ControlTask
 from arbutusflow.runtime.curl_loop import CurlLoop
+from arbutusflow.runtime.membership_task import MembershipTask
+from arbutusflow.runtime.observer import COORDINATOR, ENTRY, Observer
+from arbutusflow.runtime.peers import PeerDirectory
+from arbutusflow.runtime.request_log import RequestLog
 from arbutusflow.runtime.timers import TimerService
 from arbutusflow.runtime.traffic import TrafficTask
 
@@ -44,6 +65,10 @@
 HAND_OVER_SECONDS = 5.0
 FINISH_SECONDS = 20.0
 POLL_SECONDS = 0.05
+# An instance that knows no other yet would claim the endpoints of all zones.
+JOIN_SECONDS = 1.0
+
+Reload = Callable[[], EntrySettings]
 
 
 class _Server(uvicorn.Server):
@@ -58,28 +83,35 @@
 class EntryProcess:
     """All tasks of one entry instance."""
 
-    def __init__(self, settings: EntrySettings) -> None:
+    def __init__(self, settings: EntrySettings, reload: Reload | None = None) -> None:
         loop = asyncio.get_running_loop()
         self._settings = settings
+        self._load_again = reload
         self._stopping = asyncio.Event()
         self._curl = CurlLoop(loop)
         self._endpoints = EndpointClient(self._curl)
         self._platform = PlatformClient.from_config(settings.platform_url)
-        self._links = {
-            peer.instance: PeerLink(peer.address)
-            for peer in settings.peers
-            if peer.instance != settings.instance
-        }
-        core = OwnershipCore.from_config(
-            settings.instance, settings.zone, Configuration()
-        )
         timers = TimerService(loop)
+        # A process that starts again is another instance: it has kept nothing.
+        self._instance = f"{settings.instance}.{secrets.token_hex(4)}"
+        self._membership: MembershipTask | None = None
+        self._peers = PeerDirectory(
+            self._instance, settings.zone, self._take_members, self._peer_refused
+        )
+        links = self._peers.links
+        core = OwnershipCore.from_config(self._instance, settings.zone, Configuration())
         self._control = ControlTask(
-            core, self._platform, self._endpoints, self._links, timers
+            core, self._platform, self._endpoints, links, timers
         )
-        self._traffic = TrafficTask(core, self._endpoints, self._links, timers)
+        self._control.on_listed = self._take_list
+        self._traffic = TrafficTask(core, self._endpoints, links, timers)
         self._control.traffic = self._traffic
         self._traffic.unit_drained = self._unit_drained
+        self._timers = timers
+        self._metrics = SwitchedMetrics(settings.instance)
+        self._metrics.switch(settings.statsd)
+        self._request_log = RequestLog()
+        self._observer = Observer(self._control, self._metrics, self._request_log)
 
     async def run(self) -> None:
         """Serve until a stop is asked for, then stop gracefully."""
@@ -87,26 +119,96 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
-        zones = {peer.instance: peer.zone for peer in settings.peers}
-        zones[settings.instance] = settings.zone
-        self._control.members = zones
-        self._control.handle(MembersChanged(zones, frozenset(), frozenset()))
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         callers = CallerApplication(
-            lambda: self._control.core.cfg, self._traffic.accept
+            lambda: self._control.core.cfg, self._accept, self._metrics.refused
         )
-        admin = AdminApplication(self._control, self._is_ready)
+        admin = AdminApplication(
+            self._control, self._request_log, self._is_ready, self._stopping.set
+        )
+        protocol = protocol_for(settings.limits, self._metrics.refused)
         async with (
             peer_server(settings.peer, self._on_peer_message),
             _http_server(admin, settings.admin),
-            _http_server(callers, settings.caller),
+            _http_server(callers, settings.caller, protocol),
+            self._join() as membership,
         ):
-            self._control.start()
-            self._traffic.start()
-            log_event("started", instance=settings.instance, zone=settings.zone)
+            self._membership = membership
+            await self._start()
             await self._stopping.wait()
             await self._hand_over()
+            membership.submit(LeaveAsked())
         await self._finish()
 
+    def _join(self) -> contextlib.AbstractAsyncContextManager[MembershipTask]:
+        settings = self._settings
+        core = MembershipCore.from_config(
+            self._instance,
+            settings.zone,
+            MemberAddress(settings.peer.host, settings.peer.port),
+            [MemberAddress(seed.host, seed.port) for seed in settings.seeds],
+            secrets.randbits(32),
+        )
+        return MembershipTask.opened(
+            core,
+            MemberAddress(settings.peer.host, settings.peer.port),
+            self._timers,
+            time.monotonic,
+            self._peers.take_view,
+        )
+
+    async def _start(self) -> None:
+        """Start the tasks once the other instances had time to answer."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(JOIN_SECONDS):
+                await self._stopping.wait()
+        self._control.start()
+        self._traffic.start()
+        self._observer.start(self._timers)
+        log_event("started", instance=self._instance, zone=self._settings.zone)
+
+    def _take_members(self, members: MembersChanged) -> None:
+        self._control.take_members(members)
+
+    def _peer_refused(self, instance: str) -> None:
+        if self._membership is not None:
+            self._membership.submit(ConnectionRefused(instance))
+
+    def _take_list(self, instances: tuple[ListedInstance, ...]) -> None:
+        if self._membership is not None:
+            self._membership.submit(self._peers.listed(instances))
+
+    def reload(self) -> None:
+        """Take over the settings that can change while the process runs.
+
+        A wrong file changes nothing; other settings wait for the next start.
+        """
+        if self._load_again is None:
+            return
+        try:
+            fresh = self._load_again()
+        except SettingsError as exc:
+            log_event("settings_rejected", Level.ERROR, detail=str(exc))
+            return
+        changed = {
+            field.name
+            for field in dataclasses.fields(EntrySettings)
+            if getattr(fresh, field.name) != getattr(self._settings, field.name)
+        }
+        set_level(fresh.log_level)
+        if "statsd" in changed:
+            self._metrics.switch(fresh.statsd)
+        in_force = {name: getattr(fresh, name) for name in RELOADABLE_FIELDS}
+        self._settings = dataclasses.replace(self._settings, **in_force)
+        log_event(
+            "settings_reloaded",
+            changed=sorted(changed & RELOADABLE_FIELDS),
+            need_restart=sorted(changed - RELOADABLE_FIELDS),
+        )
+
+    async def _accept(self, req: ForwardRequest) -> ForwardReply:
+        return await self._observer.observe(ENTRY, self._traffic.accept, req)
+
     def _is_ready(self) -> bool:
         return not self._stopping.is_set() and self._control.core.cfg.number > 0
 
@@ -116,7 +218,9 @@
     async def _on_peer_message(self, message: PeerMessage) -> Reply | None:
         match message:
             case ForwardRequest():
-                return await self._traffic.dispatch(message)
+                return await self._observer.observe(
+                    COORDINATOR, self._traffic.dispatch, message
+                )
             case ObjectsChanged(objects):
                 self._control.learn(objects)
             case VersionsAsked():
@@ -128,7 +232,7 @@
         return None
 
     async def _hand_over(self) -> None:
-        log_event("stopping", instance=self._settings.instance)
+        log_event("stopping", instance=self._instance)
         self._control.handle(StopAsked())
         await asyncio.sleep(READINESS_LEAD_SECONDS)
         with contextlib.suppress(TimeoutError):
@@ -142,26 +246,32 @@
                 while self._traffic.in_flight:
                     await asyncio.sleep(POLL_SECONDS)
         self._control.stop()
-        for link in self._links.values():
-            await link.close()
+        await self._peers.close()
         self._curl.close()
         self._platform.close()
-        log_event("stopped", instance=self._settings.instance)
+        self._metrics.close()
+        log_event("stopped", instance=self._instance)
 
 
 @contextlib.asynccontextmanager
-async def _http_server(application: object, address: Address) -> AsyncIterator[None]:
+async def _http_server(
+    application: object,
+    address: Address,
+    protocol: type[asyncio.Protocol] | str = "httptools",
+) -> AsyncIterator[None]:
     """Serve `application` on `address` while the context is open."""
     cfg = uvicorn.Config(
         application,
         host=address.host,
         port=address.port,
-        http="httptools",
+        http=protocol,
         ws="none",
         lifespan="off",
-        log_level="warning",
+        log_config=None,
+        log_level="error",
         access_log=False,
         proxy_headers=False,
+        server_header=False,
         timeout_graceful_shutdown=int(FINISH_SECONDS),
     )
     server = _Server(cfg)
@@ -173,11 +283,11 @@
         await task
 
 
-def run_entry(settings: EntrySettings) -> None:
-    """Run one entry instance until SIGTERM."""
-    start_logging()
-    asyncio.run(_run(settings))
+def run_entry(settings: EntrySettings, reload: Reload | None = None) -> None:
+    """Run one entry instance until SIGTERM; SIGHUP calls `reload` for settings."""
+    start_logging(settings.log_level)
+    asyncio.run(_run(settings, reload))
 
 
-async def _run(settings: EntrySettings) -> None:
-    await EntryProcess(settings).run()
+async def _run(settings: EntrySettings, reload: Reload | None) -> None:
+    await EntryProcess(settings, reload).run()
