Prove the ownership core on fakes and split it by job

Cause: the first core was never run. Reading and running it against fakes of the platform, the endpoints and the network showed, among others: a probe counted as a lease extension; a renewal that arrives late could grant a unit again after its acknowledged drop; former coordinators were not asked to renounce; a write whose request was lost blocked its object for ever; a coordinator that sees tables before records could write over its successor; a restarted instance could act under the term of its namesake; one that checks no token was never taken over while a live successor was recorded.

Renewals carry a number, the first message under a term only takes the term, tables carry the epoch that fenced each endpoint, records name former instances, and a write counts as under way until a later version is seen. Placement spreads over zones and rebalances within a churn budget; a loss can be declared by the platform's list or an operator.

--- a/arbutusflow/domain/ownership_messages.py
+++ b/arbutusflow/domain/ownership_messages.py
@@ -9,6 +9,7 @@
     EndpointRecord,
     LeaseRenewal,
     LeaseReply,
+    Proof,
 )
 
 # Events
@@ -113,7 +114,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Renounced:
-    """`sender` will not act on record `version`; `renewed` tells if it ever did."""
+    """`sender` will not act on record `version` or an earlier one.
+
+    `renewed` tells whether a renewal that it sent may still keep the lease valid.
+    """
 
     sender: str
     endpoint: str
@@ -129,6 +133,18 @@
     unit: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointDeclaredLost:
+    """The endpoint's process has ended for good.
+
+    `proof` is `PLATFORM_GONE` once the platform has listed it as gone for longer
+    than the list's lag, or `OPERATOR_DECLARED`. The event goes to every instance.
+    """
+
+    endpoint: str
+    proof: Proof
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopAsked:
     """The instance is to hand over its endpoints and stop."""
@@ -148,6 +164,7 @@
     | RenounceAsked
     | Renounced
     | UnitDrained
+    | EndpointDeclaredLost
     | StopAsked
 )
 
@@ -210,7 +227,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DrainUnit:
-    """Stop dispatching the unit and report `UnitDrained` when none is in flight."""
+    """Stop dispatching the unit and report `UnitDrained` when none is in flight.
+
+    After a take-over, requests that the earlier coordinator dispatched count as in
+    flight until their longest deadline has passed.
+    """
 
     service: str
     unit: int
--- /dev/null
+++ b/arbutusflow/domain/ownership_state.py
@@ -0,0 +1,305 @@
+"""What one entry instance knows, shared by the parts of the ownership core.
+
+Invariants: versions of platform objects only rise here; an instance that is
+proven to have ended stays so until the membership lists it as running again.
+"""
+
+import dataclasses
+import itertools
+import math
+from collections.abc import Mapping
+
+from arbutusflow.domain.configuration import (
+    Configuration,
+    Endpoint,
+    EndpointState,
+    Service,
+)
+from arbutusflow.domain.ownership_messages import Action, Record
+from arbutusflow.domain.partitions import OwnershipTable
+from arbutusflow.domain.placement import rendezvous_score
+from arbutusflow.domain.records import (
+    MAX_SUCCESSORS,
+    Decision,
+    EndpointRecord,
+    Proof,
+    Token,
+)
+
+LEASE_SECONDS = 1.5  # Leaves half of the 3 s target for detection and the record.
+RENEW_SECONDS = 0.4  # Three renewals may be lost before the lease runs out.
+CLOCK_DRIFT = 0.01  # Clocks of two machines differ by less than 1 % in rate.
+# No renewal that was sent longer ago than this can keep a lease valid.
+LEASE_BOUND_SECONDS = LEASE_SECONDS * (1 + CLOCK_DRIFT)
+DISPATCH_MARGIN_SECONDS = 0.2  # Covers the way of a request to the endpoint.
+CLOCK_GAP_SECONDS = 0.5  # A longer gap between ticks means the process was paused.
+FAILURES_OF_LOST_ENDPOINT = 2  # One lost message alone starts no loss move.
+
+RECORD_PREFIX = "endpoint/"
+TABLE_PREFIX = "table/"
+
+
+@dataclasses.dataclass(slots=True)
+class Coordination:
+    """What this instance knows and does about one endpoint it may act for.
+
+    Times are seconds of this instance's clock, except `reading`, which is on the
+    endpoint's. Incarnation, reading and held units come from the last answer.
+    """
+
+    term: int = 0  # 0 while this instance does not act.
+    since: float = -math.inf
+    # Began to act by a record that another instance may have fought over. It must
+    # fence the table before it renews what the endpoint holds.
+    must_fence: bool = False
+    # The endpoint refuses every message that was sent under a lower term or, with
+    # this term, before the last answered one.
+    acknowledged: bool = False
+    incarnation: str = ""
+    reading: float = 0.0
+    reading_asked_at: float = -math.inf
+    reading_at: float = -math.inf
+    held: dict[int, int] = dataclasses.field(default_factory=dict)
+    offered: set[int] = dataclasses.field(default_factory=set)  # Not acknowledged.
+    dispatch_until: float = -math.inf
+    extended_at: float = -math.inf  # When the last acknowledged extension was sent.
+    last_renewal_at: float = -math.inf
+    call: int = 0  # Operation of the renewal under way, 0 for none.
+    call_at: float = 0.0
+    call_takes_term: bool = False  # Not a probe.
+    call_extends: bool = False
+    next_call_at: float = -math.inf
+    failures: int = 0
+    exited: bool = False
+    endpoint_draining: bool = False
+    draining: set[int] = dataclasses.field(default_factory=set)
+    drained: set[int] = dataclasses.field(default_factory=set)
+    reclaim_at: float = -math.inf
+    renounced_version: int = 0  # Record version that this instance renounced.
+    # Time until which renewals of each renounced instance count as sent.
+    renouncements: dict[str, float] = dataclasses.field(default_factory=dict)
+    renounce_asked_at: float = -math.inf
+    hand_over_since: float = math.inf
+
+    @property
+    def lost(self) -> bool:
+        """Whether the endpoint does not answer this instance."""
+        return self.exited or self.failures >= FAILURES_OF_LOST_ENDPOINT
+
+    def forget_process(self) -> None:
+        """Drop what is known of the endpoint's process."""
+        self.incarnation = ""
+        self.reading_asked_at = self.reading_at = -math.inf
+        self.dispatch_until = self.extended_at = -math.inf
+        self.held = {}
+        self.offered.clear()
+        self.acknowledged = False
+
+
+class OwnershipState:
+    """View of configuration, platform objects, instances and endpoints."""
+
+    def __init__(self, instance: str, zone: str, start: str) -> None:
+        self.instance = instance
+        self.zone = zone
+        self.mark_prefix = f"{instance}/{start}#"
+        self.cfg = Configuration()
+        self.retired: dict[str, tuple[Service, Endpoint]] = {}
+        self.records: dict[str, EndpointRecord] = {}
+        self.tables: dict[str, OwnershipTable] = {}
+        self.versions: dict[str, int] = {}
+        self.zones: dict[str, str] = {instance: zone}
+        self.suspected: frozenset[str] = frozenset()
+        self.gone_at: dict[str, float] = {}
+        self.declared: dict[str, Proof] = {}
+        self.coordinations: dict[str, Coordination] = {}
+        self.actions: list[Action] = []
+        self.stopping = False
+        self.started_at = math.inf  # Time of the first event.
+        self.last_tick = -math.inf
+        self.resumed_at = -math.inf
+        self._wall = 0.0
+        self._operations = itertools.count(1)
+
+    # Changes
+
+    def ticked(self, wall: float, now: float) -> None:
+        """Note the time and whether the process was paused."""
+        self._wall = wall
+        if now - self.last_tick > CLOCK_GAP_SECONDS:
+            self.resumed_at = now
+        self.last_tick = now
+
+    def use_configuration(self, cfg: Configuration) -> None:
+        """Put a newer configuration in force.
+
+        Removed endpoints are kept until their units have been moved.
+        """
+        if cfg.number <= self.cfg.number:
+            return
+        for service in self.cfg.services:
+            for endpoint in service.endpoints:
+                self.retired[endpoint.name] = (service, endpoint)
+        for service in cfg.services:
+            for endpoint in service.endpoints:
+                self.retired.pop(endpoint.name, None)
+        self.cfg = cfg
+
+    def use_members(
+        self,
+        zones: Mapping[str, str],
+        suspected: frozenset[str],
+        gone: frozenset[str],
+        now: float,
+    ) -> None:
+        """Replace the view of the entry instances."""
+        self.zones = dict(zones)
+        self.suspected = suspected
+        self.gone_at = {name: self.gone_at.get(name, now) for name in sorted(gone)}
+
+    def next_operation(self) -> int:
+        """Return a number that no earlier operation of this process has."""
+        return next(self._operations)
+
+    def decide(self, subject: str, what: str, why: str) -> None:
+        """Append to the decision record."""
+        decision = Decision(self._wall, self.instance, subject, what, why)
+        self.actions.append(Record(decision))
+
+    # Instances
+
+    def out_of_reach(self, name: str) -> bool:
+        """Tell whether an instance is suspected or gone."""
+        return name in self.suspected or name in self.gone_at
+
+    def live_instances(self) -> list[str]:
+        """Return the instances that answer, this one included."""
+        return [name for name in self.zones if not self.out_of_reach(name)]
+
+    def zone_instances(self, endpoint: Endpoint) -> list[str]:
+        """Return the live instances of the endpoint's zone, or all if it has none."""
+        live = self.live_instances()
+        same_zone = [name for name in live if self.zones[name] == endpoint.zone]
+        return same_zone or live
+
+    def successors(self, endpoint: Endpoint) -> tuple[str, ...]:
+        """Return the live instances that are to succeed this one, best first."""
+        others = [name for name in self.live_instances() if name != self.instance]
+        same_zone = [name for name in others if self.zones[name] == endpoint.zone]
+        ranked = sorted(
+            same_zone or others,
+            key=lambda name: rendezvous_score(endpoint.name, name),
+            reverse=True,
+        )
+        return tuple(ranked[:MAX_SUCCESSORS])
+
+    # Endpoints
+
+    def coordination(self, endpoint: str) -> Coordination:
+        """Return the state kept for `endpoint`."""
+        return self.coordinations.setdefault(endpoint, Coordination())
+
+    def endpoints(self) -> list[tuple[Service, Endpoint]]:
+        """Return the configured endpoints and the removed ones that own units."""
+        found = [
+            (service, endpoint)
+            for service in self.cfg.services
+            for endpoint in service.endpoints
+        ]
+        for service, endpoint in self.retired.values():
+            table = self.tables.get(service.name)
+            owns = table is not None and bool(table.units_of(endpoint.name))
+            if owns or self.coordination(endpoint.name).term:
+                found.append((service, endpoint))
+        return found
+
+    def retires(self, service: Service, endpoint: Endpoint) -> bool:
+        """Tell whether `endpoint` was removed and has no units left."""
+        table = self.tables.get(service.name)
+        return endpoint.name in self.retired and (
+            table is None or not table.units_of(endpoint.name)
+        )
+
+    def leaves(self, service: Service, endpoint: str) -> bool:
+        """Tell whether the units of `endpoint` are to be moved as planned."""
+        current = self.cfg.service(service.name)
+        found = None if current is None else current.endpoint(endpoint)
+        if found is None or found.state is EndpointState.DRAINING:
+            return True
+        coordination = self.coordinations.get(endpoint)
+        return coordination is not None and coordination.endpoint_draining
+
+    def healthy(self, service: Service) -> list[Endpoint]:
+        """Return the endpoints that may get new units.
+
+        A recorded incarnation shows that the endpoint has answered and has not been
+        found lost since; it is what all instances can see.
+        """
+        current = self.cfg.service(service.name)
+        if current is None:
+            return []
+        return [
+            item
+            for item in current.endpoints
+            if item.name in self.records
+            and self.records[item.name].incarnation
+            and item.name not in self.declared
+            and not self.leaves(current, item.name)
+            and not self.known_lost(item.name)
+        ]
+
+    def known_lost(self, endpoint: str) -> bool:
+        """Tell whether this instance coordinates `endpoint` and finds it lost."""
+        coordination = self.coordinations.get(endpoint)
+        return coordination is not None and coordination.term > 0 and coordination.lost
+
+    def fenced(self, service: str, endpoint: str) -> bool:
+        """Tell whether the recorded coordinator of `endpoint` fenced the table.
+
+        The first coordinator has no predecessor whose updates could be on their
+        way. A later epoch in the table means that the record seen here is stale.
+        """
+        record, table = self.records.get(endpoint), self.tables.get(service)
+        if record is None or table is None:
+            return False
+        epoch = table.epoch_of(endpoint)
+        return epoch == record.epoch or (epoch == 0 and record.epoch == 1)
+
+    def replaced(self, service: str, endpoint: str) -> bool:
+        """Tell whether the table shows a later record than the one seen here."""
+        record, table = self.records.get(endpoint), self.tables.get(service)
+        if record is None or table is None:
+            return False
+        return table.epoch_of(endpoint) > record.epoch
+
+    def coordinates(self, endpoint: str) -> bool:
+        """Tell whether this instance acts for `endpoint` as its coordinator."""
+        record = self.records.get(endpoint)
+        coordination = self.coordinations.get(endpoint)
+        return (
+            record is not None
+            and record.coordinator == self.instance
+            and coordination is not None
+            and coordination.term == record.term
+        )
+
+    def dispatch_token(
+        self, endpoint: str, service: str, unit: int, now: float
+    ) -> Token | None:
+        """Return the token for a request to `endpoint` now, or None if forbidden."""
+        coordination = self.coordinations.get(endpoint)
+        table = self.tables.get(service)
+        if coordination is None or table is None or not coordination.term:
+            return None
+        if now - self.last_tick > CLOCK_GAP_SECONDS:
+            return None
+        if coordination.extended_at < self.resumed_at:
+            return None
+        if now > coordination.dispatch_until:
+            return None
+        row = table.row(unit)
+        if row.owner != endpoint or coordination.held.get(unit) != row.sequence:
+            return None
+        if unit in coordination.draining or unit in coordination.drained:
+            return None
+        return Token(coordination.term, row.sequence)
--- a/arbutusflow/domain/partitions.py
+++ b/arbutusflow/domain/partitions.py
@@ -5,6 +5,7 @@
 """
 
 import array
+from collections.abc import Iterable
 from typing import Self
 
 import msgspec
@@ -19,7 +20,11 @@
 
 
 class EncodedTable(msgspec.Struct, frozen=True):
-    """Stored form of an ownership table; rows are little-endian arrays."""
+    """Stored form of an ownership table; rows are little-endian arrays.
+
+    `epochs` holds, for each of `endpoints`, the epoch of the endpoint record whose
+    coordinator has fenced the table; a missing entry stands for 0.
+    """
 
     service: str
     endpoints: tuple[str, ...]
@@ -27,6 +32,7 @@
     targets: bytes
     sequences: bytes
     writer: str
+    epochs: tuple[int, ...] = ()
 
 
 class UnitRow(msgspec.Struct, frozen=True):
@@ -50,12 +56,15 @@
         owners: "array.array[int]",
         targets: "array.array[int]",
         sequences: "array.array[int]",
+        epochs: tuple[int, ...] = (),
     ) -> None:
         self.service = service
         self.endpoints = endpoints
         self._owners = owners
         self._targets = targets
         self._sequences = sequences
+        self._epochs = epochs
+        self._units: dict[str, dict[int, int]] | None = None
 
     @classmethod
     def empty(cls, service: str, partitions: int) -> Self:
@@ -76,7 +85,14 @@
         owners.frombytes(encoded.owners)
         targets.frombytes(encoded.targets)
         sequences.frombytes(encoded.sequences)
-        return cls(encoded.service, encoded.endpoints, owners, targets, sequences)
+        return cls(
+            encoded.service,
+            encoded.endpoints,
+            owners,
+            targets,
+            sequences,
+            encoded.epochs,
+        )
 
     def encode(self, writer: str) -> EncodedTable:
         """Return the stored form, marked with `writer`."""
@@ -87,6 +103,7 @@
             self._targets.tobytes(),
             self._sequences.tobytes(),
             writer,
+            self._epochs,
         )
 
     def __len__(self) -> int:
@@ -102,14 +119,24 @@
 
     def units_of(self, endpoint: str) -> dict[int, int]:
         """Return the sequence of each unit that `endpoint` owns."""
+        if self._units is None:
+            self._units = {}
+            for unit, owner in enumerate(self._owners):
+                if owner != UNOWNED:
+                    units = self._units.setdefault(self.endpoints[owner], {})
+                    units[unit] = self._sequences[unit]
+        return self._units.get(endpoint, {})
+
+    def unowned(self) -> list[int]:
+        """Return the units without an owner."""
+        return [unit for unit, owner in enumerate(self._owners) if owner == UNOWNED]
+
+    def epoch_of(self, endpoint: str) -> int:
+        """Return the epoch that last fenced the rows of `endpoint`, 0 for none."""
         if endpoint not in self.endpoints:
-            return {}
+            return 0
         index = self.endpoints.index(endpoint)
-        return {
-            unit: self._sequences[unit]
-            for unit, owner in enumerate(self._owners)
-            if owner == index
-        }
+        return self._epochs[index] if index < len(self._epochs) else 0
 
     def counts(self) -> dict[str | None, int]:
         """Return the number of units of each owner; None counts unowned units."""
@@ -129,7 +156,9 @@
             owners[unit] = names.index(endpoint)
             targets[unit] = UNOWNED
             sequences[unit] += 1
-        return OwnershipTable(self.service, names, owners, targets, sequences)
+        return OwnershipTable(
+            self.service, names, owners, targets, sequences, self._epochs
+        )
 
     def with_targets(self, changes: dict[int, str | None]) -> "OwnershipTable":
         """Return a table with other targets of planned moves."""
@@ -137,7 +166,20 @@
         names, owners, targets, sequences = self._copy(named)
         for unit, endpoint in changes.items():
             targets[unit] = UNOWNED if endpoint is None else names.index(endpoint)
-        return OwnershipTable(self.service, names, owners, targets, sequences)
+        return OwnershipTable(
+            self.service, names, owners, targets, sequences, self._epochs
+        )
+
+    def with_epochs(self, changes: dict[str, int]) -> "OwnershipTable":
+        """Return a table that the coordinators of the named epochs have fenced."""
+        names, owners, targets, sequences = self._copy(changes)
+        epochs = [self.epoch_of(name) for name in names]
+        for name, epoch in changes.items():
+            index = names.index(name)
+            epochs[index] = max(epochs[index], epoch)
+        return OwnershipTable(
+            self.service, names, owners, targets, sequences, tuple(epochs)
+        )
 
     def planned_moves(self) -> dict[int, str]:
         """Return the target of each unit that has one."""
@@ -148,7 +190,7 @@
         }
 
     def _copy(
-        self, named: object
+        self, named: Iterable[str]
     ) -> tuple[
         tuple[str, ...],
         "array.array[int]",
@@ -156,7 +198,7 @@
         "array.array[int]",
     ]:
         names = list(self.endpoints)
-        for name in named:  # type: ignore[attr-defined]
+        for name in named:
             if name not in names:
                 names.append(name)
         return tuple(names), self._owners[:], self._targets[:], self._sequences[:]
--- a/arbutusflow/domain/placement.py
+++ b/arbutusflow/domain/placement.py
@@ -1,7 +1,8 @@
 """Choice of owners for units, and rendezvous hashing over instances.
 
-Invariants: a choice depends only on its arguments; units that have a healthy
-owner are never touched.
+Invariants: a choice depends only on its arguments; rebalancing moves a unit only
+if that lowers the highest load per weight of the two endpoints concerned, so it
+ends, and each move reduces the imbalance.
 """
 
 from collections.abc import Iterable, Sequence
@@ -26,6 +27,54 @@
     )
 
 
+class _Loads:
+    """Units per weight of each candidate and of each zone."""
+
+    def __init__(self, table: OwnershipTable, candidates: Sequence[Endpoint]) -> None:
+        self._service = table.service
+        self._endpoints = {item.name: item for item in candidates}
+        self.units: dict[str, set[int]] = {
+            item.name: set(table.units_of(item.name)) for item in candidates
+        }
+        for unit, target in table.planned_moves().items():
+            for units in self.units.values():
+                units.discard(unit)
+            if target in self.units:
+                self.units[target].add(unit)
+        self._zone_weight: dict[str, float] = {}
+        self._zone_units: dict[str, int] = {}
+        for item in candidates:
+            weight = self._zone_weight.get(item.zone, 0.0)
+            self._zone_weight[item.zone] = weight + item.weight
+            count = self._zone_units.get(item.zone, 0)
+            self._zone_units[item.zone] = count + len(self.units[item.name])
+
+    def per_weight(self, name: str, more: int = 0) -> float:
+        return (len(self.units[name]) + more) / self._endpoints[name].weight
+
+    def least(self, unit: int) -> str:
+        """Return the candidate that gets `unit`; among equals the emptier zone."""
+        subject = f"{self._service}/{unit}"
+
+        def key(name: str) -> tuple[float, float, int]:
+            zone = self._endpoints[name].zone
+            return (
+                self.per_weight(name, 1),
+                self._zone_units[zone] / self._zone_weight[zone],
+                -rendezvous_score(subject, name),
+            )
+
+        return min(self.units, key=key)
+
+    def add(self, unit: int, name: str) -> None:
+        self.units[name].add(unit)
+        self._zone_units[self._endpoints[name].zone] += 1
+
+    def remove(self, unit: int, name: str) -> None:
+        self.units[name].discard(unit)
+        self._zone_units[self._endpoints[name].zone] -= 1
+
+
 def choose_owners(
     table: OwnershipTable, units: Sequence[int], candidates: Sequence[Endpoint]
 ) -> dict[int, str]:
@@ -33,19 +82,34 @@
 
     Each unit goes to the candidate with the fewest units per weight so far.
     """
-    counts = table.counts()
-    load = {item.name: counts.get(item.name, 0) for item in candidates}
-    weights = {item.name: item.weight for item in candidates}
+    loads = _Loads(table, candidates)
     chosen = {}
     for unit in units:
-        subject = f"{table.service}/{unit}"
-        owner = min(
-            load,
-            key=lambda name: (
-                (load[name] + 1) / weights[name],
-                rendezvous_score(subject, name),  # noqa: B023
-            ),
-        )
-        load[owner] += 1
-        chosen[unit] = owner
+        chosen[unit] = loads.least(unit)
+        loads.add(unit, chosen[unit])
     return chosen
+
+
+def rebalance(
+    table: OwnershipTable, candidates: Sequence[Endpoint], limit: int
+) -> dict[int, str]:
+    """Return at most `limit` moves that even out the units per weight.
+
+    Units that have a target already are not moved again.
+    """
+    loads = _Loads(table, candidates)
+    busy = table.planned_moves()
+    moves: dict[int, str] = {}
+    while len(moves) < limit:
+        fullest = max(loads.units, key=lambda name: (loads.per_weight(name), name))
+        movable = sorted(loads.units[fullest] - busy.keys() - moves.keys())
+        if not movable:
+            break
+        target = loads.least(movable[0])
+        if loads.per_weight(target, 1) >= loads.per_weight(fullest):
+            break
+        unit = max(movable, key=lambda u: rendezvous_score(f"{u}", target))
+        loads.remove(unit, fullest)
+        loads.add(unit, target)
+        moves[unit] = target
+    return moves
--- a/arbutusflow/domain/records.py
+++ b/arbutusflow/domain/records.py
@@ -17,6 +17,8 @@
 
     `incarnation` is the process start of the endpoint that may hold units.
     `writer` is the mark that resolves a conditional update with a lost answer.
+    `former` names instances of earlier epochs whose renewals the endpoint may
+    still obey, because it has not acknowledged a term of this epoch yet.
     """
 
     endpoint: str
@@ -27,6 +29,7 @@
     successors: tuple[str, ...]
     incarnation: str
     writer: str
+    former: tuple[str, ...] = ()
 
     @property
     def term(self) -> int:
@@ -67,6 +70,9 @@
     `lease_until` is a reading of the endpoint's own monotonic clock in seconds,
     so a delayed message cannot extend the lease beyond what its sender computed.
     An empty `incarnation` makes the message a probe that changes nothing.
+    `number` rises with each message of a term. A renewal that arrives after a
+    later one would grant a unit again whose drop is acknowledged, so the endpoint
+    refuses it.
     """
 
     coordinator: str
@@ -75,6 +81,7 @@
     lease_until: float = 0.0
     add: tuple[UnitGrant, ...] = ()
     drop: tuple[int, ...] = ()
+    number: int = 0
 
 
 class LeaseRefusal(enum.Enum):
@@ -82,6 +89,7 @@
 
     LOWER_TERM = "lower_term"
     OTHER_INCARNATION = "other_incarnation"
+    OLDER_RENEWAL = "older_renewal"
 
 
 class LeaseReply(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,352 @@
+"""Ownership core: each row of the failure table that concerns ownership.
+
+`World` checks after every step that an endpoint which could run work for a unit
+is its recorded owner, and that a single instance dispatches to an endpoint that
+checks no token.
+"""
+
+import dataclasses
+
+import pytest
+from fakes import SERVICE, World, swaps
+
+from arbutusflow.domain.configuration import EndpointState
+from arbutusflow.domain.ownership import OwnershipCore
+from arbutusflow.domain.ownership_messages import (
+    RecordChanged,
+    TableChanged,
+    Tick,
+    WriteRecord,
+    WriteUnknown,
+)
+from arbutusflow.domain.records import Proof
+
+SERVED_AGAIN_SECONDS = 3.0  # Target of the design page.
+
+
+def served_world(**config):
+    world = World(swaps(**config))
+    world.settle()
+    world.run(1)
+    world.decisions.clear()
+    return world
+
+
+def with_state(cfg, name, state):
+    return with_endpoints(
+        cfg,
+        tuple(
+            dataclasses.replace(e, state=state) if e.name == name else e
+            for e in cfg.services[0].endpoints
+        ),
+    )
+
+
+def with_endpoints(cfg, endpoints):
+    service = dataclasses.replace(cfg.services[0], endpoints=endpoints)
+    return dataclasses.replace(cfg, number=cfg.number + 1, services=(service,))
+
+
+def test_first_claim_and_grant():
+    """Guards against a start after which some unit is never granted."""
+    world = World(swaps())
+    world.run_until(world.all_served, SERVED_AGAIN_SECONDS)
+    assert set(world.proofs()) == {Proof.NEVER_OWNED.value}
+    counts = world.platform.table().counts().values()
+    assert max(counts) - min(counts) <= 1
+
+
+@pytest.mark.parametrize("checks_tokens", [True, False])
+def test_units_of_an_exited_endpoint_move(checks_tokens):
+    world = served_world(checks_tokens=checks_tokens)
+    world.endpoints["e0"].exit()
+    world.run(0.4)
+    world.run_until(world.all_served, SERVED_AGAIN_SECONDS - 0.4)
+    assert set(world.proofs()) == {Proof.PROCESS_EXITED.value}
+    assert world.platform.record("e0").incarnation == ""
+
+
+def test_units_of_a_frozen_endpoint_move_and_it_refuses_on_return():
+    """Guards against two owners when a frozen endpoint goes on where it stopped."""
+    world = served_world()
+    held = dict(world.endpoints["e0"].gate.held)
+    world.endpoints["e0"].freeze()
+    world.run(0.4)
+    world.run_until(world.all_served, SERVED_AGAIN_SECONDS - 0.4)
+    assert set(world.proofs()) == {Proof.LEASE_EXPIRED.value}
+    world.endpoints["e0"].thaw()
+    assert not any(world.would_accept("e0", unit) for unit in held)
+    world.run(5)
+    assert world.all_served()
+    assert world.platform.table().units_of("e0")
+
+
+def test_units_of_a_frozen_endpoint_without_token_check_are_held():
+    """Guards against a second owner beside one that cannot be fenced."""
+    world = served_world(checks_tokens=False)
+    before = world.platform.table().units_of("e0")
+    world.endpoints["e0"].freeze()
+    world.run(60)
+    assert world.platform.table().units_of("e0") == before
+    assert world.proofs() == []
+
+
+@pytest.mark.parametrize(
+    ("checks_tokens", "fault", "served"),
+    [
+        (True, "exit", True),
+        (True, "pause", True),
+        (False, "exit", True),
+        (False, "pause", False),
+    ],
+)
+def test_loss_of_a_coordinator(checks_tokens, fault, served):
+    world = served_world(checks_tokens=checks_tokens)
+    lost = world.coordinator("e0")
+    getattr(world, fault)(lost)
+    world.run(SERVED_AGAIN_SECONDS)
+    mine = [u for u in world.units() if u in world.platform.table().units_of("e0")]
+    assert all(world.served_by(unit) for unit in mine) is served
+    assert world.proofs() == []
+    if fault == "pause":
+        world.resume(lost)
+        world.run(SERVED_AGAIN_SECONDS)
+        assert world.all_served()
+
+
+def test_endpoint_that_drains_moves_its_units_without_a_gap_above_one_step():
+    world = served_world()
+    world.configure(with_state(world.cfg, "e0", EndpointState.DRAINING))
+    world.run_until(lambda: not world.platform.table().units_of("e0"), 3)
+    assert set(world.proofs()) == {Proof.REVOKED.value}
+    world.run(0.5)
+    assert world.all_served()
+    assert world.endpoints["e0"].gate.held == {}
+
+
+def test_drain_notice_of_an_endpoint_moves_its_units():
+    world = served_world()
+    world.endpoints["e0"].draining = True
+    world.run_until(lambda: not world.platform.table().units_of("e0"), 3)
+    assert set(world.proofs()) == {Proof.REVOKED.value}
+
+
+def test_removed_endpoint_gives_its_units_away():
+    """Guards against units that nobody coordinates after a configuration change."""
+    world = served_world()
+    rest = world.cfg.services[0].endpoints[1:]
+    world.configure(with_endpoints(world.cfg, rest))
+    world.run_until(lambda: not world.platform.table().units_of("e0"), 3)
+    assert set(world.proofs()) == {Proof.REVOKED.value}
+    world.run(1)
+    assert not any(i.core.acts_for("e0") for i in world.instances.values())
+
+
+def test_planned_stop_hands_over_without_a_gap():
+    """A unit may wait for a few message round trips, not for a tick or a lease."""
+    world = served_world()
+    leaving = world.coordinator("e0")
+    world.stop(leaving)
+    gap = 0.0
+    for _ in range(200):
+        world.run(0.01)
+        gap += 0.0 if world.all_served() else 0.01
+    assert world.instances[leaving].core.handed_over()
+    assert world.proofs() == []
+    assert gap < 0.1  # One tick.
+
+
+def test_planned_stop_without_token_check_hands_over():
+    world = served_world(checks_tokens=False)
+    leaving = world.coordinator("e0")
+    world.stop(leaving)
+    world.run(1)
+    assert world.instances[leaving].core.handed_over()
+    assert world.all_served()
+
+
+def test_last_instance_can_stop():
+    """Guards against a stop that waits for an heir that does not exist."""
+    world = World(swaps(), instances=("i0",))
+    world.settle()
+    world.stop("i0")
+    world.run(0.5)
+    assert world.instances["i0"].core.handed_over()
+
+
+def stop_and_exit(world, name):
+    world.stop(name)
+    world.run_until(world.instances[name].core.handed_over, 3)
+    world.exit(name)
+
+
+@pytest.mark.parametrize(
+    ("fault", "moves"),
+    [
+        (lambda world: world.endpoints["e0"].exit(), True),
+        (lambda world: world.endpoints["e0"].freeze(), True),
+        (lambda world: world.exit(world.coordinator("e0")), False),
+        (lambda world: world.pause(world.coordinator("e0")), False),
+        (lambda world: stop_and_exit(world, world.coordinator("e0")), False),
+    ],
+    ids=["endpoint exits", "endpoint freezes", "entry exits", "entry pauses", "stop"],
+)
+def test_fault_in_a_platform_outage(fault, moves):
+    """Leases and take-over go on in an outage; units of lost endpoints are held."""
+    world = served_world()
+    world.platform.up = False
+    fault(world)
+    writes = world.platform.writes
+    world.run(6)
+    assert world.platform.writes == writes
+    assert world.all_served() is not moves
+    world.platform.up = True
+    world.run(SERVED_AGAIN_SECONDS)
+    assert world.all_served()
+    assert bool(world.proofs()) is moves
+
+
+def test_lost_answers_are_resolved_by_reading_back():
+    """Guards against a write that blocks its object or is made twice."""
+    world = World(swaps())
+    world.platform.loses_answers = True
+    world.run_until(world.all_served, 10)
+    assert world.platform.table().row(0).sequence == 1
+
+
+def test_write_that_never_reached_the_platform_is_sent_again():
+    """Guards against an object that stays blocked after a lost request."""
+    world = served_world()
+    world.endpoints["e0"].exit()
+    world.platform.up = False
+    world.run(1)
+    world.platform.up = True
+    world.run_until(world.all_served, SERVED_AGAIN_SECONDS)
+
+
+def test_first_write_that_was_lost_is_sent_again():
+    """Guards against waiting for ever for an object that does not exist yet."""
+    core = OwnershipCore.from_config("i0", "a", swaps())
+    core.handle(RecordChanged("endpoint/e0", 0, None), 1.0)
+    write = next(a for a in core.handle(Tick(), 1.0) if isinstance(a, WriteRecord))
+    core.handle(WriteUnknown(write.name, write.operation), 1.3)
+    core.handle(RecordChanged(write.name, 0, None), 1.4)
+    again = core.handle(Tick(), 1.6)
+    assert write.record in [getattr(action, "record", None) for action in again]
+
+
+def test_racing_planners_do_not_undo_each_other():
+    world = World(swaps())
+    for name in world.instances:
+        for other in world.instances:
+            if name != other:
+                world.suspicions.add((name, other))
+    world.run(3)
+    world.suspicions.clear()
+    world.settle()
+    assert {world.platform.table().row(u).sequence for u in world.units()} == {1}
+
+
+@pytest.mark.parametrize("platform_up", [True, False])
+def test_all_entries_restart(platform_up):
+    """Guards against a restarted instance acting under the term of its namesake."""
+    world = served_world()
+    terms = {name: world.platform.record(name).term for name in world.endpoints}
+    world.platform.up = platform_up
+    for name in world.instances:
+        world.exit(name)
+        world.start(name)
+    world.run(5)
+    assert world.all_served() is platform_up
+    world.platform.up = True
+    world.run(SERVED_AGAIN_SECONDS)
+    assert world.all_served()
+    assert all(world.platform.record(n).term > terms[n] for n in terms)
+    assert world.proofs() == []
+
+
+def test_restarted_instance_tells_that_its_namesake_may_have_renewed():
+    """Guards against a loss move while a lease of the earlier process is valid."""
+    world = served_world()
+    coordinator = world.coordinator("e0")
+    successor = world.platform.record("e0").successors[0]
+    world.cut(coordinator, "e0")
+    world.suspicions.add((successor, coordinator))
+    world.run(0.45)
+    world.suspicions.clear()
+    world.exit(successor)
+    world.endpoints["e0"].freeze()
+    world.start(successor)
+    world.run(8)
+    world.heal()
+    world.endpoints["e0"].thaw()
+    world.run(2)
+    assert world.all_served()
+
+
+def test_paused_coordinator_dispatches_only_after_a_renewal():
+    """Guards against dispatch by a process that does not know how long it slept."""
+    world = served_world()
+    name = world.coordinator("e0")
+    core = world.instances[name].core
+    unit = next(iter(world.platform.table().units_of("e0")))
+    assert core.dispatch_token("e0", SERVICE, unit, world.now)
+    world.pause(name)
+    world.run(0.52)
+    # The lease is still valid by the clock alone.
+    assert core._state.coordination("e0").dispatch_until > world.now
+    assert core.dispatch_token("e0", SERVICE, unit, world.now) is None
+    world.cut(name, "e0")
+    world.resume(name)
+    world.run(0.1)
+    assert core._state.coordination("e0").dispatch_until > world.now
+    assert core.dispatch_token("e0", SERVICE, unit, world.now) is None
+    world.heal()
+    world.run(0.8)
+    assert core.dispatch_token("e0", SERVICE, unit, world.now)
+
+
+@pytest.mark.parametrize("proof", [Proof.OPERATOR_DECLARED, Proof.PLATFORM_GONE])
+def test_declared_loss_moves_units_and_is_recorded(proof):
+    world = served_world(checks_tokens=False)
+    world.endpoints["e0"].freeze()
+    world.run(2)
+    # The declaration is true: the frozen process is ended as well, unseen.
+    world.endpoints["e0"].running = False
+    world.cut("e0", world.coordinator("e0"))
+    world.declare_lost("e0", proof)
+    world.run_until(world.all_served, SERVED_AGAIN_SECONDS)
+    assert set(world.proofs()) == {proof.value}
+
+
+def test_declaration_against_an_endpoint_that_answers_moves_nothing():
+    world = served_world()
+    world.declare_lost("e0", Proof.OPERATOR_DECLARED)
+    world.run(3)
+    assert world.proofs() == []
+
+
+def test_stale_coordinator_does_not_write_over_a_later_fence():
+    """Guards against a loss move by an instance that sees tables but no records."""
+    world = served_world()
+    stale = world.coordinator("e0")
+    core = world.instances[stale].core
+    table = world.platform.get(f"table/{SERVICE}")
+    fenced = world.platform.table().with_epochs({"e0": 2}).encode("other#1")
+    core.handle(TableChanged(f"table/{SERVICE}", table[0] + 1, fenced), world.now)
+    core._state.coordination("e0").exited = True
+    actions = core.handle(Tick(), world.now + 0.1)
+    assert not any(hasattr(action, "table") for action in actions)
+
+
+def test_joining_endpoint_gets_its_share_within_the_churn_budget():
+    world = served_world(partitions=32)
+    item = dataclasses.replace(world.cfg.services[0].endpoints[0], name="e9", port=9)
+    endpoints = (*world.cfg.services[0].endpoints, item)
+    world.configure(with_endpoints(world.cfg, endpoints))
+    world.run(20)
+    counts = world.platform.table().counts()
+    assert max(counts.values()) - min(counts.values()) <= 1
+    assert set(world.proofs()) == {Proof.REVOKED.value}
+    assert len(world.proofs()) == counts["e9"]
+    assert world.all_served()
