--- a/arbutusflow/runtime/control.py
+++ b/arbutusflow/runtime/control.py
@@ -39,7 +39,7 @@
     apply_patch,
 )
 from arbutusflow.domain.errors import EndpointError, PlatformUnavailableError
-from arbutusflow.domain.ownership import RECORD_PREFIX, TABLE_PREFIX, OwnershipCore
+from arbutusflow.domain.ownership import OwnershipCore
 from arbutusflow.domain.ownership_messages import (
     Action,
     AnswerRenounce,
@@ -64,6 +64,7 @@
     WriteTable,
     WriteUnknown,
 )
+from arbutusflow.domain.ownership_state import RECORD_PREFIX, TABLE_PREFIX
 from arbutusflow.domain.partitions import EncodedTable
 from arbutusflow.domain.placement import rendezvous
 from arbutusflow.domain.records import Decision, EndpointRecord
