Add the commands arbutusflow measure ownership, requests, config, capacity

Cause: no figure existed for unavailable time, churn, imbalance, platform calls or the slopes that the size to design for is worked out from.

The measures of ownership and requests run on the controlled clock of the tests' fakes, so tests, scenarios and figures share one model. They therefore run in a checkout; the serving path imports none of them (test and import contract).

A core that does not wait for leases shows as second owners, a queue that ignores ranks as a missed guaranteed part (tests/test_measure.py).

--- a/arbutusflow/cli/main.py
+++ b/arbutusflow/cli/main.py
@@ -6,7 +6,16 @@
 from typer.core import TyperGroup
 
 from arbutusflow import __version__
-from arbutusflow.cli import config, drain, entry, explain, reference, standin, zone
+from arbutusflow.cli import (
+    config,
+    drain,
+    entry,
+    explain,
+    measure,
+    reference,
+    standin,
+    zone,
+)
 from arbutusflow.cli.exit_status import status_of
 from arbutusflow.cli.status import status
 from arbutusflow.domain.errors import ArbutusflowError
@@ -46,6 +55,7 @@
 app.add_typer(zone.app, name="zone")
 app.add_typer(reference.app, name="reference")
 app.add_typer(standin.app, name="standin")
+app.add_typer(measure.app, name="measure")
 
 
 @app.command()
--- a/arbutusflow/measure/hot_path.py
+++ b/arbutusflow/measure/hot_path.py
@@ -174,12 +174,15 @@
 
 
 def measure_hot_path(
-    seconds: float = 5.0, connections: int = 32, body_bytes: int = 64
+    seconds: float = 5.0,
+    connections: int = 32,
+    body_bytes: int = 64,
+    port_offset: int = PORT_OFFSET,
 ) -> list[HotPathCost]:
     """Measure one hop and both hops, at full load and at half of that."""
     costs = []
     with running_fleet(
-        bench_configuration(), 0.0, None, PORT_OFFSET, entries=2
+        bench_configuration(), 0.0, None, port_offset, entries=2
     ) as fleet:
         asyncio.run(_prepare(fleet))
         for path, number in (("one hop", 1), ("both hops", 0)):
--- /dev/null
+++ b/tests/test_measure.py
@@ -0,0 +1,228 @@
+"""Measurements: equal figures for equal seeds, and broken cores that show."""
+
+import dataclasses
+import pathlib
+import subprocess
+import sys
+
+import pytest
+from typer.testing import CliRunner
+
+from arbutusflow.cli.main import app
+from arbutusflow.domain import ownership_state
+from arbutusflow.domain.admission import EndpointQueue
+from arbutusflow.domain.configuration import Rank
+from arbutusflow.domain.coordination import Coordinator
+from arbutusflow.domain.records import Proof
+from arbutusflow.measure import (
+    capacity,
+    capacity_page,
+    configuration,
+    ownership,
+    requests,
+    results,
+)
+from arbutusflow.measure.fits import Fit
+from arbutusflow.measure.page import render_html
+
+
+def values(rows):
+    return {row.measure: row.value for row in rows}
+
+
+def verdicts(rows):
+    return {row.measure: row.met for row in rows}
+
+
+@pytest.fixture
+def short(monkeypatch):
+    """Fewer trials; the measures are otherwise those of the command."""
+    monkeypatch.setattr(ownership, "TRIALS", 1)
+    monkeypatch.setattr(ownership, "OBSERVED_SECONDS", 3.0)
+    monkeypatch.setattr(ownership, "QUIET_SECONDS", 5.0)
+    monkeypatch.setattr(requests, "FLOODS", (2.0,))
+    monkeypatch.setattr(requests, "RUNS", 10)
+
+
+@pytest.mark.usefixtures("short")
+@pytest.mark.parametrize(
+    "measure",
+    [
+        ownership.measure_unavailable,
+        ownership.measure_imbalance,
+        ownership.measure_platform_calls,
+        requests.measure_floods,
+        requests.measure_outcomes,
+        configuration.measure_races,
+    ],
+)
+def test_the_same_seed_gives_the_same_figures(measure):
+    """Guards against clocks, hash order or unseeded numbers in a measure."""
+    assert measure(7) == measure(7)
+
+
+@pytest.mark.usefixtures("short")
+@pytest.mark.parametrize(
+    "measure", [ownership.measure_unavailable, ownership.measure_imbalance]
+)
+def test_another_seed_gives_other_figures(measure):
+    """Guards against a seed that is not used."""
+    assert values(measure(7)) != values(measure(8))
+
+
+@pytest.mark.usefixtures("short")
+def test_a_core_that_does_not_wait_for_leases_shows(monkeypatch):
+    """Guards against an ownership measure that cannot see a second owner."""
+    name = "moments with a second owner"
+    assert verdicts(ownership.measure_unavailable(1))[name] is True
+    monkeypatch.setattr(ownership_state, "FAILURES_OF_LOST_ENDPOINT", 1)
+    monkeypatch.setattr(
+        Coordinator, "_loss_proof", lambda *arguments: Proof.LEASE_EXPIRED
+    )
+    rows = ownership.measure_unavailable(1)
+    assert verdicts(rows)[name] is False
+    assert values(rows)[name] > 0
+
+
+@pytest.mark.usefixtures("short")
+def test_a_queue_that_ignores_ranks_shows(monkeypatch):
+    """Guards against a request measure that cannot see the order of ranks."""
+    urgent = "background flood x2: urgent answered in time"
+    guaranteed = "urgent flood x2: background part of answers"
+    intact = values(requests.measure_floods(1))
+    offer = EndpointQueue.offer
+
+    def offer_as_normal(self, request, now):
+        return offer(self, dataclasses.replace(request, rank=Rank.NORMAL), now)
+
+    monkeypatch.setattr(EndpointQueue, "offer", offer_as_normal)
+    rows = requests.measure_floods(1)
+    assert values(rows)[urgent] < intact[urgent]
+    assert values(rows)[guaranteed] < intact[guaranteed]
+    assert verdicts(rows)[guaranteed] is False
+
+
+def test_a_fit_recovers_a_line_and_reports_what_deviates():
+    """Guards against exchanged slope and intercept and a residual that is always 0."""
+    line = Fit.through("x", "us", "unit", (1, 2, 3, 4), (5.0, 7.0, 9.0, 11.0))
+    assert (line.slope, line.intercept) == pytest.approx((2.0, 3.0))
+    assert line.residual == pytest.approx(0.0)
+    assert line.at(10) == pytest.approx(23.0)
+    bent = Fit.through("x", "us", "unit", (1, 2, 3, 4), (5.0, 7.0, 9.0, 31.0))
+    # Residuals of the least-squares line of these points: 4, -2, -8, 6; mean 13.
+    assert bent.residual == pytest.approx((120 / 4) ** 0.5 / 13)
+
+
+@pytest.mark.parametrize(
+    ("make", "value", "met"),
+    [
+        (results.at_most, 3.0, True),
+        (results.at_most, 3.1, False),
+        (results.at_least, 3.0, True),
+        (results.at_least, 2.9, False),
+    ],
+)
+def test_a_verdict_follows_the_direction_of_the_target(make, value, met):
+    """Guards against a lower bound that is read as an upper one."""
+    assert make("m", value, "s", 1, 3.0).met is met
+    assert make("m", value, "s", 1).met is None
+
+
+def test_compare_shows_both_results_with_the_spread_over_seeds(tmp_path):
+    """Guards against a comparison that drops seeds or swaps the sides."""
+    for name, figures in (("a", (2.0, 4.0)), ("b", (6.0, 6.0))):
+        rows = [results.at_most("m", v, "s", seed) for seed, v in enumerate(figures)]
+        (tmp_path / name).write_bytes(results.to_json(rows))
+    paths = [str(tmp_path / name) for name in "ab"]
+    output = CliRunner().invoke(app, ["measure", "compare", *paths]).output
+    columns = ["m", "s", "3 (2 to 4)", "6 (6 to 6)", "+100.0 %"]
+    assert [text.strip() for text in output.splitlines()[1].split("  ") if text] == (
+        columns
+    )
+
+
+def test_the_command_appends_one_line_for_each_row(tmp_path):
+    """Guards against lost rows and rows without the commit."""
+    path = tmp_path / "docs" / "baseline.jsonl"
+    arguments = ["measure", "config", "--json", "--append", str(path)]
+    for _ in range(2):
+        result = CliRunner().invoke(app, arguments)
+        assert result.exit_code == 0, result.output
+    lines = path.read_text().splitlines()
+    rows = [results.msgspec.json.decode(line) for line in lines]
+    assert len(rows) == 2 * len({row["measure"] for row in rows})
+    head = results.checked_out_commit()
+    assert {row["commit"] for row in rows} == {head}
+
+
+def test_the_html_page_needs_no_other_file():
+    """Guards against plots that the page only links to."""
+    rows = [results.at_most("a <b>", 4.0, "s", 1, 3.0)]
+    fit = Fit.through("x", "us", "unit", (1, 2), (1.0, 2.0))
+    page = render_html("title", rows, [fit])
+    assert page.count("data:image/png;base64,") == page.count("src=") == 2
+    assert "a &lt;b&gt;" in page
+    assert '<tr class="missed">' in page
+
+
+def test_the_command_line_does_not_import_the_measurements():
+    """Guards against measurement libraries in the memory of an entry instance."""
+    program = (
+        "import sys, arbutusflow.cli.main\n"
+        "names = ('matplotlib', 'numpy', 'tqdm', 'arbutusflow.measure')\n"
+        "print(*(name for name in names if name in sys.modules))"
+    )
+    root = pathlib.Path(__file__).parents[1]
+    done = subprocess.run(
+        (sys.executable, "-c", program), capture_output=True, text=True, cwd=root
+    )
+    assert (done.returncode, done.stdout.strip(), done.stderr) == (0, "", "")
+
+
+def make_load(tick_us):
+    """Return the load from made-up lines; only ticks over endpoints cost time."""
+    names = {
+        *("table scan", "table value", "table memory", "table decode"),
+        *("relay of a table change", "core memory, endpoints known"),
+        *("coordination a second, one endpoint", "lease exchange bytes"),
+        *("lease exchange codec", "configuration value", "configuration decode"),
+        *("configuration patch", "configuration memory", "peer codec of a request"),
+        *("peer bytes of a request", "membership bytes a second"),
+        *("membership processor time a second", "membership memory"),
+    }
+    fits = [Fit.through(name, "us", "unit", (1, 2), (0.0, 0.0)) for name in names]
+    tick = (tick_us, 2 * tick_us)
+    fits.append(
+        Fit.through("core tick, endpoints known", "us", "endpoint", (1, 2), tick)
+    )
+    return capacity_page.Load(fits, capacity_page.Size(), 50.0)
+
+
+@pytest.mark.parametrize(("tick_us", "missed"), [(0.1, False), (10.0, True)])
+def test_the_capacity_page_names_a_missed_target(tick_us, missed):
+    """Guards against a page that calls every target met."""
+    names = (
+        "unavailable: planned drain of an endpoint",
+        "unavailable: endpoint freezes",
+        "unavailable: platform down",
+        "platform calls: endpoint exits",
+        "platform calls: planned drain of an endpoint",
+        "platform calls: planned stop of a coordinator",
+    )
+    rows = [results.at_most(name, 1.0, "s", 1) for name in names]
+    cost = capacity_page.RequestCost(1.0, 1.0, 5.0, "a load")
+    page = capacity_page.render(make_load(tick_us), rows, cost, "origin")
+    line = "- control, processor of an entry instance: "
+    found = [item for item in page.splitlines() if item.startswith(line)]
+    assert bool(found) is missed
+    size = capacity_page.Size()
+    if missed:
+        cores = size.endpoints * tick_us * 1e-6 / capacity_page.TICK_SECONDS
+        assert f"{cores / capacity_page.CONTROL_CORE_SHARE:.1f} times" in found[0]
+
+
+def test_encoded_sizes_grow_with_the_table():
+    """Guards against a slope that was taken over equal sizes."""
+    fits = {fit.name: fit for fit in capacity.measure_leases(1)}
+    assert fits["lease exchange bytes"].slope > 0
+    assert len(set(fits["lease exchange bytes"].values)) == len(capacity.HELD_SIZES)
