Ignore a suspicion that carries the largest incarnation

Cause: an instance refutes a suspicion with the next incarnation.

The added test case fails without the check.

Conclusion: a corrupt update can no longer cut an instance off.

--- a/arbutusflow/domain/membership.py
+++ b/arbutusflow/domain/membership.py
@@ -20,6 +20,7 @@
 from arbutusflow.domain.membership_messages import (
     GONE_PROOFS,
     MAX_DATAGRAM_BYTES,
+    MAX_INCARNATION,
     Ack,
     Action,
     Address,
@@ -648,7 +649,8 @@
         elif (
             update.status is Status.SUSPECTED
             and own.status is Status.ALIVE
-            and update.incarnation >= own.incarnation
+            # A corrupt maximum must not push the own updates out of range.
+            and own.incarnation <= update.incarnation < MAX_INCARNATION
         ):
             refuted = msgspec.structs.replace(own, incarnation=update.incarnation + 1)
             self._store(refuted, now, spread=True)
--- a/arbutusflow/domain/membership_messages.py
+++ b/arbutusflow/domain/membership_messages.py
@@ -18,7 +18,8 @@
 # Printable ASCII, so that a length in characters is a length in bytes.
 InstanceId = Annotated[str, msgspec.Meta(pattern="^[!-~]{1,64}$")]
 ZoneName = Annotated[str, msgspec.Meta(pattern="^[!-~]{1,63}$")]
-Incarnation = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
+MAX_INCARNATION = 2**32 - 1
+Incarnation = Annotated[int, msgspec.Meta(ge=0, le=MAX_INCARNATION)]
 Sequence = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
 Digest = Annotated[int, msgspec.Meta(ge=0)]
 # Optional identifiers are empty when absent.
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -17,6 +17,7 @@
 )
 from arbutusflow.domain.membership_messages import (
     MAX_DATAGRAM_BYTES,
+    MAX_INCARNATION,
     Ack,
     Address,
     ConnectionRefused,
@@ -234,14 +235,18 @@
     assert "m0" not in core.view.members
 
 
-def test_suspected_instance_raises_its_incarnation():
-    # Guards against a false suspicion that nothing can clear.
+@pytest.mark.parametrize(
+    ("suspected", "raised"), [(0, 1), (4, 5), (MAX_INCARNATION, 0)]
+)
+def test_suspected_instance_raises_its_incarnation(suspected, raised):
+    # Guards against a false suspicion that nothing can clear, and against a corrupt
+    # one after which all others reject what the instance sends.
     core = lone_core()
-    suspicion = MemberUpdate("own", "zone-a", OWN, 4, SUSPECT)
+    suspicion = MemberUpdate("own", "zone-a", OWN, suspected, SUSPECT)
     ping = Ping(1, "other", 0, "own", updates=(update(), suspicion))
     (ack,) = sent(deliver(core, ping, 0.0), Ack)
-    assert ack.incarnation == 5
-    assert MemberUpdate("own", "zone-a", OWN, 5, Status.ALIVE) in ack.updates
+    assert ack.incarnation == raised
+    assert MemberUpdate("own", "zone-a", OWN, raised, Status.ALIVE) in ack.updates
 
 
 def test_instance_that_is_gone_for_others_learns_it():
