Name an address in use, reload settings on SIGHUP, test both

Cause: a run against nine real processes showed that an entry process whose port was taken ended with a traceback, and that `status` and `explain` loaded the log library they do not use.

Idle caller connections are kept 75 s instead of uvicorn's 5 s, because the first run of that check failed when a reused connection closed after 5 s.

--- a/arbutusflow/adapters/logs.py
+++ b/arbutusflow/adapters/logs.py
@@ -6,24 +6,14 @@
 Invariant: no payload, no header value of a caller and no secret is logged.
 """
 
-import enum
 import logging
 import sys
 
 import eliot
 
+from arbutusflow.adapters.log_level import Level
 from arbutusflow.domain.records import Decision
 
-
-class Level(enum.Enum):
-    """Importance of a line, from the least to the most important."""
-
-    DEBUG = "debug"
-    INFO = "info"
-    WARNING = "warning"
-    ERROR = "error"
-
-
 _ORDER = {level: number for number, level in enumerate(Level)}
 _least = Level.INFO
 
--- a/arbutusflow/adapters/metrics.py
+++ b/arbutusflow/adapters/metrics.py
@@ -10,7 +10,8 @@
 
 import statsd
 
-from arbutusflow.adapters.logs import Level, log_event
+from arbutusflow.adapters.log_level import Level
+from arbutusflow.adapters.logs import log_event
 from arbutusflow.adapters.settings import Address
 from arbutusflow.domain.reasons import RefusalReason, RetryReason
 
--- a/arbutusflow/adapters/peer.py
+++ b/arbutusflow/adapters/peer.py
@@ -203,7 +203,10 @@
 async def peer_server(address: Address, handler: Handler) -> AsyncIterator[None]:
     """Serve peer streams on `address` while the context is open."""
     server = grpclib.server.Server([PeerService(handler)], codec=_BytesCodec())
-    await server.start(address.host, address.port)
+    try:
+        await server.start(address.host, address.port)
+    except OSError as exc:
+        raise address.unusable(exc) from exc
     try:
         yield
     finally:
--- a/arbutusflow/adapters/settings.py
+++ b/arbutusflow/adapters/settings.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from arbutusflow.adapters.documents import load_document
-from arbutusflow.adapters.logs import Level
+from arbutusflow.adapters.log_level import Level
 from arbutusflow.domain.configuration import (
     About,
     Configuration,
@@ -45,6 +45,13 @@
             raise SettingsError(f"{text!r} is no address; write host:port")
         return cls(host.strip("[]"), int(port))
 
+    def unusable(self, exc: OSError) -> SettingsError:
+        """Return the error of a process that cannot listen on the address."""
+        return SettingsError(
+            f"cannot listen on {self.host}:{self.port} ({exc.strerror}); end the "
+            "process that uses it, or name another address in the settings file"
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Peer:
--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 import signal
+import socket
 from collections.abc import AsyncIterator, Callable, Iterator
 
 import uvicorn
@@ -17,7 +18,8 @@
 from arbutusflow.adapters.caller_http import CallerApplication
 from arbutusflow.adapters.caller_protocol import protocol_for
 from arbutusflow.adapters.endpoint import EndpointClient
-from arbutusflow.adapters.logs import Level, log_event, set_level, start_logging
+from arbutusflow.adapters.log_level import Level
+from arbutusflow.adapters.logs import log_event, set_level, start_logging
 from arbutusflow.adapters.metrics import SwitchedMetrics
 from arbutusflow.adapters.peer import PeerLink, peer_server
 from arbutusflow.adapters.peer_messages import (
@@ -55,6 +57,9 @@
 HAND_OVER_SECONDS = 5.0
 FINISH_SECONDS = 20.0
 POLL_SECONDS = 0.05
+# Closing an idle connection races with the caller's next request, which then has
+# no answer. Most clients drop idle connections after 60 s or less themselves.
+KEEP_ALIVE_SECONDS = 75
 
 Reload = Callable[[], EntrySettings]
 
@@ -215,8 +220,6 @@
     """Serve `application` on `address` while the context is open."""
     cfg = uvicorn.Config(
         application,
-        host=address.host,
-        port=address.port,
         http=protocol,
         ws="none",
         lifespan="off",
@@ -225,10 +228,12 @@
         access_log=False,
         proxy_headers=False,
         server_header=False,
+        timeout_keep_alive=KEEP_ALIVE_SECONDS,
         timeout_graceful_shutdown=int(FINISH_SECONDS),
     )
     server = _Server(cfg)
-    task = asyncio.create_task(server.serve())
+    listening = _listen(address)
+    task = asyncio.create_task(server.serve([listening]))
     try:
         yield
     finally:
@@ -236,6 +241,15 @@
         await task
 
 
+def _listen(address: Address) -> socket.socket:
+    """Return a listening socket; `uvicorn` would end the process without a reason."""
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    try:
+        return socket.create_server((address.host, address.port), family=family)
+    except OSError as exc:
+        raise address.unusable(exc) from exc
+
+
 def run_entry(settings: EntrySettings, reload: Reload | None = None) -> None:
     """Run one entry instance until SIGTERM; SIGHUP calls `reload` for settings."""
     start_logging(settings.log_level)
--- a/arbutusflow/runtime/observer.py
+++ b/arbutusflow/runtime/observer.py
@@ -6,7 +6,8 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from arbutusflow.adapters.logs import Level, is_logged, log_event
+from arbutusflow.adapters.log_level import Level
+from arbutusflow.adapters.logs import is_logged, log_event
 from arbutusflow.adapters.metrics import FLUSH_SECONDS, GAUGE_SECONDS, Metrics
 from arbutusflow.adapters.peer_messages import ForwardReply, ForwardRequest
 from arbutusflow.domain.partitions import unit_of_key
--- /dev/null
+++ b/tests/test_entry_process.py
@@ -0,0 +1,170 @@
+"""An entry process: reloading of settings, its log, and addresses in use."""
+
+import asyncio
+import dataclasses
+import json
+import socket
+
+import eliot
+import pytest
+
+from arbutusflow.adapters import logs
+from arbutusflow.adapters.log_level import Level
+from arbutusflow.adapters.peer_messages import ForwardReply, ForwardRequest
+from arbutusflow.adapters.settings import Address, EntrySettings
+from arbutusflow.domain.configuration import Configuration, Kind, Rank, Service
+from arbutusflow.domain.errors import SettingsError
+from arbutusflow.domain.ownership import OwnershipCore
+from arbutusflow.domain.ownership_messages import ConfigurationChanged
+from arbutusflow.runtime.entry import EntryProcess
+from arbutusflow.runtime.observer import COORDINATOR, ENTRY, Observer
+from arbutusflow.runtime.request_log import RequestLog
+
+SETTINGS = EntrySettings(
+    "entry-1",
+    "zone-a",
+    Address("127.0.0.1", 1),
+    Address("127.0.0.1", 2),
+    Address("127.0.0.1", 3),
+    "http://127.0.0.1:4",
+)
+REQUEST = ForwardRequest(
+    0,
+    "registry",
+    "lookup",
+    "badge-7",
+    "POST",
+    b"payload-of-the-caller",
+    "text/secret-type",
+    "0198c5b8-7e6a-7000-8000-0123456789ab",
+    "shop",
+    1000,
+)
+
+
+@pytest.fixture
+def lines():
+    """The lines that the process logs."""
+    found = []
+
+    def keep(message):
+        found.append(json.loads(json.dumps(message)))
+
+    eliot.add_destinations(keep)
+    yield found
+    eliot.remove_destination(keep)
+    logs.set_level(Level.INFO)
+
+
+def named(lines, name):
+    return [line for line in lines if line["message_type"] == f"arbutusflow:{name}"]
+
+
+def reload(settings, load):
+    """Reload in a process that runs with `settings`; return its settings after it."""
+
+    async def run():
+        process = EntryProcess(settings, load)
+        process.reload()
+        process._curl.close()
+        process._platform.close()
+        process._metrics.close()
+        return process._settings
+
+    return asyncio.run(run())
+
+
+def test_reload_takes_over_what_can_change_and_names_the_rest(lines):
+    fresh = dataclasses.replace(
+        SETTINGS,
+        log_level=Level.DEBUG,
+        statsd=Address("127.0.0.1", 8125),
+        zone="zone-b",
+    )
+    after = reload(SETTINGS, lambda: fresh)
+    assert logs.is_logged(Level.DEBUG)
+    assert (after.statsd, after.zone) == (fresh.statsd, "zone-a")
+    (line,) = named(lines, "settings_reloaded")
+    assert line["changed"] == ["log_level", "statsd"]
+    assert line["need_restart"] == ["zone"]
+
+
+def test_wrong_file_changes_nothing_and_does_not_stop_the_process(lines):
+    """Guards against a typing error that ends a serving instance."""
+
+    def load():
+        raise SettingsError("s.yaml, line 7, field zoen: unknown field")
+
+    assert reload(SETTINGS, load) == SETTINGS
+    (line,) = named(lines, "settings_rejected")
+    assert "line 7" in line["detail"]
+
+
+class Control:
+    """Takes the place of the control task."""
+
+    def __init__(self):
+        self.core = OwnershipCore.from_config("entry-1", "zone-a", Configuration())
+        kinds = (Kind("lookup", Rank.URGENT, repeatable=True),)
+        cfg = Configuration(1, (Service("registry", kinds),))
+        self.core.handle(ConfigurationChanged(cfg), 0.0)
+
+
+class Metrics:
+    """Keeps what is reported."""
+
+    def __init__(self):
+        self.latencies = []
+
+    def finished(self, service, rank, outcome, duration_ms):
+        self.latencies.append((service, rank, outcome))
+
+
+def test_request_is_logged_under_its_identifier_without_its_content(lines):
+    """Guards against secrets in the log and lines that cannot be joined."""
+    logs.set_level(Level.DEBUG)
+    metrics, log = Metrics(), RequestLog()
+    observer = Observer(Control(), metrics, log)
+
+    async def handler(req):
+        return ForwardReply(0, "answered", status=200, body=b"answer-of-the-endpoint")
+
+    for role in (ENTRY, COORDINATOR):
+        asyncio.run(observer.observe(role, handler, REQUEST))
+    found = named(lines, "request")
+    assert [line["role"] for line in found] == [ENTRY, COORDINATOR]
+    assert {line["request_id"] for line in found} == {REQUEST.request_id}
+    text = json.dumps(lines) + repr(log.find(REQUEST.request_id))
+    assert "payload" not in text
+    assert "answer-of" not in text
+    assert "secret" not in text
+    # The coordinator's side would count each forwarded request twice.
+    assert metrics.latencies == [("registry", "urgent", "answered")]
+
+
+@pytest.mark.parametrize("level", Level)
+def test_lines_below_the_level_are_not_written(lines, level):
+    logs.set_level(level)
+    for item in Level:
+        logs.log_event("line", item)
+    expected = [item.value for item in list(Level)[list(Level).index(level) :]]
+    assert [line["level"] for line in lines] == expected
+
+
+@pytest.mark.parametrize("name", ["caller", "peer", "admin"])
+def test_address_in_use_is_named(name):
+    """Guards against a process that ends without saying which address is taken."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        used = Address("127.0.0.1", server.getsockname()[1])
+        addresses = {
+            # The kernel chooses the other ports.
+            key: used if key == name else Address("127.0.0.1", 0)
+            for key in ("caller", "peer", "admin")
+        }
+        settings = dataclasses.replace(SETTINGS, **addresses)
+
+        async def run():
+            await EntryProcess(settings).run()
+
+        with pytest.raises(SettingsError, match=f"listen on 127.0.0.1:{used.port}"):
+            asyncio.run(run())
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,7 +5,7 @@
 import pytest
 
 from arbutusflow.adapters.documents import parse_document
-from arbutusflow.adapters.logs import Level
+from arbutusflow.adapters.log_level import Level
 from arbutusflow.adapters.settings import (
     Address,
     EntrySettings,
