--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -10,6 +10,7 @@
 import dataclasses
 import secrets
 import signal
+import socket
 import time
 from collections.abc import AsyncIterator, Callable, Iterator
 
@@ -19,7 +20,8 @@
 from arbutusflow.adapters.caller_http import CallerApplication
 from arbutusflow.adapters.caller_protocol import protocol_for
 from arbutusflow.adapters.endpoint import EndpointClient
-from arbutusflow.adapters.logs import Level, log_event, set_level, start_logging
+from arbutusflow.adapters.log_level import Level
+from arbutusflow.adapters.logs import log_event, set_level, start_logging
 from arbutusflow.adapters.metrics import SwitchedMetrics
 from arbutusflow.adapters.peer import peer_server
 from arbutusflow.adapters.peer_messages import (
@@ -67,6 +69,9 @@
 POLL_SECONDS = 0.05
 # An instance that knows no other yet would claim the endpoints of all zones.
 JOIN_SECONDS = 1.0
+# Closing an idle connection races with the caller's next request, which then has
+# no answer. Most clients drop idle connections after 60 s or less themselves.
+KEEP_ALIVE_SECONDS = 75
 
 Reload = Callable[[], EntrySettings]
 
@@ -262,8 +267,6 @@
     """Serve `application` on `address` while the context is open."""
     cfg = uvicorn.Config(
         application,
-        host=address.host,
-        port=address.port,
         http=protocol,
         ws="none",
         lifespan="off",
@@ -272,10 +275,12 @@
         access_log=False,
         proxy_headers=False,
         server_header=False,
+        timeout_keep_alive=KEEP_ALIVE_SECONDS,
         timeout_graceful_shutdown=int(FINISH_SECONDS),
     )
     server = _Server(cfg)
-    task = asyncio.create_task(server.serve())
+    listening = _listen(address)
+    task = asyncio.create_task(server.serve([listening]))
     try:
         yield
     finally:
@@ -283,6 +288,15 @@
         await task
 
 
+def _listen(address: Address) -> socket.socket:
+    """Return a listening socket; `uvicorn` would end the process without a reason."""
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    try:
+        return socket.create_server((address.host, address.port), family=family)
+    except OSError as exc:
+        raise address.unusable(exc) from exc
+
+
 def run_entry(settings: EntrySettings, reload: Reload | None = None) -> None:
     """Run one entry instance until SIGTERM; SIGHUP calls `reload` for settings."""
     start_logging(settings.log_level)
