--- a/arbutusflow/runtime/control.py
+++ b/arbutusflow/runtime/control.py
@@ -39,7 +39,7 @@
     apply_patch,
 )
 from arbutusflow.domain.errors import EndpointError, PlatformUnavailableError
-from arbutusflow.domain.ownership import RECORD_PREFIX, TABLE_PREFIX, OwnershipCore
+from arbutusflow.domain.ownership import OwnershipCore
 from arbutusflow.domain.ownership_messages import (
     Action,
     AnswerRenounce,
@@ -64,8 +64,8 @@
     WriteTable,
     WriteUnknown,
 )
+from arbutusflow.domain.ownership_state import RECORD_PREFIX, TABLE_PREFIX
 from arbutusflow.domain.partitions import EncodedTable
-from arbutusflow.domain.placement import rendezvous
 from arbutusflow.domain.records import Decision, EndpointRecord
 from arbutusflow.runtime.curl_loop import CurlError
 from arbutusflow.runtime.timers import Timers
@@ -149,6 +149,7 @@
         self.members = MembersChanged(
             {core.instance: core.zone}, frozenset(), frozenset()
         )
+        self.is_watcher: Callable[[], bool] = lambda: True
         self.on_listed: Callable[[tuple[ListedInstance, ...]], None] = lambda _: None
         self.traffic: Traffic | None = None
         self._platform = platform
@@ -385,7 +386,7 @@
     async def _watch(self) -> None:
         """Hold the platform watch while this instance is its zone's watcher."""
         while True:
-            if not self._is_watcher():
+            if not self.is_watcher():
                 await asyncio.sleep(WATCH_RETRY_SECONDS)
                 continue
             try:
@@ -403,7 +404,7 @@
     async def _list_instances(self) -> None:
         """Read the platform's list while this instance is its zone's watcher."""
         while True:
-            if self._is_watcher():
+            if self.is_watcher():
                 try:
                     fut = self._platform.instances()
                     self.on_listed(await asyncio.wrap_future(fut))
@@ -411,16 +412,6 @@
                     pass
             await asyncio.sleep(LIST_SECONDS)
 
-    def _is_watcher(self) -> bool:
-        live = [
-            name
-            for name, zone in self.members.zones.items()
-            if zone == self.core.zone
-            and name not in self.members.suspected
-            and name not in self.members.gone
-        ]
-        return rendezvous("watch", live) == self.core.instance
-
     def _relay(self, objects: tuple[StoredObject, ...]) -> None:
         for instance, link in self._links.items():
             if self.members.zones.get(instance) == self.core.zone:
--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -109,6 +109,7 @@
             core, self._platform, self._endpoints, links, timers
         )
         self._control.on_listed = self._take_list
+        self._control.is_watcher = self._peers.is_watcher
         self._traffic = TrafficTask(core, self._endpoints, links, timers)
         self._control.traffic = self._traffic
         self._traffic.unit_drained = self._unit_drained
@@ -174,6 +175,11 @@
 
     def _take_members(self, members: MembersChanged) -> None:
         self._control.take_members(members)
+        if self._peers.has_ended() and not self._stopping.is_set():
+            # Others may have taken over what this instance coordinated. Only a new
+            # process, which is another instance, can join again.
+            log_event("declared_gone", Level.ERROR, instance=self._instance)
+            self._stopping.set()
 
     def _peer_refused(self, instance: str) -> None:
         if self._membership is not None:
