Test eight rules whose removal no test noticed

Cause: of 34 single-line faults planted in the queue, the limit, the delivery and the history, 8 passed the tests: a limit that sinks below 1 internally, a second report of one exit, a suspect queued before its strike, a retry after the deadline, a resend after `not-run`, a resend after an unknown outcome, eviction of an entry in progress, and no expiry by age.

--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -101,6 +101,14 @@
                     self.problems.append(f"{request.request_id} ran {copies} times")
         self.carry_out(actions)
 
+    def fail(self, request_id, failures, repeatable=True):
+        ticket = self.arrive(request_id, repeatable=repeatable)
+        for failure in failures:
+            self.dispatch(failure)
+            self.end(0)
+            self.advance(1.0)
+        return ticket
+
     def end(self, index):
         if not self.sent:
             return
@@ -404,17 +412,49 @@
     assert len(history) == 20
     assert history.evicted_until == float("-inf")
     assert history.find("id-19").result.reason is RefusalReason.ANSWER_EVICTED
+    history.expire(WALL + 139.5)
+    assert (len(history), history.bytes_retained) == (0, 0)
+    assert history.evicted_until == WALL + 19
+
+
+def test_identifier_in_progress_again_is_not_evicted():
+    """Guards against a resend that is dispatched beside a copy in progress."""
+    history = request_history.RequestHistory(1, 1000, 120.0)
+    first = request_history.Entry("id-1", WALL, "shop", 1, b"", 1)
+    assert history.begin(first)
+    history.finish(first, Answer(200, (), b""))
+    history.begin_again(first, 2)
+    assert not history.begin(request_history.Entry("id-2", WALL, "shop", 1, b"", 3))
+    assert history.find("id-1") is first
 
 
 def test_not_run_after_an_attempt_that_may_have_run_is_unknown():
-    """Guards against a refusal at the last retry that hides the first attempt."""
+    """Guards against a refusal at the last retry that hides an earlier attempt."""
     world = World()
-    ticket = world.arrive(repeatable=True)
-    for failure in (Failure.CONNECTION_LOST, Failure.REFUSED, Failure.REFUSED):
-        world.dispatch(failure)
-        world.end(0)
-        world.advance(1.0)
-    assert world.result(ticket) == ("unknown", "endpoint_refused")
+    request_id = uuid7(world.wall)
+    first = world.fail(request_id, (Failure.CONNECTION_LOST, *[Failure.REFUSED] * 2))
+    assert world.result(first) == ("unknown", "endpoint_refused")
+    resent = world.fail(request_id, [Failure.REFUSED] * 3)
+    assert world.result(resent) == ("unknown", "endpoint_refused")
+
+
+def test_request_that_was_not_run_may_be_resent():
+    """Guards against a caller that can never run a request that was refused."""
+    world = World()
+    request_id = uuid7(world.wall)
+    refused = world.fail(request_id, [Failure.REFUSED] * 3, repeatable=False)
+    assert world.result(refused) == ("not-run", "endpoint_refused")
+    resent = world.fail(request_id, [None], repeatable=False)
+    assert world.result(resent) == "answered"
+
+
+def test_retry_that_would_come_after_the_deadline_is_not_scheduled():
+    """Guards against callers that wait for a retry that cannot happen."""
+    world = World()
+    ticket = world.arrive(repeatable=True, seconds=0.02)
+    world.dispatch(Failure.REFUSED)
+    world.end(0)
+    assert world.result(ticket) == ("not-run", "endpoint_refused")
 
 
 def test_retries_stop_at_the_budget_and_at_two():
@@ -466,15 +506,22 @@
 
 def test_one_exit_gives_one_strike_and_memory_is_bounded():
     """Guards against innocent copies of a hot request that share one exit."""
-    world = World()
-    tickets = [world.arrive(content="hot", repeatable=True) for _ in range(2)]
-    for _ in tickets:
+    world = World(slots=3)
+    tickets = [world.arrive(content="hot", repeatable=True) for _ in range(4)]
+    for _ in tickets[:2]:
         world.dispatch(Failure.ENDPOINT_EXITED)
     world.end(0)
+    later = world.arrive(content="later", repeatable=True)
+    world.dispatch()  # Queued as one of several; a suspect now, so it waits alone.
+    assert tickets[2] not in world.sent
+    world.queue.cancel(tickets[2])
+    world.queue.cancel(tickets[3])
+    world.dispatch()
+    assert later in world.sent
     world.handle(messages.EndpointExited("shop-1", "process-1"))
-    world.end(0)
-    digest = world.requests[0].digest
-    assert world.delivery._guard.strikes("", digest, world.now) == 1
+    strikes = world.delivery._guard.strikes
+    assert strikes("", world.requests[0].digest, world.now) == 1
+    assert strikes("", world.requests[later].digest, world.now) == 0
     guard = CrashGuard()
     for number in range(delivery_module.MAX_SUSPECTS + 10):
         guard.strike({str(number)}, 0.0)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -50,6 +50,7 @@
         ([SHED] * 10, 1),
         ([STEADY] * 64 + [SLOW] * 80, 3),
         ([SHED] * 1000, 1),
+        ([SHED] * 1000 + [STEADY] * 16, 2),
     ],
 )
 def test_limit_follows_what_was_observed(observations, expected):
