Narrow the table of the queue model

`flood` is the flooding rank's load as a multiple of the capacity; b: background, u: urgent. Cells: goodput/offered per second, p50/p99 in ms.

--- a/arbutusflow/measure/queueing.py
+++ b/arbutusflow/measure/queueing.py
@@ -22,8 +22,8 @@
 from arbutusflow.domain.configuration import Rank
 from arbutusflow.domain.limits import AdaptiveLimit, Finish, FixedLimit
 
-PHASES = ("before", "background flood", "between", "urgent flood", "after")
-FLOODS = {"background flood": Rank.BACKGROUND, "urgent flood": Rank.URGENT}
+PHASES = ("before", "flood b", "between", "flood u", "after")
+FLOODS = {"flood b": Rank.BACKGROUND, "flood u": Rank.URGENT}
 LARGEST_LATENCY_US = 60_000_000
 
 
@@ -105,10 +105,10 @@
 
 
 POLICIES: dict[str, Callable[[Model], Queue]] = {
-    "shares, adaptive limit": _ours,
+    "shares, adaptive": _ours,
     "shares, fixed limit": _fixed_limit,
     "no shares": _no_shares,
-    "first-in-first-out, no limit": _no_limit,
+    "FIFO, no limit": _no_limit,
 }
 
 
@@ -252,17 +252,18 @@
 
 
 def table(rows: list[Row]) -> str:
-    """Return the rows as text: goodput of offered, and percentiles, per rank."""
-    lines = [
-        f"{'flood':>5} {'policy':<29} {'phase':<17}"
-        + "".join(f"{rank.value + ' goodput/offered p50/p99 ms':>42}" for rank in RANKS)
-    ]
+    """Return the rows as text.
+
+    The cells of a rank are goodput/offered per second and p50/p99 in milliseconds.
+    """
+    head = f"{'flood':>5} {'policy':<21} {'phase':<9}"
+    lines = [head + "".join(f"{rank.value:>21}" for rank in RANKS)]
     for index in range(0, len(rows), len(RANKS)):
         group = rows[index : index + len(RANKS)]
-        line = f"{group[0].flood:>5} {group[0].policy:<29} {group[0].phase:<17}"
+        line = f"{group[0].flood:>5} {group[0].policy:<21} {group[0].phase:<9}"
         for row in group:
             goodput = f"{row.goodput_per_second:.0f}/{row.offered_per_second:.0f}"
-            line += f"{goodput:>24}{row.p50_ms:>9.0f}/{row.p99_ms:<8.0f}"
+            line += f"{goodput:>12} {f'{row.p50_ms:.0f}/{row.p99_ms:.0f}':>8}"
         lines.append(line)
     return "\n".join(lines)
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -95,16 +95,16 @@
         (row.policy, row.phase, row.rank): row.goodput_per_second
         for row in measure(model)
     }
-    ours, plain = "shares, adaptive limit", "first-in-first-out, no limit"
+    ours, plain = "shares, adaptive", "FIFO, no limit"
     for rank in Rank:
         for phase in ("between", "after"):
             kept = goodput[ours, phase, rank] / goodput[plain, phase, rank]
             assert kept > 0.9
-        flood = "urgent flood"
+        flood = "flood u"
         assert goodput[ours, flood, rank] > goodput[plain, flood, rank]
-    flood = "background flood"
+    flood = "flood b"
     assert goodput[ours, flood, Rank.URGENT] > 2 * goodput[plain, flood, Rank.URGENT]
-    assert goodput["no shares", "urgent flood", Rank.BACKGROUND] < 1.0
+    assert goodput["no shares", "flood u", Rank.BACKGROUND] < 1.0
 
 
 def test_cold_or_restarted_endpoint_starts_slowly():
