--- a/arbutusflow/measure/capacity_page.py
+++ b/arbutusflow/measure/capacity_page.py
@@ -380,6 +380,17 @@
             "compact arrays; tables decoded and as stored",
             "keep the stored form of a table at the watcher only",
         ),
+        Check(
+            "control, bytes of an entry instance, all kinds together",
+            load.lease_bytes
+            + load.configuration_relay
+            + table_relay
+            + load.member_bytes,
+            "B/s",
+            CONTROL_BYTES_PER_SECOND,
+            "the four kinds below",
+            "the changes named for the kinds below",
+        ),
         Check(
             "control, bytes of renewals of an entry instance",
             load.lease_bytes,
