Hand request histories to the next coordinator

Requests in flight are exported one by one as unknown instead of making every older identifier unknown. Repeatable work whose coordinator's stream broke is forwarded once more, within a budget.

--- a/arbutusflow/adapters/peer.py
+++ b/arbutusflow/adapters/peer.py
@@ -37,11 +37,16 @@
 
 
 class PeerCallError(PeerError):
-    """A call to a peer failed; `sent` tells whether it may have been received."""
+    """A call to a peer failed.
 
-    def __init__(self, message: str, sent: bool) -> None:
+    `sent` tells whether it may have been received, `timed_out` whether the stream
+    still stands.
+    """
+
+    def __init__(self, message: str, sent: bool, timed_out: bool = False) -> None:
         super().__init__(message)
         self.sent = sent
+        self.timed_out = timed_out
 
 
 class _BytesCodec(grpclib.encoding.base.CodecBase):
@@ -95,7 +100,9 @@
             async with asyncio.timeout(timeout):
                 return await fut
         except TimeoutError:
-            raise PeerCallError("the peer did not reply in time", sent=True) from None
+            raise PeerCallError(
+                "the peer did not reply in time", sent=True, timed_out=True
+            ) from None
         finally:
             self._waiting.pop(message_id, None)
 
--- a/arbutusflow/adapters/peer_messages.py
+++ b/arbutusflow/adapters/peer_messages.py
@@ -83,6 +83,36 @@
     renewed: bool
 
 
+class KnownOutcome(msgspec.Struct, frozen=True):
+    """What is known of a request identifier; `reason` is empty for an answer."""
+
+    request_id: str
+    created: float
+    digest: bytes
+    repeatable: bool
+    reason: str = ""
+    may_have_run: bool = False
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+class HistoryTold(msgspec.Struct, frozen=True, tag="history"):
+    """Request history of a unit from its earlier coordinator.
+
+    `sequence` and `epoch` name the owner's row and the record under which the
+    receiver coordinates the unit. All identifiers that were created after
+    `complete_after` and may have run are in `outcomes`.
+    """
+
+    service: str
+    unit: int
+    sequence: int
+    epoch: int
+    complete_after: float
+    outcomes: tuple[KnownOutcome, ...]
+
+
 PeerMessage = (
     ForwardRequest
     | ForwardReply
@@ -92,6 +122,7 @@
     | VersionsTold
     | RenouncementAsked
     | RenouncementTold
+    | HistoryTold
 )
 
 Reply = ForwardReply | VersionsTold
--- a/arbutusflow/domain/configuration.py
+++ b/arbutusflow/domain/configuration.py
@@ -156,6 +156,24 @@
             extra={"unit": "answers"},
         ),
     ] = 50_000
+    request_id_skew_ms: Annotated[
+        int,
+        About(
+            ge=0,
+            le=60_000,
+            description="How far a caller's clock may be ahead. For this time and "
+            "the next limit after the loss of a coordinator, work that may not be "
+            "repeated gets the outcome unknown.",
+        ),
+    ] = 1_000
+    instance_clocks_ms: Annotated[
+        int,
+        About(
+            ge=0,
+            le=60_000,
+            description="How far the clocks of two entry instances may differ.",
+        ),
+    ] = 250
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/arbutusflow/domain/delivery.py
+++ b/arbutusflow/domain/delivery.py
@@ -57,12 +57,6 @@
     created_seconds,
 )
 
-REQUEST_ID_SKEW_SECONDS = 5.0
-# Wall clocks of two entry instances differ by less than this. Without the allowance
-# a caller whose clock is ahead by the skew could have an identifier accepted by one
-# coordinator and again, as new, by the next one, whose clock is behind.
-COORDINATOR_CLOCKS_SECONDS = 1.0
-TAKE_OVER_ALLOWANCE_SECONDS = REQUEST_ID_SKEW_SECONDS + COORDINATOR_CLOCKS_SECONDS
 REQUEST_ID_LIFETIME_SECONDS = 120.0
 RETAINED_BYTES = 16 * 1024 * 1024
 REPEATABLE_SHARE = 5  # Entries of repeatable kinds: a fifth of the configured number.
@@ -211,8 +205,11 @@
         max_entries: int,
         max_bytes: int = RETAINED_BYTES,
         lifetime_seconds: float = REQUEST_ID_LIFETIME_SECONDS,
+        limits: Limits = Limits(),  # noqa: B008 - frozen
     ) -> None:
         self._rng = rng
+        self._skew_seconds = limits.request_id_skew_ms / 1000
+        self._allowance_seconds = _allowance_seconds(limits)
         # Repeatable kinds have a table of their own: their traffic must not evict
         # what protects kinds that may not be repeated. Their answers are not kept,
         # and an eviction only turns a later `not-run` into `unknown`.
@@ -233,7 +230,7 @@
     @classmethod
     def from_config(cls, limits: Limits, rng: RandomSource) -> Self:
         """Return an empty state with the configured bounds."""
-        return cls(rng, limits.retained_answers)
+        return cls(rng, limits.retained_answers, limits=limits)
 
     def __len__(self) -> int:
         """Return the number of requests in progress."""
@@ -267,7 +264,7 @@
                 return self._caller_left(ticket)
             case UnitTaken(service, unit, wall):
                 # An identifier of up to the skew in the future was accepted before.
-                self._complete_after[service, unit] = wall + TAKE_OVER_ALLOWANCE_SECONDS
+                self._complete_after[service, unit] = wall + self._allowance_seconds
                 return []
             case UnitAdopted(service, unit, complete_after, requests):
                 # A history that arrives after the unit was taken without it may miss
@@ -289,20 +286,24 @@
         """Apply changed bounds; entries beyond them leave with the next requests."""
         self._once.max_entries = limits.retained_answers
         self._repeatable.max_entries = _repeatable_entries(limits.retained_answers)
+        self._skew_seconds = limits.request_id_skew_ms / 1000
+        # Identifiers that were accepted under a larger skew may still be resent.
+        self._allowance_seconds = max(
+            self._allowance_seconds, _allowance_seconds(limits)
+        )
 
     def export_unit(self, service: str, unit: int, wall: float) -> UnitAdopted:
-        """Return the history of a drained unit for its next coordinator.
+        """Return the history of a unit for its next coordinator.
 
-        Requests that are still in progress make all identifiers up to theirs count
-        as unknown there, so a unit that was not drained is safe, too.
+        Requests that are still in progress count as unknown there, so a unit that
+        was not drained is safe, too.
         """
-        unannounced = wall + TAKE_OVER_ALLOWANCE_SECONDS
+        unannounced = wall + self._allowance_seconds
         complete_after = self._complete_after.get((service, unit), unannounced)
         known: list[KnownRequest] = []
         for history, repeatable in ((self._once, False), (self._repeatable, True)):
             known += history.export(service, unit, repeatable=repeatable)
-            incomplete = history.incomplete_until(service, unit)
-            complete_after = max(complete_after, incomplete)
+            complete_after = max(complete_after, history.evicted_until)
         return UnitAdopted(service, unit, complete_after, tuple(known))
 
     def _arrived(
@@ -319,9 +320,9 @@
         entry = self._once.find(request_id) or self._repeatable.find(request_id)
         if entry is not None:
             return self._resent(ticket, request, entry, now)
-        if created > wall + REQUEST_ID_SKEW_SECONDS:
+        if created > wall + self._skew_seconds:
             # An earlier coordinator may have accepted it by a clock that was ahead.
-            accepted = created <= wall + TAKE_OVER_ALLOWANCE_SECONDS
+            accepted = created <= wall + self._allowance_seconds
             reason = RefusalReason.REQUEST_ID_SKEW
             return [_refuse(ticket, reason, may_have_run=accepted)]
         unknown = self._why_unknown(request, created, wall)
@@ -344,7 +345,7 @@
             return RefusalReason.REQUEST_ID_EXPIRED
         # A unit that was never announced counts as taken over now.
         complete_after = self._complete_after.setdefault(
-            (request.service, request.unit), wall + TAKE_OVER_ALLOWANCE_SECONDS
+            (request.service, request.unit), wall + self._allowance_seconds
         )
         if created <= complete_after:
             return RefusalReason.BEFORE_TAKEOVER
@@ -557,6 +558,15 @@
     return max(1, max_entries // REPEATABLE_SHARE)
 
 
+def _allowance_seconds(limits: Limits) -> float:
+    """Return how far ahead of a successor's clock an identifier may be accepted.
+
+    A caller's clock may be ahead by the skew, and the clock of the coordinator that
+    accepted the identifier may be ahead of the successor's.
+    """
+    return (limits.request_id_skew_ms + limits.instance_clocks_ms) / 1000
+
+
 def _refusal(
     reason: RefusalReason, *, may_have_run: bool = False, detail: str = ""
 ) -> Refusal:
--- a/arbutusflow/runtime/control.py
+++ b/arbutusflow/runtime/control.py
@@ -124,10 +124,12 @@
         """Take the proof that a process of the endpoint has ended."""
         ...
 
-    def coordinate(
-        self, units: dict[tuple[str, int], str], fresh: set[tuple[str, int]]
-    ) -> None:
-        """Take the units that this instance coordinates now."""
+    def ownership_changed(self) -> None:
+        """Follow a change of the units that this instance coordinates."""
+        ...
+
+    def configure(self, cfg: Configuration) -> None:
+        """Apply changed limits."""
         ...
 
 
@@ -263,18 +265,7 @@
         if self.traffic is None or state == self._told:
             return
         self._told = state
-        units: dict[tuple[str, int], str] = {}
-        fresh: set[tuple[str, int]] = set()
-        for name in acting:
-            record = self.core.records[name]
-            table = self.core.tables.get(record.service)
-            if table is None:
-                continue
-            for unit, sequence in table.units_of(name).items():
-                units[record.service, unit] = name
-                if sequence == 1 and record.epoch == 1:
-                    fresh.add((record.service, unit))
-        self.traffic.coordinate(units, fresh)
+        self.traffic.ownership_changed()
 
     # Actions
 
@@ -382,6 +373,8 @@
             cfg = msgspec.msgpack.decode(value, type=Configuration)
             log_event("configuration_in_force", number=cfg.number)
             self.handle(ConfigurationChanged(cfg))
+            if self.traffic is not None:
+                self.traffic.configure(cfg)
 
     async def _watch(self) -> None:
         """Hold the platform watch while this instance is its zone's watcher."""
--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -27,6 +27,7 @@
 from arbutusflow.adapters.peer_messages import (
     ForwardReply,
     ForwardRequest,
+    HistoryTold,
     ObjectsChanged,
     PeerMessage,
     RenouncementAsked,
@@ -234,6 +235,8 @@
                 )
             case ObjectsChanged(objects):
                 self._control.learn(objects)
+            case HistoryTold():
+                self._traffic.take_history(message)
             case VersionsAsked():
                 return self._control.on_versions_asked(message)
             case RenouncementAsked():
--- a/arbutusflow/runtime/traffic.py
+++ b/arbutusflow/runtime/traffic.py
@@ -20,9 +20,10 @@
     CancelRequest,
     ForwardReply,
     ForwardRequest,
+    HistoryTold,
 )
 from arbutusflow.domain.admission import Drained, EndpointQueue
-from arbutusflow.domain.configuration import Endpoint, Kind, Service
+from arbutusflow.domain.configuration import Configuration, Endpoint, Kind, Service
 from arbutusflow.domain.delivery import Delivery
 from arbutusflow.domain.delivery_messages import (
     Action,
@@ -46,18 +47,16 @@
     ScheduleRetry,
     Send,
     Tick,
-    UnitAdopted,
-    UnitLeft,
-    UnitTaken,
     content_digest,
 )
-from arbutusflow.domain.limits import Finish
+from arbutusflow.domain.limits import Finish, RetryBudget
 from arbutusflow.domain.ownership import OwnershipCore
 from arbutusflow.domain.partitions import unit_of_key
 from arbutusflow.domain.reasons import Outcome, Refusal, RefusalReason
 from arbutusflow.domain.records import Token
 from arbutusflow.runtime.curl_loop import CurlError, CurlResponse
 from arbutusflow.runtime.timers import Timers
+from arbutusflow.runtime.unit_histories import UnitHistories
 
 ROUTE_RETRY_SECONDS = 0.02
 QUEUE_TICK_SECONDS = 0.05
@@ -119,9 +118,10 @@
         self._queues: dict[str, EndpointQueue] = {}
         self._requests: dict[int, _Queued] = {}
         self._forwarded: dict[tuple[int, int], asyncio.Task[ForwardReply]] = {}
+        self._reroutes = RetryBudget()
         self._tickets = itertools.count(1)
         self._attempts: set[asyncio.Task[None]] = set()
-        self._units: set[tuple[str, int]] = set()
+        self._histories = UnitHistories(core, self._delivery, links, self._deliver)
 
     def start(self) -> None:
         """Begin to expire what waits too long."""
@@ -133,6 +133,7 @@
     async def accept(self, req: ForwardRequest) -> ForwardReply:
         """Serve a caller's request through the coordinator of its endpoint."""
         self.in_flight += 1
+        self._reroutes.request()
         try:
             return await self._route(req)
         finally:
@@ -142,15 +143,24 @@
         deadline = time.monotonic() + req.remaining_ms / 1000
         while True:
             reply = await self._attempt_route(req)
-            if reply.outcome != Outcome.NOT_RUN.value:
-                return reply
             remaining = deadline - time.monotonic()
-            if reply.reason not in ROUTE_REASONS or remaining < ROUTE_RETRY_SECONDS * 2:
+            if remaining < ROUTE_RETRY_SECONDS * 2 or not self._may_reroute(req, reply):
                 return reply
             await asyncio.sleep(ROUTE_RETRY_SECONDS)
             remaining_ms = int((deadline - time.monotonic()) * 1000)
             req = msgspec.structs.replace(req, remaining_ms=max(1, remaining_ms))
 
+    def _may_reroute(self, req: ForwardRequest, reply: ForwardReply) -> bool:
+        """Tell whether the request may go through another coordinator."""
+        if reply.outcome == Outcome.NOT_RUN.value:
+            return reply.reason in ROUTE_REASONS
+        if reply.reason != RefusalReason.COORDINATOR_LOST.value:
+            return False
+        # The lost coordinator retries no more, so this does not multiply retries.
+        service = self._core.cfg.service(req.service)
+        kind = None if service is None else service.kind(req.kind)
+        return kind is not None and kind.repeatable and self._reroutes.take()
+
     async def _attempt_route(self, req: ForwardRequest) -> ForwardReply:
         service = self._core.cfg.service(req.service)
         if service is None:
@@ -174,6 +184,8 @@
         except PeerCallError as exc:
             if not exc.sent:
                 return _refused(req, RefusalReason.NO_COORDINATOR)
+            if exc.timed_out:
+                return _refused(req, RefusalReason.DEADLINE_PASSED_IN_FLIGHT)
             return _refused(req, RefusalReason.COORDINATOR_LOST)
         except asyncio.CancelledError:
             link.send(CancelRequest(forwarded.id))
@@ -195,6 +207,8 @@
             return _refused(req, RefusalReason.NO_OWNER)
         if not self._core.acts_for(endpoint.name):
             return _refused(req, RefusalReason.NO_COORDINATOR)
+        if self._histories.is_awaited(service.name, unit):
+            return _refused(req, RefusalReason.UNIT_MOVING)
         now = time.monotonic()
         ticket = next(self._tickets)
         queued = _Queued(
@@ -237,37 +251,32 @@
         if endpoint in self._queues:
             self._queues[endpoint].limit.restart()
 
-    def coordinate(
-        self, units: dict[tuple[str, int], str], fresh: set[tuple[str, int]]
-    ) -> None:
-        """Take the units that this instance coordinates now, with their owners.
-
-        The units in `fresh` have never had an owner before, so no identifier can
-        have been used for them.
-        """
-        now, wall = time.monotonic(), time.time()
-        for service, unit in units.keys() - self._units:
-            if (service, unit) in fresh:
-                self._deliver(UnitAdopted(service, unit, 0.0, ()), now)
-            else:
-                self._deliver(UnitTaken(service, unit, wall), now)
-        for service, unit in self._units - units.keys():
-            self._release(service, unit, now)
-        self._units = set(units)
+    def ownership_changed(self) -> None:
+        """Follow a change of the units that this instance coordinates."""
+        now = time.monotonic()
         for endpoint in self._queues:
-            self._requeue_moved(endpoint, units, now)
-
-    def _release(self, service: str, unit: int, now: float) -> None:
-        self._deliver(UnitLeft(service, unit), now)
-
-    def _requeue_moved(
-        self, endpoint: str, units: dict[tuple[str, int], str], now: float
-    ) -> None:
+            self._requeue_moved(endpoint, now)
+        self._histories.ownership_changed(now)
+
+    def take_history(self, message: HistoryTold) -> None:
+        """Take the history of a unit from its earlier coordinator."""
+        self._histories.take(message, time.monotonic())
+
+    def configure(self, cfg: Configuration) -> None:
+        """Apply changed limits."""
+        self._delivery.configure(cfg.limits)
+        for service in cfg.services:
+            for endpoint in service.endpoints:
+                if endpoint.name in self._queues:
+                    self._queues[endpoint.name].configure(endpoint, cfg.limits)
+
+    def _requeue_moved(self, endpoint: str, now: float) -> None:
         """Send requests of units that this endpoint lost back to the entry hop."""
         queue = self._queues[endpoint]
         service = self._service_of(endpoint)
+        acting = self._core.acts_for(endpoint)
         for unit in queue.units():
-            if units.get((service, unit)) == endpoint:
+            if acting and self._core.owner_of(service, unit) == endpoint:
                 continue
             for request in queue.take_unit(unit):
                 reason = RefusalReason.UNIT_MOVING
@@ -282,6 +291,9 @@
 
     def _carry_out(self, action: Action, now: float) -> None:
         match action:
+            case Enqueue(endpoint, queued) if not self._core.acts_for(endpoint):
+                reason = RefusalReason.NO_COORDINATOR
+                self._deliver(LeftQueue(queued.ticket, reason), now)
             case Enqueue(endpoint, queued):
                 for shed in self._queue(endpoint).offer(queued, now):
                     self._deliver(LeftQueue(shed.request.ticket, shed.reason), now)
@@ -417,6 +429,7 @@
 
     def _tick(self) -> None:
         now = time.monotonic()
+        self._histories.tick(now)
         for endpoint, queue in self._queues.items():
             for shed in queue.expire(now):
                 self._deliver(LeftQueue(shed.request.ticket, shed.reason), now)
