Build one executable file and check it

Cause: an operator had to create an environment with 60 packages.

`make binary` builds dist/arbutusflow with shiv; `make binary-check` runs `version`, an entry process, `status` and a graceful stop on it with a Python that has none of the packages, and checks that the process has no child. `make test` calls it before the unit tests; pytest comes last.

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+SOURCES := $(shell find arbutusflow -name '*.py')
 
-.PHONY: demo test check unit features binary lock clean
+.PHONY: demo test check unit features binary binary-check reference lock clean
 
 $(STAMP): pyproject.toml requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -17,7 +18,8 @@
 demo: $(STAMP)
 	$(BIN)/python -m arbutusflow.standins.demo examples/ecuador.yaml
 
-test: check unit
+# pytest comes last: its closing line is the verdict.
+test: check features binary-check unit
 
 check: $(STAMP)
 	$(BIN)/ruff format --check .
@@ -28,6 +30,32 @@
 unit: $(STAMP)
 	$(BIN)/python -m pytest
 
+features: $(STAMP)
+	@if ls features/*.feature >/dev/null 2>&1; then \
+		$(BIN)/behave --format progress features; \
+	else \
+		echo "features: there are no feature files"; \
+	fi
+
+# One executable file for machines with Python 3.11; see docs/decisions/binary.md.
+binary: dist/arbutusflow
+
+dist/arbutusflow: $(STAMP) $(SOURCES)
+	rm -rf build dist/arbutusflow
+	$(BIN)/python -m pip install --quiet --no-build-isolation --no-compile \
+		--constraint requirements.lock --target build/site .
+	mkdir -p dist
+	$(BIN)/shiv --compressed --reproducible --site-packages build/site \
+		--entry-point arbutusflow.cli.main:main \
+		--python "/usr/bin/env python3.11" --output-file $@
+
+binary-check: dist/arbutusflow
+	$(BIN)/python -m pytest tests/binary
+
+reference: $(STAMP)
+	$(BIN)/python -m arbutusflow reference settings > docs/reference/settings.md
+	$(BIN)/python -m arbutusflow reference metrics > docs/reference/metrics.md
+
 lock: pyproject.toml
 	$(BIN)/pip-compile --quiet --extra dev --strip-extras --allow-unsafe --no-emit-index-url \
 		--no-emit-find-links --no-emit-options --output-file requirements.lock pyproject.toml
--- /dev/null
+++ b/tests/binary/test_binary.py
@@ -0,0 +1,93 @@
+"""The built file `dist/arbutusflow`, run without the packages of this environment."""
+
+import contextlib
+import http.client
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from arbutusflow import __version__
+
+BINARY = pathlib.Path(__file__).parents[2] / "dist" / "arbutusflow"
+BASE_BIN = pathlib.Path(sys.base_prefix) / "bin"
+WAIT_SECONDS = 120.0  # Far above what a start takes, also on a busy machine.
+FIRST_PORT = 15_000  # Below the ports that the kernel gives to clients.
+
+
+@pytest.fixture
+def env(tmp_path):
+    """An environment whose Python has none of the packages of the project."""
+    return {
+        "PATH": f"{BASE_BIN}:/usr/bin:/bin",
+        "SHIV_ROOT": str(tmp_path / "unpacked"),
+    }
+
+
+def free_ports(count):
+    ports = []
+    for port in range(FIRST_PORT + os.getpid() % 3_000, 19_000):
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise AssertionError("no free port")
+
+
+def is_live(port):
+    try:
+        conn = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+        conn.request("GET", "/health/live")
+        return conn.getresponse().status == 200
+    except OSError:
+        return False
+
+
+def test_version_and_unpacking_directory(env, tmp_path):
+    """Guards against a package that is missing in the file."""
+    done = subprocess.run([BINARY, "version"], env=env, capture_output=True, text=True)
+    assert (done.stdout, done.stderr) == (f"{__version__}\n", "")
+    assert len(list((tmp_path / "unpacked").glob("arbutusflow_*"))) >= 1
+
+
+def test_entry_process_runs_on_it(env, tmp_path):
+    """Guards against a child process and against a stop that is not graceful."""
+    caller, peer, admin, closed = free_ports(4)
+    lines = [
+        "instance: entry-1",
+        "zone: zone-a",
+        f"platform_url: http://127.0.0.1:{closed}",
+    ]
+    for name, port in (("caller", caller), ("peer", peer), ("admin", admin)):
+        lines.append(f"{name}: {{host: 127.0.0.1, port: {port}}}")
+    settings = tmp_path / "entry.yaml"
+    settings.write_text("\n".join(lines))
+    with open(tmp_path / "log", "wb") as log:
+        process = subprocess.Popen(
+            [BINARY, "entry", str(settings)], env=env, stdout=log, stderr=log
+        )
+    try:
+        until = time.monotonic() + WAIT_SECONDS
+        while not is_live(admin):
+            assert process.poll() is None, (tmp_path / "log").read_text()
+            assert time.monotonic() < until
+            time.sleep(0.05)
+        path = f"/proc/{process.pid}/task/{process.pid}/children"
+        assert pathlib.Path(path).read_text() == ""
+        done = subprocess.run(
+            [BINARY, "status", "--admin", f"127.0.0.1:{admin}"],
+            env=env,
+            capture_output=True,
+            text=True,
+        )
+        assert "instance entry-1 in zone-a, configuration 0" in done.stdout
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(WAIT_SECONDS) == 0
+    finally:
+        process.kill()
+        process.wait()
