Describe the product, its operation and its decisions

Tests compare the reference pages with the code, follow the links, and load the YAML examples of the pages.

--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -5,12 +5,14 @@
 
 import pytest
 
+from arbutusflow.adapters.documents import parse_document
 from arbutusflow.adapters.metrics import METRICS, SwitchedMetrics
 from arbutusflow.adapters.reference import metrics_page, settings_page
-from arbutusflow.adapters.settings import Address
+from arbutusflow.adapters.settings import Address, EntrySettings, PatchFile
 from arbutusflow.domain.reasons import RefusalReason, RetryReason
 
-REFERENCE = pathlib.Path(__file__).parent.parent / "docs" / "reference"
+ROOT = pathlib.Path(__file__).parent.parent
+REFERENCE = ROOT / "docs" / "reference"
 
 
 @pytest.mark.parametrize(
@@ -31,6 +33,27 @@
     assert [name for name, description in rows if not description.endswith(".")] == []
 
 
+def test_links_between_pages_lead_somewhere():
+    """Guards against a page that was moved or never written."""
+    broken = [
+        (page.name, target)
+        for page in (ROOT / "README.md", *ROOT.glob("docs/**/*.md"))
+        for target in re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", page.read_text())
+        if not (page.parent / target).exists()
+    ]
+    assert broken == []
+
+
+@pytest.mark.parametrize(
+    ("name", "kind"), [("running", EntrySettings), ("configuring", PatchFile)]
+)
+def test_example_files_in_the_pages_are_accepted(name, kind):
+    """Guards against an example that a stranger copies and that is refused."""
+    text = (ROOT / "docs" / "operators" / f"{name}.md").read_text()
+    (example,) = re.findall(r"```yaml\n(.*?)```", text, re.DOTALL)
+    parse_document(example, kind, name)
+
+
 class Socket:
     """Takes the place of the datagram socket of the `statsd` client."""
 
