--- a/arbutusflow/adapters/caller_http.py
+++ b/arbutusflow/adapters/caller_http.py
@@ -98,7 +98,9 @@
             return
         if (reason := refusal_reason(reply.reason)) is not None:
             self._on_refusal(reason)
-        problem = Problem(reply.outcome, reply.reason, reply.detail)
+        problem = Problem(
+            reply.outcome, reply.reason, reply.detail, reply.retry_after_ms
+        )
         await _send_problem(
             send, reply.status or STATUS_OF_OUTCOME[reply.outcome], problem
         )
--- a/arbutusflow/runtime/control.py
+++ b/arbutusflow/runtime/control.py
@@ -9,7 +9,7 @@
 import random
 import time
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
@@ -25,6 +25,7 @@
 )
 from arbutusflow.adapters.platform import (
     Conflict,
+    ListedInstance,
     PlatformClient,
     StoredObject,
     Unknown,
@@ -38,7 +39,7 @@
     apply_patch,
 )
 from arbutusflow.domain.errors import EndpointError, PlatformUnavailableError
-from arbutusflow.domain.ownership import RECORD_PREFIX, TABLE_PREFIX, OwnershipCore
+from arbutusflow.domain.ownership import OwnershipCore
 from arbutusflow.domain.ownership_messages import (
     Action,
     AnswerRenounce,
@@ -48,6 +49,7 @@
     Event,
     LeaseFailed,
     LeaseReplied,
+    MembersChanged,
     ReadObjects,
     Record,
     RecordChanged,
@@ -62,8 +64,8 @@
     WriteTable,
     WriteUnknown,
 )
+from arbutusflow.domain.ownership_state import RECORD_PREFIX, TABLE_PREFIX
 from arbutusflow.domain.partitions import EncodedTable
-from arbutusflow.domain.placement import rendezvous
 from arbutusflow.domain.records import Decision, EndpointRecord
 from arbutusflow.runtime.curl_loop import CurlError
 from arbutusflow.runtime.timers import Timers
@@ -71,6 +73,7 @@
 TICK_SECONDS = 0.1
 ANTI_ENTROPY_SECONDS = 1.0
 WATCH_WAIT_MS = 10_000
+LIST_SECONDS = 5.0  # The list lags by tens of seconds, so it is not asked for often.
 WATCH_RETRY_SECONDS = 0.5
 PATCH_ATTEMPTS = 10
 PATCH_RETRY_SECONDS = 0.3
@@ -106,6 +109,28 @@
     platform_calls: dict[str, int]
 
 
+class Traffic(Protocol):
+    """What the control task tells the traffic task."""
+
+    def drain(self, service: str, unit: int) -> None:
+        """Dispatch no more for the unit and report when none is in flight."""
+        ...
+
+    def lease_renewed(self, endpoint: str, load: int) -> None:
+        """Take a load report; the lease of the endpoint was renewed."""
+        ...
+
+    def endpoint_exited(self, endpoint: str, incarnation: str) -> None:
+        """Take the proof that a process of the endpoint has ended."""
+        ...
+
+    def coordinate(
+        self, units: dict[tuple[str, int], str], fresh: set[tuple[str, int]]
+    ) -> None:
+        """Take the units that this instance coordinates now."""
+        ...
+
+
 class ControlTask:
     """Owns the ownership core, the copies of platform objects and the watch."""
 
@@ -121,8 +146,12 @@
         self.decisions: collections.deque[Decision] = collections.deque(
             maxlen=DECISIONS_KEPT
         )
-        self.members: dict[str, str] = {core.instance: core.zone}
-        self.drain_unit: Callable[[str, int], None] = lambda service, unit: None
+        self.members = MembersChanged(
+            {core.instance: core.zone}, frozenset(), frozenset()
+        )
+        self.is_watcher: Callable[[], bool] = lambda: True
+        self.on_listed: Callable[[tuple[ListedInstance, ...]], None] = lambda _: None
+        self.traffic: Traffic | None = None
         self._platform = platform
         self._endpoints = endpoints
         self._links = links
@@ -131,22 +160,31 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._random = random.Random(core.instance)
         self._revision = 0
+        self._told: object = None
+        self._incarnations: dict[str, str] = {}
 
     def start(self) -> None:
         """Begin to tick, to watch and to compare versions with peers."""
         self._timers.subscribe(TICK_SECONDS, self._tick)
         self._timers.subscribe(ANTI_ENTROPY_SECONDS, self._compare_versions)
         self.spawn(self._watch())
+        self.spawn(self._list_instances())
 
     def stop(self) -> None:
         """Cancel what is under way."""
         for task in list(self._tasks):
             task.cancel()
 
+    def take_members(self, members: MembersChanged) -> None:
+        """Take over a view of the entry instances."""
+        self.members = members
+        self.handle(members)
+
     def handle(self, event: Event) -> None:
         """Give an event to the core and carry out its actions."""
         for action in self.core.handle(event, time.monotonic()):
             self._carry_out(action)
+        self._tell_units()
 
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine beside the others until the task stops."""
@@ -218,6 +256,26 @@
             )
         )
 
+    def _tell_units(self) -> None:
+        """Tell the traffic task when the coordinated units have changed."""
+        acting = tuple(name for name in self.core.records if self.core.acts_for(name))
+        state = (acting, tuple(map(id, self.core.tables.values())))
+        if self.traffic is None or state == self._told:
+            return
+        self._told = state
+        units: dict[tuple[str, int], str] = {}
+        fresh: set[tuple[str, int]] = set()
+        for name in acting:
+            record = self.core.records[name]
+            table = self.core.tables.get(record.service)
+            if table is None:
+                continue
+            for unit, sequence in table.units_of(name).items():
+                units[record.service, unit] = name
+                if sequence == 1 and record.epoch == 1:
+                    fresh.add((record.service, unit))
+        self.traffic.coordinate(units, fresh)
+
     # Actions
 
     def _carry_out(self, action: Action) -> None:
@@ -248,7 +306,8 @@
                         )
                     )
             case DrainUnit(service, unit):
-                self.drain_unit(service, unit)
+                if self.traffic is not None:
+                    self.traffic.drain(service, unit)
             case Record(decision):
                 self.decisions.append(decision)
                 log_decision(decision)
@@ -282,11 +341,23 @@
         try:
             reply = await self._endpoints.renew(action.endpoint, action.renewal)
         except CurlError as exc:
+            if exc.refused:
+                self._endpoint_exited(name)
             self.handle(LeaseFailed(name, action.operation, exc.refused))
         except EndpointError:
             self.handle(LeaseFailed(name, action.operation, refused=False))
         else:
+            if self._incarnations.get(name, reply.incarnation) != reply.incarnation:
+                self._endpoint_exited(name)
+            self._incarnations[name] = reply.incarnation
             self.handle(LeaseReplied(name, action.operation, reply))
+            if self.traffic is not None and reply.refusal is None:
+                self.traffic.lease_renewed(name, reply.load)
+
+    def _endpoint_exited(self, name: str) -> None:
+        incarnation = self._incarnations.pop(name, None)
+        if incarnation is not None and self.traffic is not None:
+            self.traffic.endpoint_exited(name, incarnation)
 
     # Platform objects
 
@@ -315,7 +386,7 @@
     async def _watch(self) -> None:
         """Hold the platform watch while this instance is its zone's watcher."""
         while True:
-            if not self._is_watcher():
+            if not self.is_watcher():
                 await asyncio.sleep(WATCH_RETRY_SECONDS)
                 continue
             try:
@@ -330,13 +401,20 @@
             if fresh:
                 self._relay(fresh)
 
-    def _is_watcher(self) -> bool:
-        same_zone = [i for i, zone in self.members.items() if zone == self.core.zone]
-        return rendezvous("watch", same_zone) == self.core.instance
+    async def _list_instances(self) -> None:
+        """Read the platform's list while this instance is its zone's watcher."""
+        while True:
+            if self.is_watcher():
+                try:
+                    fut = self._platform.instances()
+                    self.on_listed(await asyncio.wrap_future(fut))
+                except PlatformUnavailableError:
+                    pass
+            await asyncio.sleep(LIST_SECONDS)
 
     def _relay(self, objects: tuple[StoredObject, ...]) -> None:
         for instance, link in self._links.items():
-            if self.members.get(instance) == self.core.zone:
+            if self.members.zones.get(instance) == self.core.zone:
                 link.send(ObjectsChanged(objects))
 
     def _compare_versions(self) -> None:
