Fit the operators' side to membership and delivery

The delivery's retries are counted and appear in `explain request`; refusals with a pause carry `Retry-After`; a taken UDP port is named.

--- a/arbutusflow/adapters/caller_http.py
+++ b/arbutusflow/adapters/caller_http.py
@@ -4,6 +4,7 @@
 reason and a JSON body, so that a caller's program can decide what to do next.
 """
 
+import math
 import urllib.parse
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
@@ -292,11 +293,15 @@
 
 def headers_of(problem: Problem) -> tuple[tuple[bytes, bytes], ...]:
     """Return the headers of an answer that does not come from an endpoint."""
-    return (
+    headers = (
         (b"content-type", b"application/json"),
         (b"arbutus-outcome", problem.outcome.encode()),
         (b"arbutus-reason", problem.reason.encode()),
     )
+    if not problem.retry_after_ms:
+        return headers
+    seconds = math.ceil(problem.retry_after_ms / 1000)
+    return (*headers, (b"retry-after", str(seconds).encode()))
 
 
 async def respond(
--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -118,6 +118,7 @@
         self._metrics.switch(settings.statsd)
         self._request_log = RequestLog()
         self._observer = Observer(self._control, self._metrics, self._request_log)
+        self._traffic.retry_scheduled = self._observer.retry_scheduled
 
     async def run(self) -> None:
         """Serve until a stop is asked for, then stop gracefully."""
@@ -146,7 +147,8 @@
             membership.submit(LeaveAsked())
         await self._finish()
 
-    def _join(self) -> contextlib.AbstractAsyncContextManager[MembershipTask]:
+    @contextlib.asynccontextmanager
+    async def _join(self) -> AsyncIterator[MembershipTask]:
         settings = self._settings
         core = MembershipCore.from_config(
             self._instance,
@@ -155,13 +157,19 @@
             [MemberAddress(seed.host, seed.port) for seed in settings.seeds],
             secrets.randbits(32),
         )
-        return MembershipTask.opened(
+        opened = MembershipTask.opened(
             core,
             MemberAddress(settings.peer.host, settings.peer.port),
             self._timers,
             time.monotonic,
             self._peers.take_view,
         )
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                task = await stack.enter_async_context(opened)
+            except OSError as exc:
+                raise settings.peer.unusable(exc) from exc
+            yield task
 
     async def _start(self) -> None:
         """Start the tasks once the other instances had time to answer."""
--- a/arbutusflow/runtime/observer.py
+++ b/arbutusflow/runtime/observer.py
@@ -11,6 +11,7 @@
 from arbutusflow.adapters.metrics import FLUSH_SECONDS, GAUGE_SECONDS, Metrics
 from arbutusflow.adapters.peer_messages import ForwardReply, ForwardRequest
 from arbutusflow.domain.partitions import unit_of_key
+from arbutusflow.domain.reasons import RetryReason
 from arbutusflow.runtime.control import ControlTask
 from arbutusflow.runtime.request_log import RequestLog, RequestOutcome
 from arbutusflow.runtime.timers import Timers
@@ -29,6 +30,7 @@
         self._control = control
         self._metrics = metrics
         self._request_log = request_log
+        self._retries: dict[str, list[str]] = {}
 
     def start(self, timers: Timers) -> None:
         """Begin to send metrics."""
@@ -40,9 +42,13 @@
     ) -> ForwardReply:
         """Return the reply of `handler`, and keep how the request ended."""
         received, started = time.time(), time.monotonic()
-        reply = await handler(req)
+        retries = self._retries.setdefault(req.request_id, [])
+        try:
+            reply = await handler(req)
+        finally:
+            self._retries.pop(req.request_id, None)
         duration_ms = (time.monotonic() - started) * 1000
-        outcome = self._outcome_of(role, received, duration_ms, req, reply)
+        outcome = self._outcome_of(role, received, duration_ms, req, reply, retries)
         self._request_log.record(outcome)
         if role == ENTRY:
             self._metrics.finished(
@@ -62,9 +68,17 @@
                 duration_ms=round(duration_ms, 3),
                 endpoint=outcome.endpoint,
                 coordinator=outcome.coordinator,
+                retries=outcome.retries,
             )
         return reply
 
+    def retry_scheduled(self, request_id: str, reason: RetryReason) -> None:
+        """Count a retry, and keep its reason for the outcome of the request."""
+        self._metrics.retried(reason)
+        # Nobody waits any more for a request that is not there.
+        if request_id in self._retries:
+            self._retries[request_id].append(reason.value)
+
     def report_state(self) -> None:
         """Set the gauges."""
         status = self._control.status()
@@ -84,6 +98,7 @@
         duration_ms: float,
         req: ForwardRequest,
         reply: ForwardReply,
+        retries: list[str],
     ) -> RequestOutcome:
         core = self._control.core
         service = core.cfg.service(req.service)
@@ -110,4 +125,5 @@
             unit=unit,
             endpoint=endpoint or "",
             coordinator=coordinator or "",
+            retries=tuple(retries),
         )
--- a/arbutusflow/runtime/traffic.py
+++ b/arbutusflow/runtime/traffic.py
@@ -54,7 +54,7 @@
 from arbutusflow.domain.limits import Finish
 from arbutusflow.domain.ownership import OwnershipCore
 from arbutusflow.domain.partitions import unit_of_key
-from arbutusflow.domain.reasons import Outcome, Refusal, RefusalReason
+from arbutusflow.domain.reasons import Outcome, Refusal, RefusalReason, RetryReason
 from arbutusflow.domain.records import Token
 from arbutusflow.runtime.curl_loop import CurlError, CurlResponse
 from arbutusflow.runtime.timers import Timers
@@ -107,6 +107,7 @@
         timers: Timers,
     ) -> None:
         self.unit_drained: Callable[[str, int], None] = lambda service, unit: None
+        self.retry_scheduled: Callable[[str, RetryReason], None] = lambda req, why: None
         self.in_flight = 0
         self._core = core
         self._endpoints = endpoints
@@ -288,7 +289,8 @@
                 self._pump(endpoint)
             case Send(ticket):
                 self._start_attempt(ticket)
-            case ScheduleRetry(ticket, at):
+            case ScheduleRetry(ticket, at, reason):
+                self.retry_scheduled(self._requests[ticket].req.request_id, reason)
                 self._loop.call_later(max(0.0, at - now), self._retry, ticket)
             case CancelQueued(endpoint, ticket):
                 self._queue(endpoint).cancel(ticket)
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -359,6 +359,16 @@
     assert len(instance.ran) == 1
 
 
+def test_refused_caller_learns_when_to_come_back(instance):
+    async def shed(req):
+        return ForwardReply(0, "not-run", "queue_full", status=429, retry_after_ms=1200)
+
+    instance.cfg.loaded_app = CallerApplication(lambda: CFG, shed)
+    transport = instance.send(request())
+    assert answer_of(transport.sent)[3]["retry_after_ms"] == 1200
+    assert b"\r\nretry-after: 2\r\n" in transport.sent
+
+
 def test_fault_inside_the_instance_is_an_unknown_outcome(instance):
     """Guards against a status without an outcome after the request was sent."""
 
