--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	$(BIN)/python -m arbutusflow.standins.demo examples/ecuador.yaml
 
 # pytest comes last: its closing line is the verdict.
+.NOTPARALLEL:
 test: check features binary-check unit
 
 check: $(STAMP)
