--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -60,7 +60,8 @@
         self.up = True
         self.loses_answers = False
         self.write_delay = 0.0
-        self.writes = 0
+        self.delayed = ""  # Prefix of the objects whose writes are delayed.
+        self.writes = 0  # Those that took effect.
 
     def get(self, name):
         return self.objects.get(name, (0, None))
@@ -109,6 +110,7 @@
         self.frozen = False
         self.waiting = []
         self.delay = 0.0
+        self.loses_answers = False
         self.draining = False
         self.start()
 
@@ -245,6 +247,12 @@
     def cut(self, one, other):
         self.cuts.add(frozenset((one, other)))
 
+    def isolate(self, name):
+        """Cut an instance off from the others and from the platform."""
+        for other in [*self.instances, "platform"]:
+            if other != name:
+                self.cut(name, other)
+
     def heal(self):
         self.cuts.clear()
         self.suspicions.clear()
@@ -382,10 +390,13 @@
                 self._tell(instance, self._changed(name))
                 self._tell(instance, WriteSucceeded(name, operation, version))
 
-        late = self.platform.write_delay > WRITE_TIMEOUT
+        delay = (
+            self.platform.write_delay if name.startswith(self.platform.delayed) else 0
+        )
+        late = delay > WRITE_TIMEOUT
         if late:
             self._tell(instance, unknown, WRITE_TIMEOUT)
-        self._post(HOP + self.platform.write_delay, take_effect)
+        self._post(HOP + delay, take_effect)
 
     def _changed(self, name):
         version, content = self.platform.get(name)
@@ -416,7 +427,9 @@
                 endpoint.waiting.append(arrive)
             elif endpoint.starts == start or not answered:
                 reply = endpoint.renew(action.renewal, self.now)
-                if not answered and self.joined(instance.name, name):
+                if endpoint.loses_answers:
+                    fail()
+                elif not answered and self.joined(instance.name, name):
                     answered.append(True)
                     replied = LeaseReplied(name, action.operation, reply)
                     self._tell(instance, replied)
--- /dev/null
+++ b/tests/test_planted_faults.py
@@ -0,0 +1,200 @@
+"""Faults planted in the core or at an endpoint must be found by the checks.
+
+Each fault takes away one rule of the design page. The scenario passes with the
+rule and fails without it, so it shows that `World.check` sees what the rule
+prevents.
+"""
+
+import dataclasses
+import math
+
+import pytest
+from fakes import SERVICE, World, swaps
+
+from arbutusflow.domain import coordination, ownership_state
+from arbutusflow.domain.configuration import EndpointState
+from arbutusflow.domain.coordination import Coordinator
+from arbutusflow.domain.object_writes import ObjectWriter
+from arbutusflow.domain.ownership_state import OwnershipState
+from arbutusflow.domain.records import LeaseRefusal
+from arbutusflow.standins.endpoint_gate import EndpointGate
+
+
+def started():
+    world = World(swaps())
+    world.settle()
+    world.run(1)
+    return world
+
+
+def drain(world, name, state=EndpointState.DRAINING):
+    service = world.cfg.services[0]
+    items = tuple(
+        dataclasses.replace(e, state=state) if e.name == name else e
+        for e in service.endpoints
+    )
+    service = dataclasses.replace(service, endpoints=items)
+    number = world.cfg.number + 1
+    world.configure(dataclasses.replace(world.cfg, number=number, services=(service,)))
+
+
+def endpoint_applies_renewals_but_its_answers_are_lost():
+    world = started()
+    world.endpoints["e0"].loses_answers = True
+    world.run_until(lambda: not world.platform.table().units_of("e0"), 4)
+    world.run(2)
+
+
+def replaced_coordinator_goes_on_granting():
+    world = started()
+    stale = world.coordinator("e0")
+    world.isolate(stale)
+    world.run_until(lambda: world.coordinator("e0") != stale, 4)
+    world.run(1)
+    drain(world, "e0")
+    world.run_until(lambda: not world.platform.table().units_of("e0"), 4)
+    world.run(2)
+
+
+def renewal_arrives_after_a_later_one():
+    world = started()
+    drain(world, "e0")
+    world.run_until(lambda: not world.platform.table().units_of("e0"), 4)
+    world.run(1)
+    drain(world, "e0", EndpointState.ACTIVE)
+    world.endpoints["e0"].delay = 2.0
+    world.run_until(lambda: world.platform.table().units_of("e0"), 4)
+    world.run(0.5)
+    world.endpoints["e0"].delay = 0.0
+    world.run(0.8)
+    assert world.endpoints["e0"].gate.held
+    drain(world, "e0")
+    world.run(4)
+
+
+def loss_move_takes_effect_late():
+    """The endpoint restarts while the answer of the loss move is outstanding."""
+    world = started()
+    world.platform.write_delay, world.platform.delayed = 4.0, "table/"
+    world.endpoints["e0"].exit()
+    world.run(0.6)
+    world.endpoints["e0"].start()
+    world.run(5)
+    world.platform.write_delay = 0.0
+    world.run(2)
+    assert world.all_served()
+
+
+def loss_move_of_an_exited_coordinator_takes_effect_late():
+    world = started()
+    world.platform.write_delay = 6.0
+    world.endpoints["e0"].exit()
+    world.run(0.6)
+    world.platform.write_delay = 0.0
+    world.exit(world.coordinator("e0"))
+    world.endpoints["e0"].start()
+    world.run(8)
+    assert world.all_served()
+
+
+def successor_goes_on_renewing_what_the_coordinator_finds_lost():
+    world = started()
+    name = world.coordinator("e0")
+    successor = world.platform.record("e0").successors[0]
+    world.cut(name, "e0")
+    world.cut(successor, "platform")
+    world.suspicions.add((successor, name))
+    world.run(6)
+
+
+def coordinator_dispatches_after_a_pause_before_a_renewal():
+    world = started()
+    name = world.coordinator("e0")
+    core = world.instances[name].core
+    unit = next(iter(world.platform.table().units_of("e0")))
+    world.cut(name, "e0")
+    world.pause(name)
+    world.run(0.52)
+    world.resume(name)
+    assert core.dispatch_token("e0", SERVICE, unit, world.now) is None
+
+
+def plant_no_wait_for_lease_expiry(monkeypatch):
+    monkeypatch.setattr(coordination, "LEASE_BOUND_SECONDS", -math.inf)
+
+
+def plant_no_refusal(monkeypatch, refusal):
+    rule = EndpointGate._refusal
+
+    def without(gate, renewal):
+        found = rule(gate, renewal)
+        return None if found is refusal else found
+
+    monkeypatch.setattr(EndpointGate, "_refusal", without)
+    # The endpoint's own check would find the fault before the owners do.
+    monkeypatch.setattr(
+        "fakes.FakeEndpoint.renew",
+        lambda self, renewal, now: self.gate.renew(renewal, self.clock(now), 0, False),
+    )
+
+
+def plant_no_term_check(monkeypatch):
+    plant_no_refusal(monkeypatch, LeaseRefusal.LOWER_TERM)
+
+
+def plant_no_order_check(monkeypatch):
+    plant_no_refusal(monkeypatch, LeaseRefusal.OLDER_RENEWAL)
+
+
+def plant_no_read_back(monkeypatch):
+    def forget(writer, name, operation, now):
+        writer._pending.pop(name, None)
+
+    monkeypatch.setattr(ObjectWriter, "without_answer", forget)
+
+
+def plant_no_fence(monkeypatch):
+    def always(state, service, endpoint):
+        return service in state.tables and endpoint in state.records
+
+    monkeypatch.setattr(OwnershipState, "fenced", always)
+
+
+def plant_no_renouncement(monkeypatch):
+    def presume(coordinator, endpoint, known, instances, now):
+        known.renouncements.update(dict.fromkeys(instances, -math.inf))
+
+    monkeypatch.setattr(Coordinator, "_ask_renounce", presume)
+
+
+def plant_no_clock_gap_check(monkeypatch):
+    monkeypatch.setattr(ownership_state, "CLOCK_GAP_SECONDS", math.inf)
+
+
+@pytest.mark.parametrize(
+    ("scenario", "plant"),
+    [
+        (
+            endpoint_applies_renewals_but_its_answers_are_lost,
+            plant_no_wait_for_lease_expiry,
+        ),
+        (replaced_coordinator_goes_on_granting, plant_no_term_check),
+        (renewal_arrives_after_a_later_one, plant_no_order_check),
+        (loss_move_takes_effect_late, plant_no_read_back),
+        (loss_move_of_an_exited_coordinator_takes_effect_late, plant_no_fence),
+        (
+            successor_goes_on_renewing_what_the_coordinator_finds_lost,
+            plant_no_renouncement,
+        ),
+        (
+            coordinator_dispatches_after_a_pause_before_a_renewal,
+            plant_no_clock_gap_check,
+        ),
+    ],
+    ids=lambda item: item.__name__,
+)
+def test_planted_fault_is_found(scenario, plant, monkeypatch):
+    scenario()
+    plant(monkeypatch)
+    with pytest.raises(AssertionError, match=" owns |unit |Token"):
+        scenario()
