Recognise refused connections and leaving instances

Cause: libcurl's message no longer says that a connection was refused, so an exited endpoint was never proved by it and endpoints without token check waited for their restart; the errno of the connection tells it. Instances that stop at the same time handed endpoints to each other in turn; leaving is now announced first and leaving instances get nothing new. The entry hop waits 0.15 s beyond the deadline for the coordinator's own answer, which knows whether a late request was sent.

--- a/arbutusflow/domain/ownership.py
+++ b/arbutusflow/domain/ownership.py
@@ -114,8 +114,8 @@
                 self._follow_up(now, endpoint=event.endpoint)
             case LeaseFailed():
                 self._coordinator.failed(event)
-            case MembersChanged(zones, suspected, gone):
-                state.use_members(zones, suspected, gone, now)
+            case MembersChanged():
+                state.use_members(event, now)
             case RenounceAsked():
                 self._succession.renounce_asked(event, now)
             case Renounced():
--- a/arbutusflow/domain/ownership_messages.py
+++ b/arbutusflow/domain/ownership_messages.py
@@ -96,11 +96,13 @@
 
     `zones` maps each known instance to its zone. `suspected` have not answered;
     `gone` are proven to have ended (exit proof, platform list or operator).
+    `leaving` still act for what they have not handed over, but get nothing new.
     """
 
     zones: dict[str, str]
     suspected: frozenset[str]
     gone: frozenset[str]
+    leaving: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/arbutusflow/domain/ownership_state.py
+++ b/arbutusflow/domain/ownership_state.py
@@ -7,7 +7,6 @@
 import dataclasses
 import itertools
 import math
-from collections.abc import Mapping
 
 from arbutusflow.domain.configuration import (
     Configuration,
@@ -15,7 +14,7 @@
     EndpointState,
     Service,
 )
-from arbutusflow.domain.ownership_messages import Action, Record
+from arbutusflow.domain.ownership_messages import Action, MembersChanged, Record
 from arbutusflow.domain.partitions import OwnershipTable
 from arbutusflow.domain.placement import rendezvous_score
 from arbutusflow.domain.records import (
@@ -110,6 +109,7 @@
         self.versions: dict[str, int] = {}
         self.zones: dict[str, str] = {instance: zone}
         self.suspected: frozenset[str] = frozenset()
+        self.leaving: frozenset[str] = frozenset()
         self.gone_at: dict[str, float] = {}
         self.declared: dict[str, Proof] = {}
         self.coordinations: dict[str, Coordination] = {}
@@ -145,17 +145,13 @@
                 self.retired.pop(endpoint.name, None)
         self.cfg = cfg
 
-    def use_members(
-        self,
-        zones: Mapping[str, str],
-        suspected: frozenset[str],
-        gone: frozenset[str],
-        now: float,
-    ) -> None:
-        """Replace the view of the entry instances."""
-        self.zones = dict(zones)
-        self.suspected = suspected
-        self.gone_at = {name: self.gone_at.get(name, now) for name in sorted(gone)}
+    def use_members(self, members: MembersChanged, now: float) -> None:
+        """Take over a view of the entry instances."""
+        self.zones = dict(members.zones)
+        self.suspected = members.suspected
+        self.leaving = members.leaving
+        gone = sorted(members.gone)
+        self.gone_at = {name: self.gone_at.get(name, now) for name in gone}
 
     def next_operation(self) -> int:
         """Return a number that no earlier operation of this process has."""
@@ -172,9 +168,17 @@
         """Tell whether an instance is suspected or gone."""
         return name in self.suspected or name in self.gone_at
 
+    def has_ended(self, name: str) -> bool:
+        """Tell whether an instance is gone or leaving."""
+        return name in self.gone_at or name in self.leaving
+
     def live_instances(self) -> list[str]:
-        """Return the instances that answer, this one included."""
-        return [name for name in self.zones if not self.out_of_reach(name)]
+        """Return the instances that answer and stay, this one included."""
+        return [
+            name
+            for name in self.zones
+            if name not in self.leaving and not self.out_of_reach(name)
+        ]
 
     def zone_instances(self, endpoint: Endpoint) -> list[str]:
         """Return the live instances of the endpoint's zone, or all if it has none."""
--- a/arbutusflow/domain/succession.py
+++ b/arbutusflow/domain/succession.py
@@ -263,7 +263,7 @@
         if (coordination.failures or leaving) and not found_lost:
             # A new version voids the renouncements that a loss move relies on.
             return
-        if any(name in state.gone_at for name in record.successors) or (
+        if any(state.has_ended(name) for name in record.successors) or (
             len(record.successors) < len(successors)
         ):
             acknowledged = coordination.acknowledged
--- a/arbutusflow/runtime/curl_loop.py
+++ b/arbutusflow/runtime/curl_loop.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import errno
 import io
 
 import pycurl
@@ -191,5 +192,6 @@
 
 def _error_of(handle: pycurl.Curl, code: int, message: str) -> CurlError:
     sent = handle.getinfo(pycurl.REQUEST_SIZE) > 0
-    refused = code == pycurl.E_COULDNT_CONNECT
-    return CurlError(message, code, sent, refused and "refused" in message.lower())
+    refused = handle.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED
+    refused = refused and code == pycurl.E_COULDNT_CONNECT
+    return CurlError(message, code, sent, refused)
--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -144,8 +144,8 @@
             self._membership = membership
             await self._start()
             await self._stopping.wait()
-            await self._hand_over()
             membership.submit(LeaveAsked())
+            await self._hand_over()
         await self._finish()
 
     @contextlib.asynccontextmanager
--- a/arbutusflow/runtime/peers.py
+++ b/arbutusflow/runtime/peers.py
@@ -1,7 +1,7 @@
 """Peer directory: keeps one link to each reachable entry instance.
 
-Invariant: there is a link to each known instance that has neither left nor is
-proven gone, and to no other.
+Invariant: there is a link to each known instance that is not proven gone, and to
+no other. An instance that leaves is proven gone when its address refuses.
 """
 
 import asyncio
@@ -111,25 +111,24 @@
 def members_of(view: View) -> MembersChanged:
     """Return the view as the ownership core takes it.
 
-    An instance leaves only after it has handed its endpoints over, so one that has
-    left counts as gone.
+    An instance announces that it leaves at the beginning of its stop, and acts for
+    its endpoints until they are handed over.
     """
-    ended = (MemberState.LEFT, MemberState.GONE)
+
+    def named(state: MemberState) -> frozenset[str]:
+        members = view.members.items()
+        return frozenset(name for name, member in members if member.state is state)
+
     return MembersChanged(
         {name: member.zone for name, member in view.members.items()},
-        frozenset(
-            name
-            for name, member in view.members.items()
-            if member.state is MemberState.SUSPECTED
-        ),
-        frozenset(
-            name for name, member in view.members.items() if member.state in ended
-        ),
+        named(MemberState.SUSPECTED),
+        named(MemberState.GONE),
+        named(MemberState.LEFT),
     )
 
 
 def _may_answer(member: Member) -> bool:
-    return member.state in (MemberState.ALIVE, MemberState.SUSPECTED)
+    return member.state is not MemberState.GONE
 
 
 def _address_of(member: Member) -> Address:
--- a/arbutusflow/runtime/traffic.py
+++ b/arbutusflow/runtime/traffic.py
@@ -59,6 +59,8 @@
 from arbutusflow.runtime.unit_histories import UnitHistories
 
 ROUTE_RETRY_SECONDS = 0.02
+HOP_MS = 5  # Taken off the deadline for the way to the coordinator and back.
+LATE_REPLY_SECONDS = 0.15
 QUEUE_TICK_SECONDS = 0.05
 HISTORY_TICK_SECONDS = 1.0
 # These refusals concern the route only; another route may still serve the request.
@@ -179,9 +181,16 @@
         return await self._forward(link, req)
 
     async def _forward(self, link: PeerLink, req: ForwardRequest) -> ForwardReply:
-        forwarded = msgspec.structs.replace(req, id=link.next_id())
+        remaining_ms = max(1, req.remaining_ms - HOP_MS)
+        forwarded = msgspec.structs.replace(
+            req, id=link.next_id(), remaining_ms=remaining_ms
+        )
         try:
-            reply = await link.call(forwarded, req.remaining_ms / 1000)
+            # The coordinator knows whether a late request was sent, so its own
+            # answer at the deadline is waited for.
+            reply = await link.call(
+                forwarded, req.remaining_ms / 1000 + LATE_REPLY_SECONDS
+            )
         except PeerCallError as exc:
             if not exc.sent:
                 return _refused(req, RefusalReason.NO_COORDINATOR)
