--- a/arbutusflow/measure/requests.py
+++ b/arbutusflow/measure/requests.py
@@ -8,12 +8,12 @@
 from arbutusflow.domain.configuration import Rank
 from arbutusflow.measure import queueing
 from arbutusflow.measure.queueing import Model
-from arbutusflow.measure.results import Row, at_least, at_most
+from arbutusflow.measure.results import MeasureError, Row, at_least, at_most
 from arbutusflow.measure.world import load_delivery_world
 
 FLOODS = (2.0, 5.0)
-OURS = "shares, adaptive limit"
-PLAIN = "first-in-first-out, no limit"
+OURS = "shares, adaptive"
+PLAIN = "FIFO, no limit"
 # Of 10 dispatches in an urgent flood, at least 2 are normal and 1 is background.
 GUARANTEED_SHARE = {Rank.NORMAL: 0.2, Rank.BACKGROUND: 0.1}
 RUNS = 200
@@ -31,9 +31,10 @@
         found = queueing.measure(Model(flood=flood, seed=seed))
         ours, plain = _cells(found, OURS), _cells(found, PLAIN)
         for (phase, rank), row in ours.items():
-            if phase not in queueing.FLOODS or queueing.FLOODS[phase] is rank:
+            flooding = queueing.FLOODS.get(phase)
+            if flooding in (None, rank):
                 continue
-            name = f"{phase} x{flood:g}: {rank.value}"
+            name = f"{flooding.value} flood x{flood:g}: {rank.value}"
             rows += [
                 at_least(
                     f"{name} answered in time",
@@ -52,13 +53,16 @@
                     plain[phase, rank].p99_ms,
                 ),
             ]
-            if phase == "urgent flood":
+            if flooding is Rank.URGENT:
                 rows.append(_guaranteed(name, rank, phase, seed, ours, plain))
     return rows
 
 
 def _cells(rows: list[queueing.Row], policy: str) -> Cells:
-    return {(row.phase, row.rank): row for row in rows if row.policy == policy}
+    cells = {(row.phase, row.rank): row for row in rows if row.policy == policy}
+    if not cells:
+        raise MeasureError(f"the queue model has no policy {policy!r}")
+    return cells
 
 
 def _guaranteed(
