--- /dev/null
+++ b/tests/test_operator_pages.py
@@ -0,0 +1,35 @@
+"""Commands on the operators' pages exist with the options that are shown."""
+
+import pathlib
+import re
+import shlex
+
+import pytest
+import typer
+
+from arbutusflow.cli.main import app
+
+PAGES = sorted((pathlib.Path(__file__).parents[1] / "docs" / "operators").glob("*.md"))
+QUOTED = re.compile(r"^    (?:\$ )?arbutusflow ([^:\n]+)$|`arbutusflow ([^`]+)`", re.M)
+
+
+def commands():
+    """Return (page, words of the command) for each quoted command."""
+    return [
+        (page.name, tuple(shlex.split((block or inline).replace("\n", " "))))
+        for page in PAGES
+        for block, inline in QUOTED.findall(page.read_text())
+    ]
+
+
+@pytest.mark.parametrize(("page", "words"), commands())
+def test_quoted_commands_exist(page, words):
+    """Guards against pages that name a removed command or option."""
+    command = typer.main.get_command(app)
+    rest = list(words)
+    while rest and hasattr(command, "commands"):
+        assert rest[0] in command.commands, f"{page}: {' '.join(words)}"
+        command = command.commands[rest.pop(0)]
+    options = {name for item in command.params for name in item.opts}
+    used = {word for word in rest if word.startswith("--")}
+    assert used <= options | {"--help"}, f"{page}: {used - options}"
