--- a/arbutusflow/adapters/caller_http.py
+++ b/arbutusflow/adapters/caller_http.py
@@ -4,6 +4,7 @@
 reason and a JSON body, so that a caller's program can decide what to do next.
 """
 
+import asyncio
 import math
 import urllib.parse
 from collections.abc import Awaitable, Callable, MutableMapping
@@ -84,7 +85,7 @@
         except ConnectionError:
             return
         try:
-            reply = await self._accept(req)
+            reply = await self._accept_while_connected(req, receive)
         except Exception as exc:
             # The request may have been sent before the fault.
             log_exception("request", exc)
@@ -94,6 +95,9 @@
                 RefusalReason.COORDINATOR_LOST.value,
                 "the instance had an internal error; see its log",
             )
+        if reply is None:
+            self._on_refusal(RefusalReason.CALLER_LEFT)
+            return
         if reply.outcome == "answered":
             await _send_answer(send, req, reply)
             return
@@ -106,6 +110,32 @@
             send, reply.status or STATUS_OF_OUTCOME[reply.outcome], problem
         )
 
+    async def _accept_while_connected(
+        self, req: ForwardRequest, receive: Receive
+    ) -> ForwardReply | None:
+        """Return the reply; None if the caller left, which cancels the request."""
+        task = asyncio.current_task()
+        assert task is not None
+        has_left = False
+
+        async def watch() -> None:
+            nonlocal has_left
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            has_left = True
+            task.cancel()
+
+        watcher = asyncio.create_task(watch())
+        try:
+            return await self._accept(req)
+        except asyncio.CancelledError:
+            if not has_left:
+                raise
+            task.uncancel()
+            return None
+        finally:
+            watcher.cancel()
+
     async def _parse(self, scope: Scope, receive: Receive) -> ForwardRequest:
         request = _request_of(scope)
         if request.method not in METHODS:
--- a/arbutusflow/adapters/peer.py
+++ b/arbutusflow/adapters/peer.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
@@ -20,6 +21,8 @@
 
 from arbutusflow.adapters.logs import log_exception
 from arbutusflow.adapters.peer_messages import (
+    CancelRequest,
+    ForwardRequest,
     PeerMessage,
     Reply,
     decode_frame,
@@ -180,14 +183,25 @@
 
     async def _serve(self, stream: Any) -> None:
         replies: asyncio.Queue[PeerMessage] = asyncio.Queue()
+        # The identifiers are the sender's and unique on its stream.
+        running: dict[int, asyncio.Task[None]] = {}
         await stream.send_initial_metadata()
         sender = asyncio.create_task(self._send_replies(stream, replies))
         try:
             while (frame := await stream.recv_message()) is not None:
                 for message in decode_frame(frame):
+                    if isinstance(message, CancelRequest):
+                        if message.id in running:
+                            running[message.id].cancel()
+                        continue
                     task = asyncio.create_task(self._handle(message, replies))
                     self._tasks.add(task)
                     task.add_done_callback(self._tasks.discard)
+                    if isinstance(message, ForwardRequest):
+                        running[message.id] = task
+                        task.add_done_callback(
+                            functools.partial(_remove, running, message.id)
+                        )
         finally:
             sender.cancel()
 
@@ -224,6 +238,13 @@
         await server.wait_closed()
 
 
+def _remove(
+    running: dict[int, asyncio.Task[None]], message_id: int, task: asyncio.Task[None]
+) -> None:
+    if running.get(message_id) is task:
+        del running[message_id]
+
+
 async def _take_batch(queue: "asyncio.Queue[PeerMessage]") -> list[PeerMessage]:
     batch = [await queue.get()]
     while len(batch) < MAX_BATCH and not queue.empty():
--- a/arbutusflow/runtime/observer.py
+++ b/arbutusflow/runtime/observer.py
@@ -3,6 +3,7 @@
 It counts, logs and keeps outcomes; it never changes a request or its reply.
 """
 
+import asyncio
 import time
 from collections.abc import Awaitable, Callable
 
@@ -11,7 +12,7 @@
 from arbutusflow.adapters.metrics import FLUSH_SECONDS, GAUGE_SECONDS, Metrics
 from arbutusflow.adapters.peer_messages import ForwardReply, ForwardRequest
 from arbutusflow.domain.partitions import unit_of_key
-from arbutusflow.domain.reasons import RetryReason
+from arbutusflow.domain.reasons import RefusalReason, RetryReason
 from arbutusflow.runtime.control import ControlTask
 from arbutusflow.runtime.request_log import RequestLog, RequestOutcome
 from arbutusflow.runtime.timers import Timers
@@ -45,6 +46,17 @@
         retries = self._retries.setdefault(req.request_id, [])
         try:
             reply = await handler(req)
+        except asyncio.CancelledError:
+            # An attempt may be in flight, so the outcome is not known here.
+            reason = RefusalReason.CALLER_LEFT
+            left = ForwardReply(
+                req.id, "unknown", reason.value, "the caller left before the answer"
+            )
+            duration_ms = (time.monotonic() - started) * 1000
+            self._request_log.record(
+                self._outcome_of(role, received, duration_ms, req, left, retries)
+            )
+            raise
         finally:
             self._retries.pop(req.request_id, None)
         duration_ms = (time.monotonic() - started) * 1000
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -92,6 +92,7 @@
         self.ran = []
         self.refusals = []
         self.hold = None
+        self.cancelled = 0
         app = CallerApplication(lambda: CFG, self.accept, self.refusals.append)
         self.cfg = uvicorn.Config(app, lifespan="off", log_config=None)
         self.cfg.load()
@@ -101,7 +102,11 @@
     async def accept(self, req):
         self.ran.append(req)
         if self.hold is not None:
-            await self.hold.wait()
+            try:
+                await self.hold.wait()
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
         return ForwardReply(0, "answered", status=200, body=b"answer")
 
     def connect(self):
@@ -359,6 +364,17 @@
     assert len(instance.ran) == 1
 
 
+def test_caller_that_leaves_cancels_its_request(instance):
+    """Guards against endpoints that work for callers who are gone."""
+    instance.hold = asyncio.Event()
+    transport = instance.send(request())
+    assert instance.cancelled == 0
+    transport.close()
+    instance.loop.settle()
+    assert (len(instance.ran), instance.cancelled) == (1, 1)
+    assert instance.refusals == [RefusalReason.CALLER_LEFT]
+
+
 def test_refused_caller_learns_when_to_come_back(instance):
     async def shed(req):
         return ForwardReply(0, "not-run", "queue_full", status=429, retry_after_ms=1200)
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -6,11 +6,19 @@
 import socket
 
 import eliot
+import msgspec
 import pytest
 
 from arbutusflow.adapters import logs
 from arbutusflow.adapters.log_level import Level
-from arbutusflow.adapters.peer_messages import ForwardReply, ForwardRequest
+from arbutusflow.adapters.peer import PeerService
+from arbutusflow.adapters.peer_messages import (
+    CancelRequest,
+    ForwardReply,
+    ForwardRequest,
+    decode_frame,
+    encode_frame,
+)
 from arbutusflow.adapters.settings import Address, EntrySettings
 from arbutusflow.domain.configuration import Configuration, Kind, Rank, Service
 from arbutusflow.domain.errors import SettingsError
@@ -146,6 +154,66 @@
     assert metrics.latencies == [("registry", "urgent", "answered")]
 
 
+def test_request_of_a_caller_that_left_is_explained():
+    observer = Observer(Control(), Metrics(), log := RequestLog())
+
+    async def handler(req):
+        raise asyncio.CancelledError
+
+    with pytest.raises(asyncio.CancelledError):
+        asyncio.run(observer.observe(ENTRY, handler, REQUEST))
+    (found,) = log.find(REQUEST.request_id)
+    assert (found.outcome, found.reason) == ("unknown", "caller_left")
+
+
+class Stream:
+    """One stream between two instances, without its sockets."""
+
+    def __init__(self):
+        self.received, self.sent = asyncio.Queue(), asyncio.Queue()
+
+    async def send_initial_metadata(self):
+        pass
+
+    async def recv_message(self):
+        return encode_frame([await self.received.get()])
+
+    async def send_message(self, frame):
+        for message in decode_frame(frame):
+            self.sent.put_nowait(message)
+
+
+def test_cancelled_request_is_cancelled_at_the_peer():
+    """Guards against a coordinator that queues for a caller that is gone."""
+
+    async def run():
+        seen = asyncio.Queue()
+
+        async def handler(message):
+            if message.id == 2:
+                return ForwardReply(2, "answered")
+            seen.put_nowait(message.id)
+            try:
+                return await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                seen.put_nowait("cancelled")
+                raise
+
+        stream = Stream()
+        service = asyncio.create_task(PeerService(handler)._serve(stream))
+        stream.received.put_nowait(msgspec.structs.replace(REQUEST, id=1))
+        first = await seen.get()
+        for identifier in (1, 7):
+            stream.received.put_nowait(CancelRequest(identifier))
+        stream.received.put_nowait(msgspec.structs.replace(REQUEST, id=2))
+        reply = await stream.sent.get()
+        second = await seen.get()
+        service.cancel()
+        return first, second, reply.id
+
+    assert asyncio.run(run()) == (1, "cancelled", 2)
+
+
 def test_retries_are_counted_and_explained():
     metrics, log = Metrics(), RequestLog()
     observer = Observer(Control(), metrics, log)
