--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -49,6 +49,7 @@
 LEASE_TIMEOUT = 0.35
 WRITE_TIMEOUT = 0.3
 SUSPICION = 1.0
+ANTI_ENTROPY = 1.0
 SERVICE = "swaps"
 
 
@@ -158,6 +159,7 @@
         self.paused = False
         self.waiting = []
         self.members = None
+        self.compare_at = 0.0
 
 
 def swaps(endpoints=3, partitions=8, zones=("a",), checks_tokens=True, **other):
@@ -191,7 +193,7 @@
         self.unreachable_since = {}
         self.suspicions = set()  # Pairs (viewer, suspect) besides the right ones.
         self.decisions = []
-        self.checks = True
+        self.suspicion = SUSPICION
         self._messages = []
         self._order = itertools.count()
         self._next_tick = self.now
@@ -297,6 +299,7 @@
         for instance in self.instances.values():
             if instance.running and not instance.paused:
                 self._tell_members(instance)
+                self._compare_versions(instance)
                 self._deliver(instance, Tick(self.now))
 
     def _tell_members(self, viewer):
@@ -307,7 +310,7 @@
             if reachable or name == viewer.name:
                 self.unreachable_since.pop(pair, None)
             since = self.unreachable_since.setdefault(pair, self.now)
-            if not reachable and self.now - since >= SUSPICION:
+            if not reachable and self.now - since >= self.suspicion:
                 suspected.add(name)
                 if not other.running and self.joined(*pair):
                     gone.add(name)
@@ -319,6 +322,15 @@
             viewer.members = members
             self._deliver(viewer, members)
 
+    def _compare_versions(self, instance):
+        """Deliver versions that were missed: the anti-entropy of the design page."""
+        if self.now < instance.compare_at or not self._reaches_platform(instance):
+            return
+        instance.compare_at = self.now + ANTI_ENTROPY
+        for name, (version, _) in self.platform.objects.items():
+            if version > instance.core.version_of(name):
+                self._tell(instance, self._changed(name))
+
     # Messages
 
     def _post(self, delay, action):
@@ -487,7 +499,7 @@
     def check(self):
         """Fail if an endpoint could run work for a unit that another one owns."""
         table = self.platform.table()
-        if table is None or not self.checks:
+        if table is None:
             return
         for unit in self.units():
             accepting = [n for n in self.endpoints if self.would_accept(n, unit)]
