--- a/arbutusflow/domain/coordination.py
+++ b/arbutusflow/domain/coordination.py
@@ -233,10 +233,12 @@
         """Give units of a leaving endpoint targets, and replace lost targets."""
         if self._writer.busy(TABLE_PREFIX + service.name):
             return
-        candidates = self._state.healthy(service)
-        names = {item.name for item in candidates}
         leaves = self._state.leaves(service, endpoint.name)
         moves = table.planned_moves()
+        if not leaves and not moves:
+            return
+        candidates = self._state.healthy(service)
+        names = {item.name for item in candidates}
         changes: dict[int, str | None] = {}
         homeless = []
         for unit in table.units_of(endpoint.name):
@@ -258,6 +260,9 @@
         """Drain units that have a target and record the moves that are revoked."""
         state = self._state
         coordination = state.coordination(endpoint.name)
+        under_way = coordination.draining or coordination.drained
+        if not under_way and not table.planned_moves():
+            return
         owned = table.units_of(endpoint.name)
         leaving = self._writer.leaving(service.name, endpoint.name)
         healthy = {item.name for item in state.healthy(service)}
--- a/arbutusflow/domain/ownership_state.py
+++ b/arbutusflow/domain/ownership_state.py
@@ -197,7 +197,10 @@
 
     def coordination(self, endpoint: str) -> Coordination:
         """Return the state kept for `endpoint`."""
-        return self.coordinations.setdefault(endpoint, Coordination())
+        found = self.coordinations.get(endpoint)
+        if found is None:
+            found = self.coordinations[endpoint] = Coordination()
+        return found
 
     def endpoints(self) -> list[tuple[Service, Endpoint]]:
         """Return the configured endpoints and the removed ones that own units."""
--- a/arbutusflow/domain/partitions.py
+++ b/arbutusflow/domain/partitions.py
@@ -64,7 +64,10 @@
         self._targets = targets
         self._sequences = sequences
         self._epochs = epochs
+        # Rows never change, and each tick of a coordinator asks for these.
         self._units: dict[str, dict[int, int]] | None = None
+        self._unowned: list[int] | None = None
+        self._moves: dict[int, str] | None = None
 
     @classmethod
     def empty(cls, service: str, partitions: int) -> Self:
@@ -129,7 +132,11 @@
 
     def unowned(self) -> list[int]:
         """Return the units without an owner."""
-        return [unit for unit, owner in enumerate(self._owners) if owner == UNOWNED]
+        if self._unowned is None:
+            self._unowned = [
+                u for u, name in enumerate(self._owners) if name == UNOWNED
+            ]
+        return self._unowned
 
     def epoch_of(self, endpoint: str) -> int:
         """Return the epoch that last fenced the rows of `endpoint`, 0 for none."""
@@ -183,11 +190,13 @@
 
     def planned_moves(self) -> dict[int, str]:
         """Return the target of each unit that has one."""
-        return {
-            unit: self.endpoints[target]
-            for unit, target in enumerate(self._targets)
-            if target != UNOWNED
-        }
+        if self._moves is None:
+            self._moves = {
+                unit: self.endpoints[target]
+                for unit, target in enumerate(self._targets)
+                if target != UNOWNED
+            }
+        return self._moves
 
     def _copy(
         self, named: Iterable[str]
--- a/arbutusflow/domain/planning.py
+++ b/arbutusflow/domain/planning.py
@@ -30,6 +30,8 @@
         self._state = state
         self._writer = writer
         self._candidates_since: dict[str, float] = {}
+        # Table version and weights for which there was nothing to move.
+        self._balanced: dict[str, tuple[int, tuple[tuple[str, float], ...]]] = {}
         self._moves: dict[str, collections.deque[float]] = {}
 
     def tick(self, service: Service, now: float) -> None:
@@ -68,6 +70,11 @@
         self._rebalance(service, table, now)
 
     def _rebalance(self, service: Service, table: OwnershipTable, now: float) -> None:
+        candidates = self._state.healthy(service)
+        weights = tuple((item.name, item.weight) for item in candidates)
+        version = self._state.versions[TABLE_PREFIX + service.name]
+        if self._balanced.get(service.name) == (version, weights):
+            return
         recent = self._moves.setdefault(service.name, collections.deque())
         while recent and now - recent[0] >= MINUTE_SECONDS:
             recent.popleft()
@@ -76,7 +83,9 @@
         if limit <= 0:
             return
         moves: dict[int, str | None] = {}
-        moves.update(rebalance(table, self._state.healthy(service), limit))
+        moves.update(rebalance(table, candidates, limit))
         if moves:
             recent.extend([now] * len(moves))
             self._writer.write_table(table.with_targets(moves))
+        elif not under_way:
+            self._balanced[service.name] = (version, weights)
