Keep serving endpoints without token check when a stop meets an outage

Cause: the coordinator of an endpoint that checks no token has to end before it asks for an heir. In a platform outage the request never took effect, and the endpoint had no coordinator until the outage ended. The coordinator now first makes a write without changes and goes on until that one is answered.

The scenario of the planted fault waits for the request for an heir instead of for any write of the record; it is as strict as before.

--- a/arbutusflow/domain/ownership_state.py
+++ b/arbutusflow/domain/ownership_state.py
@@ -80,6 +80,7 @@
     renouncements: dict[str, float] = dataclasses.field(default_factory=dict)
     renounce_asked_at: float = -math.inf
     hand_over_since: float = math.inf
+    hand_over_version: int = 0  # Record version when the platform was tried.
 
     @property
     def lost(self) -> bool:
--- a/arbutusflow/domain/succession.py
+++ b/arbutusflow/domain/succession.py
@@ -95,6 +95,7 @@
         coordination.drained.clear()
         coordination.renouncements = {}
         coordination.hand_over_since = math.inf
+        coordination.hand_over_version = 0
 
     def _continue(self, coordination: Coordination, term: int, now: float) -> None:
         coordination.next_call_at = now
@@ -308,6 +309,14 @@
         coordination.hand_over_since = min(coordination.hand_over_since, now)
         if self._writer.busy(RECORD_PREFIX + endpoint.name):
             return
+        if not endpoint.checks_tokens and not coordination.hand_over_version:
+            # This instance has to end before it asks for an heir. It first shows by
+            # a write without changes that the platform answers; in an outage the
+            # endpoint would be left without a coordinator.
+            version = self._state.versions[RECORD_PREFIX + endpoint.name]
+            coordination.hand_over_version = version
+            self._writer.write_record(record)
+            return
         self._write_epoch(
             endpoint, record, heirs, coordination.acknowledged, record.incarnation
         )
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -165,6 +165,22 @@
     assert world.all_served()
 
 
+def test_planned_stop_without_token_check_goes_on_in_a_platform_outage():
+    """Guards against an endpoint without a coordinator until the outage ends."""
+    world = served_world(checks_tokens=False)
+    leaving = world.coordinator("e0")
+    world.platform.up = False
+    world.stop(leaving)
+    for _ in range(20):
+        world.run(0.1)
+        assert world.all_served()
+    world.run_until(world.instances[leaving].core.handed_over, 1)
+    world.platform.up = True
+    world.run(1)
+    assert world.all_served()
+    assert world.coordinator("e0") != leaving
+
+
 def test_last_instance_can_stop():
     """Guards against a stop that waits for an heir that does not exist."""
     world = World(swaps(), instances=("i0",))
--- a/tests/test_planted_faults.py
+++ b/tests/test_planted_faults.py
@@ -173,7 +173,17 @@
     world = started(checks_tokens=False)
     name = world.coordinator("e0")
     world.stop(name)
-    world.run_until(lambda: world.instances[name].core._writer.busy("endpoint/e0"), 1)
+    pending = world.instances[name].core._writer._pending
+
+    def heir_asked_for():
+        write = pending.get("endpoint/e0")
+        return write is not None and write.action.record.coordinator != name
+
+    for _ in range(200):
+        if heir_asked_for():
+            break
+        world.run(0.001)
+    assert heir_asked_for()
     world.isolate(name)
     world.cut(name, "e0")
     world.run(2)
