--- a/arbutusflow/domain/ownership_state.py
+++ b/arbutusflow/domain/ownership_state.py
@@ -79,6 +79,7 @@
     renouncements: dict[str, float] = dataclasses.field(default_factory=dict)
     renounce_asked_at: float = -math.inf
     hand_over_since: float = math.inf
+    hand_over_version: int = 0  # Record version when the platform was tried.
 
     @property
     def lost(self) -> bool:
@@ -201,7 +202,10 @@
 
     def coordination(self, endpoint: str) -> Coordination:
         """Return the state kept for `endpoint`."""
-        return self.coordinations.setdefault(endpoint, Coordination())
+        found = self.coordinations.get(endpoint)
+        if found is None:
+            found = self.coordinations[endpoint] = Coordination()
+        return found
 
     def endpoints(self) -> list[tuple[Service, Endpoint]]:
         """Return the configured endpoints and the removed ones that own units."""
--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -48,6 +48,7 @@
     Address as MemberAddress,
     ConnectionRefused,
     LeaveAsked,
+    ZoneDeclaredLost,
 )
 from arbutusflow.domain.ownership import OwnershipCore
 from arbutusflow.domain.ownership_messages import (
@@ -111,6 +112,7 @@
         )
         self._control.on_listed = self._take_list
         self._control.is_watcher = self._peers.is_watcher
+        self._control.on_zone_lost = self._zone_declared_lost
         self._traffic = TrafficTask(core, self._endpoints, links, timers)
         self._control.traffic = self._traffic
         self._traffic.unit_drained = self._unit_drained
@@ -190,6 +192,10 @@
             log_event("declared_gone", Level.ERROR, instance=self._instance)
             self._stopping.set()
 
+    def _zone_declared_lost(self, zone: str) -> None:
+        if self._membership is not None:
+            self._membership.submit(ZoneDeclaredLost(zone))
+
     def _peer_refused(self, instance: str) -> None:
         if self._membership is not None:
             self._membership.submit(ConnectionRefused(instance))
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -165,6 +165,22 @@
     assert world.all_served()
 
 
+def test_planned_stop_without_token_check_goes_on_in_a_platform_outage():
+    """Guards against an endpoint without a coordinator until the outage ends."""
+    world = served_world(checks_tokens=False)
+    leaving = world.coordinator("e0")
+    world.platform.up = False
+    world.stop(leaving)
+    for _ in range(20):
+        world.run(0.1)
+        assert world.all_served()
+    world.run_until(world.instances[leaving].core.handed_over, 1)
+    world.platform.up = True
+    world.run(1)
+    assert world.all_served()
+    assert world.coordinator("e0") != leaving
+
+
 def test_last_instance_can_stop():
     """Guards against a stop that waits for an heir that does not exist."""
     world = World(swaps(), instances=("i0",))
@@ -339,6 +355,15 @@
     assert not any(hasattr(action, "table") for action in actions)
 
 
+def test_endpoint_that_reports_an_unknown_unit_is_told_to_drop_it():
+    """Guards against an error after a service came back with fewer partitions."""
+    world = served_world()
+    world.endpoints["e0"].gate.held[99] = 1
+    assert world.instances["i0"].core.owner_of(SERVICE, 99) is None
+    world.run(1)
+    assert 99 not in world.endpoints["e0"].gate.held
+
+
 def test_joining_endpoint_gets_its_share_within_the_churn_budget():
     world = served_world(partitions=32)
     item = dataclasses.replace(world.cfg.services[0].endpoints[0], name="e9", port=9)
