Delay the drop in the scenario of an unacknowledged grant

Cause: with the note of offered units taken out of the proof alone, the drop still reached the endpoint before the table write took effect, so the scenario passed. The endpoint's messages are now delayed by 0.3 s there.

--- a/tests/test_planted_faults.py
+++ b/tests/test_planted_faults.py
@@ -197,8 +197,10 @@
     drain(world, "e0", EndpointState.ACTIVE)
     world.endpoints["e0"].loses_answers = True
     world.run_until(lambda: world.endpoints["e0"].gate.held, 1)
+    world.endpoints["e0"].delay = 0.3
     drain(world, "e0")
     world.run(0.5)
+    world.endpoints["e0"].delay = 0.0
     world.endpoints["e0"].loses_answers = False
     world.run(3)
 
