Make the declaration of a lost zone take effect

Cause: `zone declare-lost` stored the zone in the configuration, but no process told its membership and ownership cores, so no key moved.

Each instance now tells its cores once for each declaration. Before, the declaration had no reader anywhere in the code, so nothing could move; that was not run.

--- a/arbutusflow/domain/configuration.py
+++ b/arbutusflow/domain/configuration.py
@@ -189,7 +189,8 @@
     """One numbered state of what the operators want.
 
     `lost_zones` are availability zones that an operator declared lost: their
-    instances and endpoints count as gone until the zone is restored.
+    instances count as gone until the zone is restored, their endpoints until they
+    answer again.
     """
 
     number: Annotated[
--- a/arbutusflow/runtime/control.py
+++ b/arbutusflow/runtime/control.py
@@ -153,6 +153,7 @@
         )
         self.is_watcher: Callable[[], bool] = lambda: True
         self.on_listed: Callable[[tuple[ListedInstance, ...]], None] = lambda _: None
+        self.on_configuration: Callable[[Configuration], None] = lambda _: None
         self.traffic: Traffic | None = None
         self._platform = platform
         self._endpoints = endpoints
@@ -375,6 +376,7 @@
             self.handle(ConfigurationChanged(cfg))
             if self.traffic is not None:
                 self.traffic.configure(cfg)
+            self.on_configuration(cfg)
 
     async def _watch(self) -> None:
         """Hold the platform watch while this instance is its zone's watcher."""
--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -48,13 +48,16 @@
     Address as MemberAddress,
     ConnectionRefused,
     LeaveAsked,
+    ZoneDeclaredLost,
 )
 from arbutusflow.domain.ownership import OwnershipCore
 from arbutusflow.domain.ownership_messages import (
+    EndpointDeclaredLost,
     MembersChanged,
     StopAsked,
     UnitDrained,
 )
+from arbutusflow.domain.records import Proof
 from arbutusflow.runtime.control import ControlTask
 from arbutusflow.runtime.curl_loop import CurlLoop
 from arbutusflow.runtime.membership_task import MembershipTask
@@ -110,6 +113,9 @@
             core, self._platform, self._endpoints, links, timers
         )
         self._control.on_listed = self._take_list
+        self._control.on_configuration = self._take_configuration
+        self._lost_zones: frozenset[str] = frozenset()
+        self._declared_gone: set[str] = set()
         self._control.is_watcher = self._peers.is_watcher
         self._traffic = TrafficTask(core, self._endpoints, links, timers)
         self._control.traffic = self._traffic
@@ -189,6 +195,38 @@
             # process, which is another instance, can join again.
             log_event("declared_gone", Level.ERROR, instance=self._instance)
             self._stopping.set()
+        # The membership core reports its view while it handles an event.
+        asyncio.get_running_loop().call_soon(self._declare_lost_members)
+
+    def _take_configuration(self, cfg: Configuration) -> None:
+        """Tell the cores which zones an operator declared lost.
+
+        An endpoint is declared lost once for each declaration of its zone: if it
+        answers again later, it is served again.
+        """
+        fresh = frozenset(cfg.lost_zones) - self._lost_zones
+        self._lost_zones = frozenset(cfg.lost_zones)
+        for service in cfg.services:
+            for endpoint in service.endpoints:
+                if endpoint.zone in fresh:
+                    self._control.handle(
+                        EndpointDeclaredLost(endpoint.name, Proof.OPERATOR_DECLARED)
+                    )
+        self._declare_lost_members()
+
+    def _declare_lost_members(self) -> None:
+        members = self._peers.members
+        lost = {
+            name
+            for name, zone in members.zones.items()
+            if zone in self._lost_zones and name not in members.gone
+        }
+        unknown = lost - self._declared_gone
+        if self._membership is None or not unknown:
+            return
+        self._declared_gone |= unknown
+        for zone in sorted({members.zones[name] for name in unknown}):
+            self._membership.submit(ZoneDeclaredLost(zone))
 
     def _peer_refused(self, instance: str) -> None:
         if self._membership is not None:
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import socket
+import types
 
 import eliot
 import msgspec
@@ -20,11 +21,23 @@
     encode_frame,
 )
 from arbutusflow.adapters.settings import Address, EntrySettings
-from arbutusflow.domain.configuration import Configuration, Kind, Rank, Service
+from arbutusflow.domain.configuration import (
+    Configuration,
+    Endpoint,
+    Kind,
+    Rank,
+    Service,
+)
 from arbutusflow.domain.errors import SettingsError
+from arbutusflow.domain.membership_messages import ZoneDeclaredLost
 from arbutusflow.domain.ownership import OwnershipCore
-from arbutusflow.domain.ownership_messages import ConfigurationChanged
+from arbutusflow.domain.ownership_messages import (
+    ConfigurationChanged,
+    EndpointDeclaredLost,
+    MembersChanged,
+)
 from arbutusflow.domain.reasons import RetryReason
+from arbutusflow.domain.records import Proof
 from arbutusflow.runtime.entry import EntryProcess
 from arbutusflow.runtime.observer import COORDINATOR, ENTRY, Observer
 from arbutusflow.runtime.request_log import RequestLog
@@ -216,6 +229,38 @@
     assert found == (1, "cancelled", 2)
 
 
+def test_declared_zone_reaches_membership_and_ownership_once():
+    """Guards against a declaration that is stored and has no effect.
+
+    A second report about an endpoint that answers again would move its keys while
+    it serves them.
+    """
+
+    async def run():
+        process = EntryProcess(SETTINGS)
+        events, submitted = [], []
+        process._control.handle = events.append
+        process._membership = types.SimpleNamespace(submit=submitted.append)
+        process._peers.members = MembersChanged(
+            {"a-1": "zone-a", "b-1": "zone-b"}, frozenset(), frozenset()
+        )
+        endpoints = tuple(
+            Endpoint(f"{zone}-endpoint", f"zone-{zone}", "127.0.0.1", port)
+            for port, zone in enumerate("ab", 9001)
+        )
+        service = Service("s", (Kind("k", Rank.URGENT, True),), endpoints)
+        for number, lost in enumerate(((), ("zone-b",), ("zone-b",))):
+            cfg = Configuration(number, (service,), lost_zones=lost)
+            process._take_configuration(cfg)
+        process._curl.close()
+        process._platform.close()
+        return events, submitted
+
+    events, submitted = asyncio.run(run())
+    assert events == [EndpointDeclaredLost("b-endpoint", Proof.OPERATOR_DECLARED)]
+    assert submitted == [ZoneDeclaredLost("zone-b")]
+
+
 def test_retries_are_counted_and_explained():
     metrics, log = Metrics(), RequestLog()
     observer = Observer(Control(), metrics, log)
