--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -4,11 +4,13 @@
 import re
 
 import pytest
+import typer
 
 from arbutusflow.adapters.documents import parse_document
 from arbutusflow.adapters.metrics import METRICS, SwitchedMetrics
 from arbutusflow.adapters.reference import metrics_page, settings_page
 from arbutusflow.adapters.settings import Address, EntrySettings, PatchFile
+from arbutusflow.cli.main import app
 from arbutusflow.domain.reasons import RefusalReason, RetryReason
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -54,6 +56,37 @@
     parse_document(example, kind, name)
 
 
+def documented_commands():
+    """Return the words of each command in the pages, in code or indented."""
+    found = []
+    for page in (ROOT / "README.md", *ROOT.glob("docs/**/*.md")):
+        lines = re.findall(
+            r"^ {4}(?:\$ )?arbutusflow ([a-z].*)$|`arbutusflow ([a-z][^`]*)`",
+            page.read_text(),
+            re.MULTILINE,
+        )
+        found += [(page.name, (a or b).split()) for a, b in lines]
+    return found
+
+
+def test_documented_commands_and_options_exist():
+    """Guards against a page that names a command of an older version."""
+    commands = documented_commands()
+    assert len(commands) > 20
+    broken = []
+    for page, words in commands:
+        command = typer.main.get_command(app)
+        while words and words[0] in getattr(command, "commands", {}):
+            command = command.commands[words[0]]
+            words = words[1:]
+        options = {opt for item in command.params for opt in item.opts}
+        named = {word for word in words if word.startswith("--")} - {"--help"}
+        is_group = hasattr(command, "commands")
+        if named - options or (is_group and words and words[0][0].isalpha()):
+            broken.append((page, words))
+    assert broken == []
+
+
 class Socket:
     """Takes the place of the datagram socket of the `statsd` client."""
 
