--- a/arbutusflow/runtime/control.py
+++ b/arbutusflow/runtime/control.py
@@ -155,6 +155,7 @@
         self.is_watcher: Callable[[], bool] = lambda: True
         self.on_zone_lost: Callable[[str], None] = lambda zone: None
         self.on_listed: Callable[[tuple[ListedInstance, ...]], None] = lambda _: None
+        self.on_configuration: Callable[[Configuration], None] = lambda _: None
         self.traffic: Traffic | None = None
         self._platform = platform
         self._endpoints = endpoints
@@ -378,6 +379,7 @@
             self._declare_lost(cfg)
             if self.traffic is not None:
                 self.traffic.configure(cfg)
+            self.on_configuration(cfg)
 
     def _declare_lost(self, cfg: Configuration) -> None:
         """Pass on which zones an operator declared lost."""
