Keep histories of hand-overs that end before the heir is recorded

The history is now kept until the record of the next epoch appears. Also: a unit's first requests were refused when the epoch had risen before its first assignment; a drain now waits for requests that an earlier coordinator may have in flight; requests wait while an endpoint refuses connections instead of using up retries; address and token check of an endpoint cannot change in place.

--- a/arbutusflow/domain/configuration.py
+++ b/arbutusflow/domain/configuration.py
@@ -430,6 +430,10 @@
             f"service {service.name} has {previous.partitions} partitions; the number "
             "cannot change, so remove the service and create another one"
         )
+    for endpoint in service.endpoints:
+        known = previous.endpoint(endpoint.name)
+        if known is not None:
+            _require_same_process(known, endpoint)
     services = tuple(
         service if item.name == service.name else item for item in cfg.services
     )
@@ -437,14 +441,30 @@
 
 
 def _with_endpoint(service: Service, endpoint: Endpoint) -> Service:
-    if service.endpoint(endpoint.name) is None:
+    previous = service.endpoint(endpoint.name)
+    if previous is None:
         return dataclasses.replace(service, endpoints=(*service.endpoints, endpoint))
+    _require_same_process(previous, endpoint)
     endpoints = tuple(
         endpoint if item.name == endpoint.name else item for item in service.endpoints
     )
     return dataclasses.replace(service, endpoints=endpoints)
 
 
+def _require_same_process(previous: Endpoint, endpoint: Endpoint) -> None:
+    """Refuse a change after which another process would answer for an endpoint.
+
+    A refused connection at the new address would prove that the process at the old
+    one has exited, though it may still run.
+    """
+    for field in ("host", "port", "checks_tokens", "zone"):
+        if getattr(previous, field) != getattr(endpoint, field):
+            raise ConfigurationError(
+                f"{field} of endpoint {endpoint.name} cannot change; drain it, remove "
+                "it and add an endpoint under another name"
+            )
+
+
 def _require_zone(cfg: Configuration, zone: str) -> None:
     """Refuse a zone without an endpoint; a typing error must not be stored."""
     zones = {item.zone for service in cfg.services for item in service.endpoints}
--- a/arbutusflow/runtime/control.py
+++ b/arbutusflow/runtime/control.py
@@ -164,6 +164,7 @@
         self._random = random.Random(core.instance)
         self._revision = 0
         self._told: object = None
+        self._objects_learnt = 0
         self._incarnations: dict[str, str] = {}
 
     def start(self) -> None:
@@ -262,7 +263,7 @@
     def _tell_units(self) -> None:
         """Tell the traffic task when the coordinated units have changed."""
         acting = tuple(name for name in self.core.records if self.core.acts_for(name))
-        state = (acting, tuple(map(id, self.core.tables.values())))
+        state = (acting, self._objects_learnt)
         if self.traffic is None or state == self._told:
             return
         self._told = state
@@ -358,6 +359,7 @@
         if stored.version == 0 or (known and known.version >= stored.version):
             return False
         self._objects[stored.name] = stored
+        self._objects_learnt += 1
         self._tell_core(stored)
         return True
 
--- a/arbutusflow/runtime/traffic.py
+++ b/arbutusflow/runtime/traffic.py
@@ -124,6 +124,7 @@
         self._reroutes = RetryBudget()
         self._tickets = itertools.count(1)
         self._attempts: set[asyncio.Task[None]] = set()
+        self._refused: set[str] = set()
         self._histories = UnitHistories(core, self._delivery, links, self._deliver)
 
     def start(self) -> None:
@@ -246,10 +247,11 @@
             return
         drained = self._queue(endpoint).hold_unit(unit)
         if drained is not None:
-            self.unit_drained(service, unit)
+            self._report_drained(service, unit)
 
     def lease_renewed(self, endpoint: str, load: int) -> None:
         """Take the endpoint's load report and dispatch what waited for the lease."""
+        self._refused.discard(endpoint)
         queue = self._queues.get(endpoint)
         if queue is not None:
             queue.limit.report(load, time.monotonic())
@@ -343,7 +345,7 @@
     def _pump(self, endpoint: str) -> None:
         """Dispatch what the queue and the lease allow."""
         now = time.monotonic()
-        if not self._core.lease_held(endpoint, now):
+        if endpoint in self._refused or not self._core.lease_held(endpoint, now):
             return
         queue = self._queue(endpoint)
         while (request := queue.next(now)) is not None:
@@ -393,6 +395,10 @@
         try:
             response = await self._endpoints.run(endpoint, work, token, remaining_ms)
         except CurlError as exc:
+            if exc.refused:
+                # What waits is dispatched when the endpoint answers a renewal, or
+                # goes to the unit's next owner.
+                self._refused.add(endpoint.name)
             finish, failure = _failure_of(exc, queued.deadline)
             self._end_attempt(ticket, finish, failure)
             return
@@ -436,7 +442,15 @@
     def _finished(self, endpoint: str, ticket: int, finish: Finish) -> None:
         drained = self._queue(endpoint).finished(ticket, time.monotonic(), finish)
         if isinstance(drained, Drained):
-            self.unit_drained(self._service_of(endpoint), drained.unit)
+            self._report_drained(self._service_of(endpoint), drained.unit)
+
+    def _report_drained(self, service: str, unit: int) -> None:
+        """Report the unit once requests of an earlier coordinator have ended too."""
+        wait = self._histories.foreign_until(service, unit) - time.monotonic()
+        if wait <= 0:
+            self.unit_drained(service, unit)
+            return
+        self._loop.call_later(wait, self._report_drained, service, unit)
 
     def _tick(self) -> None:
         now = time.monotonic()
--- a/arbutusflow/runtime/unit_histories.py
+++ b/arbutusflow/runtime/unit_histories.py
@@ -39,17 +39,20 @@
     unit: int
 
 
-class Tenure(msgspec.Struct, frozen=True):
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tenure:
     """The time in which one coordinator serves a unit for one owner."""
 
     endpoint: str
     sequence: int
     epoch: int
 
-    @property
-    def is_first(self) -> bool:
-        """Tell whether nobody can have used an identifier for the unit before."""
-        return self.sequence == 1 and self.epoch == 1
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Parted:
+    tenure: Tenure
+    exported: UnitAdopted
+    until: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,8 +76,14 @@
         self._links = links
         self._deliver = deliver
         self._tenures: dict[UnitKey, Tenure] = {}
+        # Endpoints that no other instance has ever coordinated.
+        self._original: set[str] = set()
+        self._acting: set[str] = set()
+        # Units whose earlier coordinator may have requests in flight, and until when.
+        self._foreign_until: dict[UnitKey, float] = {}
         self._awaited: dict[UnitKey, float] = {}
         self._early: dict[UnitKey, _Early] = {}
+        self._parted: dict[UnitKey, _Parted] = {}
 
     def owner_of(self, service: str, unit: int) -> str | None:
         """Return the endpoint for which this instance coordinates the unit."""
@@ -87,12 +96,15 @@
 
     def ownership_changed(self, now: float) -> None:
         """Take units over and pass others on, as the core says now."""
+        self._follow_acting()
         tenures = self._current()
         before, self._tenures = self._tenures, tenures
         for key in before.keys() - tenures.keys():
-            self._pass_on(key, now)
+            self._pass_on(key, before[key], now)
         for key in tenures.keys() - before.keys():
+            self._parted.pop(key, None)
             self._take_over(key, tenures[key], now)
+        self._send_parted()
 
     def take(self, message: HistoryTold, now: float) -> None:
         """Adopt a history from the earlier coordinator, or keep it for later."""
@@ -100,7 +112,7 @@
         if key in self._awaited:
             if _fits(message, self._tenures[key]):
                 del self._awaited[key]
-                self._deliver(_adopted(message), now)
+                self._adopt(message, now)
             return
         if key not in self._tenures and len(self._early) < MAX_EARLY_HISTORIES:
             self._early[key] = _Early(message, now + EARLY_HISTORY_SECONDS)
@@ -109,9 +121,26 @@
         """Go on without the histories that did not arrive in time."""
         for key in [key for key, until in self._awaited.items() if until <= now]:
             del self._awaited[key]
+            self._await_foreign(key, now)
             self._deliver(UnitTaken(key.service, key.unit, time.time()), now)
-        for key in [key for key, early in self._early.items() if early.until <= now]:
-            del self._early[key]
+        for kept in (self._early, self._parted):
+            for key in [key for key, item in kept.items() if item.until <= now]:
+                del kept[key]
+
+    def foreign_until(self, service: str, unit: int) -> float:
+        """Return the monotonic time until which another coordinator's requests for
+        the unit may still run, 0 if there are none.
+        """
+        return self._foreign_until.get(UnitKey(service, unit), 0.0)
+
+    def _follow_acting(self) -> None:
+        records = self._core.records
+        acting = {name for name in records if self._core.acts_for(name)}
+        for name in acting - self._acting:
+            if records[name].epoch == 1:
+                self._original.add(name)
+        self._original &= acting
+        self._acting = acting
 
     def _current(self) -> dict[UnitKey, Tenure]:
         tenures = {}
@@ -126,33 +155,75 @@
 
     def _take_over(self, key: UnitKey, tenure: Tenure, now: float) -> None:
         early = self._early.pop(key, None)
-        if tenure.is_first:
+        if tenure.sequence == 1 and tenure.endpoint in self._original:
+            # Nobody can have used an identifier for the unit before.
             self._deliver(UnitAdopted(key.service, key.unit, 0.0, ()), now)
         elif early is not None and _fits(early.message, tenure):
-            self._deliver(_adopted(early.message), now)
+            self._adopt(early.message, now)
         else:
             self._awaited[key] = now + HISTORY_WAIT_SECONDS
 
-    def _pass_on(self, key: UnitKey, now: float) -> None:
-        """Send the history to the unit's next coordinator and forget the unit."""
+    def _adopt(self, message: HistoryTold, now: float) -> None:
+        in_progress = RefusalReason.IN_PROGRESS.value
+        if any(outcome.reason == in_progress for outcome in message.outcomes):
+            self._await_foreign(UnitKey(message.service, message.unit), now)
+        self._deliver(_adopted(message), now)
+
+    def _await_foreign(self, key: UnitKey, now: float) -> None:
+        service = self._core.cfg.service(key.service)
+        timeouts = () if service is None else (k.timeout_ms for k in service.kinds)
+        self._foreign_until[key] = now + max(timeouts, default=0) / 1000
+
+    def _pass_on(self, key: UnitKey, tenure: Tenure, now: float) -> None:
+        """Forget the unit and send its history to the next coordinator."""
         complete = self._awaited.pop(key, None) is None
+        self._foreign_until.pop(key, None)
         exported = self._delivery.export_unit(key.service, key.unit, time.time())
         self._deliver(UnitLeft(key.service, key.unit), now)
-        table = self._core.tables.get(key.service)
-        if table is None or not complete:
+        if not complete:
+            return
+        following = self._tenure_of(key)
+        if following is None:
+            return
+        if (following.sequence, following.epoch) == (tenure.sequence, tenure.epoch):
+            # This instance ended before its heir is recorded.
+            until = now + EARLY_HISTORY_SECONDS
+            self._parted[key] = _Parted(tenure, exported, until)
             return
-        row = table.row(key.unit)
-        record = self._core.records.get(row.owner or "")
-        link = None if record is None else self._links.get(record.coordinator)
-        if record is None or link is None:
+        self._send(key, following, exported)
+
+    def _send_parted(self) -> None:
+        """Send the histories whose next coordinator is recorded now."""
+        for key, parted in list(self._parted.items()):
+            following = self._tenure_of(key)
+            if following is None or following == parted.tenure:
+                continue
+            del self._parted[key]
+            heir = dataclasses.replace(parted.tenure, epoch=parted.tenure.epoch + 1)
+            # A later epoch means that another instance may have served in between.
+            if following == heir:
+                self._send(key, following, parted.exported)
+
+    def _tenure_of(self, key: UnitKey) -> Tenure | None:
+        """Return the recorded tenure of the unit, whoever coordinates it."""
+        table = self._core.tables.get(key.service)
+        row = None if table is None else table.row(key.unit)
+        record = None if row is None else self._core.records.get(row.owner or "")
+        if row is None or record is None:
+            return None
+        return Tenure(record.endpoint, row.sequence, record.epoch)
+
+    def _send(self, key: UnitKey, tenure: Tenure, exported: UnitAdopted) -> None:
+        link = self._links.get(self._core.records[tenure.endpoint].coordinator)
+        if link is None:
             return
         outcomes = tuple(_outcome_of(item) for item in exported.requests)
         link.send(
             HistoryTold(
                 key.service,
                 key.unit,
-                row.sequence,
-                record.epoch,
+                tenure.sequence,
+                tenure.epoch,
                 exported.complete_after,
                 outcomes,
             )
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,5 +1,7 @@
 """Configuration patches: numbers, identifiers and rules."""
 
+import dataclasses
+
 import pytest
 
 from arbutusflow.domain.configuration import (
@@ -64,6 +66,26 @@
             "no endpoint y",
         ),
         ((PutService(Service("empty", ())),), "no kind of work"),
+        (
+            (
+                PutService(ISSUE),
+                PutEndpoint("issuance", FIRST),
+                PutEndpoint("issuance", dataclasses.replace(FIRST, port=9002)),
+            ),
+            "port of endpoint issuance-1 cannot change",
+        ),
+        (
+            (
+                PutService(dataclasses.replace(ISSUE, endpoints=(FIRST,))),
+                PutService(
+                    dataclasses.replace(
+                        ISSUE,
+                        endpoints=(dataclasses.replace(FIRST, checks_tokens=False),),
+                    )
+                ),
+            ),
+            "checks_tokens of endpoint issuance-1 cannot change",
+        ),
         (
             (
                 PutService(ISSUE),
