Measure when a configuration change is in force everywhere

Row values are rounded to nine digits, so that sums of clock steps do not show their rounding errors.

--- a/arbutusflow/cli/measure.py
+++ b/arbutusflow/cli/measure.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from arbutusflow.measure.groups import Result
+    from arbutusflow.measure.results import Row
 
 app = typer.Typer(no_args_is_help=True, help="Measurements; they run in a checkout.")
 
@@ -26,7 +27,14 @@
     pathlib.Path | None, typer.Option("--page", help="Write the capacity page.")
 ]
 PortOffset = Annotated[
-    int, typer.Option(help="Moves the ports of the processes that a page needs.")
+    int, typer.Option(help="Moves the ports of the local processes.")
+]
+Processes = Annotated[
+    bool,
+    typer.Option(
+        "--processes",
+        help="Also measure on local processes when a change is in force everywhere.",
+    ),
 ]
 GROUP_NAMES = ("ownership", "requests", "config", "capacity")
 
@@ -62,9 +70,16 @@
     json: Json = False,
     html: Html = None,
     append: Append = None,
+    processes: Processes = False,
+    port_offset: PortOffset = 6_000,
 ) -> None:
     """Racing operators and the cost of a patch."""
-    _measure(("config",), seed, seeds, json, html, append)
+    more: list[Row] = []
+    if processes:
+        from arbutusflow.measure.in_force import measure_in_force, rows_of
+
+        more = rows_of(measure_in_force(port_offset), seed)
+    _measure(("config",), seed, seeds, json, html, append, more)
 
 
 @app.command()
@@ -113,11 +128,13 @@
     json: bool,
     html: pathlib.Path | None,
     append: pathlib.Path | None,
+    more: "Sequence[Row]" = (),
 ) -> "Result":
     from arbutusflow.measure import groups as measures
     from arbutusflow.measure.results import append_rows, table_of, to_json
 
     result = measures.run(groups, range(seed, seed + seeds))
+    result.rows.extend(more)
     if json:
         typer.echo(to_json(result.rows), nl=False)
     else:
--- a/arbutusflow/measure/in_force.py
+++ b/arbutusflow/measure/in_force.py
@@ -5,17 +5,19 @@
 """
 
 import asyncio
+import statistics
 import time
 
 from arbutusflow.domain.configuration import EndpointState, Patch, SetEndpointState
 from arbutusflow.measure.hot_path import bench_configuration
-from arbutusflow.measure.results import MeasureError
+from arbutusflow.measure.results import MeasureError, Row, at_most
 from arbutusflow.runtime.curl_loop import CurlLoop
 from arbutusflow.standins.fleet import ENTRIES, HOST, Fleet, FleetClient, running_fleet
 
-CHANGES = 12
+CHANGES = 18  # Two through each of nine instances.
 POLL_SECONDS = 0.02
 GIVE_UP_SECONDS = 20.0
+TARGET_SECONDS = 4.0
 
 
 def measure_in_force(port_offset: int) -> list[float]:
@@ -25,6 +27,16 @@
         return asyncio.run(_measure(fleet))
 
 
+def rows_of(seconds: list[float], seed: int) -> list[Row]:
+    """Return the slowest change against the target, and the median."""
+    name = "configuration change in force everywhere"
+    slowest, middle = max(seconds), statistics.median(seconds)
+    return [
+        at_most(f"{name}, slowest", slowest, "s", seed, TARGET_SECONDS),
+        at_most(f"{name}, median", middle, "s", seed),
+    ]
+
+
 async def _measure(fleet: Fleet) -> list[float]:
     curl = CurlLoop(asyncio.get_running_loop())
     client = FleetClient(curl, fleet.ports, entries=ENTRIES)
--- a/arbutusflow/measure/results.py
+++ b/arbutusflow/measure/results.py
@@ -14,7 +14,8 @@
 
 from arbutusflow.domain.errors import ArbutusflowError
 
-TOLERANCE = 1e-9  # Sums of clock steps differ in the last digits.
+DIGITS = 9  # Sums of clock steps differ in the digits beyond.
+TOLERANCE = 10.0**-DIGITS
 
 
 class MeasureError(ArbutusflowError):
@@ -53,7 +54,7 @@
 ) -> Row:
     """Return a row whose target, if any, is an upper bound."""
     met = None if target is None else value <= target + TOLERANCE
-    return Row(measure, value, unit, target, met, baseline, seed)
+    return Row(measure, round(value, DIGITS), unit, target, met, baseline, seed)
 
 
 def at_least(
@@ -66,7 +67,7 @@
 ) -> Row:
     """Return a row whose target, if any, is a lower bound."""
     met = None if target is None else value >= target - TOLERANCE
-    return Row(measure, value, unit, target, met, baseline, seed)
+    return Row(measure, round(value, DIGITS), unit, target, met, baseline, seed)
 
 
 def figure(value: float | None) -> str:
