--- a/arbutusflow/measure/capacity_page.py
+++ b/arbutusflow/measure/capacity_page.py
@@ -361,8 +361,8 @@
             "cores",
             CONTROL_CORE_SHARE,
             "one core on one thread, ticks in place of timers",
-            "tick only endpoints that this instance coordinates or succeeds, and index "
-            "the units of each endpoint instead of scanning the table",
+            "tick only endpoints that this instance coordinates or succeeds; the ticks "
+            f"over the others are {figure(load.known_core)} cores of it",
         ),
         Check(
             "control, processor of the planner of a service, besides",
