Compare two source trees in the hot path measurement

Cause: one run of each way could not tell a change from the noise of a busy machine, and the latency had no baseline.

Ruled out: a second build of the stand-ins from the other tree; only the entry instances run its code, so a change of a stand-in cannot pass for a gain.

--- a/arbutusflow/standins/fleet.py
+++ b/arbutusflow/standins/fleet.py
@@ -68,7 +68,11 @@
         directory: pathlib.Path,
         port_offset: int = 0,
         entries: int = ENTRIES,
+        entry_source: pathlib.Path | None = None,
+        entry_profiles: pathlib.Path | None = None,
     ) -> None:
+        self._entry_source = entry_source
+        self._entry_profiles = entry_profiles
         self.cfg = _with_port_offset(cfg, port_offset)
         self.ports = Ports.from_offset(port_offset)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -127,7 +131,17 @@
         )
         path = self._directory / f"{peer.instance}.yaml"
         path.write_text(yaml.safe_dump(msgspec.to_builtins(settings)))
-        self._start(peer.instance, "entry", str(path))
+        profiler: tuple[str, ...] = ()
+        if self._entry_profiles is not None:
+            profile = self._entry_profiles.resolve() / f"{peer.instance}.prof"
+            profiler = ("-m", "cProfile", "-o", str(profile))
+        self._start(
+            peer.instance,
+            "entry",
+            str(path.resolve()),
+            source=self._entry_source,
+            interpreter_arguments=profiler,
+        )
 
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
@@ -157,12 +171,21 @@
         """Return what a process has logged."""
         return (self._directory / f"{name}.log").read_text()
 
-    def _start(self, name: str, *arguments: str) -> None:
+    def _start(
+        self,
+        name: str,
+        *arguments: str,
+        source: pathlib.Path | None = None,
+        interpreter_arguments: tuple[str, ...] = (),
+    ) -> None:
+        command = (*interpreter_arguments, "-m", "arbutusflow", *arguments)
         with open(self._directory / f"{name}.log", "ab") as log:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "arbutusflow", *arguments],
+                [sys.executable, *command],
                 stdout=log,
                 stderr=log,
+                # Modules of the current directory go before installed ones.
+                cwd=source,
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
 
@@ -203,15 +226,26 @@
     logs: pathlib.Path | None = None,
     port_offset: int = 0,
     entries: int = ENTRIES,
+    entry_source: pathlib.Path | None = None,
+    entry_profiles: pathlib.Path | None = None,
 ) -> Iterator[Fleet]:
     """Run a fleet while the context is open; every process is ended at its close.
 
-    Settings and logs of the processes are kept in `logs` if it is given.
+    Settings and logs of the processes are kept in `logs` if it is given. Entry
+    instances run the code in `entry_source`, else that of the current directory,
+    and write files of cProfile to `entry_profiles` if it is given.
     """
     with tempfile.TemporaryDirectory(prefix="arbutusflow-") as directory:
         if logs is not None:
             logs.mkdir(parents=True, exist_ok=True)
-        fleet = Fleet(cfg, logs or pathlib.Path(directory), port_offset, entries)
+        fleet = Fleet(
+            cfg,
+            logs or pathlib.Path(directory),
+            port_offset,
+            entries,
+            entry_source,
+            entry_profiles,
+        )
         try:
             fleet.start(service_ms)
             yield fleet
