Prepare curl handles once and watch their sockets by epoll

Cause: the profile of the coordinator shows libcurl with its callbacks as the largest part: each transfer set all options, took a Python call for each header line and added and removed readers of the event loop, and each libcurl timeout made a new timer. Handles keep their options, collect lines without a Python call, sockets are watched by an epoll object, and a timer that is due earlier stays. PREREQFUNCTION aborts a second try of a request with a body; before, only the body buffer that could not be rewound prevented it, and not for an empty body.

Ruled out: keeping readers registered between transfers, because libcurl closes idle sockets without a callback that pycurl can bind safely to the connection.

--- a/arbutusflow/runtime/curl_loop.py
+++ b/arbutusflow/runtime/curl_loop.py
@@ -10,6 +10,9 @@
 import dataclasses
 import errno
 import io
+import math
+import select
+from typing import NamedTuple, Self
 
 import pycurl
 
@@ -18,6 +21,13 @@
 CONNECT_TIMEOUT_MS = 300  # Endpoints open a connection in about 1 ms.
 IDLE_CONNECTION_SECONDS = 5  # Older connections may have gone silent.
 MAX_IDLE_HANDLES = 512
+KEPT_BODY_BYTES = 4_096  # An idle handle keeps no larger body in memory.
+EPOLL_MASKS = {
+    pycurl.POLL_NONE: 0,
+    pycurl.POLL_IN: select.EPOLLIN,
+    pycurl.POLL_OUT: select.EPOLLOUT,
+    pycurl.POLL_INOUT: select.EPOLLIN | select.EPOLLOUT,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,26 +76,34 @@
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
         self._multi.setopt(pycurl.M_MAX_HOST_CONNECTIONS, max_host_connections)
+        # libcurl changes its sockets with each transfer. An epoll object of their
+        # own costs a system call then; readers of the loop cost objects as well.
+        self._epoll = select.epoll()
+        loop.add_reader(self._epoll.fileno(), self._on_sockets)
+        self._watched: set[int] = set()
         self._timer: asyncio.TimerHandle | None = None
-        self._idle: list[pycurl.Curl] = []
+        self._timeout_at = math.inf
+        self._is_due = False
+        self._idle: dict[_Shape, list[_Transfer]] = {}
+        self._idle_count = 0
         self._running: dict[pycurl.Curl, _Transfer] = {}
 
     async def perform(self, req: CurlRequest) -> CurlResponse:
         """Run a transfer; raise `CurlError` unless the whole answer arrived."""
-        handle = self._idle.pop() if self._idle else pycurl.Curl()
-        transfer = _Transfer(self._loop.create_future())
-        _prepare(handle, req, transfer)
+        transfer = self._take(_Shape.of(req))
+        transfer.prepare(req, self._loop.create_future())
+        handle = transfer.handle
         self._running[handle] = transfer
         self._multi.add_handle(handle)
-        self._set_timer(0)
+        self._act_soon()
         try:
-            return await transfer.done
+            response = await transfer.done
         finally:
             if self._running.pop(handle, None) is not None:
                 self._multi.remove_handle(handle)
-            handle.reset()
-            if len(self._idle) < MAX_IDLE_HANDLES:
-                self._idle.append(handle)
+        # The handle of a failed transfer is not used again.
+        self._give_back(transfer)
+        return response
 
     def close(self) -> None:
         """Fail the running transfers and free the handles."""
@@ -99,99 +117,202 @@
                     CurlError("the client was closed", 0, True, False)
                 )
         self._idle.clear()
+        self._multi.setopt(pycurl.M_TIMERFUNCTION, None)
+        if not self._epoll.closed:
+            self._loop.remove_reader(self._epoll.fileno())
+            self._epoll.close()
+
+    def _take(self, shape: "_Shape") -> "_Transfer":
+        idle = self._idle.get(shape)
+        if not idle:
+            return _Transfer(shape)
+        self._idle_count -= 1
+        return idle.pop()
+
+    def _give_back(self, transfer: "_Transfer") -> None:
+        if self._idle_count < MAX_IDLE_HANDLES and not self._epoll.closed:
+            transfer.release()
+            self._idle.setdefault(transfer.shape, []).append(transfer)
+            self._idle_count += 1
 
     def _watch_socket(self, what: int, fd: int, multi: object, data: object) -> None:
-        self._loop.remove_reader(fd)
-        self._loop.remove_writer(fd)
-        if what & pycurl.POLL_IN and what != pycurl.POLL_REMOVE:
-            self._loop.add_reader(fd, self._on_socket, fd, pycurl.CSELECT_IN)
-        if what & pycurl.POLL_OUT and what != pycurl.POLL_REMOVE:
-            self._loop.add_writer(fd, self._on_socket, fd, pycurl.CSELECT_OUT)
+        if self._epoll.closed:
+            return
+        if what == pycurl.POLL_REMOVE:
+            if fd in self._watched:
+                self._watched.remove(fd)
+                self._epoll.unregister(fd)
+            return
+        mask = EPOLL_MASKS[what]
+        if fd in self._watched:
+            self._epoll.modify(fd, mask)
+        else:
+            self._epoll.register(fd, mask)
+            self._watched.add(fd)
 
     def _set_timer(self, timeout_ms: int) -> None:
+        if timeout_ms < 0:
+            self._timeout_at = math.inf
+            return
+        if timeout_ms == 0:
+            self._act_soon()
+            return
+        self._timeout_at = self._loop.time() + timeout_ms / 1000
+        # Most timeouts move with each transfer and never pass. A timer that is due
+        # earlier stays and looks at the time then.
+        if self._timer is None or self._timer.when() > self._timeout_at:
+            self._start_timer()
+
+    def _start_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
-            self._timer = None
-        if timeout_ms >= 0:
-            self._timer = self._loop.call_later(timeout_ms / 1000, self._on_timer)
+        self._timer = self._loop.call_at(self._timeout_at, self._on_timer)
 
     def _on_timer(self) -> None:
         self._timer = None
-        self._act(pycurl.SOCKET_TIMEOUT, 0)
-
-    def _on_socket(self, fd: int, mask: int) -> None:
-        self._act(fd, mask)
-
-    def _act(self, fd: int, mask: int) -> None:
-        self._multi.socket_action(fd, mask)
+        if self._timeout_at > self._loop.time():
+            if self._timeout_at < math.inf:
+                self._start_timer()
+            return
+        self._act()
+
+    def _act_soon(self) -> None:
+        """Let libcurl act once for all transfers that begin in this turn."""
+        if not self._is_due:
+            self._is_due = True
+            self._loop.call_soon(self._act)
+
+    def _act(self) -> None:
+        self._is_due = False
+        # libcurl sets the next timeout, if there is one, during the call.
+        self._timeout_at = math.inf
+        self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+        self._finish_transfers()
+
+    def _on_sockets(self) -> None:
+        for fd, events in self._epoll.poll(0):
+            mask = pycurl.CSELECT_IN if events & ~select.EPOLLOUT else 0
+            if events & select.EPOLLOUT:
+                mask |= pycurl.CSELECT_OUT
+            # An earlier action of this round may have closed the socket.
+            if fd in self._watched:
+                self._multi.socket_action(fd, mask)
+        self._finish_transfers()
+
+    def _finish_transfers(self) -> None:
         while True:
             queued, succeeded, failed = self._multi.info_read()
             for handle in succeeded:
-                self._finish(handle, None)
+                self._finish(handle)
             for handle, code, message in failed:
-                self._finish(handle, _error_of(handle, code, message))
+                self._finish(handle, code, message)
             if not queued:
                 return
 
-    def _finish(self, handle: pycurl.Curl, error: CurlError | None) -> None:
+    def _finish(self, handle: pycurl.Curl, code: int = 0, message: str = "") -> None:
         transfer = self._running.pop(handle, None)
         if transfer is None:
             return
-        status = handle.getinfo(pycurl.RESPONSE_CODE)
         self._multi.remove_handle(handle)
         if transfer.done.done():
             return
-        if error is not None:
-            transfer.done.set_exception(error)
-            return
-        response = CurlResponse(status, transfer.headers, transfer.body.getvalue())
-        transfer.done.set_result(response)
+        if code:
+            transfer.done.set_exception(transfer.error(code, message))
+        else:
+            transfer.done.set_result(transfer.response())
 
 
-class _Transfer:
-    """Collects the answer of one transfer."""
+class _Shape(NamedTuple):
+    """What a handle is prepared for; it never changes for a handle."""
 
-    def __init__(self, done: "asyncio.Future[CurlResponse]") -> None:
-        self.done = done
-        self.headers: dict[str, str] = {}
-        self.body = io.BytesIO()
+    method: str
+    has_body: bool
 
-    def header(self, line: bytes) -> None:
-        name, colon, value = line.decode("latin-1").partition(":")
-        if colon:
-            self.headers[name.strip().lower()] = value.strip()
+    @classmethod
+    def of(cls, req: CurlRequest) -> Self:
+        return cls(req.method, bool(req.body) or req.method in ("POST", "PUT"))
+
+
+class _Transfer:
+    """A prepared handle that collects the answer of one transfer at a time."""
+
+    def __init__(self, shape: _Shape) -> None:
+        self.shape = shape
+        self.done: asyncio.Future[CurlResponse]
+        self._lines: list[bytes] = []
+        self._parts: list[bytes] = []
+        self._body_bytes = 0
+        self._tries = 0
+        self.handle = pycurl.Curl()
+        setopt = self.handle.setopt
+        setopt(pycurl.CUSTOMREQUEST, shape.method)
+        if shape.has_body:
+            setopt(pycurl.POST, 1)
+        setopt(pycurl.NOSIGNAL, 1)
+        setopt(pycurl.NOPROXY, "*")
+        setopt(pycurl.TCP_NODELAY, 1)
+        setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        setopt(pycurl.MAXAGE_CONN, IDLE_CONNECTION_SECONDS)
+        if shape.has_body:
+            setopt(pycurl.PREREQFUNCTION, self._before_request)
+        setopt(pycurl.HEADERFUNCTION, self._lines.append)
+        setopt(pycurl.WRITEFUNCTION, self._parts.append)
+
+    def prepare(self, req: CurlRequest, done: "asyncio.Future[CurlResponse]") -> None:
+        """Set what differs between requests."""
+        self.done = done
+        self._tries = 0
+        setopt = self.handle.setopt
+        setopt(pycurl.URL, req.url)
+        # An empty Expect header avoids a round trip before the body is sent.
+        setopt(pycurl.HTTPHEADER, [*req.headers, "Expect:"])
+        if self.shape.has_body:
+            setopt(pycurl.POSTFIELDS, req.body)
+            self._body_bytes = len(req.body)
+        setopt(pycurl.TIMEOUT_MS, max(1, req.timeout_ms))
+        setopt(pycurl.CONNECTTIMEOUT_MS, min(CONNECT_TIMEOUT_MS, req.timeout_ms))
+        setopt(pycurl.FRESH_CONNECT, int(req.fresh_connection))
+
+    def response(self) -> CurlResponse:
+        """Return the answer once the transfer has succeeded."""
+        headers = {}
+        for line in self._lines:
+            name, colon, value = line.decode("latin-1").partition(":")
+            if colon:
+                headers[name.strip().lower()] = value.strip()
+        status = self.handle.getinfo(pycurl.RESPONSE_CODE)
+        return CurlResponse(status, headers, b"".join(self._parts))
+
+    def error(self, code: int, message: str) -> CurlError:
+        """Return why the transfer failed."""
+        getinfo = self.handle.getinfo
+        sent = self._tries > 1 or getinfo(pycurl.REQUEST_SIZE) > 0
+        refused = getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED
+        refused = refused and code == pycurl.E_COULDNT_CONNECT
+        return CurlError(message, code, sent, refused)
+
+    def _before_request(self, *address: object) -> int:
+        # libcurl sends a request again whose reused connection closes before the
+        # answer. A request with a body may have taken effect by then.
+        self._tries += 1
+        if self._tries > 1:
+            return int(pycurl.PREREQFUNC_ABORT)
+        return int(pycurl.PREREQFUNC_OK)
+
+    def release(self) -> None:
+        """Drop what belongs to the last transfer."""
+        self._lines.clear()
+        self._parts.clear()
+        if self._body_bytes > KEPT_BODY_BYTES:
+            self.handle.setopt(pycurl.POSTFIELDS, b"")
+        self._body_bytes = 0
 
 
 def set_body(handle: pycurl.Curl, method: str, body: bytes) -> None:
     """Make `handle` send `body`, which may hold any bytes."""
-    # COPYPOSTFIELDS of pycurl rejects zero bytes, so the body is read from a buffer.
     handle.setopt(pycurl.POST, 1)
     handle.setopt(pycurl.CUSTOMREQUEST, method)
+    # COPYPOSTFIELDS of pycurl rejects zero bytes. Reading from a buffer also keeps
+    # libcurl from sending the body again by itself: it cannot rewind the buffer.
     handle.setopt(pycurl.POSTFIELDSIZE_LARGE, len(body))
     handle.setopt(pycurl.READFUNCTION, io.BytesIO(body).read)
-
-
-def _prepare(handle: pycurl.Curl, req: CurlRequest, transfer: _Transfer) -> None:
-    handle.setopt(pycurl.URL, req.url)
-    handle.setopt(pycurl.CUSTOMREQUEST, req.method)
-    # An empty Expect header avoids a round trip before the body is sent.
-    handle.setopt(pycurl.HTTPHEADER, [*req.headers, "Expect:"])
-    if req.body or req.method in ("POST", "PUT"):
-        set_body(handle, req.method, req.body)
-    handle.setopt(pycurl.NOSIGNAL, 1)
-    handle.setopt(pycurl.NOPROXY, "*")
-    handle.setopt(pycurl.TCP_NODELAY, 1)
-    handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
-    handle.setopt(pycurl.TIMEOUT_MS, max(1, req.timeout_ms))
-    handle.setopt(pycurl.CONNECTTIMEOUT_MS, min(CONNECT_TIMEOUT_MS, req.timeout_ms))
-    handle.setopt(pycurl.MAXAGE_CONN, IDLE_CONNECTION_SECONDS)
-    handle.setopt(pycurl.FRESH_CONNECT, int(req.fresh_connection))
-    handle.setopt(pycurl.HEADERFUNCTION, transfer.header)
-    handle.setopt(pycurl.WRITEFUNCTION, transfer.body.write)
-
-
-def _error_of(handle: pycurl.Curl, code: int, message: str) -> CurlError:
-    sent = handle.getinfo(pycurl.REQUEST_SIZE) > 0
-    refused = handle.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED
-    refused = refused and code == pycurl.E_COULDNT_CONNECT
-    return CurlError(message, code, sent, refused)
