Write the head and body of an answer together

Cause: uvicorn writes the head and the body of an answer apart. That costs a second system call, and the accepted sockets do not have TCP_NODELAY, so the body waited for the acknowledgement of the head: with 30 connections throughput stayed at 570 to 590 requests/s while the processes were idle for 40 % of the time.

Ruled out: corking the socket, which adds two system calls.

--- a/arbutusflow/adapters/caller_protocol.py
+++ b/arbutusflow/adapters/caller_protocol.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any, cast
 
 import msgspec
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
@@ -21,6 +22,7 @@
 # caller then reads why it is refused.
 EXCESS_CONNECTION_SECONDS = 1.0
 HEADER_OVERHEAD_BYTES = 4  # Colon, space and line end.
+JOINED_BYTES = 65_536  # More is not copied to save a system call.
 
 OnRefusal = Callable[[RefusalReason], None]
 
@@ -29,6 +31,52 @@
     """The head of a request is too large."""
 
 
+class _JoiningTransport:
+    """Passes on to a transport, but joins the writes of one answer into one.
+
+    `uvicorn` writes head and body apart, and a system call costs more than copying
+    a small body. What is not flushed goes out in the loop's next turn.
+    """
+
+    def __init__(
+        self, transport: asyncio.Transport, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self._transport = transport
+        self._loop = loop
+        self._parts: list[bytes] = []
+        self._is_due = False
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._transport, name)
+
+    def write(self, data: bytes) -> None:
+        self._parts.append(data)
+        if len(data) > JOINED_BYTES:
+            self.flush()
+        elif not self._is_due:
+            self._is_due = True
+            self._loop.call_soon(self._on_due)
+
+    def close(self) -> None:
+        self.flush()
+        self._transport.close()
+
+    def flush(self) -> None:
+        parts, self._parts = self._parts, []
+        if not parts or self._transport.is_closing():
+            return
+        if len(parts[-1]) > JOINED_BYTES:
+            last = parts.pop()
+            self._transport.write(b"".join(parts))
+            self._transport.write(last)
+        else:
+            self._transport.write(b"".join(parts))
+
+    def _on_due(self) -> None:
+        self._is_due = False
+        self.flush()
+
+
 class CallerProtocol(HttpToolsProtocol):
     """HTTP protocol of one caller connection; `protocol_for` sets its limits."""
 
@@ -38,6 +86,8 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start the time limit of the first request."""
         super().connection_made(transport)
+        self._joining = _JoiningTransport(transport, self.loop)
+        self.transport = cast(asyncio.Transport, self._joining)
         self._timer: asyncio.TimerHandle | None = None
         self._refused = False
         self._too_large = False
@@ -111,6 +161,7 @@
 
     def on_response_complete(self) -> None:
         """Close a refused connection once its earlier requests are answered."""
+        self._joining.flush()
         if self._refused and not self.pipeline:
             self.server_state.total_requests += 1
             self.transport.close()
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -378,3 +378,27 @@
     instance.cfg.loaded_app = CallerApplication(lambda: CFG, fail)
     transport = instance.send(request())
     assert answer_of(transport.sent)[:2] == (504, "unknown")
+
+
+def test_an_answer_is_written_at_once(instance):
+    """Guards against a system call each for the head and the body of an answer."""
+    conn, transport = instance.connect()
+    writes = []
+    transport.write = writes.append
+    conn.data_received(request())
+    instance.loop.settle()
+    assert len(writes) == 1
+    assert writes[0].endswith(b"\r\n\r\nanswer")
+
+
+def test_a_large_body_follows_its_head_unchanged(instance):
+    """Guards against reordered writes where a body is not joined to its head."""
+    body = b"x" * 100_000
+
+    async def accept(req):
+        return ForwardReply(0, "answered", status=200, body=body)
+
+    instance.cfg.loaded_app = CallerApplication(lambda: CFG, accept)
+    transport = instance.send(request())
+    assert transport.sent.startswith(b"HTTP/1.1 200")
+    assert transport.sent.endswith(b"\r\n\r\n" + body)
