Set TCP_NODELAY on caller connections

Cause: asyncio sets TCP_NODELAY only on sockets with an explicit protocol number, and socket.create_server makes the listening socket without one.

Ruled out: the peer and stand-in servers; they bind by getaddrinfo, which gives the protocol number.

The test reads the option of an accepted socket and fails without the change.

--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -309,9 +309,14 @@
     """Return a listening socket; `uvicorn` would end the process without a reason."""
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     try:
-        return socket.create_server((address.host, address.port), family=family)
+        listening = socket.create_server((address.host, address.port), family=family)
     except OSError as exc:
         raise address.unusable(exc) from exc
+    # asyncio sets this only on sockets made with an explicit protocol number.
+    # Without it, a second write waits for the acknowledgement of the first, which
+    # a receiver may delay by 40 ms. Accepted sockets inherit it.
+    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listening
 
 
 def run_entry(settings: EntrySettings, reload: Reload | None = None) -> None:
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -17,6 +17,7 @@
 from arbutusflow.domain.ownership import OwnershipCore
 from arbutusflow.domain.ownership_messages import ConfigurationChanged
 from arbutusflow.domain.reasons import RetryReason
+from arbutusflow.runtime import entry
 from arbutusflow.runtime.entry import EntryProcess
 from arbutusflow.runtime.observer import COORDINATOR, ENTRY, Observer
 from arbutusflow.runtime.request_log import RequestLog
@@ -199,3 +200,14 @@
 
         with pytest.raises(SettingsError, match=f"listen on 127.0.0.1:{used.port}"):
             asyncio.run(run())
+
+
+def test_caller_connections_send_small_writes_at_once():
+    """Guards against answers that wait 40 ms for a delayed acknowledgement."""
+    with (
+        entry._listen(Address("127.0.0.1", 0)) as listening,
+        socket.create_connection(listening.getsockname()),
+    ):
+        accepted, _ = listening.accept()
+        with accepted:
+            assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
