Send work that may not be repeated on connections proved alive

Cause: such work opened a connection for each request, because libcurl repeats a request by itself when a reused connection closes before the answer. A callback before each request now aborts every second try, and it learns the connection: work that may not be repeated goes out on one that was opened for it or brought a whole answer within the last second, else nothing is sent and the transfer begins again on a new connection.

Ruled out: MAXAGE_CONN alone, whose whole seconds cannot state the bound and which does not prevent the repeat; a body that cannot be rewound, which does not protect requests with an empty body.

--- a/arbutusflow/adapters/endpoint.py
+++ b/arbutusflow/adapters/endpoint.py
@@ -80,7 +80,7 @@
                 ),
                 work.body,
                 timeout_ms,
-                fresh_connection=not work.repeatable,
+                live_connection=not work.repeatable,
             )
         )
 
--- a/arbutusflow/runtime/curl_loop.py
+++ b/arbutusflow/runtime/curl_loop.py
@@ -2,17 +2,22 @@
 
 Invariants: every transfer ends exactly one future; handles are used by the
 loop's thread only. libcurl silently repeats a request whose reused connection
-closes before the answer, so work that may not be repeated asks for a fresh
-connection.
+closes before the answer; a callback before each request prevents that for work
+that may not be repeated and for all bodies. The same callback lets work that may
+not be repeated go out only on a connection that was opened for it or brought a
+whole answer within the last second.
 """
 
 import asyncio
+import collections
 import dataclasses
 import errno
 import io
 import math
 import select
-from typing import NamedTuple, Self
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple, Self
 
 import pycurl
 
@@ -20,6 +25,8 @@
 
 CONNECT_TIMEOUT_MS = 300  # Endpoints open a connection in about 1 ms.
 IDLE_CONNECTION_SECONDS = 5  # Older connections may have gone silent.
+LIVE_SECONDS = 1.0  # A connection that answered so recently counts as alive.
+MAX_LIVE_CONNECTIONS = 4_096  # One that is forgotten is replaced by a new one.
 MAX_IDLE_HANDLES = 512
 KEPT_BODY_BYTES = 4_096  # An idle handle keeps no larger body in memory.
 EPOLL_MASKS = {
@@ -32,7 +39,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CurlRequest:
-    """A request to one URL; `timeout_ms` covers the whole transfer."""
+    """A request to one URL; `timeout_ms` covers the whole transfer.
+
+    With `live_connection` it is sent at most once, on a connection that is new or
+    was used within `LIVE_SECONDS`.
+    """
 
     method: str
     url: str
@@ -40,6 +51,7 @@
     body: bytes = b""
     timeout_ms: int = 5_000
     fresh_connection: bool = False
+    live_connection: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,9 +81,13 @@
     """Runs transfers concurrently on an event loop."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, max_host_connections: int = 100
+        self,
+        loop: asyncio.AbstractEventLoop,
+        max_host_connections: int = 100,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._loop = loop
+        self._live = _LiveConnections(clock)
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
@@ -125,7 +141,7 @@
     def _take(self, shape: "_Shape") -> "_Transfer":
         idle = self._idle.get(shape)
         if not idle:
-            return _Transfer(shape)
+            return _Transfer(shape, self._live)
         self._idle_count -= 1
         return idle.pop()
 
@@ -216,9 +232,16 @@
         self._multi.remove_handle(handle)
         if transfer.done.done():
             return
-        if code:
+        if code and transfer.is_stale:
+            # Nothing was sent, because the connection was idle for too long.
+            transfer.use_new_connection()
+            self._running[handle] = transfer
+            self._multi.add_handle(handle)
+            self._act_soon()
+        elif code:
             transfer.done.set_exception(transfer.error(code, message))
         else:
+            transfer.note_answer()
             transfer.done.set_result(transfer.response())
 
 
@@ -227,17 +250,51 @@
 
     method: str
     has_body: bool
+    live_connection: bool
 
     @classmethod
     def of(cls, req: CurlRequest) -> Self:
-        return cls(req.method, bool(req.body) or req.method in ("POST", "PUT"))
+        has_body = bool(req.body) or req.method in ("POST", "PUT")
+        return cls(req.method, has_body, req.live_connection)
+
+
+Connection = tuple[str, str, int, int]  # Addresses and ports of both ends.
+
+
+class _LiveConnections:
+    """Connections that brought a whole answer, by the time of the last one."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self._answered: collections.OrderedDict[Connection, float] = (
+            collections.OrderedDict()
+        )
+
+    def note(self, connection: Connection) -> None:
+        """Note that a whole answer arrived now."""
+        self._answered[connection] = self.clock()
+        self._answered.move_to_end(connection)
+        if len(self._answered) > MAX_LIVE_CONNECTIONS:
+            self._answered.popitem(last=False)
+
+    def includes(self, connection: Connection) -> bool:
+        """Tell whether the last answer is recent enough."""
+        answered = self._answered.get(connection, -math.inf)
+        return self.clock() - answered <= LIVE_SECONDS
 
 
 class _Transfer:
     """A prepared handle that collects the answer of one transfer at a time."""
 
-    def __init__(self, shape: _Shape) -> None:
+    def __init__(self, shape: _Shape, live: _LiveConnections) -> None:
         self.shape = shape
+        self.is_stale = False
+        self._live = live
+        self._sends_once = shape.has_body or shape.live_connection
+        self._connection: Connection = ("", "", 0, 0)
+        self._opened = False
+        self._fresh = False
+        self._deadline = 0.0
         self.done: asyncio.Future[CurlResponse]
         self._lines: list[bytes] = []
         self._parts: list[bytes] = []
@@ -253,8 +310,8 @@
         setopt(pycurl.TCP_NODELAY, 1)
         setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         setopt(pycurl.MAXAGE_CONN, IDLE_CONNECTION_SECONDS)
-        if shape.has_body:
-            setopt(pycurl.PREREQFUNCTION, self._before_request)
+        setopt(pycurl.SOCKOPTFUNCTION, self._on_opened)
+        setopt(pycurl.PREREQFUNCTION, self._before_request)
         setopt(pycurl.HEADERFUNCTION, self._lines.append)
         setopt(pycurl.WRITEFUNCTION, self._parts.append)
 
@@ -262,6 +319,8 @@
         """Set what differs between requests."""
         self.done = done
         self._tries = 0
+        self._opened = self.is_stale = False
+        self._deadline = self._live.clock() + req.timeout_ms / 1000
         setopt = self.handle.setopt
         setopt(pycurl.URL, req.url)
         # An empty Expect header avoids a round trip before the body is sent.
@@ -271,7 +330,23 @@
             self._body_bytes = len(req.body)
         setopt(pycurl.TIMEOUT_MS, max(1, req.timeout_ms))
         setopt(pycurl.CONNECTTIMEOUT_MS, min(CONNECT_TIMEOUT_MS, req.timeout_ms))
-        setopt(pycurl.FRESH_CONNECT, int(req.fresh_connection))
+        if self._fresh != req.fresh_connection:
+            setopt(pycurl.FRESH_CONNECT, int(req.fresh_connection))
+            self._fresh = req.fresh_connection
+
+    def use_new_connection(self) -> None:
+        """Prepare the same request for a connection of its own."""
+        self._tries = 0
+        self._opened = self.is_stale = False
+        self._fresh = True
+        self._lines.clear()
+        remaining_ms = int((self._deadline - self._live.clock()) * 1000)
+        self.handle.setopt(pycurl.TIMEOUT_MS, max(1, remaining_ms))
+        self.handle.setopt(pycurl.FRESH_CONNECT, 1)
+
+    def note_answer(self) -> None:
+        """Note that the connection is alive."""
+        self._live.note(self._connection)
 
     def response(self) -> CurlResponse:
         """Return the answer once the transfer has succeeded."""
@@ -291,12 +366,21 @@
         refused = refused and code == pycurl.E_COULDNT_CONNECT
         return CurlError(message, code, sent, refused)
 
-    def _before_request(self, *address: object) -> int:
+    def _on_opened(self, fd: int, purpose: int) -> int:
+        self._opened = True
+        return int(pycurl.SOCKOPT_OK)
+
+    def _before_request(self, *connection: Any) -> int:
         # libcurl sends a request again whose reused connection closes before the
-        # answer. A request with a body may have taken effect by then.
+        # answer. The request may have taken effect by then.
         self._tries += 1
-        if self._tries > 1:
+        if self._tries > 1 and self._sends_once:
             return int(pycurl.PREREQFUNC_ABORT)
+        if self.shape.live_connection and not self._opened:
+            self.is_stale = not self._live.includes(connection)
+            if self.is_stale:
+                return int(pycurl.PREREQFUNC_ABORT)
+        self._connection = connection
         return int(pycurl.PREREQFUNC_OK)
 
     def release(self) -> None:
