Replace connections that went silent

Cause: a middlebox that lost track of a connection lets it accept bytes and never answer. Idempotent work waited for its deadline, each silent connection of the pool cost a timeout of its own (lease renewals included), calls on a silent peer stream waited for their deadlines, and a silent watch was noticed after 12 s.

- Kinds have `progress_ms` (default 2000; at most half of the timeout takes effect, so that the retry has time).
A transfer of a repeatable kind without a byte for that time is given up and retried.
- After any timeout towards an address no pooled connection to it is used for 6 s, when libcurl considers those of then too old.
- A fresh connection is closed after its transfer.
It stayed in the pool before, up to 100 for each endpoint, where endpoints accept about 50.
- A peer link sends a ping each 0.5 s and replaces the stream after four unanswered ones.
Ticks are counted, so a pause of the own process is not taken for silence.
Calls that waited fail as sent.
- The platform watch waits 1 s in place of 10 s: a silent connection is noticed after 3 s and the next watch starts 0.5 s later.
This costs one call a second for each zone.
After a failed call every thread opens a new connection.

Before and after, in tests on loopback with stepped clocks: without the changes the request after the first timeout and the call on the silent stream never return, the later requests open 4 more connections in place of 1, and the other platform thread waits for a timeout again; with them all seven tests pass. Not yet measured on a fleet.

--- a/arbutusflow/adapters/endpoint.py
+++ b/arbutusflow/adapters/endpoint.py
@@ -62,7 +62,12 @@
             raise EndpointError(f"{endpoint.name} sent a malformed reply") from exc
 
     async def run(
-        self, endpoint: Endpoint, work: Work, token: Token, timeout_ms: int
+        self,
+        endpoint: Endpoint,
+        work: Work,
+        token: Token,
+        timeout_ms: int,
+        progress_ms: int = 0,
     ) -> CurlResponse:
         """Send work; `CurlError` if the whole answer did not arrive."""
         key = urllib.parse.quote(work.key, safe="")
@@ -80,6 +85,7 @@
                 ),
                 work.body,
                 timeout_ms,
+                progress_ms,
                 fresh_connection=not work.repeatable,
             )
         )
--- a/arbutusflow/adapters/peer.py
+++ b/arbutusflow/adapters/peer.py
@@ -1,8 +1,9 @@
 """Streams between entry instances over `grpclib`.
 
 Each instance opens one stream to each peer that it sends to; replies come back
-on the same stream. Invariant: when a stream breaks, every call that waits on it
-fails, and the error tells whether the message can have left this process.
+on the same stream. Invariants: when a stream breaks, every call that waits on it
+fails, and the error tells whether the message can have left this process. A stream
+on which nothing arrives any more is closed and opened again.
 """
 
 import asyncio
@@ -22,6 +23,8 @@
 from arbutusflow.adapters.peer_messages import (
     PeerMessage,
     Reply,
+    StreamPing,
+    StreamPong,
     decode_frame,
     encode_frame,
 )
@@ -31,6 +34,13 @@
 STREAM_METHOD = "/arbutusflow.Peer/Stream"
 CONNECT_TIMEOUT_SECONDS = 0.5
 RECONNECT_SECONDS = 0.2
+CLOSE_SECONDS = 0.2
+PING_SECONDS = 0.5
+# Ticks are counted, not seconds, so that a pause of this process is not taken for
+# silence of the peer.
+SILENT_TICKS = 4
+# The client pings much more often. This only frees what a silent stream holds.
+ABANDONED_SECONDS = 30.0
 MAX_BATCH = 128  # Bounds the delay that the first message of a frame sees.
 
 Handler = Callable[[PeerMessage], Awaitable[Reply | None]]
@@ -65,9 +75,15 @@
     """The stream to one peer, opened again whenever it breaks."""
 
     def __init__(
-        self, address: Address, on_refused: Callable[[], None] = lambda: None
+        self,
+        address: Address,
+        on_refused: Callable[[], None] = lambda: None,
+        ping_seconds: float = PING_SECONDS,
     ) -> None:
         self.address = address
+        self._ping_seconds = ping_seconds
+        self._silent_ticks = 0
+        self._silence = asyncio.timeout(None)
         self._on_refused = on_refused
         self._queue: asyncio.Queue[PeerMessage] = asyncio.Queue()
         self._waiting: dict[int, asyncio.Future[Reply]] = {}
@@ -106,6 +122,16 @@
         finally:
             self._waiting.pop(message_id, None)
 
+    def tick(self) -> None:
+        """Send a ping and close the stream if nothing arrived for too long."""
+        if not self._connected.is_set():
+            return
+        self._silent_ticks += 1
+        if self._silent_ticks > SILENT_TICKS:
+            self._silence.reschedule(asyncio.get_running_loop().time())
+            return
+        self._queue.put_nowait(StreamPing(self.next_id()))
+
     async def close(self) -> None:
         """Close the stream and fail the calls that wait."""
         self._task.cancel()
@@ -130,20 +156,45 @@
             self.address.host, self.address.port, codec=_BytesCodec()
         )
         method = grpclib.client.StreamStreamMethod(channel, STREAM_METHOD, bytes, bytes)
+        loop = asyncio.get_running_loop()
         try:
-            async with method.open() as stream:
+            # Closing waits for room in the socket, which a silent one never gives.
+            async with (
+                asyncio.timeout(CONNECT_TIMEOUT_SECONDS) as limit,
+                method.open() as stream,
+            ):
                 await stream.send_request()
-                self._connected.set()
-                sender = asyncio.create_task(self._send_frames(stream))
+                limit.reschedule(None)
                 try:
-                    while (frame := await stream.recv_message()) is not None:
-                        self._resolve(decode_frame(frame))
+                    await self._receive(stream)
                 finally:
-                    sender.cancel()
+                    limit.reschedule(loop.time() + CLOSE_SECONDS)
                     await stream.cancel()
         finally:
             channel.close()
 
+    async def _receive(self, stream: Any) -> None:
+        tasks = [
+            asyncio.create_task(self._send_frames(stream)),
+            asyncio.create_task(self._ping()),
+        ]
+        try:
+            async with asyncio.timeout(None) as self._silence:
+                self._silent_ticks = 0
+                self._connected.set()
+                while (frame := await stream.recv_message()) is not None:
+                    self._silent_ticks = 0
+                    self._resolve(decode_frame(frame))
+        finally:
+            self._connected.clear()
+            for task in tasks:
+                task.cancel()
+
+    async def _ping(self) -> None:
+        while True:
+            await asyncio.sleep(self._ping_seconds)
+            self.tick()
+
     async def _send_frames(self, stream: Any) -> None:
         while True:
             await stream.send_message(encode_frame(await _take_batch(self._queue)))
@@ -183,11 +234,16 @@
         await stream.send_initial_metadata()
         sender = asyncio.create_task(self._send_replies(stream, replies))
         try:
-            while (frame := await stream.recv_message()) is not None:
+            while (frame := await _next_frame(stream)) is not None:
                 for message in decode_frame(frame):
+                    if isinstance(message, StreamPing):
+                        replies.put_nowait(StreamPong(message.id))
+                        continue
                     task = asyncio.create_task(self._handle(message, replies))
                     self._tasks.add(task)
                     task.add_done_callback(self._tasks.discard)
+        except TimeoutError:
+            return
         finally:
             sender.cancel()
 
@@ -224,6 +280,12 @@
         await server.wait_closed()
 
 
+async def _next_frame(stream: Any) -> bytes | None:
+    async with asyncio.timeout(ABANDONED_SECONDS):
+        frame: bytes | None = await stream.recv_message()
+        return frame
+
+
 async def _take_batch(queue: "asyncio.Queue[PeerMessage]") -> list[PeerMessage]:
     batch = [await queue.get()]
     while len(batch) < MAX_BATCH and not queue.empty():
--- a/arbutusflow/adapters/peer_messages.py
+++ b/arbutusflow/adapters/peer_messages.py
@@ -46,6 +46,18 @@
     id: int
 
 
+class StreamPing(msgspec.Struct, frozen=True, tag="ping"):
+    """Asks the peer for a sign that the stream still carries messages."""
+
+    id: int
+
+
+class StreamPong(msgspec.Struct, frozen=True, tag="pong"):
+    """Answers ping `id`."""
+
+    id: int
+
+
 class ObjectsChanged(msgspec.Struct, frozen=True, tag="changed"):
     """Platform objects that the sender has learnt."""
 
@@ -117,6 +129,8 @@
     ForwardRequest
     | ForwardReply
     | CancelRequest
+    | StreamPing
+    | StreamPong
     | ObjectsChanged
     | VersionsAsked
     | VersionsTold
--- a/arbutusflow/adapters/platform.py
+++ b/arbutusflow/adapters/platform.py
@@ -81,6 +81,7 @@
             MAX_CONCURRENT_CALLS, thread_name_prefix="platform"
         )
         self._local = threading.local()
+        self._failures = 0
         self.calls: dict[str, int] = {}
 
     @classmethod
@@ -160,10 +161,7 @@
         headers: tuple[str, ...] = (),
         timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> tuple[int, dict[str, str], bytes]:
-        handle = getattr(self._local, "handle", None)
-        if handle is None:
-            handle = self._local.handle = pycurl.Curl()
-        handle.reset()
+        handle = self._handle()
         answer = io.BytesIO()
         received: dict[str, str] = {}
 
@@ -176,7 +174,7 @@
         handle.setopt(pycurl.CUSTOMREQUEST, method)
         handle.setopt(pycurl.HTTPHEADER, [*headers, "Expect:"])
         if body is not None:
-            set_body(handle, method, body)
+            set_body(handle, method, len(body), io.BytesIO(body).read)
             # libcurl repeats a request on a reused connection that closed; the
             # second answer would be a conflict with the first one's effect.
             handle.setopt(pycurl.FRESH_CONNECT, 1)
@@ -189,9 +187,22 @@
         try:
             handle.perform()
         except pycurl.error as exc:
+            self._failures += 1
             raise PlatformUnavailableError(f"platform call failed: {exc}") from exc
         return handle.getinfo(pycurl.RESPONSE_CODE), received, answer.getvalue()
 
+    def _handle(self) -> pycurl.Curl:
+        """Return this thread's handle, without connections older than a failure."""
+        # Connections of several threads go silent together; each would cost a
+        # timeout of its own.
+        failures = self._failures
+        if getattr(self._local, "failures", None) != failures:
+            self._local.handle = pycurl.Curl()
+            self._local.failures = failures
+        handle: pycurl.Curl = self._local.handle
+        handle.reset()
+        return handle
+
 
 def _quote(name: str) -> str:
     return urllib.parse.quote(name, safe="/")
--- a/arbutusflow/domain/configuration.py
+++ b/arbutusflow/domain/configuration.py
@@ -98,6 +98,14 @@
     timeout_ms: Annotated[
         Milliseconds, About(description="Longest time from arrival to answer.")
     ] = 5_000
+    progress_ms: Annotated[
+        Milliseconds,
+        About(
+            description="Longest time in which no byte moves between the coordinator "
+            "and the endpoint before a request that may be repeated is sent again "
+            "on another connection; at most half of the timeout takes effect."
+        ),
+    ] = 2_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/arbutusflow/runtime/control.py
+++ b/arbutusflow/runtime/control.py
@@ -72,7 +72,9 @@
 
 TICK_SECONDS = 0.1
 ANTI_ENTROPY_SECONDS = 1.0
-WATCH_WAIT_MS = 10_000
+# A silent connection delays changes for this time, the 2 s of a call and the pause
+# before the next watch: 3.5 s, while changes are due in force within 4 s.
+WATCH_WAIT_MS = 1_000
 LIST_SECONDS = 5.0  # The list lags by tens of seconds, so it is not asked for often.
 WATCH_RETRY_SECONDS = 0.5
 PATCH_ATTEMPTS = 10
--- a/arbutusflow/runtime/traffic.py
+++ b/arbutusflow/runtime/traffic.py
@@ -391,7 +391,9 @@
         )
         remaining_ms = max(1, int((queued.deadline - now) * 1000))
         try:
-            response = await self._endpoints.run(endpoint, work, token, remaining_ms)
+            response = await self._endpoints.run(
+                endpoint, work, token, remaining_ms, _progress_ms(queued.kind)
+            )
         except CurlError as exc:
             finish, failure = _failure_of(exc, queued.deadline)
             self._end_attempt(ticket, finish, failure)
@@ -521,6 +523,14 @@
     )
 
 
+def _progress_ms(kind: Kind) -> int:
+    """Return the progress timeout; 0 for work that could not be sent again."""
+    if not kind.repeatable:
+        return 0
+    # A timeout at the deadline would leave no time for the retry.
+    return min(kind.progress_ms, max(1, kind.timeout_ms // 2))
+
+
 def _failure_of(exc: CurlError, deadline: float) -> tuple[Finish, Failure]:
     if not exc.sent:
         return Finish.FAILED, Failure.CONNECTION_FAILED
--- /dev/null
+++ b/tests/test_silent_connections.py
@@ -0,0 +1,228 @@
+"""Connections that accept bytes and never answer, on loopback sockets.
+
+The clocks are stepped by the tests; nothing waits for a real timeout.
+"""
+
+import asyncio
+import socket
+from collections import Counter
+from types import SimpleNamespace
+
+import pycurl
+import pytest
+
+from arbutusflow.adapters.peer import (
+    SILENT_TICKS,
+    PeerCallError,
+    PeerLink,
+    peer_server,
+)
+from arbutusflow.adapters.peer_messages import VersionsAsked, VersionsTold
+from arbutusflow.adapters.platform import PlatformClient
+from arbutusflow.adapters.settings import Address
+from arbutusflow.domain.errors import PlatformUnavailableError
+from arbutusflow.runtime.curl_loop import (
+    AVOID_POOL_SECONDS,
+    CurlError,
+    CurlLoop,
+    CurlRequest,
+)
+from arbutusflow.standins.silent_relay import silent_relay
+
+HOST = "127.0.0.1"
+NEVER = 3600.0
+PROGRESS_SECONDS = 2.0
+
+
+async def answer_all(reader, writer):
+    """Answer each request on a connection that stays open."""
+    while await reader.readline():
+        while (await reader.readline()).strip():
+            pass
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    writer.close()
+
+
+async def with_curl(steps):
+    """Run `steps` with a client whose requests go through a relay."""
+    clock = SimpleNamespace(now=1000.0)
+    server = await asyncio.start_server(answer_all, HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    curl = CurlLoop(asyncio.get_running_loop(), clock=lambda: clock.now)
+    async with silent_relay(HOST, port) as relay:
+        url = f"http://{HOST}:{relay.port}/work"
+
+        def get(fresh=False):
+            req = CurlRequest(
+                "GET",
+                url,
+                timeout_ms=60_000,
+                progress_ms=int(PROGRESS_SECONDS * 1000),
+                fresh_connection=fresh,
+            )
+            return asyncio.create_task(curl.perform(req))
+
+        await steps(relay, curl, clock, get)
+        curl.close()
+    server.close()
+
+
+async def time_out(relay, curl, clock, task):
+    """Let the progress timeout of a request on a silent connection pass."""
+    await relay.swallowed.wait()
+    clock.now += PROGRESS_SECONDS
+    curl.check_progress()
+    with pytest.raises(CurlError) as caught:
+        await task
+    return caught.value
+
+
+def test_silent_pooled_connections_cost_one_timeout_and_are_not_used_again():
+    """Guards against one timeout for each silent connection of the pool."""
+
+    async def steps(relay, curl, clock, get):
+        await asyncio.gather(*(get() for _ in range(4)))
+        opened = relay.opened
+        relay.silence()
+        error = await time_out(relay, curl, clock, get())
+        assert (error.code, error.sent) == (pycurl.E_OPERATION_TIMEDOUT, True)
+        for _ in range(4):
+            assert (await get()).body == b"ok"
+        assert relay.opened == opened + 4
+
+    asyncio.run(with_curl(steps))
+
+
+def test_pool_is_used_again_after_a_while():
+    """Guards against a new connection for each request after one timeout."""
+
+    async def steps(relay, curl, clock, get):
+        await get()
+        relay.silence()
+        await time_out(relay, curl, clock, get())
+        await get()
+        clock.now += AVOID_POOL_SECONDS
+        await get()
+        assert relay.opened == 2
+
+    asyncio.run(with_curl(steps))
+
+
+def test_transfer_that_made_progress_in_time_goes_on():
+    """Guards against a limit on the whole transfer in place of its progress."""
+
+    async def steps(relay, curl, clock, get):
+        task = get()
+        clock.now += PROGRESS_SECONDS * 0.99
+        curl.check_progress()
+        assert (await task).body == b"ok"
+
+    asyncio.run(with_curl(steps))
+
+
+def test_fresh_connection_is_closed_after_its_transfer():
+    """Guards against idle connections that use up what an endpoint accepts."""
+
+    async def steps(relay, curl, clock, get):
+        for _ in range(3):
+            await get(fresh=True)
+        await get()
+        await get()
+        assert relay.opened == 4, "only the last two requests share a connection"
+
+    asyncio.run(with_curl(steps))
+
+
+async def with_link(steps):
+    """Run `steps` with a link to a peer through a relay."""
+    with socket.create_server((HOST, 0)) as free:
+        port = free.getsockname()[1]
+    received = Counter()
+
+    async def handler(message):
+        received[message.id] += 1
+        return VersionsTold(message.id, ())
+
+    async with (
+        peer_server(Address(HOST, port), handler),
+        silent_relay(HOST, port) as relay,
+    ):
+        link = PeerLink(Address(HOST, relay.port), ping_seconds=NEVER)
+        await steps(relay, link)
+        await link.close()
+
+
+async def call(link):
+    """Call until the link is connected."""
+    while True:
+        try:
+            return await link.call(VersionsAsked(link.next_id(), {}), NEVER)
+        except PeerCallError as exc:
+            if exc.sent:
+                raise
+
+
+def test_silent_peer_stream_is_replaced_and_its_calls_fail_as_sent():
+    """Guards against calls that wait on a silent stream until their deadline."""
+
+    async def steps(relay, link):
+        await call(link)
+        relay.silence()
+        waiting = asyncio.create_task(call(link))
+        await relay.swallowed.wait()
+        for _ in range(SILENT_TICKS + 1):
+            link.tick()
+        with pytest.raises(PeerCallError) as caught:
+            await waiting
+        assert (caught.value.sent, caught.value.timed_out) == (True, False)
+        assert isinstance(await call(link), VersionsTold)
+        assert relay.opened == 2
+
+    asyncio.run(with_link(steps))
+
+
+def test_peer_that_answers_pings_keeps_its_stream():
+    """Guards against streams that are closed because nothing was asked."""
+
+    async def steps(relay, link):
+        await call(link)
+        for _ in range(SILENT_TICKS * 3):
+            link.tick()
+            await call(link)
+        assert relay.opened == 1
+
+    asyncio.run(with_link(steps))
+
+
+def test_silent_platform_connections_of_all_threads_cost_one_timeout():
+    """Guards against one timeout for each thread whose connection went silent."""
+
+    async def run():
+        both_asked = asyncio.Barrier(2)
+
+        async def answer(reader, writer):
+            while await reader.readline():
+                while (await reader.readline()).strip():
+                    pass
+                await both_asked.wait()
+                writer.write(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n")
+            writer.close()
+
+        server = await asyncio.start_server(answer, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        async with silent_relay(HOST, port) as relay:
+            client = PlatformClient(f"http://{HOST}:{relay.port}")
+
+            def read_twice():
+                futs = [client.read(name) for name in ("one", "two")]
+                return asyncio.gather(*map(asyncio.wrap_future, futs))
+
+            await read_twice()
+            relay.silence()
+            with pytest.raises(PlatformUnavailableError):
+                await asyncio.wrap_future(client.read("one"))
+            assert [item.version for item in await read_twice()] == [0, 0]
+            client.close()
+        server.close()
+
+    asyncio.run(run())
