Take refusals of work as drain notices; measure drains

Cause: an endpoint whose lease replies lag could refuse all work as draining and keep its units, and no measurement covered drains.

- A refusal of work as draining counts as the notice of a lease reply until the endpoint's process ends.
- The stand-in refuses work as draining once it drains and holds no unit, and logs when it ran a request.
- real_faults: "endpoint drains by notice" and "endpoint drained by the operator".
A request without an answer, work or a unit that reaches the endpoint later than 3 s after the notice is a broken promise.

--- a/arbutusflow/measure/real_faults.py
+++ b/arbutusflow/measure/real_faults.py
@@ -22,7 +22,13 @@
 import uuid6
 
 from arbutusflow.adapters.settings import load_configuration
-from arbutusflow.domain.configuration import Endpoint, Service
+from arbutusflow.domain.configuration import (
+    Endpoint,
+    EndpointState,
+    Patch,
+    Service,
+    SetEndpointState,
+)
 from arbutusflow.runtime.curl_loop import CurlError, CurlLoop, CurlRequest
 from arbutusflow.standins.endpoint_server import Holding, LoggedWork
 from arbutusflow.standins.fleet import HOST, Fleet, FleetClient, running_fleet
@@ -33,6 +39,7 @@
 KEYS_PER_SERVICE = 48
 SETTLE_SECONDS = 3.0
 LOSS_TARGET_SECONDS = 3.0
+DRAIN_TARGET_SECONDS = 3.0  # "After a few seconds" in promise 6.
 SERVICE_MS = 4.0
 
 
@@ -154,6 +161,7 @@
         self.prober = Prober(fleet, self.curl)
         self._service_ms = service_ms
         self._lost_logs: set[str] = set()
+        self.leaving: dict[str, float] = {}
 
     async def prepare(self) -> None:
         """Create the services and wait until all keys are served."""
@@ -192,6 +200,23 @@
         """Start an endpoint's process again."""
         self.fleet.start_endpoint(endpoint, self._service_ms)
 
+    async def drain_by_notice(self, endpoint: Endpoint) -> None:
+        """Make an endpoint report that it drains, until its process ends."""
+        self.leaving[endpoint.name] = time.monotonic()
+        url = f"http://{endpoint.host}:{endpoint.port}/control/drain"
+        await self.client.post(url, None)
+
+    async def drain_by_operator(self, service: Service, endpoint: Endpoint) -> None:
+        """Set the state of an endpoint to draining."""
+        status = await self.client.status(0)
+        operation = SetEndpointState(
+            service.name, endpoint.name, EndpointState.DRAINING
+        )
+        patch = Patch(f"drain-{endpoint.name}", status.configuration, (operation,))
+        url = f"http://{HOST}:{self.fleet.ports.admin}/config/patch"
+        await self.client.post(url, patch)
+        self.leaving[endpoint.name] = time.monotonic()
+
     async def platform_fault(self, fault: Fault) -> None:
         """Set a fault of the platform."""
         url = f"http://{HOST}:{self.fleet.ports.platform}/control/fault"
@@ -222,19 +247,48 @@
         holdings: dict[tuple[str, int], list[tuple[str, Holding]]] = (
             collections.defaultdict(list)
         )
+        late: list[str] = []
         for service in self.fleet.cfg.services:
             for endpoint in service.endpoints:
                 log = await self._fetch(endpoint, "log")
                 for work in msgspec.json.decode(log, type=list[LoggedWork]):
                     runs[work.request_id] += 1
+                    late.extend(self._late_work(endpoint.name, work))
                 held = await self._fetch(endpoint, "holdings")
                 for item in msgspec.json.decode(held, type=list[Holding]):
                     holdings[service.name, item.unit].append((endpoint.name, item))
+                    late.extend(self._late_grant(endpoint.name, item))
         return [
             *self._wrong_outcomes(probes, runs),
             *second_owners(holdings),
+            *late,
+            *self._failures_of_drain(probes),
+        ]
+
+    def _late_grant(self, endpoint: str, item: Holding) -> list[str]:
+        notice = self.leaving.get(endpoint)
+        if notice is None or item.since <= notice + DRAIN_TARGET_SECONDS:
+            return []
+        delay = item.since - notice
+        return [f"{endpoint} got unit {item.unit} {delay:.2f} s after its notice"]
+
+    def _failures_of_drain(self, probes: list[Probe]) -> list[str]:
+        if not self.leaving:
+            return []
+        return [
+            f"{probe.request_id} for {probe.service}/{probe.key} was not answered "
+            f"during a drain: {probe.outcome}, {probe.reason}"
+            for probe in probes
+            if probe.outcome != "answered"
         ]
 
+    def _late_work(self, endpoint: str, work: LoggedWork) -> list[str]:
+        notice = self.leaving.get(endpoint)
+        if notice is None or work.at <= notice + DRAIN_TARGET_SECONDS:
+            return []
+        delay = work.at - notice
+        return [f"{endpoint} ran {work.request_id} {delay:.2f} s after its notice"]
+
     def _wrong_outcomes(
         self, probes: list[Probe], runs: "collections.Counter[str]"
     ) -> list[str]:
@@ -373,6 +427,21 @@
     await asyncio.sleep(SETTLE_SECONDS)
 
 
+async def endpoint_drains_by_notice(run: FaultRun) -> None:
+    """Let an endpoint that checks tokens, and one that does not, report a drain."""
+    for endpoint in (run.endpoint(0, 2), run.endpoint(3, 2)):
+        await run.drain_by_notice(endpoint)
+    await asyncio.sleep(8.0)
+
+
+async def endpoint_drained_by_operator(run: FaultRun) -> None:
+    """Drain an endpoint that checks tokens, and one that does not, by a patch."""
+    for index in (0, 3):
+        service = run.fleet.cfg.services[index]
+        await run.drain_by_operator(service, run.endpoint(index, 3))
+    await asyncio.sleep(8.0)
+
+
 FAULTS: tuple[tuple[str, float | None, FaultScript], ...] = (
     ("endpoint exits", LOSS_TARGET_SECONDS, endpoint_exits),
     ("endpoint freezes and returns", LOSS_TARGET_SECONDS, endpoint_freezes),
@@ -381,6 +450,8 @@
     ("entry stops as planned", 0.0, entry_stops),
     ("platform down", 0.0, platform_outage),
     ("entry exits, platform down", LOSS_TARGET_SECONDS, entry_exits_during_outage),
+    ("endpoint drains by notice", 0.0, endpoint_drains_by_notice),
+    ("endpoint drained by the operator", 0.0, endpoint_drained_by_operator),
 )
 
 
--- a/arbutusflow/runtime/control.py
+++ b/arbutusflow/runtime/control.py
@@ -166,6 +166,7 @@
         self._revision = 0
         self._told: object = None
         self._incarnations: dict[str, str] = {}
+        self._draining: dict[str, str] = {}
 
     def start(self) -> None:
         """Begin to tick, to watch and to compare versions with peers."""
@@ -343,10 +344,22 @@
             if self._incarnations.get(name, reply.incarnation) != reply.incarnation:
                 self._endpoint_exited(name)
             self._incarnations[name] = reply.incarnation
+            if self._draining.get(name) == reply.incarnation:
+                reply = msgspec.structs.replace(reply, draining=True)
             self.handle(LeaseReplied(name, action.operation, reply))
             if self.traffic is not None and reply.refusal is None:
                 self.traffic.lease_renewed(name, reply.load)
 
+    def endpoint_drains(self, name: str) -> None:
+        """Note that the endpoint refused work because it drains.
+
+        Its reports may lag or mislead, so it counts as draining until its process
+        ends, whatever its lease replies say.
+        """
+        incarnation = self._incarnations.get(name)
+        if incarnation is not None:
+            self._draining[name] = incarnation
+
     def _endpoint_exited(self, name: str) -> None:
         incarnation = self._incarnations.pop(name, None)
         if incarnation is not None and self.traffic is not None:
--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -114,6 +114,7 @@
         self._traffic = TrafficTask(core, self._endpoints, links, timers)
         self._control.traffic = self._traffic
         self._traffic.unit_drained = self._unit_drained
+        self._traffic.endpoint_drains = self._control.endpoint_drains
         self._timers = timers
         self._metrics = SwitchedMetrics(settings.instance)
         self._metrics.switch(settings.statsd)
--- a/arbutusflow/runtime/traffic.py
+++ b/arbutusflow/runtime/traffic.py
@@ -109,6 +109,7 @@
     ) -> None:
         self.unit_drained: Callable[[str, int], None] = lambda service, unit: None
         self.retry_scheduled: Callable[[str, RetryReason], None] = lambda req, why: None
+        self.endpoint_drains: Callable[[str], None] = lambda endpoint: None
         self.in_flight = 0
         self._core = core
         self._endpoints = endpoints
@@ -414,6 +415,8 @@
     def _take_response(self, ticket: int, response: CurlResponse) -> None:
         if response.headers.get("arbutus-ran") == "no":
             refusal = response.headers.get("arbutus-refusal", "")
+            if refusal == "draining":
+                self.endpoint_drains(self._requests[ticket].endpoint.name)
             finish = Finish.OVERLOADED if refusal == "shed" else Finish.FAILED
             failure = REFUSAL_FAILURES.get(refusal, Failure.REFUSED)
             self._end_attempt(ticket, finish, failure)
--- a/arbutusflow/standins/endpoint_server.py
+++ b/arbutusflow/standins/endpoint_server.py
@@ -27,12 +27,13 @@
 
 
 class LoggedWork(msgspec.Struct, frozen=True):
-    """One request that the endpoint ran."""
+    """One request that the endpoint ran, from `at` on the machine's clock."""
 
     request_id: str
     service: str
     kind: str
     key: str
+    at: float
 
 
 class Holding(msgspec.Struct, frozen=True):
@@ -167,6 +168,8 @@
         term, _, sequence = header(scope, "arbutus-token", "0.0").partition(".")
         unit = int(header(scope, "arbutus-unit", "-1"))
         token = Token(int(term), int(sequence))
+        if self._draining and not self._gate.held:
+            return "draining"
         if not self._gate.accepts(service, unit, token, time.monotonic()):
             return "fenced"
         if self._load >= self._queue_limit:
@@ -189,7 +192,8 @@
             await self._refuse(refusal, send)
             return
         request_id = header(scope, "arbutus-request-id")
-        self._log.append(LoggedWork(request_id, service, kind, key))
+        now = time.monotonic()
+        self._log.append(LoggedWork(request_id, service, kind, key, now))
         if body == CRASH_BODY:
             os._exit(70)
         await asyncio.sleep(self._service_seconds)
