Pass strikes against crashing requests on with their unit

Cause: the strikes were kept in the memory of the coordinator that saw the endpoint exit. The unit moves after the exit, usually to another coordinator, which began to count from zero.

Strikes name their unit and travel in `HistoryTold`. A coordinator whose own history is incomplete sends the strikes alone, and a receiver takes strikes from a history that arrives too late, because they only make it more careful. Counts are merged by their maximum. The sender keeps its copy, so that a lost message does not let a third endpoint exit.

--- a/arbutusflow/adapters/peer_messages.py
+++ b/arbutusflow/adapters/peer_messages.py
@@ -109,12 +109,22 @@
     body: bytes = b""
 
 
+class KnownStrike(msgspec.Struct, frozen=True):
+    """Endpoint exits counted against an identifier or a digest of content."""
+
+    count: int
+    age_seconds: float
+    request_id: str = ""
+    digest: bytes = b""
+
+
 class HistoryTold(msgspec.Struct, frozen=True, tag="history"):
     """Request history of a unit from its earlier coordinator.
 
     `sequence` and `epoch` name the owner's row and the record under which the
     receiver coordinates the unit. All identifiers that were created after
-    `complete_after` and may have run are in `outcomes`.
+    `complete_after` and may have run are in `outcomes`, if `complete`; otherwise
+    the message carries strikes only.
     """
 
     service: str
@@ -123,6 +133,8 @@
     epoch: int
     complete_after: float
     outcomes: tuple[KnownOutcome, ...]
+    strikes: tuple[KnownStrike, ...] = ()
+    complete: bool = True
 
 
 PeerMessage = (
--- a/arbutusflow/domain/delivery.py
+++ b/arbutusflow/domain/delivery.py
@@ -36,6 +36,7 @@
     Event,
     Failure,
     KnownRequest,
+    KnownStrikes,
     LeftQueue,
     ReplyAnswer,
     ReplyRefusal,
@@ -43,6 +44,7 @@
     RetryDue,
     ScheduleRetry,
     Send,
+    StrikesAdopted,
     Tick,
     UnitAdopted,
     UnitLeft,
@@ -68,6 +70,9 @@
 # A lost connection is often seen before the proof that the endpoint exited.
 LOST_BEFORE_EXIT_SECONDS = 5.0
 MAX_LOST = 1024
+
+Subject = str | bytes  # An identifier, or the digest of a request's content.
+UnitId = tuple[str, int]
 RETRY_AFTER_MS = 100
 
 
@@ -123,22 +128,47 @@
     the endpoint. A lower concurrency limit for suspects was not chosen, because two
     suspects of one exit could not be told apart. At most one request per slot
     becomes a suspect in an exit, so few dispatches are slowed down.
+
+    A unit moves to another coordinator after an exit, so each strike names the unit
+    with which it travels. The strikes are kept here, too: a message that is lost
+    must not let a third endpoint exit.
     """
 
     def __init__(self) -> None:
-        self._strikes: collections.OrderedDict[str | bytes, tuple[int, float]] = (
+        self._strikes: collections.OrderedDict[Subject, _Strikes] = (
             collections.OrderedDict()
         )
 
     def __len__(self) -> int:
         return len(self._strikes)
 
-    def strike(self, subjects: set[str | bytes], now: float) -> None:
+    def strike(self, subjects: dict[Subject, UnitId], now: float) -> None:
         """Count one exit against each of the identifiers and digests."""
         for subject in sorted(subjects, key=repr):
-            count = self._count(subject, now)
-            self._strikes[subject] = (count + 1, now)
-            self._strikes.move_to_end(subject)
+            count = self._count(subject, now) + 1
+            self._keep(subject, _Strikes(count, now, subjects[subject]))
+
+    def export(self, unit: UnitId, now: float) -> tuple[KnownStrikes, ...]:
+        """Return the strikes against requests of a unit."""
+        return tuple(
+            KnownStrikes(subject, item.count, now - item.since)
+            for subject, item in self._strikes.items()
+            if item.unit == unit and now - item.since < SUSPECT_SECONDS
+        )
+
+    def adopt(
+        self, unit: UnitId, strikes: tuple[KnownStrikes, ...], now: float
+    ) -> None:
+        """Take over strikes that another coordinator counted."""
+        for known in strikes:
+            # Both may have counted the same exit, so the counts are not added.
+            if known.count > self._count(known.subject, now):
+                since = now - known.age_seconds
+                self._keep(known.subject, _Strikes(known.count, since, unit))
+
+    def _keep(self, subject: Subject, strikes: "_Strikes") -> None:
+        self._strikes[subject] = strikes
+        self._strikes.move_to_end(subject)
         while len(self._strikes) > MAX_SUSPECTS:
             self._strikes.popitem(last=False)
 
@@ -153,9 +183,18 @@
         self._strikes.pop(request_id, None)
         self._strikes.pop(digest, None)
 
-    def _count(self, subject: str | bytes, now: float) -> int:
-        count, since = self._strikes.get(subject, (0, now))
-        return count if now - since < SUSPECT_SECONDS else 0
+    def _count(self, subject: Subject, now: float) -> int:
+        item = self._strikes.get(subject)
+        if item is None or now - item.since >= SUSPECT_SECONDS:
+            return 0
+        return item.count
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Strikes:
+    count: int
+    since: float
+    unit: UnitId
 
 
 class _State(enum.Enum):
@@ -178,7 +217,12 @@
     struck: bool = False
 
     @property
-    def subjects(self) -> set[str | bytes]:
+    def unit(self) -> UnitId:
+        """Unit with which strikes against the request travel."""
+        return self.request.service, self.request.unit
+
+    @property
+    def subjects(self) -> set[Subject]:
         """Names under which the crash guard knows the request."""
         request_id = self.request.request_id.lower()
         return (
@@ -190,7 +234,8 @@
 class _Lost:
     endpoint: str
     since: float
-    subjects: frozenset[str | bytes]
+    subjects: frozenset[Subject]
+    unit: UnitId
 
 
 class Delivery:
@@ -274,6 +319,9 @@
                     history = self._repeatable if known.repeatable else self._once
                     history.adopt(service, unit, known)
                 return []
+            case StrikesAdopted(service, unit, strikes):
+                self._guard.adopt((service, unit), strikes, now)
+                return []
             case UnitLeft(service, unit):
                 self._complete_after.pop((service, unit), None)
                 return []
@@ -306,6 +354,12 @@
             complete_after = max(complete_after, history.evicted_until)
         return UnitAdopted(service, unit, complete_after, tuple(known))
 
+    def export_strikes(
+        self, service: str, unit: int, now: float
+    ) -> tuple[KnownStrikes, ...]:
+        """Return the strikes of a unit for its next coordinator."""
+        return self._guard.export((service, unit), now)
+
     def _arrived(
         self, ticket: int, request: Request, wall: float, now: float
     ) -> list[Action]:
@@ -459,8 +513,9 @@
         rule = FAILURE_RULES[failure]
         pending.may_have_run = pending.may_have_run or rule.may_have_run
         if rule.may_have_run and not pending.struck:
-            lost = _Lost(pending.request.endpoint, now, frozenset(pending.subjects))
-            self._lost.append(lost)
+            subjects = frozenset(pending.subjects)
+            endpoint = pending.request.endpoint
+            self._lost.append(_Lost(endpoint, now, subjects, pending.unit))
         if rule.may_have_run and not pending.request.repeatable:
             return self._refuse_all(pending, rule.refusal)
         return self._retry(pending, rule, now)
@@ -505,18 +560,18 @@
 
     def _strike(self, endpoint: str, now: float) -> None:
         """Count one exit of the endpoint against all requests that it may have run."""
-        subjects: set[str | bytes] = set()
+        subjects: dict[Subject, UnitId] = {}
         for ticket in self._in_flight.get(endpoint, ()):
             pending = self._pending[ticket]
             if not pending.struck:
                 pending.struck = True
-                subjects |= pending.subjects
+                subjects |= dict.fromkeys(pending.subjects, pending.unit)
         others = []
         for lost in self._lost:
             if now - lost.since > LOST_BEFORE_EXIT_SECONDS:
                 continue
             if lost.endpoint == endpoint:
-                subjects |= lost.subjects
+                subjects |= dict.fromkeys(lost.subjects, lost.unit)
             else:
                 others.append(lost)
         self._lost = collections.deque(others, maxlen=MAX_LOST)
--- a/arbutusflow/domain/delivery_messages.py
+++ b/arbutusflow/domain/delivery_messages.py
@@ -184,6 +184,28 @@
     result: Answer | Refusal
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownStrikes:
+    """Endpoint exits in which a request was in flight.
+
+    `subject` is its identifier or the digest of its content. Instances share no
+    monotonic clock, so the time of the last exit is told as an age.
+    """
+
+    subject: str | bytes
+    count: int
+    age_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StrikesAdopted:
+    """An earlier coordinator of the unit counted endpoint exits for its requests."""
+
+    service: str
+    unit: int
+    strikes: tuple[KnownStrikes, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnitAdopted:
     """This instance begins to coordinate the unit with its request history.
@@ -217,6 +239,7 @@
     | CallerLeft
     | UnitTaken
     | UnitAdopted
+    | StrikesAdopted
     | UnitLeft
     | Tick
 )
--- a/arbutusflow/measure/real_faults.py
+++ b/arbutusflow/measure/real_faults.py
@@ -30,7 +30,7 @@
     SetEndpointState,
 )
 from arbutusflow.runtime.curl_loop import CurlError, CurlLoop, CurlRequest
-from arbutusflow.standins.endpoint_server import Holding, LoggedWork
+from arbutusflow.standins.endpoint_server import CRASH_BODY, Holding, LoggedWork
 from arbutusflow.standins.fleet import HOST, Fleet, FleetClient, running_fleet
 from arbutusflow.standins.platform_server import Fault
 
@@ -39,6 +39,9 @@
 KEYS_PER_SERVICE = 48
 SETTLE_SECONDS = 3.0
 LOSS_TARGET_SECONDS = 3.0
+MAX_CRASHED_ENDPOINTS = 2  # The design refuses a request after two strikes.
+CRASH_RESENDS = 10
+CRASH_REASON = "crashes_endpoints"
 DRAIN_TARGET_SECONDS = 3.0  # "After a few seconds" in promise 6.
 SERVICE_MS = 4.0
 
@@ -162,6 +165,8 @@
         self._service_ms = service_ms
         self._lost_logs: set[str] = set()
         self.leaving: dict[str, float] = {}
+        self.broken: list[str] = []
+        self._crash_id = ""
 
     async def prepare(self) -> None:
         """Create the services and wait until all keys are served."""
@@ -217,6 +222,30 @@
         await self.client.post(url, patch)
         self.leaving[endpoint.name] = time.monotonic()
 
+    async def resend_crash(self, service: Service, number: int) -> str:
+        """Send a request that ends its endpoint; return the reason it is refused.
+
+        Each second time its caller uses a new identifier.
+        """
+        kind = service.kinds[0]
+        if number % 2 == 0:
+            self._crash_id = str(uuid6.uuid7())
+        port = self.fleet.ports.caller + number % len(self.fleet.peers)
+        try:
+            response = await self.curl.perform(
+                CurlRequest(
+                    "POST",
+                    f"http://{HOST}:{port}/v1/{service.name}/{kind.name}/crash",
+                    (f"Arbutus-Request-Id: {self._crash_id}",),
+                    CRASH_BODY,
+                    kind.timeout_ms + 1_000,
+                    fresh_connection=True,
+                )
+            )
+        except CurlError as exc:
+            return str(exc)
+        return response.headers.get("arbutus-reason", "")
+
     async def platform_fault(self, fault: Fault) -> None:
         """Set a fault of the platform."""
         url = f"http://{HOST}:{self.fleet.ports.platform}/control/fault"
@@ -262,6 +291,7 @@
             *self._wrong_outcomes(probes, runs),
             *second_owners(holdings),
             *late,
+            *self.broken,
             *self._failures_of_drain(probes),
         ]
 
@@ -442,6 +472,31 @@
     await asyncio.sleep(8.0)
 
 
+async def request_crashes_endpoints(run: FaultRun) -> None:
+    """Resend a request that ends each endpoint that runs it."""
+    for service in (run.fleet.cfg.services[0], run.fleet.cfg.services[3]):
+        reasons = []
+        for number in range(CRASH_RESENDS):
+            reasons.append(await run.resend_crash(service, number))
+            await asyncio.sleep(0.5)
+        exited = [
+            item
+            for item in service.endpoints
+            if run.fleet.processes[item.name].poll() is not None
+        ]
+        typer.echo(f"{service.name}: {len(exited)} endpoints exited; {reasons}")
+        if len(exited) > MAX_CRASHED_ENDPOINTS:
+            run.broken.append(f"one request ended {len(exited)} endpoints")
+        if reasons[-1] != CRASH_REASON:
+            run.broken.append(f"its last resend got {reasons[-1] or 'an answer'}")
+        for endpoint in exited:
+            run.kill_endpoint(endpoint)
+            run.restart_endpoint(endpoint)
+    await asyncio.sleep(SETTLE_SECONDS)
+    refused = [probe for probe in run.prober.probes if probe.reason == CRASH_REASON]
+    run.broken += [f"bystander {item.request_id} was refused" for item in refused]
+
+
 FAULTS: tuple[tuple[str, float | None, FaultScript], ...] = (
     ("endpoint exits", LOSS_TARGET_SECONDS, endpoint_exits),
     ("endpoint freezes and returns", LOSS_TARGET_SECONDS, endpoint_freezes),
@@ -450,6 +505,7 @@
     ("entry stops as planned", 0.0, entry_stops),
     ("platform down", 0.0, platform_outage),
     ("entry exits, platform down", LOSS_TARGET_SECONDS, entry_exits_during_outage),
+    ("request crashes endpoints", LOSS_TARGET_SECONDS, request_crashes_endpoints),
     ("endpoint drains by notice", 0.0, endpoint_drains_by_notice),
     ("endpoint drained by the operator", 0.0, endpoint_drained_by_operator),
 )
--- a/arbutusflow/runtime/unit_histories.py
+++ b/arbutusflow/runtime/unit_histories.py
@@ -12,12 +12,18 @@
 import msgspec
 
 from arbutusflow.adapters.peer import PeerLink
-from arbutusflow.adapters.peer_messages import HistoryTold, KnownOutcome
+from arbutusflow.adapters.peer_messages import (
+    HistoryTold,
+    KnownOutcome,
+    KnownStrike,
+)
 from arbutusflow.domain.delivery import Delivery
 from arbutusflow.domain.delivery_messages import (
     Answer,
     Event,
     KnownRequest,
+    KnownStrikes,
+    StrikesAdopted,
     UnitAdopted,
     UnitLeft,
     UnitTaken,
@@ -97,6 +103,10 @@
     def take(self, message: HistoryTold, now: float) -> None:
         """Adopt a history from the earlier coordinator, or keep it for later."""
         key = UnitKey(message.service, message.unit)
+        # Strikes only make the coordinator more careful, so late ones count, too.
+        self._deliver(_strikes(message), now)
+        if not message.complete:
+            return
         if key in self._awaited:
             if _fits(message, self._tenures[key]):
                 del self._awaited[key]
@@ -137,16 +147,17 @@
         """Send the history to the unit's next coordinator and forget the unit."""
         complete = self._awaited.pop(key, None) is None
         exported = self._delivery.export_unit(key.service, key.unit, time.time())
+        strikes = self._delivery.export_strikes(key.service, key.unit, now)
         self._deliver(UnitLeft(key.service, key.unit), now)
         table = self._core.tables.get(key.service)
-        if table is None or not complete:
+        if table is None or not (complete or strikes):
             return
         row = table.row(key.unit)
         record = self._core.records.get(row.owner or "")
         link = None if record is None else self._links.get(record.coordinator)
         if record is None or link is None:
             return
-        outcomes = tuple(_outcome_of(item) for item in exported.requests)
+        known = exported.requests if complete else ()
         link.send(
             HistoryTold(
                 key.service,
@@ -154,7 +165,9 @@
                 row.sequence,
                 record.epoch,
                 exported.complete_after,
-                outcomes,
+                tuple(_outcome_of(item) for item in known),
+                tuple(_strike_of(item) for item in strikes),
+                complete,
             )
         )
 
@@ -194,6 +207,20 @@
     )
 
 
+def _strike_of(known: KnownStrikes) -> KnownStrike:
+    if isinstance(known.subject, bytes):
+        return KnownStrike(known.count, known.age_seconds, digest=known.subject)
+    return KnownStrike(known.count, known.age_seconds, known.subject)
+
+
+def _strikes(message: HistoryTold) -> StrikesAdopted:
+    strikes = tuple(
+        KnownStrikes(item.request_id or item.digest, item.count, item.age_seconds)
+        for item in message.strikes
+    )
+    return StrikesAdopted(message.service, message.unit, strikes)
+
+
 def _known(outcome: KnownOutcome) -> KnownRequest:
     result: Answer | Refusal
     if outcome.reason:
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -545,7 +545,7 @@
     assert strikes("", world.requests[later].digest, world.now) == 0
     guard = CrashGuard()
     for number in range(delivery_module.MAX_SUSPECTS + 10):
-        guard.strike({str(number)}, 0.0)
+        guard.strike({str(number): ("shop", 1)}, 0.0)
     assert len(guard) == delivery_module.MAX_SUSPECTS
     later = delivery_module.SUSPECT_SECONDS
     assert guard.strikes(str(delivery_module.MAX_SUSPECTS), b"", later) == 0
