--- a/arbutusflow/domain/partitions.py
+++ b/arbutusflow/domain/partitions.py
@@ -123,7 +123,9 @@
         )
 
     def owner(self, unit: int) -> str | None:
-        """Return the owner of `unit`."""
+        """Return the owner of `unit`; a unit that the table lacks has none."""
+        if not 0 <= unit < len(self):
+            return None
         return self._name(self._owners[unit])
 
     def units_of(self, endpoint: str) -> dict[int, int]:
--- a/arbutusflow/measure/real_faults.py
+++ b/arbutusflow/measure/real_faults.py
@@ -22,9 +22,15 @@
 import uuid6
 
 from arbutusflow.adapters.settings import load_configuration
-from arbutusflow.domain.configuration import Endpoint, Service
+from arbutusflow.domain.configuration import (
+    Endpoint,
+    EndpointState,
+    Patch,
+    Service,
+    SetEndpointState,
+)
 from arbutusflow.runtime.curl_loop import CurlError, CurlLoop, CurlRequest
-from arbutusflow.standins.endpoint_server import Holding, LoggedWork
+from arbutusflow.standins.endpoint_server import CRASH_BODY, Holding, LoggedWork
 from arbutusflow.standins.fleet import HOST, Fleet, FleetClient, running_fleet
 from arbutusflow.standins.platform_server import Fault
 
@@ -33,6 +39,10 @@
 KEYS_PER_SERVICE = 48
 SETTLE_SECONDS = 3.0
 LOSS_TARGET_SECONDS = 3.0
+MAX_CRASHED_ENDPOINTS = 2  # The design refuses a request after two strikes.
+CRASH_RESENDS = 10
+CRASH_REASON = "crashes_endpoints"
+DRAIN_TARGET_SECONDS = 3.0  # "After a few seconds" in promise 6.
 SERVICE_MS = 4.0
 
 
@@ -154,6 +164,9 @@
         self.prober = Prober(fleet, self.curl)
         self._service_ms = service_ms
         self._lost_logs: set[str] = set()
+        self.leaving: dict[str, float] = {}
+        self.broken: list[str] = []
+        self._crash_id = ""
 
     async def prepare(self) -> None:
         """Create the services and wait until all keys are served."""
@@ -192,6 +205,47 @@
         """Start an endpoint's process again."""
         self.fleet.start_endpoint(endpoint, self._service_ms)
 
+    async def drain_by_notice(self, endpoint: Endpoint) -> None:
+        """Make an endpoint report that it drains, until its process ends."""
+        self.leaving[endpoint.name] = time.monotonic()
+        url = f"http://{endpoint.host}:{endpoint.port}/control/drain"
+        await self.client.post(url, None)
+
+    async def drain_by_operator(self, service: Service, endpoint: Endpoint) -> None:
+        """Set the state of an endpoint to draining."""
+        status = await self.client.status(0)
+        operation = SetEndpointState(
+            service.name, endpoint.name, EndpointState.DRAINING
+        )
+        patch = Patch(f"drain-{endpoint.name}", status.configuration, (operation,))
+        url = f"http://{HOST}:{self.fleet.ports.admin}/config/patch"
+        await self.client.post(url, patch)
+        self.leaving[endpoint.name] = time.monotonic()
+
+    async def resend_crash(self, service: Service, number: int) -> str:
+        """Send a request that ends its endpoint; return the reason it is refused.
+
+        Each second time its caller uses a new identifier.
+        """
+        kind = service.kinds[0]
+        if number % 2 == 0:
+            self._crash_id = str(uuid6.uuid7())
+        port = self.fleet.ports.caller + number % len(self.fleet.peers)
+        try:
+            response = await self.curl.perform(
+                CurlRequest(
+                    "POST",
+                    f"http://{HOST}:{port}/v1/{service.name}/{kind.name}/crash",
+                    (f"Arbutus-Request-Id: {self._crash_id}",),
+                    CRASH_BODY,
+                    kind.timeout_ms + 1_000,
+                    fresh_connection=True,
+                )
+            )
+        except CurlError as exc:
+            return str(exc)
+        return response.headers.get("arbutus-reason", "")
+
     async def platform_fault(self, fault: Fault) -> None:
         """Set a fault of the platform."""
         url = f"http://{HOST}:{self.fleet.ports.platform}/control/fault"
@@ -222,19 +276,49 @@
         holdings: dict[tuple[str, int], list[tuple[str, Holding]]] = (
             collections.defaultdict(list)
         )
+        late: list[str] = []
         for service in self.fleet.cfg.services:
             for endpoint in service.endpoints:
                 log = await self._fetch(endpoint, "log")
                 for work in msgspec.json.decode(log, type=list[LoggedWork]):
                     runs[work.request_id] += 1
+                    late.extend(self._late_work(endpoint.name, work))
                 held = await self._fetch(endpoint, "holdings")
                 for item in msgspec.json.decode(held, type=list[Holding]):
                     holdings[service.name, item.unit].append((endpoint.name, item))
+                    late.extend(self._late_grant(endpoint.name, item))
         return [
             *self._wrong_outcomes(probes, runs),
             *second_owners(holdings),
+            *late,
+            *self.broken,
+            *self._failures_of_drain(probes),
         ]
 
+    def _late_grant(self, endpoint: str, item: Holding) -> list[str]:
+        notice = self.leaving.get(endpoint)
+        if notice is None or item.since <= notice + DRAIN_TARGET_SECONDS:
+            return []
+        delay = item.since - notice
+        return [f"{endpoint} got unit {item.unit} {delay:.2f} s after its notice"]
+
+    def _failures_of_drain(self, probes: list[Probe]) -> list[str]:
+        if not self.leaving:
+            return []
+        return [
+            f"{probe.request_id} for {probe.service}/{probe.key} was not answered "
+            f"during a drain: {probe.outcome}, {probe.reason}"
+            for probe in probes
+            if probe.outcome != "answered"
+        ]
+
+    def _late_work(self, endpoint: str, work: LoggedWork) -> list[str]:
+        notice = self.leaving.get(endpoint)
+        if notice is None or work.at <= notice + DRAIN_TARGET_SECONDS:
+            return []
+        delay = work.at - notice
+        return [f"{endpoint} ran {work.request_id} {delay:.2f} s after its notice"]
+
     def _wrong_outcomes(
         self, probes: list[Probe], runs: "collections.Counter[str]"
     ) -> list[str]:
@@ -373,6 +457,46 @@
     await asyncio.sleep(SETTLE_SECONDS)
 
 
+async def endpoint_drains_by_notice(run: FaultRun) -> None:
+    """Let an endpoint that checks tokens, and one that does not, report a drain."""
+    for endpoint in (run.endpoint(0, 2), run.endpoint(3, 2)):
+        await run.drain_by_notice(endpoint)
+    await asyncio.sleep(8.0)
+
+
+async def endpoint_drained_by_operator(run: FaultRun) -> None:
+    """Drain an endpoint that checks tokens, and one that does not, by a patch."""
+    for index in (0, 3):
+        service = run.fleet.cfg.services[index]
+        await run.drain_by_operator(service, run.endpoint(index, 3))
+    await asyncio.sleep(8.0)
+
+
+async def request_crashes_endpoints(run: FaultRun) -> None:
+    """Resend a request that ends each endpoint that runs it."""
+    for service in (run.fleet.cfg.services[0], run.fleet.cfg.services[3]):
+        reasons = []
+        for number in range(CRASH_RESENDS):
+            reasons.append(await run.resend_crash(service, number))
+            await asyncio.sleep(0.5)
+        exited = [
+            item
+            for item in service.endpoints
+            if run.fleet.processes[item.name].poll() is not None
+        ]
+        typer.echo(f"{service.name}: {len(exited)} endpoints exited; {reasons}")
+        if len(exited) > MAX_CRASHED_ENDPOINTS:
+            run.broken.append(f"one request ended {len(exited)} endpoints")
+        if reasons[-1] != CRASH_REASON:
+            run.broken.append(f"its last resend got {reasons[-1] or 'an answer'}")
+        for endpoint in exited:
+            run.kill_endpoint(endpoint)
+            run.restart_endpoint(endpoint)
+    await asyncio.sleep(SETTLE_SECONDS)
+    refused = [probe for probe in run.prober.probes if probe.reason == CRASH_REASON]
+    run.broken += [f"bystander {item.request_id} was refused" for item in refused]
+
+
 FAULTS: tuple[tuple[str, float | None, FaultScript], ...] = (
     ("endpoint exits", LOSS_TARGET_SECONDS, endpoint_exits),
     ("endpoint freezes and returns", LOSS_TARGET_SECONDS, endpoint_freezes),
@@ -381,6 +505,9 @@
     ("entry stops as planned", 0.0, entry_stops),
     ("platform down", 0.0, platform_outage),
     ("entry exits, platform down", LOSS_TARGET_SECONDS, entry_exits_during_outage),
+    ("request crashes endpoints", LOSS_TARGET_SECONDS, request_crashes_endpoints),
+    ("endpoint drains by notice", 0.0, endpoint_drains_by_notice),
+    ("endpoint drained by the operator", 0.0, endpoint_drained_by_operator),
 )
 
 
--- a/arbutusflow/runtime/control.py
+++ b/arbutusflow/runtime/control.py
@@ -72,7 +72,9 @@
 
 TICK_SECONDS = 0.1
 ANTI_ENTROPY_SECONDS = 1.0
-WATCH_WAIT_MS = 10_000
+# A silent connection delays changes for this time, the 2 s of a call and the pause
+# before the next watch: 3.5 s, while changes are due in force within 4 s.
+WATCH_WAIT_MS = 1_000
 LIST_SECONDS = 5.0  # The list lags by tens of seconds, so it is not asked for often.
 WATCH_RETRY_SECONDS = 0.5
 PATCH_ATTEMPTS = 10
@@ -166,6 +168,7 @@
         self._told: object = None
         self._objects_learnt = 0
         self._incarnations: dict[str, str] = {}
+        self._draining: dict[str, str] = {}
 
     def start(self) -> None:
         """Begin to tick, to watch and to compare versions with peers."""
@@ -343,10 +346,22 @@
             if self._incarnations.get(name, reply.incarnation) != reply.incarnation:
                 self._endpoint_exited(name)
             self._incarnations[name] = reply.incarnation
+            if self._draining.get(name) == reply.incarnation:
+                reply = msgspec.structs.replace(reply, draining=True)
             self.handle(LeaseReplied(name, action.operation, reply))
             if self.traffic is not None and reply.refusal is None:
                 self.traffic.lease_renewed(name, reply.load)
 
+    def endpoint_drains(self, name: str) -> None:
+        """Note that the endpoint refused work because it drains.
+
+        Its reports may lag or mislead, so it counts as draining until its process
+        ends, whatever its lease replies say.
+        """
+        incarnation = self._incarnations.get(name)
+        if incarnation is not None:
+            self._draining[name] = incarnation
+
     def _endpoint_exited(self, name: str) -> None:
         incarnation = self._incarnations.pop(name, None)
         if incarnation is not None and self.traffic is not None:
--- a/arbutusflow/runtime/curl_loop.py
+++ b/arbutusflow/runtime/curl_loop.py
@@ -5,7 +5,8 @@
 closes before the answer; a callback before each request prevents that for work
 that may not be repeated and for all bodies. The same callback lets work that may
 not be repeated go out only on a connection that was opened for it or brought a
-whole answer within the last second.
+whole answer within the last second. After a timeout no connection that was open
+then is used again.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 import math
 import select
 import time
+import urllib.parse
 from collections.abc import Callable
 from typing import Any, NamedTuple, Self
 
@@ -28,6 +30,10 @@
 LIVE_SECONDS = 1.0  # A connection that answered so recently counts as alive.
 MAX_LIVE_CONNECTIONS = 4_096  # One that is forgotten is replaced by a new one.
 MAX_IDLE_HANDLES = 512
+# A middlebox that lost track of one connection has usually lost the others, too.
+# libcurl compares the idle time in whole seconds, so one second is added.
+AVOID_POOL_SECONDS = IDLE_CONNECTION_SECONDS + 1
+PROGRESS_CHECK_SECONDS = 0.1
 KEPT_BODY_BYTES = 4_096  # An idle handle keeps no larger body in memory.
 EPOLL_MASKS = {
     pycurl.POLL_NONE: 0,
@@ -42,7 +48,9 @@
     """A request to one URL; `timeout_ms` covers the whole transfer.
 
     With `live_connection` it is sent at most once, on a connection that is new or
-    was used within `LIVE_SECONDS`.
+    was used within `LIVE_SECONDS`. A transfer without a byte in either direction for
+    `progress_ms` is given up; 0 switches this off. A fresh connection is closed
+    after its transfer.
     """
 
     method: str
@@ -50,6 +58,7 @@
     headers: tuple[str, ...] = ()
     body: bytes = b""
     timeout_ms: int = 5_000
+    progress_ms: int = 0
     fresh_connection: bool = False
     live_connection: bool = False
 
@@ -103,13 +112,19 @@
         self._idle: dict[_Shape, list[_Transfer]] = {}
         self._idle_count = 0
         self._running: dict[pycurl.Curl, _Transfer] = {}
+        self._clock = clock
+        self._avoid_pool_until: dict[str, float] = {}
+        self._progress_timer: asyncio.TimerHandle | None = None
 
     async def perform(self, req: CurlRequest) -> CurlResponse:
         """Run a transfer; raise `CurlError` unless the whole answer arrived."""
         transfer = self._take(_Shape.of(req))
-        transfer.prepare(req, self._loop.create_future())
+        fresh = req.fresh_connection or self._avoids_pool(req.url)
+        transfer.prepare(req, self._loop.create_future(), fresh)
         handle = transfer.handle
         self._running[handle] = transfer
+        if req.progress_ms and self._progress_timer is None:
+            self._schedule_progress_check()
         self._multi.add_handle(handle)
         self._act_soon()
         try:
@@ -121,10 +136,41 @@
         self._give_back(transfer)
         return response
 
+    def check_progress(self) -> None:
+        """Give up the transfers that made no progress in time."""
+        for handle, transfer in list(self._running.items()):
+            if transfer.is_silent():
+                # Removing a handle before its transfer ends closes the connection.
+                message = "no byte arrived or left in time"
+                self._finish(handle, pycurl.E_OPERATION_TIMEDOUT, message)
+
+    def _schedule_progress_check(self) -> None:
+        # One check for all transfers costs less than a timer for each.
+        self._progress_timer = self._loop.call_later(
+            PROGRESS_CHECK_SECONDS, self._on_progress_timer
+        )
+
+    def _on_progress_timer(self) -> None:
+        self._progress_timer = None
+        self.check_progress()
+        if self._running:
+            self._schedule_progress_check()
+
+    def _avoids_pool(self, url: str) -> bool:
+        if not self._avoid_pool_until:
+            return False
+        origin = urllib.parse.urlsplit(url).netloc
+        until = self._avoid_pool_until.get(origin, -math.inf)
+        if until <= self._clock():
+            self._avoid_pool_until.pop(origin, None)
+            return False
+        return True
+
     def close(self) -> None:
         """Fail the running transfers and free the handles."""
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._progress_timer):
+            if timer is not None:
+                timer.cancel()
         for handle, transfer in list(self._running.items()):
             self._multi.remove_handle(handle)
             del self._running[handle]
@@ -230,6 +276,9 @@
         if transfer is None:
             return
         self._multi.remove_handle(handle)
+        if code == pycurl.E_OPERATION_TIMEDOUT:
+            origin = urllib.parse.urlsplit(transfer.url).netloc
+            self._avoid_pool_until[origin] = self._clock() + AVOID_POOL_SECONDS
         if transfer.done.done():
             return
         if code and transfer.is_stale:
@@ -294,6 +343,11 @@
         self._connection: Connection = ("", "", 0, 0)
         self._opened = False
         self._fresh = False
+        self._closes = False
+        self.url = ""
+        self._progress_seconds = math.inf
+        self._moved = (0, 0, 0)
+        self._moved_at = 0.0
         self._deadline = 0.0
         self.done: asyncio.Future[CurlResponse]
         self._lines: list[bytes] = []
@@ -315,9 +369,15 @@
         setopt(pycurl.HEADERFUNCTION, self._lines.append)
         setopt(pycurl.WRITEFUNCTION, self._parts.append)
 
-    def prepare(self, req: CurlRequest, done: "asyncio.Future[CurlResponse]") -> None:
+    def prepare(
+        self, req: CurlRequest, done: "asyncio.Future[CurlResponse]", fresh: bool
+    ) -> None:
         """Set what differs between requests."""
         self.done = done
+        self.url = req.url
+        self._progress_seconds = req.progress_ms / 1000 or math.inf
+        self._moved = (0, 0, 0)
+        self._moved_at = self._live.clock()
         self._tries = 0
         self._opened = self.is_stale = False
         self._deadline = self._live.clock() + req.timeout_ms / 1000
@@ -330,9 +390,24 @@
             self._body_bytes = len(req.body)
         setopt(pycurl.TIMEOUT_MS, max(1, req.timeout_ms))
         setopt(pycurl.CONNECTTIMEOUT_MS, min(CONNECT_TIMEOUT_MS, req.timeout_ms))
-        if self._fresh != req.fresh_connection:
-            setopt(pycurl.FRESH_CONNECT, int(req.fresh_connection))
-            self._fresh = req.fresh_connection
+        if self._fresh != fresh:
+            setopt(pycurl.FRESH_CONNECT, int(fresh))
+            self._fresh = fresh
+        if self._closes != req.fresh_connection:
+            # Otherwise each of them would stay open in the pool until it is full.
+            setopt(pycurl.FORBID_REUSE, int(req.fresh_connection))
+            self._closes = req.fresh_connection
+
+    def is_silent(self) -> bool:
+        """Tell whether no byte moved for longer than the request allows."""
+        if self._progress_seconds == math.inf:
+            return False
+        sent = int(self.handle.getinfo(pycurl.SIZE_UPLOAD_T))
+        moved = (len(self._lines), len(self._parts), sent)
+        now = self._live.clock()
+        if moved != self._moved:
+            self._moved, self._moved_at = moved, now
+        return now - self._moved_at >= self._progress_seconds
 
     def use_new_connection(self) -> None:
         """Prepare the same request for a connection of its own."""
--- a/arbutusflow/runtime/traffic.py
+++ b/arbutusflow/runtime/traffic.py
@@ -10,7 +10,7 @@
 import itertools
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 import msgspec
 
@@ -109,6 +109,7 @@
     ) -> None:
         self.unit_drained: Callable[[str, int], None] = lambda service, unit: None
         self.retry_scheduled: Callable[[str, RetryReason], None] = lambda req, why: None
+        self.endpoint_drains: Callable[[str], None] = lambda endpoint: None
         self.in_flight = 0
         self._core = core
         self._endpoints = endpoints
@@ -310,16 +311,17 @@
                 for shed in self._queue(endpoint).offer(queued, now):
                     self._deliver(LeftQueue(shed.request.ticket, shed.reason), now)
                 self._pump(endpoint)
-            case Send(ticket):
-                self._start_attempt(ticket)
+            case Send(ticket, attempt):
+                self._spawn(self._attempt(ticket, attempt))
             case ScheduleRetry(ticket, at, reason):
                 self.retry_scheduled(self._requests[ticket].req.request_id, reason)
                 self._loop.call_later(max(0.0, at - now), self._retry, ticket)
             case CancelQueued(endpoint, ticket):
                 self._queue(endpoint).cancel(ticket)
-            case CancelAttempt():
+            case CancelAttempt(_, ticket):
                 # The answer is still awaited: it decides what a resend gets.
-                pass
+                sent = self._requests[ticket]
+                self._spawn(self._endpoints.cancel(sent.endpoint, sent.req.request_id))
             case ReplyAnswer(ticket, answer):
                 self._reply(ticket, lambda req: _answered(req, answer))
             case ReplyRefusal(ticket, refusal):
@@ -367,12 +369,12 @@
         for action in actions:
             self._carry_out(action, now)
 
-    def _start_attempt(self, ticket: int) -> None:
-        task = self._loop.create_task(self._attempt(ticket))
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = self._loop.create_task(work)
         self._attempts.add(task)
         task.add_done_callback(self._attempts.discard)
 
-    async def _attempt(self, ticket: int) -> None:
+    async def _attempt(self, ticket: int, attempt: int) -> None:
         queued = self._requests[ticket]
         endpoint, req = queued.endpoint, queued.req
         now = time.monotonic()
@@ -393,7 +395,14 @@
         )
         remaining_ms = max(1, int((queued.deadline - now) * 1000))
         try:
-            response = await self._endpoints.run(endpoint, work, token, remaining_ms)
+            response = await self._endpoints.run(
+                endpoint,
+                work,
+                token,
+                remaining_ms,
+                _progress_ms(queued.kind),
+                attempt,
+            )
         except CurlError as exc:
             if exc.refused:
                 # What waits is dispatched when the endpoint answers a renewal, or
@@ -412,6 +421,8 @@
     def _take_response(self, ticket: int, response: CurlResponse) -> None:
         if response.headers.get("arbutus-ran") == "no":
             refusal = response.headers.get("arbutus-refusal", "")
+            if refusal == "draining":
+                self.endpoint_drains(self._requests[ticket].endpoint.name)
             finish = Finish.OVERLOADED if refusal == "shed" else Finish.FAILED
             failure = REFUSAL_FAILURES.get(refusal, Failure.REFUSED)
             self._end_attempt(ticket, finish, failure)
@@ -535,6 +546,14 @@
     )
 
 
+def _progress_ms(kind: Kind) -> int:
+    """Return the progress timeout; 0 for work that could not be sent again."""
+    if not kind.repeatable:
+        return 0
+    # A timeout at the deadline would leave no time for the retry.
+    return min(kind.progress_ms, max(1, kind.timeout_ms // 2))
+
+
 def _failure_of(exc: CurlError, deadline: float) -> tuple[Finish, Failure]:
     if not exc.sent:
         return Finish.FAILED, Failure.CONNECTION_FAILED
--- a/arbutusflow/runtime/unit_histories.py
+++ b/arbutusflow/runtime/unit_histories.py
@@ -12,12 +12,18 @@
 import msgspec
 
 from arbutusflow.adapters.peer import PeerLink
-from arbutusflow.adapters.peer_messages import HistoryTold, KnownOutcome
+from arbutusflow.adapters.peer_messages import (
+    HistoryTold,
+    KnownOutcome,
+    KnownStrike,
+)
 from arbutusflow.domain.delivery import Delivery
 from arbutusflow.domain.delivery_messages import (
     Answer,
     Event,
     KnownRequest,
+    KnownStrikes,
+    StrikesAdopted,
     UnitAdopted,
     UnitLeft,
     UnitTaken,
@@ -48,10 +54,19 @@
     epoch: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Handed:
+    """What goes to the next coordinator; `complete` is False without a history."""
+
+    exported: UnitAdopted
+    strikes: tuple[KnownStrikes, ...]
+    complete: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Parted:
     tenure: Tenure
-    exported: UnitAdopted
+    handed: _Handed
     until: float
 
 
@@ -109,6 +124,11 @@
     def take(self, message: HistoryTold, now: float) -> None:
         """Adopt a history from the earlier coordinator, or keep it for later."""
         key = UnitKey(message.service, message.unit)
+        if message.strikes:
+            # They only make the coordinator more careful, so late ones count, too.
+            self._deliver(_strikes(message), now)
+        if not message.complete:
+            return
         if key in self._awaited:
             if _fits(message, self._tenures[key]):
                 del self._awaited[key]
@@ -179,18 +199,20 @@
         complete = self._awaited.pop(key, None) is None
         self._foreign_until.pop(key, None)
         exported = self._delivery.export_unit(key.service, key.unit, time.time())
+        strikes = self._delivery.export_strikes(key.service, key.unit, now)
         self._deliver(UnitLeft(key.service, key.unit), now)
-        if not complete:
+        if not (complete or strikes):
             return
         following = self._tenure_of(key)
         if following is None:
             return
+        handed = _Handed(exported, strikes, complete)
         if (following.sequence, following.epoch) == (tenure.sequence, tenure.epoch):
             # This instance ended before its heir is recorded.
             until = now + EARLY_HISTORY_SECONDS
-            self._parted[key] = _Parted(tenure, exported, until)
+            self._parted[key] = _Parted(tenure, handed, until)
             return
-        self._send(key, following, exported)
+        self._send(key, following, handed)
 
     def _send_parted(self) -> None:
         """Send the histories whose next coordinator is recorded now."""
@@ -202,7 +224,7 @@
             heir = dataclasses.replace(parted.tenure, epoch=parted.tenure.epoch + 1)
             # A later epoch means that another instance may have served in between.
             if following == heir:
-                self._send(key, following, parted.exported)
+                self._send(key, following, parted.handed)
 
     def _tenure_of(self, key: UnitKey) -> Tenure | None:
         """Return the recorded tenure of the unit, whoever coordinates it."""
@@ -213,19 +235,21 @@
             return None
         return Tenure(record.endpoint, row.sequence, record.epoch)
 
-    def _send(self, key: UnitKey, tenure: Tenure, exported: UnitAdopted) -> None:
+    def _send(self, key: UnitKey, tenure: Tenure, handed: _Handed) -> None:
         link = self._links.get(self._core.records[tenure.endpoint].coordinator)
         if link is None:
             return
-        outcomes = tuple(_outcome_of(item) for item in exported.requests)
+        known = handed.exported.requests if handed.complete else ()
         link.send(
             HistoryTold(
                 key.service,
                 key.unit,
                 tenure.sequence,
                 tenure.epoch,
-                exported.complete_after,
-                outcomes,
+                handed.exported.complete_after,
+                tuple(_outcome_of(item) for item in known),
+                tuple(_strike_of(item) for item in handed.strikes),
+                handed.complete,
             )
         )
 
@@ -265,6 +289,20 @@
     )
 
 
+def _strike_of(known: KnownStrikes) -> KnownStrike:
+    if isinstance(known.subject, bytes):
+        return KnownStrike(known.count, known.age_seconds, digest=known.subject)
+    return KnownStrike(known.count, known.age_seconds, known.subject)
+
+
+def _strikes(message: HistoryTold) -> StrikesAdopted:
+    strikes = tuple(
+        KnownStrikes(item.request_id or item.digest, item.count, item.age_seconds)
+        for item in message.strikes
+    )
+    return StrikesAdopted(message.service, message.unit, strikes)
+
+
 def _known(outcome: KnownOutcome) -> KnownRequest:
     result: Answer | Refusal
     if outcome.reason:
--- a/tests/test_unit_histories.py
+++ b/tests/test_unit_histories.py
@@ -45,7 +45,8 @@
     """Histories of instance i0, what they deliver and what they send to i1."""
     core, events, sent = FakeCore(), [], []
     delivery = types.SimpleNamespace(
-        export_unit=lambda service, unit, wall: UnitAdopted(service, unit, 3.0, ())
+        export_unit=lambda service, unit, wall: UnitAdopted(service, unit, 3.0, ()),
+        export_strikes=lambda service, unit, now: (),
     )
     links = {"i1": types.SimpleNamespace(send=sent.append)}
     histories = UnitHistories(
