Relay what the watching instance wrote itself

Cause: the zone's watcher knows its own writes already when the watch reports them, so it relayed nothing and its zone learnt them by anti-entropy. tests/test_relay.py failed on this in every run and passes now. Conclusion: relays carry every change.

--- a/arbutusflow/runtime/control.py
+++ b/arbutusflow/runtime/control.py
@@ -409,9 +409,10 @@
                 await asyncio.sleep(WATCH_RETRY_SECONDS)
                 continue
             self._revision = changes.revision
-            fresh = self.learn(changes.objects)
-            if fresh:
-                self._relay(fresh)
+            self.learn(changes.objects)
+            # What this instance wrote itself is known here, but not in its zone.
+            if changes.objects:
+                self._relay(changes.objects)
 
     async def _list_instances(self) -> None:
         """Read the platform's list while this instance is its zone's watcher."""
