Index the request history by unit

Cause: a hand-over exports the history of each unit, and each export visited all entries. With 50,000 entries the export of 256 units took 2.85 s of processor time on the event loop, longer than the lease; with the index it takes 0.10 s (same script, one after the other). Conclusion: a planned stop no longer blocks the loop.

--- a/arbutusflow/domain/request_history.py
+++ b/arbutusflow/domain/request_history.py
@@ -59,6 +59,9 @@
         self._max_bytes = max_bytes
         self._lifetime_seconds = lifetime_seconds
         self._entries: dict[str, Entry] = {}
+        # A hand-over exports each unit of an endpoint; without this index each
+        # export would visit all entries.
+        self._by_unit: dict[tuple[str, int], dict[str, Entry]] = {}
         self._by_creation: list[tuple[float, str]] = []
         self._answers: collections.OrderedDict[str, int] = collections.OrderedDict()
         self.bytes_retained = 0
@@ -76,6 +79,8 @@
         if entry.request_id not in self._entries and not self._make_room():
             return False
         self._entries[entry.request_id] = entry
+        unit = self._by_unit.setdefault((entry.service, entry.unit), {})
+        unit[entry.request_id] = entry
         return True
 
     def begin_again(self, entry: Entry, ticket: int) -> None:
@@ -94,7 +99,8 @@
 
     def forget(self, entry: Entry) -> None:
         """Remove an entry in progress whose request is proved not to have run."""
-        self._entries.pop(entry.request_id, None)
+        if entry.request_id in self._entries:
+            self._remove(entry)
 
     def expire(self, wall: float) -> None:
         """Drop finished entries whose identifiers are refused by their age."""
@@ -117,8 +123,7 @@
                 if entry.result is IN_PROGRESS
                 else entry.result,
             )
-            for entry in self._entries.values()
-            if (entry.service, entry.unit) == (service, unit)
+            for entry in self._by_unit.get((service, unit), {}).values()
         ]
 
     def adopt(self, service: str, unit: int, known: KnownRequest) -> None:
@@ -152,9 +157,16 @@
         if entry.result is IN_PROGRESS:
             return
         self._drop_answer(entry)
-        del self._entries[request_id]
+        self._remove(entry)
         self.evicted_until = max(self.evicted_until, created)
 
+    def _remove(self, entry: Entry) -> None:
+        del self._entries[entry.request_id]
+        unit = self._by_unit[entry.service, entry.unit]
+        del unit[entry.request_id]
+        if not unit:
+            del self._by_unit[entry.service, entry.unit]
+
     def _retain(self, entry: Entry, answer: Answer) -> None:
         size = answer.size_bytes
         if size > self._max_bytes // LARGEST_ANSWER_SHARE:
