Bound the request bodies that an instance holds

Cause: nothing limited how many bodies of up to 8 MB an instance held, and a frame between instances could carry 128 of them.

- `limits.held_body_bytes` (default 128 MiB) bounds them, at the entry hop and, for forwarded requests, at the coordinator.
A body that does not fit is refused whole before it is read (`queue_full`, 429, not-run, retry after 1 s).
- A frame between instances carries at most one body beyond 1 MiB.
- The ping of a peer stream may wait behind large bodies for 10 s.
Silence is counted from the moment the ping was sent; two streams had been closed as silent during a flood of uploads.

Not solved: during the flood the other requests through the entry wait.

--- a/arbutusflow/adapters/caller_http.py
+++ b/arbutusflow/adapters/caller_http.py
@@ -19,11 +19,13 @@
 from arbutusflow.adapters.logs import log_exception
 from arbutusflow.adapters.metrics import refusal_reason
 from arbutusflow.adapters.peer_messages import ForwardReply, ForwardRequest
+from arbutusflow.domain.body_budget import SMALL_BODY_BYTES, BodyBudget
 from arbutusflow.domain.configuration import Configuration, Kind, Service
 from arbutusflow.domain.reasons import RefusalReason
 
 MAX_DEADLINE_MS = 600_000
 MAX_CALLER_CHARACTERS = 255
+BODIES_RETRY_AFTER_MS = 1_000
 # A second value would be ignored here and might be read elsewhere.
 SINGLE_HEADERS = (
     "Arbutus-Request-Id",
@@ -53,12 +55,16 @@
     """The request breaks a rule; carries the answer."""
 
     def __init__(
-        self, reason: RefusalReason, detail: str, status: int | None = None
+        self,
+        reason: RefusalReason,
+        detail: str,
+        status: int | None = None,
+        retry_after_ms: int = 0,
     ) -> None:
         super().__init__(detail)
         self.reason = reason
         self.status = status or reason.status
-        self.problem = Problem("not-run", reason.value, detail)
+        self.problem = Problem("not-run", reason.value, detail, retry_after_ms)
 
 
 class CallerApplication:
@@ -69,15 +75,28 @@
         configuration: Callable[[], Configuration],
         accept: Callable[[ForwardRequest], Awaitable[ForwardReply]],
         on_refusal: Callable[[RefusalReason], None] = lambda reason: None,
+        bodies: BodyBudget | None = None,
     ) -> None:
+        self._bodies = bodies or BodyBudget(
+            lambda: configuration().limits.held_body_bytes
+        )
         self._configuration = configuration
         self._accept = accept
         self._on_refusal = on_refusal
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle one HTTP request."""
+        held = _HeldBody(self._bodies)
         try:
-            req = await self._parse(scope, receive)
+            await self._handle(scope, receive, send, held)
+        finally:
+            held.release()
+
+    async def _handle(
+        self, scope: Scope, receive: Receive, send: Send, held: "_HeldBody"
+    ) -> None:
+        try:
+            req = await self._parse(scope, receive, held)
         except BadRequest as exc:
             self._on_refusal(exc.reason)
             await _send_problem(send, exc.status, exc.problem)
@@ -118,7 +137,9 @@
             send, reply.status or STATUS_OF_OUTCOME[reply.outcome], problem
         )
 
-    async def _parse(self, scope: Scope, receive: Receive) -> ForwardRequest:
+    async def _parse(
+        self, scope: Scope, receive: Receive, held: "_HeldBody"
+    ) -> ForwardRequest:
         request = _request_of(scope)
         if request.method not in METHODS:
             raise BadRequest(
@@ -145,7 +166,7 @@
             )
         deadline_ms = _deadline_ms(request, kind.timeout_ms)
         digest = _digest_of_header(request)
-        body = await _read_body(request, receive, cfg.limits.body_bytes)
+        body = await _read_body(request, receive, cfg.limits.body_bytes, held)
         if digest is not None and digest != digest_of(body):
             raise BadRequest(
                 RefusalReason.UPLOAD_INCOMPLETE,
@@ -269,9 +290,40 @@
     return min(int(text), kind_timeout_ms)
 
 
-async def _read_body(request: Request, receive: Receive, limit: int) -> bytes:
+class _HeldBody:
+    """Bytes of the budget that one request holds."""
+
+    def __init__(self, bodies: BodyBudget) -> None:
+        self._bodies = bodies
+        self._size = 0
+
+    def grow(self, size: int) -> None:
+        """Hold at least `size` bytes; `BadRequest` if they exceed the budget."""
+        if size <= max(self._size, SMALL_BODY_BYTES):
+            return
+        if not self._bodies.take(size - self._size):
+            raise BadRequest(
+                RefusalReason.QUEUE_FULL,
+                "the instance holds as many request bodies as it may; send the "
+                "request again later",
+                retry_after_ms=BODIES_RETRY_AFTER_MS,
+            )
+        self._size = size
+
+    def release(self) -> None:
+        """Give all bytes back."""
+        self._bodies.release(self._size)
+        self._size = 0
+
+
+async def _read_body(
+    request: Request, receive: Receive, limit: int, held: _HeldBody
+) -> bytes:
     if request.content_length is not None and request.content_length > limit:
         raise _too_large(limit)
+    # Whole bodies are admitted, so that a flood cannot fill the budget with parts of
+    # which none can be completed.
+    held.grow(request.content_length or 0)
     parts, size = [], 0
     while True:
         message = await receive()
@@ -281,6 +333,7 @@
         size += len(parts[-1])
         if size > limit:
             raise _too_large(limit)
+        held.grow(size)
         if not message.get("more_body"):
             return b"".join(parts)
 
--- a/arbutusflow/adapters/peer.py
+++ b/arbutusflow/adapters/peer.py
@@ -23,6 +23,7 @@
 from arbutusflow.adapters.logs import log_exception
 from arbutusflow.adapters.peer_messages import (
     CancelRequest,
+    ForwardReply,
     ForwardRequest,
     PeerMessage,
     Reply,
@@ -42,8 +43,11 @@
 # Ticks are counted, not seconds, so that a pause of this process is not taken for
 # silence of the peer.
 SILENT_TICKS = 4
+# A ping waits behind large bodies, which take seconds while the peer is busy.
+BLOCKED_TICKS = 20
 # The client pings much more often. This only frees what a silent stream holds.
 ABANDONED_SECONDS = 30.0
+MAX_BATCH_BYTES = 1_048_576  # A frame of large bodies is held whole at both ends.
 MAX_BATCH = 128  # Bounds the delay that the first message of a frame sees.
 
 Handler = Callable[[PeerMessage], Awaitable[Reply | None]]
@@ -85,7 +89,9 @@
     ) -> None:
         self.address = address
         self._ping_seconds = ping_seconds
-        self._silent_ticks = 0
+        self._silent_ticks = 0  # Since a ping was sent that has no answer.
+        self._blocked_ticks = 0  # Since a ping waits to be sent.
+        self._ping_sent = False
         self._silence = asyncio.timeout(None)
         self._on_refused = on_refused
         self._queue: asyncio.Queue[PeerMessage] = asyncio.Queue()
@@ -129,11 +135,16 @@
         """Send a ping and close the stream if nothing arrived for too long."""
         if not self._connected.is_set():
             return
-        self._silent_ticks += 1
-        if self._silent_ticks > SILENT_TICKS:
+        if self._ping_sent:
+            self._silent_ticks += 1
+        elif self._blocked_ticks:
+            self._blocked_ticks += 1
+        if self._silent_ticks >= SILENT_TICKS or self._blocked_ticks > BLOCKED_TICKS:
             self._silence.reschedule(asyncio.get_running_loop().time())
             return
-        self._queue.put_nowait(StreamPing(self.next_id()))
+        if not self._ping_sent and not self._blocked_ticks:
+            self._blocked_ticks = 1
+            self._queue.put_nowait(StreamPing(self.next_id()))
 
     async def close(self) -> None:
         """Close the stream and fail the calls that wait."""
@@ -183,10 +194,10 @@
         ]
         try:
             async with asyncio.timeout(None) as self._silence:
-                self._silent_ticks = 0
+                self._heard()
                 self._connected.set()
                 while (frame := await stream.recv_message()) is not None:
-                    self._silent_ticks = 0
+                    self._heard()
                     self._resolve(decode_frame(frame))
         finally:
             self._connected.clear()
@@ -200,7 +211,15 @@
 
     async def _send_frames(self, stream: Any) -> None:
         while True:
-            await stream.send_message(encode_frame(await _take_batch(self._queue)))
+            batch = await _take_batch(self._queue)
+            await stream.send_message(encode_frame(batch))
+            if any(isinstance(message, StreamPing) for message in batch):
+                self._blocked_ticks = 0
+                self._ping_sent = True
+
+    def _heard(self) -> None:
+        self._silent_ticks = self._blocked_ticks = 0
+        self._ping_sent = False
 
     def _resolve(self, messages: list[PeerMessage]) -> None:
         for message in messages:
@@ -298,6 +317,12 @@
     forwarded.pop(message_id, None)
 
 
+def _body_bytes(message: PeerMessage) -> int:
+    if isinstance(message, ForwardRequest | ForwardReply):
+        return len(message.body)
+    return 0
+
+
 async def _next_frame(stream: Any) -> bytes | None:
     async with asyncio.timeout(ABANDONED_SECONDS):
         frame: bytes | None = await stream.recv_message()
@@ -306,6 +331,8 @@
 
 async def _take_batch(queue: "asyncio.Queue[PeerMessage]") -> list[PeerMessage]:
     batch = [await queue.get()]
-    while len(batch) < MAX_BATCH and not queue.empty():
+    size = _body_bytes(batch[0])
+    while len(batch) < MAX_BATCH and size < MAX_BATCH_BYTES and not queue.empty():
         batch.append(queue.get_nowait())
+        size += _body_bytes(batch[-1])
     return batch
--- a/arbutusflow/domain/configuration.py
+++ b/arbutusflow/domain/configuration.py
@@ -146,6 +146,17 @@
         int,
         About(ge=1024, le=67_108_864, description="Largest body of a request."),
     ] = 8_388_608
+    held_body_bytes: Annotated[
+        int,
+        About(
+            ge=1024,
+            le=17_179_869_184,
+            description="Bodies of all requests that an instance holds at once, as "
+            "the entry hop and as the coordinator; bodies of up to 16 KiB do not "
+            "count. It has to be at least `body_bytes` for the largest requests to "
+            "be served.",
+        ),
+    ] = 134_217_728
     queue_per_endpoint: Annotated[
         int,
         About(
--- a/arbutusflow/domain/reasons.py
+++ b/arbutusflow/domain/reasons.py
@@ -170,7 +170,9 @@
     RefusalReason.IN_PROGRESS: _unknown(
         "An earlier copy is in progress and too many copies wait for its answer."
     ),
-    RefusalReason.QUEUE_FULL: _shed("The queue of the endpoint is full."),
+    RefusalReason.QUEUE_FULL: _shed(
+        "The queue of the endpoint, or the memory for request bodies, is full."
+    ),
     RefusalReason.SHED_FOR_URGENT: _shed(
         "More urgent work took the place of the request in the full queue."
     ),
--- a/arbutusflow/measure/real_faults.py
+++ b/arbutusflow/measure/real_faults.py
@@ -21,6 +21,7 @@
 import typer
 import uuid6
 
+from arbutusflow.adapters.endpoint import digest_of
 from arbutusflow.adapters.settings import load_configuration
 from arbutusflow.domain.configuration import (
     Endpoint,
@@ -41,6 +42,8 @@
 LOSS_TARGET_SECONDS = 3.0
 MAX_CRASHED_ENDPOINTS = 2  # The design refuses a request after two strikes.
 CRASH_RESENDS = 10
+FLOOD_UPLOADS = 40  # At the default limits, 16 of the largest bodies fit.
+UPLOAD_TIMEOUT_MS = 30_000
 CRASH_REASON = "crashes_endpoints"
 DRAIN_TARGET_SECONDS = 3.0  # "After a few seconds" in promise 6.
 SERVICE_MS = 4.0
@@ -246,6 +249,49 @@
             return str(exc)
         return response.headers.get("arbutus-reason", "")
 
+    async def upload(
+        self, service: Service, number: int, body: bytes, digest: str
+    ) -> str:
+        """Send a body to the first entry instance; return its outcome and reason."""
+        kind = service.kinds[0]
+        request_id = str(uuid6.uuid7())
+        sent = time.monotonic()
+        outcome, reason, stored = "unknown", "no_answer", len(body)
+        with contextlib.suppress(CurlError):
+            response = await self.curl.perform(
+                CurlRequest(
+                    "POST",
+                    f"http://{HOST}:{self.fleet.ports.caller}"
+                    f"/v1/{service.name}/{kind.name}/upload-{number}",
+                    (
+                        f"Arbutus-Request-Id: {request_id}",
+                        f"Repr-Digest: {digest}",
+                    ),
+                    body,
+                    UPLOAD_TIMEOUT_MS,
+                )
+            )
+            outcome = response.headers.get("arbutus-outcome", "unknown")
+            reason = response.headers.get("arbutus-reason", "")
+            if outcome == "answered":
+                stored = msgspec.json.decode(response.body)["bytes"]
+        if stored != len(body):
+            self.broken.append(f"{request_id} stored {stored} of {len(body)} bytes")
+        who = (service.name, f"upload-{number}", request_id, kind.repeatable)
+        probe = Probe(*who, outcome, reason, sent, time.monotonic())
+        self.prober.probes.append(probe)
+        return f"{outcome} {reason}".strip()
+
+    def peak_mebibytes(self) -> list[int]:
+        """Return the largest resident memory of each entry instance so far."""
+        peaks = []
+        for peer in self.fleet.peers:
+            pid = self.fleet.processes[peer.instance].pid
+            status = pathlib.Path(f"/proc/{pid}/status").read_text()
+            (line,) = (i for i in status.splitlines() if i.startswith("VmHWM"))
+            peaks.append(int(line.split()[1]) // 1024)
+        return peaks
+
     async def platform_fault(self, fault: Fault) -> None:
         """Set a fault of the platform."""
         url = f"http://{HOST}:{self.fleet.ports.platform}/control/fault"
@@ -497,6 +543,21 @@
     run.broken += [f"bystander {item.request_id} was refused" for item in refused]
 
 
+async def upload_flood(run: FaultRun) -> None:
+    """Send many uploads of the largest size to one entry instance at once."""
+    service = run.fleet.cfg.services[2]
+    body = b"u" * run.fleet.cfg.limits.body_bytes
+    digest = digest_of(body)
+    before = run.peak_mebibytes()
+    replies = await asyncio.gather(
+        *(run.upload(service, number, body, digest) for number in range(FLOOD_UPLOADS))
+    )
+    after = run.peak_mebibytes()
+    outcomes = collections.Counter(replies)
+    typer.echo(f"uploads: {dict(outcomes)}")
+    typer.echo(f"peak memory of the entry instances in MiB: {before} before, {after}")
+
+
 FAULTS: tuple[tuple[str, float | None, FaultScript], ...] = (
     ("endpoint exits", LOSS_TARGET_SECONDS, endpoint_exits),
     ("endpoint freezes and returns", LOSS_TARGET_SECONDS, endpoint_freezes),
@@ -506,6 +567,7 @@
     ("platform down", 0.0, platform_outage),
     ("entry exits, platform down", LOSS_TARGET_SECONDS, entry_exits_during_outage),
     ("request crashes endpoints", LOSS_TARGET_SECONDS, request_crashes_endpoints),
+    ("flood of uploads", None, upload_flood),
     ("endpoint drains by notice", 0.0, endpoint_drains_by_notice),
     ("endpoint drained by the operator", 0.0, endpoint_drained_by_operator),
 )
--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -130,7 +130,10 @@
             loop.add_signal_handler(number, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         callers = CallerApplication(
-            lambda: self._control.core.cfg, self._accept, self._metrics.refused
+            lambda: self._control.core.cfg,
+            self._accept,
+            self._metrics.refused,
+            self._traffic.bodies,
         )
         admin = AdminApplication(
             self._control, self._request_log, self._is_ready, self._stopping.set
@@ -240,7 +243,7 @@
         match message:
             case ForwardRequest():
                 return await self._observer.observe(
-                    COORDINATOR, self._traffic.dispatch, message
+                    COORDINATOR, self._traffic.dispatch_forwarded, message
                 )
             case ObjectsChanged(objects):
                 self._control.learn(objects)
--- a/arbutusflow/runtime/traffic.py
+++ b/arbutusflow/runtime/traffic.py
@@ -23,6 +23,7 @@
     HistoryTold,
 )
 from arbutusflow.domain.admission import Drained, EndpointQueue
+from arbutusflow.domain.body_budget import SMALL_BODY_BYTES, BodyBudget
 from arbutusflow.domain.configuration import Configuration, Endpoint, Kind, Service
 from arbutusflow.domain.delivery import Delivery
 from arbutusflow.domain.delivery_messages import (
@@ -109,6 +110,7 @@
     ) -> None:
         self.unit_drained: Callable[[str, int], None] = lambda service, unit: None
         self.retry_scheduled: Callable[[str, RetryReason], None] = lambda req, why: None
+        self.bodies = BodyBudget(lambda: core.cfg.limits.held_body_bytes)
         self.endpoint_drains: Callable[[str], None] = lambda endpoint: None
         self.in_flight = 0
         self._core = core
@@ -240,6 +242,18 @@
         finally:
             self._forget(ticket)
 
+    async def dispatch_forwarded(self, req: ForwardRequest) -> ForwardReply:
+        """Queue a request of another entry hop if its body may be held."""
+        size = len(req.body)
+        if size <= SMALL_BODY_BYTES:
+            return await self.dispatch(req)
+        if not self.bodies.take(size):
+            return _refused(req, RefusalReason.QUEUE_FULL)
+        try:
+            return await self.dispatch(req)
+        finally:
+            self.bodies.release(size)
+
     def drain(self, service: str, unit: int) -> None:
         """Dispatch no more for the unit and report when none is in flight."""
         endpoint = self._owner_name(service, unit)
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -12,6 +12,7 @@
 import pytest
 
 from arbutusflow.adapters.peer import (
+    BLOCKED_TICKS,
     SILENT_TICKS,
     PeerCallError,
     PeerLink,
@@ -170,7 +171,11 @@
         relay.silence()
         waiting = asyncio.create_task(call(link))
         await relay.swallowed.wait()
-        for _ in range(SILENT_TICKS + 1):
+        link.tick()
+        while not link._ping_sent:
+            await asyncio.sleep(0)
+        for _ in range(SILENT_TICKS):
+            assert not waiting.done()
             link.tick()
         with pytest.raises(PeerCallError) as caught:
             await waiting
@@ -226,3 +231,18 @@
         server.close()
 
     asyncio.run(run())
+
+
+def test_ping_that_waits_behind_a_large_body_is_no_silence():
+    """Guards against streams that are closed while uploads take long to send."""
+
+    async def steps(relay, link):
+        await call(link)
+        waiting = asyncio.create_task(call(link))
+        await asyncio.sleep(0)
+        for _ in range(BLOCKED_TICKS):
+            link.tick()
+        assert isinstance(await waiting, VersionsTold)
+        assert relay.opened == 1
+
+    asyncio.run(with_link(steps))
--- /dev/null
+++ b/tests/test_uploads.py
@@ -0,0 +1,127 @@
+"""Large bodies: whole through the hops, and bounded in memory."""
+
+import asyncio
+import random
+import socket
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+
+from arbutusflow.adapters import peer
+from arbutusflow.adapters.caller_http import CallerApplication
+from arbutusflow.adapters.endpoint import digest_of
+from arbutusflow.adapters.peer import PeerLink, peer_server
+from arbutusflow.adapters.peer_messages import ForwardReply
+from arbutusflow.adapters.settings import Address
+from arbutusflow.domain.body_budget import SMALL_BODY_BYTES
+from arbutusflow.domain.configuration import Configuration, Limits
+from arbutusflow.runtime.traffic import TrafficTask
+from tests.test_cancellation import CFG, SCOPE, request
+
+BODY = random.Random(8).randbytes(Limits().body_bytes)
+LARGEST = 100_000
+SMALL = Configuration(1, CFG.services, Limits(LARGEST, LARGEST))
+
+
+class Caller:
+    """One request whose body arrives in two parts."""
+
+    def __init__(self, size, declared):
+        header = [(b"content-length", b"%d" % size)] if declared else []
+        self.scope = {**SCOPE, "headers": header}
+        self.parts = [b"x" * (size // 2), b"x" * (size - size // 2)]
+        self.sent = []
+
+    async def receive(self):
+        if not self.parts:
+            await asyncio.Event().wait()
+        body = self.parts.pop()
+        return {"type": "http.request", "body": body, "more_body": bool(self.parts)}
+
+    async def send(self, message):
+        self.sent.append(message)
+
+
+@pytest.mark.parametrize("declared", [True, False])
+def test_bodies_beyond_the_budget_are_refused_and_released_ones_make_room(declared):
+    """Guards against a flood of uploads that uses up the memory."""
+
+    async def run():
+        arrived, answer = asyncio.Event(), asyncio.Event()
+
+        async def accept(req):
+            arrived.set()
+            await answer.wait()
+            return ForwardReply(req.id, "answered", status=200)
+
+        application = CallerApplication(lambda: SMALL, accept)
+
+        async def upload(size):
+            caller = Caller(size, declared)
+            await application(caller.scope, caller.receive, caller.send)
+            return caller.sent
+
+        first = asyncio.create_task(upload(60_000))
+        await arrived.wait()
+        start, body = await upload(60_000)
+        problem = msgspec.json.decode(body["body"])
+        assert (start["status"], problem["outcome"]) == (429, "not-run")
+        assert problem["reason"] == "queue_full"
+        assert problem["retry_after_ms"] > 0
+        small = asyncio.create_task(upload(SMALL_BODY_BYTES))
+        await asyncio.sleep(0)
+        assert not small.done(), "small bodies go on"
+        answer.set()
+        assert (await small)[0]["status"] == 200
+        assert (await first)[0]["status"] == 200
+        assert (await upload(LARGEST))[0]["status"] == 200
+
+    asyncio.run(run())
+
+
+def test_coordinator_refuses_forwarded_bodies_beyond_the_budget():
+    """Guards against one coordinator that takes the uploads of all entry hops."""
+
+    async def run():
+        core = SimpleNamespace(cfg=SMALL, instance="entry-1")
+        traffic = TrafficTask(core, None, {}, None)
+        assert traffic.bodies.take(60_000)
+        large = msgspec.structs.replace(request("badge-7", 1), body=b"x" * 60_000)
+        reply = await traffic.dispatch_forwarded(large)
+        assert (reply.outcome, reply.reason) == ("not-run", "queue_full")
+        assert traffic.bodies.held_bytes == 60_000
+
+    asyncio.run(run())
+
+
+def test_largest_bodies_pass_the_peer_stream_whole_in_bounded_frames(monkeypatch):
+    """Guards against bodies cut at a window, and frames of many large bodies."""
+
+    async def run():
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            address = Address(*free.getsockname())
+        frames = []
+
+        def encode(messages, encode=peer.encode_frame):
+            frames.append([len(getattr(item, "body", b"")) for item in messages])
+            return encode(messages)
+
+        monkeypatch.setattr(peer, "encode_frame", encode)
+
+        async def handler(message):
+            digest = digest_of(message.body).encode()
+            return ForwardReply(message.id, "answered", body=digest)
+
+        async with peer_server(address, handler):
+            link = PeerLink(address)
+            uploads = [
+                msgspec.structs.replace(request("logo", number), body=BODY)
+                for number in range(3)
+            ]
+            replies = await asyncio.gather(*(link.call(i, 60.0) for i in uploads))
+            await link.close()
+        assert {reply.body for reply in replies} == {digest_of(BODY).encode()}
+        assert max(sizes.count(len(BODY)) for sizes in frames) == 1
+
+    asyncio.run(run())
