Wait for the probes under way before reading the logs

Cause: `Prober.stop` cancelled the senders but not their shielded requests, so one could be answered after the endpoint's log had been read.

--- a/arbutusflow/measure/real_faults.py
+++ b/arbutusflow/measure/real_faults.py
@@ -93,6 +93,7 @@
         self._services = fleet.cfg.services
         self.probes: list[Probe] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._under_way: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
         """Begin to send."""
@@ -107,11 +108,17 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        # Cancelling a task does not end its shielded request, which may still run
+        # while the logs of the endpoints are read.
+        await asyncio.gather(*self._under_way)
 
     async def _run(self, service: Service, key: str, number: int) -> None:
         await asyncio.sleep(PROBE_SECONDS * 10 * number / KEYS_PER_SERVICE)
         while True:
-            await asyncio.shield(asyncio.create_task(self._probe(service, key)))
+            probe = asyncio.create_task(self._probe(service, key))
+            self._under_way.add(probe)
+            probe.add_done_callback(self._under_way.discard)
+            await asyncio.shield(probe)
             await asyncio.sleep(PROBE_SECONDS * 10)
 
     async def _probe(self, service: Service, key: str) -> None:
