--- a/arbutusflow/adapters/caller_http.py
+++ b/arbutusflow/adapters/caller_http.py
@@ -18,11 +18,13 @@
 from arbutusflow.adapters.logs import log_exception
 from arbutusflow.adapters.metrics import refusal_reason
 from arbutusflow.adapters.peer_messages import ForwardReply, ForwardRequest
+from arbutusflow.domain.body_budget import SMALL_BODY_BYTES, BodyBudget
 from arbutusflow.domain.configuration import Configuration, Kind, Service
 from arbutusflow.domain.reasons import RefusalReason
 
 MAX_DEADLINE_MS = 600_000
 MAX_CALLER_CHARACTERS = 255
+BODIES_RETRY_AFTER_MS = 1_000
 # A second value would be ignored here and might be read elsewhere.
 SINGLE_HEADERS = (
     "Arbutus-Request-Id",
@@ -55,12 +57,16 @@
     """The request breaks a rule; carries the answer."""
 
     def __init__(
-        self, reason: RefusalReason, detail: str, status: int | None = None
+        self,
+        reason: RefusalReason,
+        detail: str,
+        status: int | None = None,
+        retry_after_ms: int = 0,
     ) -> None:
         super().__init__(detail)
         self.reason = reason
         self.status = status or reason.status
-        self.problem = Problem("not-run", reason.value, detail)
+        self.problem = Problem("not-run", reason.value, detail, retry_after_ms)
 
 
 class CallerApplication:
@@ -71,15 +77,28 @@
         configuration: Callable[[], Configuration],
         accept: Callable[[ForwardRequest], Awaitable[ForwardReply]],
         on_refusal: Callable[[RefusalReason], None] = lambda reason: None,
+        bodies: BodyBudget | None = None,
     ) -> None:
+        self._bodies = bodies or BodyBudget(
+            lambda: configuration().limits.held_body_bytes
+        )
         self._configuration = configuration
         self._accept = accept
         self._on_refusal = on_refusal
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle one HTTP request."""
+        held = _HeldBody(self._bodies)
         try:
-            req = await self._parse(scope, receive)
+            await self._handle(scope, receive, send, held)
+        finally:
+            held.release()
+
+    async def _handle(
+        self, scope: Scope, receive: Receive, send: Send, held: "_HeldBody"
+    ) -> None:
+        try:
+            req = await self._parse(scope, receive, held)
         except BadRequest as exc:
             self._on_refusal(exc.reason)
             await _send_problem(send, exc.status, exc.problem)
@@ -138,7 +157,9 @@
         finally:
             watcher.cancel()
 
-    async def _parse(self, scope: Scope, receive: Receive) -> ForwardRequest:
+    async def _parse(
+        self, scope: Scope, receive: Receive, held: "_HeldBody"
+    ) -> ForwardRequest:
         method = scope["method"]
         if method not in METHODS:
             raise BadRequest(
@@ -163,7 +184,7 @@
             )
         deadline_ms = _deadline_ms(headers, kind.timeout_ms)
         digest = _digest_of_header(headers)
-        body = await _read_body(headers, receive, cfg.limits.body_bytes)
+        body = await _read_body(headers, receive, cfg.limits.body_bytes, held)
         if digest is not None and digest != digest_of(body):
             raise BadRequest(
                 RefusalReason.UPLOAD_INCOMPLETE,
@@ -281,12 +302,43 @@
     return min(int(text), kind_timeout_ms)
 
 
-async def _read_body(headers: Headers, receive: Receive, limit: int) -> bytes:
+class _HeldBody:
+    """Bytes of the budget that one request holds."""
+
+    def __init__(self, bodies: BodyBudget) -> None:
+        self._bodies = bodies
+        self._size = 0
+
+    def grow(self, size: int) -> None:
+        """Hold at least `size` bytes; `BadRequest` if they exceed the budget."""
+        if size <= max(self._size, SMALL_BODY_BYTES):
+            return
+        if not self._bodies.take(size - self._size):
+            raise BadRequest(
+                RefusalReason.QUEUE_FULL,
+                "the instance holds as many request bodies as it may; send the "
+                "request again later",
+                retry_after_ms=BODIES_RETRY_AFTER_MS,
+            )
+        self._size = size
+
+    def release(self) -> None:
+        """Give all bytes back."""
+        self._bodies.release(self._size)
+        self._size = 0
+
+
+async def _read_body(
+    headers: Headers, receive: Receive, limit: int, held: _HeldBody
+) -> bytes:
     length = get_content_length(
         headers.get(b"content-length"), headers.get(b"transfer-encoding")
     )
     if length is not None and length > limit:
         raise _too_large(limit)
+    # Whole bodies are admitted, so that a flood cannot fill the budget with parts of
+    # which none can be completed.
+    held.grow(length or 0)
     parts, size = [], 0
     while True:
         message = await receive()
@@ -296,6 +348,7 @@
         size += len(parts[-1])
         if size > limit:
             raise _too_large(limit)
+        held.grow(size)
         if not message.get("more_body"):
             return b"".join(parts)
 
