Record the drain notice of an endpoint

Cause: only the coordinator receives the notice in a lease reply, so planners at other instances gave the units back. The notice stands in the endpoint record now: no move back in the fakes; the new test fails without the change for two of four endpoints. Conclusion: drains by notice end.

--- a/arbutusflow/domain/ownership_state.py
+++ b/arbutusflow/domain/ownership_state.py
@@ -234,8 +234,15 @@
         found = None if current is None else current.endpoint(endpoint)
         if found is None or found.state is EndpointState.DRAINING:
             return True
+        record = self.records.get(endpoint)
+        if record is not None and record.draining:
+            return True
         coordination = self.coordinations.get(endpoint)
-        return coordination is not None and coordination.endpoint_draining
+        return (
+            coordination is not None
+            and coordination.term > 0
+            and coordination.endpoint_draining
+        )
 
     def healthy(self, service: Service) -> list[Endpoint]:
         """Return the endpoints that may get new units.
--- a/arbutusflow/domain/records.py
+++ b/arbutusflow/domain/records.py
@@ -19,6 +19,7 @@
     `writer` is the mark that resolves a conditional update with a lost answer.
     `former` names instances of earlier epochs whose renewals the endpoint may
     still obey, because it has not acknowledged a term of this epoch yet.
+    `draining` tells that the endpoint itself announced that it leaves.
     """
 
     endpoint: str
@@ -30,6 +31,7 @@
     incarnation: str
     writer: str
     former: tuple[str, ...] = ()
+    draining: bool = False
 
     @property
     def term(self) -> int:
--- a/arbutusflow/domain/succession.py
+++ b/arbutusflow/domain/succession.py
@@ -269,10 +269,16 @@
         ):
             acknowledged = coordination.acknowledged
             self._record_self(endpoint, record, acknowledged, incarnation)
-        elif incarnation != record.incarnation or coordination.renouncements:
-            self._writer.write_record(
-                msgspec.structs.replace(record, incarnation=incarnation)
-            )
+            return
+        # Only the coordinator receives the notice; planners see it in the record.
+        draining = record.draining
+        if coordination.incarnation and not coordination.failures:
+            draining = coordination.endpoint_draining
+        current = msgspec.structs.replace(
+            record, incarnation=incarnation, draining=draining
+        )
+        if current != record or coordination.renouncements:
+            self._writer.write_record(current)
 
     def _incarnation(
         self,
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -131,6 +131,17 @@
     assert set(world.proofs()) == {Proof.REVOKED.value}
 
 
+@pytest.mark.parametrize("endpoint", ["e0", "e1", "e2", "e3"])
+def test_endpoint_that_drains_by_notice_gets_no_unit_back(endpoint):
+    """Guards against planners that do not know a notice its coordinator received."""
+    world = served_world(endpoints=4, partitions=16)
+    world.endpoints[endpoint].draining = True
+    world.run(6)
+    assert not world.platform.table().units_of(endpoint)
+    moves = [decision.what for decision in world.decisions]
+    assert not [move for move in moves if move.endswith(f" to {endpoint}")]
+
+
 def test_removed_endpoint_gives_its_units_away():
     """Guards against units that nobody coordinates after a configuration change."""
     world = served_world()
