Adopt histories whose epoch rose, and let waiting retries move along

The history is compared with the tenure that began, and waiting requests are refused as unit_moving before the export.

--- a/arbutusflow/domain/delivery.py
+++ b/arbutusflow/domain/delivery.py
@@ -48,6 +48,7 @@
     Tick,
     UnitAdopted,
     UnitLeft,
+    UnitMoving,
     UnitTaken,
 )
 from arbutusflow.domain.limits import RandomSource, RetryBudget, backoff_seconds
@@ -322,6 +323,8 @@
             case StrikesAdopted(service, unit, strikes):
                 self._guard.adopt((service, unit), strikes, now)
                 return []
+            case UnitMoving(service, unit):
+                return self._unit_moving(service, unit)
             case UnitLeft(service, unit):
                 self._complete_after.pop((service, unit), None)
                 return []
@@ -490,6 +493,19 @@
             return []
         return self._refuse_all(pending, reason)
 
+    def _unit_moving(self, service: str, unit: int) -> list[Action]:
+        """Refuse what waits for a retry; it would count as in progress elsewhere."""
+        waiting = [
+            pending
+            for pending in self._pending.values()
+            if (pending.request.service, pending.request.unit) == (service, unit)
+            and pending.state is _State.WAITING_FOR_RETRY
+        ]
+        actions: list[Action] = []
+        for pending in waiting:
+            actions += self._refuse_all(pending, RefusalReason.UNIT_MOVING)
+        return actions
+
     def _answered(self, ticket: int, answer: Answer) -> list[Action]:
         pending = self._end_attempt(ticket)
         if pending is None:
--- a/arbutusflow/domain/delivery_messages.py
+++ b/arbutusflow/domain/delivery_messages.py
@@ -159,6 +159,18 @@
     wall: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnitMoving:
+    """Another instance is to coordinate the unit; its history is exported next.
+
+    Requests that wait for a retry are refused, so that their entry instance can
+    send them to the next coordinator.
+    """
+
+    service: str
+    unit: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnitLeft:
     """This instance no longer coordinates the unit.
@@ -240,6 +252,7 @@
     | UnitTaken
     | UnitAdopted
     | StrikesAdopted
+    | UnitMoving
     | UnitLeft
     | Tick
 )
--- a/arbutusflow/runtime/unit_histories.py
+++ b/arbutusflow/runtime/unit_histories.py
@@ -26,6 +26,7 @@
     StrikesAdopted,
     UnitAdopted,
     UnitLeft,
+    UnitMoving,
     UnitTaken,
 )
 from arbutusflow.domain.ownership import OwnershipCore
@@ -54,6 +55,14 @@
     epoch: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Awaited:
+    """The tenure that began; its epoch may rise before the history arrives."""
+
+    tenure: Tenure
+    until: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Handed:
     """What goes to the next coordinator; `complete` is False without a history."""
@@ -96,7 +105,7 @@
         self._acting: set[str] = set()
         # Units whose earlier coordinator may have requests in flight, and until when.
         self._foreign_until: dict[UnitKey, float] = {}
-        self._awaited: dict[UnitKey, float] = {}
+        self._awaited: dict[UnitKey, _Awaited] = {}
         self._early: dict[UnitKey, _Early] = {}
         self._parted: dict[UnitKey, _Parted] = {}
 
@@ -129,8 +138,9 @@
             self._deliver(_strikes(message), now)
         if not message.complete:
             return
-        if key in self._awaited:
-            if _fits(message, self._tenures[key]):
+        awaited = self._awaited.get(key)
+        if awaited is not None:
+            if _fits(message, awaited.tenure):
                 del self._awaited[key]
                 self._adopt(message, now)
             return
@@ -139,7 +149,7 @@
 
     def tick(self, now: float) -> None:
         """Go on without the histories that did not arrive in time."""
-        for key in [key for key, until in self._awaited.items() if until <= now]:
+        for key in [key for key, item in self._awaited.items() if item.until <= now]:
             del self._awaited[key]
             self._await_foreign(key, now)
             self._deliver(UnitTaken(key.service, key.unit, time.time()), now)
@@ -181,7 +191,7 @@
         elif early is not None and _fits(early.message, tenure):
             self._adopt(early.message, now)
         else:
-            self._awaited[key] = now + HISTORY_WAIT_SECONDS
+            self._awaited[key] = _Awaited(tenure, now + HISTORY_WAIT_SECONDS)
 
     def _adopt(self, message: HistoryTold, now: float) -> None:
         in_progress = RefusalReason.IN_PROGRESS.value
@@ -198,6 +208,7 @@
         """Forget the unit and send its history to the next coordinator."""
         complete = self._awaited.pop(key, None) is None
         self._foreign_until.pop(key, None)
+        self._deliver(UnitMoving(key.service, key.unit), now)
         exported = self._delivery.export_unit(key.service, key.unit, time.time())
         strikes = self._delivery.export_strikes(key.service, key.unit, now)
         self._deliver(UnitLeft(key.service, key.unit), now)
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -583,6 +583,19 @@
     assert [name for name, _ in world.ran] == [request_id, fresh]
 
 
+def test_request_that_waits_for_a_retry_can_go_to_the_next_coordinator():
+    """Guards against an unknown outcome of a request that was never run."""
+    world = World()
+    request_id = uuid7(world.wall)
+    ticket = world.arrive(request_id)
+    world.dispatch(Failure.REFUSED)
+    world.end(0)
+    world.handle(messages.UnitMoving("shop", 1))
+    assert world.result(ticket) == ("not-run", "unit_moving")
+    history = world.delivery.export_unit("shop", 1, world.wall)
+    assert history.requests == ()
+
+
 def test_late_history_does_not_hide_runs_of_a_coordinator_in_between():
     """Guards against a delayed message that makes unknown identifiers look new."""
     world = World()
--- a/tests/test_unit_histories.py
+++ b/tests/test_unit_histories.py
@@ -6,7 +6,12 @@
 
 from arbutusflow.adapters.peer_messages import HistoryTold, KnownOutcome
 from arbutusflow.domain.configuration import Configuration, Kind, Rank, Service
-from arbutusflow.domain.delivery_messages import UnitAdopted, UnitLeft, UnitTaken
+from arbutusflow.domain.delivery_messages import (
+    UnitAdopted,
+    UnitLeft,
+    UnitMoving,
+    UnitTaken,
+)
 from arbutusflow.domain.partitions import OwnershipTable
 from arbutusflow.domain.reasons import RefusalReason
 from arbutusflow.domain.records import EndpointRecord
@@ -76,8 +81,7 @@
     world.core.own(0, "e0", "i0", epoch=3)
     world.histories.ownership_changed(12.0)
     assert world.histories.is_awaited("swaps", 0)
-    assert isinstance(world.events[1], UnitLeft)
-    assert len(world.events) == 2
+    assert [type(event) for event in world.events[1:]] == [UnitMoving, UnitLeft]
 
 
 @pytest.mark.parametrize("early", [True, False])
@@ -96,6 +100,16 @@
     assert not world.histories.is_awaited("swaps", 0)
 
 
+def test_history_is_adopted_after_the_epoch_rose(world):
+    """Guards against refusals when the heir records new successors at once."""
+    world.core.own(0, "e0", "i0", epoch=3)
+    world.histories.ownership_changed(10.0)
+    world.core.own(0, "e0", "i0", epoch=4)
+    world.histories.ownership_changed(10.1)
+    world.histories.take(told(1, 3), 10.2)
+    assert world.events == [UnitAdopted("swaps", 0, 3.0, ())]
+
+
 @pytest.mark.parametrize(("sequence", "epoch"), [(1, 2), (2, 3), (0, 3)])
 def test_history_of_another_tenure_is_not_adopted(world, sequence, epoch):
     """Guards against taking an old history for a complete one."""
