--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -8,13 +8,14 @@
 from hypothesis import Phase, find, given, settings, strategies as st
 
 from arbutusflow.domain import (
+    crash_guard,
     delivery as delivery_module,
     delivery_messages as messages,
     request_history,
 )
 from arbutusflow.domain.admission import EndpointQueue
 from arbutusflow.domain.configuration import Limits, Rank
-from arbutusflow.domain.delivery import CrashGuard, Delivery
+from arbutusflow.domain.delivery import Delivery
 from arbutusflow.domain.delivery_messages import Answer, Failure, content_digest
 from arbutusflow.domain.limits import Finish, FixedLimit
 from arbutusflow.domain.reasons import REFUSALS, Outcome, RefusalReason, RetryReason
@@ -543,12 +544,12 @@
     strikes = world.delivery._guard.strikes
     assert strikes("", world.requests[0].digest, world.now) == 1
     assert strikes("", world.requests[later].digest, world.now) == 0
-    guard = CrashGuard()
-    for number in range(delivery_module.MAX_SUSPECTS + 10):
+    guard = crash_guard.CrashGuard()
+    for number in range(crash_guard.MAX_SUSPECTS + 10):
         guard.strike({str(number): ("shop", 1)}, 0.0)
-    assert len(guard) == delivery_module.MAX_SUSPECTS
-    later = delivery_module.SUSPECT_SECONDS
-    assert guard.strikes(str(delivery_module.MAX_SUSPECTS), b"", later) == 0
+    assert len(guard) == crash_guard.MAX_SUSPECTS
+    later = crash_guard.SUSPECT_SECONDS
+    assert guard.strikes(str(crash_guard.MAX_SUSPECTS), b"", later) == 0
 
 
 def test_planned_move_keeps_the_history_and_refuses_nothing():
