Call the core for the owner of a unit

Cause: a private method of the traffic task only passed its call on to OwnershipCore.owner_of. It is removed; behaviour is the same. Conclusion: one way to ask for an owner.

--- a/arbutusflow/runtime/traffic.py
+++ b/arbutusflow/runtime/traffic.py
@@ -257,7 +257,7 @@
 
     def drain(self, service: str, unit: int) -> None:
         """Dispatch no more for the unit and report when none is in flight."""
-        endpoint = self._owner_name(service, unit)
+        endpoint = self._core.owner_of(service, unit)
         if endpoint is None:
             return
         drained = self._queue(endpoint).hold_unit(unit)
@@ -511,9 +511,6 @@
                 return service.name
         return ""
 
-    def _owner_name(self, service: str, unit: int) -> str | None:
-        return self._core.owner_of(service, unit)
-
     def _owner(self, service: Service, unit: int) -> Endpoint | None:
         name = self._core.owner_of(service.name, unit)
         return None if name is None else service.endpoint(name)
