--- /dev/null
+++ b/arbutusflow/adapters/endpoint.py
@@ -0,0 +1,91 @@
+"""Client of the endpoints: lease renewals and work.
+
+The protocol is HTTP. A renewal is `POST /control/lease` with JSON; work is sent
+to `/work/<service>/<kind>/<key>` with the fencing token, the unit, the request
+identifier and the remaining time in headers.
+"""
+
+import base64
+import dataclasses
+import hashlib
+import urllib.parse
+
+import msgspec
+
+from arbutusflow.domain.configuration import Endpoint
+from arbutusflow.domain.errors import EndpointError
+from arbutusflow.domain.records import LeaseRenewal, LeaseReply, Token
+from arbutusflow.runtime.curl_loop import CurlLoop, CurlRequest, CurlResponse
+
+LEASE_TIMEOUT_MS = 350
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """One request as it is sent to an endpoint."""
+
+    service: str
+    kind: str
+    key: str
+    unit: int
+    method: str
+    body: bytes
+    content_type: str
+    request_id: str
+    repeatable: bool
+
+
+class EndpointClient:
+    """Talks to endpoints over shared connections."""
+
+    def __init__(self, curl: CurlLoop) -> None:
+        self._curl = curl
+
+    async def renew(self, endpoint: Endpoint, renewal: LeaseRenewal) -> LeaseReply:
+        """Send a renewal; `EndpointError` if there is no usable answer."""
+        response = await self._curl.perform(
+            CurlRequest(
+                "POST",
+                f"http://{endpoint.host}:{endpoint.port}/control/lease",
+                ("Content-Type: application/json",),
+                msgspec.json.encode(renewal),
+                LEASE_TIMEOUT_MS,
+            )
+        )
+        if response.status != 200:
+            raise EndpointError(
+                f"{endpoint.name} answered a renewal with {response.status}"
+            )
+        try:
+            return msgspec.json.decode(response.body, type=LeaseReply)
+        except msgspec.MsgspecError as exc:
+            raise EndpointError(f"{endpoint.name} sent a malformed reply") from exc
+
+    async def run(
+        self, endpoint: Endpoint, work: Work, token: Token, timeout_ms: int
+    ) -> CurlResponse:
+        """Send work; `CurlError` if the whole answer did not arrive."""
+        key = urllib.parse.quote(work.key, safe="")
+        return await self._curl.perform(
+            CurlRequest(
+                work.method,
+                f"http://{endpoint.host}:{endpoint.port}/work/{work.service}/{work.kind}/{key}",
+                (
+                    f"Content-Type: {work.content_type}",
+                    f"Arbutus-Token: {token.term}.{token.sequence}",
+                    f"Arbutus-Unit: {work.unit}",
+                    f"Arbutus-Request-Id: {work.request_id}",
+                    f"Arbutus-Deadline-Ms: {timeout_ms}",
+                    f"Repr-Digest: {digest_of(work.body)}",
+                ),
+                work.body,
+                timeout_ms,
+                fresh_connection=not work.repeatable,
+            )
+        )
+
+
+def digest_of(body: bytes) -> str:
+    """Return the `Repr-Digest` header value of `body` (RFC 9530)."""
+    digest = base64.b64encode(hashlib.sha256(body).digest()).decode()
+    return f"sha-256=:{digest}:"
--- /dev/null
+++ b/arbutusflow/adapters/peer.py
@@ -0,0 +1,218 @@
+"""Streams between entry instances over `grpclib`.
+
+Each instance opens one stream to each peer that it sends to; replies come back
+on the same stream. Invariant: when a stream breaks, every call that waits on it
+fails, and the error tells whether the message can have left this process.
+"""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import grpclib.client
+import grpclib.const
+import grpclib.encoding.base
+import grpclib.exceptions
+import grpclib.server
+import msgspec
+
+from arbutusflow.adapters.logs import log_exception
+from arbutusflow.adapters.peer_messages import (
+    PeerMessage,
+    Reply,
+    decode_frame,
+    encode_frame,
+)
+from arbutusflow.adapters.settings import Address
+from arbutusflow.domain.errors import PeerError
+
+STREAM_METHOD = "/arbutusflow.Peer/Stream"
+CONNECT_TIMEOUT_SECONDS = 0.5
+RECONNECT_SECONDS = 0.2
+MAX_BATCH = 128  # Bounds the delay that the first message of a frame sees.
+
+Handler = Callable[[PeerMessage], Awaitable[Reply | None]]
+
+
+class PeerCallError(PeerError):
+    """A call to a peer failed; `sent` tells whether it may have been received."""
+
+    def __init__(self, message: str, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class _BytesCodec(grpclib.encoding.base.CodecBase):
+    """Passes frames through; `msgspec` encodes them."""
+
+    __content_subtype__ = "msgpack"
+
+    def encode(self, message: bytes, message_type: object) -> bytes:
+        return message
+
+    def decode(self, data: bytes, message_type: object) -> bytes:
+        return data
+
+
+class PeerLink:
+    """The stream to one peer, opened again whenever it breaks."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.refused = False
+        self._queue: asyncio.Queue[PeerMessage] = asyncio.Queue()
+        self._waiting: dict[int, asyncio.Future[Reply]] = {}
+        self._ids = itertools.count(1)
+        self._connected = asyncio.Event()
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def next_id(self) -> int:
+        """Return an identifier for a message that expects a reply."""
+        return next(self._ids)
+
+    def send(self, message: PeerMessage) -> None:
+        """Send a message that has no reply; it is dropped while disconnected."""
+        if self._connected.is_set():
+            self._queue.put_nowait(message)
+
+    async def call(self, message: PeerMessage, timeout: float) -> Reply:
+        """Send a message and return its reply; `PeerCallError` without one."""
+        if not self._connected.is_set():
+            try:
+                async with asyncio.timeout(min(timeout, CONNECT_TIMEOUT_SECONDS)):
+                    await self._connected.wait()
+            except TimeoutError:
+                raise PeerCallError("the peer is not connected", sent=False) from None
+        message_id: int = message.id  # type: ignore[union-attr]
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting[message_id] = fut
+        self._queue.put_nowait(message)
+        try:
+            async with asyncio.timeout(timeout):
+                return await fut
+        except TimeoutError:
+            raise PeerCallError("the peer did not reply in time", sent=True) from None
+        finally:
+            self._waiting.pop(message_id, None)
+
+    async def close(self) -> None:
+        """Close the stream and fail the calls that wait."""
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._connect()
+            except (OSError, grpclib.exceptions.StreamTerminatedError) as exc:
+                self.refused = isinstance(exc, ConnectionRefusedError)
+            except (grpclib.exceptions.GRPCError, msgspec.DecodeError) as exc:
+                log_exception("peer stream failed", exc)
+            self._disconnect()
+            await asyncio.sleep(RECONNECT_SECONDS)
+
+    async def _connect(self) -> None:
+        channel = grpclib.client.Channel(
+            self.address.host, self.address.port, codec=_BytesCodec()
+        )
+        method = grpclib.client.StreamStreamMethod(channel, STREAM_METHOD, bytes, bytes)
+        try:
+            async with method.open() as stream:
+                await stream.send_request()
+                self.refused = False
+                self._connected.set()
+                sender = asyncio.create_task(self._send_frames(stream))
+                try:
+                    while (frame := await stream.recv_message()) is not None:
+                        self._resolve(decode_frame(frame))
+                finally:
+                    sender.cancel()
+                    await stream.cancel()
+        finally:
+            channel.close()
+
+    async def _send_frames(self, stream: Any) -> None:
+        while True:
+            await stream.send_message(encode_frame(await _take_batch(self._queue)))
+
+    def _resolve(self, messages: list[PeerMessage]) -> None:
+        for message in messages:
+            fut = self._waiting.get(message.id)  # type: ignore[union-attr]
+            if fut is not None and not fut.done():
+                fut.set_result(message)  # type: ignore[arg-type]
+
+    def _disconnect(self) -> None:
+        self._connected.clear()
+        while not self._queue.empty():
+            self._queue.get_nowait()
+        for fut in self._waiting.values():
+            if not fut.done():
+                fut.set_exception(PeerCallError("the peer stream broke", sent=True))
+
+
+class PeerService:
+    """Server side of the streams; hands each message to a handler."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def __mapping__(self) -> dict[str, grpclib.const.Handler]:
+        """Return the method table that `grpclib` asks for."""
+        return {
+            STREAM_METHOD: grpclib.const.Handler(
+                self._serve, grpclib.const.Cardinality.STREAM_STREAM, bytes, bytes
+            )
+        }
+
+    async def _serve(self, stream: Any) -> None:
+        replies: asyncio.Queue[PeerMessage] = asyncio.Queue()
+        await stream.send_initial_metadata()
+        sender = asyncio.create_task(self._send_replies(stream, replies))
+        try:
+            while (frame := await stream.recv_message()) is not None:
+                for message in decode_frame(frame):
+                    task = asyncio.create_task(self._handle(message, replies))
+                    self._tasks.add(task)
+                    task.add_done_callback(self._tasks.discard)
+        finally:
+            sender.cancel()
+
+    async def _handle(
+        self, message: PeerMessage, replies: "asyncio.Queue[PeerMessage]"
+    ) -> None:
+        try:
+            reply = await self._handler(message)
+        except Exception as exc:
+            log_exception("peer message failed", exc)
+            return
+        if reply is not None:
+            replies.put_nowait(reply)
+
+    async def _send_replies(
+        self, stream: Any, replies: "asyncio.Queue[PeerMessage]"
+    ) -> None:
+        while True:
+            await stream.send_message(encode_frame(await _take_batch(replies)))
+
+
+@contextlib.asynccontextmanager
+async def peer_server(address: Address, handler: Handler) -> AsyncIterator[None]:
+    """Serve peer streams on `address` while the context is open."""
+    server = grpclib.server.Server([PeerService(handler)], codec=_BytesCodec())
+    await server.start(address.host, address.port)
+    try:
+        yield
+    finally:
+        server.close()
+        await server.wait_closed()
+
+
+async def _take_batch(queue: "asyncio.Queue[PeerMessage]") -> list[PeerMessage]:
+    batch = [await queue.get()]
+    while len(batch) < MAX_BATCH and not queue.empty():
+        batch.append(queue.get_nowait())
+    return batch
--- /dev/null
+++ b/arbutusflow/adapters/peer_messages.py
@@ -0,0 +1,109 @@
+"""Messages between entry instances on a peer stream.
+
+A frame is a MessagePack list of messages, so that many small messages share one
+write. A reply carries the `id` of the message that it answers.
+"""
+
+import msgspec
+
+from arbutusflow.adapters.platform import StoredObject
+
+
+class ForwardRequest(msgspec.Struct, frozen=True, tag="fwd"):
+    """A caller's request on its way to the coordinator of its endpoint.
+
+    `remaining_ms` is the time left until the caller's deadline.
+    """
+
+    id: int
+    service: str
+    kind: str
+    key: str
+    method: str
+    body: bytes
+    content_type: str
+    request_id: str
+    caller: str
+    remaining_ms: int
+
+
+class ForwardReply(msgspec.Struct, frozen=True, tag="fwd_reply"):
+    """Outcome of a forwarded request; `status` and `body` are the endpoint's."""
+
+    id: int
+    outcome: str
+    reason: str = ""
+    detail: str = ""
+    status: int = 0
+    body: bytes = b""
+    content_type: str = ""
+
+
+class CancelRequest(msgspec.Struct, frozen=True, tag="cancel"):
+    """The caller of forwarded request `id` has left."""
+
+    id: int
+
+
+class ObjectsChanged(msgspec.Struct, frozen=True, tag="changed"):
+    """Platform objects that the sender has learnt."""
+
+    objects: tuple[StoredObject, ...]
+
+
+class VersionsAsked(msgspec.Struct, frozen=True, tag="versions"):
+    """Asks for objects that are newer than the named versions."""
+
+    id: int
+    versions: dict[str, int]
+
+
+class VersionsTold(msgspec.Struct, frozen=True, tag="versions_reply"):
+    """Objects that the answering instance holds in a newer version."""
+
+    id: int
+    objects: tuple[StoredObject, ...]
+
+
+class RenouncementAsked(msgspec.Struct, frozen=True, tag="renounce"):
+    """Asks the receiver never to act on a version of an endpoint record."""
+
+    sender: str
+    endpoint: str
+    version: int
+
+
+class RenouncementTold(msgspec.Struct, frozen=True, tag="renounced"):
+    """The sender will not act on that version of the endpoint record."""
+
+    sender: str
+    endpoint: str
+    version: int
+    renewed: bool
+
+
+PeerMessage = (
+    ForwardRequest
+    | ForwardReply
+    | CancelRequest
+    | ObjectsChanged
+    | VersionsAsked
+    | VersionsTold
+    | RenouncementAsked
+    | RenouncementTold
+)
+
+Reply = ForwardReply | VersionsTold
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(list[PeerMessage])
+
+
+def encode_frame(messages: list[PeerMessage]) -> bytes:
+    """Return the frame that holds `messages`."""
+    return _encoder.encode(messages)
+
+
+def decode_frame(frame: bytes) -> list[PeerMessage]:
+    """Return the messages of `frame`; `msgspec.DecodeError` if it is malformed."""
+    return _decoder.decode(frame)
--- /dev/null
+++ b/arbutusflow/runtime/control.py
@@ -0,0 +1,382 @@
+"""Control task: runs the ownership core against platform, endpoints and peers.
+
+Invariants: the core is called by the loop's thread only; a platform object is
+taken over only in a higher version than the one known.
+"""
+
+import asyncio
+import collections
+import random
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+
+from arbutusflow.adapters.endpoint import EndpointClient
+from arbutusflow.adapters.logs import log_decision, log_event, log_exception
+from arbutusflow.adapters.peer import PeerCallError, PeerLink
+from arbutusflow.adapters.peer_messages import (
+    ObjectsChanged,
+    RenouncementAsked,
+    RenouncementTold,
+    VersionsAsked,
+    VersionsTold,
+)
+from arbutusflow.adapters.platform import (
+    Conflict,
+    PlatformClient,
+    StoredObject,
+    Unknown,
+    Written,
+)
+from arbutusflow.domain.configuration import (
+    Accepted,
+    Configuration,
+    Patch,
+    PatchResult,
+    apply_patch,
+)
+from arbutusflow.domain.errors import EndpointError, PlatformUnavailableError
+from arbutusflow.domain.ownership import RECORD_PREFIX, TABLE_PREFIX, OwnershipCore
+from arbutusflow.domain.ownership_messages import (
+    Action,
+    AnswerRenounce,
+    AskRenounce,
+    ConfigurationChanged,
+    DrainUnit,
+    Event,
+    LeaseFailed,
+    LeaseReplied,
+    ReadObjects,
+    Record,
+    RecordChanged,
+    RenounceAsked,
+    Renounced,
+    SendLease,
+    TableChanged,
+    Tick,
+    WriteConflicted,
+    WriteRecord,
+    WriteSucceeded,
+    WriteTable,
+    WriteUnknown,
+)
+from arbutusflow.domain.partitions import EncodedTable
+from arbutusflow.domain.placement import rendezvous
+from arbutusflow.domain.records import Decision, EndpointRecord
+from arbutusflow.runtime.curl_loop import CurlError
+from arbutusflow.runtime.timers import Timers
+
+TICK_SECONDS = 0.1
+ANTI_ENTROPY_SECONDS = 1.0
+WATCH_WAIT_MS = 10_000
+WATCH_RETRY_SECONDS = 0.5
+PATCH_ATTEMPTS = 10
+PATCH_RETRY_SECONDS = 0.3
+DECISIONS_KEPT = 4_096
+CONFIGURATION_NAME = "config/main"
+
+
+class PatchOutcomeUnknownError(PlatformUnavailableError):
+    """A patch may or may not have taken effect; its identifier resolves it."""
+
+
+class EndpointStatus(msgspec.Struct, frozen=True):
+    """Coordination of one endpoint; `acting` tells about the answering instance."""
+
+    endpoint: str
+    coordinator: str
+    term: int
+    acting: bool
+
+
+class InstanceStatus(msgspec.Struct, frozen=True):
+    """State of one entry instance.
+
+    `units` gives the number of units of each owner by service; an empty owner
+    stands for none. `platform_calls` counts calls by kind since the start.
+    """
+
+    instance: str
+    zone: str
+    configuration: int
+    endpoints: tuple[EndpointStatus, ...]
+    units: dict[str, dict[str, int]]
+    platform_calls: dict[str, int]
+
+
+class ControlTask:
+    """Owns the ownership core, the copies of platform objects and the watch."""
+
+    def __init__(
+        self,
+        core: OwnershipCore,
+        platform: PlatformClient,
+        endpoints: EndpointClient,
+        links: dict[str, PeerLink],
+        timers: Timers,
+    ) -> None:
+        self.core = core
+        self.decisions: collections.deque[Decision] = collections.deque(
+            maxlen=DECISIONS_KEPT
+        )
+        self.members: dict[str, str] = {core.instance: core.zone}
+        self.drain_unit: Callable[[str, int], None] = lambda service, unit: None
+        self._platform = platform
+        self._endpoints = endpoints
+        self._links = links
+        self._timers = timers
+        self._objects: dict[str, StoredObject] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._random = random.Random(core.instance)
+        self._revision = 0
+
+    def start(self) -> None:
+        """Begin to tick, to watch and to compare versions with peers."""
+        self._timers.subscribe(TICK_SECONDS, self._tick)
+        self._timers.subscribe(ANTI_ENTROPY_SECONDS, self._compare_versions)
+        self.spawn(self._watch())
+
+    def stop(self) -> None:
+        """Cancel what is under way."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    def handle(self, event: Event) -> None:
+        """Give an event to the core and carry out its actions."""
+        for action in self.core.handle(event, time.monotonic()):
+            self._carry_out(action)
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine beside the others until the task stops."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def learn(self, objects: tuple[StoredObject, ...]) -> tuple[StoredObject, ...]:
+        """Take over newer objects and return those that were new here."""
+        return tuple(item for item in objects if self._learn_one(item))
+
+    async def patch(self, patch: Patch) -> PatchResult:
+        """Apply an operator's patch; the answer comes once the platform holds it."""
+        for _ in range(PATCH_ATTEMPTS):
+            try:
+                result = await self._try_patch(patch)
+            except PlatformUnavailableError:
+                result = None
+            if result is not None:
+                return result
+            await asyncio.sleep(PATCH_RETRY_SECONDS)
+        raise PatchOutcomeUnknownError(
+            f"the platform does not answer; ask later whether patch {patch.id} "
+            "took effect, or send it again under the same identifier"
+        )
+
+    def status(self) -> InstanceStatus:
+        """Return what this instance knows and does."""
+        endpoints = tuple(
+            EndpointStatus(
+                name,
+                record.coordinator,
+                record.term,
+                self.core.acts_for(name),
+            )
+            for name, record in sorted(self.core.records.items())
+        )
+        units = {name: table.counts() for name, table in self.core.tables.items()}
+        return InstanceStatus(
+            self.core.instance,
+            self.core.zone,
+            self.core.cfg.number,
+            endpoints,
+            {
+                name: {owner or "": count for owner, count in counts.items()}
+                for name, counts in units.items()
+            },
+            dict(self._platform.calls),
+        )
+
+    def on_versions_asked(self, message: VersionsAsked) -> VersionsTold:
+        """Return the objects that the asking peer does not have."""
+        newer = tuple(
+            stored
+            for name, stored in self._objects.items()
+            if stored.version > message.versions.get(name, 0)
+        )
+        return VersionsTold(message.id, newer)
+
+    def on_renouncement_asked(self, message: RenouncementAsked) -> None:
+        """Pass a peer's question to the core."""
+        self.handle(RenounceAsked(message.sender, message.endpoint, message.version))
+
+    def on_renouncement_told(self, message: RenouncementTold) -> None:
+        """Pass a peer's renouncement to the core."""
+        self.handle(
+            Renounced(
+                message.sender, message.endpoint, message.version, message.renewed
+            )
+        )
+
+    # Actions
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case WriteRecord(name, if_version, record, operation):
+                value = msgspec.msgpack.encode(record)
+                self.spawn(self._write(name, if_version, value, operation))
+            case WriteTable(name, if_version, table, operation):
+                value = msgspec.msgpack.encode(table)
+                self.spawn(self._write(name, if_version, value, operation))
+            case ReadObjects(names):
+                self.spawn(self._read(names))
+            case SendLease():
+                self.spawn(self._send_lease(action))
+            case AskRenounce(instance, endpoint, version):
+                if instance in self._links:
+                    self._links[instance].send(
+                        RenouncementAsked(self.core.instance, endpoint, version)
+                    )
+            case AnswerRenounce(instance, answer):
+                if instance in self._links:
+                    self._links[instance].send(
+                        RenouncementTold(
+                            answer.sender,
+                            answer.endpoint,
+                            answer.version,
+                            answer.renewed,
+                        )
+                    )
+            case DrainUnit(service, unit):
+                self.drain_unit(service, unit)
+            case Record(decision):
+                self.decisions.append(decision)
+                log_decision(decision)
+
+    async def _write(
+        self, name: str, if_version: int, value: bytes, operation: int
+    ) -> None:
+        fut = self._platform.write(name, if_version, value)
+        match await asyncio.wrap_future(fut):
+            case Written(version):
+                self.learn((StoredObject(name, version, value),))
+                self.handle(WriteSucceeded(name, operation, version))
+            case Conflict():
+                self.handle(WriteConflicted(name, operation))
+            case Unknown(detail):
+                log_event("platform_write_unknown", object=name, detail=detail)
+                self.handle(WriteUnknown(name, operation))
+
+    async def _read(self, names: tuple[str, ...]) -> None:
+        for name in names:
+            try:
+                stored = await asyncio.wrap_future(self._platform.read(name))
+            except PlatformUnavailableError:
+                return
+            if not self._learn_one(stored):
+                # The core resolves an unknown write even if nothing is newer.
+                self._tell_core(stored)
+
+    async def _send_lease(self, action: SendLease) -> None:
+        name = action.endpoint.name
+        try:
+            reply = await self._endpoints.renew(action.endpoint, action.renewal)
+        except CurlError as exc:
+            self.handle(LeaseFailed(name, action.operation, exc.refused))
+        except EndpointError:
+            self.handle(LeaseFailed(name, action.operation, refused=False))
+        else:
+            self.handle(LeaseReplied(name, action.operation, reply))
+
+    # Platform objects
+
+    def _learn_one(self, stored: StoredObject) -> bool:
+        known = self._objects.get(stored.name)
+        if stored.version == 0 or (known and known.version >= stored.version):
+            return False
+        self._objects[stored.name] = stored
+        self._tell_core(stored)
+        return True
+
+    def _tell_core(self, stored: StoredObject) -> None:
+        name, version = stored.name, stored.version
+        value = stored.value if version else None
+        if name.startswith(RECORD_PREFIX):
+            record = value and msgspec.msgpack.decode(value, type=EndpointRecord)
+            self.handle(RecordChanged(name, version, record or None))
+        elif name.startswith(TABLE_PREFIX):
+            table = value and msgspec.msgpack.decode(value, type=EncodedTable)
+            self.handle(TableChanged(name, version, table or None))
+        elif name == CONFIGURATION_NAME and value:
+            cfg = msgspec.msgpack.decode(value, type=Configuration)
+            log_event("configuration_in_force", number=cfg.number)
+            self.handle(ConfigurationChanged(cfg))
+
+    async def _watch(self) -> None:
+        """Hold the platform watch while this instance is its zone's watcher."""
+        while True:
+            if not self._is_watcher():
+                await asyncio.sleep(WATCH_RETRY_SECONDS)
+                continue
+            try:
+                changes = await asyncio.wrap_future(
+                    self._platform.watch(self._revision, WATCH_WAIT_MS)
+                )
+            except PlatformUnavailableError:
+                await asyncio.sleep(WATCH_RETRY_SECONDS)
+                continue
+            self._revision = changes.revision
+            fresh = self.learn(changes.objects)
+            if fresh:
+                self._relay(fresh)
+
+    def _is_watcher(self) -> bool:
+        same_zone = [i for i, zone in self.members.items() if zone == self.core.zone]
+        return rendezvous("watch", same_zone) == self.core.instance
+
+    def _relay(self, objects: tuple[StoredObject, ...]) -> None:
+        for instance, link in self._links.items():
+            if self.members.get(instance) == self.core.zone:
+                link.send(ObjectsChanged(objects))
+
+    def _compare_versions(self) -> None:
+        if self._links:
+            name = self._random.choice(sorted(self._links))
+            self.spawn(self._ask_versions(self._links[name]))
+
+    async def _ask_versions(self, link: PeerLink) -> None:
+        versions = {name: item.version for name, item in self._objects.items()}
+        try:
+            reply = await link.call(VersionsAsked(link.next_id(), versions), 1.0)
+        except PeerCallError:
+            return
+        if isinstance(reply, VersionsTold):
+            self.learn(reply.objects)
+
+    async def _try_patch(self, patch: Patch) -> PatchResult | None:
+        stored = await asyncio.wrap_future(self._platform.read(CONFIGURATION_NAME))
+        self.learn((stored,))
+        current = Configuration()
+        if stored.version:
+            current = msgspec.msgpack.decode(stored.value, type=Configuration)
+        result, changed = apply_patch(current, patch)
+        if not isinstance(result, Accepted) or changed is current:
+            return result
+        value = msgspec.msgpack.encode(changed)
+        written = await asyncio.wrap_future(
+            self._platform.write(CONFIGURATION_NAME, stored.version, value)
+        )
+        if not isinstance(written, Written):
+            # A conflict or a lost answer: the next attempt reads what is there and
+            # finds the patch's identifier if it took effect.
+            return None
+        self.learn((StoredObject(CONFIGURATION_NAME, written.version, value),))
+        return result
+
+    def _tick(self) -> None:
+        self.handle(Tick(time.time()))
+
+    def _finished(self, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (exc := task.exception()) is not None:
+            log_exception("control task failed", exc)
--- /dev/null
+++ b/arbutusflow/runtime/entry.py
@@ -0,0 +1,181 @@
+"""Wiring of one entry process, and its graceful stop.
+
+Order of a stop: readiness fails, coordination is handed over, callers'
+connections are closed once their requests are answered, forwarded requests
+finish, the process ends.
+"""
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import AsyncIterator, Iterator
+
+import uvicorn
+
+from arbutusflow.adapters.admin_http import AdminApplication
+from arbutusflow.adapters.caller_http import CallerApplication
+from arbutusflow.adapters.endpoint import EndpointClient
+from arbutusflow.adapters.logs import log_event, start_logging
+from arbutusflow.adapters.peer import PeerLink, peer_server
+from arbutusflow.adapters.peer_messages import (
+    ForwardRequest,
+    ObjectsChanged,
+    PeerMessage,
+    RenouncementAsked,
+    RenouncementTold,
+    Reply,
+    VersionsAsked,
+)
+from arbutusflow.adapters.platform import PlatformClient
+from arbutusflow.adapters.settings import Address, EntrySettings
+from arbutusflow.domain.configuration import Configuration
+from arbutusflow.domain.ownership import OwnershipCore
+from arbutusflow.domain.ownership_messages import (
+    MembersChanged,
+    StopAsked,
+    UnitDrained,
+)
+from arbutusflow.runtime.control import ControlTask
+from arbutusflow.runtime.curl_loop import CurlLoop
+from arbutusflow.runtime.timers import TimerService
+from arbutusflow.runtime.traffic import TrafficTask
+
+READINESS_LEAD_SECONDS = 0.5  # Lets the balancer notice before connections close.
+HAND_OVER_SECONDS = 5.0
+FINISH_SECONDS = 20.0
+POLL_SECONDS = 0.05
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the entry process."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Install no handler."""
+        yield
+
+
+class EntryProcess:
+    """All tasks of one entry instance."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        loop = asyncio.get_running_loop()
+        self._settings = settings
+        self._stopping = asyncio.Event()
+        self._curl = CurlLoop(loop)
+        self._endpoints = EndpointClient(self._curl)
+        self._platform = PlatformClient.from_config(settings.platform_url)
+        self._links = {
+            peer.instance: PeerLink(peer.address)
+            for peer in settings.peers
+            if peer.instance != settings.instance
+        }
+        core = OwnershipCore.from_config(
+            settings.instance, settings.zone, Configuration()
+        )
+        self._control = ControlTask(
+            core, self._platform, self._endpoints, self._links, TimerService(loop)
+        )
+        self._traffic = TrafficTask(core, self._endpoints, self._links)
+        self._control.drain_unit = self._traffic.drain
+        self._traffic.unit_drained = self._unit_drained
+
+    async def run(self) -> None:
+        """Serve until a stop is asked for, then stop gracefully."""
+        settings = self._settings
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        zones = {peer.instance: peer.zone for peer in settings.peers}
+        zones[settings.instance] = settings.zone
+        self._control.members = zones
+        self._control.handle(MembersChanged(zones, frozenset(), frozenset()))
+        callers = CallerApplication(
+            lambda: self._control.core.cfg, self._traffic.accept
+        )
+        admin = AdminApplication(self._control, self._is_ready)
+        async with (
+            peer_server(settings.peer, self._on_peer_message),
+            _http_server(admin, settings.admin),
+            _http_server(callers, settings.caller),
+        ):
+            self._control.start()
+            log_event("started", instance=settings.instance, zone=settings.zone)
+            await self._stopping.wait()
+            await self._hand_over()
+        await self._finish()
+
+    def _is_ready(self) -> bool:
+        return not self._stopping.is_set() and self._control.core.cfg.number > 0
+
+    def _unit_drained(self, service: str, unit: int) -> None:
+        self._control.handle(UnitDrained(service, unit))
+
+    async def _on_peer_message(self, message: PeerMessage) -> Reply | None:
+        match message:
+            case ForwardRequest():
+                return await self._traffic.dispatch(message)
+            case ObjectsChanged(objects):
+                self._control.learn(objects)
+            case VersionsAsked():
+                return self._control.on_versions_asked(message)
+            case RenouncementAsked():
+                self._control.on_renouncement_asked(message)
+            case RenouncementTold():
+                self._control.on_renouncement_told(message)
+        return None
+
+    async def _hand_over(self) -> None:
+        log_event("stopping", instance=self._settings.instance)
+        self._control.handle(StopAsked())
+        await asyncio.sleep(READINESS_LEAD_SECONDS)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(HAND_OVER_SECONDS):
+                while not self._control.core.handed_over():
+                    await asyncio.sleep(POLL_SECONDS)
+
+    async def _finish(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FINISH_SECONDS):
+                while self._traffic.in_flight:
+                    await asyncio.sleep(POLL_SECONDS)
+        self._control.stop()
+        for link in self._links.values():
+            await link.close()
+        self._curl.close()
+        self._platform.close()
+        log_event("stopped", instance=self._settings.instance)
+
+
+@contextlib.asynccontextmanager
+async def _http_server(application: object, address: Address) -> AsyncIterator[None]:
+    """Serve `application` on `address` while the context is open."""
+    cfg = uvicorn.Config(
+        application,
+        host=address.host,
+        port=address.port,
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_level="warning",
+        access_log=False,
+        proxy_headers=False,
+        timeout_graceful_shutdown=int(FINISH_SECONDS),
+    )
+    server = _Server(cfg)
+    task = asyncio.create_task(server.serve())
+    try:
+        yield
+    finally:
+        server.should_exit = True
+        await task
+
+
+def run_entry(settings: EntrySettings) -> None:
+    """Run one entry instance until SIGTERM."""
+    start_logging()
+    asyncio.run(_run(settings))
+
+
+async def _run(settings: EntrySettings) -> None:
+    await EntryProcess(settings).run()
--- /dev/null
+++ b/arbutusflow/standins/demo.py
@@ -0,0 +1,226 @@
+"""Runs an example deployment and checks the promises on a mix of requests.
+
+Usage: `python -m arbutusflow.standins.demo examples/ecuador.yaml`. The exit
+status is 0 only if every promise held.
+"""
+
+import asyncio
+import collections
+import pathlib
+import random
+import sys
+import time
+from typing import Annotated
+
+import msgspec
+import typer
+import uuid6
+from hdrh.histogram import HdrHistogram
+
+from arbutusflow.adapters.settings import load_configuration
+from arbutusflow.domain.configuration import Configuration, Kind, Service
+from arbutusflow.runtime.curl_loop import CurlError, CurlLoop, CurlRequest
+from arbutusflow.standins.endpoint_server import LoggedWork
+from arbutusflow.standins.fleet import (
+    CALLER_PORT,
+    ENTRIES,
+    HOST,
+    Fleet,
+    FleetClient,
+    running_fleet,
+)
+
+SERVICE_MS = 4.0
+CALLERS = 24
+TRAFFIC_SECONDS = 8.0
+KEYS = 2_000
+MAX_LATENCY_US = 60_000_000
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """What an endpoint stand-in answers."""
+
+    endpoint: str
+    service: str
+    kind: str
+    key: str
+    request_id: str
+    bytes: int
+
+
+class Sent(msgspec.Struct, frozen=True):
+    """One request as its caller saw it."""
+
+    service: str
+    kind: Kind
+    key: str
+    request_id: str
+    outcome: str
+    reason: str
+    own_answer: bool
+    latency_us: int
+
+
+class DemoCaller:
+    """Sends a seeded mix of requests through all entry instances."""
+
+    def __init__(self, cfg: Configuration, curl: CurlLoop, seed: int) -> None:
+        self._choices = [(s, kind) for s in cfg.services for kind in s.kinds]
+        self._curl = curl
+        self._random = random.Random(seed)
+        self.sent: list[Sent] = []
+
+    async def run(self, until: float) -> None:
+        """Send requests one after the other until the loop's time is `until`."""
+        while asyncio.get_running_loop().time() < until:
+            service, kind = self._random.choice(self._choices)
+            await self._send(service, kind)
+
+    async def _send(self, service: Service, kind: Kind) -> None:
+        key = f"key-{self._random.randrange(KEYS)}"
+        request_id = str(uuid6.uuid7())
+        body = self._random.randbytes(self._random.randrange(1, 20_000))
+        port = CALLER_PORT + self._random.randrange(ENTRIES)
+        started = time.perf_counter()
+        outcome, reason, own_answer = "unknown", "caller_saw_no_answer", True
+        try:
+            response = await self._curl.perform(
+                CurlRequest(
+                    "POST",
+                    f"http://{HOST}:{port}/v1/{service.name}/{kind.name}/{key}",
+                    (f"Arbutus-Request-Id: {request_id}",),
+                    body,
+                    kind.timeout_ms + 1_000,
+                    fresh_connection=not kind.repeatable,
+                )
+            )
+        except CurlError as exc:
+            if not exc.sent:
+                outcome, reason = "not-run", "entry_not_reached"
+        else:
+            outcome = response.headers.get("arbutus-outcome", "unknown")
+            reason = response.headers.get("arbutus-reason", "")
+            if outcome == "answered":
+                answer = msgspec.json.decode(response.body, type=Answer)
+                own_answer = (
+                    answer.key == key
+                    and answer.request_id == request_id
+                    and answer.kind == kind.name
+                    and answer.bytes == len(body)
+                )
+        latency_us = int((time.perf_counter() - started) * 1e6)
+        self.sent.append(
+            Sent(
+                service.name,
+                kind,
+                key,
+                request_id,
+                outcome,
+                reason,
+                own_answer,
+                latency_us,
+            )
+        )
+
+
+def check_promises(sent: list[Sent], runs: collections.Counter[str]) -> list[str]:
+    """Return one sentence for each broken promise; `runs` counts runs by request."""
+    broken = []
+    for item in sent:
+        count = runs[item.request_id]
+        if not item.own_answer:
+            broken.append(f"request {item.request_id} got another request's answer")
+        if item.outcome == "not-run" and count:
+            broken.append(f"request {item.request_id} was refused as not run, but ran")
+        if item.outcome == "answered" and not count:
+            broken.append(f"request {item.request_id} was answered, but never ran")
+        if not item.kind.repeatable and count > 1:
+            broken.append(f"request {item.request_id} ran {count} times")
+    return broken
+
+
+async def count_runs(
+    cfg: Configuration, client: FleetClient
+) -> collections.Counter[str]:
+    """Return how often each request ran, by the endpoints' own logs."""
+    runs: collections.Counter[str] = collections.Counter()
+    for service in cfg.services:
+        for endpoint in service.endpoints:
+            url = f"http://{endpoint.host}:{endpoint.port}/control/log"
+            response = await client.get(url, 10_000)
+            for item in msgspec.json.decode(response.body, type=list[LoggedWork]):
+                runs[item.request_id] += 1
+    return runs
+
+
+def print_report(sent: list[Sent], broken: list[str]) -> None:
+    """Print outcomes and latency by service and kind."""
+    groups: dict[tuple[str, str], list[Sent]] = collections.defaultdict(list)
+    for item in sent:
+        groups[item.service, item.kind.name].append(item)
+    typer.echo(
+        f"{'service/kind':<26}{'rank':<12}{'sent':>7}{'answered':>9}{'not run':>8}"
+        f"{'unknown':>8}{'p50 ms':>8}{'p99 ms':>8}"
+    )
+    for (service, kind), items in sorted(groups.items()):
+        outcomes = collections.Counter(item.outcome for item in items)
+        histogram = HdrHistogram(1, MAX_LATENCY_US, 3)
+        for item in items:
+            histogram.record_value(min(item.latency_us, MAX_LATENCY_US))
+        typer.echo(
+            f"{service + '/' + kind:<26}{items[0].kind.rank.value:<12}{len(items):>7}"
+            f"{outcomes['answered']:>9}{outcomes['not-run']:>8}{outcomes['unknown']:>8}"
+            f"{histogram.get_value_at_percentile(50) / 1000:>8.1f}"
+            f"{histogram.get_value_at_percentile(99) / 1000:>8.1f}"
+        )
+    reasons = collections.Counter(item.reason for item in sent if item.reason)
+    typer.echo(f"reasons: {dict(reasons) or 'none'}")
+    for sentence in broken[:10]:
+        typer.echo(f"BROKEN: {sentence}")
+    typer.echo(f"promises broken: {len(broken)}")
+
+
+async def run_demo(fleet: Fleet, seed: int) -> int:
+    """Run the traffic against `fleet` and return the exit status."""
+    cfg = fleet.cfg
+    curl = CurlLoop(asyncio.get_running_loop(), max_host_connections=CALLERS * 2)
+    client = FleetClient(curl)
+    await client.wait_until_live()
+    accepted = await client.create_services(cfg)
+    typer.echo(f"operator patch: {accepted.body.decode()}")
+    started = time.monotonic()
+    await client.wait_until_served(cfg)
+    typer.echo(f"all keys served after {time.monotonic() - started:.1f} s")
+    caller = DemoCaller(cfg, curl, seed)
+    until = asyncio.get_running_loop().time() + TRAFFIC_SECONDS
+    await asyncio.gather(*(caller.run(until) for _ in range(CALLERS)))
+    runs = await count_runs(cfg, client)
+    broken = check_promises(caller.sent, runs)
+    if not any(item.outcome == "answered" for item in caller.sent):
+        broken.append("no request was answered")
+    print_report(caller.sent, broken)
+    curl.close()
+    return 1 if broken else 0
+
+
+def main(
+    configuration: Annotated[pathlib.Path, typer.Argument()],
+    seed: int = 1,
+    logs: pathlib.Path | None = None,
+) -> None:
+    """Run the example deployment in CONFIGURATION."""
+    cfg = load_configuration(configuration)
+    endpoints = sum(len(service.endpoints) for service in cfg.services)
+    typer.echo(
+        f"{configuration.stem}: {ENTRIES} entry instances, {endpoints} endpoints"
+    )
+    with running_fleet(cfg, SERVICE_MS, logs) as fleet:
+        status = asyncio.run(run_demo(fleet, seed))
+        failed = fleet.stop()
+    if failed:
+        typer.echo(f"BROKEN: entry instances that did not stop gracefully: {failed}")
+    sys.exit(1 if failed else status)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/arbutusflow/standins/endpoint_server.py
@@ -0,0 +1,160 @@
+"""Stand-in for an endpoint: fenced leases, slots, drain, load report, work log.
+
+The work log tells what ran, so that tests can check each outcome against it.
+"""
+
+import asyncio
+import os
+import secrets
+import time
+
+import msgspec
+
+from arbutusflow.adapters.endpoint import digest_of
+from arbutusflow.domain.records import LeaseRenewal, Token
+from arbutusflow.standins.endpoint_gate import EndpointGate
+from arbutusflow.standins.http_server import (
+    Receive,
+    Scope,
+    Send,
+    header,
+    read_body,
+    respond,
+    serve,
+)
+
+CRASH_BODY = b"crash"  # A request with this body ends the endpoint's process.
+
+
+class LoggedWork(msgspec.Struct, frozen=True):
+    """One request that the endpoint ran."""
+
+    request_id: str
+    service: str
+    kind: str
+    key: str
+
+
+class EndpointStandIn:
+    """One endpoint process."""
+
+    def __init__(
+        self, name: str, slots: int, service_ms: float, checks_tokens: bool
+    ) -> None:
+        self._name = name
+        self._gate = EndpointGate(secrets.token_hex(8), checks_tokens)
+        self._slots = asyncio.Semaphore(slots)
+        self._queue_limit = slots * 4
+        self._service_seconds = service_ms / 1000
+        self._load = 0
+        self._draining = False
+        self._log: list[LoggedWork] = []
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Handle one HTTP request."""
+        path = scope["raw_path"].decode().partition("?")[0]
+        try:
+            body = await read_body(receive)
+        except ConnectionError:
+            return
+        if path == "/control/lease":
+            await self._lease(body, send)
+        elif path == "/control/drain":
+            self._draining = True
+            await respond(send, 200)
+        elif path == "/control/log":
+            await respond(send, 200, msgspec.json.encode(self._log))
+        elif path.startswith("/work/"):
+            await self._work(path, scope, body, send)
+        else:
+            await respond(send, 404)
+
+    async def _lease(self, body: bytes, send: Send) -> None:
+        renewal = msgspec.json.decode(body, type=LeaseRenewal)
+        reply = self._gate.renew(renewal, time.monotonic(), self._load, self._draining)
+        await respond(send, 200, msgspec.json.encode(reply))
+
+    async def _work(self, path: str, scope: Scope, body: bytes, send: Send) -> None:
+        _, _, service, kind, key = path.split("/", 4)
+        refusal = self._refusal(service, scope, body)
+        if refusal:
+            await self._refuse(refusal, send)
+            return
+        self._load += 1
+        try:
+            deadline = int(header(scope, "arbutus-deadline-ms", "5000")) / 1000
+            async with asyncio.timeout(deadline):
+                await self._slots.acquire()
+        except TimeoutError:
+            await self._refuse("deadline_passed", send)
+            return
+        finally:
+            self._load -= 1
+        self._load += 1
+        try:
+            await self._run(service, kind, key, scope, body, send)
+        finally:
+            self._load -= 1
+            self._slots.release()
+
+    def _refusal(self, service: str, scope: Scope, body: bytes) -> str:
+        term, _, sequence = header(scope, "arbutus-token", "0.0").partition(".")
+        unit = int(header(scope, "arbutus-unit", "-1"))
+        token = Token(int(term), int(sequence))
+        if not self._gate.accepts(service, unit, token, time.monotonic()):
+            return "fenced"
+        if self._load >= self._queue_limit:
+            return "shed"
+        digest = header(scope, "repr-digest")
+        if digest and digest != digest_of(body):
+            return "digest_mismatch"
+        return ""
+
+    async def _refuse(self, refusal: str, send: Send) -> None:
+        headers = (("arbutus-ran", "no"), ("arbutus-refusal", refusal))
+        await respond(send, 503, b"", headers)
+
+    async def _run(
+        self, service: str, kind: str, key: str, scope: Scope, body: bytes, send: Send
+    ) -> None:
+        # The wait for a slot may have outlasted the lease.
+        refusal = self._refusal(service, scope, body) if self._gate_closed() else ""
+        if refusal == "fenced":
+            await self._refuse(refusal, send)
+            return
+        request_id = header(scope, "arbutus-request-id")
+        self._log.append(LoggedWork(request_id, service, kind, key))
+        if body == CRASH_BODY:
+            os._exit(70)
+        await asyncio.sleep(self._service_seconds)
+        answer = msgspec.json.encode(
+            {
+                "endpoint": self._name,
+                "service": service,
+                "kind": kind,
+                "key": key,
+                "request_id": request_id,
+                "bytes": len(body),
+            }
+        )
+        headers = (
+            ("content-type", "application/json"),
+            ("arbutus-ran", "yes"),
+            ("repr-digest", digest_of(answer)),
+        )
+        await respond(send, 200, answer, headers)
+
+    def _gate_closed(self) -> bool:
+        return self._gate.checks_tokens and time.monotonic() >= self._gate.lease_until
+
+
+def run_endpoint(
+    name: str,
+    host: str,
+    port: int,
+    slots: int,
+    service_ms: float,
+    checks_tokens: bool,
+) -> None:
+    """Serve the stand-in until the process is ended."""
+    serve(EndpointStandIn(name, slots, service_ms, checks_tokens), host, port)
--- /dev/null
+++ b/arbutusflow/standins/fleet.py
@@ -0,0 +1,231 @@
+"""Starts the processes of an example deployment on loopback addresses.
+
+Used by the demo, by measurements and by tests on real processes. The serving
+path never starts a process.
+"""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+
+import msgspec
+import yaml
+
+from arbutusflow.adapters.settings import Address, EntrySettings, Peer
+from arbutusflow.domain.configuration import (
+    Configuration,
+    Endpoint,
+    Patch,
+    PutService,
+    SetLimits,
+)
+from arbutusflow.runtime.control import InstanceStatus
+from arbutusflow.runtime.curl_loop import CurlError, CurlLoop, CurlRequest, CurlResponse
+
+HOST = "127.0.0.1"
+PLATFORM_PORT = 19_000
+CALLER_PORT = 19_100
+PEER_PORT = 19_200
+ADMIN_PORT = 19_300
+ENTRIES = 9
+START_SECONDS = 15.0
+STOP_SECONDS = 25.0
+POLL_SECONDS = 0.1
+
+
+class Fleet:
+    """Processes of one deployment: platform, endpoints and entry instances."""
+
+    def __init__(self, cfg: Configuration, directory: pathlib.Path) -> None:
+        self.cfg = cfg
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._directory = directory
+        zones = sorted(
+            {item.zone for service in cfg.services for item in service.endpoints}
+        )
+        self.peers = tuple(
+            Peer(
+                f"entry-{number + 1}",
+                zones[number % len(zones)],
+                Address(HOST, PEER_PORT + number),
+            )
+            for number in range(ENTRIES)
+        )
+
+    def start(self, service_ms: float) -> None:
+        """Start all processes; endpoints take `service_ms` for a request."""
+        self._start("platform", "standin", "platform", "--port", str(PLATFORM_PORT))
+        for service in self.cfg.services:
+            for endpoint in service.endpoints:
+                self.start_endpoint(endpoint, service_ms)
+        for number in range(ENTRIES):
+            self.start_entry(number)
+
+    def start_endpoint(self, endpoint: Endpoint, service_ms: float) -> None:
+        """Start the stand-in of one endpoint."""
+        checks = "--checks-tokens" if endpoint.checks_tokens else "--no-checks-tokens"
+        self._start(
+            endpoint.name,
+            "standin",
+            "endpoint",
+            endpoint.name,
+            "--port",
+            str(endpoint.port),
+            "--slots",
+            str(endpoint.slots),
+            "--service-ms",
+            str(service_ms),
+            checks,
+        )
+
+    def start_entry(self, number: int) -> None:
+        """Start entry instance `number`, counted from 0."""
+        peer = self.peers[number]
+        settings = EntrySettings(
+            instance=peer.instance,
+            zone=peer.zone,
+            caller=Address(HOST, CALLER_PORT + number),
+            peer=peer.address,
+            admin=Address(HOST, ADMIN_PORT + number),
+            platform_url=f"http://{HOST}:{PLATFORM_PORT}",
+            peers=self.peers,
+        )
+        path = self._directory / f"{peer.instance}.yaml"
+        path.write_text(yaml.safe_dump(msgspec.to_builtins(settings)))
+        self._start(peer.instance, "entry", str(path))
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self.processes[name].send_signal(number)
+
+    def stop(self) -> list[str]:
+        """Stop the entry instances gracefully, then the stand-ins.
+
+        Returns the entry instances that did not end by themselves with status 0.
+        """
+        entries = [peer.instance for peer in self.peers]
+        for name in entries:
+            self._terminate(name)
+        failed = [name for name in entries if not self._ended_well(name)]
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+        return failed
+
+    def log_of(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (self._directory / f"{name}.log").read_text()
+
+    def _start(self, name: str, *arguments: str) -> None:
+        with open(self._directory / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "arbutusflow", *arguments],
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    def _terminate(self, name: str) -> None:
+        process = self.processes.get(name)
+        if process is not None and process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+
+    def _ended_well(self, name: str) -> bool:
+        process = self.processes.get(name)
+        if process is None:
+            return True
+        try:
+            return process.wait(STOP_SECONDS) in (0, -signal.SIGKILL)
+        except subprocess.TimeoutExpired:
+            return False
+
+
+@contextlib.contextmanager
+def running_fleet(
+    cfg: Configuration, service_ms: float, logs: pathlib.Path | None = None
+) -> Iterator[Fleet]:
+    """Run a fleet while the context is open; every process is ended at its close.
+
+    Settings and logs of the processes are kept in `logs` if it is given.
+    """
+    with tempfile.TemporaryDirectory(prefix="arbutusflow-") as directory:
+        if logs is not None:
+            logs.mkdir(parents=True, exist_ok=True)
+        fleet = Fleet(cfg, logs or pathlib.Path(directory))
+        try:
+            fleet.start(service_ms)
+            yield fleet
+        finally:
+            fleet.stop()
+
+
+class FleetClient:
+    """Caller and operator of a fleet."""
+
+    def __init__(self, curl: CurlLoop) -> None:
+        self._curl = curl
+
+    async def get(self, url: str, timeout_ms: int = 2_000) -> CurlResponse:
+        """Fetch `url`; `CurlError` if no whole answer arrives."""
+        return await self._curl.perform(CurlRequest("GET", url, timeout_ms=timeout_ms))
+
+    async def post(self, url: str, value: object) -> CurlResponse:
+        """Send `value` as JSON; `CurlError` if no whole answer arrives."""
+        body = msgspec.json.encode(value)
+        return await self._curl.perform(CurlRequest("POST", url, (), body, 10_000))
+
+    async def status(self, number: int) -> InstanceStatus:
+        """Return the status of entry instance `number`."""
+        response = await self.get(f"http://{HOST}:{ADMIN_PORT + number}/status")
+        return msgspec.json.decode(response.body, type=InstanceStatus)
+
+    async def create_services(self, cfg: Configuration) -> CurlResponse:
+        """Create the services of `cfg` by one patch through the first instance."""
+        operations = [*(PutService(service) for service in cfg.services)]
+        patch = Patch("create-services", 0, (*operations, SetLimits(cfg.limits)))
+        url = f"http://{HOST}:{ADMIN_PORT}/config/patch"
+        return await self.post(url, patch)
+
+    async def wait_until_live(self) -> None:
+        """Wait until the platform and every entry instance answer."""
+        urls = [f"http://{HOST}:{PLATFORM_PORT}/instances"]
+        urls += [f"http://{HOST}:{ADMIN_PORT + i}/health/live" for i in range(ENTRIES)]
+        async with asyncio.timeout(START_SECONDS):
+            for url in urls:
+                while not await self._answers(url):
+                    await asyncio.sleep(POLL_SECONDS)
+
+    async def wait_until_served(self, cfg: Configuration) -> None:
+        """Wait until every instance knows an acting coordinator for each endpoint."""
+        expected = {item.name for service in cfg.services for item in service.endpoints}
+        async with asyncio.timeout(START_SECONDS):
+            while True:
+                found = [await self.status(number) for number in range(ENTRIES)]
+                acting = {
+                    item.endpoint
+                    for status in found
+                    for item in status.endpoints
+                    if item.acting
+                }
+                owned = all(
+                    status.units.get(service.name, {"": 1}).get("", 0) == 0
+                    for status in found
+                    for service in cfg.services
+                )
+                if owned and acting == expected:
+                    return
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def _answers(self, url: str) -> bool:
+        try:
+            return (await self.get(url, 500)).status == 200
+        except CurlError:
+            return False
--- /dev/null
+++ b/arbutusflow/standins/http_server.py
@@ -0,0 +1,64 @@
+"""Runs an ASGI application of a stand-in on one port until the process ends."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+import uvicorn
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+Application = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+
+def serve(application: Application, host: str, port: int) -> None:
+    """Serve `application` until SIGTERM or SIGINT."""
+    cfg = uvicorn.Config(
+        application,
+        host=host,
+        port=port,
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_level="warning",
+        access_log=False,
+        proxy_headers=False,
+        timeout_keep_alive=60,
+        timeout_graceful_shutdown=10,
+    )
+    asyncio.run(uvicorn.Server(cfg).serve())
+
+
+async def read_body(receive: Receive) -> bytes:
+    """Return the whole body; `ConnectionError` if the client leaves first."""
+    parts = []
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise ConnectionError("the client left before its request was complete")
+        parts.append(message.get("body", b""))
+        if not message.get("more_body"):
+            return b"".join(parts)
+
+
+def header(scope: Scope, name: str, default: str = "") -> str:
+    """Return the value of a request header, by its name in lower case."""
+    wanted = name.encode()
+    for key, value in scope["headers"]:
+        if key == wanted:
+            return value.decode("latin-1")
+    return default
+
+
+async def respond(
+    send: Send,
+    status: int,
+    body: bytes = b"",
+    headers: tuple[tuple[str, str], ...] = (),
+) -> None:
+    """Send a whole answer."""
+    encoded = [(name.encode(), value.encode()) for name, value in headers]
+    encoded.append((b"content-length", str(len(body)).encode()))
+    await send({"type": "http.response.start", "status": status, "headers": encoded})
+    await send({"type": "http.response.body", "body": body})
