--- a/arbutusflow/standins/endpoint_server.py
+++ b/arbutusflow/standins/endpoint_server.py
@@ -35,6 +35,41 @@
     key: str
 
 
+class Holding(msgspec.Struct, frozen=True):
+    """A time in which the endpoint would have accepted work for a unit.
+
+    Times are seconds of the machine's monotonic clock.
+    """
+
+    unit: int
+    since: float
+    until: float
+
+
+class HoldingLog:
+    """Times in which each unit was held, whether or not work arrived."""
+
+    def __init__(self) -> None:
+        self._open: dict[int, Holding] = {}
+        self.closed: list[Holding] = []
+
+    def update(self, held: dict[int, int], lease_until: float, now: float) -> None:
+        """Take over what a renewal changed at `now`."""
+        for unit in list(self._open):
+            if unit not in held or self._open[unit].until < now:
+                last = self._open.pop(unit)
+                self.closed.append(Holding(unit, last.since, min(last.until, now)))
+        if lease_until <= now:
+            return
+        for unit in held:
+            since = self._open[unit].since if unit in self._open else now
+            self._open[unit] = Holding(unit, since, lease_until)
+
+    def all(self) -> list[Holding]:
+        """Return the ended times and those that last until the lease expires."""
+        return [*self.closed, *self._open.values()]
+
+
 class EndpointStandIn:
     """One endpoint process."""
 
@@ -49,6 +84,7 @@
         self._load = 0
         self._draining = False
         self._log: list[LoggedWork] = []
+        self._holdings = HoldingLog()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle one HTTP request."""
@@ -64,6 +100,8 @@
             await respond(send, 200)
         elif path == "/control/log":
             await respond(send, 200, msgspec.json.encode(self._log))
+        elif path == "/control/holdings":
+            await respond(send, 200, msgspec.json.encode(self._holdings.all()))
         elif path.startswith("/work/"):
             await self._work(path, scope, body, send)
         else:
@@ -71,7 +109,9 @@
 
     async def _lease(self, body: bytes, send: Send) -> None:
         renewal = msgspec.json.decode(body, type=LeaseRenewal)
-        reply = self._gate.renew(renewal, time.monotonic(), self._load, self._draining)
+        now = time.monotonic()
+        reply = self._gate.renew(renewal, now, self._load, self._draining)
+        self._holdings.update(self._gate.held, self._gate.lease_until, now)
         await respond(send, 200, msgspec.json.encode(reply))
 
     async def _work(self, path: str, scope: Scope, body: bytes, send: Send) -> None:
