--- a/arbutusflow/adapters/caller_http.py
+++ b/arbutusflow/adapters/caller_http.py
@@ -4,6 +4,7 @@
 reason and a JSON body, so that a caller's program can decide what to do next.
 """
 
+import asyncio
 import math
 import urllib.parse
 from collections.abc import Awaitable, Callable, MutableMapping
@@ -83,8 +84,17 @@
             return
         except ConnectionError:
             return
+        task = asyncio.current_task()
+        assert task is not None
+        leaving = asyncio.create_task(_cancel_at_disconnect(receive, task))
         try:
             reply = await self._accept(req)
+        except asyncio.CancelledError:
+            if not leaving.done():
+                raise
+            task.uncancel()
+            self._on_refusal(RefusalReason.CALLER_LEFT)
+            return
         except Exception as exc:
             # The request may have been sent before the fault.
             log_exception("request", exc)
@@ -94,6 +104,8 @@
                 RefusalReason.COORDINATOR_LOST.value,
                 "the instance had an internal error; see its log",
             )
+        finally:
+            leaving.cancel()
         if reply.outcome == "answered":
             await _send_answer(send, req, reply)
             return
@@ -273,6 +285,12 @@
             return b"".join(parts)
 
 
+async def _cancel_at_disconnect(receive: Receive, task: "asyncio.Task[None]") -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    task.cancel()
+
+
 def _too_large(limit: int) -> BadRequest:
     return BadRequest(RefusalReason.BODY_TOO_LARGE, f"a body has at most {limit} bytes")
 
--- a/arbutusflow/adapters/endpoint.py
+++ b/arbutusflow/adapters/endpoint.py
@@ -2,10 +2,12 @@
 
 The protocol is HTTP. A renewal is `POST /control/lease` with JSON; work is sent
 to `/work/<service>/<kind>/<key>` with the fencing token, the unit, the request
-identifier and the remaining time in headers.
+identifier and the remaining time in headers. `POST /control/cancel/<request id>`
+says that nobody waits for a request.
 """
 
 import base64
+import contextlib
 import dataclasses
 import hashlib
 import urllib.parse
@@ -15,9 +17,15 @@
 from arbutusflow.domain.configuration import Endpoint
 from arbutusflow.domain.errors import EndpointError
 from arbutusflow.domain.records import LeaseRenewal, LeaseReply, Token
-from arbutusflow.runtime.curl_loop import CurlLoop, CurlRequest, CurlResponse
+from arbutusflow.runtime.curl_loop import (
+    CurlError,
+    CurlLoop,
+    CurlRequest,
+    CurlResponse,
+)
 
 LEASE_TIMEOUT_MS = 350
+CANCEL_TIMEOUT_MS = 350
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,8 +76,12 @@
         token: Token,
         timeout_ms: int,
         progress_ms: int = 0,
+        attempt: int = 1,
     ) -> CurlResponse:
-        """Send work; `CurlError` if the whole answer did not arrive."""
+        """Send work; `CurlError` if the whole answer did not arrive.
+
+        Later attempts, and work that may not be repeated, use a fresh connection.
+        """
         key = urllib.parse.quote(work.key, safe="")
         return await self._curl.perform(
             CurlRequest(
@@ -86,10 +98,25 @@
                 work.body,
                 timeout_ms,
                 progress_ms,
-                fresh_connection=not work.repeatable,
+                fresh_connection=not work.repeatable or attempt > 1,
             )
         )
 
+    async def cancel(self, endpoint: Endpoint, request_id: str) -> None:
+        """Tell the endpoint that nobody waits for the request any more.
+
+        How the request ends is learnt from its own answer.
+        """
+        name = urllib.parse.quote(request_id, safe="")
+        with contextlib.suppress(CurlError):
+            await self._curl.perform(
+                CurlRequest(
+                    "POST",
+                    f"http://{endpoint.host}:{endpoint.port}/control/cancel/{name}",
+                    timeout_ms=CANCEL_TIMEOUT_MS,
+                )
+            )
+
 
 def digest_of(body: bytes) -> str:
     """Return the `Repr-Digest` header value of `body` (RFC 9530)."""
--- a/arbutusflow/adapters/peer.py
+++ b/arbutusflow/adapters/peer.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
@@ -21,6 +22,8 @@
 
 from arbutusflow.adapters.logs import log_exception
 from arbutusflow.adapters.peer_messages import (
+    CancelRequest,
+    ForwardRequest,
     PeerMessage,
     Reply,
     StreamPing,
@@ -233,15 +236,24 @@
         replies: asyncio.Queue[PeerMessage] = asyncio.Queue()
         await stream.send_initial_metadata()
         sender = asyncio.create_task(self._send_replies(stream, replies))
+        forwarded: dict[int, asyncio.Task[None]] = {}
         try:
             while (frame := await _next_frame(stream)) is not None:
                 for message in decode_frame(frame):
                     if isinstance(message, StreamPing):
                         replies.put_nowait(StreamPong(message.id))
                         continue
+                    if isinstance(message, CancelRequest):
+                        if message.id in forwarded:
+                            forwarded[message.id].cancel()
+                        continue
                     task = asyncio.create_task(self._handle(message, replies))
                     self._tasks.add(task)
                     task.add_done_callback(self._tasks.discard)
+                    if isinstance(message, ForwardRequest):
+                        forwarded[message.id] = task
+                        forget = functools.partial(_forget, forwarded, message.id)
+                        task.add_done_callback(forget)
         except TimeoutError:
             return
         finally:
@@ -280,6 +292,12 @@
         await server.wait_closed()
 
 
+def _forget(
+    forwarded: "dict[int, asyncio.Task[None]]", message_id: int, task: object
+) -> None:
+    forwarded.pop(message_id, None)
+
+
 async def _next_frame(stream: Any) -> bytes | None:
     async with asyncio.timeout(ABANDONED_SECONDS):
         frame: bytes | None = await stream.recv_message()
--- a/arbutusflow/runtime/traffic.py
+++ b/arbutusflow/runtime/traffic.py
@@ -10,7 +10,7 @@
 import itertools
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 import msgspec
 
@@ -308,16 +308,17 @@
                 for shed in self._queue(endpoint).offer(queued, now):
                     self._deliver(LeftQueue(shed.request.ticket, shed.reason), now)
                 self._pump(endpoint)
-            case Send(ticket):
-                self._start_attempt(ticket)
+            case Send(ticket, attempt):
+                self._spawn(self._attempt(ticket, attempt))
             case ScheduleRetry(ticket, at, reason):
                 self.retry_scheduled(self._requests[ticket].req.request_id, reason)
                 self._loop.call_later(max(0.0, at - now), self._retry, ticket)
             case CancelQueued(endpoint, ticket):
                 self._queue(endpoint).cancel(ticket)
-            case CancelAttempt():
+            case CancelAttempt(_, ticket):
                 # The answer is still awaited: it decides what a resend gets.
-                pass
+                sent = self._requests[ticket]
+                self._spawn(self._endpoints.cancel(sent.endpoint, sent.req.request_id))
             case ReplyAnswer(ticket, answer):
                 self._reply(ticket, lambda req: _answered(req, answer))
             case ReplyRefusal(ticket, refusal):
@@ -365,12 +366,12 @@
         for action in actions:
             self._carry_out(action, now)
 
-    def _start_attempt(self, ticket: int) -> None:
-        task = self._loop.create_task(self._attempt(ticket))
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = self._loop.create_task(work)
         self._attempts.add(task)
         task.add_done_callback(self._attempts.discard)
 
-    async def _attempt(self, ticket: int) -> None:
+    async def _attempt(self, ticket: int, attempt: int) -> None:
         queued = self._requests[ticket]
         endpoint, req = queued.endpoint, queued.req
         now = time.monotonic()
@@ -392,7 +393,12 @@
         remaining_ms = max(1, int((queued.deadline - now) * 1000))
         try:
             response = await self._endpoints.run(
-                endpoint, work, token, remaining_ms, _progress_ms(queued.kind)
+                endpoint,
+                work,
+                token,
+                remaining_ms,
+                _progress_ms(queued.kind),
+                attempt,
             )
         except CurlError as exc:
             finish, failure = _failure_of(exc, queued.deadline)
--- a/arbutusflow/standins/endpoint_server.py
+++ b/arbutusflow/standins/endpoint_server.py
@@ -83,6 +83,7 @@
         self._service_seconds = service_ms / 1000
         self._load = 0
         self._draining = False
+        self._waiting: dict[str, asyncio.Timeout] = {}
         self._log: list[LoggedWork] = []
         self._holdings = HoldingLog()
 
@@ -98,6 +99,8 @@
         elif path == "/control/drain":
             self._draining = True
             await respond(send, 200)
+        elif path.startswith("/control/cancel/"):
+            await self._cancel(path.rpartition("/")[2], send)
         elif path == "/control/log":
             await respond(send, 200, msgspec.json.encode(self._log))
         elif path == "/control/holdings":
@@ -114,6 +117,14 @@
         self._holdings.update(self._gate.held, self._gate.lease_until, now)
         await respond(send, 200, msgspec.json.encode(reply))
 
+    async def _cancel(self, request_id: str, send: Send) -> None:
+        """End a request that waits for a slot, and say whether there was one."""
+        waiting = self._waiting.pop(request_id, None)
+        if waiting is not None:
+            waiting.reschedule(asyncio.get_running_loop().time())
+        body = msgspec.json.encode({"cancelled": waiting is not None})
+        await respond(send, 200, body)
+
     async def _work(self, path: str, scope: Scope, body: bytes, send: Send) -> None:
         _, _, service, kind, key = path.split("/", 4)
         refusal = self._refusal(service, scope, body)
@@ -122,14 +133,12 @@
             return
         self._load += 1
         try:
-            deadline = int(header(scope, "arbutus-deadline-ms", "5000")) / 1000
-            async with asyncio.timeout(deadline):
-                await self._slots.acquire()
-        except TimeoutError:
-            await self._refuse("deadline_passed", send)
-            return
+            refusal = await self._wait_for_slot(scope)
         finally:
             self._load -= 1
+        if refusal:
+            await self._refuse(refusal, send)
+            return
         self._load += 1
         try:
             await self._run(service, kind, key, scope, body, send)
@@ -137,6 +146,23 @@
             self._load -= 1
             self._slots.release()
 
+    async def _wait_for_slot(self, scope: Scope) -> str:
+        """Take a slot, or return why the request gets none."""
+        request_id = header(scope, "arbutus-request-id")
+        deadline = int(header(scope, "arbutus-deadline-ms", "5000")) / 1000
+        try:
+            async with asyncio.timeout(deadline) as waiting:
+                self._waiting[request_id] = waiting
+                await self._slots.acquire()
+        except TimeoutError:
+            own = self._waiting.pop(request_id, None)
+            return "cancelled" if own is None else "deadline_passed"
+        if self._waiting.pop(request_id, None) is None:
+            # It was cancelled in the moment in which a slot became free.
+            self._slots.release()
+            return "cancelled"
+        return ""
+
     def _refusal(self, service: str, scope: Scope, body: bytes) -> str:
         term, _, sequence = header(scope, "arbutus-token", "0.0").partition(".")
         unit = int(header(scope, "arbutus-unit", "-1"))
