--- a/arbutusflow/adapters/endpoint.py
+++ b/arbutusflow/adapters/endpoint.py
@@ -1,7 +1,7 @@
 """Client of the endpoints: lease renewals and work.
 
 The protocol is HTTP. A renewal is `POST /control/lease` with JSON; work is sent
-to `/work/<service>/<kind>/<key>` with the fencing token, the unit, the request
+to `/requests/<service>/<kind>/<key>` with the fencing token, the unit, the request
 identifier and the remaining time in headers. `POST /control/cancel/<request id>`
 says that nobody waits for a request.
 """
@@ -86,7 +86,7 @@
         return await self._curl.perform(
             CurlRequest(
                 work.method,
-                f"http://{endpoint.host}:{endpoint.port}/work/{work.service}/{work.kind}/{key}",
+                f"http://{endpoint.host}:{endpoint.port}/requests/{work.service}/{work.kind}/{key}",
                 (
                     f"Content-Type: {work.content_type}",
                     f"Arbutus-Token: {token.term}.{token.sequence}",
--- a/arbutusflow/measure/hot_path.py
+++ b/arbutusflow/measure/hot_path.py
@@ -348,7 +348,7 @@
         )
 
     def _load(self, fleet: Fleet, way: Way, rate: float, generator: int) -> Load:
-        port, prefix = fleet.cfg.services[0].endpoints[generator].port, "/work"
+        port, prefix = fleet.cfg.services[0].endpoints[generator].port, "/requests"
         if way.entry is not None:
             port, prefix = fleet.ports.caller + way.entry, "/v1"
         return Load(
--- a/arbutusflow/standins/endpoint_server.py
+++ b/arbutusflow/standins/endpoint_server.py
@@ -106,7 +106,7 @@
             await respond(send, 200, msgspec.json.encode(self._log))
         elif path == "/control/holdings":
             await respond(send, 200, msgspec.json.encode(self._holdings.all()))
-        elif path.startswith("/work/"):
+        elif path.startswith("/requests/"):
             await self._work(path, scope, body, send)
         else:
             await respond(send, 404)
