--- a/arbutusflow/cli/main.py
+++ b/arbutusflow/cli/main.py
@@ -11,6 +11,7 @@
     drain,
     entry,
     explain,
+    gateway,
     measure,
     reference,
     standin,
@@ -48,6 +49,7 @@
     epilog=EPILOG,
 )
 app.command("entry")(entry.entry)
+app.command("gateway")(gateway.gateway)
 app.add_typer(config.app, name="config")
 app.command("status")(status)
 app.add_typer(explain.app, name="explain")
--- a/arbutusflow/domain/crash_guard.py
+++ b/arbutusflow/domain/crash_guard.py
@@ -7,8 +7,6 @@
 import collections
 import dataclasses
 
-from arbutusflow.domain.delivery_messages import KnownStrikes
-
 MAX_STRIKES = 2
 MAX_SUSPECTS = 4096
 SUSPECT_SECONDS = 600.0
@@ -17,6 +15,19 @@
 UnitId = tuple[str, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownStrikes:
+    """Endpoint exits in which a request was in flight.
+
+    `subject` is its identifier or the digest of its content. Instances share no
+    monotonic clock, so the time of the last exit is told as an age.
+    """
+
+    subject: str | bytes
+    count: int
+    age_seconds: float
+
+
 class CrashGuard:
     """Counts in how many endpoint exits a request was in flight.
 
--- a/arbutusflow/domain/delivery.py
+++ b/arbutusflow/domain/delivery.py
@@ -24,6 +24,7 @@
 from arbutusflow.domain.crash_guard import (
     MAX_STRIKES,
     CrashGuard,
+    KnownStrikes,
     Subject,
     UnitId,
 )
@@ -42,7 +43,6 @@
     Event,
     Failure,
     KnownRequest,
-    KnownStrikes,
     LeftQueue,
     ReplyAnswer,
     ReplyRefusal,
--- a/arbutusflow/domain/delivery_messages.py
+++ b/arbutusflow/domain/delivery_messages.py
@@ -12,6 +12,7 @@
 
 from arbutusflow.domain.admission import QueuedRequest
 from arbutusflow.domain.configuration import Rank
+from arbutusflow.domain.crash_guard import KnownStrikes
 from arbutusflow.domain.reasons import Refusal, RefusalReason, RetryReason
 
 DIGEST_BYTES = 16
@@ -196,19 +197,6 @@
     result: Answer | Refusal
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class KnownStrikes:
-    """Endpoint exits in which a request was in flight.
-
-    `subject` is its identifier or the digest of its content. Instances share no
-    monotonic clock, so the time of the last exit is told as an age.
-    """
-
-    subject: str | bytes
-    count: int
-    age_seconds: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class StrikesAdopted:
     """An earlier coordinator of the unit counted endpoint exits for its requests."""
--- a/arbutusflow/domain/errors.py
+++ b/arbutusflow/domain/errors.py
@@ -39,6 +39,18 @@
     """
 
 
+class HistoryGoneError(PlatformError):
+    """The store no longer holds the changes since a revision."""
+
+
+class ConflictError(PlatformError):
+    """A conditional write met another revision; `current` is the object, if known."""
+
+    def __init__(self, current: object = None) -> None:
+        super().__init__("the object has another revision")
+        self.current = current
+
+
 class EndpointError(ArbutusflowError):
     """An endpoint did not give a usable answer."""
 
--- /dev/null
+++ b/arbutusflow/gateway/connection_pool.py
@@ -0,0 +1,98 @@
+"""Kept connections to the endpoints, within this instance's share of their caps.
+
+Invariant: a connection is either idle in the pool or owned by one exchange.
+"""
+
+import asyncio
+import collections
+import contextlib
+from collections.abc import AsyncIterator
+
+from arbutusflow.gateway.client_connection import ClientConnection
+from arbutusflow.gateway.model import Address, ExchangeError
+
+# Endpoints keep idle connections for about 10 s and say so in whole seconds; a
+# request that is sent as the endpoint closes may or may not have run.
+REUSE_FRACTION = 0.5
+REUSE_SECONDS = 4.0
+# A connection whose path or other end forgot it fails on the first write, which
+# leaves the outcome of a request that may run only once unknown.
+REUSE_AT_MOST_ONCE_SECONDS = 2.0
+CONNECT_SECONDS = 0.3
+
+
+class ConnectionPool:
+    """Connections by address."""
+
+    def __init__(self, id_header: bytes) -> None:
+        self._id_header = id_header
+        self._idle: dict[Address, collections.deque[ClientConnection]] = {}
+        self._open: collections.Counter[Address] = collections.Counter()
+        self.opened = 0
+
+    @contextlib.asynccontextmanager
+    async def connection(
+        self, address: Address, *, at_most_once: bool, timeout: float
+    ) -> AsyncIterator[ClientConnection]:
+        """Lend a connection; it returns to the pool if it is still usable.
+
+        Raises ExchangeError with `sent` false if none can be opened.
+        """
+        conn = self._take(address, at_most_once)
+        if conn is None:
+            conn = await ClientConnection.open(
+                address, min(timeout, CONNECT_SECONDS), self._id_header
+            )
+            self.opened += 1
+        self._open[address] += 1
+        try:
+            yield conn
+        finally:
+            self._open[address] -= 1
+            if conn.usable:
+                self._idle.setdefault(address, collections.deque()).append(conn)
+            else:
+                conn.close()
+
+    def _take(self, address: Address, at_most_once: bool) -> ClientConnection | None:
+        idle = self._idle.get(address)
+        if not idle:
+            return None
+        now = asyncio.get_running_loop().time()
+        bound = REUSE_AT_MOST_ONCE_SECONDS if at_most_once else REUSE_SECONDS
+        while idle:
+            conn = idle[-1]  # The most recently used one is the safest.
+            limit = min(bound, conn.idle_limit * REUSE_FRACTION)
+            if conn.usable and now - conn.idle_since < limit:
+                idle.pop()
+                return conn
+            if not conn.usable or now - conn.idle_since >= REUSE_SECONDS:
+                idle.pop()
+                conn.close()
+                continue
+            return None
+        return None
+
+    def busy(self, address: Address) -> int:
+        """Return how many exchanges with the address are under way."""
+        return self._open[address]
+
+    def prune(self) -> None:
+        """Close connections that will not be used again."""
+        now = asyncio.get_running_loop().time()
+        for address in list(self._idle):
+            idle = self._idle[address]
+            while idle and (
+                not idle[0].usable or now - idle[0].idle_since >= REUSE_SECONDS
+            ):
+                idle.popleft().close()
+            if not idle:
+                del self._idle[address]
+
+    def drop(self, address: Address) -> None:
+        """Close the idle connections to an address."""
+        for conn in self._idle.pop(address, ()):
+            conn.close()
+
+
+__all__ = ["ConnectionPool", "ExchangeError"]
--- /dev/null
+++ b/arbutusflow/gateway/endpoint_load.py
@@ -0,0 +1,143 @@
+"""What one instance knows about the load and the health of each endpoint.
+
+Invariant: an endpoint that the store does not list as ready is never chosen.
+"""
+
+import dataclasses
+
+from arbutusflow.gateway.model import Endpoint
+
+# First guess of the work of one request, until answers were measured.
+INITIAL_SERVICE_SECONDS = 0.15
+SERVICE_TIME_GAIN = 0.1  # Weight of the latest answer in the moving average.
+FAILURE_GAIN = 0.15
+REPORT_SECONDS = 0.1  # A load report in an answer describes about one service time.
+PEER_REPORT_SECONDS = 1.5  # An instance that is silent so long sends nothing more.
+FAILURE_WEIGHT = 6.0  # Expected cost of a failed request, in service times.
+COLD_FACTOR = 2.0  # Endpoints work at about half their speed after a start.
+DOWN_SECONDS = 0.4  # First pause after a failed connection; doubles.
+MAX_DOWN_SECONDS = 3.0
+# An answer takes bytes across zones, which are priced; the preference for the own
+# zone is worth this many service times.
+CROSS_ZONE_FACTOR = 0.5
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class EndpointState:
+    """Load and health of one life of an endpoint, as seen by this instance."""
+
+    endpoint: Endpoint
+    cold_until: float
+    own: int = 0  # Requests of this instance in flight.
+    service_seconds: float = INITIAL_SERVICE_SECONDS
+    failure_share: float = 0.0
+    down_until: float = 0.0
+    down_seconds: float = DOWN_SECONDS
+    reported_others: int = 0
+    reported_at: float = -1e9
+    last_answer: float = 0.0
+    leaving: bool = False
+    peers: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
+
+    def others(self, now: float) -> int:
+        """Return the requests of other instances in flight."""
+        total = 0
+        for count, since in self.peers.values():
+            if now - since < PEER_REPORT_SECONDS:
+                total += count
+        if now - self.reported_at < REPORT_SECONDS:
+            return max(total, self.reported_others)
+        return total
+
+    def expected_seconds(self, now: float) -> float:
+        """Return how long a request that is sent now is expected to take."""
+        work = self.service_seconds
+        if now < self.cold_until:
+            work *= COLD_FACTOR
+        ahead = self.own + self.others(now) + 1 - self.endpoint.slots
+        wait = max(0.0, ahead / self.endpoint.slots) * work
+        return wait + work
+
+    def note_answer(self, seconds: float, ahead: int, now: float) -> None:
+        """Learn from an answer; `ahead` requests were there when it was sent."""
+        rounds = max(1.0, (ahead + 1) / self.endpoint.slots)
+        sample = seconds / rounds
+        if now >= self.cold_until:
+            self.service_seconds += SERVICE_TIME_GAIN * (sample - self.service_seconds)
+        self.last_answer = now
+        self.down_seconds = DOWN_SECONDS
+        self.down_until = 0.0
+
+    def note_outcome(self, failed: bool) -> None:
+        """Count a failure or a success into the share of failures."""
+        self.failure_share += FAILURE_GAIN * (
+            (1.0 if failed else 0.0) - self.failure_share
+        )
+
+    def note_report(self, running: int, waiting: int, now: float) -> None:
+        """Keep the load that an answer reported."""
+        self.reported_others = max(0, running + waiting - self.own)
+        self.reported_at = now
+
+    def note_shed(self, now: float) -> None:
+        """Remember that the endpoint had no room."""
+        self.reported_others = max(self.reported_others, 4 * self.endpoint.slots)
+        self.reported_at = now
+
+    def note_unreachable(self, now: float) -> None:
+        """Leave the endpoint alone for a while that doubles."""
+        self.down_until = now + self.down_seconds
+        self.down_seconds = min(MAX_DOWN_SECONDS, self.down_seconds * 2)
+
+
+class EndpointTable:
+    """All known endpoints by service."""
+
+    def __init__(self, zone: str) -> None:
+        self._zone = zone
+        self.states: dict[str, EndpointState] = {}
+        self._services: dict[str, list[EndpointState]] = {}
+
+    def update(self, endpoints: dict[str, Endpoint], now: float) -> None:
+        """Take over the endpoints that the store lists."""
+        states: dict[str, EndpointState] = {}
+        for name, endpoint in endpoints.items():
+            known = self.states.get(name)
+            if known is None or known.endpoint.started_ms != endpoint.started_ms:
+                known = EndpointState(endpoint, cold_until=now + endpoint.cold_seconds)
+                known.service_seconds = self._typical_seconds(endpoint.service)
+            known.endpoint = endpoint
+            known.leaving = endpoint.draining
+            states[name] = known
+        self.states = states
+        self._services = {}
+        for state in states.values():
+            self._services.setdefault(state.endpoint.service, []).append(state)
+
+    def _typical_seconds(self, service: str) -> float:
+        times = sorted(s.service_seconds for s in self._services.get(service, ()))
+        return times[len(times) // 2] if times else INITIAL_SERVICE_SECONDS
+
+    def of_service(self, service: str) -> list[EndpointState]:
+        """Return the endpoints of a service."""
+        return self._services.get(service, [])
+
+    def cost(self, state: EndpointState, now: float) -> float:
+        """Return what a request at the endpoint costs, in seconds."""
+        cost = state.expected_seconds(now)
+        cost += FAILURE_WEIGHT * state.failure_share * state.service_seconds
+        if state.endpoint.zone != self._zone:
+            cost += CROSS_ZONE_FACTOR * state.service_seconds
+        return cost
+
+    def choose(self, service: str, tried: set[str], now: float) -> EndpointState | None:
+        """Return the endpoint with the least cost; None if none may be used."""
+        candidates = [
+            state
+            for state in self.of_service(service)
+            if not state.leaving and state.endpoint.id not in tried
+        ]
+        up = [state for state in candidates if now >= state.down_until]
+        # Refusing all work because every endpoint failed once would be worse than
+        # another attempt.
+        return min(up or candidates, key=lambda s: self.cost(s, now), default=None)
--- /dev/null
+++ b/arbutusflow/gateway/fleet.py
@@ -0,0 +1,231 @@
+"""The instances of the fleet and their right to grant keys.
+
+Safety of ownership rests on two rules:
+
+- An instance grants keys only while it has read the fleet's objects from the store
+  within `TOUCH_SECONDS`, or has heard from every other recorded instance within
+  that time.
+- Before keys move, each recorded instance has applied the table that says so. An
+  instance that does not report that is sent no more reports, so it stops to grant
+  after `TOUCH_SECONDS`.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+import msgspec
+import xxhash
+
+from arbutusflow.gateway.model import Address, Endpoint
+from arbutusflow.gateway.peers import ALIVE_SECONDS, PeerReports
+from arbutusflow.gateway.store_watch import ObjectCopy
+
+FLEET_KIND = "arbutusflow"
+INSTANCE_PREFIX = "instance-"
+TABLE_PREFIX = "keys-"
+# Bounds how long a cut-off instance goes on to grant, and so how long its silence
+# delays a move. Ten reports across zones may be lost before it takes effect.
+TOUCH_SECONDS = 3.0
+TOUCH_SLACK_SECONDS = 0.3  # For reports under way when sending stopped.
+# A gap between two timer ticks that shows that the process stood still; what
+# arrived meanwhile says nothing about now.
+STALL_SECONDS = 0.5
+EXCLUDE_AFTER_SECONDS = 1.0  # Without applying a table that moves keys.
+FORGET_SECONDS = 5.0  # A silent instance is removed from the records.
+
+
+class InstanceRecord(msgspec.Struct, frozen=True):
+    """How an instance is found by the others."""
+
+    name: str
+    life: int
+    host: str
+    port: int
+    zone: str
+
+
+def score(*parts: str) -> int:
+    """Return a hash that ranks instances alike everywhere."""
+    return xxhash.xxh3_64_intdigest("\0".join(parts).encode())
+
+
+@dataclasses.dataclass(slots=True)
+class _Exclusion:
+    """An instance that is sent no reports."""
+
+    life: int
+    since: float
+
+
+class Fleet:
+    """Recorded instances, who was heard of, and who is excluded."""
+
+    def __init__(
+        self, me: InstanceRecord, copy: ObjectCopy, peers: PeerReports, now: float
+    ) -> None:
+        self.me = me
+        self._copy = copy
+        self._peers = peers
+        self._started = now
+        self._first_seen: dict[tuple[str, int], float] = {}
+        self._excluded: dict[str, _Exclusion] = {}
+        self._touch_reset = -1e9
+        self.records: dict[str, InstanceRecord] = {}
+
+    def update(self, now: float) -> None:
+        """Take over the records that the store holds."""
+        records: dict[str, InstanceRecord] = {}
+        for name, item in self._copy.objects.items():
+            if not name.startswith(INSTANCE_PREFIX):
+                continue
+            try:
+                record = msgspec.convert(item.spec, InstanceRecord)
+            except msgspec.ValidationError:
+                continue  # Only this project writes this kind; a later version may.
+            records[record.name] = record
+            self._first_seen.setdefault((record.name, record.life), now)
+        self.records = records
+        for name, exclusion in list(self._excluded.items()):
+            if name not in records or records[name].life != exclusion.life:
+                del self._excluded[name]
+
+    @property
+    def registered(self) -> bool:
+        """Whether the record of this life is in the store."""
+        record = self.records.get(self.me.name)
+        return record is not None and record.life == self.me.life
+
+    def others(self) -> Iterable[InstanceRecord]:
+        """Return the records of all other instances."""
+        return (r for r in self.records.values() if r.name != self.me.name)
+
+    def heard_at(self, record: InstanceRecord) -> float | None:
+        """Return when this life of an instance was last heard of."""
+        peer = self._peers.peers.get(record.name)
+        if peer is None or peer.report.life != record.life:
+            return None
+        return peer.heard
+
+    def targets(self, now: float, same_zone: bool) -> list[Address]:
+        """Return where reports go: to instances in or outside the own zone."""
+        return [
+            Address(record.host, record.port)
+            for record in self.others()
+            if record.name not in self._excluded
+            and (record.zone == self.me.zone) == same_zone
+        ]
+
+    def alive(self, now: float) -> list[InstanceRecord]:
+        """Return this instance and those that were heard of recently."""
+        result = [self.me]
+        for record in self.others():
+            heard = self.heard_at(record)
+            if heard is not None and now - heard < ALIVE_SECONDS:
+                result.append(record)
+        return result
+
+    def in_touch(self, now: float) -> bool:
+        """Return whether the store was read recently enough to write a plan."""
+        return self._copy.lost_at is None and self._copy.known
+
+    # The right to grant.
+
+    def note_stall(self, now: float) -> None:
+        """Forget all contact: the process stood still."""
+        self._touch_reset = now
+        self._copy.current_at = -1e9
+
+    def may_grant(self, now: float) -> bool:
+        """Return whether this instance may grant keys by its copy of the tables."""
+        if not self.registered:
+            return False
+        if now - self._copy.current_at < TOUCH_SECONDS:
+            return True
+        return self.hears_all(now)
+
+    def hears_all(self, now: float) -> bool:
+        """Return whether every other recorded instance was heard of recently."""
+        for record in self.others():
+            heard = self.heard_at(record)
+            if heard is None or heard < self._touch_reset:
+                return False
+            if now - heard >= TOUCH_SECONDS:
+                return False
+        return True
+
+    # Agreement on a revision.
+
+    def stopped_at(
+        self, record: InstanceRecord, revision: int, since: float, now: float
+    ) -> float | None:
+        """Return when an instance had stopped to act on tables before `revision`.
+
+        None if it may still do so. `since` is when this instance first saw the
+        revision. An instance that does not apply it in time is excluded.
+        """
+        heard = self.heard_at(record)
+        peer = self._peers.peers.get(record.name)
+        if heard is not None and peer is not None and peer.report.applied >= revision:
+            self._excluded.pop(record.name, None)
+            return since
+        exclusion = self._excluded.get(record.name)
+        if exclusion is None:
+            if now - since >= EXCLUDE_AFTER_SECONDS:
+                self._excluded[record.name] = _Exclusion(record.life, now)
+            return None
+        silent_at = exclusion.since + TOUCH_SECONDS + TOUCH_SLACK_SECONDS
+        return silent_at if now >= silent_at else None
+
+    def exclude_silent(self, now: float) -> None:
+        """Send no more reports to instances that are not heard of."""
+        for record in self.others():
+            seen = self._first_seen.get((record.name, record.life), now)
+            last = max(self.heard_at(record) or -1e9, seen, self._started)
+            if now - last >= ALIVE_SECONDS and record.name not in self._excluded:
+                self._excluded[record.name] = _Exclusion(record.life, now)
+            elif now - last < ALIVE_SECONDS / 2 and record.name in self._excluded:
+                self._readmit(record)
+
+    def _readmit(self, record: InstanceRecord) -> None:
+        peer = self._peers.peers.get(record.name)
+        if peer is not None and peer.report.applied >= self._copy.revision:
+            del self._excluded[record.name]
+
+    def forgotten(self, now: float) -> list[InstanceRecord]:
+        """Return the instances whose records are to be removed."""
+        result = []
+        for record in self.others():
+            exclusion = self._excluded.get(record.name)
+            heard = self.heard_at(record)
+            if exclusion is None or now - exclusion.since < FORGET_SECONDS:
+                continue
+            if heard is None or now - heard >= FORGET_SECONDS:
+                result.append(record)
+        return result
+
+    # Duties.
+
+    def rank_for(self, endpoint: Endpoint, now: float) -> int:
+        """Return the place of this instance in the order of granters."""
+        own_key = self._granter_key(self.me, endpoint)
+        return sum(
+            self._granter_key(record, endpoint) < own_key for record in self.alive(now)
+        )
+
+    def _granter_key(
+        self, record: InstanceRecord, endpoint: Endpoint
+    ) -> tuple[bool, int]:
+        return (record.zone != endpoint.zone, score(record.name, endpoint.id))
+
+    def planner(self, service: str, now: float) -> InstanceRecord:
+        """Return the instance that plans the keys of a service."""
+        candidates = [self.me]
+        for record in self.alive(now)[1:]:
+            peer = self._peers.peers.get(record.name)
+            if peer is not None and peer.report.in_touch:
+                candidates.append(record)
+        return min(candidates, key=lambda record: score(record.name, service))
+
+    def is_planner(self, service: str, now: float) -> bool:
+        """Return whether this instance is the one to plan a service's keys."""
+        return self.planner(service, now) is self.me
--- /dev/null
+++ b/arbutusflow/gateway/key_leases.py
@@ -0,0 +1,508 @@
+"""Grants keys to endpoints, renews the leases and takes keys back.
+
+Invariants: a grant is sent only for a range that the table in the store names as
+owned and not leaving, and only while `Fleet.may_grant` holds; a range is given to
+another owner only on a proof (see `key_planner`).
+"""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Callable, Coroutine
+
+import msgspec
+
+from arbutusflow.domain.errors import ConflictError, PlatformError
+from arbutusflow.gateway import key_planner
+from arbutusflow.gateway.connection_pool import ConnectionPool
+from arbutusflow.gateway.event_log import EventLog
+from arbutusflow.gateway.fleet import FLEET_KIND, TABLE_PREFIX, Fleet, InstanceRecord
+from arbutusflow.gateway.key_table import (
+    LEASE_SECONDS,
+    KeyRange,
+    KeyTable,
+    StoredTable,
+    lease_end,
+)
+from arbutusflow.gateway.model import Answer, Endpoint, ExchangeError
+from arbutusflow.gateway.peers import LeaseReport, PeerReports
+from arbutusflow.gateway.routing import KeyOwners
+from arbutusflow.gateway.store_watch import ObjectCopy
+from arbutusflow.platform import wire
+from arbutusflow.platform.store import StoreClient, StoredObject
+
+RENEW_SECONDS = 1.0  # Three renewals may fail before a lease ends.
+# The next instance in line takes over when a renewal is late by this much.
+TAKE_OVER_SECONDS = 0.4
+MAX_TAKE_OVER_RANK = 5
+ORDER_SECONDS = 0.8  # An endpoint answers a grant in milliseconds.
+RELEASE_SECONDS = 2.5  # A release is answered when the running work has ended.
+# The endpoints of a service register one after the other when all start.
+SETTLE_SECONDS = 0.6
+RELEASE_PAUSE_SECONDS = 0.3
+MAX_FORMER_ENDPOINTS = 4096  # Bounds the memory for endpoints that have gone.
+
+
+@dataclasses.dataclass(slots=True)
+class _Sent:
+    """Grants of this instance to one endpoint."""
+
+    last: float = -1e9
+    unanswered: float | None = None
+    renewed: float | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Departure:
+    """Progress of taking a range from its owner."""
+
+    revision: int  # Of the table in which the range is leaving.
+    seen: float
+    stopped: float | None = None  # When no instance renewed the range any more.
+    releasing: bool = False
+    retry_at: float = 0.0
+    released: str | None = None  # Handover, which may be empty.
+
+
+class KeyLeases:
+    """Keys of all partitioned services."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        copy: ObjectCopy,
+        store: StoreClient,
+        peers: PeerReports,
+        pool: ConnectionPool,
+        log: EventLog,
+        lease_seconds: float,
+    ) -> None:
+        self._fleet = fleet
+        self._copy = copy
+        self._store = store
+        self._peers = peers
+        self._pool = pool
+        self._log = log
+        self._lease_seconds = min(LEASE_SECONDS, lease_seconds)
+        self._started = asyncio.get_running_loop().time()
+        self._sent: dict[str, _Sent] = {}
+        self._granting: set[str] = set()
+        self._granted: set[tuple[str, int, int, int]] = set()
+        self._refused: set[tuple[str, int, int, int]] = set()
+        self._closed: set[tuple[str, int, int, int]] = set()
+        self._changed_at: dict[str, float] = {}
+        self._departures: dict[tuple[str, int, int, int], _Departure] = {}
+        self._writing: set[str] = set()
+        self._settling: dict[str, tuple[frozenset[str], float]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._endpoints: dict[str, Endpoint] = {}
+        self._former: dict[str, Endpoint] = {}  # Also those that are listed no more.
+        self._rng = random.Random()
+        self.tables: dict[str, StoredTable] = {}
+        self.owners: dict[str, KeyOwners] = {}
+        self.loads_of: Callable[[str], dict[int, float]] = lambda service: {}
+        self.stopping = False
+
+    # State that arrives.
+
+    def update_tables(self, now: float) -> None:
+        """Take over the tables that the store holds."""
+        for name, item in self._copy.objects.items():
+            if not name.startswith(TABLE_PREFIX):
+                continue
+            service = name.removeprefix(TABLE_PREFIX)
+            known = self.tables.get(service)
+            if known is not None and known.revision >= item.revision:
+                continue
+            try:
+                table = msgspec.convert(item.spec, KeyTable)
+                table.check()
+            except (msgspec.ValidationError, ValueError) as exc:
+                self._log.write("key_table_malformed", service=service, detail=str(exc))
+                continue
+            self._note_changes(known, table, item.revision, now)
+            self.tables[service] = StoredTable(table, item.revision)
+            self.owners[service] = table.owners()
+
+    def _note_changes(
+        self, known: StoredTable | None, table: KeyTable, revision: int, now: float
+    ) -> None:
+        before = {part.grant for part in known.table.ranges} if known else set()
+        for part in table.ranges:
+            if part.leaving:
+                self._departures.setdefault(part.grant, _Departure(revision, now))
+            elif part.endpoint and part.grant not in before:
+                self._changed_at[part.endpoint] = now
+        current = {part.grant for part in table.ranges}
+        for grant in before - current:
+            self._departures.pop(grant, None)
+            self._granted.discard(grant)
+            self._refused.discard(grant)
+            self._closed.discard(grant)
+        self._log.write(
+            "key_table",
+            service=table.service,
+            revision=revision,
+            ranges=len(table.ranges),
+            leaving=sum(part.leaving for part in table.ranges),
+        )
+
+    def update_endpoints(self, endpoints: dict[str, Endpoint]) -> None:
+        """Take over the endpoints that the store lists."""
+        self._endpoints = endpoints
+        self._former.update(endpoints)
+        while len(self._former) > MAX_FORMER_ENDPOINTS:
+            del self._former[next(iter(self._former))]
+
+    def find(self, service: str, key: int) -> KeyRange | None:
+        """Return the range of a key."""
+        stored = self.tables.get(service)
+        if stored is None:
+            return None
+        for part in stored.table.ranges:
+            if part.first <= key <= part.last:
+                return part
+        return None
+
+    def holder(self, service: str, key: int, now: float) -> str | None:
+        """Return the endpoint to which requests for a key may be sent."""
+        part = self.find(service, key)
+        if part is None or not part.endpoint or part.grant in self._closed:
+            return None
+        endpoint = self._endpoints.get(part.endpoint)
+        if endpoint is None or endpoint.started_ms != part.started_ms:
+            return None
+        return part.endpoint
+
+    def note_not_held(self, service: str, key: int) -> None:
+        """Send no more requests for a key whose owner does not hold it.
+
+        An owner that was just granted the key may not have the grant yet.
+        """
+        part = self.find(service, key)
+        if part is not None and part.leaving:
+            self._closed.add(part.grant)
+
+    # Renewals.
+
+    def tick(self, keyed_services: list[str], now: float) -> None:
+        """Do what is due."""
+        if not self.stopping and self._fleet.may_grant(now):
+            for service in keyed_services:
+                self._renew_due(service, now)
+        if self._fleet.in_touch(now) and self._fleet.registered:
+            for service in keyed_services:
+                if service not in self._writing and self._fleet.is_planner(
+                    service, now
+                ):
+                    self._plan(service, now)
+
+    def _renew_due(self, service: str, now: float) -> None:
+        stored = self.tables.get(service)
+        if stored is None:
+            return
+        by_endpoint: dict[str, list[KeyRange]] = {}
+        for part in stored.table.ranges:
+            if part.endpoint and not part.leaving and part.grant not in self._refused:
+                by_endpoint.setdefault(part.endpoint, []).append(part)
+        for name, parts in by_endpoint.items():
+            endpoint = self._endpoints.get(name)
+            if endpoint is None or endpoint.started_ms != parts[0].started_ms:
+                continue
+            if name not in self._granting and self._is_due(endpoint, now):
+                self._start(self._grant(endpoint, parts))
+
+    def _is_due(self, endpoint: Endpoint, now: float) -> bool:
+        rank = min(self._fleet.rank_for(endpoint, now), MAX_TAKE_OVER_RANK)
+        renewed = self._last_renewal(endpoint.id, now)
+        changed = self._changed_at.get(endpoint.id, -1e9)
+        sent = self._sent.get(endpoint.id)
+        if sent is not None and now - sent.last < TAKE_OVER_SECONDS / 2:
+            return False
+        if renewed < changed:
+            return now >= changed + rank * TAKE_OVER_SECONDS
+        return now >= renewed + RENEW_SECONDS + rank * TAKE_OVER_SECONDS
+
+    def _last_renewal(self, endpoint: str, now: float) -> float:
+        """Return when any instance is known to have renewed an endpoint's leases."""
+        sent = self._sent.get(endpoint)
+        latest = -1e9
+        if sent is not None and sent.renewed is not None:
+            latest = sent.renewed
+        for peer in self._peers.peers.values():
+            lease = peer.report.leases.get(endpoint)
+            if lease is not None and lease.renewed_age >= 0:
+                latest = max(latest, peer.heard - lease.renewed_age)
+        return latest
+
+    async def _grant(self, endpoint: Endpoint, parts: list[KeyRange]) -> None:
+        loop = asyncio.get_running_loop()
+        sent = self._sent.setdefault(endpoint.id, _Sent())
+        self._granting.add(endpoint.id)
+        complete = True
+        try:
+            for part in parts:
+                if not self._still_granted(part, loop.time()):
+                    continue
+                begun = loop.time()
+                sent.last = begun
+                body = wire.encode_grant(
+                    part.first,
+                    part.last,
+                    part.token,
+                    self._lease_seconds,
+                    part.handover,
+                )
+                earlier, sent.unanswered = sent.unanswered, begun
+                answer = await self._order(
+                    endpoint, wire.GRANT_PATH, body, ORDER_SECONDS
+                )
+                if answer is None:
+                    complete = False
+                    break
+                sent.unanswered = earlier
+                self._note_grant(endpoint, part, answer, begun)
+                complete = complete and answer.status == 200
+            if complete:
+                sent.renewed = sent.last
+        finally:
+            self._granting.discard(endpoint.id)
+
+    def _still_granted(self, part: KeyRange, now: float) -> bool:
+        stored = next((s for s in self.tables.values() if part in s.table.ranges), None)
+        return stored is not None and self._fleet.may_grant(now) and not self.stopping
+
+    def _note_grant(
+        self, endpoint: Endpoint, part: KeyRange, answer: Answer, begun: float
+    ) -> None:
+        if answer.status == 200:
+            if part.grant not in self._granted:
+                self._granted.add(part.grant)
+                self._log.write(
+                    "keys_granted",
+                    endpoint=endpoint.id,
+                    first=part.first,
+                    last=part.last,
+                    token=part.token,
+                    handover=bool(part.handover),
+                )
+            return
+        self._log.write(
+            "grant_refused",
+            endpoint=endpoint.id,
+            first=part.first,
+            last=part.last,
+            token=part.token,
+            status=answer.status,
+        )
+        if answer.status == 409:
+            # A later token is in use, so a later table is in the store.
+            self._refused.add(part.grant)
+            self._copy.read_again()
+
+    async def _order(
+        self, endpoint: Endpoint, path: bytes, body: bytes, timeout: float
+    ) -> Answer | None:
+        """Send an order; None if no answer came."""
+        head = (
+            b"POST %b HTTP/1.1\r\nHost: %b:%d\r\nContent-Type: application/json\r\n"
+            b"Content-Length: %d\r\n\r\n"
+            % (path, endpoint.address.host.encode(), endpoint.address.port, len(body))
+        )
+        try:
+            async with self._pool.connection(
+                endpoint.address, at_most_once=False, timeout=timeout
+            ) as conn:
+                return await conn.exchange(head, body, timeout)
+        except ExchangeError as exc:
+            self._log.sample(
+                "order_unanswered",
+                endpoint=endpoint.id,
+                path=path.decode(),
+                sent=exc.sent,
+                detail=exc.detail,
+            )
+            return None
+
+    def lease_reports(self, now: float) -> dict[str, LeaseReport]:
+        """Return what the others need to know about our grants."""
+        reports = {}
+        for name, sent in self._sent.items():
+            if now > lease_end(max(sent.last, sent.unanswered or -1e9)) + RENEW_SECONDS:
+                continue
+            reports[name] = LeaseReport(
+                round(now - sent.last, 3),
+                -1.0 if sent.unanswered is None else round(now - sent.unanswered, 3),
+                -1.0 if sent.renewed is None else round(now - sent.renewed, 3),
+            )
+        return reports
+
+    # Planning.
+
+    def _plan(self, service: str, now: float) -> None:
+        endpoints = {
+            name: e for name, e in self._endpoints.items() if e.service == service
+        }
+        stored = self.tables.get(service)
+        if stored is None and not self._has_settled(service, endpoints, now):
+            return
+        table = stored.table if stored else KeyTable.empty(service)
+        if stored is not None:
+            self._advance_departures(service, stored, now)
+        loads = key_planner.KeyLoads(self.loads_of(service))
+        planned = key_planner.plan(
+            table, endpoints, loads, lambda part: self._proof(part, now)
+        )
+        if planned != table and any(part.endpoint for part in planned.ranges):
+            self._writing.add(service)
+            self._start(self._write(service, planned, stored))
+
+    def _has_settled(
+        self, service: str, endpoints: dict[str, Endpoint], now: float
+    ) -> bool:
+        names = frozenset(name for name, e in endpoints.items() if not e.draining)
+        known = self._settling.get(service)
+        if known is None or known[0] != names:
+            self._settling[service] = (names, now)
+            return False
+        return bool(names) and now - known[1] >= SETTLE_SECONDS
+
+    async def _write(
+        self, service: str, planned: KeyTable, stored: StoredTable | None
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        name = TABLE_PREFIX + service
+        spec = msgspec.to_builtins(planned)
+        try:
+            if stored is None:
+                item = await self._store.create(FLEET_KIND, name, spec)
+            else:
+                item = await self._store.replace(
+                    FLEET_KIND, name, spec, stored.revision
+                )
+            self._copy.adopt(item)
+            self.update_tables(loop.time())
+        except ConflictError as exc:
+            self._log.write("key_table_conflict", service=service)
+            if isinstance(exc.current, StoredObject):
+                self._copy.adopt(exc.current)
+                self.update_tables(loop.time())
+            else:
+                self._copy.read_again()
+        except PlatformError as exc:
+            # The write may still take effect; the copy shows whether it did.
+            self._log.write("key_table_unwritten", service=service, detail=str(exc))
+            await asyncio.sleep(self._rng.uniform(0.1, 0.3))
+        finally:
+            self._writing.discard(service)
+
+    # Departures.
+
+    def _advance_departures(
+        self, service: str, stored: StoredTable, now: float
+    ) -> None:
+        for part in stored.table.ranges:
+            if not part.leaving:
+                continue
+            departure = self._departures.setdefault(
+                part.grant, _Departure(stored.revision, now)
+            )
+            if departure.stopped is None:
+                departure.stopped = self._all_stopped(departure, now)
+            if departure.stopped is None or departure.released is not None:
+                continue
+            endpoint = self._last_known(part)
+            if endpoint is None or departure.releasing or now < departure.retry_at:
+                continue
+            departure.releasing = True
+            self._start(self._release(endpoint, part, departure))
+
+    def _last_known(self, part: KeyRange) -> Endpoint | None:
+        endpoint = self._former.get(part.endpoint)
+        if endpoint is None or endpoint.started_ms != part.started_ms:
+            return None
+        return endpoint
+
+    def _all_stopped(self, departure: _Departure, now: float) -> float | None:
+        latest = departure.seen
+        for record in self._fleet.others():
+            stopped = self._fleet.stopped_at(
+                record, departure.revision, departure.seen, now
+            )
+            if stopped is None:
+                return None
+            latest = max(latest, stopped)
+        return max(latest, now)
+
+    async def _release(
+        self, endpoint: Endpoint, part: KeyRange, departure: _Departure
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self._closed.add(part.grant)
+        body = wire.encode_release(part.first, part.last, part.token)
+        answer = await self._order(endpoint, wire.RELEASE_PATH, body, RELEASE_SECONDS)
+        departure.releasing = False
+        departure.retry_at = loop.time() + RELEASE_PAUSE_SECONDS
+        handover = answer.header(wire.HANDOVER) if answer is not None else None
+        if answer is None or answer.status != 200 or handover is None:
+            return
+        departure.released = handover.decode("latin-1")
+        self._log.write(
+            "keys_released",
+            endpoint=endpoint.id,
+            first=part.first,
+            last=part.last,
+            token=part.token,
+        )
+
+    def _proof(self, part: KeyRange, now: float) -> str | None:
+        """Return the handover if the range may move, None if it may not."""
+        departure = self._departures.get(part.grant)
+        if departure is None or departure.stopped is None:
+            return None
+        sent, unanswered = self._latest_grants(part.endpoint, departure, now)
+        if departure.released is not None and now >= lease_end(unanswered):
+            return departure.released
+        if now >= lease_end(max(sent, unanswered)):
+            return ""
+        return None
+
+    def _latest_grants(
+        self, endpoint: str, departure: _Departure, now: float
+    ) -> tuple[float, float]:
+        """Return when any instance last sent a grant, and one without an answer."""
+        own = self._sent.get(endpoint, _Sent())
+        sent, unanswered = own.last, own.unanswered or -1e9
+        # An earlier life of this instance may have sent a grant until it ended.
+        sent, unanswered = max(sent, self._started), max(unanswered, self._started)
+        for record in self._fleet.others():
+            last_sent, last_unanswered = self._grants_of(record, endpoint, departure)
+            sent = max(sent, last_sent)
+            unanswered = max(unanswered, last_unanswered)
+        return sent, unanswered
+
+    def _grants_of(
+        self, record: InstanceRecord, endpoint: str, departure: _Departure
+    ) -> tuple[float, float]:
+        peer = self._peers.peers.get(record.name)
+        applied = (
+            peer is not None
+            and peer.report.life == record.life
+            and peer.report.applied >= departure.revision
+        )
+        if not applied or peer is None:
+            assert departure.stopped is not None
+            return departure.stopped, departure.stopped
+        birth = peer.heard - peer.report.life_age
+        lease = peer.report.leases.get(endpoint)
+        if lease is None:
+            return birth, birth
+        sent = max(birth, peer.heard - lease.sent_age)
+        if lease.unanswered_age < 0:
+            return sent, birth
+        return sent, max(birth, peer.heard - lease.unanswered_age)
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/arbutusflow/gateway/key_planner.py
@@ -0,0 +1,261 @@
+"""Decides which endpoint is to own which keys. Pure: no clock, no I/O.
+
+Invariant: a range gets another owner only if its owner before has released it, its
+lease has ended for certain, or the process that held it has been replaced by
+another under the same identifier.
+"""
+
+import dataclasses
+from collections.abc import Callable, Mapping, Sequence
+
+from arbutusflow.gateway.key_table import KeyRange, KeyTable
+from arbutusflow.gateway.model import Endpoint
+
+# Load in requests per second that a key has beside what was measured, so that an
+# idle service is spread by the number of keys.
+BASE_LOAD_PER_KEY = 0.0002
+# A move is worth its short interruption if the donor carries this much more than
+# the mean, relative to capacity, or the receiver this much less.
+OVERLOAD_RATIO = 1.35
+UNDERLOAD_RATIO = 0.5
+MAX_MOVES_UNDER_WAY = 4  # Per service; bounds the keys that are held up at a time.
+MAX_RANGES_PER_ENDPOINT = 16  # Each range is a renewal of its own.
+
+# Tells the handover if a range may get another owner, None if it may not yet.
+ProofOf = Callable[[KeyRange], str | None]
+
+
+class KeyLoads:
+    """Measured requests per second by key, summed over the instances."""
+
+    def __init__(self, loads: Mapping[int, float]) -> None:
+        self._keys = sorted(loads)
+        self._loads = dict(loads)
+
+    def of_range(self, first: int, last: int) -> float:
+        """Return the load of the keys in a range."""
+        total = BASE_LOAD_PER_KEY * (last - first + 1)
+        return total + sum(load for _, load in self.inside(first, last))
+
+    def inside(self, first: int, last: int) -> list[tuple[int, float]]:
+        """Return the measured keys of a range in order."""
+        return [(key, self._loads[key]) for key in self._keys if first <= key <= last]
+
+
+@dataclasses.dataclass(slots=True)
+class _Draft:
+    """A table that is being changed."""
+
+    ranges: list[KeyRange]
+    next_token: int
+    carried: dict[str, float]  # Load by endpoint.
+    capacity: dict[str, float]
+
+    def least_loaded(self) -> str:
+        return min(self.carried, key=lambda e: (self.carried[e] / self.capacity[e], e))
+
+
+def plan(
+    table: KeyTable,
+    endpoints: Mapping[str, Endpoint],
+    loads: KeyLoads,
+    proof_of: ProofOf,
+) -> KeyTable:
+    """Return the table that should be in force next; the same one if nothing changes.
+
+    `endpoints` are all listed endpoints of the service, also those that leave.
+    """
+    ready = {name: e for name, e in endpoints.items() if not e.draining}
+    draft = _Draft(
+        ranges=list(table.ranges),
+        next_token=table.next_token,
+        carried=dict.fromkeys(sorted(ready), 0.0),
+        capacity={name: float(e.slots) for name, e in ready.items()},
+    )
+    _mark_leaving(draft, endpoints)
+    for part in draft.ranges:
+        if part.endpoint in draft.carried and not part.leaving:
+            draft.carried[part.endpoint] += loads.of_range(part.first, part.last)
+    if ready:
+        _assign_free(draft, ready, loads, proof_of)
+        _balance(draft, loads)
+    return KeyTable(table.service, draft.next_token, _merge(draft.ranges))
+
+
+def _mark_leaving(draft: _Draft, endpoints: Mapping[str, Endpoint]) -> None:
+    for index, part in enumerate(draft.ranges):
+        if not part.endpoint:
+            continue
+        endpoint = endpoints.get(part.endpoint)
+        if endpoint is not None and endpoint.started_ms != part.started_ms:
+            # Another process has the identifier, so the one that was granted the
+            # keys has ended and nobody holds them.
+            draft.ranges[index] = KeyRange(part.first, part.last)
+        elif endpoint is None or endpoint.draining:
+            draft.ranges[index] = _leaving(part)
+
+
+def _leaving(part: KeyRange) -> KeyRange:
+    return KeyRange(
+        part.first,
+        part.last,
+        part.endpoint,
+        part.started_ms,
+        part.token,
+        part.handover,
+        leaving=True,
+    )
+
+
+def _assign_free(
+    draft: _Draft, ready: Mapping[str, Endpoint], loads: KeyLoads, proof_of: ProofOf
+) -> None:
+    result: list[KeyRange] = []
+    for part in draft.ranges:
+        handover = "" if not part.endpoint else None
+        if part.leaving:
+            handover = proof_of(part)
+        if handover is None:
+            result.append(part)
+            continue
+        for piece in _split_free(part, draft, loads):
+            target = draft.least_loaded()
+            draft.carried[target] += loads.of_range(piece.first, piece.last)
+            result.append(
+                KeyRange(
+                    piece.first,
+                    piece.last,
+                    target,
+                    ready[target].started_ms,
+                    draft.next_token,
+                    handover if piece.width == part.width else "",
+                )
+            )
+            draft.next_token += 1
+    draft.ranges = result
+
+
+def _split_free(part: KeyRange, draft: _Draft, loads: KeyLoads) -> list[KeyRange]:
+    """Cut a range without an owner so that each piece is at most an equal share."""
+    if part.endpoint:
+        return [part]  # The handover is for the range as it was released.
+    total = sum(draft.carried.values()) + loads.of_range(part.first, part.last)
+    share = total / len(draft.carried)
+    count = round(loads.of_range(part.first, part.last) / share) if share else 1
+    count = max(1, min(count, part.width))
+    bounds = [part.first + part.width * i // count for i in range(count)]
+    ends = [*(bound - 1 for bound in bounds[1:]), part.last]
+    return [KeyRange(first, last) for first, last in zip(bounds, ends, strict=True)]
+
+
+def _balance(draft: _Draft, loads: KeyLoads) -> None:
+    """Mark keys of overloaded endpoints as leaving."""
+    moving = sum(part.leaving for part in draft.ranges)
+    capacity = sum(draft.capacity.values())
+    mean = sum(draft.carried.values()) / capacity
+    if mean <= 0:
+        return
+    pressure = {e: draft.carried[e] / draft.capacity[e] for e in draft.carried}
+    while moving < MAX_MOVES_UNDER_WAY and len(pressure) > 1:
+        donor = max(pressure, key=lambda e: (pressure[e], e))
+        receiver = min(pressure, key=lambda e: (pressure[e], e))
+        high = pressure[donor] > OVERLOAD_RATIO * mean
+        low = pressure[receiver] < UNDERLOAD_RATIO * mean
+        if not (high or low) or pressure[donor] <= mean:
+            return
+        wanted = (pressure[donor] - pressure[receiver]) / 2 * draft.capacity[donor]
+        moved = _mark_piece(draft, donor, wanted, loads)
+        if moved is None:
+            del pressure[donor]
+            continue
+        pressure[donor] -= moved / draft.capacity[donor]
+        pressure[receiver] += moved / draft.capacity[receiver]
+        moving += 1
+
+
+def _mark_piece(
+    draft: _Draft, donor: str, wanted: float, loads: KeyLoads
+) -> float | None:
+    """Mark keys of the donor with at most the wanted load; return their load."""
+    owned = [p for p in draft.ranges if p.endpoint == donor and not p.leaving]
+    best: tuple[float, KeyRange, KeyRange] | None = None
+    for part in owned:
+        whole = loads.of_range(part.first, part.last)
+        if whole <= wanted and (best is None or whole > best[0]) and len(owned) > 1:
+            best = (whole, part, part)
+        for piece in _ends_within(part, wanted, loads):
+            load = loads.of_range(piece.first, piece.last)
+            if best is None or load > best[0]:
+                best = (load, part, piece)
+    if best is None or best[0] < wanted * 0.1:
+        return None
+    load, part, piece = best
+    index = draft.ranges.index(part)
+    draft.ranges[index : index + 1] = _cut(part, piece)
+    return load
+
+
+def _ends_within(part: KeyRange, wanted: float, loads: KeyLoads) -> list[KeyRange]:
+    """Return the longest prefix and suffix whose load is at most the wanted one."""
+    keys = loads.inside(part.first, part.last)
+    pieces = []
+    cut = _reach(part.first, part.last, keys, wanted, 1)
+    if part.first <= cut < part.last:
+        pieces.append(KeyRange(part.first, cut))
+    cut = _reach(part.last, part.first, keys[::-1], wanted, -1)
+    if part.first < cut <= part.last:
+        pieces.append(KeyRange(cut, part.last))
+    return pieces
+
+
+def _reach(
+    start: int, end: int, keys: Sequence[tuple[int, float]], wanted: float, step: int
+) -> int:
+    """Return the last key that fits when going from `start` towards `end`."""
+    left = wanted
+    position = start
+    for key, load in keys:
+        base = BASE_LOAD_PER_KEY * abs(key - position)
+        if base > left:
+            break
+        left -= base
+        position = key
+        if load > left:
+            return key - step
+        left -= load
+    room = int(left / BASE_LOAD_PER_KEY)
+    limit = position + step * room
+    return min(limit, end) if step > 0 else max(limit, end)
+
+
+def _cut(part: KeyRange, piece: KeyRange) -> list[KeyRange]:
+    pieces = []
+    for first, last, leaving in (
+        (part.first, piece.first - 1, False),
+        (piece.first, piece.last, True),
+        (piece.last + 1, part.last, False),
+    ):
+        if first <= last:
+            pieces.append(
+                KeyRange(
+                    first,
+                    last,
+                    part.endpoint,
+                    part.started_ms,
+                    part.token,
+                    part.handover,
+                    leaving,
+                )
+            )
+    return pieces
+
+
+def _merge(ranges: Sequence[KeyRange]) -> tuple[KeyRange, ...]:
+    """Join neighbours without an owner."""
+    result: list[KeyRange] = []
+    for part in ranges:
+        if result and not part.endpoint and not result[-1].endpoint:
+            result[-1] = KeyRange(result[-1].first, part.last)
+        else:
+            result.append(part)
+    return tuple(result)
--- /dev/null
+++ b/arbutusflow/gateway/key_table.py
@@ -0,0 +1,87 @@
+"""Which endpoint owns which keys of a service, as it is recorded in the store.
+
+Invariants: the ranges of a table cover the key space without overlap; each fencing
+token is used for one owner of one range only and is greater than all earlier ones,
+because the table that names it is written under a condition first.
+"""
+
+import dataclasses
+
+import msgspec
+
+from arbutusflow.gateway.model import KEY_SPACE
+from arbutusflow.gateway.routing import KeyOwners
+
+# A lease is short, so that the keys of a lost endpoint move soon, and outlasts a
+# restart of the instance that renews it.
+LEASE_SECONDS = 4.0
+# The clock of an endpoint may run 2 % slow; the rest covers delays in transit.
+LEASE_EXPIRY_FACTOR = 1.03
+LEASE_EXPIRY_SLACK_SECONDS = 0.1
+
+
+class KeyRange(msgspec.Struct, frozen=True):
+    """Keys from `first` to `last`, both included, and their owner."""
+
+    first: int
+    last: int
+    endpoint: str = ""  # Identifier of the owner, empty if there is none.
+    started_ms: int = 0  # Life of the owner that was granted the keys.
+    token: int = 0  # Fencing token of the grant.
+    handover: str = ""  # Proof of a complete release by the owner before.
+    leaving: bool = False  # No longer renewed, because the keys are to move.
+
+    @property
+    def width(self) -> int:
+        """Number of keys."""
+        return self.last - self.first + 1
+
+    @property
+    def grant(self) -> tuple[str, int, int, int]:
+        """Identity of the grant: owner, bounds and token."""
+        return (self.endpoint, self.first, self.last, self.token)
+
+
+class KeyTable(msgspec.Struct, frozen=True):
+    """Ranges of one service in order."""
+
+    service: str
+    next_token: int
+    ranges: tuple[KeyRange, ...]
+
+    @classmethod
+    def empty(cls, service: str) -> "KeyTable":
+        """Return a table in which nobody owns any key."""
+        return cls(service, 1, (KeyRange(0, KEY_SPACE - 1),))
+
+    def owners(self) -> KeyOwners:
+        """Return the lookup of owners."""
+        return KeyOwners(
+            [part.first for part in self.ranges],
+            [part.endpoint or None for part in self.ranges],
+        )
+
+    def check(self) -> None:
+        """Raise ValueError unless the ranges cover all keys in order."""
+        expected = 0
+        for part in self.ranges:
+            if part.first != expected or part.last < part.first:
+                raise ValueError(f"keys from {expected} on are not covered")
+            if part.token >= self.next_token:
+                raise ValueError(f"token {part.token} is not used up")
+            expected = part.last + 1
+        if expected != KEY_SPACE:
+            raise ValueError(f"keys from {expected} on are not covered")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredTable:
+    """A table with its revision in the store."""
+
+    table: KeyTable
+    revision: int
+
+
+def lease_end(granted_at: float) -> float:
+    """Return when a lease granted at that time has ended for certain."""
+    return granted_at + LEASE_SECONDS * LEASE_EXPIRY_FACTOR + LEASE_EXPIRY_SLACK_SECONDS
--- /dev/null
+++ b/arbutusflow/gateway/metrics.py
@@ -0,0 +1,47 @@
+"""Counters and latency histograms in the text format of the metrics address."""
+
+import prometheus_client
+
+# Bounds in seconds, from one hop on a fast network to the longest deadline.
+LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+
+
+class GatewayMetrics:
+    """Metrics of one process."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self._outcomes = prometheus_client.Counter(
+            "arbutusflow_requests",
+            "Requests by outcome: answered, or the reason of the refusal",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self._latency = prometheus_client.Histogram(
+            "arbutusflow_request_seconds",
+            "Time from the first byte of a request to its answer",
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self._gauges = prometheus_client.Gauge(
+            "arbutusflow_state",
+            "Current values of the process",
+            ["name"],
+            registry=self.registry,
+        )
+
+    def count(self, outcome: str) -> None:
+        """Count a request or an attempt by its outcome."""
+        self._outcomes.labels(outcome).inc()
+
+    def observe(self, seconds: float) -> None:
+        """Count the latency of a request."""
+        self._latency.observe(seconds)
+
+    def set(self, name: str, value: float) -> None:
+        """Set a current value."""
+        self._gauges.labels(name).set(value)
+
+    def text(self) -> bytes:
+        """Return all metrics."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/arbutusflow/gateway/peers.py
@@ -0,0 +1,118 @@
+"""Reports between instances: small datagrams with load, leases and versions.
+
+Invariants: a report changes no decision that needs agreement; it can be lost or
+late at any time. Ages instead of times cross the wire, because clocks differ; a
+report that is late makes an event look more recent than it was.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+import msgspec
+
+from arbutusflow.gateway.event_log import EventLog
+from arbutusflow.gateway.model import Address
+
+MAX_DATAGRAM_BYTES = 1400  # One Ethernet frame.
+ALIVE_SECONDS = 1.5  # Five reports across zones may be lost before this.
+
+
+class LeaseReport(msgspec.Struct, array_like=True, frozen=True):
+    """When an instance last sent a grant to an endpoint, as ages in seconds."""
+
+    sent_age: float
+    unanswered_age: float  # Negative if no grant is without an answer.
+    renewed_age: float  # Negative if none succeeded.
+
+
+class StrikeReport(msgspec.Struct, array_like=True, frozen=True):
+    """A request that was in flight when its endpoint ended."""
+
+    number: int  # Counts the strikes of the sender.
+    digest: bytes
+
+
+class PeerReport(msgspec.Struct, array_like=True, frozen=True):
+    """What one instance tells the others."""
+
+    instance: str
+    life: int  # Random number of the process.
+    number: int
+    zone: str
+    life_age: float  # Seconds since the process started.
+    applied: int  # Revision of the fleet's objects that is in force here.
+    in_touch: bool  # Whether the store answers.
+    in_flight: dict[str, int]
+    leases: dict[str, LeaseReport]
+    strikes: tuple[StrikeReport, ...] = ()
+    # Hundredths of a request per second, by service and key.
+    key_loads: dict[str, dict[int, int]] = {}
+
+
+class PeerState:
+    """Latest report of another instance."""
+
+    __slots__ = ("heard", "loads", "loads_at", "report")
+
+    def __init__(self, report: PeerReport, heard: float) -> None:
+        self.report = report
+        self.heard = heard
+        self.loads: dict[str, dict[int, int]] = {}
+        self.loads_at = 0.0
+
+
+class PeerReports(asyncio.DatagramProtocol):
+    """Receives the reports of others and sends our own."""
+
+    def __init__(
+        self, instance: str, on_report: Callable[[PeerReport], None], log: EventLog
+    ) -> None:
+        self._instance = instance
+        self._on_report = on_report
+        self._log = log
+        self._transport: asyncio.DatagramTransport | None = None
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(PeerReport)
+        self.peers: dict[str, PeerState] = {}
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket."""
+        # The event loop's transport does not derive from DatagramTransport.
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take over a report unless it is older than the last one."""
+        try:
+            report = self._decoder.decode(data)
+        except msgspec.MsgspecError as exc:
+            self._log.sample("peer_report_malformed", source=addr[0], detail=str(exc))
+            return
+        if report.instance == self._instance:
+            return
+        now = asyncio.get_running_loop().time()
+        known = self.peers.get(report.instance)
+        if known is None or known.report.life != report.life:
+            known = self.peers[report.instance] = PeerState(report, now)
+        elif report.number <= known.report.number:
+            return
+        known.report, known.heard = report, now
+        if report.key_loads:
+            known.loads, known.loads_at = report.key_loads, now
+        self._on_report(report)
+
+    def error_received(self, exc: Exception) -> None:
+        """Note that a datagram was rejected; the next report replaces it."""
+        self._log.sample("peer_report_rejected", detail=str(exc))
+
+    def send(self, report: PeerReport, targets: list[Address]) -> None:
+        """Send a report to other instances."""
+        if self._transport is None:
+            return
+        data = self._encoder.encode(report)
+        for target in targets:
+            self._transport.sendto(data, (target.host, target.port))
+
+    def alive(self, now: float) -> list[PeerState]:
+        """Return the instances that were heard of recently."""
+        return [p for p in self.peers.values() if now - p.heard < ALIVE_SECONDS]
--- /dev/null
+++ b/arbutusflow/gateway/routing.py
@@ -0,0 +1,62 @@
+"""Finds the route of a request and the service that serves it."""
+
+import bisect
+
+from arbutusflow.gateway.model import Configuration, Route
+
+
+class RouteTable:
+    """Routes of one configuration by host and longest path prefix."""
+
+    def __init__(self, cfg: Configuration) -> None:
+        self._hosts: dict[str, list[Route]] = {}
+        for route in cfg.routes:
+            self._hosts.setdefault(route.host, []).append(route)
+        for routes in self._hosts.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path."""
+        for route in self._hosts.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+class WeightedChoice:
+    """Deals the requests of a route to its services in proportion to the weights.
+
+    Smooth weighted round robin: shares are met within one request, where random
+    numbers would need hundreds.
+    """
+
+    def __init__(self) -> None:
+        self._credits: dict[str, dict[str, float]] = {}
+
+    def choose(self, route: Route) -> str:
+        """Return the service of the next request."""
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        credit = self._credits.setdefault(route.name, {})
+        total = 0.0
+        best = route.targets[0].service
+        for target in route.targets:
+            total += target.weight
+            credit[target.service] = credit.get(target.service, 0.0) + target.weight
+            if credit[target.service] > credit.get(best, 0.0):
+                best = target.service
+        credit[best] -= total
+        return best
+
+
+class KeyOwners:
+    """Owner of each key of one service, looked up by binary search."""
+
+    def __init__(self, starts: list[int], owners: list[str | None]) -> None:
+        self._starts = starts
+        self._owners = owners
+
+    def owner(self, key: int) -> str | None:
+        """Return the endpoint that owns the key, None if nobody does."""
+        index = bisect.bisect_right(self._starts, key) - 1
+        return self._owners[index] if index >= 0 else None
--- /dev/null
+++ b/arbutusflow/gateway/store_watch.py
@@ -0,0 +1,141 @@
+"""Keeps a copy of one kind of object up to date by list and watch.
+
+Invariants: the copy never goes back to an older revision; the time at which it was
+last known to be current is a lower bound.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from arbutusflow.domain.errors import HistoryGoneError, PlatformError
+from arbutusflow.gateway.event_log import EventLog
+from arbutusflow.platform.store import (
+    Change,
+    StoreClient,
+    StoredObject,
+)
+
+FIRST_PAUSE_SECONDS = 0.2  # After a failed call; doubles up to the longest.
+LONGEST_PAUSE_SECONDS = 1.0
+# Wait of the first watch after a loss: a short one shows soon that the store answers.
+PROBE_WAIT_SECONDS = 0.3
+
+
+class ObjectCopy:
+    """Objects of one kind as the store had them at `revision`."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        kind: str,
+        wait_seconds: float,
+        on_change: Callable[[], None],
+        log: EventLog,
+    ) -> None:
+        self._store = store
+        self._kind = kind
+        self.wait_seconds = wait_seconds
+        self._on_change = on_change
+        self._log = log
+        self._list_needed = True
+        self.objects: dict[str, StoredObject] = {}
+        self.revision = 0
+        self.current_at = -1e9  # When the copy was last known to be current.
+        self.lost_at: float | None = None  # Since when the store does not answer.
+        self.regained_at = -1e9
+        self._rng = random.Random()
+
+    @property
+    def known(self) -> bool:
+        """Whether the objects were ever read."""
+        return self.revision > 0
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        pause = FIRST_PAUSE_SECONDS
+        while True:
+            try:
+                if self._list_needed:
+                    await self._read()
+                else:
+                    await self._follow()
+                self._note_contact()
+                pause = FIRST_PAUSE_SECONDS
+            except HistoryGoneError:
+                self._log.write("store_history_gone", kind=self._kind)
+                self._list_needed = True
+            except PlatformError as exc:
+                self._note_loss(str(exc))
+                await asyncio.sleep(pause * self._rng.uniform(0.7, 1.3))
+                pause = min(LONGEST_PAUSE_SECONDS, pause * 1.5)
+
+    async def _read(self) -> None:
+        started = asyncio.get_running_loop().time()
+        snapshot = await self._store.list(self._kind)
+        if snapshot.revision < self.revision:
+            return  # An answer that was under way while a later one arrived.
+        objects = {item.name: item for item in snapshot.objects}
+        for name, item in self.objects.items():
+            if item.revision > snapshot.revision:  # Adopted from a later write.
+                objects[name] = item
+        self.objects = objects
+        self.revision = snapshot.revision
+        self.current_at = started
+        self._list_needed = False
+        self._note_contact()
+        self._on_change()
+
+    async def _follow(self) -> None:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        wait = self.wait_seconds if self.lost_at is None else PROBE_WAIT_SECONDS
+        result = await self._store.watch(self._kind, self.revision, wait)
+        elapsed = loop.time() - started
+        if result.revision < self.revision:
+            self._list_needed = True
+            return
+        for change in result.changes:
+            self._apply(change)
+        self.revision = result.revision
+        # An empty answer was given after the whole wait; one with changes may have
+        # been under way since the watch began.
+        self.current_at = started + (
+            wait if not result.changes and elapsed >= wait else 0
+        )
+        self._note_contact()
+        if result.changes:
+            self._on_change()
+
+    def _apply(self, change: Change) -> None:
+        if not change.removed:
+            self.adopt(change.object)
+            return
+        self.objects.pop(change.object.name, None)
+
+    def adopt(self, item: StoredObject) -> None:
+        """Take over an object unless a later version of it is known."""
+        known = self.objects.get(item.name)
+        if known is None or known.revision < item.revision:
+            self.objects[item.name] = item
+
+    def read_again(self) -> None:
+        """List the objects with the next call."""
+        self._list_needed = True
+
+    def _note_contact(self) -> None:
+        if self.lost_at is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self._log.write(
+            "store_regained", kind=self._kind, after_seconds=now - self.lost_at
+        )
+        self.lost_at = None
+        self.regained_at = now
+
+    def _note_loss(self, detail: str) -> None:
+        if self.lost_at is None:
+            self.lost_at = asyncio.get_running_loop().time()
+            self._log.write(
+                "store_lost", kind=self._kind, detail=detail, revision=self.revision
+            )
--- /dev/null
+++ b/arbutusflow/platform/documents.py
@@ -0,0 +1,121 @@
+"""Decodes the documents that operators and endpoints write to the store."""
+
+from typing import Any
+
+from arbutusflow.domain.errors import ConfigurationError
+from arbutusflow.gateway.model import (
+    Address,
+    CallerLimits,
+    Configuration,
+    Endpoint,
+    Repeatability,
+    Route,
+    Service,
+    WeightedService,
+)
+
+_WRONG_SHAPE = (KeyError, TypeError, ValueError, AttributeError)
+
+
+def decode_configuration(spec: Any) -> Configuration:
+    """Decode the operator's configuration. Raises ConfigurationError."""
+    try:
+        services = {
+            item["name"]: _service(item)
+            for item in spec["services"]
+            if item.get("protocol", "h1") == "h1"
+        }
+        return Configuration(
+            version=int(spec["version"]),
+            routes=tuple(
+                _route(entry["host"], path)
+                for entry in spec["hosts"]
+                for path in entry["paths"]
+            ),
+            services=services,
+            limits=_limits(spec["limits"]),
+        )
+    except _WRONG_SHAPE as exc:
+        raise ConfigurationError(f"the configuration is malformed: {exc!r}") from exc
+
+
+def _service(item: dict[str, Any]) -> Service:
+    return Service(
+        name=item["name"],
+        health_path=item["healthPath"],
+        max_connections=int(item["maxConns"]),
+        keyed=bool(item.get("sharded", False)),
+    )
+
+
+def _route(host: str, item: dict[str, Any]) -> Route:
+    if "trafficSplit" in item:
+        targets = tuple(
+            WeightedService(part["service"], float(part["weight"]))
+            for part in item["trafficSplit"]
+        )
+    else:
+        targets = (WeightedService(item["service"], 1.0),)
+    repeatability = (
+        Repeatability.IDEMPOTENT
+        if item["routeType"] == "safe"
+        else Repeatability.AT_MOST_ONCE
+    )
+    return Route(
+        name=item["name"],
+        host=host.lower(),
+        prefix=item["pathPrefix"],
+        repeatability=repeatability,
+        targets=targets,
+        timeout_seconds=float(item["timeoutS"]),
+        objective_seconds=float(item["targetLatencyS"]),
+        rank=int(item["priority"]),
+        max_attempts=int(item["maxAttempts"]),
+    )
+
+
+def _limits(item: dict[str, Any]) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=int(item["maxHeaderBytes"]),
+        body_bytes=int(item["maxBodyBytes"]),
+        header_seconds=float(item["headerTimeoutS"]),
+        idle_seconds=float(item["idleTimeoutS"]),
+    )
+
+
+def decode_endpoint(item: Any) -> Endpoint:
+    """Decode the entry of an endpoint. Raises ValueError.
+
+    Any writer can store entries of this kind, so each field is checked for its
+    type: a wrong entry must not name an endpoint to use.
+    """
+    try:
+        spec = item["spec"] if isinstance(item.get("spec"), dict) else {}
+        status_part = item.get("status")
+        said = {**spec, **({"status": status_part} if status_part else {})}
+        info, status = said["info"], said["status"]
+        state = status["state"]
+        if state not in ("ready", "draining"):
+            raise ValueError(f"unknown state {state!r}")
+        born = said.get("born", 0)
+        slots, cold = info["slots"], status["coldLeftS"]
+        name = item["metadata"]["name"]
+        texts = (name, info["service"], said["address"], info["zone"])
+        if not all(isinstance(text, str) and text for text in texts):
+            raise ValueError("a text field has another type")
+        if type(slots) is not int or slots < 1 or type(born) is not int:
+            raise ValueError("a number field has another type")
+        if isinstance(cold, bool) or not isinstance(cold, int | float):
+            raise ValueError("the cold time has another type")
+        return Endpoint(
+            id=name,
+            service=info["service"],
+            address=Address.parse(said["address"]),
+            zone=info["zone"],
+            slots=slots,
+            draining=state == "draining",
+            cold_seconds=float(cold),
+            started_ms=born,
+        )
+    except _WRONG_SHAPE as exc:
+        raise ValueError(f"malformed entry: {exc!r}") from exc
--- /dev/null
+++ b/arbutusflow/platform/settings.py
@@ -0,0 +1,54 @@
+"""Decodes the settings file that the platform writes for a process."""
+
+import os
+import pathlib
+import tomllib
+from typing import Any
+
+from arbutusflow.domain.errors import SettingsError
+from arbutusflow.gateway.model import Address, GatewaySettings
+
+SETTINGS_VARIABLE = "ARBUTUSFLOW_CONFIG"
+# Port of the metrics address, as `deploy/system.toml` tells the platform.
+METRICS_PORT = 9187
+
+
+def settings_path() -> pathlib.Path:
+    """Return where the platform puts the settings. Raises SettingsError."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(f"the environment variable {SETTINGS_VARIABLE} is not set")
+    return pathlib.Path(path)
+
+
+def load_settings(path: pathlib.Path) -> GatewaySettings:
+    """Read and check the settings. Raises SettingsError."""
+    try:
+        document = tomllib.loads(path.read_text(encoding="utf-8"))
+        return _decode(document)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
+        raise SettingsError(f"{path} cannot be read: {exc}") from exc
+    except (KeyError, TypeError, ValueError, AttributeError, IndexError) as exc:
+        raise SettingsError(f"{path}: a field is missing or wrong: {exc!r}") from exc
+
+
+def _decode(document: dict[str, Any]) -> GatewaySettings:
+    listen, bounds = document["listen"], document["bounds"]
+    return GatewaySettings(
+        instance=str(document["nodeName"]),
+        zone=str(document["zone"]),
+        caller_address=Address.parse(listen["front"]),
+        readiness_address=Address.parse(listen["ready"]),
+        metrics_port=METRICS_PORT,
+        peer_port=int(document["internalPorts"][0]),
+        peer_host=str(document["ip"]),
+        store_address=Address.parse(document["provider"]["address"]),
+        seeds=tuple(Address.parse(seed) for seed in document.get("seeds", ())),
+        memory_bytes=int(float(document["limits"]["memoryMb"]) * 1_000_000),
+        stop_seconds=float(bounds["graceS"]),
+        drain_seconds=float(bounds["drainS"]),
+        max_lease_seconds=float(bounds["maxHoldS"]),
+        retry_ratio=float(bounds["retryBudgetRatio"]),
+        retry_window_seconds=float(bounds["budgetWindowS"]),
+        retry_slack=float(bounds["retryBudgetSlack"]),
+    )
--- /dev/null
+++ b/arbutusflow/platform/wire.py
@@ -0,0 +1,93 @@
+"""Header names and paths of the platform, and the codecs for small values."""
+
+import dataclasses
+
+import msgspec
+
+REQUEST_ID = b"request-id"
+DEADLINE = b"deadline-ms"
+SEAL = b"response-seal"  # Signature of an endpoint over its answer.
+EXPECTED_ENDPOINT = b"expect-instance"  # "Instance" means an endpoint here.
+ENDPOINT_ID = b"instance-id"
+ENDPOINT_LOAD = b"instance-load"
+NOT_RUN = b"not-executed"
+KEY = b"shard-key"
+HANDOVER = b"handover"
+
+READINESS_PATH = b"/arbutusflow/ready"
+GRANT_PATH = b"/arbutusflow/grant"
+RELEASE_PATH = b"/arbutusflow/release"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedLoad:
+    """Load that an endpoint reports of itself."""
+
+    running: int
+    waiting: int
+    slots: int
+
+    @classmethod
+    def parse(cls, text: bytes | None) -> "ReportedLoad | None":
+        """Decode the load header; None if it is missing or malformed."""
+        if text is None:
+            return None
+        parts = text.split(b",")
+        if len(parts) != 3:
+            return None
+        try:
+            running, waiting, slots = (int(part) for part in parts)
+        except ValueError:
+            return None
+        return cls(running, waiting, slots)
+
+
+def parse_deadline(text: bytes) -> float | None:
+    """Return the deadline in seconds; None if it is not a positive number."""
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value / 1000 if 0 < value < 1e9 else None
+
+
+def format_deadline(seconds: float) -> bytes:
+    """Encode the time left, rounded down to whole milliseconds."""
+    return b"%d" % max(1, int(seconds * 1000))
+
+
+def parse_key(text: bytes | None) -> int | None:
+    """Return the key of a request; None if it has none that is valid."""
+    if text is None or not text.isdigit() or len(text) > 5:
+        return None
+    key = int(text)
+    return key if key < 65536 else None
+
+
+class _Grant(msgspec.Struct, omit_defaults=True):
+    first: int = msgspec.field(name="from")
+    last: int = msgspec.field(name="to")
+    token: int = msgspec.field(name="fence")
+    lease_seconds: float = msgspec.field(name="holdS")
+    handover: str = ""
+
+
+class _Release(msgspec.Struct):
+    first: int = msgspec.field(name="from")
+    last: int = msgspec.field(name="to")
+    token: int = msgspec.field(name="fence")
+
+
+_encoder = msgspec.json.Encoder()
+
+
+def encode_grant(
+    first: int, last: int, token: int, lease_seconds: float, handover: str
+) -> bytes:
+    """Encode the call that lends a range of keys to an endpoint."""
+    return _encoder.encode(_Grant(first, last, token, lease_seconds, handover))
+
+
+def encode_release(first: int, last: int, token: int) -> bytes:
+    """Encode the call that takes a range of keys back."""
+    return _encoder.encode(_Release(first, last, token))
--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -21,7 +21,7 @@
 from arbutusflow.adapters.caller_protocol import protocol_for
 from arbutusflow.adapters.endpoint import EndpointClient
 from arbutusflow.adapters.log_level import Level
-from arbutusflow.adapters.logs import log_event, set_level, start_logging
+from arbutusflow.adapters.logs import log_event, log_exception, set_level, start_logging
 from arbutusflow.adapters.metrics import SwitchedMetrics
 from arbutusflow.adapters.peer import peer_server
 from arbutusflow.adapters.peer_messages import (
@@ -100,7 +100,7 @@
         self._curl = CurlLoop(loop)
         self._endpoints = EndpointClient(self._curl)
         self._platform = PlatformClient.from_config(settings.platform_url)
-        timers = TimerService(loop)
+        timers = TimerService(loop, log_exception)
         # A process that starts again is another instance: it has kept nothing.
         self._instance = f"{settings.instance}.{secrets.token_hex(4)}"
         self._membership: MembershipTask | None = None
--- a/arbutusflow/runtime/timers.py
+++ b/arbutusflow/runtime/timers.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from arbutusflow.adapters.logs import log_exception
+OnError = Callable[[str, BaseException], None]
 
 
 class Timers(Protocol):
@@ -24,8 +24,9 @@
 class TimerService:
     """Timers on an event loop."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, on_error: OnError) -> None:
         self._loop = loop
+        self._on_error = on_error  # Logs what a subscriber raised.
 
     def subscribe(
         self, period_seconds: float, callback: Callable[[], None]
@@ -42,7 +43,7 @@
             try:
                 callback()
             except Exception as exc:
-                log_exception("timer callback failed", exc)
+                self._on_error("timer callback failed", exc)
 
         def cancel() -> None:
             nonlocal cancelled
--- a/arbutusflow/runtime/unit_histories.py
+++ b/arbutusflow/runtime/unit_histories.py
@@ -17,12 +17,12 @@
     KnownOutcome,
     KnownStrike,
 )
+from arbutusflow.domain.crash_guard import KnownStrikes
 from arbutusflow.domain.delivery import Delivery
 from arbutusflow.domain.delivery_messages import (
     Answer,
     Event,
     KnownRequest,
-    KnownStrikes,
     StrikesAdopted,
     UnitAdopted,
     UnitLeft,
