Wait for grants under way and place keys by measured capacity

Cause: after a table write the new owner had no grant for up to one timer tick, and requests sent meanwhile came back as not held; the planner counted slots, although endpoints differ in speed by more than two.

--- a/arbutusflow/gateway/endpoint_load.py
+++ b/arbutusflow/gateway/endpoint_load.py
@@ -9,6 +9,7 @@
 
 # First guess of the work of one request, until answers were measured.
 INITIAL_SERVICE_SECONDS = 0.15
+MIN_SERVICE_SECONDS = 0.001
 SERVICE_TIME_GAIN = 0.1  # Weight of the latest answer in the moving average.
 FAILURE_GAIN = 0.15
 REPORT_SECONDS = 0.1  # A load report in an answer describes about one service time.
@@ -58,6 +59,10 @@
         wait = max(0.0, ahead / self.endpoint.slots) * work
         return wait + work
 
+    def capacity(self) -> float:
+        """Return the requests per second that the endpoint can serve."""
+        return self.endpoint.slots / max(self.service_seconds, MIN_SERVICE_SECONDS)
+
     def note_answer(self, seconds: float, ahead: int, now: float) -> None:
         """Learn from an answer; `ahead` requests were there when it was sent."""
         rounds = max(1.0, (ahead + 1) / self.endpoint.slots)
--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -40,6 +40,10 @@
 # The endpoints of a service register one after the other when all start.
 SETTLE_SECONDS = 0.6
 RELEASE_PAUSE_SECONDS = 0.3
+# Each write of a table costs every instance a call. Demand is reported once a second.
+BALANCE_SECONDS = 1.0
+# An owner that was just granted a key gets the grant within some milliseconds.
+GRANT_WAIT_SECONDS = 0.03
 MAX_FORMER_ENDPOINTS = 4096  # Bounds the memory for endpoints that have gone.
 
 
@@ -89,18 +93,22 @@
         self._granting: set[str] = set()
         self._granted: set[tuple[str, int, int, int]] = set()
         self._refused: set[tuple[str, int, int, int]] = set()
+        self._not_held: dict[tuple[str, int, int, int], float] = {}
         self._closed: set[tuple[str, int, int, int]] = set()
         self._changed_at: dict[str, float] = {}
         self._departures: dict[tuple[str, int, int, int], _Departure] = {}
         self._writing: set[str] = set()
+        self._balanced_at: dict[str, float] = {}
         self._settling: dict[str, tuple[frozenset[str], float]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._keyed: list[str] = []
         self._endpoints: dict[str, Endpoint] = {}
         self._former: dict[str, Endpoint] = {}  # Also those that are listed no more.
         self._rng = random.Random()
         self.tables: dict[str, StoredTable] = {}
         self.owners: dict[str, KeyOwners] = {}
         self.loads_of: Callable[[str], dict[int, float]] = lambda service: {}
+        self.capacity_of: Callable[[Endpoint], float] = lambda e: float(e.slots)
         self.stopping = False
 
     # State that arrives.
@@ -139,6 +147,7 @@
             self._granted.discard(grant)
             self._refused.discard(grant)
             self._closed.discard(grant)
+            self._not_held.pop(grant, None)
         self._log.write(
             "key_table",
             service=table.service,
@@ -169,6 +178,8 @@
         part = self.find(service, key)
         if part is None or not part.endpoint or part.grant in self._closed:
             return None
+        if self._not_held.get(part.grant, 0.0) > now:
+            return None
         endpoint = self._endpoints.get(part.endpoint)
         if endpoint is None or endpoint.started_ms != part.started_ms:
             return None
@@ -180,13 +191,19 @@
         An owner that was just granted the key may not have the grant yet.
         """
         part = self.find(service, key)
-        if part is not None and part.leaving:
+        if part is None:
+            return
+        if part.leaving:
             self._closed.add(part.grant)
+        else:
+            now = asyncio.get_running_loop().time()
+            self._not_held[part.grant] = now + GRANT_WAIT_SECONDS
 
     # Renewals.
 
     def tick(self, keyed_services: list[str], now: float) -> None:
         """Do what is due."""
+        self._keyed = keyed_services
         if not self.stopping and self._fleet.may_grant(now):
             for service in keyed_services:
                 self._renew_due(service, now)
@@ -349,10 +366,17 @@
         table = stored.table if stored else KeyTable.empty(service)
         if stored is not None:
             self._advance_departures(service, stored, now)
-        loads = key_planner.KeyLoads(self.loads_of(service))
+        balance = now - self._balanced_at.get(service, -1e9) >= BALANCE_SECONDS
         planned = key_planner.plan(
-            table, endpoints, loads, lambda part: self._proof(part, now)
+            table,
+            endpoints,
+            {name: self.capacity_of(e) for name, e in endpoints.items()},
+            key_planner.KeyLoads(self.loads_of(service)),
+            lambda part: self._proof(part, now),
+            balance=balance,
         )
+        if balance:
+            self._balanced_at[service] = now
         if planned != table and any(part.endpoint for part in planned.ranges):
             self._writing.add(service)
             self._start(self._write(service, planned, stored))
@@ -454,6 +478,7 @@
             last=part.last,
             token=part.token,
         )
+        self.tick(self._keyed, loop.time())
 
     def _proof(self, part: KeyRange, now: float) -> str | None:
         """Return the handover if the range may move, None if it may not."""
--- a/arbutusflow/gateway/key_planner.py
+++ b/arbutusflow/gateway/key_planner.py
@@ -14,11 +14,12 @@
 # Load in requests per second that a key has beside what was measured, so that an
 # idle service is spread by the number of keys.
 BASE_LOAD_PER_KEY = 0.0002
-# A move is worth its short interruption if the donor carries this much more than
-# the mean, relative to capacity, or the receiver this much less.
-OVERLOAD_RATIO = 1.35
-UNDERLOAD_RATIO = 0.5
-MAX_MOVES_UNDER_WAY = 4  # Per service; bounds the keys that are held up at a time.
+# A move is worth its short interruption if the donor is this busy (share of its
+# capacity) and carries this much more than the mean, or if an endpoint is nearly idle.
+BUSY_SHARE = 0.55
+OVERLOAD_RATIO = 1.3
+IDLE_RATIO = 0.25
+MAX_MOVES_UNDER_WAY = 6  # Per service; bounds the keys that are held up at a time.
 MAX_RANGES_PER_ENDPOINT = 16  # Each range is a renewal of its own.
 
 # Tells the handover if a range may get another owner, None if it may not yet.
@@ -58,19 +59,23 @@
 def plan(
     table: KeyTable,
     endpoints: Mapping[str, Endpoint],
+    capacity: Mapping[str, float],
     loads: KeyLoads,
     proof_of: ProofOf,
+    *,
+    balance: bool = True,
 ) -> KeyTable:
     """Return the table that should be in force next; the same one if nothing changes.
 
-    `endpoints` are all listed endpoints of the service, also those that leave.
+    `endpoints` are all listed endpoints of the service, also those that leave;
+    `capacity` are the requests per second that each can serve.
     """
     ready = {name: e for name, e in endpoints.items() if not e.draining}
     draft = _Draft(
         ranges=list(table.ranges),
         next_token=table.next_token,
         carried=dict.fromkeys(sorted(ready), 0.0),
-        capacity={name: float(e.slots) for name, e in ready.items()},
+        capacity={name: capacity[name] for name in ready},
     )
     _mark_leaving(draft, endpoints)
     for part in draft.ranges:
@@ -78,7 +83,8 @@
             draft.carried[part.endpoint] += loads.of_range(part.first, part.last)
     if ready:
         _assign_free(draft, ready, loads, proof_of)
-        _balance(draft, loads)
+        if balance:
+            _balance(draft, loads)
     return KeyTable(table.service, draft.next_token, _merge(draft.ranges))
 
 
@@ -159,8 +165,8 @@
     while moving < MAX_MOVES_UNDER_WAY and len(pressure) > 1:
         donor = max(pressure, key=lambda e: (pressure[e], e))
         receiver = min(pressure, key=lambda e: (pressure[e], e))
-        high = pressure[donor] > OVERLOAD_RATIO * mean
-        low = pressure[receiver] < UNDERLOAD_RATIO * mean
+        high = pressure[donor] > max(OVERLOAD_RATIO * mean, BUSY_SHARE)
+        low = pressure[receiver] < IDLE_RATIO * mean
         if not (high or low) or pressure[donor] <= mean:
             return
         wanted = (pressure[donor] - pressure[receiver]) / 2 * draft.capacity[donor]
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -33,7 +33,7 @@
 from arbutusflow.gateway.key_demand import KeyDemand, sum_reports
 from arbutusflow.gateway.key_leases import KeyLeases
 from arbutusflow.gateway.metrics import GatewayMetrics
-from arbutusflow.gateway.model import Address, Configuration, GatewaySettings
+from arbutusflow.gateway.model import Address, Configuration, Endpoint, GatewaySettings
 from arbutusflow.gateway.peers import PeerReport, PeerReports, StrikeReport
 from arbutusflow.gateway.retry_budget import RetryBudget
 from arbutusflow.gateway.store_watch import ObjectCopy
@@ -120,6 +120,7 @@
             cfg.max_lease_seconds,
         )
         self.leases.loads_of = self._loads_of
+        self.leases.capacity_of = self._capacity_of
         self.demand = KeyDemand()
         self.guard = CrashGuard()
         self.budget = RetryBudget(
@@ -203,11 +204,14 @@
             WATCH_SECONDS if self.fleet.hears_all(now) else FLEET_WATCH_SECONDS
         )
         self._maintain_records(now)
+        self._tick_leases(now)
+        if self._stopping_since is not None:
+            self._continue_stop(now)
+
+    def _tick_leases(self, now: float) -> None:
         if self._configuration is not None:
             keyed = [s.name for s in self._configuration.services.values() if s.keyed]
             self.leases.tick(keyed, now)
-        if self._stopping_since is not None:
-            self._continue_stop(now)
 
     # What arrives from the store.
 
@@ -240,6 +244,7 @@
         now = self._loop.time()
         self.fleet.update(now)
         self.leases.update_tables(now)
+        self._tick_leases(now)
 
     # Records in the store.
 
@@ -358,6 +363,10 @@
         ]
         return sum_reports(reports)
 
+    def _capacity_of(self, endpoint: Endpoint) -> float:
+        state = self.endpoints.states.get(endpoint.id)
+        return state.capacity() if state is not None else float(endpoint.slots)
+
     def _on_report(self, report: PeerReport) -> None:
         now = self._loop.time()
         for name, state in self.endpoints.states.items():
