Drop missing endpoints at once if the store was not away

The wait is meant for an outage of the store, in which live endpoints lose their entries. Instances now report for how long the store has answered them, and missing entries are kept only if it has answered nobody for that long.

--- a/arbutusflow/gateway/endpoint_directory.py
+++ b/arbutusflow/gateway/endpoint_directory.py
@@ -4,6 +4,8 @@
 after, is kept until live endpoints had time to register again.
 """
 
+from collections.abc import Callable
+
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.model import Endpoint
 from arbutusflow.gateway.store_watch import ObjectCopy
@@ -16,8 +18,15 @@
 class EndpointDirectory:
     """Decoded entries; `endpoints` is what the rest of the process goes by."""
 
-    def __init__(self, copy: ObjectCopy, log: EventLog) -> None:
+    def __init__(
+        self,
+        copy: ObjectCopy,
+        store_answers_for: Callable[[float], float],
+        log: EventLog,
+    ) -> None:
         self._copy = copy
+        # Seconds for which the store has answered any instance, at a given time.
+        self._store_answers_for = store_answers_for
         self._log = log
         self._kept: dict[str, Endpoint] = {}
         self._unreadable: dict[str, int] = {}
@@ -44,7 +53,7 @@
     def _returning(self, now: float) -> bool:
         if self._copy.lost_at is not None:
             return True
-        return now - self._copy.regained_at < RETURN_SECONDS
+        return self._store_answers_for(now) < RETURN_SECONDS
 
     def _use(self, listed: dict[str, Endpoint]) -> None:
         current = {**self._kept, **listed}
--- a/arbutusflow/gateway/fleet.py
+++ b/arbutusflow/gateway/fleet.py
@@ -128,6 +128,18 @@
         """Return whether the store was read recently enough to write a plan."""
         return self._copy.lost_at is None and self._copy.known
 
+    def store_answers_for(self, now: float) -> float:
+        """Return for how long the store has answered any instance that is heard of.
+
+        A single instance that was cut off thereby learns that the store was not
+        away: entries that it finds missing are gone.
+        """
+        longest = self._copy.touch_age(now)
+        for peer in self._peers.alive(now):
+            if peer.report.touch_age >= 0:
+                longest = max(longest, peer.report.touch_age + now - peer.heard)
+        return longest
+
     # The right to grant.
 
     def note_stall(self, now: float) -> None:
@@ -222,7 +234,7 @@
         candidates = [self.me]
         for record in self.alive(now)[1:]:
             peer = self._peers.peers.get(record.name)
-            if peer is not None and peer.report.in_touch:
+            if peer is not None and peer.report.touch_age >= 0:
                 candidates.append(record)
         return min(candidates, key=lambda record: score(record.name, service))
 
--- a/arbutusflow/gateway/key_demand.py
+++ b/arbutusflow/gateway/key_demand.py
@@ -4,8 +4,9 @@
 import heapq
 from collections.abc import Iterable, Mapping
 
-# Weight of the past after a second: busy keys change within seconds.
-DECAY_PER_SECOND = 0.75
+PERIOD_SECONDS = 0.5
+# Weight of the past after a period: busy keys change within seconds.
+DECAY = 0.7
 FORGET_BELOW = 0.05
 REPORTED_KEYS = 80  # Reported one by one; a report must fit a datagram.
 BUCKET_WIDTH = 1024  # Keys that are reported together otherwise.
@@ -26,14 +27,14 @@
         weights[key] += 1.0
 
     def decay(self) -> None:
-        """Let one second pass."""
+        """Let one period pass."""
         for service, weights in self._weights.items():
             self._weights[service] = collections.defaultdict(
                 float,
                 {
-                    key: weight * DECAY_PER_SECOND
+                    key: weight * DECAY
                     for key, weight in weights.items()
-                    if weight * DECAY_PER_SECOND >= FORGET_BELOW
+                    if weight * DECAY >= FORGET_BELOW
                 },
             )
 
@@ -43,7 +44,7 @@
         Keys beyond the busiest are summed into the middle key of their bucket.
         """
         weights: Mapping[int, float] = self._weights.get(service, {})
-        rate = (1 - DECAY_PER_SECOND) * HUNDREDTHS
+        rate = (1 - DECAY) / PERIOD_SECONDS * HUNDREDTHS
         top = heapq.nlargest(REPORTED_KEYS, weights, key=lambda key: weights[key])
         exact = set(top)
         result: collections.defaultdict[int, float] = collections.defaultdict(float)
--- a/arbutusflow/gateway/key_planner.py
+++ b/arbutusflow/gateway/key_planner.py
@@ -19,6 +19,10 @@
 BUSY_SHARE = 0.55
 OVERLOAD_RATIO = 1.3
 IDLE_RATIO = 0.25
+# From here on a single busy key is worth moving to an endpoint that is faster by
+# the ratio.
+FULL_SHARE = 0.8
+FASTER_RATIO = 1.25
 MAX_MOVES_UNDER_WAY = 6  # Per service; bounds the keys that are held up at a time.
 MAX_RANGES_PER_ENDPOINT = 16  # Each range is a renewal of its own.
 
@@ -52,8 +56,11 @@
     carried: dict[str, float]  # Load by endpoint.
     capacity: dict[str, float]
 
-    def least_loaded(self) -> str:
-        return min(self.carried, key=lambda e: (self.carried[e] / self.capacity[e], e))
+    def best_for(self, load: float) -> str:
+        """Return the endpoint that is least busy with the load added."""
+        return min(
+            self.carried, key=lambda e: ((self.carried[e] + load) / self.capacity[e], e)
+        )
 
 
 def plan(
@@ -125,8 +132,9 @@
             result.append(part)
             continue
         for piece in _split_free(part, draft, loads):
-            target = draft.least_loaded()
-            draft.carried[target] += loads.of_range(piece.first, piece.last)
+            load = loads.of_range(piece.first, piece.last)
+            target = draft.best_for(load)
+            draft.carried[target] += load
             result.append(
                 KeyRange(
                     piece.first,
@@ -171,6 +179,8 @@
             return
         wanted = (pressure[donor] - pressure[receiver]) / 2 * draft.capacity[donor]
         moved = _mark_piece(draft, donor, wanted, loads)
+        if moved is None and pressure[donor] > FULL_SHARE:
+            moved = _mark_for_faster(draft, donor, loads)
         if moved is None:
             del pressure[donor]
             continue
@@ -179,6 +189,25 @@
         moving += 1
 
 
+def _mark_for_faster(draft: _Draft, donor: str, loads: KeyLoads) -> float | None:
+    """Mark the only range of an overloaded donor if a faster endpoint could serve it.
+
+    A single busy key cannot be divided, so it should be where most of it is served.
+    """
+    owned = [p for p in draft.ranges if p.endpoint == donor and not p.leaving]
+    if len(owned) != 1:
+        return None
+    load = loads.of_range(owned[0].first, owned[0].last)
+    target = draft.best_for(load)
+    if target == donor:
+        return None
+    after = (draft.carried[target] + load) / draft.capacity[target]
+    if after * FASTER_RATIO > load / draft.capacity[donor]:
+        return None
+    draft.ranges[draft.ranges.index(owned[0])] = _leaving(owned[0])
+    return load
+
+
 def _mark_piece(
     draft: _Draft, donor: str, wanted: float, loads: KeyLoads
 ) -> float | None:
--- a/arbutusflow/gateway/peers.py
+++ b/arbutusflow/gateway/peers.py
@@ -42,7 +42,8 @@
     zone: str
     life_age: float  # Seconds since the process started.
     applied: int  # Revision of the fleet's objects that is in force here.
-    in_touch: bool  # Whether the store answers.
+    # Seconds since the store answers without interruption; negative if it does not.
+    touch_age: float
     in_flight: dict[str, int]
     leases: dict[str, LeaseReport]
     strikes: tuple[StrikeReport, ...] = ()
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -16,6 +16,7 @@
     PlatformError,
     SettingsError,
 )
+from arbutusflow.gateway import key_demand
 from arbutusflow.gateway.admission import Admission
 from arbutusflow.gateway.caller_server import CallerRequest, CallerServer, Reply
 from arbutusflow.gateway.connection_pool import ConnectionPool
@@ -30,7 +31,6 @@
     Fleet,
     InstanceRecord,
 )
-from arbutusflow.gateway.key_demand import KeyDemand, sum_reports
 from arbutusflow.gateway.key_leases import KeyLeases
 from arbutusflow.gateway.metrics import GatewayMetrics
 from arbutusflow.gateway.model import Address, Configuration, Endpoint, GatewaySettings
@@ -50,7 +50,7 @@
 TICK_SECONDS = 0.05
 ZONE_REPORT_SECONDS = 0.05  # Load reports inside a zone cost next to nothing.
 FLEET_REPORT_SECONDS = 0.3  # Reports across zones are priced by the byte.
-DEMAND_SECONDS = 1.0
+PRUNE_SECONDS = 1.0
 SETTINGS_CHECK_SECONDS = 1.0
 # A waiting watch is one call; a connection that lost its path is found by TCP
 # keep-alive, so the wait only bounds what one lost answer costs.
@@ -108,7 +108,9 @@
         )
         self.fleet = Fleet(me, self.fleet_copy, self.peers, now)
         self.endpoints = EndpointTable(cfg.zone)
-        self.directory = EndpointDirectory(self.endpoint_copy, log)
+        self.directory = EndpointDirectory(
+            self.endpoint_copy, self.fleet.store_answers_for, log
+        )
         self.pool = ConnectionPool(wire.REQUEST_ID)
         self.leases = KeyLeases(
             self.fleet,
@@ -121,7 +123,7 @@
         )
         self.leases.loads_of = self._loads_of
         self.leases.capacity_of = self._capacity_of
-        self.demand = KeyDemand()
+        self.demand = key_demand.KeyDemand()
         self.guard = CrashGuard()
         self.budget = RetryBudget(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_seconds
@@ -181,8 +183,8 @@
             (TICK_SECONDS, self._tick),
             (ZONE_REPORT_SECONDS, self._report_to_zone),
             (FLEET_REPORT_SECONDS, self._report_to_fleet),
-            (DEMAND_SECONDS, self._report_demand),
-            (DEMAND_SECONDS, self.pool.prune),
+            (key_demand.PERIOD_SECONDS, self._report_demand),
+            (PRUNE_SECONDS, self.pool.prune),
             (SETTINGS_CHECK_SECONDS, self._reload),
         ]
 
@@ -310,7 +312,7 @@
             zone=self.fleet.me.zone,
             life_age=round(now - self._started, 3),
             applied=applied,
-            in_touch=self.fleet.in_touch(now),
+            touch_age=round(self.endpoint_copy.touch_age(now), 3),
             in_flight=in_flight,
             leases=self.leases.lease_reports(now),
             strikes=tuple(self._strikes[-REPORTED_STRIKES:]),
@@ -361,7 +363,7 @@
             for peer in self.peers.alive(self._loop.time())
             if service in peer.loads
         ]
-        return sum_reports(reports)
+        return key_demand.sum_reports(reports)
 
     def _capacity_of(self, endpoint: Endpoint) -> float:
         state = self.endpoints.states.get(endpoint.id)
--- a/arbutusflow/gateway/store_watch.py
+++ b/arbutusflow/gateway/store_watch.py
@@ -17,7 +17,7 @@
 )
 
 FIRST_PAUSE_SECONDS = 0.2  # After a failed call; doubles up to the longest.
-LONGEST_PAUSE_SECONDS = 1.0
+LONGEST_PAUSE_SECONDS = 0.5
 # Wait of the first watch after a loss: a short one shows soon that the store answers.
 PROBE_WAIT_SECONDS = 0.3
 
@@ -43,7 +43,8 @@
         self.revision = 0
         self.current_at = -1e9  # When the copy was last known to be current.
         self.lost_at: float | None = None  # Since when the store does not answer.
-        self.regained_at = -1e9
+        # When the store answered again; the copy counts from its creation.
+        self.regained_at = asyncio.get_running_loop().time()
         self._rng = random.Random()
 
     @property
@@ -51,6 +52,10 @@
         """Whether the objects were ever read."""
         return self.revision > 0
 
+    def touch_age(self, now: float) -> float:
+        """Return for how long the store has answered; negative if it does not."""
+        return -1.0 if self.lost_at is not None else now - self.regained_at
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         pause = FIRST_PAUSE_SECONDS
--- a/arbutusflow/platform/store.py
+++ b/arbutusflow/platform/store.py
@@ -20,7 +20,7 @@
 from arbutusflow.gateway.model import Address, Answer, ExchangeError
 
 CALL_SECONDS = 2.0  # The store answers in milliseconds; slow days take 60 times.
-CONNECT_SECONDS = 1.0
+CONNECT_SECONDS = 0.7
 # Added to the wait of a watch before the connection counts as silent.
 WATCH_SLACK_SECONDS = 3.0
 MAX_IDLE_SECONDS = 8.0
