Remove an instance's record only when it has granted its last lease

An instance that ends as planned now removes its record when no grant is without an answer, and its next life reports no earlier one. Keys are moved for balance only while nobody is silent or may have left a lease behind.

--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -39,6 +39,7 @@
 KEY_WAIT_SECONDS = 0.4  # For a key whose owner changes; a release takes one request.
 KEY_POLL_SECONDS = 0.02
 MIN_SEND_SECONDS = 0.02  # With less time left no endpoint can answer.
+REFUSED_SENDS = 1  # Beyond the attempts of the route.
 CRASH_CHECK_SECONDS = 0.05  # A process that ended refuses connections by then.
 
 _CONNECTION_HEADERS = frozenset(
@@ -233,7 +234,7 @@
         now = self._loop.time()
         service = work.service.name
         left = work.end - now
-        if work.sends >= work.route.max_attempts:
+        if self._attempts_used(work):
             reason = "attempts_used"
         elif left < MIN_SEND_SECONDS:
             reason = "no_time_left"
@@ -243,6 +244,16 @@
             return
         raise self._given_up(work, reason)
 
+    def _attempts_used(self, work: _Work) -> bool:
+        """Return whether no endpoint may be tried any more.
+
+        Sends that an endpoint refused count less: the owner of a key that is just
+        being granted may be asked again.
+        """
+        return (
+            len(work.tried) >= work.route.max_attempts and work.key is None
+        ) or work.sends >= work.route.max_attempts + REFUSED_SENDS
+
     def _given_up(self, work: _Work, reason: str) -> RequestError:
         """Return the answer for work that is not sent any more."""
         if work.may_have_run:
@@ -445,7 +456,7 @@
     def _may_repeat(self, work: _Work) -> bool:
         now = self._loop.time()
         return (
-            work.sends < work.route.max_attempts
+            not self._attempts_used(work)
             and work.end - now >= MIN_SEND_SECONDS
             and self._budget.allows(work.service.name, self._instances(), now)
         )
--- a/arbutusflow/gateway/fleet.py
+++ b/arbutusflow/gateway/fleet.py
@@ -16,6 +16,7 @@
 import msgspec
 import xxhash
 
+from arbutusflow.gateway.key_table import lease_end
 from arbutusflow.gateway.model import Address, Endpoint
 from arbutusflow.gateway.peers import ALIVE_SECONDS, PeerReports
 from arbutusflow.gateway.store_watch import ObjectCopy
@@ -31,7 +32,9 @@
 # arrived meanwhile says nothing about now.
 STALL_SECONDS = 0.5
 EXCLUDE_AFTER_SECONDS = 1.0  # Without applying a table that moves keys.
-FORGET_SECONDS = 5.0  # A silent instance is removed from the records.
+# A silent instance is removed from the records when every lease that it may have
+# granted has ended.
+FORGET_SECONDS = 9.0
 
 
 class InstanceRecord(msgspec.Struct, frozen=True):
@@ -67,6 +70,9 @@
         self._copy = copy
         self._peers = peers
         self._started = now
+        # When an earlier life of this instance may have sent its last grant. A
+        # process that ends as planned removes its record when it has stopped to.
+        self.earlier_life_until = now
         self._first_seen: dict[tuple[str, int], float] = {}
         self._excluded: dict[str, _Exclusion] = {}
         self._touch_reset = -1e9
@@ -188,6 +194,22 @@
         silent_at = exclusion.since + TOUCH_SECONDS + TOUCH_SLACK_SECONDS
         return silent_at if now >= silent_at else None
 
+    def is_settled(self, now: float) -> bool:
+        """Return whether keys could move without waiting for a lease to end.
+
+        Not so while an instance is silent, or started without a planned end before.
+        """
+        if now < lease_end(self.earlier_life_until):
+            return False
+        for record in self.others():
+            heard = self.heard_at(record)
+            if heard is None or now - heard >= ALIVE_SECONDS / 2:
+                return False
+            age = self._peers.peers[record.name].report.earlier_life_age
+            if now < lease_end(heard - age):
+                return False
+        return True
+
     def exclude_silent(self, now: float) -> None:
         """Send no more reports to instances that are not heard of."""
         for record in self.others():
--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -88,7 +88,6 @@
         self._pool = pool
         self._log = log
         self._lease_seconds = min(LEASE_SECONDS, lease_seconds)
-        self._started = asyncio.get_running_loop().time()
         self._sent: dict[str, _Sent] = {}
         self._granting: set[str] = set()
         self._granted: set[tuple[str, int, int, int]] = set()
@@ -341,6 +340,13 @@
             )
             return None
 
+    def has_unanswered(self, now: float) -> bool:
+        """Return whether a grant may still take effect after it got no answer."""
+        return bool(self._granting) or any(
+            sent.unanswered is not None and now < lease_end(sent.unanswered)
+            for sent in self._sent.values()
+        )
+
     def lease_reports(self, now: float) -> dict[str, LeaseReport]:
         """Return what the others need to know about our grants."""
         reports = {}
@@ -366,7 +372,9 @@
         table = stored.table if stored else KeyTable.empty(service)
         if stored is not None:
             self._advance_departures(service, stored, now)
-        balance = now - self._balanced_at.get(service, -1e9) >= BALANCE_SECONDS
+        balance = now - self._balanced_at.get(
+            service, -1e9
+        ) >= BALANCE_SECONDS and self._fleet.is_settled(now)
         planned = key_planner.plan(
             table,
             endpoints,
@@ -498,8 +506,8 @@
         """Return when any instance last sent a grant, and one without an answer."""
         own = self._sent.get(endpoint, _Sent())
         sent, unanswered = own.last, own.unanswered or -1e9
-        # An earlier life of this instance may have sent a grant until it ended.
-        sent, unanswered = max(sent, self._started), max(unanswered, self._started)
+        earlier = self._fleet.earlier_life_until
+        sent, unanswered = max(sent, earlier), max(unanswered, earlier)
         for record in self._fleet.others():
             last_sent, last_unanswered = self._grants_of(record, endpoint, departure)
             sent = max(sent, last_sent)
@@ -518,14 +526,14 @@
         if not applied or peer is None:
             assert departure.stopped is not None
             return departure.stopped, departure.stopped
-        birth = peer.heard - peer.report.life_age
+        earlier = peer.heard - peer.report.earlier_life_age
         lease = peer.report.leases.get(endpoint)
         if lease is None:
-            return birth, birth
-        sent = max(birth, peer.heard - lease.sent_age)
+            return earlier, earlier
+        sent = max(earlier, peer.heard - lease.sent_age)
         if lease.unanswered_age < 0:
-            return sent, birth
-        return sent, max(birth, peer.heard - lease.unanswered_age)
+            return sent, earlier
+        return sent, max(earlier, peer.heard - lease.unanswered_age)
 
     def _start(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/arbutusflow/gateway/peers.py
+++ b/arbutusflow/gateway/peers.py
@@ -40,7 +40,8 @@
     life: int  # Random number of the process.
     number: int
     zone: str
-    life_age: float  # Seconds since the process started.
+    # Seconds since an earlier life of the instance may have sent its last grant.
+    earlier_life_age: float
     applied: int  # Revision of the fleet's objects that is in force here.
     # Seconds since the store answers without interruption; negative if it does not.
     touch_age: float
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -64,6 +64,7 @@
 STOP_MARGIN_SECONDS = 0.4  # Before SIGKILL.
 REGISTER_PAUSE_SECONDS = 0.3
 REPORTED_STRIKES = 8
+NO_EARLIER_LIFE_SECONDS = 1e6  # Longer ago than any lease lasts.
 
 
 class Gateway:
@@ -85,6 +86,7 @@
         self._adopted_strikes: dict[str, int] = {}
         self._sent_load: dict[str, int] = {}
         self._registering = False
+        self._registered_once = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._configuration: Configuration | None = None
         self.log = EventLog(cfg.instance)
@@ -270,10 +272,13 @@
         try:
             if known is None:
                 item = await self.store.create(FLEET_KIND, name, spec)
+                if not self._registered_once:
+                    self.fleet.earlier_life_until = -NO_EARLIER_LIFE_SECONDS
             else:
                 item = await self.store.replace(FLEET_KIND, name, spec, known.revision)
             self.fleet_copy.adopt(item)
             self.fleet.update(self._loop.time())
+            self._registered_once = True
             self.log.write("registered", life=self.fleet.me.life)
         except ConflictError:
             self.fleet_copy.read_again()
@@ -310,7 +315,7 @@
             life=self.fleet.me.life,
             number=self._number,
             zone=self.fleet.me.zone,
-            life_age=round(now - self._started, 3),
+            earlier_life_age=round(now - self.fleet.earlier_life_until, 3),
             applied=applied,
             touch_age=round(self.endpoint_copy.touch_age(now), 3),
             in_flight=in_flight,
@@ -458,7 +463,8 @@
         item = self.fleet_copy.objects.get(name)
         try:
             async with asyncio.timeout(STOP_MARGIN_SECONDS / 2):
-                if item is not None and self.fleet.registered:
+                unanswered = self.leases.has_unanswered(self._loop.time())
+                if item is not None and self.fleet.registered and not unanswered:
                     await self.store.delete(FLEET_KIND, name, item.revision)
         except (PlatformError, TimeoutError) as exc:
             self.log.write("leave_unrecorded", detail=repr(exc))
