--- a/arbutusflow/gateway/connection_pool.py
+++ b/arbutusflow/gateway/connection_pool.py
@@ -9,7 +9,7 @@
 from collections.abc import AsyncIterator
 
 from arbutusflow.gateway.client_connection import ClientConnection
-from arbutusflow.gateway.model import Address, ExchangeError
+from arbutusflow.gateway.model import Address
 
 # Endpoints keep idle connections for about 10 s and say so in whole seconds; a
 # request that is sent as the endpoint closes may or may not have run.
@@ -32,13 +32,21 @@
 
     @contextlib.asynccontextmanager
     async def connection(
-        self, address: Address, *, at_most_once: bool, timeout: float
+        self,
+        address: Address,
+        *,
+        at_most_once: bool,
+        timeout: float,
+        fresh: bool = False,
     ) -> AsyncIterator[ClientConnection]:
         """Lend a connection; it returns to the pool if it is still usable.
 
+        With `fresh` it carried nothing before, so no late answer can be taken for
+        the next one.
+
         Raises ExchangeError with `sent` false if none can be opened.
         """
-        conn = self._take(address, at_most_once)
+        conn = None if fresh else self._take(address, at_most_once)
         if conn is None:
             conn = await ClientConnection.open(
                 address, min(timeout, CONNECT_SECONDS), self._id_header
@@ -93,6 +101,3 @@
         """Close the idle connections to an address."""
         for conn in self._idle.pop(address, ()):
             conn.close()
-
-
-__all__ = ["ConnectionPool", "ExchangeError"]
--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -40,6 +40,7 @@
 # The endpoints of a service register one after the other when all start.
 SETTLE_SECONDS = 0.6
 RELEASE_PAUSE_SECONDS = 0.3
+WAIT_REPORT_SECONDS = 1.0
 # Each write of a table costs every instance a call. Demand is reported once a second.
 BALANCE_SECONDS = 1.0
 # An owner that was just granted a key gets the grant within some milliseconds.
@@ -66,6 +67,10 @@
     releasing: bool = False
     retry_at: float = 0.0
     released: str | None = None  # Handover, which may be empty.
+    reported: float = 0.0  # When a wait for an instance was last logged.
+
+    def __post_init__(self) -> None:
+        self.reported = self.seen
 
 
 class KeyLeases:
@@ -327,7 +332,10 @@
         )
         try:
             async with self._pool.connection(
-                endpoint.address, at_most_once=False, timeout=timeout
+                endpoint.address,
+                at_most_once=False,
+                timeout=timeout,
+                fresh=path == wire.RELEASE_PATH,
             ) as conn:
                 return await conn.exchange(head, body, timeout)
         except ExchangeError as exc:
@@ -462,10 +470,21 @@
                 record, departure.revision, departure.seen, now
             )
             if stopped is None:
+                self._note_waiting(record.name, departure, now)
                 return None
             latest = max(latest, stopped)
         return max(latest, now)
 
+    def _note_waiting(self, instance: str, departure: _Departure, now: float) -> None:
+        if now - departure.reported >= WAIT_REPORT_SECONDS:
+            departure.reported = now
+            self._log.sample(
+                "keys_wait_for_instance",
+                name=instance,
+                revision=departure.revision,
+                waited_seconds=round(now - departure.seen, 3),
+            )
+
     async def _release(
         self, endpoint: Endpoint, part: KeyRange, departure: _Departure
     ) -> None:
@@ -475,10 +494,10 @@
         answer = await self._order(endpoint, wire.RELEASE_PATH, body, RELEASE_SECONDS)
         departure.releasing = False
         departure.retry_at = loop.time() + RELEASE_PAUSE_SECONDS
-        handover = answer.header(wire.HANDOVER) if answer is not None else None
-        if answer is None or answer.status != 200 or handover is None:
+        if answer is None or answer.status != 200:
             return
-        departure.released = handover.decode("latin-1")
+        # An endpoint whose lease has lapsed has nothing to hand over.
+        departure.released = (answer.header(wire.HANDOVER) or b"").decode("latin-1")
         self._log.write(
             "keys_released",
             endpoint=endpoint.id,
