Let excluded instances go on to hear each other

Reports now always go out and say whether the sender vouches for the receiver, which is what the right to grant rests on.

--- a/arbutusflow/gateway/fleet.py
+++ b/arbutusflow/gateway/fleet.py
@@ -3,11 +3,11 @@
 Safety of ownership rests on two rules:
 
 - An instance grants keys only while it has read the fleet's objects from the store
-  within `TOUCH_SECONDS`, or has heard from every other recorded instance within
+  within `TOUCH_SECONDS`, or every other recorded instance has vouched for it within
   that time.
-- Before keys move, each recorded instance has applied the table that says so. An
-  instance that does not report that is sent no more reports, so it stops to grant
-  after `TOUCH_SECONDS`.
+- Before keys move, each recorded instance has applied the table that says so. The
+  planner no longer vouches for an instance that does not report that, so it stops
+  to grant after `TOUCH_SECONDS`.
 """
 
 import dataclasses
@@ -54,14 +54,14 @@
 
 @dataclasses.dataclass(slots=True)
 class _Exclusion:
-    """An instance that is sent no reports."""
+    """An instance that is not vouched for."""
 
     life: int
     since: float
 
 
 class Fleet:
-    """Recorded instances, who was heard of, and who is excluded."""
+    """Recorded instances, who was heard of, and who is not vouched for."""
 
     def __init__(
         self, me: InstanceRecord, copy: ObjectCopy, peers: PeerReports, now: float
@@ -76,6 +76,7 @@
         self._first_seen: dict[tuple[str, int], float] = {}
         self._excluded: dict[str, _Exclusion] = {}
         self._touch_reset = -1e9
+        self._behind_since: float | None = None
         self.records: dict[str, InstanceRecord] = {}
 
     def update(self, now: float) -> None:
@@ -112,13 +113,16 @@
             return None
         return peer.heard
 
-    def targets(self, now: float, same_zone: bool) -> list[Address]:
-        """Return where reports go: to instances in or outside the own zone."""
+    def targets(self, *, vouched: bool, zone: str | None = None) -> list[Address]:
+        """Return the addresses of the others, of one zone or of all.
+
+        `vouched` selects those that this instance vouches for, or the excluded ones.
+        """
         return [
             Address(record.host, record.port)
             for record in self.others()
-            if record.name not in self._excluded
-            and (record.zone == self.me.zone) == same_zone
+            if (record.name not in self._excluded) == vouched
+            and zone in (None, record.zone)
         ]
 
     def alive(self, now: float) -> list[InstanceRecord]:
@@ -159,17 +163,30 @@
             return False
         if now - self._copy.current_at < TOUCH_SECONDS:
             return True
-        return self.hears_all(now)
+        return self.is_vouched_for(now)
 
-    def hears_all(self, now: float) -> bool:
-        """Return whether every other recorded instance was heard of recently."""
+    def is_vouched_for(self, now: float) -> bool:
+        """Return whether every other recorded instance vouched for this one lately.
+
+        Not so if one of them has applied a later revision for some time: an
+        instance that joined since then may count on this one to be silent.
+        """
         for record in self.others():
-            heard = self.heard_at(record)
-            if heard is None or heard < self._touch_reset:
+            if self.heard_at(record) is None:
                 return False
-            if now - heard >= TOUCH_SECONDS:
+            vouched = self._peers.peers[record.name].vouched
+            if vouched < self._touch_reset or now - vouched >= TOUCH_SECONDS:
                 return False
-        return True
+        return not self._is_behind(now)
+
+    def _is_behind(self, now: float) -> bool:
+        latest = max((p.report.applied for p in self._peers.alive(now)), default=0)
+        if latest <= self._copy.revision:
+            self._behind_since = None
+            return False
+        if self._behind_since is None:
+            self._behind_since = now
+        return now - self._behind_since >= EXCLUDE_AFTER_SECONDS
 
     # Agreement on a revision.
 
@@ -179,7 +196,7 @@
         """Return when an instance had stopped to act on tables before `revision`.
 
         None if it may still do so. `since` is when this instance first saw the
-        revision. An instance that does not apply it in time is excluded.
+        revision. An instance that does not apply it in time is not vouched for.
         """
         heard = self.heard_at(record)
         peer = self._peers.peers.get(record.name)
@@ -191,27 +208,42 @@
             if now - since >= EXCLUDE_AFTER_SECONDS:
                 self._excluded[record.name] = _Exclusion(record.life, now)
             return None
+        return self._silent_at(record, now)
+
+    def _silent_at(self, record: InstanceRecord, now: float) -> float | None:
+        """Return when an excluded instance had lost the right to grant."""
+        exclusion = self._excluded.get(record.name)
+        if exclusion is None:
+            return None
         silent_at = exclusion.since + TOUCH_SECONDS + TOUCH_SLACK_SECONDS
         return silent_at if now >= silent_at else None
 
+    def last_grant_possible(self, record: InstanceRecord, now: float) -> float:
+        """Return when an instance that reports nothing may have granted last."""
+        silent_at = self._silent_at(record, now)
+        return now if silent_at is None else silent_at
+
     def is_settled(self, now: float) -> bool:
         """Return whether keys could move without waiting for a lease to end.
 
-        Not so while an instance is silent, or started without a planned end before.
+        Not so while a lease of an instance that went silent, or that started
+        without a planned end before, may last.
         """
         if now < lease_end(self.earlier_life_until):
             return False
         for record in self.others():
             heard = self.heard_at(record)
             if heard is None or now - heard >= ALIVE_SECONDS / 2:
-                return False
-            age = self._peers.peers[record.name].report.earlier_life_age
-            if now < lease_end(heard - age):
+                possible = self.last_grant_possible(record, now)
+            else:
+                age = self._peers.peers[record.name].report.earlier_life_age
+                possible = heard - age
+            if now < lease_end(possible):
                 return False
         return True
 
     def exclude_silent(self, now: float) -> None:
-        """Send no more reports to instances that are not heard of."""
+        """No longer vouch for instances that are not heard of."""
         for record in self.others():
             seen = self._first_seen.get((record.name, record.life), now)
             last = max(self.heard_at(record) or -1e9, seen, self._started)
--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -528,23 +528,24 @@
         earlier = self._fleet.earlier_life_until
         sent, unanswered = max(sent, earlier), max(unanswered, earlier)
         for record in self._fleet.others():
-            last_sent, last_unanswered = self._grants_of(record, endpoint, departure)
+            last_sent, last_unanswered = self._grants_of(
+                record, endpoint, departure, now
+            )
             sent = max(sent, last_sent)
             unanswered = max(unanswered, last_unanswered)
         return sent, unanswered
 
     def _grants_of(
-        self, record: InstanceRecord, endpoint: str, departure: _Departure
+        self, record: InstanceRecord, endpoint: str, departure: _Departure, now: float
     ) -> tuple[float, float]:
         peer = self._peers.peers.get(record.name)
-        applied = (
-            peer is not None
-            and peer.report.life == record.life
-            and peer.report.applied >= departure.revision
-        )
-        if not applied or peer is None:
-            assert departure.stopped is not None
-            return departure.stopped, departure.stopped
+        if (
+            peer is None
+            or peer.report.life != record.life
+            or peer.report.applied < departure.revision
+        ):
+            possible = self._fleet.last_grant_possible(record, now)
+            return possible, possible
         earlier = peer.heard - peer.report.earlier_life_age
         lease = peer.report.leases.get(endpoint)
         if lease is None:
--- a/arbutusflow/gateway/peers.py
+++ b/arbutusflow/gateway/peers.py
@@ -47,6 +47,8 @@
     touch_age: float
     in_flight: dict[str, int]
     leases: dict[str, LeaseReport]
+    # Whether the receiver may grant keys on the strength of hearing the sender.
+    vouches: bool = True
     strikes: tuple[StrikeReport, ...] = ()
     # Hundredths of a request per second, by service and key.
     key_loads: dict[str, dict[int, int]] = {}
@@ -55,11 +57,12 @@
 class PeerState:
     """Latest report of another instance."""
 
-    __slots__ = ("heard", "loads", "loads_at", "report")
+    __slots__ = ("heard", "loads", "loads_at", "report", "vouched")
 
     def __init__(self, report: PeerReport, heard: float) -> None:
         self.report = report
         self.heard = heard
+        self.vouched = -1e9  # When it last vouched for this instance.
         self.loads: dict[str, dict[int, int]] = {}
         self.loads_at = 0.0
 
@@ -99,6 +102,8 @@
         elif report.number <= known.report.number:
             return
         known.report, known.heard = report, now
+        if report.vouches:
+            known.vouched = now
         if report.key_loads:
             known.loads, known.loads_at = report.key_loads, now
         self._on_report(report)
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -205,7 +205,7 @@
             self._use_endpoints(now)
         self.fleet.exclude_silent(now)
         self.fleet_copy.wait_seconds = (
-            WATCH_SECONDS if self.fleet.hears_all(now) else FLEET_WATCH_SECONDS
+            WATCH_SECONDS if self.fleet.is_vouched_for(now) else FLEET_WATCH_SECONDS
         )
         self._maintain_records(now)
         self._tick_leases(now)
@@ -305,7 +305,11 @@
     # Reports between instances.
 
     def _report(
-        self, loads: dict[str, dict[int, int]], in_flight: dict[str, int]
+        self,
+        loads: dict[str, dict[int, int]],
+        in_flight: dict[str, int],
+        *,
+        vouches: bool,
     ) -> PeerReport:
         now = self._loop.time()
         self._number += 1
@@ -320,6 +324,7 @@
             touch_age=round(self.endpoint_copy.touch_age(now), 3),
             in_flight=in_flight,
             leases=self.leases.lease_reports(now),
+            vouches=vouches,
             strikes=tuple(self._strikes[-REPORTED_STRIKES:]),
             key_loads=loads,
         )
@@ -336,16 +341,16 @@
         if load == self._sent_load:
             return
         self._sent_load = load
-        targets = self.fleet.targets(self._loop.time(), same_zone=True)
-        if targets:
-            self.peers.send(self._report({}, load), targets)
+        self._send_reports(load, self.fleet.me.zone)
 
     def _report_to_fleet(self) -> None:
-        now = self._loop.time()
-        targets = self.fleet.targets(now, same_zone=False)
-        targets += self.fleet.targets(now, same_zone=True)
-        if targets:
-            self.peers.send(self._report({}, self._in_flight()), targets)
+        self._send_reports(self._in_flight(), None)
+
+    def _send_reports(self, load: dict[str, int], zone: str | None) -> None:
+        for vouched in (True, False):
+            targets = self.fleet.targets(vouched=vouched, zone=zone)
+            if targets:
+                self.peers.send(self._report({}, load, vouches=vouched), targets)
 
     def _report_demand(self) -> None:
         self.demand.decay()
@@ -356,7 +361,9 @@
             if not service.keyed or self.fleet.is_planner(service.name, now):
                 continue
             report = self._report(
-                {service.name: self.demand.report(service.name)}, self._in_flight()
+                {service.name: self.demand.report(service.name)},
+                self._in_flight(),
+                vouches=False,
             )
             planner = self.fleet.planner(service.name, now)
             self.peers.send(report, [Address(planner.host, planner.port)])
