Pass key tables between instances

The planner also asked instances one after the other, so that their time limits added up, and dropped an exclusion as soon as any older revision was applied. Instances now report the revision of each table and ask a peer for a later one.

--- a/arbutusflow/gateway/fleet.py
+++ b/arbutusflow/gateway/fleet.py
@@ -78,6 +78,7 @@
         self._touch_reset = -1e9
         self._behind_since: float | None = None
         self.records: dict[str, InstanceRecord] = {}
+        self.applied: dict[str, int] = {}  # Revisions of the tables in force here.
 
     def update(self, now: float) -> None:
         """Take over the records that the store holds."""
@@ -180,8 +181,11 @@
         return not self._is_behind(now)
 
     def _is_behind(self, now: float) -> bool:
-        latest = max((p.report.applied for p in self._peers.alive(now)), default=0)
-        if latest <= self._copy.revision:
+        if not any(
+            revision > self.applied.get(service, 0)
+            for peer in self._peers.alive(now)
+            for service, revision in peer.report.tables.items()
+        ):
             self._behind_since = None
             return False
         if self._behind_since is None:
@@ -190,24 +194,30 @@
 
     # Agreement on a revision.
 
+    def has_applied(self, record: InstanceRecord, service: str, revision: int) -> bool:
+        """Return whether an instance goes by a table of at least the revision."""
+        if self.heard_at(record) is None:
+            return False
+        report = self._peers.peers[record.name].report
+        return report.tables.get(service, 0) >= revision
+
     def stopped_at(
-        self, record: InstanceRecord, revision: int, since: float, now: float
+        self,
+        record: InstanceRecord,
+        service: str,
+        revision: int,
+        since: float,
+        now: float,
     ) -> float | None:
         """Return when an instance had stopped to act on tables before `revision`.
 
         None if it may still do so. `since` is when this instance first saw the
         revision. An instance that does not apply it in time is not vouched for.
         """
-        heard = self.heard_at(record)
-        peer = self._peers.peers.get(record.name)
-        if heard is not None and peer is not None and peer.report.applied >= revision:
-            self._excluded.pop(record.name, None)
+        if self.has_applied(record, service, revision):
             return since
-        exclusion = self._excluded.get(record.name)
-        if exclusion is None:
-            if now - since >= EXCLUDE_AFTER_SECONDS:
-                self._excluded[record.name] = _Exclusion(record.life, now)
-            return None
+        if record.name not in self._excluded and now - since >= EXCLUDE_AFTER_SECONDS:
+            self._excluded[record.name] = _Exclusion(record.life, now)
         return self._silent_at(record, now)
 
     def _silent_at(self, record: InstanceRecord, now: float) -> float | None:
@@ -253,8 +263,10 @@
                 self._readmit(record)
 
     def _readmit(self, record: InstanceRecord) -> None:
-        peer = self._peers.peers.get(record.name)
-        if peer is not None and peer.report.applied >= self._copy.revision:
+        if all(
+            self.has_applied(record, service, revision)
+            for service, revision in self.applied.items()
+        ):
             del self._excluded[record.name]
 
     def forgotten(self, now: float) -> list[InstanceRecord]:
--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -132,9 +132,18 @@
             except (msgspec.ValidationError, ValueError) as exc:
                 self._log.write("key_table_malformed", service=service, detail=str(exc))
                 continue
-            self._note_changes(known, table, item.revision, now)
-            self.tables[service] = StoredTable(table, item.revision)
-            self.owners[service] = table.owners()
+            self.adopt_table(StoredTable(table, item.revision), now)
+
+    def adopt_table(self, stored: StoredTable, now: float) -> None:
+        """Go by a table unless a later one is known."""
+        service = stored.table.service
+        known = self.tables.get(service)
+        if known is not None and known.revision >= stored.revision:
+            return
+        self._note_changes(known, stored.table, stored.revision, now)
+        self.tables[service] = stored
+        self.owners[service] = stored.table.owners()
+        self._fleet.applied[service] = stored.revision
 
     def _note_changes(
         self, known: StoredTable | None, table: KeyTable, revision: int, now: float
@@ -388,7 +397,7 @@
             endpoints,
             {name: self.capacity_of(e) for name, e in endpoints.items()},
             key_planner.KeyLoads(self.loads_of(service)),
-            lambda part: self._proof(part, now),
+            lambda part: self._proof(service, part, now),
             balance=balance,
         )
         if balance:
@@ -448,7 +457,7 @@
                 part.grant, _Departure(stored.revision, now)
             )
             if departure.stopped is None:
-                departure.stopped = self._all_stopped(departure, now)
+                departure.stopped = self._all_stopped(service, departure, now)
             if departure.stopped is None or departure.released is not None:
                 continue
             endpoint = self._last_known(part)
@@ -463,17 +472,21 @@
             return None
         return endpoint
 
-    def _all_stopped(self, departure: _Departure, now: float) -> float | None:
-        latest = departure.seen
-        for record in self._fleet.others():
-            stopped = self._fleet.stopped_at(
-                record, departure.revision, departure.seen, now
+    def _all_stopped(
+        self, service: str, departure: _Departure, now: float
+    ) -> float | None:
+        # All instances are asked about, because each question may exclude one.
+        stops = {
+            record.name: self._fleet.stopped_at(
+                record, service, departure.revision, departure.seen, now
             )
+            for record in self._fleet.others()
+        }
+        for name, stopped in stops.items():
             if stopped is None:
-                self._note_waiting(record.name, departure, now)
+                self._note_waiting(name, departure, now)
                 return None
-            latest = max(latest, stopped)
-        return max(latest, now)
+        return now
 
     def _note_waiting(self, instance: str, departure: _Departure, now: float) -> None:
         if now - departure.reported >= WAIT_REPORT_SECONDS:
@@ -507,12 +520,12 @@
         )
         self.tick(self._keyed, loop.time())
 
-    def _proof(self, part: KeyRange, now: float) -> str | None:
+    def _proof(self, service: str, part: KeyRange, now: float) -> str | None:
         """Return the handover if the range may move, None if it may not."""
         departure = self._departures.get(part.grant)
         if departure is None or departure.stopped is None:
             return None
-        sent, unanswered = self._latest_grants(part.endpoint, departure, now)
+        sent, unanswered = self._latest_grants(service, part.endpoint, departure, now)
         if departure.released is not None and now >= lease_end(unanswered):
             return departure.released
         if now >= lease_end(max(sent, unanswered)):
@@ -520,7 +533,7 @@
         return None
 
     def _latest_grants(
-        self, endpoint: str, departure: _Departure, now: float
+        self, service: str, endpoint: str, departure: _Departure, now: float
     ) -> tuple[float, float]:
         """Return when any instance last sent a grant, and one without an answer."""
         own = self._sent.get(endpoint, _Sent())
@@ -528,24 +541,18 @@
         earlier = self._fleet.earlier_life_until
         sent, unanswered = max(sent, earlier), max(unanswered, earlier)
         for record in self._fleet.others():
-            last_sent, last_unanswered = self._grants_of(
-                record, endpoint, departure, now
-            )
+            if self._fleet.has_applied(record, service, departure.revision):
+                last_sent, last_unanswered = self._grants_of(record, endpoint)
+            else:
+                last_sent = self._fleet.last_grant_possible(record, now)
+                last_unanswered = last_sent
             sent = max(sent, last_sent)
             unanswered = max(unanswered, last_unanswered)
         return sent, unanswered
 
-    def _grants_of(
-        self, record: InstanceRecord, endpoint: str, departure: _Departure, now: float
-    ) -> tuple[float, float]:
-        peer = self._peers.peers.get(record.name)
-        if (
-            peer is None
-            or peer.report.life != record.life
-            or peer.report.applied < departure.revision
-        ):
-            possible = self._fleet.last_grant_possible(record, now)
-            return possible, possible
+    def _grants_of(self, record: InstanceRecord, endpoint: str) -> tuple[float, float]:
+        """Return the same for one instance, as it reports it."""
+        peer = self._peers.peers[record.name]
         earlier = peer.heard - peer.report.earlier_life_age
         lease = peer.report.leases.get(endpoint)
         if lease is None:
--- a/arbutusflow/gateway/peers.py
+++ b/arbutusflow/gateway/peers.py
@@ -12,9 +12,9 @@
 import msgspec
 
 from arbutusflow.gateway.event_log import EventLog
+from arbutusflow.gateway.key_table import KeyTable
 from arbutusflow.gateway.model import Address
 
-MAX_DATAGRAM_BYTES = 1400  # One Ethernet frame.
 ALIVE_SECONDS = 1.5  # Five reports across zones may be lost before this.
 
 
@@ -33,7 +33,7 @@
     digest: bytes
 
 
-class PeerReport(msgspec.Struct, array_like=True, frozen=True):
+class PeerReport(msgspec.Struct, array_like=True, frozen=True, tag="report"):
     """What one instance tells the others."""
 
     instance: str
@@ -42,7 +42,7 @@
     zone: str
     # Seconds since an earlier life of the instance may have sent its last grant.
     earlier_life_age: float
-    applied: int  # Revision of the fleet's objects that is in force here.
+    tables: dict[str, int]  # Revisions of the key tables in force, by service.
     # Seconds since the store answers without interruption; negative if it does not.
     touch_age: float
     in_flight: dict[str, int]
@@ -54,6 +54,22 @@
     key_loads: dict[str, dict[int, int]] = {}
 
 
+class TableAsked(msgspec.Struct, array_like=True, frozen=True, tag="ask"):
+    """An instance that cannot read the store asks for the keys of a service."""
+
+    service: str
+
+
+class TableTold(msgspec.Struct, array_like=True, frozen=True, tag="told"):
+    """A key table as the sender read it from the store."""
+
+    table: KeyTable
+    revision: int
+
+
+Message = PeerReport | TableAsked | TableTold
+
+
 class PeerState:
     """Latest report of another instance."""
 
@@ -71,14 +87,21 @@
     """Receives the reports of others and sends our own."""
 
     def __init__(
-        self, instance: str, on_report: Callable[[PeerReport], None], log: EventLog
+        self,
+        instance: str,
+        on_report: Callable[[PeerReport, Address], None],
+        on_table: Callable[[TableAsked | TableTold, Address], None],
+        log: EventLog,
     ) -> None:
         self._instance = instance
         self._on_report = on_report
+        self._on_table = on_table
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(PeerReport)
+        self._decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(
+            Message
+        )
         self.peers: dict[str, PeerState] = {}
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -87,12 +110,19 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take over a report unless it is older than the last one."""
+        """Hand a message on."""
         try:
-            report = self._decoder.decode(data)
+            message = self._decoder.decode(data)
         except msgspec.MsgspecError as exc:
             self._log.sample("peer_report_malformed", source=addr[0], detail=str(exc))
             return
+        if isinstance(message, PeerReport):
+            self._take_report(message, Address(*addr))
+        else:
+            self._on_table(message, Address(*addr))
+
+    def _take_report(self, report: PeerReport, source: Address) -> None:
+        """Take over a report unless it is older than the last one."""
         if report.instance == self._instance:
             return
         now = asyncio.get_running_loop().time()
@@ -106,17 +136,17 @@
             known.vouched = now
         if report.key_loads:
             known.loads, known.loads_at = report.key_loads, now
-        self._on_report(report)
+        self._on_report(report, source)
 
     def error_received(self, exc: Exception) -> None:
         """Note that a datagram was rejected; the next report replaces it."""
         self._log.sample("peer_report_rejected", detail=str(exc))
 
-    def send(self, report: PeerReport, targets: list[Address]) -> None:
-        """Send a report to other instances."""
+    def send(self, message: Message, targets: list[Address]) -> None:
+        """Send a message to other instances."""
         if self._transport is None:
             return
-        data = self._encoder.encode(report)
+        data = self._encoder.encode(message)
         for target in targets:
             self._transport.sendto(data, (target.host, target.port))
 
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -32,9 +32,16 @@
     InstanceRecord,
 )
 from arbutusflow.gateway.key_leases import KeyLeases
+from arbutusflow.gateway.key_table import StoredTable
 from arbutusflow.gateway.metrics import GatewayMetrics
 from arbutusflow.gateway.model import Address, Configuration, Endpoint, GatewaySettings
-from arbutusflow.gateway.peers import PeerReport, PeerReports, StrikeReport
+from arbutusflow.gateway.peers import (
+    PeerReport,
+    PeerReports,
+    StrikeReport,
+    TableAsked,
+    TableTold,
+)
 from arbutusflow.gateway.retry_budget import RetryBudget
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform import wire
@@ -63,6 +70,8 @@
 ROTATION_SECONDS = 2.6
 STOP_MARGIN_SECONDS = 0.4  # Before SIGKILL.
 REGISTER_PAUSE_SECONDS = 0.3
+# The store tells of a change within some milliseconds.
+TABLE_ASK_SECONDS = 0.1
 REPORTED_STRIKES = 8
 NO_EARLIER_LIFE_SECONDS = 1e6  # Longer ago than any lease lasts.
 
@@ -87,6 +96,7 @@
         self._sent_load: dict[str, int] = {}
         self._registering = False
         self._registered_once = False
+        self._behind: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._configuration: Configuration | None = None
         self.log = EventLog(cfg.instance)
@@ -98,7 +108,9 @@
         life = self._rng.getrandbits(48)
         me = InstanceRecord(cfg.instance, life, cfg.peer_host, cfg.peer_port, cfg.zone)
         self.store = StoreClient(cfg.store_address)
-        self.peers = PeerReports(cfg.instance, self._on_report, log)
+        self.peers = PeerReports(
+            cfg.instance, self._on_report, self._on_table_message, log
+        )
         self.fleet_copy = ObjectCopy(
             self.store, FLEET_KIND, WATCH_SECONDS, self._on_fleet, log
         )
@@ -313,14 +325,13 @@
     ) -> PeerReport:
         now = self._loop.time()
         self._number += 1
-        applied = self.fleet_copy.revision if self.fleet.registered else 0
         return PeerReport(
             instance=self.fleet.me.name,
             life=self.fleet.me.life,
             number=self._number,
             zone=self.fleet.me.zone,
             earlier_life_age=round(now - self.fleet.earlier_life_until, 3),
-            applied=applied,
+            tables=self.fleet.applied if self.fleet.registered else {},
             touch_age=round(self.endpoint_copy.touch_age(now), 3),
             in_flight=in_flight,
             leases=self.leases.lease_reports(now),
@@ -381,8 +392,30 @@
         state = self.endpoints.states.get(endpoint.id)
         return state.capacity() if state is not None else float(endpoint.slots)
 
-    def _on_report(self, report: PeerReport) -> None:
+    def _on_table_message(
+        self, message: TableAsked | TableTold, source: Address
+    ) -> None:
+        now = self._loop.time()
+        if isinstance(message, TableTold):
+            self.leases.adopt_table(StoredTable(message.table, message.revision), now)
+            self._tick_leases(now)
+            return
+        stored = self.leases.tables.get(message.service)
+        if stored is not None:
+            self.peers.send(TableTold(stored.table, stored.revision), [source])
+
+    def _ask_for_tables(self, report: PeerReport, source: Address, now: float) -> None:
+        """Ask a peer for later tables that the store has not told in time."""
+        for service, revision in report.tables.items():
+            if revision <= self.fleet.applied.get(service, 0):
+                self._behind.pop(service, None)
+            elif now - self._behind.setdefault(service, now) >= TABLE_ASK_SECONDS:
+                self._behind[service] = now
+                self.peers.send(TableAsked(service), [source])
+
+    def _on_report(self, report: PeerReport, source: Address) -> None:
         now = self._loop.time()
+        self._ask_for_tables(report, source, now)
         for name, state in self.endpoints.states.items():
             count = report.in_flight.get(name, 0)
             if count or report.instance in state.peers:
