Reset connections to endpoints when they are closed

A grant that got no answer while a zone was cut off was given up by closing its connection, but the kernel went on to deliver it, and it arrived 1.9 s after the cut had healed, when the keys had moved. Connections to endpoints now linger for no time, so closing them drops what was not delivered, also when the process ends.

--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import socket
+import struct
 
 import httptools
 
@@ -18,6 +19,7 @@
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # Lingering is on, for no time.
 _NO_BODY = frozenset({204, 304})
 
 
@@ -63,6 +65,10 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            # Closing sends a reset and drops what was not delivered. Otherwise the
+            # kernel would deliver an order after a partition, long after this side
+            # gave it up or ended.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             tcp = socket.IPPROTO_TCP
             sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
             sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
@@ -81,7 +87,7 @@
         return False
 
     def close(self) -> None:
-        """Close after what was written."""
+        """Close the connection."""
         self.closed = True
         if self._transport is not None:
             self._transport.close()
--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -294,10 +294,11 @@
             state = self._leases.holder(work.service.name, work.key, self._loop.time())
             if state is not None:
                 known = self._endpoints.states.get(state)
-                if known is not None and self._loop.time() >= known.down_until:
-                    return known
-                if known is not None:
+                now = self._loop.time()
+                if known is not None and now < known.down_until:
                     raise self._given_up(work, "owner_unreachable")
+                if known is not None and self._endpoints.may_use(known, now):
+                    return known
             if self._loop.time() >= until:
                 raise self._given_up(work, "key_without_owner")
             await asyncio.sleep(KEY_POLL_SECONDS)
--- a/arbutusflow/gateway/endpoint_load.py
+++ b/arbutusflow/gateway/endpoint_load.py
@@ -21,6 +21,9 @@
 # An answer takes bytes across zones, which are priced; the preference for the own
 # zone is worth this many service times.
 CROSS_ZONE_FACTOR = 0.5
+# Share of the time to drain in which a leaving endpoint still serves its keys. The
+# news of its leaving may itself have taken a second.
+DRAIN_USE_FRACTION = 0.4
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -37,7 +40,7 @@
     reported_others: int = 0
     reported_at: float = -1e9
     last_answer: float = 0.0
-    leaving: bool = False
+    leaving_since: float | None = None  # It gets no new work of its own accord.
     peers: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
 
     def others(self, now: float) -> int:
@@ -98,22 +101,56 @@
 class EndpointTable:
     """All known endpoints by service."""
 
-    def __init__(self, zone: str) -> None:
+    def __init__(self, zone: str, drain_seconds: float) -> None:
         self._zone = zone
+        self._drain_seconds = drain_seconds
+        self._listed: set[str] = set()
         self.states: dict[str, EndpointState] = {}
         self._services: dict[str, list[EndpointState]] = {}
 
     def update(self, endpoints: dict[str, Endpoint], now: float) -> None:
         """Take over the endpoints that the store lists."""
         states: dict[str, EndpointState] = {}
+        self._listed = set(endpoints)
         for name, endpoint in endpoints.items():
             known = self.states.get(name)
             if known is None or known.endpoint.started_ms != endpoint.started_ms:
                 known = EndpointState(endpoint, cold_until=now + endpoint.cold_seconds)
                 known.service_seconds = self._typical_seconds(endpoint.service)
             known.endpoint = endpoint
-            known.leaving = endpoint.draining
+            if not endpoint.draining:
+                known.leaving_since = None
+            elif known.leaving_since is None:
+                known.leaving_since = now
             states[name] = known
+        for name, known in self.states.items():
+            if name not in states:
+                if known.leaving_since is None:
+                    known.leaving_since = now
+                if now < self._last_use(known):
+                    states[name] = known
+        self._use(states)
+
+    def forget_departed(self, now: float) -> None:
+        """Drop endpoints that are listed no more and may not be used any more."""
+        gone = [
+            name
+            for name, state in self.states.items()
+            if name not in self._listed and now >= self._last_use(state)
+        ]
+        if gone:
+            self._use({n: s for n, s in self.states.items() if n not in gone})
+
+    def may_use(self, state: EndpointState, now: float) -> bool:
+        """Return whether keys that an endpoint still holds may be served there."""
+        return state.leaving_since is None or now < self._last_use(state)
+
+    def _last_use(self, state: EndpointState) -> float:
+        if state.leaving_since is None:
+            return float("inf")
+        return state.leaving_since + DRAIN_USE_FRACTION * self._drain_seconds
+
+    def _use(self, states: dict[str, EndpointState]) -> None:
         self.states = states
         self._services = {}
         for state in states.values():
@@ -140,7 +177,7 @@
         candidates = [
             state
             for state in self.of_service(service)
-            if not state.leaving and state.endpoint.id not in tried
+            if state.leaving_since is None and state.endpoint.id not in tried
         ]
         up = [state for state in candidates if now >= state.down_until]
         # Refusing all work because every endpoint failed once would be worse than
--- /dev/null
+++ b/arbutusflow/gateway/fleet_task.py
@@ -0,0 +1,290 @@
+"""Task that keeps an instance a member of the fleet.
+
+It registers the instance in the store, exchanges reports with the others and drives
+the leases of keys. What the instance serves is behind `Workload`.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Protocol
+
+import msgspec
+
+from arbutusflow.domain.errors import ConflictError, PlatformError
+from arbutusflow.gateway import key_demand
+from arbutusflow.gateway.connection_pool import ConnectionPool
+from arbutusflow.gateway.event_log import EventLog
+from arbutusflow.gateway.fleet import (
+    FLEET_KIND,
+    INSTANCE_PREFIX,
+    STALL_SECONDS,
+    Fleet,
+    InstanceRecord,
+)
+from arbutusflow.gateway.key_leases import KeyLeases
+from arbutusflow.gateway.key_table import StoredTable
+from arbutusflow.gateway.model import Address, Endpoint
+from arbutusflow.gateway.peers import (
+    PeerReport,
+    PeerReports,
+    StrikeReport,
+    TableAsked,
+    TableTold,
+)
+from arbutusflow.gateway.store_watch import ObjectCopy
+from arbutusflow.platform.store import StoreClient
+
+# A waiting watch is one call; a connection that lost its path is found by TCP
+# keep-alive, so the wait only bounds what one lost answer costs.
+WATCH_SECONDS = 15.0
+# Wait of the fleet's watch while the right to grant rests on it.
+FLEET_WATCH_SECONDS = 1.0
+REGISTER_PAUSE_SECONDS = 0.3
+# The store tells of a change within some milliseconds.
+TABLE_ASK_SECONDS = 0.1
+NO_EARLIER_LIFE_SECONDS = 1e6  # Longer ago than any lease lasts.
+
+
+class Workload(Protocol):
+    """What the instance serves, as far as the others need to know."""
+
+    def in_flight(self) -> dict[str, int]:
+        """Return the requests in flight by endpoint."""
+        ...
+
+    def touch_age(self, now: float) -> float:
+        """Return for how long the store has answered; negative if it does not."""
+        ...
+
+    def strikes(self) -> tuple[StrikeReport, ...]:
+        """Return the latest strikes against requests."""
+        ...
+
+    def take_report(self, report: PeerReport) -> None:
+        """Learn from the report of another instance."""
+        ...
+
+    def capacity_of(self, endpoint: Endpoint) -> float:
+        """Return the requests per second that an endpoint can serve."""
+        ...
+
+
+class FleetTask:
+    """Membership, reports and key leases of one instance."""
+
+    def __init__(
+        self,
+        me: InstanceRecord,
+        store: StoreClient,
+        orders: ConnectionPool,
+        workload: Workload,
+        log: EventLog,
+        max_lease_seconds: float,
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._store = store
+        self._workload = workload
+        self._log = log
+        self._last_tick = self._loop.time()
+        self._number = 0
+        self._sent_load: dict[str, int] = {}
+        self._writing_record = False
+        self._registered_once = False
+        self._behind: dict[str, float] = {}
+        self._keyed: list[str] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.demand = key_demand.KeyDemand()
+        self.peers = PeerReports(me.name, self._on_report, self._on_table_message, log)
+        self.copy = ObjectCopy(store, FLEET_KIND, WATCH_SECONDS, self._on_fleet, log)
+        self.fleet = Fleet(me, self.copy, self.peers, self._loop.time())
+        self.leases = KeyLeases(
+            self.fleet, self.copy, store, self.peers, orders, log, max_lease_seconds
+        )
+        self.leases.loads_of = self._loads_of
+        self.leases.capacity_of = workload.capacity_of
+
+    def tick(self, now: float) -> None:
+        """Do what is due; called by a timer."""
+        if now - self._last_tick > STALL_SECONDS:
+            self._log.write("stalled", seconds=round(now - self._last_tick, 3))
+            self.fleet.note_stall(now)
+        self._last_tick = now
+        self.fleet.exclude_silent(now)
+        self.copy.wait_seconds = (
+            WATCH_SECONDS if self.fleet.is_vouched_for(now) else FLEET_WATCH_SECONDS
+        )
+        self._maintain_records(now)
+        self.leases.tick(self._keyed, now)
+
+    def use_services(self, keyed: list[str]) -> None:
+        """Take over the names of the services whose keys have owners."""
+        self._keyed = keyed
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _on_fleet(self) -> None:
+        now = self._loop.time()
+        self.fleet.update(now)
+        self.leases.update_tables(now)
+        self.leases.tick(self._keyed, now)
+
+    # Records in the store.
+
+    def _maintain_records(self, now: float) -> None:
+        if self._writing_record or not self.copy.known or self.leases.stopping:
+            return
+        if not self.fleet.registered:
+            self._writing_record = True
+            self._start(self._register())
+            return
+        for record in self.fleet.forgotten(now):
+            if self.fleet.is_planner(record.name, now):
+                self._writing_record = True
+                self._start(self._forget(record))
+                return
+
+    async def _register(self) -> None:
+        name = INSTANCE_PREFIX + self.fleet.me.name
+        spec = msgspec.to_builtins(self.fleet.me)
+        known = self.copy.objects.get(name)
+        try:
+            if known is None:
+                item = await self._store.create(FLEET_KIND, name, spec)
+                if not self._registered_once:
+                    self.fleet.earlier_life_until = -NO_EARLIER_LIFE_SECONDS
+            else:
+                item = await self._store.replace(FLEET_KIND, name, spec, known.revision)
+            self.copy.adopt(item)
+            self.fleet.update(self._loop.time())
+            self._registered_once = True
+            self._log.write("registered", life=self.fleet.me.life)
+        except ConflictError:
+            self.copy.read_again()
+            await asyncio.sleep(REGISTER_PAUSE_SECONDS)
+        except PlatformError as exc:
+            self._log.sample("register_failed", detail=str(exc))
+            await asyncio.sleep(REGISTER_PAUSE_SECONDS)
+        finally:
+            self._writing_record = False
+
+    async def _forget(self, record: InstanceRecord) -> None:
+        name = INSTANCE_PREFIX + record.name
+        item = self.copy.objects.get(name)
+        try:
+            if item is not None:
+                await self._store.delete(FLEET_KIND, name, item.revision)
+                self._log.write("instance_forgotten", name=record.name)
+        except PlatformError as exc:
+            self._log.sample("forget_failed", name=record.name, detail=str(exc))
+        finally:
+            await asyncio.sleep(REGISTER_PAUSE_SECONDS)
+            self._writing_record = False
+
+    # Reports between instances.
+
+    def _report(
+        self,
+        loads: dict[str, dict[int, int]],
+        in_flight: dict[str, int],
+        *,
+        vouches: bool,
+    ) -> PeerReport:
+        now = self._loop.time()
+        self._number += 1
+        return PeerReport(
+            instance=self.fleet.me.name,
+            life=self.fleet.me.life,
+            number=self._number,
+            zone=self.fleet.me.zone,
+            earlier_life_age=round(now - self.fleet.earlier_life_until, 3),
+            tables=self.fleet.applied if self.fleet.registered else {},
+            touch_age=round(self._workload.touch_age(now), 3),
+            in_flight=in_flight,
+            leases=self.leases.lease_reports(now),
+            vouches=vouches,
+            strikes=self._workload.strikes(),
+            key_loads=loads,
+        )
+
+    def report_to_zone(self) -> None:
+        """Tell the own zone of a changed load."""
+        load = self._workload.in_flight()
+        if load == self._sent_load:
+            return
+        self._sent_load = load
+        self._send_reports(load, self.fleet.me.zone)
+
+    def report_to_fleet(self) -> None:
+        """Send a report to all others."""
+        self._send_reports(self._workload.in_flight(), None)
+
+    def _send_reports(self, load: dict[str, int], zone: str | None) -> None:
+        for vouched in (True, False):
+            targets = self.fleet.targets(vouched=vouched, zone=zone)
+            if targets:
+                self.peers.send(self._report({}, load, vouches=vouched), targets)
+
+    def report_demand(self) -> None:
+        """Tell the planner which keys are busy."""
+        self.demand.decay()
+        now = self._loop.time()
+        for service in self._keyed:
+            if self.fleet.is_planner(service, now):
+                continue
+            report = self._report(
+                {service: self.demand.report(service)},
+                self._workload.in_flight(),
+                vouches=False,
+            )
+            planner = self.fleet.planner(service, now)
+            self.peers.send(report, [Address(planner.host, planner.port)])
+
+    def _loads_of(self, service: str) -> dict[int, float]:
+        reports = [self.demand.report(service)]
+        reports += [
+            peer.loads[service]
+            for peer in self.peers.alive(self._loop.time())
+            if service in peer.loads
+        ]
+        return key_demand.sum_reports(reports)
+
+    def _on_table_message(
+        self, message: TableAsked | TableTold, source: Address
+    ) -> None:
+        now = self._loop.time()
+        if isinstance(message, TableTold):
+            self.leases.adopt_table(StoredTable(message.table, message.revision), now)
+            self.leases.tick(self._keyed, now)
+            return
+        stored = self.leases.tables.get(message.service)
+        if stored is not None:
+            self.peers.send(TableTold(stored.table, stored.revision), [source])
+
+    def _ask_for_tables(self, report: PeerReport, source: Address, now: float) -> None:
+        """Ask a peer for later tables that the store has not told in time."""
+        for service, revision in report.tables.items():
+            if revision <= self.fleet.applied.get(service, 0):
+                self._behind.pop(service, None)
+            elif now - self._behind.setdefault(service, now) >= TABLE_ASK_SECONDS:
+                self._behind[service] = now
+                self.peers.send(TableAsked(service), [source])
+
+    def _on_report(self, report: PeerReport, source: Address) -> None:
+        now = self._loop.time()
+        self._ask_for_tables(report, source, now)
+        self._workload.take_report(report)
+
+    async def leave(self, timeout: float) -> None:
+        """Remove the own record, so that nobody waits for this instance."""
+        name = INSTANCE_PREFIX + self.fleet.me.name
+        item = self.copy.objects.get(name)
+        try:
+            async with asyncio.timeout(timeout):
+                unanswered = self.leases.has_unanswered(self._loop.time())
+                if item is not None and self.fleet.registered and not unanswered:
+                    await self._store.delete(FLEET_KIND, name, item.revision)
+        except (PlatformError, TimeoutError) as exc:
+            self._log.write("leave_unrecorded", detail=repr(exc))
--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -193,10 +193,7 @@
             return None
         if self._not_held.get(part.grant, 0.0) > now:
             return None
-        endpoint = self._endpoints.get(part.endpoint)
-        if endpoint is None or endpoint.started_ms != part.started_ms:
-            return None
-        return part.endpoint
+        return part.endpoint if self._last_known(part) is not None else None
 
     def note_not_held(self, service: str, key: int) -> None:
         """Send no more requests for a key whose owner does not hold it.
