--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -39,6 +39,10 @@
 KEY_WAIT_SECONDS = 0.4  # For a key whose owner changes; a release takes one request.
 KEY_POLL_SECONDS = 0.02
 MIN_SEND_SECONDS = 0.02  # With less time left no endpoint can answer.
+# Bodies from this size on stay in their zone while that keeps them well within their
+# objective: bytes between zones are priced.
+LARGE_BODY_BYTES = 8192
+LOCAL_OBJECTIVE_FRACTION = 0.6
 REFUSED_SENDS = 1  # Beyond the attempts of the route.
 CRASH_CHECK_SECONDS = 0.05  # A process that ended refuses connections by then.
 
@@ -279,9 +283,13 @@
 
     def _any_endpoint(self, work: _Work) -> EndpointState:
         now = self._loop.time()
-        state = self._endpoints.choose(work.service.name, work.tried, now)
+        local = 0.0
+        if len(work.req.body) >= LARGE_BODY_BYTES:
+            local = LOCAL_OBJECTIVE_FRACTION * work.route.objective_seconds
+        name = work.service.name
+        state = self._endpoints.choose(name, work.tried, now, local)
         if state is None and work.tried:
-            state = self._endpoints.choose(work.service.name, set(), now)
+            state = self._endpoints.choose(name, set(), now, local)
         if state is None:
             raise self._given_up(work, "no_endpoint")
         return state
--- a/arbutusflow/gateway/endpoint_load.py
+++ b/arbutusflow/gateway/endpoint_load.py
@@ -21,6 +21,8 @@
 # An answer takes bytes across zones, which are priced; the preference for the own
 # zone is worth this many service times.
 CROSS_ZONE_FACTOR = 0.5
+# Preferring the own zone is not worth more failures than this.
+MAX_LOCAL_FAILURE_SHARE = 0.2
 # Share of the time to drain in which a leaving endpoint still serves its keys. The
 # news of its leaving may itself have taken a second.
 DRAIN_USE_FRACTION = 0.4
@@ -172,14 +174,27 @@
             cost += CROSS_ZONE_FACTOR * state.service_seconds
         return cost
 
-    def choose(self, service: str, tried: set[str], now: float) -> EndpointState | None:
-        """Return the endpoint with the least cost; None if none may be used."""
+    def choose(
+        self, service: str, tried: set[str], now: float, local_seconds: float = 0.0
+    ) -> EndpointState | None:
+        """Return the endpoint with the least cost; None if none may be used.
+
+        An endpoint of the own zone is preferred while it is expected to answer
+        within `local_seconds`.
+        """
         candidates = [
             state
             for state in self.of_service(service)
             if state.leaving_since is None and state.endpoint.id not in tried
         ]
-        up = [state for state in candidates if now >= state.down_until]
         # Refusing all work because every endpoint failed once would be worse than
         # another attempt.
-        return min(up or candidates, key=lambda s: self.cost(s, now), default=None)
+        usable = [s for s in candidates if now >= s.down_until] or candidates
+        local = [
+            state
+            for state in usable
+            if state.endpoint.zone == self._zone
+            and state.failure_share < MAX_LOCAL_FAILURE_SHARE
+            and state.expected_seconds(now) <= local_seconds
+        ]
+        return min(local or usable, key=lambda s: self.cost(s, now), default=None)
--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -90,7 +90,8 @@
         self._sent_load: dict[str, int] = {}
         self._writing_record = False
         self._registered_once = False
-        self._behind: dict[str, float] = {}
+        # Revision in force and when a later one was first heard of or asked for.
+        self._behind: dict[str, tuple[int, float]] = {}
         self._keyed: list[str] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self.demand = key_demand.KeyDemand()
@@ -266,11 +267,17 @@
     def _ask_for_tables(self, report: PeerReport, source: Address, now: float) -> None:
         """Ask a peer for later tables that the store has not told in time."""
         for service, revision in report.tables.items():
-            if revision <= self.fleet.applied.get(service, 0):
-                self._behind.pop(service, None)
-            elif now - self._behind.setdefault(service, now) >= TABLE_ASK_SECONDS:
-                self._behind[service] = now
+            applied = self.fleet.applied.get(service, 0)
+            if revision <= applied:
+                continue
+            # Reports of others that are behind, too, must not put the question off.
+            known, since = self._behind.get(service, (-1, now))
+            if known != applied:
+                since = now
+            if now - since >= TABLE_ASK_SECONDS:
+                since = now
                 self.peers.send(TableAsked(service), [source])
+            self._behind[service] = (applied, since)
 
     def _on_report(self, report: PeerReport, source: Address) -> None:
         now = self._loop.time()
