Check ownership under random faults in virtual time

The simulation runs the real fleet and lease code of several instances against a store, datagrams and orders that are cut, lost, late or answered without effect, and checks each grant that an endpoint applies. It showed a fault at once: a planner whose waiting watch did not show that the store was away kept its role, tried to write in vain, and no other instance moved the keys of an endpoint that left.

--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -202,7 +202,9 @@
             zone=self.fleet.me.zone,
             earlier_life_age=round(now - self.fleet.earlier_life_until, 3),
             tables=self.fleet.applied if self.fleet.registered else {},
-            touch_age=round(self._workload.touch_age(now), 3),
+            touch_age=round(
+                min(self._workload.touch_age(now), self.copy.touch_age(now)), 3
+            ),
             in_flight=in_flight,
             leases=self.leases.lease_reports(now),
             vouches=vouches,
@@ -274,7 +276,8 @@
             known, since = self._behind.get(service, (-1, now))
             if known != applied:
                 since = now
-            if now - since >= TABLE_ASK_SECONDS:
+            patience = TABLE_ASK_SECONDS if self.copy.lost_at is None else 0.0
+            if now - since >= patience:
                 since = now
                 self.peers.send(TableAsked(service), [source])
             self._behind[service] = (applied, since)
--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -438,6 +438,7 @@
         except PlatformError as exc:
             # The write may still take effect; the copy shows whether it did.
             self._log.write("key_table_unwritten", service=service, detail=str(exc))
+            self._copy.suspect(str(exc))
             await asyncio.sleep(self._rng.uniform(0.1, 0.3))
         finally:
             self._writing.discard(service)
--- a/arbutusflow/gateway/store_watch.py
+++ b/arbutusflow/gateway/store_watch.py
@@ -39,6 +39,8 @@
         self._on_change = on_change
         self._log = log
         self._list_needed = True
+        self._call: asyncio.Future[None] | None = None
+        self._suspected = False
         self.objects: dict[str, StoredObject] = {}
         self.revision = 0
         self.current_at = -1e9  # When the copy was last known to be current.
@@ -61,11 +63,8 @@
         pause = FIRST_PAUSE_SECONDS
         while True:
             try:
-                if self._list_needed:
-                    await self._read()
-                else:
-                    await self._follow()
-                self._note_contact()
+                if await self._step():
+                    self._note_contact()
                 pause = FIRST_PAUSE_SECONDS
             except HistoryGoneError:
                 self._log.write("store_history_gone", kind=self._kind)
@@ -75,6 +74,31 @@
                 await asyncio.sleep(pause * self._rng.uniform(0.7, 1.3))
                 pause = min(LONGEST_PAUSE_SECONDS, pause * 1.5)
 
+    async def _step(self) -> bool:
+        """Make one call; return whether the store answered it."""
+        call = self._read() if self._list_needed else self._follow()
+        self._call = asyncio.ensure_future(call)
+        try:
+            await self._call
+        except asyncio.CancelledError:
+            if not self._suspected:
+                self._call.cancel()
+                raise
+            self._suspected = False
+            return False
+        return True
+
+    def suspect(self, detail: str) -> None:
+        """Check the store at once: another call got no answer.
+
+        A waiting watch does not show that the store is away.
+        """
+        self._note_loss(detail)
+        self._list_needed = True
+        if self._call is not None and not self._call.done() and not self._suspected:
+            self._suspected = True
+            self._call.cancel()
+
     async def _read(self) -> None:
         started = asyncio.get_running_loop().time()
         snapshot = await self._store.list(self._kind)
--- /dev/null
+++ b/tests/gateway/test_ownership_under_faults.py
@@ -0,0 +1,216 @@
+"""A key has one owner, whatever fails; and planted faults of the rules are found.
+
+Guards against an instance that grants by a table that is no longer in force.
+"""
+
+import asyncio
+import os
+
+import pytest
+
+from arbutusflow.gateway import fleet as fleet_module, key_leases
+from arbutusflow.gateway.fleet import Fleet
+from tests.gateway.sim_fleet import PROBED_KEYS, SimFleet
+from tests.gateway.virtual_time import run
+
+FAULTY_SECONDS = 40.0
+SETTLE_SECONDS = 20.0
+SEEDS = range(12)
+SERVED_AGAIN_SECONDS = 3.0  # The users' target after a loss.
+
+
+def _with_fleet(work, seed=1, **options):
+    async def main():
+        log_fd = os.open(os.devnull, os.O_WRONLY)
+        world = SimFleet(seed, log_fd, **options)
+        try:
+            return await work(world)
+        finally:
+            for instance in world.instances.values():
+                instance.kill()
+            os.close(log_fd)
+
+    return run(main())
+
+
+async def _random_faults(world: SimFleet) -> None:
+    rng, names = world.rng, sorted(world.instances)
+
+    def some():
+        return rng.sample(names, rng.randint(1, 3))
+
+    def heal(target, items, seconds):
+        target.update(items)
+        world.later(seconds, lambda: target.difference_update(items))
+
+    until = world.now + FAULTY_SECONDS
+    while world.now < until:
+        await asyncio.sleep(rng.uniform(0.2, 2.0))
+        seconds = rng.uniform(0.5, 8.0)
+        kind = rng.randrange(10)
+        if kind == 0:
+            heal(world.store.away, set(some()), seconds)
+        elif kind == 1:
+            victims = some()
+            pairs = {(a, b) for a in victims for b in names if b not in victims}
+            heal(world.cut_peers, pairs | {(b, a) for a, b in pairs}, seconds)
+        elif kind == 2:
+            endpoint = rng.choice(sorted(world.endpoints))
+            heal(world.cut_orders, {(name, endpoint) for name in some()}, seconds)
+        elif kind == 3:
+            victim = world.instances[rng.choice(names)]
+            victim.frozen = True
+            world.later(seconds, lambda v=victim: setattr(v, "frozen", False))
+        elif kind == 4:
+            world.restart(rng.choice(names))
+        elif kind == 5:
+            name = rng.choice(names)
+            await world.instances[name].stop()
+            world.restart(name)
+        elif kind == 6:
+            heal(world.unlisted, {rng.choice(sorted(world.endpoints))}, seconds)
+        elif kind == 7:
+            world.late_share = rng.choice([0.0, 0.5])
+        elif kind == 8:
+            world.store.forgotten = world.store.revision
+            world.store.lose_answers = rng.random() < 0.5
+        else:
+            world.busy_keys = [rng.choice(PROBED_KEYS) + i for i in range(4)] * 5
+
+
+async def _faults_then_calm(world: SimFleet) -> tuple[list[str], float]:
+    await asyncio.sleep(8.0)
+    await _random_faults(world)
+    world.late_share, world.store.lose_answers = 0.0, False
+    await asyncio.sleep(SETTLE_SECONDS)
+    return world.violations, world.owned_share()
+
+
+def test_all_keys_are_owned_soon_after_the_start():
+    async def work(world):
+        await asyncio.sleep(3.0)
+        return world.violations, world.owned_share()
+
+    assert _with_fleet(work) == ([], 1.0)
+
+
+def test_owners_stay_through_an_outage_of_the_store():
+    """A lease must not lapse because nobody can confirm the table."""
+
+    async def work(world):
+        await asyncio.sleep(8.0)
+        world.store.away.update(world.instances)
+        shares = []
+        for _ in range(24):
+            await asyncio.sleep(0.5)
+            shares.append(world.owned_share())
+        return min(shares), world.violations
+
+    assert _with_fleet(work) == (1.0, [])
+
+
+def test_keys_of_a_leaving_endpoint_move_while_an_instance_is_off_the_store():
+    """Four cut-off instances used to hold up every move for ten seconds."""
+
+    async def work(world):
+        await asyncio.sleep(8.0)
+        world.store.away.update({"n3", "n4"})
+        await asyncio.sleep(1.0)
+        world.unlisted.add("e1")
+        await asyncio.sleep(SERVED_AGAIN_SECONDS)
+        owners = {p.endpoint for p in _table(world, "n0").ranges}
+        return owners, world.owned_share(), world.violations
+
+    owners, share, violations = _with_fleet(work)
+    assert (share, violations) == (1.0, [])
+    assert "e1" not in owners
+
+
+def test_instances_that_excluded_each_other_find_each_other_again():
+    async def work(world):
+        await asyncio.sleep(8.0)
+        pairs = {(a, "n4") for a in world.instances if a != "n4"}
+        world.cut_peers.update(pairs | {(b, a) for a, b in pairs})
+        world.store.away.add("n4")
+        await asyncio.sleep(6.0)
+        world.cut_peers.clear()
+        world.store.away.clear()
+        await asyncio.sleep(2.0)
+        now = world.now
+        return [i.task.fleet.is_vouched_for(now) for i in world.instances.values()]
+
+    assert all(_with_fleet(work))
+
+
+def test_a_planned_end_with_an_unanswered_grant_keeps_the_record():
+    """The grant may take effect seconds later, and the others must know of it."""
+
+    async def work(world):
+        await asyncio.sleep(8.0)
+        world.late_share = 1.0
+        await asyncio.sleep(1.5)
+        granting = [
+            i
+            for i in world.instances.values()
+            if i.task.leases.has_unanswered(world.now)
+        ]
+        await granting[0].stop()
+        return f"instance-{granting[0].name}" in world.store.objects
+
+    assert _with_fleet(work)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_key_has_one_owner_under_random_faults(seed):
+    violations, share = _with_fleet(_faults_then_calm, seed)
+    assert violations == []
+    assert share == 1.0
+
+
+def _table(world, name):
+    return next(iter(world.instances[name].task.leases.tables.values())).table
+
+
+def _leases_end_early(monkeypatch):
+    monkeypatch.setattr(key_leases, "lease_end", lambda granted: granted + 0.5)
+
+
+def _right_to_grant_never_ends(monkeypatch):
+    monkeypatch.setattr(Fleet, "may_grant", lambda self, now: True)
+    monkeypatch.setattr(Fleet, "stopped_at", lambda self, *a: a[-1])
+    monkeypatch.setattr(Fleet, "last_grant_possible", lambda self, r, now: 0.0)
+
+
+def _others_are_not_asked(monkeypatch):
+    monkeypatch.setattr(Fleet, "stopped_at", lambda self, *a: a[-1])
+    monkeypatch.setattr(Fleet, "has_applied", lambda self, *a: True)
+
+
+def _unanswered_grants_are_ignored(monkeypatch):
+    original = key_leases.KeyLeases._latest_grants
+
+    def latest(self, *args):
+        return original(self, *args)[0], -1e9
+
+    monkeypatch.setattr(key_leases.KeyLeases, "_latest_grants", latest)
+
+
+def _silent_instances_lose_nothing(monkeypatch):
+    monkeypatch.setattr(fleet_module, "TOUCH_SECONDS", 60.0)
+    monkeypatch.setattr(Fleet, "_silent_at", lambda self, record, now: now - 60.0)
+
+
+@pytest.mark.parametrize(
+    "plant",
+    [
+        _leases_end_early,
+        _right_to_grant_never_ends,
+        _others_are_not_asked,
+        _unanswered_grants_are_ignored,
+        _silent_instances_lose_nothing,
+    ],
+)
+def test_a_planted_fault_is_found(plant, monkeypatch):
+    """The test above proves something only if it fails on a broken rule."""
+    plant(monkeypatch)
+    assert any(_with_fleet(_faults_then_calm, seed)[0] for seed in range(40))
