--- /dev/null
+++ b/tests/gateway/fakes.py
@@ -0,0 +1,62 @@
+"""Transports and a log without network."""
+
+import asyncio
+from typing import Any
+
+
+class FakeSocket:
+    """Records socket options."""
+
+    def __init__(self) -> None:
+        self.options: dict[tuple[int, int], Any] = {}
+
+    def setsockopt(self, level: int, name: int, value: Any) -> None:
+        self.options[level, name] = value
+
+
+class FakeTransport(asyncio.Transport):
+    """Collects what is written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sock = FakeSocket()
+        self.written = b""
+        self.unsent = 0
+        self.closed = False
+        self.aborted = False
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return self.sock if name == "socket" else default
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def close(self) -> None:
+        self.closed = True
+
+    def abort(self) -> None:
+        self.closed = self.aborted = True
+
+    def pause_reading(self) -> None:
+        pass
+
+    def resume_reading(self) -> None:
+        pass
+
+
+class FakeLog:
+    """Keeps events."""
+
+    def __init__(self) -> None:
+        self.events: list[tuple[str, dict[str, Any]]] = []
+
+    def write(self, event: str, /, **fields: Any) -> None:
+        self.events.append((event, fields))
+
+    sample = write
--- /dev/null
+++ b/tests/gateway/test_caller_server.py
@@ -0,0 +1,149 @@
+"""What callers send and how they leave."""
+
+import asyncio
+
+import pytest
+
+from arbutusflow.domain.body_budget import BodyBudget
+from arbutusflow.gateway.caller_server import (
+    CallerConnection,
+    CallerServer,
+    Reply,
+)
+from arbutusflow.gateway.model import CallerLimits
+from tests.gateway.fakes import FakeTransport
+from tests.gateway.virtual_time import run
+
+GET = b"GET /%b HTTP/1.1\r\nHost: h\r\n\r\n"
+LIMITS = CallerLimits(
+    header_bytes=512, body_bytes=100, header_seconds=3.0, idle_seconds=15.0
+)
+
+
+def serve(*chunks, seconds=1.0, handler=None, budget=10**6, stop=False, leave=False):
+    """Return what was written, the requests seen and the transport."""
+
+    async def work():
+        seen = []
+
+        async def answer(req):
+            seen.append(req)
+            if handler is not None:
+                return await handler(req)
+            return Reply(200, body=req.target)
+
+        server = CallerServer(answer, BodyBudget(lambda: budget))
+        server.limits = LIMITS
+        conn, transport = CallerConnection(server), FakeTransport()
+        conn.connection_made(transport)
+        for chunk in chunks:
+            conn.data_received(chunk)
+        if stop:
+            server.announce_stop()
+        if leave:
+            await asyncio.sleep(0.01)
+            conn.connection_lost(None)
+        await asyncio.sleep(seconds)
+        return transport, seen
+
+    return run(work())
+
+
+def statuses(transport):
+    return [
+        int(line.split()[1])
+        for line in transport.written.split(b"\r\n")
+        if line.startswith(b"HTTP/1.1 ") and b" 100 " not in line
+    ]
+
+
+def test_answers_leave_in_the_order_of_the_requests():
+    async def slow_first(req):
+        await asyncio.sleep(0.5 if req.target == b"/a" else 0.0)
+        return Reply(200, body=req.target)
+
+    transport, _ = serve(GET % b"a" + GET % b"b", handler=slow_first)
+    assert transport.written.index(b"/a") < transport.written.index(b"/b")
+
+
+@pytest.mark.parametrize(
+    "chunks, status",
+    [
+        ((b"GARBAGE\r\n\r\n",), 400),
+        ((b"GET / HTTP/1.1\r\nX: %b\r\n\r\n" % (b"a" * 600),), 431),
+        ((b"GET / HTTP/1.1\r\nX: " + b"a" * 600,), 431),
+        ((b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n",), 413),
+        (
+            (
+                b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+                b"65\r\n" + b"a" * 101 + b"\r\n0\r\n\r\n",
+            ),
+            413,
+        ),
+        (
+            (
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            ),
+            400,
+        ),
+    ],
+)
+def test_bad_input_is_answered_once_and_closes(chunks, status):
+    """Nothing behind it may be taken for a request."""
+    transport, seen = serve(*chunks, GET % b"smuggled")
+    assert statuses(transport) == [status]
+    assert transport.closed
+    assert seen == []
+
+
+def test_a_request_that_is_never_finished_times_out():
+    transport, _ = serve(b"GET / HT", seconds=3.5)
+    assert statuses(transport) == [408]
+
+
+def test_an_idle_connection_is_kept_for_its_time():
+    assert not serve(GET % b"a", seconds=14.0)[0].closed
+    transport, _ = serve(GET % b"a", seconds=16.0)
+    assert transport.closed
+    assert statuses(transport) == [200]
+
+
+def test_a_body_that_does_not_fit_the_memory_is_refused_as_not_run():
+    transport, seen = serve(
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\n" + b"a" * 50,
+        budget=10,
+    )
+    assert statuses(transport) == [503]
+    assert b"Retry-After" in transport.written
+    assert seen == []
+
+
+def test_a_stopping_instance_answers_and_closes():
+    transport, _ = serve(GET % b"a" + GET % b"b", stop=True)
+    assert statuses(transport) == [200]
+    assert b"Connection: close" in transport.written
+    assert transport.closed
+
+
+@pytest.mark.parametrize("cancellable", [True, False])
+def test_work_that_may_run_only_once_goes_on_without_its_caller(cancellable):
+    ended = []
+
+    async def handler(req):
+        req.cancellable = cancellable
+        await asyncio.sleep(0.3)
+        ended.append(req.target)
+        return Reply(200)
+
+    serve(GET % b"a", handler=handler, leave=True)
+    assert ended == ([] if cancellable else [b"/a"])
+
+
+def test_trailers_are_no_headers():
+    _, seen = serve(
+        b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nab\r\n0\r\nDeadline-Ms: 1\r\n\r\n"
+    )
+    assert seen[0].body == b"ab"
+    assert seen[0].header(b"deadline-ms") is None
--- /dev/null
+++ b/tests/gateway/test_client_connection.py
@@ -0,0 +1,124 @@
+"""Answers of endpoints that are cut, late, doubled or early."""
+
+import asyncio
+import socket
+
+import pytest
+
+from arbutusflow.gateway.client_connection import RESET_ON_CLOSE, ClientConnection
+from arbutusflow.gateway.model import ExchangeError
+from tests.gateway.fakes import FakeTransport
+from tests.gateway.virtual_time import run
+
+OK = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 2\r\n\r\nhi"
+OTHER = b"HTTP/1.1 200 OK\r\nRequest-Id: z\r\nContent-Length: 3\r\n\r\nold"
+NO_LENGTH = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nhi"
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nhi\r\n0\r\n\r\n"
+)
+CLOSE = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi"
+
+
+def exchange(*arrivals, unsent=0, timeout=1.0):
+    """Return the answer's body or the error, the connection and its transport.
+
+    Arrivals are bytes, "eof" for a clean end, or "reset".
+    """
+
+    async def work():
+        conn, transport = ClientConnection(b"request-id"), FakeTransport()
+        conn.connection_made(transport)
+        transport.unsent = unsent
+
+        async def arrive():
+            for item in arrivals:
+                await asyncio.sleep(0.01)
+                if item == "eof":
+                    conn.eof_received()
+                    conn.connection_lost(None)
+                elif item == "reset":
+                    conn.connection_lost(ConnectionResetError())
+                else:
+                    conn.data_received(item)
+
+        task = asyncio.create_task(arrive())
+        try:
+            answer = await conn.exchange(b"GET / HTTP/1.1\r\n\r\n", b"", timeout, b"a")
+            result = answer.body
+        except ExchangeError as exc:
+            result = exc
+        await task
+        return result, conn, transport
+
+    return run(work())
+
+
+@pytest.mark.parametrize(
+    "arrivals, body, usable",
+    [
+        ((OK,), b"hi", True),
+        ((OK[:20], OK[20:]), b"hi", True),
+        ((CHUNKED,), b"hi", True),
+        ((b"HTTP/1.1 100 Continue\r\n\r\n" + OK,), b"hi", True),
+        ((CLOSE,), b"hi", False),
+        ((NO_LENGTH, "eof"), b"hi", False),
+        ((OTHER + OK,), b"hi", False),  # A late answer to an earlier request.
+        ((OTHER, OK), b"hi", False),
+        ((OK + b"junk",), b"hi", False),
+        ((OK + OTHER,), b"hi", False),
+        ((OK, OTHER), b"hi", False),
+    ],
+)
+def test_a_whole_answer_to_this_request_is_handed_out(arrivals, body, usable):
+    result, conn, _ = exchange(*arrivals)
+    assert result == body
+    assert conn.usable == usable
+
+
+@pytest.mark.parametrize(
+    "arrivals",
+    [
+        (OK[:-1], "eof"),
+        (OK[:-1], "reset"),
+        (NO_LENGTH, "reset"),
+        (CHUNKED[:-5], "eof"),
+        (b"\x00\x01garbage\r\n\r\n",),
+        (OTHER, "eof"),
+        ("eof",),
+        (),
+    ],
+)
+def test_anything_else_is_an_error_after_sending(arrivals):
+    """An answer that is cut short must not look complete."""
+    result, conn, _ = exchange(*arrivals)
+    assert isinstance(result, ExchangeError)
+    assert result.sent
+    assert not conn.usable
+
+
+def test_an_early_answer_to_a_long_body_ends_the_connection():
+    """The endpoint would read the rest of the body as the next request."""
+    result, conn, _ = exchange(OK, unsent=1000)
+    assert result == b"hi"
+    assert not conn.usable
+
+
+def test_closing_drops_what_was_not_delivered():
+    """A grant that was given up in a partition arrived when the keys had moved."""
+    _, _, transport = exchange(OK)
+    options = transport.sock.options
+    assert options[socket.SOL_SOCKET, socket.SO_LINGER] == RESET_ON_CLOSE
+
+
+def test_a_caller_that_leaves_stops_the_work():
+    async def work():
+        conn, transport = ClientConnection(b"request-id"), FakeTransport()
+        conn.connection_made(transport)
+        task = asyncio.create_task(conn.exchange(b"x", b"", 1.0, b"a"))
+        await asyncio.sleep(0.1)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return transport.aborted
+
+    assert run(work())
