--- a/arbutusflow/gateway/event_log.py
+++ b/arbutusflow/gateway/event_log.py
@@ -33,10 +33,11 @@
 
     def write(self, event: str, /, **fields: Any) -> None:
         """Write an event that is always kept unless the reader is stuck."""
-        if self.dropped and not self._partial:
-            dropped, self.dropped = self.dropped, 0
-            self._emit({"event": "log_lines_dropped", "count": dropped})
-        self._emit({"event": event, **fields})
+        dropped = self.dropped
+        if dropped and self._emit({"event": "log_lines_dropped", "count": dropped}):
+            self.dropped -= dropped
+        if not self._emit({"event": event, **fields}):
+            self.dropped += 1
 
     def sample(self, event: str, /, **fields: Any) -> None:
         """Write an event unless the lines of this second are used up."""
@@ -58,14 +59,14 @@
             detail="".join(traceback.format_exception(exc, limit=-6)),
         )
 
-    def _emit(self, fields: dict[str, Any]) -> None:
+    def _emit(self, fields: dict[str, Any]) -> bool:
+        """Write a line; return whether it is out or will be completed."""
         line = {"time": round(time.time(), 4), "instance": self._instance, **fields}
         data = self._partial + self._encoder.encode(line) + b"\n"
         try:
             written = os.write(self._fd, data)
         except OSError:
-            # The pipe is full or closed: the rest of a line that was begun is kept,
-            # this line is lost.
-            self.dropped += 1
-            return
+            # The pipe is full or closed. The rest of a line that was begun is kept.
+            return False
         self._partial = data[written:]
+        return True
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -46,6 +46,9 @@
 ZONE_REPORT_SECONDS = 0.05  # Load reports inside a zone cost next to nothing.
 FLEET_REPORT_SECONDS = 0.3  # Reports across zones are priced by the byte.
 PRUNE_SECONDS = 1.0
+# Part of an endpoint's cap that all instances together may hold idle; the rest is for
+# connections in use and for the next life of the fleet.
+IDLE_SHARE = 0.35
 SETTINGS_CHECK_SECONDS = 1.0
 BODY_MEMORY_FRACTION = 0.3
 # The platform takes an instance out of rotation after two readiness checks, one a
@@ -160,7 +163,7 @@
             (ZONE_REPORT_SECONDS, self.membership.report_to_zone),
             (FLEET_REPORT_SECONDS, self.membership.report_to_fleet),
             (key_demand.PERIOD_SECONDS, self.membership.report_demand),
-            (PRUNE_SECONDS, self.pool.prune),
+            (PRUNE_SECONDS, self._prune_connections),
             (SETTINGS_CHECK_SECONDS, self._reload),
         ]
 
@@ -178,6 +181,27 @@
         if self._stopping_since is not None:
             self._continue_stop(now)
 
+    def _prune_connections(self) -> None:
+        """Close what will not be used, and share the caps of the endpoints out."""
+        if self._configuration is not None:
+            services = self._configuration.services
+            instances = max(1, len(self.membership.fleet.records))
+            self.pool.limit_idle(
+                {
+                    state.endpoint.address: max(
+                        1,
+                        int(
+                            IDLE_SHARE
+                            * services[state.endpoint.service].max_connections
+                            / instances
+                        ),
+                    )
+                    for state in self.endpoints.states.values()
+                    if state.endpoint.service in services
+                }
+            )
+        self.pool.prune()
+
     # What arrives from the store.
 
     def _on_configuration(self) -> None:
--- a/tests/gateway/test_client_connection.py
+++ b/tests/gateway/test_client_connection.py
@@ -17,7 +17,7 @@
     b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
     b"2\r\nhi\r\n0\r\n\r\n"
 )
-CLOSE = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi"
+CLOSE = OK.replace(b"Content", b"Connection: close\r\nContent")
 
 
 def exchange(*arrivals, unsent=0, timeout=1.0):
--- /dev/null
+++ b/tests/gateway/test_dispatch.py
@@ -0,0 +1,237 @@
+"""What happens to a request when endpoints fail, refuse or stay silent."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from arbutusflow.domain.crash_guard import CrashGuard
+from arbutusflow.gateway.admission import Admission
+from arbutusflow.gateway.caller_server import CallerRequest
+from arbutusflow.gateway.dispatch import Dispatcher
+from arbutusflow.gateway.endpoint_load import EndpointTable
+from arbutusflow.gateway.key_demand import KeyDemand
+from arbutusflow.gateway.model import (
+    Address,
+    Answer,
+    CallerLimits,
+    Configuration,
+    Endpoint,
+    ExchangeError,
+    Repeatability,
+    Route,
+    Service,
+    WeightedService,
+)
+from arbutusflow.gateway.retry_budget import RetryBudget
+from tests.gateway.fakes import FakeLog
+from tests.gateway.virtual_time import run
+
+SEAL = (b"Response-Seal", b"s")
+
+
+def answer(status=200, *headers, body=b"done"):
+    return Answer(status, b"", headers, body, reusable=True)
+
+
+SERVED = answer(200, SEAL)
+UNSIGNED = answer(200)
+SHED = answer(503, (b"Not-Executed", b"1"))
+NOT_HELD = answer(421)
+FAILED = answer(500, SEAL)
+BROKEN = ExchangeError("reset", sent=True)
+UNREACHED = ExchangeError("no connection", sent=False)
+SILENT = None
+
+
+class _Connection:
+    def __init__(self, outcome):
+        self.outcome = outcome
+
+    async def exchange(self, head, body, timeout, *_):
+        await asyncio.sleep(0.01)
+        if self.outcome is SILENT:
+            await asyncio.sleep(timeout)
+            raise ExchangeError("no answer in time", sent=True)
+        if isinstance(self.outcome, ExchangeError):
+            raise self.outcome
+        return self.outcome
+
+
+class _Pool:
+    """Plays outcomes in turn; the last one again and again."""
+
+    def __init__(self, outcomes):
+        self.outcomes, self.sent = list(outcomes), []
+
+    @contextlib.asynccontextmanager
+    async def connection(self, address, *, at_most_once=False, timeout=1.0):
+        if timeout != 1.0:  # The check whether an endpoint lives has one second.
+            outcome = (
+                self.outcomes.pop(0) if len(self.outcomes) > 1 else self.outcomes[0]
+            )
+            if outcome is UNREACHED:
+                raise UNREACHED
+            self.sent.append(address.host)
+            yield _Connection(outcome)
+        else:
+            yield None
+
+    def drop(self, address):
+        pass
+
+
+class _Leases:
+    """Keys that have an owner after some time."""
+
+    def __init__(self, owned_after=0.0):
+        self.owned_after = owned_after
+
+    def holder(self, service, key, now):
+        return "e0" if now >= 1000.0 + self.owned_after else None
+
+    def note_not_held(self, service, key):
+        self.owned_after += 0.1
+
+
+def handle(
+    *outcomes,
+    idempotent=True,
+    attempts=2,
+    timeout=2.0,
+    deadline_ms=b"1500",
+    keyed=False,
+    owned_after=0.0,
+    endpoints=3,
+):
+    """Return the reply, the hosts that were sent to, and the time taken."""
+
+    async def work():
+        loop = asyncio.get_running_loop()
+        table = EndpointTable("z", drain_seconds=2.0)
+        table.update(
+            {
+                f"e{n}": Endpoint(
+                    f"e{n}", "s", Address(f"e{n}", 1), "z", 2, False, 0.0, 1
+                )
+                for n in range(endpoints)
+            },
+            loop.time(),
+        )
+        pool = _Pool(outcomes)
+        dispatcher = Dispatcher(
+            endpoints=table,
+            pool=pool,
+            leases=_Leases(owned_after),
+            admission=Admission(table, random.Random(1)),
+            budget=RetryBudget(0.2, 60.0, 10.0),
+            demand=KeyDemand(),
+            guard=CrashGuard(),
+            log=FakeLog(),
+            instances=lambda: 3,
+            on_strike=lambda digest: None,
+            count=lambda outcome: None,
+            observe=lambda seconds: None,
+        )
+        route = Route(
+            "r",
+            "h",
+            "/",
+            Repeatability.IDEMPOTENT if idempotent else Repeatability.AT_MOST_ONCE,
+            (WeightedService("s", 1.0),),
+            timeout,
+            0.5,
+            1,
+            attempts,
+        )
+        limits = CallerLimits(1000, 1000, 3.0, 15.0)
+        service = Service("s", "/health", 50, keyed)
+        dispatcher.use(Configuration(1, (route,), {"s": service}, limits))
+        headers = [(b"host", b"h"), (b"request-id", b"a")]
+        if deadline_ms is not None:
+            headers.append((b"deadline-ms", deadline_ms))
+        if keyed:
+            headers.append((b"shard-key", b"7"))
+        started = loop.time()
+        req = CallerRequest(b"GET", b"/x", headers, b"", started)
+        reply = await dispatcher.handle(req)
+        return reply, pool.sent, loop.time() - started
+
+    return run(work())
+
+
+@pytest.mark.parametrize("outcome", [BROKEN, UNSIGNED, SILENT])
+def test_work_that_may_have_run_is_not_sent_again_nor_refused(outcome):
+    """A second run would charge a fee twice; a 503 would invite one."""
+    reply, sent, _ = handle(outcome, SERVED, idempotent=False)
+    assert reply.status in (502, 504)
+    assert len(sent) == 1
+
+
+@pytest.mark.parametrize("outcome", [SHED, NOT_HELD, UNREACHED])
+def test_work_that_has_not_run_is_sent_to_another_endpoint(outcome):
+    reply, sent, _ = handle(outcome, SERVED, idempotent=False)
+    assert (reply.status, reply.body) == (200, b"done")
+    assert len(set(sent)) == len(sent)
+
+
+@pytest.mark.parametrize("outcome", [BROKEN, UNSIGNED, FAILED])
+def test_idempotent_work_is_sent_again(outcome):
+    assert handle(outcome, SERVED)[0].status == 200
+
+
+def test_a_failure_is_passed_on_as_the_endpoint_gave_it():
+    reply, sent, _ = handle(FAILED, idempotent=False)
+    assert (reply.status, reply.headers) == (500, (SEAL,))
+    assert len(sent) == 1
+
+
+def test_a_refusal_is_true_and_says_when_to_come_back():
+    reply, sent, _ = handle(SHED, idempotent=False)
+    assert reply.status == 503
+    assert any(name == b"Retry-After" for name, _ in reply.headers)
+    assert len(sent) == 2  # The attempts of the route.
+
+
+def test_idempotent_work_that_may_have_run_is_not_refused_as_not_run():
+    assert handle(BROKEN, SHED)[0].status == 502
+
+
+def test_the_caller_hears_before_its_deadline():
+    reply, _, seconds = handle(SILENT, idempotent=False)
+    assert reply.status == 504
+    assert seconds < 1.5
+
+
+def test_the_timeout_of_the_route_ends_the_wait():
+    """The operator's bound allows half a second more."""
+    reply, _, seconds = handle(SILENT, idempotent=False, timeout=0.6)
+    assert reply.status == 504
+    assert 0.6 <= seconds <= 1.1
+
+
+def test_a_key_whose_owner_changes_is_waited_for():
+    reply, _, seconds = handle(SERVED, keyed=True, owned_after=0.2)
+    assert reply.status == 200
+    assert seconds < 0.5
+
+
+def test_a_key_that_the_owner_does_not_hold_yet_is_asked_for_again():
+    assert handle(NOT_HELD, SERVED, keyed=True)[0].status == 200
+
+
+def test_a_key_without_owner_is_refused_while_the_caller_can_come_back():
+    reply, sent, seconds = handle(SERVED, keyed=True, owned_after=60.0)
+    assert (reply.status, sent) == (503, [])
+    assert seconds < 0.5
+
+
+def test_work_that_cannot_be_served_is_refused_at_once():
+    reply, sent, seconds = handle(SERVED, deadline_ms=b"100")
+    assert (reply.status, sent, seconds) == (503, [], 0.0)
+
+
+@pytest.mark.parametrize("deadline_ms", [b"x", b"-5", b"0"])
+def test_a_malformed_deadline_is_bad_input(deadline_ms):
+    assert handle(SERVED, deadline_ms=deadline_ms)[0].status == 400
--- /dev/null
+++ b/tests/gateway/test_documents.py
@@ -0,0 +1,153 @@
+"""Documents that other writers store, whole and malformed."""
+
+import copy
+
+import pytest
+
+from arbutusflow.domain.errors import ConfigurationError, SettingsError
+from arbutusflow.gateway.model import Address, Repeatability
+from arbutusflow.platform import wire
+from arbutusflow.platform.documents import decode_configuration, decode_endpoint
+from arbutusflow.platform.settings import load_settings
+
+CONFIGURATION = {
+    "version": 7,
+    "services": [
+        {
+            "name": "a",
+            "healthPath": "/health",
+            "maxConns": 49,
+            "protocol": "h1",
+            "sharded": True,
+        },
+        {"name": "b", "healthPath": "/health", "maxConns": 49, "protocol": "h1"},
+    ],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 67108864,
+        "headerTimeoutS": 3,
+        "idleTimeoutS": 15,
+    },
+    "hosts": [
+        {
+            "host": "Shop.example",
+            "paths": [
+                {
+                    "name": "r1",
+                    "pathPrefix": "/x/",
+                    "routeType": "safe",
+                    "timeoutS": 1,
+                    "targetLatencyS": 0.3,
+                    "priority": 1,
+                    "trafficSplit": [
+                        {"service": "a", "weight": 90},
+                        {"service": "b", "weight": 10},
+                    ],
+                    "maxAttempts": 2,
+                },
+                {
+                    "name": "r2",
+                    "pathPrefix": "/y/",
+                    "routeType": "upload",
+                    "timeoutS": 1.2,
+                    "targetLatencyS": 0.4,
+                    "priority": 2,
+                    "service": "b",
+                    "maxAttempts": 2,
+                },
+            ],
+        }
+    ],
+}
+ENTRY = {
+    "metadata": {"name": "i-1", "revision": 5},
+    "spec": {
+        "address": "10.0.0.1:80",
+        "info": {"service": "a", "version": "v1", "zone": "z", "slots": 3},
+        "status": {"state": "ready", "seq": 4, "coldLeftS": 0.5},
+        "born": 123,
+    },
+    "status": None,
+}
+
+
+def test_a_configuration_is_decoded_into_our_terms():
+    cfg = decode_configuration(CONFIGURATION)
+    first, second = cfg.routes
+    assert (first.host, [t.weight for t in first.targets]) == ("shop.example", [90, 10])
+    assert second.repeatability is Repeatability.AT_MOST_ONCE
+    assert (cfg.services["a"].keyed, cfg.services["b"].keyed) == (True, False)
+
+
+@pytest.mark.parametrize("field", ["version", "services", "limits", "hosts"])
+def test_a_configuration_without_a_part_is_rejected_whole(field):
+    spec = {key: value for key, value in CONFIGURATION.items() if key != field}
+    with pytest.raises(ConfigurationError):
+        decode_configuration(spec)
+
+
+def test_an_entry_is_decoded():
+    endpoint = decode_endpoint(ENTRY)
+    assert endpoint.address == Address("10.0.0.1", 80)
+    assert (endpoint.slots, endpoint.cold_seconds, endpoint.started_ms) == (3, 0.5, 123)
+
+
+@pytest.mark.parametrize(
+    "path, value",
+    [
+        (("address",), 7),
+        (("address",), "nowhere"),
+        (("info",), None),
+        (("info", "service"), ["a"]),
+        (("info", "slots"), "3"),
+        (("info", "slots"), True),
+        (("info", "zone"), 1),
+        (("status", "state"), "sleeping"),
+        (("status", "coldLeftS"), None),
+        (("status",), []),
+        (("born",), 1.5),
+    ],
+)
+def test_an_entry_of_another_writer_names_no_endpoint(path, value):
+    entry = copy.deepcopy(ENTRY)
+    part = entry["spec"]
+    for name in path[:-1]:
+        part = part[name]
+    part[path[-1]] = value
+    with pytest.raises(ValueError):
+        decode_endpoint(entry)
+
+
+@pytest.mark.parametrize("item", [None, 5, "x", [], {"metadata": {}}, {"spec": 1}])
+def test_an_entry_of_any_shape_is_rejected(item):
+    with pytest.raises(ValueError):
+        decode_endpoint(item)
+
+
+@pytest.mark.parametrize(
+    "text, load",
+    [
+        (b"3,0,8", wire.ReportedLoad(3, 0, 8)),
+        (b"3,0", None),
+        (b"a,b,c", None),
+        (None, None),
+    ],
+)
+def test_a_malformed_load_report_is_no_report(text, load):
+    assert wire.ReportedLoad.parse(text) == load
+
+
+@pytest.mark.parametrize(
+    "text, key",
+    [(b"0", 0), (b"65535", 65535), (b"65536", None), (b"-1", None), (b"", None)],
+)
+def test_only_keys_of_the_key_space_are_taken(text, key):
+    assert wire.parse_key(text) == key
+
+
+@pytest.mark.parametrize("text", ["", "nodeName = ", 'nodeName = "a"\n'])
+def test_bad_settings_get_a_clear_error(text, tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(text)
+    with pytest.raises(SettingsError, match=r"node\.toml"):
+        load_settings(path)
--- /dev/null
+++ b/tests/gateway/test_event_log.py
@@ -0,0 +1,56 @@
+"""A log whose reader is slow, stuck or gone."""
+
+import json
+import os
+
+from arbutusflow.gateway.event_log import MAX_LINES_PER_SECOND, EventLog
+
+
+def lines(fd):
+    os.set_blocking(fd, False)
+    data = b""
+    while True:
+        try:
+            part = os.read(fd, 65536)
+        except BlockingIOError:
+            break
+        if not part:
+            break
+        data += part
+    return [json.loads(line) for line in data.splitlines()]
+
+
+def test_a_stuck_reader_costs_lines_but_no_time():
+    """A request must not wait for whoever reads the log."""
+    reader, writer = os.pipe()
+    log = EventLog("n1", fd=writer)
+    for number in range(5000):
+        log.write("event", number=number, text="x" * 100)
+    assert log.dropped > 0
+    first = lines(reader)
+    log.write("event", number=-1)
+    written = first + lines(reader)
+    numbers = [e["number"] for e in written if e["event"] == "event"]
+    reported = [e["count"] for e in written if e["event"] == "log_lines_dropped"]
+    assert numbers[:-1] == sorted(numbers[:-1])
+    assert numbers[-1] == -1
+    # Each line is written or counted as lost, and every loss was reported.
+    assert len(numbers) + sum(reported) == 5001
+    assert log.dropped == 0
+
+
+def test_a_flood_is_bounded_and_what_was_dropped_is_counted():
+    reader, writer = os.pipe()
+    log = EventLog("n1", fd=writer)
+    for _ in range(3 * MAX_LINES_PER_SECOND):
+        log.sample("event")
+    assert log.dropped >= MAX_LINES_PER_SECOND
+    assert len(lines(reader)) <= 2 * MAX_LINES_PER_SECOND
+
+
+def test_a_closed_output_ends_nothing():
+    reader, writer = os.pipe()
+    os.close(reader)
+    log = EventLog("n1", fd=writer)
+    log.write("event")
+    assert log.dropped == 1
--- /dev/null
+++ b/tests/gateway/test_key_planner.py
@@ -0,0 +1,146 @@
+"""Where keys go under load: the patterns that refused most callers on heavy days."""
+
+from hypothesis import given, settings, strategies as st
+
+from arbutusflow.gateway.key_planner import MAX_MOVES_UNDER_WAY, KeyLoads, plan
+from arbutusflow.gateway.key_table import KeyTable
+from arbutusflow.gateway.model import KEY_SPACE, Address, Endpoint
+
+NO_LOAD = KeyLoads({})
+RELEASED = lambda part: "handover"  # noqa: E731
+
+
+def endpoints(count, **changes):
+    result = {}
+    for n in range(count):
+        name = f"e{n}"
+        draining, life = changes.get(name, (False, 1))
+        result[name] = Endpoint(
+            name, "s", Address(name, 1), "z", 2, draining, 0.0, life
+        )
+    return result
+
+
+def settle(table, listed, loads=NO_LOAD, capacity=None, rounds=30, proof=RELEASED):
+    """Plan until nothing changes; every release is answered at once."""
+    capacity = capacity or dict.fromkeys(listed, 10.0)
+    for _ in range(rounds):
+        planned = plan(table, listed, capacity, loads, proof)
+        planned.check()
+        if planned == table:
+            break
+        table = planned
+    return table
+
+
+def _part(table, key):
+    return next(p for p in table.ranges if p.first <= key <= p.last)
+
+
+def carried(table, loads):
+    result = {}
+    for part in table.ranges:
+        load = loads.of_range(part.first, part.last)
+        result[part.endpoint] = result.get(part.endpoint, 0.0) + load
+    return result
+
+
+def test_keys_are_spread_at_the_start():
+    table = settle(KeyTable.empty("s"), endpoints(8))
+    assert set(carried(table, NO_LOAD)) == set(endpoints(8))
+
+
+def test_busy_neighbours_are_spread_over_the_endpoints():
+    """A cluster of busy keys in one range kept one endpoint at three times its
+    capacity for 12 s while the others were idle."""
+    loads = KeyLoads({20_000 + n: 0.5 for n in range(80)})  # 40 requests/s in all.
+    table = settle(settle(KeyTable.empty("s"), endpoints(8)), endpoints(8), loads)
+    # Each endpoint serves 10 requests/s; half of them suffice if they share.
+    assert max(carried(table, loads).values()) <= 10.0
+
+
+def test_one_hot_key_does_not_take_others_down_with_it():
+    loads = KeyLoads({20_000: 25.0} | {20_001 + n: 0.5 for n in range(16)})
+    table = settle(settle(KeyTable.empty("s"), endpoints(8)), endpoints(8), loads)
+    holder = next(p.endpoint for p in table.ranges if p.first <= 20_000 <= p.last)
+    beside = carried(table, loads)[holder] - 25.0
+    assert beside <= 2.0  # Of the 8 requests/s for its neighbours.
+
+
+def test_one_hot_key_moves_to_a_faster_endpoint():
+    loads = KeyLoads({20_000: 25.0})
+    listed = endpoints(4)
+    slow = dict.fromkeys(listed, 10.0)
+    table = settle(settle(KeyTable.empty("s"), listed), listed, loads, slow)
+    fast = slow | {"e3": 20.0, "e0": 20.0}
+    table = settle(table, listed, loads, fast)
+    holder = next(p.endpoint for p in table.ranges if p.first <= 20_000 <= p.last)
+    assert fast[holder] == 20.0
+
+
+def test_calm_keys_stay_where_they_are():
+    loads = KeyLoads({n * 700: 0.2 for n in range(90)})
+    table = settle(KeyTable.empty("s"), endpoints(8))
+    assert settle(table, endpoints(8), loads) == table
+
+
+def test_endpoints_that_join_get_keys():
+    loads = KeyLoads({n * 700: 0.2 for n in range(90)})
+    table = settle(KeyTable.empty("s"), endpoints(6), loads)
+    table = settle(table, endpoints(8), loads)
+    assert {"e6", "e7"} <= set(carried(table, loads))
+
+
+def test_keys_leave_a_draining_endpoint_with_a_higher_token():
+    table = settle(KeyTable.empty("s"), endpoints(4))
+    before = max(part.token for part in table.ranges)
+    moved = settle(table, endpoints(4, e1=(True, 1)))
+    assert "e1" not in carried(moved, NO_LOAD)
+    for key in range(0, KEY_SPACE, 64):
+        old, new = _part(table, key), _part(moved, key)
+        assert new.endpoint == old.endpoint or new.token > before
+
+
+def test_keys_wait_for_a_proof():
+    """Without one the owner may still hold them."""
+    table = settle(KeyTable.empty("s"), endpoints(4))
+    gone = {n: e for n, e in endpoints(4).items() if n != "e1"}
+    waiting = settle(table, gone, proof=lambda part: None)
+    assert [p.endpoint for p in waiting.ranges if p.leaving] == ["e1"]
+
+
+def test_a_new_life_of_an_endpoint_gets_its_keys_anew():
+    table = settle(KeyTable.empty("s"), endpoints(4))
+    reborn = settle(table, endpoints(4, e1=(False, 2)), proof=lambda part: None)
+    assert not any(p.endpoint == "e1" and p.started_ms == 1 for p in reborn.ranges)
+    assert all(p.endpoint for p in reborn.ranges)
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.dictionaries(
+                st.integers(0, KEY_SPACE - 1), st.floats(0.1, 30.0), max_size=20
+            ),
+            st.sets(st.integers(0, 5), min_size=1),
+            st.booleans(),
+        ),
+        max_size=6,
+    )
+)
+def test_a_table_covers_all_keys_and_moves_few_at_a_time(steps):
+    table = KeyTable.empty("s")
+    for loads, present, proved in steps:
+        listed = {n: e for n, e in endpoints(6).items() if int(n[1]) in present}
+        capacity = dict.fromkeys(listed, 10.0)
+        proof = RELEASED if proved else (lambda part: None)
+        planned = plan(table, listed, capacity, KeyLoads(loads), proof)
+        planned.check()
+        marked = [
+            p
+            for p in planned.ranges
+            if p.leaving and p.endpoint in listed and p not in table.ranges
+        ]
+        assert len(marked) <= MAX_MOVES_UNDER_WAY
+        table = planned
