Give lost calls to the store up soon and notice silent watches

The first calls after a loss now end after 0.7 s and then take twice as long each time. Instances also report the latest revision of the configuration and of the endpoints; one that stays behind for 0.3 s checks the store on a new connection.

--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -56,6 +56,10 @@
         """Return for how long the store has answered; negative if it does not."""
         ...
 
+    def known_revisions(self) -> tuple[int, int]:
+        """Return the latest revisions of the configuration and of the endpoints."""
+        ...
+
     def strikes(self) -> tuple[StrikeReport, ...]:
         """Return the latest strikes against requests."""
         ...
@@ -205,6 +209,8 @@
             touch_age=round(
                 min(self._workload.touch_age(now), self.copy.touch_age(now)), 3
             ),
+            configuration=self._workload.known_revisions()[0],
+            endpoints=self._workload.known_revisions()[1],
             in_flight=in_flight,
             leases=self.leases.lease_reports(now),
             vouches=vouches,
--- a/arbutusflow/gateway/peers.py
+++ b/arbutusflow/gateway/peers.py
@@ -45,6 +45,9 @@
     tables: dict[str, int]  # Revisions of the key tables in force, by service.
     # Seconds since the store answers without interruption; negative if it does not.
     touch_age: float
+    # Latest revision of the configuration and of the endpoints that is known.
+    configuration: int
+    endpoints: int
     in_flight: dict[str, int]
     leases: dict[str, LeaseReport]
     # Whether the receiver may grant keys on the strength of hearing the sender.
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -244,6 +244,10 @@
         """Return for how long the store has answered; negative if it does not."""
         return self.endpoint_copy.touch_age(now)
 
+    def known_revisions(self) -> tuple[int, int]:
+        """Return the latest revisions of the configuration and of the endpoints."""
+        return self.config_copy.latest, self.endpoint_copy.latest
+
     def strikes(self) -> tuple[StrikeReport, ...]:
         """Return the latest strikes against requests."""
         return tuple(self._strikes[-REPORTED_STRIKES:])
@@ -256,6 +260,8 @@
     def take_report(self, report: PeerReport) -> None:
         """Learn the load and the strikes that another instance reports."""
         now = self._loop.time()
+        self.config_copy.note_latest_elsewhere(report.configuration, now)
+        self.endpoint_copy.note_latest_elsewhere(report.endpoints, now)
         for name, state in self.endpoints.states.items():
             count = report.in_flight.get(name, 0)
             if count or report.instance in state.peers:
--- a/arbutusflow/gateway/store_watch.py
+++ b/arbutusflow/gateway/store_watch.py
@@ -18,8 +18,12 @@
 
 FIRST_PAUSE_SECONDS = 0.2  # After a failed call; doubles up to the longest.
 LONGEST_PAUSE_SECONDS = 0.5
-# Wait of the first watch after a loss: a short one shows soon that the store answers.
-PROBE_WAIT_SECONDS = 0.3
+# A call that the store lost is never answered, so the first calls after a loss are
+# given up soon; a slow store takes about 0.5 s, so later ones get more time.
+FIRST_CALL_SECONDS = 0.7
+LONGEST_CALL_SECONDS = 2.0
+# How long other instances may know later objects before a watch counts as silent.
+BEHIND_SECONDS = 0.3
 
 
 class ObjectCopy:
@@ -41,6 +45,8 @@
         self._list_needed = True
         self._call: asyncio.Future[None] | None = None
         self._suspected = False
+        self._call_seconds = FIRST_CALL_SECONDS
+        self._behind_since: float | None = None
         self.objects: dict[str, StoredObject] = {}
         self.revision = 0
         self.current_at = -1e9  # When the copy was last known to be current.
@@ -65,12 +71,15 @@
             try:
                 if await self._step():
                     self._note_contact()
+                    self._call_seconds = FIRST_CALL_SECONDS
                 pause = FIRST_PAUSE_SECONDS
             except HistoryGoneError:
                 self._log.write("store_history_gone", kind=self._kind)
                 self._list_needed = True
             except PlatformError as exc:
                 self._note_loss(str(exc))
+                self._list_needed = True
+                self._call_seconds = min(LONGEST_CALL_SECONDS, self._call_seconds * 2)
                 await asyncio.sleep(pause * self._rng.uniform(0.7, 1.3))
                 pause = min(LONGEST_PAUSE_SECONDS, pause * 1.5)
 
@@ -101,7 +110,7 @@
 
     async def _read(self) -> None:
         started = asyncio.get_running_loop().time()
-        snapshot = await self._store.list(self._kind)
+        snapshot = await self._store.list(self._kind, self._call_seconds)
         if snapshot.revision < self.revision:
             return  # An answer that was under way while a later one arrived.
         objects = {item.name: item for item in snapshot.objects}
@@ -118,7 +127,7 @@
     async def _follow(self) -> None:
         loop = asyncio.get_running_loop()
         started = loop.time()
-        wait = self.wait_seconds if self.lost_at is None else PROBE_WAIT_SECONDS
+        wait = self.wait_seconds
         result = await self._store.watch(self._kind, self.revision, wait)
         elapsed = loop.time() - started
         if result.revision < self.revision:
@@ -136,6 +145,24 @@
         if result.changes:
             self._on_change()
 
+    @property
+    def latest(self) -> int:
+        """Revision of the object that was written last."""
+        return max((item.revision for item in self.objects.values()), default=0)
+
+    def note_latest_elsewhere(self, revision: int, now: float) -> None:
+        """Check the store if another instance has known a later object for a while.
+
+        A connection can fall silent while new ones work.
+        """
+        if revision <= self.latest:
+            return
+        if self._behind_since is None or now - self._behind_since > 1.0:
+            self._behind_since = now
+        elif now - self._behind_since >= BEHIND_SECONDS:
+            self._behind_since = now
+            self.suspect(f"another instance knows revision {revision}")
+
     def _apply(self, change: Change) -> None:
         if not change.removed:
             self.adopt(change.object)
--- a/arbutusflow/platform/store.py
+++ b/arbutusflow/platform/store.py
@@ -83,12 +83,15 @@
         self._idle: list[ClientConnection] = []
         self.calls = 0
 
-    async def list(self, kind: str) -> Snapshot:
-        """Return all objects of a kind. Raises PlatformError."""
+    async def list(self, kind: str, timeout: float = CALL_SECONDS) -> Snapshot:
+        """Return all objects of a kind. Raises PlatformError.
+
+        `timeout` is in seconds and holds for each page.
+        """
         objects: list[StoredObject] = []
         query = ""
         while True:
-            answer = await self._call("GET", f"{kind}{query}")
+            answer = await self._call("GET", f"{kind}{query}", timeout=timeout)
             document = _body(answer)
             objects.extend(_decode_object(raw) for raw in document["items"])
             if not document.get("hasMore"):
--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -38,6 +38,7 @@
         self.history: list[tuple[int, Change]] = []
         self.forgotten = 0  # Revisions up to this one are no longer in the history.
         self.away: set[str] = set()
+        self.mute: set[str] = set()  # Instances whose calls get no answer.
         self.lose_answers = False
         self.changed = asyncio.Event()
 
@@ -62,11 +63,13 @@
     async def _reach(self) -> None:
         self.calls += 1
         await asyncio.sleep(0.004)
+        if self._name in self._store.mute:
+            await asyncio.sleep(60.0)
         if self._name in self._store.away:
             await asyncio.sleep(0.5)
             raise PlatformUnavailableError("cut off")
 
-    async def list(self, kind: str) -> Snapshot:
+    async def list(self, kind: str, timeout: float = 2.0) -> Snapshot:
         await self._reach()
         return Snapshot(tuple(self._store.objects.values()), self._store.revision)
 
@@ -236,6 +239,9 @@
     def touch_age(self, now: float) -> float:
         return self._instance.task.copy.touch_age(now)
 
+    def known_revisions(self) -> tuple[int, int]:
+        return 0, 0
+
     def strikes(self) -> tuple[()]:
         return ()
 
--- /dev/null
+++ b/tests/gateway/test_store_watch.py
@@ -0,0 +1,103 @@
+"""Copies of the store's objects when calls are lost or fall silent."""
+
+import asyncio
+
+from arbutusflow.domain.errors import PlatformUnavailableError
+from arbutusflow.gateway.store_watch import ObjectCopy
+from tests.gateway.fakes import FakeLog
+from tests.gateway.sim_fleet import SimStore, SimStoreClient
+from tests.gateway.virtual_time import run
+
+
+class _Client(SimStoreClient):
+    """Gives a call up after its time, as the real client does."""
+
+    async def list(self, kind, timeout=2.0):
+        return await _within(timeout, super().list(kind))
+
+
+async def _within(timeout, call):
+    try:
+        async with asyncio.timeout(timeout):
+            return await call
+    except TimeoutError as exc:
+        raise PlatformUnavailableError("no answer in time") from exc
+
+
+def follow(work):
+    async def main():
+        store = SimStore()
+        client = _Client(store, "n1")
+        writer = SimStoreClient(store, "writer")
+        copy = ObjectCopy(client, "kind", 15.0, lambda: None, FakeLog())
+        task = asyncio.create_task(copy.run())
+        try:
+            return await work(store, writer, copy)
+        finally:
+            task.cancel()
+
+    return run(main())
+
+
+def test_changes_arrive():
+    async def work(store, writer, copy):
+        await asyncio.sleep(1.0)
+        await writer.create("kind", "a", {"x": 1})
+        await asyncio.sleep(0.1)
+        return copy.objects["a"].spec
+
+    assert follow(work) == {"x": 1}
+
+
+def test_an_older_object_does_not_replace_a_later_one():
+    async def work(store, writer, copy):
+        old = await writer.create("kind", "a", 1)
+        new = await writer.replace("kind", "a", 2, old.revision)
+        await asyncio.sleep(0.5)
+        copy.adopt(old)
+        return copy.objects["a"] == new
+
+    assert follow(work)
+
+
+def test_a_call_that_the_store_lost_is_given_up_soon():
+    """A call that was lost held an old configuration in force for 3.9 s."""
+
+    async def work(store, writer, copy):
+        store.mute.add("n1")
+        copy.suspect("a call failed")
+        await asyncio.sleep(0.3)
+        store.mute.clear()  # The call under way stays unanswered.
+        await writer.create("kind", "a", 1)
+        await asyncio.sleep(1.5)
+        return "a" in copy.objects
+
+    assert follow(work)
+
+
+def test_a_silent_watch_is_noticed_by_what_others_know():
+    async def work(store, writer, copy):
+        await asyncio.sleep(1.0)
+        store.changed = asyncio.Event()  # The watch under way hears nothing more.
+        item = await writer.create("kind", "a", 1)
+        loop = asyncio.get_running_loop()
+        for _ in range(10):
+            await asyncio.sleep(0.1)
+            copy.note_latest_elsewhere(item.revision, loop.time())
+        return "a" in copy.objects
+
+    assert follow(work)
+
+
+def test_a_copy_of_a_moment_ago_is_not_called_current():
+    """The right to grant keys rests on this time."""
+
+    async def work(store, writer, copy):
+        await asyncio.sleep(16.0)
+        loop = asyncio.get_running_loop()
+        assert loop.time() - copy.current_at < 16.0
+        store.away.add("n1")
+        await asyncio.sleep(20.0)
+        return loop.time() - copy.current_at
+
+    assert follow(work) >= 20.0
