--- a/arbutusflow/gateway/endpoint_load.py
+++ b/arbutusflow/gateway/endpoint_load.py
@@ -42,6 +42,7 @@
     reported_others: int = 0
     reported_at: float = -1e9
     last_answer: float = 0.0
+    untried: bool = False  # It joined and was not sent any work from here yet.
     leaving_since: float | None = None  # It gets no new work of its own accord.
     peers: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
 
@@ -119,6 +120,8 @@
             if known is None or known.endpoint.started_ms != endpoint.started_ms:
                 known = EndpointState(endpoint, cold_until=now + endpoint.cold_seconds)
                 known.service_seconds = self._typical_seconds(endpoint.service)
+                # Its measured peers are all preferred to it while they are idle.
+                known.untried = bool(self.states) and endpoint.zone == self._zone
             known.endpoint = endpoint
             if not endpoint.draining:
                 known.leaving_since = None
@@ -190,6 +193,10 @@
         # Refusing all work because every endpoint failed once would be worse than
         # another attempt.
         usable = [s for s in candidates if now >= s.down_until] or candidates
+        for state in usable:
+            if state.untried and now >= state.cold_until:
+                state.untried = False
+                return state
         local = [
             state
             for state in usable
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -134,6 +134,17 @@
     assert not result.may_use(result.states["e0"], 1.9)
 
 
+def test_an_endpoint_that_joins_gets_work_when_it_is_warm():
+    """At a low load its measured peers were always preferred to it."""
+    result = table("z0", "z0")
+    joined = Endpoint("e9", "s", Address("e9", 1), "z0", 2, False, 3.0, 1)
+    listed = {name: state.endpoint for name, state in result.states.items()}
+    result.update(listed | {"e9": joined}, 10.0)
+    assert result.choose("s", set(), 12.0).endpoint.id != "e9"
+    assert result.choose("s", set(), 13.0).endpoint.id == "e9"
+    assert result.choose("s", set(), 13.1).endpoint.id != "e9"
+
+
 def route(rank=1, objective=0.5):
     return Route(
         "r",
