Tell callers of a busy key when its owner has room

Cause: Retry-After was the least wait over all endpoints of the service, so callers of a key whose only owner was full were told to come back after 0.1 s, and were refused again.

--- a/arbutusflow/gateway/admission.py
+++ b/arbutusflow/gateway/admission.py
@@ -48,10 +48,19 @@
             return "too_late_for_objective"
         return None
 
-    def retry_after(self, service: str, left: float, now: float) -> float:
-        """Return after how many seconds room is expected, spread over callers."""
-        states = self._endpoints.of_service(service)
-        waits = [s.expected_seconds(now) - s.service_seconds for s in states]
-        wait = min(waits, default=0.5) * self._rng.uniform(0.5, 1.5)
+    def retry_after(
+        self, service: str, owner: EndpointState | None, left: float, now: float
+    ) -> float:
+        """Return after how many seconds room is expected, spread over callers.
+
+        `owner` is the only endpoint that can serve the request, if there is one.
+        `left` is the time that the caller has; it waits for a third of it at most.
+        """
+        states = [owner] if owner else self._endpoints.of_service(service)
+        waits = [
+            max(s.expected_seconds(now) - s.service_seconds, s.down_until - now)
+            for s in states
+        ]
+        wait = min(waits, default=MAX_RETRY_AFTER_SECONDS) * self._rng.uniform(0.5, 1.5)
         bound = min(MAX_RETRY_AFTER_SECONDS, max(left, 0.0) / 3)
         return max(MIN_RETRY_AFTER_SECONDS, min(wait, bound))
--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -88,6 +88,7 @@
     digest: bytes
     end: float  # When the caller or the operator no longer waits.
     caller_bound: bool  # Whether `end` is the caller's deadline.
+    caller_end: float  # When the caller no longer waits for this attempt or others.
     sends: int = 0
     may_have_run: bool = False
     tried: set[str] = dataclasses.field(default_factory=set)
@@ -215,6 +216,7 @@
             digest=digest.digest(),
             end=req.arrived + limit,
             caller_bound=caller_bound,
+            caller_end=req.arrived + (limit if deadline is None else deadline),
         )
 
     # Serving.
@@ -263,8 +265,12 @@
         if work.may_have_run:
             return RequestError(502, reason)
         now = self._loop.time()
+        owner = None
+        if work.key is not None:
+            name = self._leases.holder(work.service.name, work.key, now)
+            owner = self._endpoints.states.get(name or "")
         retry_after = self._admission.retry_after(
-            work.service.name, work.end - now, now
+            work.service.name, owner, work.caller_end - now, now
         )
         return RequestError(503, reason, retry_after)
 
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -182,13 +182,28 @@
     assert verdict(own, **options) == reason
 
 
-def test_returning_callers_are_spread_over_the_time_at_which_room_appears():
-    result = table("z0")
+def retry_times(owner=None, left=3.0):
+    result = table("z0", "z0")
     result.states["e0"].own = 8
     admission = Admission(result, random.Random(1))
-    waits = {round(admission.retry_after("s", 3.0, 10.0), 2) for _ in range(50)}
-    assert len(waits) > 10
-    assert max(waits) <= 1.0  # A third of the time left, which callers honour.
+    state = result.states[owner] if owner else None
+    return [admission.retry_after("s", state, left, 10.0) for _ in range(50)]
+
+
+def test_returning_callers_are_spread_over_the_time_at_which_room_appears():
+    """Callers of a busy key were told to come back at once, while idle endpoints
+    that do not hold the key were counted, and were refused again."""
+    waits = retry_times("e0")
+    assert len({round(wait, 2) for wait in waits}) > 10
+    assert sum(waits) / len(waits) > 0.3  # Four rounds of 0.15 s wait there.
+
+
+def test_a_caller_is_not_told_to_wait_longer_than_it_would():
+    assert max(retry_times("e0", left=0.6)) <= 0.2
+
+
+def test_where_there_is_room_callers_come_back_soon():
+    assert max(retry_times()) == 0.1
 
 
 def test_repeats_stay_within_the_budget_of_the_fleet():
