--- a/arbutusflow/cli/explain.py
+++ b/arbutusflow/cli/explain.py
@@ -1,6 +1,7 @@
 """Commands that explain what happened to a key or a request."""
 
 import datetime
+import pathlib
 from typing import Annotated
 
 import typer
@@ -68,6 +69,32 @@
         )
 
 
+@app.command()
+def trail(
+    request_id: Annotated[str, typer.Argument(help="Identifier of the request.")],
+    files: Annotated[
+        list[pathlib.Path], typer.Argument(help="Logs of instances on the platform.")
+    ],
+) -> None:
+    """Print what the logs of several instances say about a request, in order."""
+    from arbutusflow.domain.errors import RefusedError
+    from arbutusflow.gateway.trail import parse, trail as find_trail
+
+    lines: list[str] = []
+    for path in files:
+        try:
+            text = path.read_text(encoding="utf-8", errors="replace")
+        except OSError as exc:
+            raise RefusedError(f"{path} cannot be read: {exc.strerror}") from exc
+        lines.extend(text.splitlines())
+    found = find_trail(parse(lines), request_id)
+    if not found:
+        raise RefusedError(f"no line of these logs names the request {request_id}")
+    for item in found:
+        fields = " ".join(f"{name}={value}" for name, value in item.fields.items())
+        typer.echo(f"{_time(item.time)}  {item.instance}  {item.event}  {fields}")
+
+
 def _time(seconds: float) -> str:
     time = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
     return time.isoformat(timespec="milliseconds")
--- /dev/null
+++ b/tests/gateway/test_trail.py
@@ -0,0 +1,40 @@
+"""From a request's identifier to what the instances believed."""
+
+from typer.testing import CliRunner
+
+from arbutusflow.cli.main import app
+
+LOG = """\
+9.1 collector {"time":100.0,"instance":"n1","event":"store_lost","kind":"servers"}
+{"time":101.0,"instance":"n2","event":"keys_released","endpoint":"e1","first":0}
+{"time":101.5,"instance":"n2","event":"store_lost","kind":"config"}
+{"time":102.0,"instance":"n1","event":"attempt_failed","request_id":"a","endpoint":"e1"}
+{"time":102.1,"instance":"n1","event":"request_refused","request_id":"a","status":503}
+{"time":102.1,"instance":"n1","event":"request_refused","request_id":"b","status":503}
+{"time":50.0,"instance":"n1","event":"configuration","version":1}
+not an event
+{"broken
+"""
+
+
+def run(tmp_path, request_id):
+    path = tmp_path / "n1.log"
+    path.write_text(LOG)
+    return CliRunner().invoke(app, ["explain", "trail", request_id, str(path)])
+
+
+def test_a_trail_holds_the_request_and_what_it_rested_on(tmp_path):
+    result = run(tmp_path, "a")
+    events = [line.split()[2] for line in result.stdout.splitlines()]
+    assert events == [
+        "store_lost",
+        "keys_released",
+        "attempt_failed",
+        "request_refused",
+    ]
+
+
+def test_an_unknown_request_is_said_to_be_unknown(tmp_path):
+    result = run(tmp_path, "zz")
+    assert result.exit_code == 1
+    assert "zz" in result.stderr
