--- /dev/null
+++ b/arbutusflow/standins/object_platform.py
@@ -0,0 +1,182 @@
+"""Stand-in for the users' platform: object store and endpoints over HTTP.
+
+Speaks the published protocol as far as the gateway uses it, with the gateway's own
+HTTP server. It is meant for tests on loopback addresses: nothing is kept.
+"""
+
+import asyncio
+import contextlib
+import time
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from arbutusflow.domain.body_budget import BodyBudget
+from arbutusflow.gateway.caller_server import CallerRequest, CallerServer, Reply
+from arbutusflow.platform import wire
+
+_BASE = "/arbutusflow/objects/"
+_JSON = ((b"Content-Type", b"application/json"),)
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+def _json(status: int, document: Any) -> Reply:
+    return Reply(status, _JSON, msgspec.json.encode(document))
+
+
+def _server(handler: Any) -> CallerServer:
+    return CallerServer(handler, BodyBudget(lambda: MAX_BODY_BYTES))
+
+
+class ObjectStore:
+    """Objects by kind and name with one revision counter, lists and watches."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.down = False  # Refuses every call, as in an outage.
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._events: list[tuple[int, str, dict[str, Any]]] = []
+        self._changed = asyncio.Event()
+        self.server = _server(self._handle)
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object as an operator or an endpoint does."""
+        self._store(kind, name, spec)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        item = self._objects.pop((kind, name), None)
+        if item is not None:
+            self._note(kind, {"removed": True, "object": item})
+
+    def spec(self, kind: str, name: str) -> Any:
+        """Return the content of an object, None if there is none."""
+        item = self._objects.get((kind, name))
+        return item["spec"] if item else None
+
+    def _store(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+        item = {
+            "metadata": {"name": name, "revision": self.revision + 1},
+            "spec": spec,
+            "status": None,
+        }
+        self._objects[kind, name] = item
+        self._note(kind, {"removed": False, "object": item})
+        return item
+
+    def _note(self, kind: str, event: dict[str, Any]) -> None:
+        self.revision += 1
+        self._events.append((self.revision, kind, event))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _handle(self, req: CallerRequest) -> Reply:
+        if self.down:
+            return Reply(503)
+        url = urlsplit(req.target.decode())
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        kind, _, name = url.path.removeprefix(_BASE).partition("/")
+        document = msgspec.json.decode(req.body) if req.body else {}
+        if req.method == b"GET":
+            return await self._read(kind, name, query)
+        if req.method == b"POST":
+            return self._create(kind, document)
+        return self._change(req.method, kind, name, document, query)
+
+    async def _read(self, kind: str, name: str, query: dict[str, str]) -> Reply:
+        if name:
+            item = self._objects.get((kind, name))
+            return _json(200, item) if item else Reply(404)
+        if "watch" in query:
+            return await self._watch(kind, int(query["watch"]), query)
+        items = [item for (k, _), item in self._objects.items() if k == kind]
+        return _json(200, {"items": items, "hasMore": False, "asOf": self.revision})
+
+    async def _watch(self, kind: str, since: int, query: dict[str, str]) -> Reply:
+        until = time.monotonic() + int(query.get("waitMs", "0")) / 1000
+        while True:
+            events = [e for rev, k, e in self._events if k == kind and rev > since]
+            left = until - time.monotonic()
+            if events or left <= 0:
+                return _json(200, {"events": events, "asOf": self.revision})
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left):
+                    await self._changed.wait()
+
+    def _create(self, kind: str, document: dict[str, Any]) -> Reply:
+        name = document["metadata"]["name"]
+        known = self._objects.get((kind, name))
+        if known is not None:
+            return _json(409, known)
+        return _json(200, self._store(kind, name, document["spec"]))
+
+    def _change(
+        self,
+        method: bytes,
+        kind: str,
+        name: str,
+        document: dict[str, Any],
+        query: dict[str, str],
+    ) -> Reply:
+        known = self._objects.get((kind, name))
+        if known is None:
+            return Reply(404)
+        condition = document.get("metadata", query).get("revision")
+        if condition is not None and int(condition) != known["metadata"]["revision"]:
+            return _json(409, known)
+        if method == b"DELETE":
+            self.remove(kind, name)
+            return _json(200, known)
+        return _json(200, self._store(kind, name, document["spec"]))
+
+
+class KeyedEndpoint:
+    """Endpoint that runs requests for the keys that it was granted."""
+
+    def __init__(self, name: str, keyed: bool) -> None:
+        self.name = name
+        self.keyed = keyed
+        self.ran: list[bytes] = []  # Identifiers of the requests that ran.
+        self.work_seconds = 0.01
+        self._grants: list[tuple[int, int, int, float]] = []
+        self.server = _server(self._handle)
+
+    async def _handle(self, req: CallerRequest) -> Reply:
+        if req.target == wire.GRANT_PATH:
+            return self._grant(msgspec.json.decode(req.body))
+        if req.target == wire.RELEASE_PATH:
+            return self._release(msgspec.json.decode(req.body))
+        request_id = req.header(wire.REQUEST_ID) or b""
+        echo = ((wire.REQUEST_ID, request_id),)
+        if req.header(wire.EXPECTED_ENDPOINT) != self.name.encode():
+            return Reply(421, echo)
+        key = wire.parse_key(req.header(wire.KEY))
+        if self.keyed and (key is None or not self._holds(key)):
+            return Reply(421, (*echo, (wire.NOT_RUN, b"1")))
+        self.ran.append(request_id)
+        await asyncio.sleep(self.work_seconds)
+        load = b"%d,0,2" % len(self.server.connections)
+        seal = ((wire.SEAL, b"seal"), (wire.ENDPOINT_LOAD, load))
+        return Reply(200, echo + seal, req.method + b" " + req.target + req.body)
+
+    def _holds(self, key: int) -> bool:
+        now = time.monotonic()
+        return any(f <= key <= t and now < until for f, t, _, until in self._grants)
+
+    def _grant(self, order: dict[str, Any]) -> Reply:
+        first, last, token = order["from"], order["to"], order["fence"]
+        if any(f <= last and t >= first and n > token for f, t, n, _ in self._grants):
+            return Reply(409)
+        self._release(order)
+        self._grants.append((first, last, token, time.monotonic() + order["holdS"]))
+        return Reply(200)
+
+    def _release(self, order: dict[str, Any]) -> Reply:
+        first, last = order["from"], order["to"]
+        kept = []
+        for f, t, token, until in self._grants:
+            kept += [(f, min(t, first - 1), token, until)] if f < first else []
+            kept += [(max(f, last + 1), t, token, until)] if t > last else []
+        self._grants = kept
+        return Reply(200, ((wire.HANDOVER, b"handover"),))
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -46,10 +46,13 @@
 
 
 class _Connection:
+    heads: list[bytes] = []
+
     def __init__(self, outcome):
         self.outcome = outcome
 
     async def exchange(self, head, body, timeout, *_):
+        self.heads.append(head.lower())
         await asyncio.sleep(0.01)
         if self.outcome is SILENT:
             await asyncio.sleep(timeout)
@@ -62,8 +65,15 @@
 class _Pool:
     """Plays outcomes in turn; the last one again and again."""
 
-    def __init__(self, outcomes):
-        self.outcomes, self.sent = list(outcomes), []
+    last: "_Pool"
+
+    def __init__(self, outcomes, alive=True):
+        self.outcomes, self.sent, self.alive = list(outcomes), [], alive
+        _Pool.last = self
+
+    @property
+    def count(self):
+        return len(self.sent)
 
     @contextlib.asynccontextmanager
     async def connection(self, address, *, at_most_once=False, timeout=1.0):
@@ -75,8 +85,10 @@
                 raise UNREACHED
             self.sent.append(address.host)
             yield _Connection(outcome)
-        else:
+        elif self.alive:
             yield None
+        else:
+            raise UNREACHED
 
     def drop(self, address):
         pass
@@ -104,6 +116,11 @@
     keyed=False,
     owned_after=0.0,
     endpoints=3,
+    host=b"h",
+    extra=(),
+    configured=True,
+    times=1,
+    alive=True,
 ):
     """Return the reply, the hosts that were sent to, and the time taken."""
 
@@ -119,7 +136,7 @@
             },
             loop.time(),
         )
-        pool = _Pool(outcomes)
+        pool = _Pool(outcomes, alive)
         dispatcher = Dispatcher(
             endpoints=table,
             pool=pool,
@@ -147,16 +164,24 @@
         )
         limits = CallerLimits(1000, 1000, 3.0, 15.0)
         service = Service("s", "/health", 50, keyed)
-        dispatcher.use(Configuration(1, (route,), {"s": service}, limits))
-        headers = [(b"host", b"h"), (b"request-id", b"a")]
+        if configured:
+            dispatcher.use(Configuration(1, (route,), {"s": service}, limits))
+        headers = [(b"host", host), (b"request-id", b"a"), *extra]
         if deadline_ms is not None:
             headers.append((b"deadline-ms", deadline_ms))
         if keyed:
             headers.append((b"shard-key", b"7"))
-        started = loop.time()
-        req = CallerRequest(b"GET", b"/x", headers, b"", started)
-        reply = await dispatcher.handle(req)
-        return reply, pool.sent, loop.time() - started
+        replies = []
+        for _ in range(times):
+            started = loop.time()
+            req = CallerRequest(b"GET", b"/x", headers, b"", started)
+            replies.append(await dispatcher.handle(req))
+            seconds = loop.time() - started
+            if times > 1:
+                await asyncio.sleep(10.0)  # The endpoint is back by then.
+        if times > 1:
+            return replies
+        return replies[0], pool.sent, seconds
 
     return run(work())
 
@@ -235,3 +260,32 @@
 @pytest.mark.parametrize("deadline_ms", [b"x", b"-5", b"0"])
 def test_a_malformed_deadline_is_bad_input(deadline_ms):
     assert handle(SERVED, deadline_ms=deadline_ms)[0].status == 400
+
+
+def test_an_endpoint_learns_who_is_meant_and_how_much_time_is_left():
+    """The address may belong to another endpoint, which must not run the request."""
+    _Connection.heads.clear()
+    handle(SERVED, extra=((b"expect-instance", b"forged"), (b"te", b"trailers")))
+    (head,) = _Connection.heads
+    assert head.count(b"expect-instance") == 1
+    assert b"expect-instance: e" in head
+    assert b"request-id: a\r\n" in head
+    assert b"te: trailers" not in head
+    left = int(head.split(b"deadline-ms: ")[1].split(b"\r\n")[0])
+    assert 0 < left <= 1500
+
+
+def test_an_unknown_route_is_not_found():
+    assert handle(SERVED, host=b"other")[0].status == 404
+
+
+def test_an_instance_without_configuration_says_so():
+    """A 404 would say that no configuration has the route."""
+    assert handle(SERVED, configured=False)[0].status == 503
+
+
+def test_a_request_that_ends_its_endpoints_is_stopped():
+    """It comes again, at any instance, and would end one endpoint after the other."""
+    replies = handle(BROKEN, times=6, alive=False, idempotent=False)
+    assert [reply.status for reply in replies[:3]] == [502, 502, 502]
+    assert _Pool.last.count == 3
