Take identifiers of peer calls from the link in a test

The test numbered its calls itself, and a ping, sent each 0.5 s, takes a number of the link; they collided when the machine was slow. The product asks the link for each number.

--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -114,10 +114,11 @@
             return ForwardReply(message.id, "answered", body=digest)
 
         async with peer_server(address, handler):
-            link = PeerLink(address)
+            # Pings take identifiers of the link, too, so calls must not choose theirs.
+            link = PeerLink(address, ping_seconds=0.01)
             uploads = [
-                msgspec.structs.replace(request("logo", number), body=BODY)
-                for number in range(3)
+                msgspec.structs.replace(request("logo", link.next_id()), body=BODY)
+                for _ in range(3)
             ]
             replies = await asyncio.gather(*(link.call(i, 60.0) for i in uploads))
             await link.close()
