Use no address again that another endpoint has

Endpoints with keys were lost and their addresses went to endpoints of another service, which refuse each request. The keys kept their owner until its entry vanished, so each of their requests was sent there up to three times, and the budget of the lost owner's service paid for it. An endpoint at whose address another one answers is now never used again in that life. The test fails before the change.

--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -393,6 +393,13 @@
             state.note_answer(seconds, ahead, now)
         elif answer.status == 503:
             state.note_shed(now)
+        named = answer.header(wire.ENDPOINT_ID)
+        if answer.status == 421 and named not in (None, state.endpoint.id.encode()):
+            # Each further request would reach an endpoint of another service.
+            state.note_replaced()
+            self._log.write(
+                "endpoint_replaced", endpoint=state.endpoint.id, by=repr(named)
+            )
         if answer.status != 421:
             state.note_outcome(refused or answer.status in (500, 502))
 
--- a/arbutusflow/gateway/endpoint_load.py
+++ b/arbutusflow/gateway/endpoint_load.py
@@ -42,6 +42,7 @@
     reported_others: int = 0
     reported_at: float = -1e9
     last_answer: float = 0.0
+    replaced: bool = False  # Another endpoint answers at its address.
     untried: bool = False  # It joined and was not sent any work from here yet.
     leaving_since: float | None = None  # It gets no new work of its own accord.
     peers: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
@@ -95,6 +96,11 @@
         self.reported_others = max(self.reported_others, 4 * self.endpoint.slots)
         self.reported_at = now
 
+    def note_replaced(self) -> None:
+        """Never use this life again: its address belongs to another endpoint."""
+        self.replaced = True
+        self.down_until = float("inf")
+
     def note_unreachable(self, now: float) -> None:
         """Leave the endpoint alone for a while that doubles."""
         self.down_until = now + self.down_seconds
@@ -188,7 +194,9 @@
         candidates = [
             state
             for state in self.of_service(service)
-            if state.leaving_since is None and state.endpoint.id not in tried
+            if state.leaving_since is None
+            and not state.replaced
+            and state.endpoint.id not in tried
         ]
         # Refusing all work because every endpoint failed once would be worse than
         # another attempt.
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -39,6 +39,7 @@
 UNSIGNED = answer(200)
 SHED = answer(503, (b"Not-Executed", b"1"))
 NOT_HELD = answer(421)
+REPLACED = answer(421, (b"Instance-Id", b"other"))
 FAILED = answer(500, SEAL)
 BROKEN = ExchangeError("reset", sent=True)
 UNREACHED = ExchangeError("no connection", sent=False)
@@ -275,6 +276,14 @@
     assert 0 < left <= 1500
 
 
+@pytest.mark.parametrize("keyed", [True, False])
+def test_an_address_that_another_endpoint_has_is_asked_once(keyed):
+    """Three requests for each of a lost owner's keys reached another service."""
+    replies = handle(REPLACED, times=5, endpoints=1, keyed=keyed)
+    assert [reply.status for reply in replies] == [503] * 5
+    assert _Pool.last.count == 1
+
+
 def test_an_unknown_route_is_not_found():
     assert handle(SERVED, host=b"other")[0].status == 404
 
