--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -17,7 +17,7 @@
 from arbutusflow.gateway.model import Address
 from arbutusflow.gateway.process import Gateway
 from arbutusflow.platform import settings as platform_settings
-from arbutusflow.standins.object_platform import KeyedEndpoint, ObjectStore
+from tests.gateway.object_platform import KeyedEndpoint, ObjectStore
 from tests.gateway.test_documents import CONFIGURATION
 
 PATIENCE_SECONDS = 30.0
