Answer and log faults of our own, and keep the store's copies going

Cause: a handler that raised anything but a RequestError left its caller without an answer, and an exception while changes of the store were taken over ended that watch for good, so the instance went on by an old state. Malformed answers of the store raised KeyError instead of PlatformError, with the same effect.

A caller now gets 500, which leaves open whether the request ran; both cases are logged with a traceback; the copy lists its objects again.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -24,6 +24,7 @@
     408: b"Request Timeout",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
     501: b"Not Implemented",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
@@ -69,14 +70,16 @@
 
 
 Handler = Callable[[CallerRequest], Awaitable[Reply]]
+OnError = Callable[[str, BaseException], None]  # Logs what a handler raised.
 
 
 class CallerServer:
     """Accepts the connections of callers and lists those that are open."""
 
-    def __init__(self, handler: Handler, budget: BodyBudget) -> None:
+    def __init__(self, handler: Handler, budget: BodyBudget, on_error: OnError) -> None:
         self.handler = handler
         self.budget = budget
+        self.on_error = on_error
         self.limits = DEFAULT_LIMITS
         self.stopping = False
         self.connections: set[CallerConnection] = set()
@@ -277,6 +280,10 @@
             slot.reply = await self._server.handler(slot.request)
         except asyncio.CancelledError:
             return
+        except Exception as exc:
+            # A fault of this program. The request may have run, which 500 leaves open.
+            self._server.on_error("request", exc)
+            slot.reply = Reply(500)
         finally:
             if held:
                 self._server.budget.release(held)
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -123,9 +123,11 @@
         )
         body_bytes = int(cfg.memory_bytes * BODY_MEMORY_FRACTION)
         self.callers = CallerServer(
-            self.dispatcher.handle, BodyBudget(lambda: body_bytes)
+            self.dispatcher.handle, BodyBudget(lambda: body_bytes), log.write_exception
+        )
+        self.readiness = CallerServer(
+            self._readiness, BodyBudget(lambda: 0), log.write_exception
         )
-        self.readiness = CallerServer(self._readiness, BodyBudget(lambda: 0))
 
     # Running.
 
@@ -146,7 +148,9 @@
             cfg.readiness_address.host, cfg.readiness_address.port
         )
         if cfg.metrics_port is not None:
-            metrics = CallerServer(self._metrics, BodyBudget(lambda: 0))
+            metrics = CallerServer(
+                self._metrics, BodyBudget(lambda: 0), self.log.write_exception
+            )
             await metrics.start(cfg.peer_host, cfg.metrics_port)
         self.log.write("started", zone=cfg.zone, life=self.membership.fleet.me.life)
         timers = TimerService(self._loop, self.log.write_exception)
--- a/arbutusflow/gateway/store_watch.py
+++ b/arbutusflow/gateway/store_watch.py
@@ -82,6 +82,12 @@
                 self._call_seconds = min(LONGEST_CALL_SECONDS, self._call_seconds * 2)
                 await asyncio.sleep(pause * self._rng.uniform(0.7, 1.3))
                 pause = min(LONGEST_PAUSE_SECONDS, pause * 1.5)
+            except Exception as exc:
+                # A fault of this program while it took changes over. Without the
+                # copy the instance would serve by an old state for ever.
+                self._log.write_exception(f"store copy of {self._kind}", exc)
+                self._list_needed = True
+                await asyncio.sleep(LONGEST_PAUSE_SECONDS)
 
     async def _step(self) -> bool:
         """Make one call; return whether the store answered it."""
--- a/arbutusflow/platform/store.py
+++ b/arbutusflow/platform/store.py
@@ -25,6 +25,7 @@
 WATCH_SLACK_SECONDS = 3.0
 MAX_IDLE_SECONDS = 8.0
 _BASE = "/arbutusflow/objects/"
+_WRONG_SHAPE = (KeyError, TypeError, ValueError, AttributeError)
 
 ENDPOINTS_KIND = "servers"
 CONFIGURATION_KIND = "config"
@@ -66,13 +67,25 @@
 
 
 def _decode_object(raw: Any) -> StoredObject:
-    meta = raw["metadata"]
-    return StoredObject(
-        name=str(meta["name"]),
-        revision=int(meta.get("revision", 0)),
-        spec=raw.get("spec"),
-        raw=raw,
-    )
+    """Decode one object. Raises PlatformError."""
+    try:
+        meta = raw["metadata"]
+        return StoredObject(
+            name=str(meta["name"]),
+            revision=int(meta.get("revision", 0)),
+            spec=raw.get("spec"),
+            raw=raw,
+        )
+    except _WRONG_SHAPE as exc:
+        raise PlatformError(f"the store's object is malformed: {exc!r}") from exc
+
+
+def _decode_page(document: Any, items: str) -> tuple[list[Any], int]:
+    """Return the entries and the revision of an answer. Raises PlatformError."""
+    try:
+        return list(document[items]), int(document["asOf"])
+    except _WRONG_SHAPE as exc:
+        raise PlatformError(f"the store's answer is malformed: {exc!r}") from exc
 
 
 class StoreClient:
@@ -93,9 +106,10 @@
         while True:
             answer = await self._call("GET", f"{kind}{query}", timeout=timeout)
             document = _body(answer)
-            objects.extend(_decode_object(raw) for raw in document["items"])
-            if not document.get("hasMore"):
-                return Snapshot(tuple(objects), int(document["asOf"]))
+            items, revision = _decode_page(document, "items")
+            objects.extend(_decode_object(raw) for raw in items)
+            if not items or not document.get("hasMore"):
+                return Snapshot(tuple(objects), revision)
             query = f"?after={objects[-1].name}"
 
     async def watch(self, kind: str, revision: int, wait_seconds: float) -> Changes:
@@ -107,12 +121,8 @@
         answer = await self._call(
             "GET", path, timeout=wait_seconds + WATCH_SLACK_SECONDS
         )
-        document = _body(answer)
-        changes = tuple(
-            Change(_decode_object(event["object"]), bool(event.get("removed")))
-            for event in document["events"]
-        )
-        return Changes(changes, int(document["asOf"]))
+        events, reached = _decode_page(_body(answer), "events")
+        return Changes(tuple(_decode_change(event) for event in events), reached)
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Return one object, None if there is none. Raises PlatformError."""
@@ -191,6 +201,14 @@
         return None
 
 
+def _decode_change(event: Any) -> Change:
+    try:
+        raw, removed = event["object"], bool(event.get("removed"))
+    except _WRONG_SHAPE as exc:
+        raise PlatformError(f"the store's event is malformed: {exc!r}") from exc
+    return Change(_decode_object(raw), removed)
+
+
 def _body(answer: Answer) -> Any:
     try:
         return msgspec.json.decode(answer.body)
@@ -201,5 +219,5 @@
 def _conflicting(answer: Answer) -> StoredObject | None:
     try:
         return _decode_object(msgspec.json.decode(answer.body))
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+    except (msgspec.DecodeError, PlatformError):
         return None  # The caller reads the object again.
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -60,3 +60,6 @@
         self.events.append((event, fields))
 
     sample = write
+
+    def write_exception(self, during: str, exc: BaseException) -> None:
+        self.write("error", during=during, error=type(exc).__name__)
--- a/tests/gateway/object_platform.py
+++ b/tests/gateway/object_platform.py
@@ -25,8 +25,12 @@
     return Reply(status, _JSON, msgspec.json.encode(document))
 
 
+def _raise(during: str, exc: BaseException) -> None:
+    raise exc  # A fault of the stand-in fails its test.
+
+
 def _server(handler: Any) -> CallerServer:
-    return CallerServer(handler, BodyBudget(lambda: MAX_BODY_BYTES))
+    return CallerServer(handler, BodyBudget(lambda: MAX_BODY_BYTES), _raise)
 
 
 class ObjectStore:
--- a/tests/gateway/test_caller_server.py
+++ b/tests/gateway/test_caller_server.py
@@ -15,6 +15,7 @@
 from tests.gateway.virtual_time import run
 
 GET = b"GET /%b HTTP/1.1\r\nHost: h\r\n\r\n"
+ERRORS = []
 LIMITS = CallerLimits(
     header_bytes=512, body_bytes=100, header_seconds=3.0, idle_seconds=15.0
 )
@@ -32,7 +33,11 @@
                 return await handler(req)
             return Reply(200, body=req.target)
 
-        server = CallerServer(answer, BodyBudget(lambda: budget))
+        server = CallerServer(
+            answer,
+            BodyBudget(lambda: budget),
+            lambda during, exc: ERRORS.append((during, exc)),
+        )
         server.limits = LIMITS
         conn, transport = CallerConnection(server), FakeTransport()
         conn.connection_made(transport)
@@ -147,3 +152,14 @@
     )
     assert seen[0].body == b"ab"
     assert seen[0].header(b"deadline-ms") is None
+
+
+def test_a_fault_of_our_own_is_answered_and_logged():
+    """A handler that raised left its caller without an answer for ever."""
+
+    async def broken(req):
+        raise KeyError("x")
+
+    transport, _ = serve(GET % b"a", handler=broken)
+    assert statuses(transport) == [500]
+    assert ERRORS[-1][0] == "request"
--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -24,12 +24,12 @@
         raise PlatformUnavailableError("no answer in time") from exc
 
 
-def follow(work):
+def follow(work, on_change=lambda: None):
     async def main():
         store = SimStore()
         client = _Client(store, "n1")
         writer = SimStoreClient(store, "writer")
-        copy = ObjectCopy(client, "kind", 15.0, lambda: None, FakeLog())
+        copy = ObjectCopy(client, "kind", 15.0, on_change, FakeLog())
         task = asyncio.create_task(copy.run())
         try:
             return await work(store, writer, copy)
@@ -101,3 +101,20 @@
         return loop.time() - copy.current_at
 
     assert follow(work) >= 20.0
+
+
+def test_a_fault_while_changes_are_taken_over_does_not_end_the_copy():
+    """The copy ended for good, and the instance served by an old state."""
+    faults = [KeyError("x")]
+
+    def take_over():
+        if faults:
+            raise faults.pop()
+
+    async def work(store, writer, copy):
+        await asyncio.sleep(1.0)
+        await writer.create("kind", "a", 1)
+        await asyncio.sleep(1.0)
+        return "a" in copy.objects
+
+    assert follow(work, take_over)
