Wait for the leases of instances that left as planned

Cause: a planned end removes the record of an instance 2.6 s after it stopped to grant, while a lease lasts up to 4.2 s. The planner then no longer asked about its grants. If the endpoint was cut off from all instances and from the store at that moment, its keys moved 1.6 s before its lease had ended.

The fleet now remembers lives that are recorded no more and what they last reported, and a planner that began to follow the records a moment ago waits for leases from before.

Test: each endpoint is cut off while the instance that renewed it ends as planned; before, keys had two owners in 4 of 4 cases, now in none.

--- a/arbutusflow/gateway/fleet.py
+++ b/arbutusflow/gateway/fleet.py
@@ -19,7 +19,7 @@
 
 from arbutusflow.gateway.key_table import lease_end
 from arbutusflow.gateway.model import Address, Endpoint
-from arbutusflow.gateway.peers import ALIVE_SECONDS, PeerReports
+from arbutusflow.gateway.peers import ALIVE_SECONDS, PeerReports, PeerState
 from arbutusflow.gateway.store_watch import ObjectCopy
 
 FLEET_KIND = "arbutusflow"
@@ -67,6 +67,22 @@
     since: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Departed:
+    """A life of an instance that is recorded no more."""
+
+    at: float  # When its record was seen to be gone.
+    peer: PeerState | None  # What it last reported.
+
+    def last_grant(self, endpoint: str) -> float:
+        """Return when it may have granted keys to an endpoint last."""
+        # An instance stops to grant longer before it removes its record than a report
+        # may be old, so that report names its last grant.
+        if self.peer is None or self.at - self.peer.heard >= ALIVE_SECONDS:
+            return self.at
+        return self.peer.last_grants(endpoint)[0]
+
+
 class Fleet:
     """Recorded instances, who was heard of, and who is not vouched for."""
 
@@ -84,6 +100,8 @@
         self._excluded: dict[str, _Exclusion] = {}
         self._touch_reset = -1e9
         self._behind_since: float | None = None
+        self._departed: list[_Departed] = []
+        self._watching_since: float | None = None
         self.records: dict[str, InstanceRecord] = {}
         # Other instances in the order in which they renew an endpoint's leases, up to
         # this one; computed when it is needed.
@@ -105,6 +123,7 @@
             records[record.name] = record
             self._first_seen.setdefault((record.name, record.life), now)
         if records != self.records:
+            self._note_departures(records, now)
             self.records = records
             self._ahead.clear()
             self._alive_at = -1e9
@@ -112,6 +131,30 @@
             if name not in records or records[name].life != exclusion.life:
                 del self._excluded[name]
 
+    def _note_departures(self, records: dict[str, InstanceRecord], now: float) -> None:
+        if self._watching_since is None:
+            self._watching_since = now
+        for name, record in self.records.items():
+            current = records.get(name)
+            if current is not None and current.life == record.life:
+                continue
+            peer = self._peers.peers.get(name)
+            if peer is not None and peer.report.life != record.life:
+                peer = None
+            self._departed.append(_Departed(now, peer))
+
+    def last_grant_of_departed(self, endpoint: str, now: float) -> float:
+        """Return when an instance that is recorded no more may have granted last.
+
+        A planned end removes the record while the leases that it renewed still last.
+        """
+        self._departed = [d for d in self._departed if now < lease_end(d.at)]
+        # What left before this instance followed the records is not known.
+        latest = self._watching_since if self._watching_since else self._started
+        for departed in self._departed:
+            latest = max(latest, departed.last_grant(endpoint))
+        return latest
+
     @property
     def registered(self) -> bool:
         """Whether the record of this life is in the store."""
--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -16,7 +16,7 @@
 from arbutusflow.gateway import key_planner
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.event_log import EventLog
-from arbutusflow.gateway.fleet import FLEET_KIND, TABLE_PREFIX, Fleet, InstanceRecord
+from arbutusflow.gateway.fleet import FLEET_KIND, TABLE_PREFIX, Fleet
 from arbutusflow.gateway.key_table import (
     LEASE_SECONDS,
     KeyRange,
@@ -549,25 +549,15 @@
         sent, unanswered = max(sent, earlier), max(unanswered, earlier)
         for record in self._fleet.others():
             if self._fleet.has_applied(record, service, departure.revision):
-                last_sent, last_unanswered = self._grants_of(record, endpoint)
+                peer = self._peers.peers[record.name]
+                last_sent, last_unanswered = peer.last_grants(endpoint)
             else:
                 last_sent = self._fleet.last_grant_possible(record, now)
                 last_unanswered = last_sent
             sent = max(sent, last_sent)
             unanswered = max(unanswered, last_unanswered)
-        return sent, unanswered
-
-    def _grants_of(self, record: InstanceRecord, endpoint: str) -> tuple[float, float]:
-        """Return the same for one instance, as it reports it."""
-        peer = self._peers.peers[record.name]
-        earlier = peer.heard - peer.report.earlier_life_age
-        lease = peer.report.leases.get(endpoint)
-        if lease is None:
-            return earlier, earlier
-        sent = max(earlier, peer.heard - lease.sent_age)
-        if lease.unanswered_age < 0:
-            return sent, earlier
-        return sent, max(earlier, peer.heard - lease.unanswered_age)
+        # A planned end with an unanswered grant leaves the record in place.
+        return max(sent, self._fleet.last_grant_of_departed(endpoint, now)), unanswered
 
     def _start(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/arbutusflow/gateway/peers.py
+++ b/arbutusflow/gateway/peers.py
@@ -85,6 +85,20 @@
         self.loads: dict[str, dict[int, int]] = {}
         self.loads_at = 0.0
 
+    def last_grants(self, endpoint: str) -> tuple[float, float]:
+        """Return when it last sent a grant to an endpoint, and one without an answer.
+
+        An earlier life of the instance may have sent both until it ended.
+        """
+        earlier = self.heard - self.report.earlier_life_age
+        lease = self.report.leases.get(endpoint)
+        if lease is None:
+            return earlier, earlier
+        sent = max(earlier, self.heard - lease.sent_age)
+        if lease.unanswered_age < 0:
+            return sent, earlier
+        return sent, max(earlier, self.heard - lease.unanswered_age)
+
 
 class PeerReports(asyncio.DatagramProtocol):
     """Receives the reports of others and sends our own."""
--- a/tests/gateway/test_ownership_under_faults.py
+++ b/tests/gateway/test_ownership_under_faults.py
@@ -160,6 +160,28 @@
     assert _with_fleet(work)
 
 
+@pytest.mark.parametrize("endpoint", ["e0", "e1", "e2", "e3"])
+def test_leases_of_an_instance_that_left_are_waited_for(endpoint):
+    """A planned end removed the record 2.6 s after the last renewal, and the keys of an
+    endpoint that was cut off at that time moved while its lease lasted."""
+
+    async def work(world):
+        await asyncio.sleep(8.0)
+        granter = next(
+            instance
+            for instance in world.instances.values()
+            if endpoint in instance.task.leases.lease_reports(world.now)
+        )
+        world.cut_orders.update((name, endpoint) for name in world.instances)
+        world.unlisted.add(endpoint)
+        await granter.stop()
+        del world.instances[granter.name]
+        await asyncio.sleep(4.0)
+        return world.violations, world.owned_share()
+
+    assert _with_fleet(work) == ([], 1.0)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_key_has_one_owner_under_random_faults(seed):
     violations, share = _with_fleet(_faults_then_calm, seed)
