Count leases from the arrival of their grants, and split planning from renewals

Cause: the time of a grant was taken when it was about to be sent, before the connection was opened, while its lease counts from its arrival.

A grant on its way now counts as sent now, an answered one as sent at its answer, one without an answer as sent when its connection was reset.

key_leases.py held three jobs in 590 lines: key_orders.py now sends grants and releases and knows what may take effect, key_moves.py plans, key_leases.py keeps the tables and renews. The planted faults of the simulation follow the moved names; their checks are as before.

--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -22,6 +22,8 @@
     InstanceRecord,
 )
 from arbutusflow.gateway.key_leases import KeyLeases
+from arbutusflow.gateway.key_moves import KeyMoves
+from arbutusflow.gateway.key_orders import KeyOrders
 from arbutusflow.gateway.key_table import StoredTable
 from arbutusflow.gateway.model import Address, Endpoint
 from arbutusflow.gateway.peers import (
@@ -88,7 +90,7 @@
         self,
         me: InstanceRecord,
         store: StoreClient,
-        orders: ConnectionPool,
+        pool: ConnectionPool,
         workload: Workload,
         log: EventLog,
         max_lease_seconds: float,
@@ -112,12 +114,14 @@
         self.peers = PeerReports(me.name, self._on_report, self._on_table_message, log)
         self.copy = ObjectCopy(store, FLEET_KIND, WATCH_SECONDS, self._on_fleet, log)
         self.fleet = Fleet(me, self.copy, self.peers, self._loop.time())
-        self.leases = KeyLeases(
-            self.fleet, self.copy, store, self.peers, orders, log, max_lease_seconds
+        self.orders = KeyOrders(pool, log, max_lease_seconds)
+        self.leases = KeyLeases(self.fleet, self.copy, self.orders, log)
+        self.leases.on_table = self._on_table
+        self.moves = KeyMoves(
+            self.fleet, self.copy, store, self.peers, self.leases, self.orders, log
         )
-        self.leases.loads_of = self._loads_of
-        self.leases.capacity_of = workload.capacity_of
-        self.leases.on_departures = self._report_applied
+        self.moves.loads_of = self._loads_of
+        self.moves.capacity_of = workload.capacity_of
 
     def tick(self, now: float) -> None:
         """Do what is due; called by a timer."""
@@ -130,7 +134,11 @@
             WATCH_SECONDS if self.fleet.is_vouched_for(now) else FLEET_WATCH_SECONDS
         )
         self._maintain_records(now)
+        self._tick_keys(now)
+
+    def _tick_keys(self, now: float) -> None:
         self.leases.tick(self._keyed, now)
+        self.moves.tick(self._keyed, now)
 
     def use_services(self, keyed: list[str]) -> None:
         """Take over the names of the services whose keys have owners."""
@@ -145,7 +153,7 @@
         now = self._loop.time()
         self.fleet.update(now)
         self.leases.update_tables(now)
-        self.leases.tick(self._keyed, now)
+        self._tick_keys(now)
 
     # Records in the store.
 
@@ -223,7 +231,7 @@
             configuration=self._workload.known_revisions()[0],
             endpoints=self._workload.known_revisions()[1],
             in_flight=in_flight,
-            leases=self.leases.lease_reports(now),
+            leases=self.orders.reports(now),
             vouches=vouches,
             strikes=self._workload.strikes(),
             key_loads=loads,
@@ -285,6 +293,11 @@
             result.setdefault(address, {})[service] = self.demand.report(service)
         return result
 
+    def _on_table(self, stored: StoredTable) -> None:
+        self.moves.note_table(stored, self._loop.time())
+        if any(part.leaving for part in stored.table.ranges):
+            self._report_applied(stored.table.service)
+
     def _report_applied(self, service: str) -> None:
         """Tell the planner at once that a table is in force: keys wait for it."""
         planner = self.fleet.planner(service, self._loop.time())
@@ -307,7 +320,7 @@
         now = self._loop.time()
         if isinstance(message, TableTold):
             self.leases.adopt_table(StoredTable(message.table, message.revision), now)
-            self.leases.tick(self._keyed, now)
+            self._tick_keys(now)
             return
         stored = self.leases.tables.get(message.service)
         if stored is not None:
@@ -341,7 +354,7 @@
         item = self.copy.objects.get(name)
         try:
             async with asyncio.timeout(timeout):
-                unanswered = self.leases.has_unanswered(self._loop.time())
+                unanswered = self.orders.has_unanswered(self._loop.time())
                 if item is not None and self.fleet.registered and not unanswered:
                     await self._store.delete(FLEET_KIND, name, item.revision)
         except (PlatformError, TimeoutError) as exc:
--- a/arbutusflow/gateway/key_table.py
+++ b/arbutusflow/gateway/key_table.py
@@ -20,6 +20,10 @@
 LEASE_EXPIRY_SLACK_SECONDS = 0.1
 
 
+# Identity of a grant: owner, first and last key, and token.
+GrantId = tuple[str, int, int, int]
+
+
 class KeyRange(msgspec.Struct, frozen=True):
     """Keys from `first` to `last`, both included, and their owner."""
 
@@ -37,8 +41,8 @@
         return self.last - self.first + 1
 
     @property
-    def grant(self) -> tuple[str, int, int, int]:
-        """Identity of the grant: owner, bounds and token."""
+    def grant(self) -> GrantId:
+        """Identity of the grant of these keys."""
         return (self.endpoint, self.first, self.last, self.token)
 
 
--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -191,7 +191,7 @@
 
     async def exchange(self, head: bytes, body: bytes, timeout: float) -> Answer:
         world, order = self.world, msgspec.json.decode(body)
-        await asyncio.sleep(0.002)
+        await asyncio.sleep(world.order_seconds)
         if (self.sender, self.target.endpoint.id) in world.cut_orders:
             await asyncio.sleep(timeout)
             raise ExchangeError("silent", sent=True)
@@ -296,7 +296,9 @@
     def kill(self) -> None:
         """End without a word."""
         self.ended = True
-        for task in (*self._work, *self.task._tasks, *self.task.leases._tasks):
+        for owner in (self.task, self.task.leases, self.task.moves):
+            self._work.extend(owner._tasks)
+        for task in self._work:
             task.cancel()
 
     async def stop(self) -> None:
@@ -318,6 +320,7 @@
         self.cut_orders: set[tuple[str, str]] = set()
         self.cut_peers: set[tuple[str, str]] = set()
         self.late_share = 0.0
+        self.order_seconds = 0.002  # Until an order arrives.
         self.work_seconds = 0.1
         self.busy_keys: list[int] = []
         self.endpoints: dict[str, SimEndpoint] = {}
--- a/tests/gateway/test_ownership_under_faults.py
+++ b/tests/gateway/test_ownership_under_faults.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from arbutusflow.gateway import fleet as fleet_module, key_leases
+from arbutusflow.gateway import fleet as fleet_module, key_moves
 from arbutusflow.gateway.fleet import Fleet
 from tests.gateway.sim_fleet import PROBED_KEYS, SimFleet
 from tests.gateway.virtual_time import run
@@ -152,7 +152,7 @@
         granting = [
             i
             for i in world.instances.values()
-            if i.task.leases.has_unanswered(world.now)
+            if i.task.orders.has_unanswered(world.now)
         ]
         await granting[0].stop()
         return f"instance-{granting[0].name}" in world.store.objects
@@ -170,7 +170,7 @@
         granter = next(
             instance
             for instance in world.instances.values()
-            if endpoint in instance.task.leases.lease_reports(world.now)
+            if endpoint in instance.task.orders.reports(world.now)
         )
         world.cut_orders.update((name, endpoint) for name in world.instances)
         world.unlisted.add(endpoint)
@@ -182,6 +182,23 @@
     assert _with_fleet(work) == ([], 1.0)
 
 
+def test_a_lease_counts_from_the_arrival_of_its_grant():
+    """On a link that loses packets a grant arrives late; its lease was taken to run
+    from when it was sent, so keys of a lost endpoint moved before it had ended."""
+
+    async def work(world):
+        await asyncio.sleep(8.0)
+        world.order_seconds = 0.6
+        await asyncio.sleep(3.0)
+        world.cut_orders.update((name, "e1") for name in world.instances)
+        world.unlisted.add("e1")
+        world.order_seconds = 0.002
+        await asyncio.sleep(7.0)
+        return world.violations, world.owned_share()
+
+    assert _with_fleet(work) == ([], 1.0)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_key_has_one_owner_under_random_faults(seed):
     violations, share = _with_fleet(_faults_then_calm, seed)
@@ -194,7 +211,7 @@
 
 
 def _leases_end_early(monkeypatch):
-    monkeypatch.setattr(key_leases, "lease_end", lambda granted: granted + 0.5)
+    monkeypatch.setattr(key_moves, "lease_end", lambda granted: granted + 0.5)
 
 
 def _right_to_grant_never_ends(monkeypatch):
@@ -209,12 +226,12 @@
 
 
 def _unanswered_grants_are_ignored(monkeypatch):
-    original = key_leases.KeyLeases._latest_grants
+    original = key_moves.KeyMoves._latest_grants
 
     def latest(self, *args):
         return original(self, *args)[0], -1e9
 
-    monkeypatch.setattr(key_leases.KeyLeases, "_latest_grants", latest)
+    monkeypatch.setattr(key_moves.KeyMoves, "_latest_grants", latest)
 
 
 def _silent_instances_lose_nothing(monkeypatch):
