--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -121,7 +121,7 @@
 
 
 def test_a_copy_that_lags_is_read_again_when_others_know_more():
-    """Watches that may lag cost a tenth, but a configuration has to be in force in 2 s."""
+    """Watches that may lag cost a tenth; a configuration has to be in force in 2 s."""
 
     async def work(store, writer, copy):
         copy.use(15.0, may_lag=True)
@@ -158,7 +158,7 @@
 
 
 def test_a_long_answer_that_is_arriving_is_not_given_up():
-    """A configuration of 1,600 routes takes 0.6 s over a link of 5 Mbit/s. Each instance
+    """A configuration of 1,600 routes takes 0.6 s over a link of 5 Mbit/s. Instances
     broke its transfer off when another knew the version, and began again."""
 
     async def work(store, writer, copy):
