Give keys that cannot move back to their owners

Ranges that were leaving when all instances ended are renewed by nobody, and their moves had to wait until the leases of the earlier lives had ended, although their owners were there. The same happens when an instance falls silent just after a range was marked, or when a grant to its owner got no answer.

A range that cannot move within a second now goes back to its owner with a new token, which needs no proof, because no other endpoint is involved; if that is clear beforehand, it is not even released. Keys of endpoints with an unanswered grant are not moved for balance. The number of moves under way grows with the service.

--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -32,6 +32,9 @@
 # The endpoints of a service register one after the other when all start.
 SETTLE_SECONDS = 0.6
 RELEASE_PAUSE_SECONDS = 0.3
+# A move that has to wait for longer is given up: most take less, and the leases of the
+# keys last three seconds more.
+RETURN_SECONDS = 1.0
 WAIT_REPORT_SECONDS = 1.0
 # Each write of a table costs every instance a call. Demand is reported once a second.
 BALANCE_SECONDS = 1.0
@@ -127,7 +130,12 @@
                 proofs[part] = self._proof(service, part, now)
             return proofs[part]
 
-        if not balance and not key_planner.needs_change(table, endpoints, proof_of):
+        def return_of(part: KeyRange) -> str | None:
+            return self._return(service, part, now)
+
+        if not balance and not key_planner.needs_change(
+            table, endpoints, proof_of, return_of
+        ):
             return
         planned = key_planner.plan(
             table,
@@ -135,7 +143,9 @@
             {name: self.capacity_of(e) for name, e in endpoints.items()},
             key_planner.KeyLoads(self.loads_of(service)),
             proof_of,
+            return_of,
             balance=balance,
+            pinned=self._pinned(endpoints, now) if balance else (),
         )
         if balance:
             self._balanced_at[service] = now
@@ -203,6 +213,8 @@
             endpoint = self._leases.last_known(part)
             if endpoint is None or departure.releasing or now < departure.retry_at:
                 continue
+            if self._return(service, part, now) is not None:
+                continue
             departure.releasing = True
             self._start(self._release(service, endpoint, part, departure))
 
@@ -265,6 +277,42 @@
             return ""
         return None
 
+    def _return(self, service: str, part: KeyRange, now: float) -> str | None:
+        """Return the handover if a range should go back to its owner for now.
+
+        Its lease would lapse otherwise while a silent instance, or a grant without an
+        answer, is waited for.
+        """
+        departure = self._departures.get((service, part.grant))
+        if departure is None:
+            return None
+        owner = self._leases.endpoints.get(part.endpoint)
+        if owner is None or owner.draining or owner.started_ms != part.started_ms:
+            return None
+        if departure.stopped is None:
+            return "" if now - departure.seen >= RETURN_SECONDS else None
+        if departure.releasing:
+            return None
+        _, unanswered = self._latest_grants(service, part.endpoint, departure, now)
+        waits = lease_end(unanswered) - now
+        return (departure.released or "") if waits >= RETURN_SECONDS else None
+
+    def _pinned(self, endpoints: dict[str, Endpoint], now: float) -> set[str]:
+        """Return the endpoints whose keys could not move soon.
+
+        A grant without an answer may take effect there until its lease has ended.
+        """
+        result = set()
+        for name in endpoints:
+            _, latest = self._orders.last_grants(name, now)
+            for record in self._fleet.others():
+                if self._fleet.heard_at(record) is not None:
+                    peer = self._peers.peers[record.name]
+                    latest = max(latest, peer.last_grants(name)[1])
+            if now < lease_end(latest):
+                result.add(name)
+        return result
+
     def _latest_grants(
         self, service: str, endpoint: str, departure: _Departure, now: float
     ) -> tuple[float, float]:
--- a/arbutusflow/gateway/key_planner.py
+++ b/arbutusflow/gateway/key_planner.py
@@ -8,7 +8,7 @@
 import bisect
 import dataclasses
 import itertools
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 from arbutusflow.gateway.key_table import KeyRange, KeyTable
 from arbutusflow.gateway.model import Endpoint
@@ -25,10 +25,12 @@
 # the ratio.
 FULL_SHARE = 0.8
 FASTER_RATIO = 1.25
-MAX_MOVES_UNDER_WAY = 6  # Per service; bounds the keys that are held up at a time.
+# Moves under way in a service, which bounds the keys that are held up at a time.
+MIN_MOVES_UNDER_WAY = 6
+MOVES_PER_ENDPOINT = 0.25
 MAX_RANGES_PER_ENDPOINT = 16  # Each range is a renewal of its own.
 
-# Tells the handover if a range may get another owner, None if it may not yet.
+# Tells the handover with which a range may be granted anew, None if it may not yet.
 ProofOf = Callable[[KeyRange], str | None]
 
 
@@ -79,13 +81,17 @@
     capacity: Mapping[str, float],
     loads: KeyLoads,
     proof_of: ProofOf,
+    return_of: ProofOf = lambda part: None,
     *,
     balance: bool = True,
+    pinned: Collection[str] = (),
 ) -> KeyTable:
     """Return the table that should be in force next; the same one if nothing changes.
 
     `endpoints` are all listed endpoints of the service, also those that leave;
-    `capacity` are the requests per second that each can serve.
+    `capacity` are the requests per second that each can serve. `return_of` tells the
+    handover with which a range that cannot move now goes back to its owner. Keys of
+    `pinned` endpoints are not moved for the sake of balance.
     """
     ready = {name: e for name, e in endpoints.items() if not e.draining}
     draft = _Draft(
@@ -99,14 +105,18 @@
         if part.endpoint in draft.carried and not part.leaving:
             draft.carried[part.endpoint] += loads.of_range(part.first, part.last)
     if ready:
+        _return_stuck(draft, ready, loads, proof_of, return_of)
         _assign_free(draft, ready, loads, proof_of)
         if balance:
-            _balance(draft, loads)
+            _balance(draft, loads, pinned)
     return KeyTable(table.service, draft.next_token, _merge(draft.ranges))
 
 
 def needs_change(
-    table: KeyTable, endpoints: Mapping[str, Endpoint], proof_of: ProofOf
+    table: KeyTable,
+    endpoints: Mapping[str, Endpoint],
+    proof_of: ProofOf,
+    return_of: ProofOf = lambda part: None,
 ) -> bool:
     """Return whether `plan` would change a table without regard to loads.
 
@@ -119,7 +129,7 @@
         if endpoint is not None and endpoint.started_ms != part.started_ms:
             return True
         if part.leaving:
-            if proof_of(part) is not None:
+            if proof_of(part) is not None or return_of(part) is not None:
                 return True
         elif endpoint is None or endpoint.draining:
             return True
@@ -151,6 +161,38 @@
     )
 
 
+def _return_stuck(
+    draft: _Draft,
+    ready: Mapping[str, Endpoint],
+    loads: KeyLoads,
+    proof_of: ProofOf,
+    return_of: ProofOf,
+) -> None:
+    """Give ranges that cannot move back to their owners, with new tokens.
+
+    That needs no proof: no other endpoint is involved.
+    """
+    for index, part in enumerate(draft.ranges):
+        owner = ready.get(part.endpoint)
+        if not part.leaving or owner is None or owner.started_ms != part.started_ms:
+            continue
+        if proof_of(part) is not None:
+            continue
+        handover = return_of(part)
+        if handover is None:
+            continue
+        draft.ranges[index] = KeyRange(
+            part.first,
+            part.last,
+            part.endpoint,
+            part.started_ms,
+            draft.next_token,
+            handover,
+        )
+        draft.next_token += 1
+        draft.carried[part.endpoint] += loads.of_range(part.first, part.last)
+
+
 def _assign_free(
     draft: _Draft, ready: Mapping[str, Endpoint], loads: KeyLoads, proof_of: ProofOf
 ) -> None:
@@ -193,16 +235,18 @@
     return [KeyRange(first, last) for first, last in zip(bounds, ends, strict=True)]
 
 
-def _balance(draft: _Draft, loads: KeyLoads) -> None:
+def _balance(draft: _Draft, loads: KeyLoads, pinned: Collection[str]) -> None:
     """Mark keys of overloaded endpoints as leaving."""
+    limit = max(MIN_MOVES_UNDER_WAY, round(MOVES_PER_ENDPOINT * len(draft.carried)))
     moving = sum(part.leaving for part in draft.ranges)
     capacity = sum(draft.capacity.values())
     mean = sum(draft.carried.values()) / capacity
     if mean <= 0:
         return
     pressure = {e: draft.carried[e] / draft.capacity[e] for e in draft.carried}
-    while moving < MAX_MOVES_UNDER_WAY and len(pressure) > 1:
-        donor = max(pressure, key=lambda e: (pressure[e], e))
+    fixed = {e for e in pinned if e in pressure}
+    while moving < limit and len(pressure) > max(1, len(fixed)):
+        donor = max(pressure.keys() - fixed, key=lambda e: (pressure[e], e))
         receiver = min(pressure, key=lambda e: (pressure[e], e))
         high = pressure[donor] > max(OVERLOAD_RATIO * mean, BUSY_SHARE)
         low = pressure[receiver] < IDLE_RATIO * mean
--- a/tests/gateway/test_key_planner.py
+++ b/tests/gateway/test_key_planner.py
@@ -5,7 +5,7 @@
 
 from arbutusflow.gateway.key_planner import (
     BASE_LOAD_PER_KEY,
-    MAX_MOVES_UNDER_WAY,
+    MIN_MOVES_UNDER_WAY,
     KeyLoads,
     needs_change,
     plan,
@@ -149,7 +149,7 @@
             for p in planned.ranges
             if p.leaving and p.endpoint in listed and p not in table.ranges
         ]
-        assert len(marked) <= MAX_MOVES_UNDER_WAY
+        assert len(marked) <= MIN_MOVES_UNDER_WAY
         table = planned
 
 
@@ -176,3 +176,72 @@
     assert loads.of_range(11, 29) == pytest.approx(2.0 + 19 * base)
     assert loads.of_range(31, 40) == pytest.approx(10 * base)
     assert loads.inside(20, 30) == [(20, 2.0), (30, 4.0)]
+
+
+def test_keys_that_cannot_move_go_back_to_their_owner():
+    """After a loss of all instances, keys that were about to move had no owner until
+    the leases of before had ended, although their owner was there all the time."""
+    listed = endpoints(4)
+    loads = KeyLoads({20_000 + n: 0.5 for n in range(80)})
+    stuck = plan(
+        settle(KeyTable.empty("s"), listed),
+        listed,
+        dict.fromkeys(listed, 10.0),
+        loads,
+        lambda part: None,
+    )
+    leaving = [part for part in stuck.ranges if part.leaving]
+    assert leaving
+    back = plan(
+        stuck,
+        listed,
+        dict.fromkeys(listed, 10.0),
+        loads,
+        lambda part: None,
+        lambda part: "proof",
+        balance=False,
+    )
+    for part in leaving:
+        now = _part(back, part.first)
+        assert (now.endpoint, now.leaving) == (part.endpoint, False)
+        assert now.token > part.token
+        assert now.handover == "proof"
+
+
+def test_keys_of_a_lost_endpoint_do_not_go_back_to_it():
+    table = settle(KeyTable.empty("s"), endpoints(4))
+    listed = endpoints(3)
+    stuck = settle(table, listed, proof=lambda part: None)
+    again = plan(
+        stuck,
+        listed,
+        dict.fromkeys(listed, 10.0),
+        NO_LOAD,
+        lambda part: None,
+        lambda part: "",
+    )
+    assert [p for p in again.ranges if p.endpoint == "e3"] == [
+        p for p in stuck.ranges if p.endpoint == "e3"
+    ]
+
+
+def test_keys_of_an_endpoint_with_an_unanswered_grant_are_not_moved_for_balance():
+    """They would have no owner until that grant can no longer take effect."""
+    listed = endpoints(8)
+    table = settle(KeyTable.empty("s"), listed)
+    loads = KeyLoads({20_000 + n: 0.5 for n in range(80)})
+    busy = _part(table, 20_000).endpoint
+    capacity = dict.fromkeys(listed, 10.0)
+    planned = plan(table, listed, capacity, loads, RELEASED, pinned={busy})
+    assert not any(p.leaving and p.endpoint == busy for p in planned.ranges)
+    planned = plan(table, listed, capacity, loads, RELEASED)
+    assert any(p.leaving and p.endpoint == busy for p in planned.ranges)
+
+
+def test_large_services_move_more_keys_at_a_time():
+    """Six moves a second took too long for busy keys on 65 endpoints."""
+    listed = endpoints(64)
+    table = settle(KeyTable.empty("s"), listed)
+    loads = KeyLoads({n * 16: 1.0 for n in range(300)})
+    planned = plan(table, listed, dict.fromkeys(listed, 10.0), loads, RELEASED)
+    assert 6 < sum(p.leaving for p in planned.ranges) <= 16
--- a/tests/gateway/test_ownership_under_faults.py
+++ b/tests/gateway/test_ownership_under_faults.py
@@ -200,6 +200,27 @@
     assert _with_fleet(work) == ([], 1.0)
 
 
+def test_keys_that_were_about_to_move_stay_with_their_owner_after_a_loss_of_all():
+    """They had no owner for four seconds after all instances had ended."""
+
+    async def work(world):
+        await asyncio.sleep(10.0)
+        world.work_seconds = 2.0  # Releases wait for running work.
+        world.busy_keys = list(range(20_000, 20_080)) * 5
+        while not any(part.leaving for part in _table(world, "n0").ranges):
+            await asyncio.sleep(0.05)
+        world.work_seconds, world.busy_keys = 0.1, []
+        for name in list(world.instances):
+            world.restart(name)
+        shares = []
+        for _ in range(30):
+            await asyncio.sleep(0.2)
+            shares.append(world.owned_share())
+        return min(shares), world.violations
+
+    assert _with_fleet(work) == (1.0, [])
+
+
 def test_a_lease_counts_from_the_arrival_of_its_grant():
     """On a link that loses packets a grant arrives late; its lease was taken to run
     from when it was sent, so keys of a lost endpoint moved before it had ended."""
