Serve a hot key where most of it is served, and plan by the demand of all

The planner knew the speed of endpoints only by its own answers, one in two seconds each, beginning with a guess. In seconds 16 to 18 four instances planned in turn while the store turned some away, each with its own part of the demand (17 requests a second of 75), and moved up to 6 ranges that were not busy.

A key that is busier than any endpoint can serve now goes to the fastest that is not overloaded; instances report measured times with the demand; the first answers count more; balance waits until all live instances have told their demand.

Tests: plans with one and two hot keys, capacities over instances, a new planner's demand.

--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -25,7 +25,7 @@
 from arbutusflow.gateway.key_moves import KeyMoves
 from arbutusflow.gateway.key_orders import KeyOrders
 from arbutusflow.gateway.key_table import StoredTable
-from arbutusflow.gateway.model import Address, Endpoint
+from arbutusflow.gateway.model import Address
 from arbutusflow.gateway.peers import (
     PeerReport,
     PeerReports,
@@ -52,6 +52,7 @@
 FLEET_REPORT_SECONDS = 0.3  # Reports across zones are priced by the byte.
 FLEET_REPORT_SECONDS_PER_INSTANCE = 0.0075
 MAX_FLEET_REPORT_SECONDS = 0.5  # Two may be lost before `ALIVE_SECONDS` end.
+MAX_DEMAND_AGE_SECONDS = 1.5  # Two reports of the demand may be lost.
 NO_EARLIER_LIFE_SECONDS = 1e6  # Longer ago than any lease lasts.
 
 
@@ -78,8 +79,8 @@
         """Learn from the report of another instance."""
         ...
 
-    def capacity_of(self, endpoint: Endpoint) -> float:
-        """Return the requests per second that an endpoint can serve."""
+    def service_times(self, service: str) -> dict[str, tuple[float, int]]:
+        """Return seconds of one request and the answers behind them, by endpoint."""
         ...
 
 
@@ -121,7 +122,8 @@
             self.fleet, self.copy, store, self.peers, self.leases, self.orders, log
         )
         self.moves.loads_of = self._loads_of
-        self.moves.capacity_of = workload.capacity_of
+        self.moves.capacities_of = self._capacities_of
+        self.moves.knows_demand = self._knows_demand
 
     def tick(self, now: float) -> None:
         """Do what is due; called by a timer."""
@@ -224,6 +226,9 @@
         vouches: bool,
     ) -> PeerReport:
         now = self._loop.time()
+        times: dict[str, tuple[float, int]] = {}
+        for service in loads:
+            times.update(self._workload.service_times(service))
         self._number += 1
         return PeerReport(
             instance=self.fleet.me.name,
@@ -242,6 +247,7 @@
             vouches=vouches,
             strikes=self._workload.strikes(),
             key_loads=loads,
+            service_times=times,
         )
 
     def report_if_due(self) -> None:
@@ -321,6 +327,27 @@
         ]
         return key_demand.sum_reports(reports)
 
+    def _knows_demand(self, service: str) -> bool:
+        """Return whether all live instances told their demand lately.
+
+        An instance that has just become the planner knows only its own.
+        """
+        now = self._loop.time()
+        return all(
+            service in peer.loads and now - peer.loads_at < MAX_DEMAND_AGE_SECONDS
+            for peer in self.peers.alive(now)
+            if peer.report.instance in self.fleet.records
+        )
+
+    def _capacities_of(self, service: str) -> dict[str, float]:
+        """Return the requests per second that each endpoint can serve."""
+        measured = [self._workload.service_times(service)]
+        measured += [p.service_times for p in self.peers.alive(self._loop.time())]
+        return key_demand.capacities(
+            [e for e in self.leases.endpoints.values() if e.service == service],
+            measured,
+        )
+
     def _on_table_message(
         self, message: TableAsked | TableTold, source: Address
     ) -> None:
--- a/arbutusflow/gateway/key_demand.py
+++ b/arbutusflow/gateway/key_demand.py
@@ -2,7 +2,10 @@
 
 import collections
 import heapq
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
+
+from arbutusflow.gateway.endpoint_load import INITIAL_SERVICE_SECONDS
+from arbutusflow.gateway.model import Endpoint
 
 PERIOD_SECONDS = 0.5
 # Weight of the past after a period: busy keys change within seconds.
@@ -11,6 +14,8 @@
 REPORTED_KEYS = 80  # Reported one by one; a report must fit a datagram.
 BUCKET_WIDTH = 1024  # Keys that are reported together otherwise.
 HUNDREDTHS = 100
+MAX_WEIGHT = 10  # Answers that the moving average of an instance rests on.
+MIN_SERVICE_SECONDS = 0.001
 
 
 class KeyDemand:
@@ -54,6 +59,28 @@
         return {key: round(value) for key, value in result.items()}
 
 
+def capacities(
+    endpoints: Iterable[Endpoint], measured: Sequence[Mapping[str, tuple[float, int]]]
+) -> dict[str, float]:
+    """Return the requests per second that each endpoint can serve.
+
+    `measured` are the seconds of one request and the answers behind them, as each
+    instance measured them; one instance alone sees too few answers of an endpoint.
+    """
+    result = {}
+    for endpoint in endpoints:
+        # The first guess counts for one answer.
+        total, weight = INITIAL_SERVICE_SECONDS, 1
+        for times in measured:
+            seconds, answers = times.get(endpoint.id, (0.0, 0))
+            answers = min(answers, MAX_WEIGHT)
+            total += seconds * answers
+            weight += answers
+        seconds = max(total / weight, MIN_SERVICE_SECONDS)
+        result[endpoint.id] = endpoint.slots / seconds
+    return result
+
+
 def sum_reports(reports: Iterable[Mapping[int, int]]) -> dict[int, float]:
     """Return requests per second by key over all instances."""
     total: collections.defaultdict[int, float] = collections.defaultdict(float)
--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -83,7 +83,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._rng = random.Random()
         self.loads_of: Callable[[str], dict[int, float]] = lambda service: {}
-        self.capacity_of: Callable[[Endpoint], float] = lambda e: float(e.slots)
+        self.capacities_of: Callable[[str], dict[str, float]] = lambda service: {}
+        self.knows_demand: Callable[[str], bool] = lambda service: True
 
     def note_table(self, stored: StoredTable, now: float) -> None:
         """Follow the departures of a table from when it is first known.
@@ -120,9 +121,11 @@
         table = stored.table if stored else KeyTable.empty(service)
         if stored is not None:
             self._advance_departures(service, stored, now)
-        balance = now - self._balanced_at.get(
-            service, -1e9
-        ) >= BALANCE_SECONDS and self._fleet.is_settled(now)
+        balance = (
+            now - self._balanced_at.get(service, -1e9) >= BALANCE_SECONDS
+            and self._fleet.is_settled(now)
+            and self.knows_demand(service)
+        )
         proofs: dict[KeyRange, str | None] = {}
 
         def proof_of(part: KeyRange) -> str | None:
@@ -140,7 +143,7 @@
         planned = key_planner.plan(
             table,
             endpoints,
-            {name: self.capacity_of(e) for name, e in endpoints.items()},
+            self.capacities_of(service),
             key_planner.KeyLoads(self.loads_of(service)),
             proof_of,
             return_of,
--- a/arbutusflow/gateway/key_planner.py
+++ b/arbutusflow/gateway/key_planner.py
@@ -24,7 +24,7 @@
 # From here on a single busy key is worth moving to an endpoint that is faster by
 # the ratio.
 FULL_SHARE = 0.8
-FASTER_RATIO = 1.25
+FASTER_RATIO = 1.3
 # Moves under way in a service, which bounds the keys that are held up at a time.
 MIN_MOVES_UNDER_WAY = 6
 MOVES_PER_ENDPOINT = 0.25
@@ -68,8 +68,18 @@
     carried: dict[str, float]  # Load by endpoint.
     capacity: dict[str, float]
 
+    def not_overloaded(self) -> list[str]:
+        """Return the endpoints that do not have more load than they can serve."""
+        return [e for e in self.carried if self.carried[e] < self.capacity[e]]
+
     def best_for(self, load: float) -> str:
-        """Return the endpoint that is least busy with the load added."""
+        """Return the endpoint that is least busy with the load added.
+
+        Load that no endpoint can serve goes where most of it is served.
+        """
+        free = self.not_overloaded()
+        if free and load >= max(self.capacity.values()):
+            return max(free, key=lambda e: (self.capacity[e], e))
         return min(
             self.carried, key=lambda e: ((self.carried[e] + load) / self.capacity[e], e)
         )
@@ -273,11 +283,9 @@
     if len(owned) != 1:
         return None
     load = loads.of_range(owned[0].first, owned[0].last)
-    target = draft.best_for(load)
-    if target == donor:
-        return None
-    after = (draft.carried[target] + load) / draft.capacity[target]
-    if after * FASTER_RATIO > load / draft.capacity[donor]:
+    # The other keys of the fastest endpoint move away from it next.
+    speeds = (draft.capacity[e] for e in draft.not_overloaded())
+    if max(speeds, default=0.0) < FASTER_RATIO * draft.capacity[donor]:
         return None
     draft.ranges[draft.ranges.index(owned[0])] = _leaving(owned[0])
     return load
--- a/arbutusflow/gateway/peers.py
+++ b/arbutusflow/gateway/peers.py
@@ -55,6 +55,9 @@
     strikes: tuple[StrikeReport, ...] = ()
     # Hundredths of a request per second, by service and key.
     key_loads: dict[str, dict[int, int]] = {}
+    # Measured seconds of one request and the number of answers behind them, by
+    # endpoint; told together with the loads.
+    service_times: dict[str, tuple[float, int]] = {}
 
 
 class TableAsked(msgspec.Struct, array_like=True, frozen=True, tag="ask"):
@@ -76,14 +79,15 @@
 class PeerState:
     """Latest report of another instance."""
 
-    __slots__ = ("heard", "loads", "loads_at", "report", "vouched")
+    __slots__ = ("heard", "loads", "loads_at", "report", "service_times", "vouched")
 
     def __init__(self, report: PeerReport, heard: float) -> None:
         self.report = report
         self.heard = heard
         self.vouched = -1e9  # When it last vouched for this instance.
         self.loads: dict[str, dict[int, int]] = {}
-        self.loads_at = 0.0
+        self.loads_at = -1e9
+        self.service_times: dict[str, tuple[float, int]] = {}
 
     def last_grants(self, endpoint: str) -> tuple[float, float]:
         """Return when it last sent a grant to an endpoint, and one without an answer.
@@ -153,6 +157,7 @@
             known.vouched = now
         if report.key_loads:
             known.loads, known.loads_at = report.key_loads, now
+            known.service_times = report.service_times
         self._on_report(report, source)
 
     def error_received(self, exc: Exception) -> None:
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -29,7 +29,7 @@
     FleetTask,
 )
 from arbutusflow.gateway.metrics import GatewayMetrics
-from arbutusflow.gateway.model import Configuration, Endpoint, GatewaySettings
+from arbutusflow.gateway.model import Configuration, GatewaySettings
 from arbutusflow.gateway.peers import (
     PeerReport,
     StrikeReport,
@@ -261,10 +261,13 @@
         """Return the latest strikes against requests."""
         return tuple(self._strikes[-REPORTED_STRIKES:])
 
-    def capacity_of(self, endpoint: Endpoint) -> float:
-        """Return the requests per second that an endpoint can serve."""
-        state = self.endpoints.states.get(endpoint.id)
-        return state.capacity() if state is not None else float(endpoint.slots)
+    def service_times(self, service: str) -> dict[str, tuple[float, int]]:
+        """Return seconds of one request and the answers behind them, by endpoint."""
+        return {
+            state.endpoint.id: (round(state.service_seconds, 4), state.answers)
+            for state in self.endpoints.of_service(service)
+            if state.answers
+        }
 
     def take_report(self, report: PeerReport) -> None:
         """Learn the load and the strikes that another instance reports."""
--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -260,8 +260,8 @@
     def take_report(self, report: Any) -> None:
         pass
 
-    def capacity_of(self, endpoint: Endpoint) -> float:
-        return 10.0
+    def service_times(self, service: str) -> dict[str, tuple[float, int]]:
+        return dict.fromkeys(self._instance.world.endpoints, (0.2, 10))
 
 
 class SimInstance:
--- a/tests/gateway/test_fleet_reports.py
+++ b/tests/gateway/test_fleet_reports.py
@@ -10,7 +10,7 @@
 import pytest
 
 from arbutusflow.gateway import fleet_task
-from tests.gateway.sim_fleet import SimFleet
+from tests.gateway.sim_fleet import SERVICE, SimFleet
 from tests.gateway.virtual_time import run
 
 # The aim for control is 2.4 % of a core (docs/CAPACITY.md); a report costs 0.1 ms.
@@ -102,3 +102,29 @@
         return min(shares), world.violations
 
     assert with_fleet(work, instances=12) == (1.0, [])
+
+
+def test_an_instance_that_became_the_planner_waits_for_the_demand():
+    """It went by its own part of the demand, and moved keys from endpoints that were
+    not busy: 17 requests a second were known of 75."""
+
+    async def work(world):
+        await asyncio.sleep(8.0)
+        planner = next(
+            i
+            for i in world.instances.values()
+            if i.task.fleet.is_planner(SERVICE, world.now)
+        )
+        known = planner.task.moves.knows_demand(SERVICE)
+        world.instances.pop(planner.name).kill()
+        await asyncio.sleep(fleet_task.MAX_DEMAND_AGE_SECONDS)
+        heir = next(
+            i
+            for i in world.instances.values()
+            if i.task.fleet.is_planner(SERVICE, world.now)
+        )
+        early = heir.task.moves.knows_demand(SERVICE)
+        await asyncio.sleep(2.0)
+        return known, early, heir.task.moves.knows_demand(SERVICE)
+
+    assert with_fleet(work, instances=6) == (True, False, True)
--- a/tests/gateway/test_key_planner.py
+++ b/tests/gateway/test_key_planner.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from arbutusflow.gateway.key_demand import capacities
 from arbutusflow.gateway.key_planner import (
     BASE_LOAD_PER_KEY,
     MIN_MOVES_UNDER_WAY,
@@ -85,6 +86,45 @@
     assert fast[holder] == 20.0
 
 
+def test_one_hot_key_moves_to_the_fastest_endpoint_also_if_it_has_other_work():
+    """One key was asked for 30 times a second for 9 s and stayed at an endpoint that
+    serves 11, while another that serves 17 had other keys, which could move."""
+    loads = KeyLoads({20_000: 30.0} | {n * 700: 0.2 for n in range(90)})
+    listed = endpoints(4)
+    slow = dict.fromkeys(listed, 14.0)
+    table = settle(settle(KeyTable.empty("s"), listed), listed, loads, slow)
+    holder = _part(table, 20_000).endpoint
+    fast = slow | {"e0" if holder != "e0" else "e1": 20.0}
+    table = settle(table, listed, loads, fast)
+    assert fast[_part(table, 20_000).endpoint] == 20.0
+    assert (
+        max(
+            load / fast[endpoint]
+            for endpoint, load in carried(table, loads).items()
+            if fast[endpoint] < 20.0
+        )
+        <= 1.2
+    )
+
+
+def test_two_hot_keys_do_not_share_the_fastest_endpoint():
+    loads = KeyLoads({20_000: 30.0, 40_000: 30.0})
+    listed = endpoints(6)
+    fast = dict.fromkeys(listed, 10.0) | {"e0": 20.0, "e1": 15.0}
+    table = settle(settle(KeyTable.empty("s"), listed), listed, loads, fast)
+    holders = {_part(table, 20_000).endpoint, _part(table, 40_000).endpoint}
+    assert holders == {"e0", "e1"}
+
+
+def test_capacity_rests_on_what_all_instances_measured():
+    """One instance of nine sees one answer of an endpoint in two seconds."""
+    listed = list(endpoints(2).values())
+    measured = [{"e0": (0.1, 3)}, {"e0": (0.2, 50)}, {}]
+    result = capacities(listed, measured)
+    assert result["e0"] == pytest.approx(2 / ((0.15 + 3 * 0.1 + 10 * 0.2) / 14))
+    assert result["e1"] == pytest.approx(2 / 0.15)
+
+
 def test_calm_keys_stay_where_they_are():
     loads = KeyLoads({n * 700: 0.2 for n in range(90)})
     table = settle(KeyTable.empty("s"), endpoints(8))
