Ask the own zone for key tables first, and tell it of new ones at once

A table in force is now told to the own zone with the next report, and instances of other zones are asked only 0.4 s later. Test: two instances off the store; all questions went to other zones in turn before, none now.

--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -44,6 +44,9 @@
 REGISTER_PAUSE_SECONDS = 0.3
 # The store tells of a change within some milliseconds.
 TABLE_ASK_SECONDS = 0.1
+# A table of 65 endpoints is 12 kB, and bytes across zones are priced: instances of the
+# own zone, which report within 0.15 s, are asked first.
+OTHER_ZONE_ASK_SECONDS = 0.4
 # Reports go from each instance to each other one. Beyond these sizes of the zone and of
 # the fleet they are sent less often, so that an instance receives at most about 100
 # and 75 a second. A report costs about 0.1 ms of processor time, and bytes across zones
@@ -103,7 +106,7 @@
         self._log = log
         self._last_tick = self._loop.time()
         self._number = 0
-        self._sent_to_zone: tuple[dict[str, int], tuple[int, int]] = ({}, (0, 0))
+        self._sent_to_zone: tuple[dict[str, int], tuple[int, ...]] = ({}, ())
         self._zone_reported = self._fleet_reported = -1e9
         self._demand_due = False
         self._writing_record = False
@@ -267,10 +270,10 @@
         """Tell the own zone of a changed load or of news from the store."""
         self._zone_reported = self._loop.time()
         load = self._workload.in_flight()
-        known = self._workload.known_revisions()
-        if (load, known) == self._sent_to_zone:
+        news = (*self._workload.known_revisions(), *self.fleet.applied.values())
+        if (load, news) == self._sent_to_zone:
             return
-        self._sent_to_zone = (load, known)
+        self._sent_to_zone = (load, news)
         self._send_reports(load, self.fleet.me.zone)
 
     def report_to_fleet(self) -> None:
@@ -372,6 +375,9 @@
             if known != applied:
                 since = now
             patience = TABLE_ASK_SECONDS if self.copy.lost_at is None else 0.0
+            record = self.fleet.records.get(report.instance)
+            if record is None or record.zone != self.fleet.me.zone:
+                patience += OTHER_ZONE_ASK_SECONDS
             if now - since >= patience:
                 since = now
                 self.peers.send(TableAsked(service), [source])
--- a/tests/gateway/test_fleet_reports.py
+++ b/tests/gateway/test_fleet_reports.py
@@ -131,3 +131,34 @@
         return known, early, heir.task.moves.knows_demand(SERVICE)
 
     assert with_fleet(work, instances=6) == (True, False, True)
+
+
+def test_tables_are_asked_for_in_the_own_zone_first():
+    """A third of 68 instances was turned away by the store, and each fetched each table
+    of 12 kB across zones."""
+
+    async def work(world):
+        await asyncio.sleep(8.0)
+        cut = [name for name, i in world.instances.items() if i.zone == "z0"][:2]
+        world.store.away.update(cut)
+        asked = []
+        for instance in world.instances.values():
+            original = instance.task.peers._on_table
+
+            def record(message, source, name=instance.name, original=original):
+                if type(message).__name__ == "TableAsked":
+                    asked.append((world.instances[source.host].zone, name))
+                original(message, source)
+
+            instance.task.peers._on_table = record
+        world.busy_keys = list(range(20_000, 20_080)) * 5
+        await asyncio.sleep(6.0)
+        behind = [world.instances[name].task.fleet.applied for name in cut]
+        current = world.instances["n1"].task.fleet.applied
+        zones = [(zone, world.instances[name].zone) for zone, name in asked]
+        return zones, behind, current
+
+    zones, behind, current = with_fleet(work, instances=10)
+    assert zones
+    assert all(asker == asked for asker, asked in zones)
+    assert all(applied == current for applied in behind)
