Add a randomized soak with real gateway processes

The platform's stand-in, endpoints and callers run in one process; gateways run as processes of their own. Faults come from outside: loopback proxies cut, delay, silence, reset and refuse the ways to the store and to endpoints, signals pause, kill, end and restart gateways, the store goes down, loses answers and forgets its history, endpoints crash and leave, configurations change. It checks from what endpoints and callers see that keys have one owner and rising tokens, that work runs at most once, that refusals are true, that answers are the caller's own, and that all keys are served again. Datagrams between instances and clocks are not disturbed, except by pauses.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -92,6 +92,12 @@
             lambda: CallerConnection(self), host, port, backlog=1024, reuse_address=True
         )
 
+    @property
+    def port(self) -> int:
+        """The port that is listened on, which the system chooses for port 0."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
     def stop_accepting(self) -> None:
         """Close the listening socket; open connections go on."""
         if self._server is not None:
--- a/tests/gateway/object_platform.py
+++ b/tests/gateway/object_platform.py
@@ -18,6 +18,7 @@
 
 _BASE = "/arbutusflow/objects/"
 _JSON = ((b"Content-Type", b"application/json"),)
+LOST_SECONDS = 60.0  # Longer than any caller of the store waits.
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
@@ -39,6 +40,8 @@
     def __init__(self) -> None:
         self.revision = 1
         self.down = False  # Refuses every call, as in an outage.
+        self.lose_answers = False  # Carries writes out without an answer.
+        self._forgotten = 0  # Revisions up to this one are no longer known.
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
         self._events: list[tuple[int, str, dict[str, Any]]] = []
         self._changed = asyncio.Event()
@@ -48,6 +51,11 @@
         """Write an object as an operator or an endpoint does."""
         self._store(kind, name, spec)
 
+    def compact(self) -> None:
+        """Forget the history."""
+        self._forgotten = self.revision
+        self._events.clear()
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         item = self._objects.pop((kind, name), None)
@@ -85,8 +93,12 @@
         if req.method == b"GET":
             return await self._read(kind, name, query)
         if req.method == b"POST":
-            return self._create(kind, document)
-        return self._change(req.method, kind, name, document, query)
+            reply = self._create(kind, document)
+        else:
+            reply = self._change(req.method, kind, name, document, query)
+        if self.lose_answers:
+            await asyncio.sleep(LOST_SECONDS)
+        return reply
 
     async def _read(self, kind: str, name: str, query: dict[str, str]) -> Reply:
         if name:
@@ -99,6 +111,8 @@
 
     async def _watch(self, kind: str, since: int, query: dict[str, str]) -> Reply:
         until = time.monotonic() + int(query.get("waitMs", "0")) / 1000
+        if since < self._forgotten:
+            return Reply(410)
         while True:
             events = [e for rev, k, e in self._events if k == kind and rev > since]
             left = until - time.monotonic()
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,312 @@
+"""Real gateway processes with a store, endpoints, callers and faults around them."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+from arbutusflow.gateway.client_connection import ClientConnection
+from arbutusflow.gateway.model import Address, Answer, ExchangeError
+from arbutusflow.platform.settings import SETTINGS_VARIABLE
+from tests.gateway.object_platform import ObjectStore
+from tests.gateway.test_documents import CONFIGURATION
+from tests.soak.audit import Audit, AuditedEndpoint, echo_of
+from tests.soak.proxy import FaultyProxy
+
+ZONES = ("z0", "z1")
+KEYS = (1, 9000, 20_000, 33_000, 50_000, 65_535)
+SETTLE_SECONDS = 45.0  # Generous: machines that run tests are slow at times.
+DEADLINE_SECONDS = 1.5
+SETTINGS = """
+nodeName = "{name}"
+ip = "{host}"
+zone = "{zone}"
+internalPorts = [{peer},{peer}]
+[listen]
+front = "{host}:{front}"
+ready = "{host}:{ready}"
+[limits]
+memoryMb = 300
+[bounds]
+graceS = 6
+drainS = 2
+maxHoldS = 10
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retryBudgetSlack = 60
+[provider]
+address = "127.0.0.1:{store}"
+"""
+
+
+def _route(name: str, prefix: str, kind: str, service: str) -> dict[str, object]:
+    return {
+        "name": name,
+        "pathPrefix": prefix,
+        "routeType": kind,
+        "timeoutS": DEADLINE_SECONDS,
+        "targetLatencyS": 0.5,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+    }
+
+
+def configuration(version: int) -> dict[str, object]:
+    """Return a version of the operator's configuration."""
+    services = [
+        {**CONFIGURATION["services"][0], "name": "keyed"},
+        {**CONFIGURATION["services"][1], "name": "plain"},
+    ]
+    paths = [
+        _route("lookup", "/x/", "safe", "keyed"),
+        _route("order", "/y/", "unsafe", "plain"),
+    ]
+    paths += [_route(f"v{version}", f"/v{version}/", "safe", "plain")]
+    hosts = [{"host": "shop.example", "paths": paths}]
+    return {
+        **CONFIGURATION,
+        "version": version,
+        "services": services,
+        "hosts": hosts,
+    }
+
+
+def _free_port(host: str) -> int:
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return int(sock.getsockname()[1])
+
+
+class GatewayProcess:
+    """One instance and the lives of its process."""
+
+    def __init__(self, number: int, directory: pathlib.Path, store_port: int) -> None:
+        self.name = f"n{number}"
+        self.zone = ZONES[number % len(ZONES)]
+        # The metrics port is the same everywhere, so each instance of each run has an
+        # address of its own.
+        run = os.getpid()
+        self.host = f"127.{run // 250 % 200 + 1}.{run % 250}.{number + 1}"
+        self.front = _free_port(self.host)
+        self._log = directory / f"{self.name}.log"
+        self._settings = directory / f"{self.name}.toml"
+        ports = {"front": self.front, "store": store_port}
+        ports |= {kind: _free_port(self.host) for kind in ("ready", "peer")}
+        self._settings.write_text(
+            SETTINGS.format(name=self.name, host=self.host, zone=self.zone, **ports)
+        )
+        self.process: subprocess.Popen[bytes] | None = None
+        self.paused = False
+
+    def start(self) -> None:
+        """Start another life of the process."""
+        with self._log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "arbutusflow", "gateway"],
+                env={**os.environ, SETTINGS_VARIABLE: str(self._settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def end(self, number: int) -> None:
+        """Signal the process and wait until it has ended."""
+        self.signal(signal.SIGCONT)
+        self.signal(number)
+        process = self.process
+        for _ in range(70):
+            if process is None or process.poll() is not None:
+                return
+            await asyncio.sleep(0.1)
+        process.kill()
+        process.wait()
+
+    @property
+    def address(self) -> Address:
+        """Where callers connect."""
+        return Address(self.host, self.front)
+
+
+class SoakWorld:
+    """Store, endpoints, instances, callers and the audit of one run."""
+
+    def __init__(self, seed: int, directory: pathlib.Path, instances: int) -> None:
+        self.rng = random.Random(seed)
+        self.audit = Audit()
+        self.store = ObjectStore()
+        self.version = 1
+        self._directory = directory
+        self._count = instances
+        self.gateways: list[GatewayProcess] = []
+        self.store_proxies: list[FaultyProxy] = []
+        self.proxies: dict[str, FaultyProxy] = {}  # By endpoint.
+        self.endpoints: dict[str, AuditedEndpoint] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.answers: dict[int, int] = {}
+        self.calling = True
+        self._number = 0
+
+    # Start and end.
+
+    async def start(self) -> None:
+        """Start everything and wait until all keys are served."""
+        await self.store.server.start("127.0.0.1", 0)
+        store_port = self.store.server.port
+        self.store.put("config", "main", configuration(self.version))
+        for service, count in (("keyed", 5), ("plain", 3)):
+            for _ in range(count):
+                await self.add_endpoint(service)
+        for number in range(self._count):
+            proxy = FaultyProxy(store_port)
+            await proxy.start()
+            self.store_proxies.append(proxy)
+            gateway = GatewayProcess(number, self._directory, proxy.port)
+            gateway.start()
+            self.gateways.append(gateway)
+        await self.settle()
+
+    async def close(self) -> None:
+        """End what this run started."""
+        self.calling = False
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for gateway in self.gateways:
+            await gateway.end(signal.SIGKILL)
+        for proxy in (*self.store_proxies, *self.proxies.values()):
+            proxy.close()
+        for endpoint in self.endpoints.values():
+            endpoint.server.stop_accepting()
+        self.store.server.stop_accepting()
+
+    def spawn(self, work: "asyncio.coroutines.Coroutine[object, object, None]") -> None:
+        """Run work beside the rest; its errors end the run."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._finish)
+
+    def _finish(self, task: "asyncio.Task[None]") -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.audit.note(f"the soak itself failed: {task.exception()!r}")
+
+    # Endpoints.
+
+    async def add_endpoint(self, service: str) -> AuditedEndpoint:
+        """Start an endpoint and register it."""
+        self._number += 1
+        name = f"e{self._number}"
+        endpoint = AuditedEndpoint(name, service, self.audit)
+        endpoint.work_seconds = self.rng.uniform(0.01, 0.08)
+        await endpoint.server.start("127.0.0.1", 0)
+        proxy = FaultyProxy(endpoint.server.port)
+        await proxy.start()
+        self.endpoints[name], self.proxies[name] = endpoint, proxy
+        self.register(endpoint, "ready")
+        return endpoint
+
+    def register(self, endpoint: AuditedEndpoint, state: str) -> None:
+        """Write the entry of an endpoint."""
+        zone = ZONES[int(endpoint.name[1:]) % len(ZONES)]
+        info = {"service": endpoint.service, "version": "v", "zone": zone, "slots": 2}
+        status = {"state": state, "seq": 1, "coldLeftS": 0}
+        address = f"127.0.0.1:{self.proxies[endpoint.name].port}"
+        entry = {"address": address, "info": info, "status": status, "born": 1}
+        self.store.put("servers", endpoint.name, entry)
+
+    def crash_endpoint(self, name: str) -> None:
+        """End an endpoint without notice."""
+        endpoint = self.endpoints.pop(name)
+        endpoint.alive = False
+        self.proxies.pop(name).close()
+        endpoint.server.stop_accepting()
+        self.store.remove("servers", name)
+
+    # Callers.
+
+    async def ask(self, gateway: GatewayProcess, conn: ClientConnection) -> None:
+        """Send one request on an open connection and check its answer."""
+        self._number += 1
+        request_id = b"r%d" % self._number
+        order = self.rng.random() < 0.4
+        method, target = (b"POST", b"/y/1") if order else (b"GET", b"/x/1")
+        body = request_id if order else b""
+        head = b"%b %b HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %b\r\n" % (
+            method,
+            target,
+            request_id,
+        )
+        head += b"Deadline-Ms: %d\r\nShard-Key: %d\r\nContent-Length: %d\r\n\r\n" % (
+            DEADLINE_SECONDS * 1000,
+            self.rng.choice(KEYS),
+            len(body),
+        )
+        answer = await conn.exchange(head, body, DEADLINE_SECONDS + 1.0)
+        self._check(answer, request_id, method, target, body)
+
+    def _check(
+        self,
+        answer: Answer,
+        request_id: bytes,
+        method: bytes,
+        target: bytes,
+        body: bytes,
+    ) -> None:
+        self.answers[answer.status] = self.answers.get(answer.status, 0) + 1
+        if answer.status == 200 and answer.body != echo_of(method, target, body):
+            self.audit.note(f"request {request_id.decode()} got another's answer")
+        if answer.status == 503 and method == b"POST":
+            self.audit.refused.add(request_id)
+        if answer.status in (404, 400):
+            self.audit.note(f"a proper request was answered {answer.status}")
+
+    async def call_forever(self) -> None:
+        """Send requests, keeping the connection until the process is gone."""
+        while self.calling:
+            gateway = self.rng.choice(self.gateways)
+            try:
+                conn = await ClientConnection.open(gateway.address, 0.5)
+            except ExchangeError:
+                await asyncio.sleep(0.1)
+                continue
+            with contextlib.suppress(ExchangeError):
+                while self.calling and conn.usable and self.rng.random() > 0.03:
+                    await self.ask(gateway, conn)
+                    await asyncio.sleep(self.rng.uniform(0.0, 0.05))
+            conn.close()
+
+    async def settle(self) -> None:
+        """Wait until each instance serves each key; else that is a violation."""
+        until = time.monotonic() + SETTLE_SECONDS
+        for gateway in self.gateways:
+            for key in KEYS:
+                while not await self._serves(gateway, key):
+                    if time.monotonic() > until:
+                        self.audit.note(f"{gateway.name} does not serve key {key}")
+                        return
+                    await asyncio.sleep(0.1)
+
+    async def _serves(self, gateway: GatewayProcess, key: int) -> bool:
+        self._number += 1
+        head = (
+            b"GET /x/probe HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r%d\r\n"
+            b"Deadline-Ms: 1500\r\nShard-Key: %d\r\n\r\n" % (self._number, key)
+        )
+        with contextlib.suppress(ExchangeError):
+            conn = await ClientConnection.open(gateway.address, 1.0)
+            try:
+                return (await conn.exchange(head, b"", 2.5)).status == 200
+            finally:
+                conn.close()
+        return False
