--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -350,6 +350,8 @@
             state.own -= 1
         now = self._loop.time()
         self._note_answer(state, answer, now - begun, ahead, now)
+        if now - work.req.arrived > work.route.objective_seconds:
+            self._log_late(work, state, now - begun, ahead)
         return self._judge(work, state, answer)
 
     def _wait_limit(self, work: _Work) -> float:
@@ -487,6 +489,23 @@
         if not work.idempotent:
             raise RequestError(502, reason)
 
+    def _log_late(
+        self, work: _Work, state: EndpointState, seconds: float, ahead: int
+    ) -> None:
+        """Log where the time of a late answer went."""
+        self._log.sample(
+            "answer_late",
+            request_id=work.request_id.decode("latin-1"),
+            endpoint=state.endpoint.id,
+            service=work.service.name,
+            sends=work.sends,
+            ahead=ahead,
+            held_seconds=round(self._loop.time() - work.req.arrived, 4),
+            endpoint_seconds=round(seconds, 4),
+            expected_seconds=round(state.service_seconds, 4),
+            objective_seconds=work.route.objective_seconds,
+        )
+
     def _log_attempt(self, work: _Work, state: EndpointState, outcome: str) -> None:
         self._count("attempt_failed")
         self._log.sample(
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -67,6 +67,7 @@
     """Plays outcomes in turn; the last one again and again."""
 
     last: "_Pool"
+    log: FakeLog
 
     def __init__(self, outcomes, alive=True):
         self.outcomes, self.sent, self.alive = list(outcomes), [], alive
@@ -122,6 +123,7 @@
     configured=True,
     times=1,
     alive=True,
+    objective=0.5,
 ):
     """Return the reply, the hosts that were sent to, and the time taken."""
 
@@ -137,7 +139,8 @@
             },
             loop.time(),
         )
-        pool = _Pool(outcomes, alive)
+        pool, log = _Pool(outcomes, alive), FakeLog()
+        _Pool.log = log
         dispatcher = Dispatcher(
             endpoints=table,
             pool=pool,
@@ -146,7 +149,7 @@
             budget=RetryBudget(0.2, 60.0, 10.0),
             demand=KeyDemand(),
             guard=CrashGuard(),
-            log=FakeLog(),
+            log=log,
             instances=lambda: 3,
             on_strike=lambda digest: None,
             count=lambda outcome: None,
@@ -159,7 +162,7 @@
             Repeatability.IDEMPOTENT if idempotent else Repeatability.AT_MOST_ONCE,
             (WeightedService("s", 1.0),),
             timeout,
-            0.5,
+            objective,
             1,
             attempts,
         )
@@ -298,3 +301,12 @@
     replies = handle(BROKEN, times=6, alive=False, idempotent=False)
     assert [reply.status for reply in replies[:3]] == [502, 502, 502]
     assert _Pool.last.count == 3
+
+
+@pytest.mark.parametrize("objective, lines", [(0.5, 0), (0.005, 1)])
+def test_a_late_answer_leaves_a_line_in_the_log(objective, lines):
+    """On-call engineers found no trace of a request that was answered late."""
+    handle(SERVED, objective=objective)
+    late = [fields for event, fields in _Pool.log.events if event == "answer_late"]
+    assert len(late) == lines
+    assert all(fields["request_id"] == "a" for fields in late)
