Let only the first six in line renew, and give a copy's calls their time

Reports are 0.9 s apart, so one lost report sufficed: the instance of the log granted keys to nearly all 65 endpoints. Its reports then listed all of them, 3 kB each to 67 others, which filled links of 10 Mbit/s, which lost more reports. - While its link was full, the call for the configuration took longer than 0.3 s and was begun anew each 0.3 s, so that a version came 5 s late. - A recall of a copy's call could swallow the end of its task, and the process would not have ended before SIGKILL (found when a simulation did not end).

Only the first six in line ever renew; the next call of a copy that is behind waits 1.3 s; recalls and cancellations are told apart.

--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -32,6 +32,8 @@
 RENEW_SECONDS = 1.0  # Three renewals may fail before a lease ends.
 # The next instance in line takes over when a renewal is late by this much.
 TAKE_OVER_SECONDS = 0.4
+# Instances further down the line never do: in a large fleet they hear of renewals late,
+# and would all renew at once.
 MAX_TAKE_OVER_RANK = 5
 # An owner that was just granted a key gets the grant within some milliseconds.
 GRANT_WAIT_SECONDS = 0.03
@@ -241,8 +243,8 @@
             return False
         if self._orders.is_recent(endpoint.id, TAKE_OVER_SECONDS / 2, now):
             return False
-        rank = min(self._fleet.rank_for(endpoint, now), MAX_TAKE_OVER_RANK)
-        return now >= due + rank * TAKE_OVER_SECONDS
+        rank = self._fleet.rank_for(endpoint, now)
+        return rank <= MAX_TAKE_OVER_RANK and now >= due + rank * TAKE_OVER_SECONDS
 
     def has_duty(self, now: float) -> bool:
         """Return whether this instance renews leases, or does so next.
--- a/arbutusflow/gateway/store_watch.py
+++ b/arbutusflow/gateway/store_watch.py
@@ -141,13 +141,16 @@
         call = self._read() if self._list_needed else self._follow()
         self._call = asyncio.ensure_future(call)
         try:
-            await self._call
+            # Unlike awaiting the call itself, this tells its recall from the end of
+            # this task.
+            await asyncio.wait([self._call])
         except asyncio.CancelledError:
-            if not self._recalled:
-                self._call.cancel()
-                raise
-            self._recalled = False
+            self._call.cancel()
+            raise
+        self._recalled = False
+        if self._call.cancelled():
             return False
+        self._call.result()
         return True
 
     def suspect(self, detail: str) -> None:
@@ -239,7 +242,8 @@
         if since is None or now - since > BEHIND_RESET_SECONDS:
             self._behind_since = now
         elif now - since >= BEHIND_SECONDS:
-            self._behind_since = now
+            # The next question waits until this call had its time.
+            self._behind_since = now + LONGEST_CALL_SECONDS / 2
             self._log.sample("store_copy_behind", kind=self._kind, other=revision)
             self._exact_next = True
             self._recall()
--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -41,6 +41,7 @@
         self.away: set[str] = set()
         self.mute: set[str] = set()  # Instances whose calls get no answer.
         self.lose_answers = False
+        self.reach_seconds = 0.004  # On the way there, and on the way back of a watch.
         self.lag_seconds = 0.0  # Of watches that may lag.
         self.changed = asyncio.Event()
 
@@ -64,7 +65,7 @@
 
     async def _reach(self) -> None:
         self.calls += 1
-        await asyncio.sleep(0.004)
+        await asyncio.sleep(self._store.reach_seconds)
         if self._name in self._store.mute:
             await asyncio.sleep(60.0)
         if self._name in self._store.away:
@@ -236,7 +237,10 @@
 
     def sendto(self, data: bytes, target: tuple[str, int]) -> None:
         world = self.world
-        if (self.sender, target[0]) in world.cut_peers or world.rng.random() < 0.01:
+        if (
+            self.sender,
+            target[0],
+        ) in world.cut_peers or world.rng.random() < world.loss:
             return
         world.later(0.002, lambda: world.deliver(self.sender, target[0], data))
 
@@ -332,6 +336,7 @@
         self.store = SimStore()
         self.cut_orders: set[tuple[str, str]] = set()
         self.cut_peers: set[tuple[str, str]] = set()
+        self.loss = 0.01  # Share of datagrams.
         self.late_share = 0.0
         self.order_seconds = 0.002  # Until an order arrives.
         self.work_seconds = 0.1
--- a/tests/gateway/test_fleet_reports.py
+++ b/tests/gateway/test_fleet_reports.py
@@ -171,6 +171,26 @@
     assert kinds.count("TableChanged") > 10 * kinds.count("TableTold")
 
 
+def test_instances_far_down_the_line_never_renew():
+    """Whoever missed one report renewed: 65 endpoints were granted their keys by most
+    of 68 instances, whose reports grew to three kilobytes and filled their links."""
+
+    async def work(world):
+        await asyncio.sleep(8.0)
+        endpoint = world.endpoints["e0"].endpoint
+        ranks = {
+            i.task.fleet.rank_for(endpoint, world.now): i
+            for i in world.instances.values()
+        }
+        unaware = ranks[12]
+        for _ in range(20):
+            unaware.task.leases._renewed.clear()
+            await asyncio.sleep(0.05)
+        return endpoint.id in unaware.task.orders.reports(world.now)
+
+    assert not with_fleet(work, instances=30)
+
+
 def test_an_instance_that_keeps_up_with_many_tables_stays_vouched_for(monkeypatch):
     """Some other instance is always a little ahead while tables change, which counted
     as being behind for a second: on busy days hardly anyone was vouched for."""
--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -229,3 +229,38 @@
     calls, lost = run(main())
     assert calls <= 9 * 1.5 + 2 * 9 / 1.5  # One copy calls about once a second.
     assert lost == [None, None, None]
+
+
+def test_a_copy_that_is_behind_gives_its_call_time():
+    """On a full link the call took longer than 0.3 s, was given up each time and begun
+    anew: a configuration was 5 s late."""
+
+    async def work(store, writer, copy):
+        copy.use(15.0, may_lag=True)
+        store.lag_seconds = 10.0
+        await asyncio.sleep(1.0)
+        item = await writer.create("kind", "a", 1)
+        loop = asyncio.get_running_loop()
+        store.reach_seconds = 0.3  # Twice in each call.
+        for _ in range(25):
+            await asyncio.sleep(0.1)
+            copy.note_latest_elsewhere(item.revision, loop.time())
+        return "a" in copy.objects
+
+    assert follow(work)
+
+
+def test_a_copy_ends_when_its_task_is_cancelled_during_a_recall():
+    """The cancellation was taken for the recall, and the process did not end."""
+
+    async def work(store, writer, copy):
+        await asyncio.sleep(1.0)
+        task = next(
+            t for t in asyncio.all_tasks() if "ObjectCopy.run" in repr(t.get_coro())
+        )
+        copy.use(1.0, may_lag=False)
+        task.cancel()
+        await asyncio.wait([task], timeout=5.0)
+        return task.done()
+
+    assert follow(work)
