--- a/tests/gateway/object_platform.py
+++ b/tests/gateway/object_platform.py
@@ -21,6 +21,28 @@
 LOST_SECONDS = 60.0  # Longer than any caller of the store waits.
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
+# Settings file of a gateway, as the platform writes it.
+SETTINGS = """
+nodeName = "{name}"
+ip = "{host}"
+zone = "{zone}"
+internalPorts = [{peer},{peer}]
+[listen]
+front = "{host}:{front}"
+ready = "{host}:{ready}"
+[limits]
+memoryMb = 300
+[bounds]
+graceS = 6
+drainS = 2
+maxHoldS = 10
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retryBudgetSlack = 60
+[provider]
+address = "127.0.0.1:{store}"
+"""
+
 
 def _json(status: int, document: Any) -> Reply:
     return Reply(status, _JSON, msgspec.json.encode(document))
--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -8,7 +8,9 @@
 import asyncio
 import contextlib
 import dataclasses
+import os
 import random
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
@@ -24,6 +26,7 @@
 from arbutusflow.gateway.fleet_task import FleetTask
 from arbutusflow.gateway.model import Address, Answer, Endpoint, ExchangeError
 from arbutusflow.platform.store import Change, Changes, Snapshot, StoredObject
+from tests.gateway.virtual_time import run
 
 SLOW_CLOCK = 1.02  # An endpoint may count a lease two percent too long.
 SERVICE = "registry"
@@ -326,6 +329,24 @@
         self.kill()
 
 
+def run_fleet(
+    work: Callable[["SimFleet"], Awaitable[Any]], seed: int = 1, instances: int = 5
+) -> Any:
+    """Run a test's work on a simulated fleet in virtual time."""
+
+    async def main() -> Any:
+        log_fd = os.open(os.devnull, os.O_WRONLY)
+        world = SimFleet(seed, log_fd, instances)
+        try:
+            return await work(world)
+        finally:
+            for instance in world.instances.values():
+                instance.kill()
+            os.close(log_fd)
+
+    return run(main())
+
+
 class SimFleet:
     """The world: instances, endpoints, store and faults."""
 
--- a/tests/gateway/test_fleet_reports.py
+++ b/tests/gateway/test_fleet_reports.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-import os
 
 import pytest
 
@@ -15,27 +14,13 @@
 from arbutusflow.gateway.key_table import KeyRange
 from arbutusflow.gateway.model import Address, Answer, Endpoint
 from tests.gateway.fakes import FakeLog
-from tests.gateway.sim_fleet import SERVICE, SimFleet
+from tests.gateway.sim_fleet import SERVICE, run_fleet
 from tests.gateway.virtual_time import run
 
 # The aim for control is 2.4 % of a core (docs/CAPACITY.md); a report costs 0.1 ms.
 MAX_RECEIVED_PER_SECOND = 240
 
 
-def with_fleet(work, instances):
-    async def main():
-        log_fd = os.open(os.devnull, os.O_WRONLY)
-        world = SimFleet(1, log_fd, instances=instances)
-        try:
-            return await work(world)
-        finally:
-            for instance in world.instances.values():
-                instance.kill()
-            os.close(log_fd)
-
-    return run(main())
-
-
 @pytest.mark.parametrize("instances", [10, 60])
 def test_reports_stay_few_when_every_load_changes_all_the_time(instances):
     """With fixed periods 60 instances would receive about 800 a second each."""
@@ -51,7 +36,7 @@
             (i.received - before[name]) / 2.0 for name, i in world.instances.items()
         ]
 
-    assert max(with_fleet(work, instances)) <= MAX_RECEIVED_PER_SECOND
+    assert max(run_fleet(work, instances)) <= MAX_RECEIVED_PER_SECOND
 
 
 def test_keys_that_move_do_not_wait_for_regular_reports(monkeypatch):
@@ -67,7 +52,7 @@
         table = next(iter(world.instances["n0"].task.leases.tables.values())).table
         return {part.endpoint for part in table.ranges}, world.owned_share()
 
-    owners, share = with_fleet(work, instances=5)
+    owners, share = run_fleet(work, instances=5)
     assert "e1" not in owners
     assert share == 1.0
 
@@ -83,7 +68,7 @@
         close = [i for i in world.instances.values() if not i.task.copy.may_lag]
         return len(close), world.owned_share()
 
-    close, share = with_fleet(work, instances=60)
+    close, share = run_fleet(work, instances=60)
     # Two zones of two groups with a granter and a successor each, two watchers and a
     # planner.
     assert close <= 11
@@ -106,7 +91,7 @@
             shares.append(world.owned_share())
         return min(shares), world.violations
 
-    assert with_fleet(work, instances=12) == (1.0, [])
+    assert run_fleet(work, instances=12) == (1.0, [])
 
 
 def test_an_instance_that_became_the_planner_waits_for_the_demand():
@@ -135,7 +120,7 @@
         await asyncio.sleep(2.0)
         return known, early, heir.task.moves.knows_demand(SERVICE)
 
-    assert with_fleet(work, instances=6) == (True, False, True)
+    assert run_fleet(work, instances=6) == (True, False, True)
 
 
 def test_tables_are_asked_for_in_the_own_zone_first():
@@ -164,7 +149,7 @@
         zones = [(zone, world.instances[name].zone) for zone, name in asked]
         return zones, behind, current, kinds
 
-    zones, behind, current, kinds = with_fleet(work, instances=10)
+    zones, behind, current, kinds = run_fleet(work, instances=10)
     assert zones
     assert all(asker == asked for asker, asked in zones)
     assert all(applied == current for applied in behind)
@@ -188,7 +173,7 @@
             await asyncio.sleep(0.05)
         return endpoint.id in unaware.task.orders.reports(world.now)
 
-    assert not with_fleet(work, instances=30)
+    assert not run_fleet(work, instances=30)
 
 
 def test_an_instance_that_keeps_up_with_many_tables_stays_vouched_for(monkeypatch):
@@ -215,7 +200,7 @@
             vouched.append(fleet.is_vouched_for(world.now))
         return vouched
 
-    assert all(with_fleet(work, instances=5))
+    assert all(run_fleet(work, instances=5))
 
 
 def test_orders_name_the_endpoint_that_they_are_for():
--- a/tests/gateway/test_ownership_under_faults.py
+++ b/tests/gateway/test_ownership_under_faults.py
@@ -4,14 +4,12 @@
 """
 
 import asyncio
-import os
 
 import pytest
 
 from arbutusflow.gateway import fleet as fleet_module, key_moves
 from arbutusflow.gateway.fleet import Fleet
-from tests.gateway.sim_fleet import PROBED_KEYS, SimFleet
-from tests.gateway.virtual_time import run
+from tests.gateway.sim_fleet import PROBED_KEYS, SimFleet, run_fleet
 
 FAULTY_SECONDS = 40.0
 SETTLE_SECONDS = 20.0
@@ -19,20 +17,6 @@
 SERVED_AGAIN_SECONDS = 3.0  # The users' target after a loss.
 
 
-def _with_fleet(work, seed=1, **options):
-    async def main():
-        log_fd = os.open(os.devnull, os.O_WRONLY)
-        world = SimFleet(seed, log_fd, **options)
-        try:
-            return await work(world)
-        finally:
-            for instance in world.instances.values():
-                instance.kill()
-            os.close(log_fd)
-
-    return run(main())
-
-
 async def _random_faults(world: SimFleet) -> None:
     rng, names = world.rng, sorted(world.instances)
 
@@ -93,7 +77,7 @@
         await asyncio.sleep(3.0)
         return world.violations, world.owned_share()
 
-    assert _with_fleet(work) == ([], 1.0)
+    assert run_fleet(work) == ([], 1.0)
 
 
 def test_owners_stay_through_an_outage_of_the_store():
@@ -108,7 +92,7 @@
             shares.append(world.owned_share())
         return min(shares), world.violations
 
-    assert _with_fleet(work) == (1.0, [])
+    assert run_fleet(work) == (1.0, [])
 
 
 def test_owners_stay_when_an_instance_is_lost():
@@ -124,7 +108,7 @@
             shares.append(world.owned_share())
         return min(shares), world.violations
 
-    assert _with_fleet(work) == (1.0, [])
+    assert run_fleet(work) == (1.0, [])
 
 
 def test_keys_of_a_leaving_endpoint_move_while_an_instance_is_off_the_store():
@@ -139,7 +123,7 @@
         owners = {p.endpoint for p in _table(world, "n0").ranges}
         return owners, world.owned_share(), world.violations
 
-    owners, share, violations = _with_fleet(work)
+    owners, share, violations = run_fleet(work)
     assert (share, violations) == (1.0, [])
     assert "e1" not in owners
 
@@ -157,7 +141,7 @@
         now = world.now
         return [i.task.fleet.is_vouched_for(now) for i in world.instances.values()]
 
-    assert all(_with_fleet(work))
+    assert all(run_fleet(work))
 
 
 def test_a_planned_end_with_an_unanswered_grant_keeps_the_record():
@@ -175,7 +159,7 @@
         await granting[0].stop()
         return f"instance-{granting[0].name}" in world.store.objects
 
-    assert _with_fleet(work)
+    assert run_fleet(work)
 
 
 @pytest.mark.parametrize("endpoint", ["e0", "e1", "e2", "e3"])
@@ -197,7 +181,7 @@
         await asyncio.sleep(4.0)
         return world.violations, world.owned_share()
 
-    assert _with_fleet(work) == ([], 1.0)
+    assert run_fleet(work) == ([], 1.0)
 
 
 def test_keys_that_were_about_to_move_stay_with_their_owner_after_a_loss_of_all():
@@ -218,7 +202,7 @@
             shares.append(world.owned_share())
         return min(shares), world.violations
 
-    assert _with_fleet(work) == (1.0, [])
+    assert run_fleet(work) == (1.0, [])
 
 
 def test_a_lease_counts_from_the_arrival_of_its_grant():
@@ -235,12 +219,12 @@
         await asyncio.sleep(7.0)
         return world.violations, world.owned_share()
 
-    assert _with_fleet(work) == ([], 1.0)
+    assert run_fleet(work) == ([], 1.0)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_key_has_one_owner_under_random_faults(seed):
-    violations, share = _with_fleet(_faults_then_calm, seed)
+    violations, share = run_fleet(_faults_then_calm, seed)
     assert violations == []
     assert share == 1.0
 
@@ -291,4 +275,4 @@
 def test_a_planted_fault_is_found(plant, monkeypatch):
     """The test above proves something only if it fails on a broken rule."""
     plant(monkeypatch)
-    assert any(_with_fleet(_faults_then_calm, seed)[0] for seed in range(40))
+    assert any(run_fleet(_faults_then_calm, seed)[0] for seed in range(40))
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -17,33 +17,12 @@
 from arbutusflow.gateway.model import Address
 from arbutusflow.gateway.process import Gateway
 from arbutusflow.platform import settings as platform_settings
-from tests.gateway.object_platform import KeyedEndpoint, ObjectStore
+from tests.gateway.object_platform import SETTINGS, KeyedEndpoint, ObjectStore
 from tests.gateway.test_documents import CONFIGURATION
 
 PATIENCE_SECONDS = 30.0
 HOST = "127.0.0.1"
 
-SETTINGS = """
-nodeName = "{name}"
-ip = "127.0.0.1"
-zone = "z"
-internalPorts = [{peer},{peer}]
-[listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
-[limits]
-memoryMb = 300
-[bounds]
-graceS = 6
-drainS = 2
-maxHoldS = 10
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-retryBudgetSlack = 60
-[provider]
-address = "127.0.0.1:{store}"
-"""
-
 
 def free_port():
     with socket.socket() as sock:
@@ -93,7 +72,11 @@
         ports = ports or {kind: free_port() for kind in ("front", "ready", "peer")}
         self.ports[name] = ports
         path = self.directory / f"{name}.toml"
-        path.write_text(SETTINGS.format(name=name, store=self.ports["store"], **ports))
+        path.write_text(
+            SETTINGS.format(
+                name=name, host=HOST, zone="z", store=self.ports["store"], **ports
+            )
+        )
         cfg = platform_settings.load_settings(path)
         # The port for metrics is the same for all instances of a machine.
         gateway = Gateway(dataclasses.replace(cfg, metrics_port=None), path)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -14,7 +14,7 @@
 from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.model import Address, Answer, ExchangeError
 from arbutusflow.platform.settings import SETTINGS_VARIABLE
-from tests.gateway.object_platform import ObjectStore
+from tests.gateway.object_platform import SETTINGS, ObjectStore
 from tests.gateway.test_documents import CONFIGURATION
 from tests.soak.audit import Audit, AuditedEndpoint, echo_of
 from tests.soak.proxy import FaultyProxy
@@ -23,26 +23,6 @@
 KEYS = (1, 9000, 20_000, 33_000, 50_000, 65_535)
 SETTLE_SECONDS = 45.0  # Generous: machines that run tests are slow at times.
 DEADLINE_SECONDS = 1.5
-SETTINGS = """
-nodeName = "{name}"
-ip = "{host}"
-zone = "{zone}"
-internalPorts = [{peer},{peer}]
-[listen]
-front = "{host}:{front}"
-ready = "{host}:{ready}"
-[limits]
-memoryMb = 300
-[bounds]
-graceS = 6
-drainS = 2
-maxHoldS = 10
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-retryBudgetSlack = 60
-[provider]
-address = "127.0.0.1:{store}"
-"""
 
 
 def _route(name: str, prefix: str, kind: str, service: str) -> dict[str, object]:
