--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -78,8 +78,8 @@
                 link.pump(reader, link.target, self.open_up),
                 link.pump(up_reader, writer, self.open_down),
             )
-        except (OSError, asyncio.IncompleteReadError):
-            pass  # Either side ended; both are reset below.
+        except (OSError, asyncio.CancelledError):
+            pass  # Either side ended, or the run; both sides are reset below.
         finally:
             self._links.discard(link)
             link.reset()
