--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -28,6 +28,7 @@
 STORE_ANSWER_SECONDS = 0.004
 # Reads that may return old data (`serializable` = 1) are this old.
 SERIALIZABLE_LAG_SECONDS = 1.0
+BODY_PIECE_BYTES = 262_144
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _ids = itertools.count(1)
 
@@ -74,8 +75,13 @@
         return int(self.start.split(" ", 2)[1])
 
 
-async def read_message(reader: asyncio.StreamReader) -> Message | None:
-    """Read one message; None if the peer closed the connection before its end."""
+async def read_message(
+    reader: asyncio.StreamReader, body_bytes_per_second: float = 0.0
+) -> Message | None:
+    """Read one message; None if the peer closed the connection before its end.
+
+    The body is read at most at the given rate, if there is one.
+    """
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         start, *lines = head.rstrip("\r\n").split("\r\n")
@@ -83,8 +89,15 @@
         for line in lines:
             name, _, value = line.partition(":")
             headers[name.strip().lower()] = value.strip()
-        length = int(headers.get("content-length", "0"))
-        return Message(start, headers, await reader.readexactly(length))
+        left = int(headers.get("content-length", "0"))
+        pieces = []
+        while left:
+            size = min(left, BODY_PIECE_BYTES)
+            pieces.append(await reader.readexactly(size))
+            left -= size
+            if body_bytes_per_second and left:
+                await asyncio.sleep(size / body_bytes_per_second)
+        return Message(start, headers, b"".join(pieces))
     except (asyncio.IncompleteReadError, OSError):
         return None
 
@@ -296,6 +309,8 @@
         self.work_seconds = work_seconds
         self.life = 0
         self.up = False
+        self.answer_bytes = 0  # Size of the bodies of answers, if they are padded.
+        self.body_bytes_per_second = 0.0  # Limits how fast bodies are read.
         self.state = "ready"
         self.port = 0
         self.leases: list[Lease] = []
@@ -388,7 +403,8 @@
         self._writers.add(writer)
         life = self.life
         try:
-            while (req := await read_message(reader)) is not None:
+            rate = self.body_bytes_per_second
+            while (req := await read_message(reader, rate)) is not None:
                 work = asyncio.create_task(self._answer(req))
                 while not work.done():
                     await asyncio.wait({work}, timeout=0.02)
@@ -459,7 +475,9 @@
         finally:
             self.busy -= 1
             slots.release()
-        body = f"{self.name} {req.start} ".encode() + req.body
+        shown = req.body if len(req.body) < 1000 else b"%d bytes" % len(req.body)
+        body = f"{self.name} {req.start} ".encode() + shown
+        body = body.ljust(self.answer_bytes, b".")
         load = f"{self.busy},{self.waiting},{self.slots}"
         seal = f"seal.{request_id}.{len(body)}"
         headers = {**echo, "Response-Seal": seal, "Instance-Load": load}
