--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -308,6 +308,7 @@
         self.queue = queue
         self.work_seconds = work_seconds
         self.life = 0
+        self._born = 0
         self.up = False
         self.answer_bytes = 0  # Size of the bodies of answers, if they are padded.
         self.body_bytes_per_second = 0.0  # Limits how fast bodies are read.
@@ -346,29 +347,33 @@
         self.register()
         self._beats = asyncio.create_task(self._beat())
 
-    def register(self) -> None:
-        """Write the entry in the store."""
+    def entry(self) -> dict[str, Any]:
+        """Return the entry that the endpoint writes."""
         info = {
             "service": self.service,
             "version": "v1",
             "zone": self.zone,
             "slots": self.slots,
         }
-        status = {"state": self.state, "seq": 1, "coldLeftS": 0}
-        spec = {
+        return {
             "address": f"127.0.0.1:{self.port}",
             "info": info,
-            "status": status,
+            "status": {"state": self.state, "seq": 1, "coldLeftS": 0},
             "born": self._born,
         }
-        self._store.put("servers", self.name, spec)
+
+    def register(self) -> None:
+        """Write the entry, which creates an event only if it differs."""
+        known = self._store.objects.get(("servers", self.name))
+        if known is None or known["spec"] != self.entry():
+            self._store.put("servers", self.name, self.entry())
         self._store.beat(self.name)
 
     async def _beat(self) -> None:
         while self.up:
             await asyncio.sleep(HEARTBEAT_SECONDS)
             if self.up:
-                self._store.beat(self.name)
+                self.register()
 
     def drain(self) -> None:
         """Announce that the endpoint leaves."""
