Count responses that belong to no request in flight

Change: the pool counts bytes that arrive on an idle connection and complete responses with another identifier; the metrics show the sum as stray_responses.

No decision depends on it.

--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -10,6 +10,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
 
 import httptools
 
@@ -54,10 +55,15 @@
     """Sends one request at a time and buffers its response."""
 
     def __init__(
-        self, id_header: bytes | None = None, budget: BodyBudget | None = None
+        self,
+        id_header: bytes | None = None,
+        budget: BodyBudget | None = None,
+        on_stray: Callable[[], None] = lambda: None,
     ) -> None:
         self._id_header = id_header
         self._budget = budget  # Memory for the bodies of all responses.
+        # Called when bytes arrive that belong to no request in flight.
+        self._on_stray = on_stray
         self._transport: asyncio.Transport | None = None
         self._response_future: asyncio.Future[HttpResponse] | None = None
         self._expected_id: bytes | None = None
@@ -85,13 +91,16 @@
         timeout: float,
         id_header: bytes | None = None,
         budget: BodyBudget | None = None,
+        on_stray: Callable[[], None] = lambda: None,
     ) -> "ClientConnection":
         """Open a connection. Raises ExchangeError with `sent` false."""
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout):
                 _, conn = await loop.create_connection(
-                    lambda: cls(id_header, budget), address.host, address.port
+                    lambda: cls(id_header, budget, on_stray),
+                    address.host,
+                    address.port,
                 )
         except (OSError, TimeoutError) as exc:
             detail = f"cannot connect to {address.host}:{address.port}: {exc!r}"
@@ -214,6 +223,8 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; unsolicited bytes make the connection unusable."""
         if self._response_future is None or self._response_future.done():
+            if not self.closed:
+                self._on_stray()
             self._set_must_close()
             return
         if self._progress is not None:
@@ -337,6 +348,7 @@
             # follow, but the connection is not reused.
             self._must_close = True
             self._stray_count += 1
+            self._on_stray()
             if self._stray_count > MAX_STRAY_RESPONSES or not reusable:
                 self._fail("received responses to other requests")
             return
--- a/arbutusflow/gateway/connection_pool.py
+++ b/arbutusflow/gateway/connection_pool.py
@@ -40,6 +40,7 @@
         self._in_use: collections.Counter[Address] = collections.Counter()
         self._max_idle: dict[Address, int] = {}
         self.opened = 0
+        self.strays = 0  # How often bytes arrived that belong to no request in flight.
 
     def set_max_idle(self, limits: dict[Address, int]) -> None:
         """Set the maximum number of idle connections to each address.
@@ -93,6 +94,7 @@
             min(timeout, CONNECT_TIMEOUT_SECONDS),
             self._id_header,
             self._budget,
+            self._count_stray,
         )
         self.opened += 1
         if at_most_once:
@@ -131,6 +133,9 @@
             return None
         return None
 
+    def _count_stray(self) -> None:
+        self.strays += 1
+
     def in_use(self, address: Address) -> int:
         """Return the number of current exchanges with an address."""
         return self._in_use[address]
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -440,6 +440,7 @@
     async def _metrics(self, req: CallerRequest) -> CallerResponse:
         self.metrics.set_gauge("store_calls", self.store.calls)
         self.metrics.set_gauge("connections_opened", self.pool.opened)
+        self.metrics.set_gauge("stray_responses", self.pool.strays)
         self.metrics.set_gauge("log_lines_dropped", self.log.dropped)
         return CallerResponse(
             200, ((b"Content-Type", b"text/plain"),), self.metrics.render()
--- a/tests/gateway/test_answer_matching.py
+++ b/tests/gateway/test_answer_matching.py
@@ -46,9 +46,11 @@
         self.sends = 0
         self.connections = 0
 
-    async def open(self, address, timeout, id_header=None, budget=None):
+    async def open(
+        self, address, timeout, id_header=None, budget=None, on_stray=lambda: None
+    ):
         self.connections += 1
-        conn = ClientConnection(id_header, budget)
+        conn = ClientConnection(id_header, budget, on_stray)
         conn.connection_made(_Link(self, conn))
         return conn
 
@@ -120,6 +122,22 @@
     assert run(scenario()) == [(1, 1), (2, 2)]
 
 
+@pytest.mark.parametrize("request_ids", [(b"a",), (b"a", b"b")])
+def test_a_second_copy_of_an_answer_is_counted(connect_to, request_ids):
+    """Guards against copies that operators cannot see, while the connection is idle or
+    carries the next request."""
+    endpoint = Endpoint([Answering(0.001, copies=(0.01,)), Answering(0.1)])
+
+    async def scenario():
+        pool = connect_to(endpoint)
+        for request_id in request_ids:
+            await send(pool, endpoint, request_id)
+        await asyncio.sleep(0.1)
+        return pool.strays
+
+    assert run(scenario()) == 1
+
+
 def test_a_connection_refuses_an_identifier_that_it_has_carried(connect_to):
     """Guards against callers of the pool that forget to name the request."""
     endpoint = Endpoint([])
