Play rejections, failures and disturbed responses in the soak

Cause: the soak played no second copies of responses, no endpoints that reject requests without asking to wait or fail after running them, and no lost or cut responses, and it took only status 503 for a promise. So it could not show what the users saw (REFUSED).

Change: proxies repeat, cut or lose responses; endpoints reject or fail a share of the requests; orders also go to the keyed service; one key is busy; more callers and shorter gaps between faults. Statuses 408, 421 and 429 count as promises.

--- a/tests/gateway/object_platform.py
+++ b/tests/gateway/object_platform.py
@@ -222,15 +222,19 @@
         if wait > 0:
             asks_to_wait = ((wire.NOT_RUN, b"1"), (wire.RETRY_AFTER, b"%.3f" % wait))
             return CallerResponse(503, echoed_headers + asks_to_wait)
+        return await self._run(req, request_id)
+
+    async def _run(self, req: CallerRequest, request_id: bytes) -> CallerResponse:
+        """Run a request that the endpoint may run, and answer it."""
         self.ran.append(request_id)
         await asyncio.sleep(self.work_seconds)
         load = b"%d,0,2" % len(self.server.connections)
-        endpoint_headers = ((wire.SIGNATURE, b"seal"), (wire.ENDPOINT_LOAD, load))
-        return CallerResponse(
-            200,
-            echoed_headers + endpoint_headers,
-            req.method + b" " + req.target + req.body,
+        headers = (
+            (wire.REQUEST_ID, request_id),
+            (wire.SIGNATURE, b"seal"),
+            (wire.ENDPOINT_LOAD, load),
         )
+        return CallerResponse(200, headers, req.method + b" " + req.target + req.body)
 
     def _holds(self, key: int) -> bool:
         now = time.monotonic()
--- a/tests/soak/audit.py
+++ b/tests/soak/audit.py
@@ -1,6 +1,8 @@
 """Checks the guarantees of the gateway on what callers and endpoints observe."""
 
+import collections
 import dataclasses
+import random
 import time
 from typing import Any
 
@@ -15,6 +17,10 @@
 # A process that was paused, or a connection that was blocked, may deliver messages
 # from before the fault when it recovers; grants are not judged for this long.
 RECOVERY_GRACE_SECONDS = 0.3
+# Statuses that promise that a request has not run and will not run.
+PROMISES = frozenset({408, 421, 429, 503})
+# Statuses of an endpoint that has run a request and failed.
+FAILURES = (500, 503, 429, 408)
 
 
 @dataclasses.dataclass
@@ -29,6 +35,18 @@
     # First key, last key, fencing token and endpoint of each grant that was applied.
     granted: list[tuple[int, int, int, str]] = dataclasses.field(default_factory=list)
     started: float = dataclasses.field(default_factory=time.monotonic)
+    # What endpoints, proxies and callers saw of each request, in order.
+    _events: dict[bytes, list[str]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+
+    def record_event(self, request_id: bytes, text: str) -> None:
+        """Record what happened to a request, with the seconds since the start."""
+        self._events[request_id].append(f"{time.monotonic() - self.started:.3f} {text}")
+
+    def history(self, request_id: bytes) -> str:
+        """Return the recorded events of a request."""
+        return "; ".join(self._events[request_id])
 
     def record_violation(self, text: str) -> None:
         """Record a violation, with the seconds since the start of the run."""
@@ -69,12 +87,18 @@
         """Count a run of a request; only a GET request may run more than once."""
         self.run_counts[request_id] = self.run_counts.get(request_id, 0) + 1
         if self.run_counts[request_id] > 1 and method != b"GET":
-            self.record_violation(f"request {request_id.decode()} ran more than once")
+            self.record_violation(
+                f"request {request_id.decode()} ran more than once:"
+                f" {self.history(request_id)}"
+            )
 
     def check_refusals(self) -> None:
         """Check that no refused POST request has run."""
         for request_id in self.refused & self.run_counts.keys():
-            self.record_violation(f"request {request_id.decode()} was refused but ran")
+            self.record_violation(
+                f"request {request_id.decode()} was refused but ran:"
+                f" {self.history(request_id)}"
+            )
 
 
 class AuditedEndpoint(FakeEndpoint):
@@ -86,6 +110,11 @@
         self.alive = True
         self.left_at: float | None = None
         self.started_ms = 1
+        # Shares of the requests that it rejects without running them, and of those that
+        # it runs and then answers with a failure.
+        self.rejected_share = 0.0
+        self.failed_share = 0.0
+        self.rng = random.Random(name)
         self._audit = audit
         audit.endpoints.append(self)
 
@@ -100,14 +129,19 @@
             self._audit.check_grant(self, order)
         return reply
 
-    async def _handle(self, req: CallerRequest) -> CallerResponse:
-        count = len(self.ran)
-        try:
-            return await super()._handle(req)
-        finally:
-            for request_id in self.ran[count : count + 1]:
-                if request_id == req.header(wire.REQUEST_ID):
-                    self._audit.count_run(request_id, req.method)
+    async def _run(self, req: CallerRequest, request_id: bytes) -> CallerResponse:
+        if self.rng.random() < self.rejected_share:
+            self._audit.record_event(request_id, f"{self.name} rejects it")
+            return CallerResponse(
+                503, ((wire.REQUEST_ID, request_id), (wire.NOT_RUN, b"1"))
+            )
+        self._audit.record_event(request_id, f"{self.name} runs it")
+        self._audit.count_run(request_id, req.method)
+        reply = await super()._run(req, request_id)
+        if self.rng.random() < self.failed_share:
+            reply = dataclasses.replace(reply, status=self.rng.choice(FAILURES))
+        self._audit.record_event(request_id, f"{self.name} answers {reply.status}")
+        return reply
 
 
 def expected_body(method: bytes, target: bytes, body: bytes) -> bytes:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,13 +5,15 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from tests.soak.proxy import FaultInjectingProxy
+from tests.soak.audit import AuditedEndpoint
+from tests.soak.proxy import FaultInjectingProxy, ResponseFaults
 from tests.soak.world import SoakWorld, configuration
 
 Fault = Callable[[SoakWorld], Awaitable[None]]
 # A fault that takes a keyed endpoint away starts only if there are more than this, so
 # that other endpoints can take over its keys.
 MIN_KEYED_ENDPOINTS = 3
+FAULT_GAP_SECONDS = (0.1, 1.5)  # Shortest and longest time between two faults.
 
 
 async def _wait_random(
@@ -104,6 +106,46 @@
     endpoint.wait_until = time.monotonic() + world.rng.uniform(0.2, 4.0)
 
 
+def _some_endpoints(world: SoakWorld) -> list[AuditedEndpoint]:
+    endpoints = list(world.endpoints.values())
+    return world.rng.sample(endpoints, world.rng.randint(1, len(endpoints)))
+
+
+async def endpoints_reject(world: SoakWorld) -> None:
+    """Make endpoints reject many requests although they have room."""
+    endpoints = _some_endpoints(world)
+    for endpoint in endpoints:
+        endpoint.rejected_share = world.rng.uniform(0.1, 0.6)
+    await _wait_random(world, 1.0, 6.0)
+    for endpoint in endpoints:
+        endpoint.rejected_share = 0.0
+
+
+async def endpoints_fail(world: SoakWorld) -> None:
+    """Make endpoints answer requests that they have run with failures."""
+    endpoints = _some_endpoints(world)
+    for endpoint in endpoints:
+        endpoint.failed_share = world.rng.uniform(0.05, 0.5)
+    await _wait_random(world, 1.0, 6.0)
+    for endpoint in endpoints:
+        endpoint.failed_share = 0.0
+
+
+async def responses_disturbed(world: SoakWorld) -> None:
+    """Repeat, cut or lose responses of some endpoints."""
+    kind = world.rng.choice(("repeated", "cut", "lost"))
+    share = world.rng.uniform(0.02, 0.3 if kind == "repeated" else 0.1)
+    faults = ResponseFaults(world.rng, **{kind: share})
+    proxies = [
+        world.proxies[e.name] for e in _some_endpoints(world) if e.name in world.proxies
+    ]
+    for proxy in proxies:
+        proxy.response_faults = faults
+    await _wait_random(world, 1.0, 6.0)
+    for proxy in proxies:
+        proxy.response_faults = None
+
+
 async def instance_paused(world: SoakWorld) -> None:
     """Pause the process of an instance and resume it."""
     gateway = world.rng.choice(world.gateways)
@@ -150,6 +192,9 @@
     endpoint_drains,
     endpoint_restarts,
     endpoint_asks_to_wait,
+    endpoints_reject,
+    endpoints_fail,
+    responses_disturbed,
     instance_paused,
     instance_killed,
     instance_stopped,
@@ -165,5 +210,5 @@
         fault = world.rng.choice(FAULTS)
         injected.append(fault.__name__)
         world.spawn(fault(world))
-        await asyncio.sleep(world.rng.uniform(0.2, 2.5))
+        await asyncio.sleep(world.rng.uniform(*FAULT_GAP_SECONDS))
     return injected
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,18 +1,39 @@
 """Loopback proxy that injects faults into TCP connections.
 
-It can delay, block, silence, refuse or reset them.
+It can delay, block, silence, refuse or reset them, and repeat, cut or lose responses.
 """
 
 import asyncio
 import contextlib
+import dataclasses
+import random
 import socket
 import struct
+from collections.abc import Callable
 
 CHUNK_BYTES = 65536
 # SO_LINGER with a timeout of zero: closing the socket sends a reset.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+# How long after a response its second copy is sent.
+MIN_COPY_DELAY_SECONDS = 0.005
+MAX_COPY_DELAY_SECONDS = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class ResponseFaults:
+    """Shares of the chunks from the target that are disturbed, and in which way.
+
+    Responses of the endpoints of a run are small, so that each one is a chunk.
+    """
+
+    rng: random.Random
+    repeated: float = 0.0  # Sent once more, late.
+    cut: float = 0.0  # Only the first half is sent, then the connection is reset.
+    lost: float = 0.0  # Not sent; the connection is reset.
+
+
 class FaultInjectingProxy:
     """Forwards connections to one target.
 
@@ -21,14 +42,21 @@
     it is closed, while new connections work.
     """
 
-    def __init__(self, target_port: int, host: str = "127.0.0.1") -> None:
+    def __init__(
+        self,
+        target_port: int,
+        host: str = "127.0.0.1",
+        on_fault: Callable[[str, bytes], None] = lambda fault, response: None,
+    ) -> None:
         self._target_port = target_port
+        self.on_fault = on_fault  # Called with each response that is disturbed.
         self._host = host
         self._server: asyncio.Server | None = None
         self._connections: set[_ProxiedConnection] = set()
         self.port = 0
         self.delay_seconds = 0.0
         self.refuses_connections = False
+        self.response_faults: ResponseFaults | None = None
         # Set while bytes to the target are forwarded.
         self.upstream_open = asyncio.Event()
         # Set while bytes to the client are forwarded.
@@ -56,6 +84,7 @@
         self.upstream_open.set()
         self.downstream_open.set()
         self.refuses_connections, self.delay_seconds = False, 0.0
+        self.response_faults = None
 
     def block(self, *, upstream: bool = True, downstream: bool = True) -> None:
         """Hold back the bytes of one direction or of both."""
@@ -125,9 +154,32 @@
                 return
             if not data:
                 raise ConnectionResetError  # Ends the other direction, too.
+            faults = self._proxy.response_faults
+            if faults is not None and writer is self._writer:
+                data = self._disturb(faults, data)
             writer.write(data)
             await writer.drain()
 
+    def _disturb(self, faults: ResponseFaults, data: bytes) -> bytes:
+        """Return what is sent of a response. Raises ConnectionResetError to reset."""
+        drawn = faults.rng.random()
+        if drawn < faults.repeated:
+            self._proxy.on_fault("repeated", data)
+            delay = faults.rng.uniform(MIN_COPY_DELAY_SECONDS, MAX_COPY_DELAY_SECONDS)
+            asyncio.get_running_loop().call_later(delay, self._send_copy, data)
+        elif drawn < faults.repeated + faults.cut:
+            self._proxy.on_fault("cut", data)
+            self._writer.write(data[: len(data) // 2])
+            raise ConnectionResetError
+        elif drawn < faults.repeated + faults.cut + faults.lost:
+            self._proxy.on_fault("lost", data)
+            raise ConnectionResetError
+        return data
+
+    def _send_copy(self, data: bytes) -> None:
+        if not self._writer.is_closing():
+            self._writer.write(data)
+
     def reset(self) -> None:
         for writer in (self._writer, self.target):
             if writer is None:
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -11,19 +11,26 @@
 import typer
 
 from tests.soak import faults
-from tests.soak.world import SoakWorld
+from tests.soak.world import ROOT, SoakWorld
 
-CALLERS = 8
+CALLERS = 24
 FAULT_END_SECONDS = 20.0  # Longest wait for the injected faults to end.
 # Wait before the check that no refused request has run.
 LATE_RUN_SECONDS = 2.0
 
 
 async def run_seed(
-    seed: int, directory: pathlib.Path, instances: int, seconds: float
+    seed: int,
+    directory: pathlib.Path,
+    instances: int,
+    seconds: float,
+    product: pathlib.Path = ROOT,
 ) -> tuple[list[str], dict[int, int], list[str]]:
-    """Run one seed; return violations, number of answers by status, and faults."""
-    world = SoakWorld(seed, directory, instances)
+    """Run one seed; return violations, number of answers by status, and faults.
+
+    `product` is the repository whose gateway the instances run.
+    """
+    world = SoakWorld(seed, directory, instances, product)
     try:
         await world.start()
         for _ in range(CALLERS):
@@ -46,14 +53,18 @@
 
 
 def main(
-    first: int = 1, count: int = 1, instances: int = 4, seconds: float = 15.0
+    first: int = 1,
+    count: int = 1,
+    instances: int = 4,
+    seconds: float = 15.0,
+    product: pathlib.Path = ROOT,
 ) -> None:
     """Run seeds one after the other, and print where the logs of failed ones are."""
     failed = []
     for seed in range(first, first + count):
         directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         violations, answers, injected = asyncio.run(
-            run_seed(seed, directory, instances, seconds)
+            run_seed(seed, directory, instances, seconds, product)
         )
         typer.echo(f"seed {seed}: {len(injected)} faults, answers by status: {answers}")
         for violation in violations:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -13,14 +14,18 @@
 
 from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.model import Address, ExchangeError, HttpResponse
+from arbutusflow.platform import wire
 from arbutusflow.platform.settings import SETTINGS_VARIABLE
 from tests.gateway.object_platform import SETTINGS, ObjectStore
 from tests.gateway.test_documents import CONFIGURATION
-from tests.soak.audit import Audit, AuditedEndpoint, expected_body
+from tests.soak.audit import PROMISES, Audit, AuditedEndpoint, expected_body
 from tests.soak.proxy import FaultInjectingProxy
 
+# Repository whose gateway the processes of a run execute.
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 ZONES = ("z0", "z1")
 KEYS = (1, 9000, 20_000, 33_000, 50_000, 65_535)
+BUSY_KEY_SHARE = 0.3  # Share of the requests that are for one key.
 SETTLE_SECONDS = 45.0  # Long, because test hosts can be slow.
 DEADLINE_SECONDS = 1.5
 
@@ -47,6 +52,7 @@
     paths = [
         _route("lookup", "/x/", "safe", "keyed"),
         _route("order", "/y/", "unsafe", "plain"),
+        _route("keyed-order", "/z/", "unsafe", "keyed"),
     ]
     paths += [_route(f"v{version}", f"/v{version}/", "safe", "plain")]
     hosts = [{"host": "shop.example", "paths": paths}]
@@ -67,7 +73,14 @@
 class GatewayProcess:
     """One instance, whose process can be ended and started again."""
 
-    def __init__(self, number: int, directory: pathlib.Path, store_port: int) -> None:
+    def __init__(
+        self,
+        number: int,
+        directory: pathlib.Path,
+        store_port: int,
+        product: pathlib.Path,
+    ) -> None:
+        self._product = product
         self.name = f"n{number}"
         self.zone = ZONES[number % len(ZONES)]
         # All instances use the same metrics port, so each instance of each test process
@@ -90,6 +103,7 @@
         with self._log.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "arbutusflow", "gateway"],
+                cwd=self._product,
                 env={**os.environ, SETTINGS_VARIABLE: str(self._settings)},
                 stdout=log,
                 stderr=log,
@@ -121,8 +135,16 @@
 class SoakWorld:
     """The store, endpoints, instances, callers and audit of one run."""
 
-    def __init__(self, seed: int, directory: pathlib.Path, instances: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        directory: pathlib.Path,
+        instances: int,
+        product: pathlib.Path = ROOT,
+    ) -> None:
+        self._product = product
         self.rng = random.Random(seed)
+        self.busy_key = self.rng.choice(KEYS)
         self.audit = Audit()
         self.store = ObjectStore()
         self.version = 1
@@ -151,7 +173,7 @@
             proxy = FaultInjectingProxy(store_port)
             await proxy.start()
             self.store_proxies.append(proxy)
-            gateway = GatewayProcess(number, self._directory, proxy.port)
+            gateway = GatewayProcess(number, self._directory, proxy.port, self._product)
             gateway.start()
             self.gateways.append(gateway)
         await self.settle()
@@ -190,12 +212,20 @@
         endpoint = AuditedEndpoint(name, service, self.audit)
         endpoint.work_seconds = self.rng.uniform(0.01, 0.08)
         await endpoint.server.start("127.0.0.1", 0)
-        proxy = FaultInjectingProxy(endpoint.server.port)
+        proxy = FaultInjectingProxy(
+            endpoint.server.port, on_fault=self._record_response_fault
+        )
         await proxy.start()
         self.endpoints[name], self.proxies[name] = endpoint, proxy
         self.register(endpoint, "ready")
         return endpoint
 
+    def _record_response_fault(self, fault: str, response: bytes) -> None:
+        found = re.search(rb"\r\n%b: *(\w+)" % wire.REQUEST_ID, response, re.IGNORECASE)
+        if found is not None:
+            status = response[9:12].decode("latin-1")
+            self.audit.record_event(found[1], f"response {status} {fault}")
+
     def register(self, endpoint: AuditedEndpoint, state: str) -> None:
         """Write the object that registers an endpoint with the platform."""
         zone = ZONES[int(endpoint.name[1:]) % len(ZONES)]
@@ -239,7 +269,9 @@
         self._last_number += 1
         request_id = b"r%d" % self._last_number
         is_order = self.rng.random() < 0.4
-        method, target = (b"POST", b"/y/1") if is_order else (b"GET", b"/x/1")
+        method, target = b"GET", b"/x/1"
+        if is_order:
+            method, target = b"POST", self.rng.choice((b"/y/1", b"/z/1"))
         body = request_id if is_order else b""
         head = b"%b %b HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %b\r\n" % (
             method,
@@ -248,12 +280,17 @@
         )
         head += b"Deadline-Ms: %d\r\nShard-Key: %d\r\nContent-Length: %d\r\n\r\n" % (
             DEADLINE_SECONDS * 1000,
-            self.rng.choice(KEYS),
+            self._choose_key(),
             len(body),
         )
         answer = await conn.exchange(head, body, DEADLINE_SECONDS + 1.0)
         self._check_answer(answer, request_id, method, target, body)
 
+    def _choose_key(self) -> int:
+        if self.rng.random() < BUSY_KEY_SHARE:
+            return self.busy_key
+        return self.rng.choice(KEYS)
+
     def _check_answer(
         self,
         answer: HttpResponse,
@@ -267,7 +304,8 @@
             self.audit.record_violation(
                 f"request {request_id.decode()} got the answer of another request"
             )
-        if answer.status == 503 and method == b"POST":
+        self.audit.record_event(request_id, f"its caller gets {answer.status}")
+        if answer.status in PROMISES and method == b"POST":
             self.audit.refused.add(request_id)
         if answer.status in (404, 400):
             self.audit.record_violation(
