--- a/tests/gateway/object_platform.py
+++ b/tests/gateway/object_platform.py
@@ -188,6 +188,8 @@
         self.name = name
         self.partitioned = partitioned
         self.ran: list[bytes] = []  # Identifiers of executed requests, in order.
+        self._running = 0  # Number of requests.
+        self.slots = 2  # Reported to the gateway; the fake runs all requests at once.
         self.work_seconds = 0.01
         self.leaving = False  # Whether all answers say that it leaves.
         self.wait_until = -1e9  # Until when it wants no requests.
@@ -224,15 +226,23 @@
             return CallerResponse(503, echoed_headers + asks_to_wait)
         return await self._run(req, request_id)
 
+    @property
+    def load(self) -> bytes:
+        """Numbers of running and waiting requests and of slots, as reported."""
+        return b"%d,0,%d" % (self._running, self.slots)
+
     async def _run(self, req: CallerRequest, request_id: bytes) -> CallerResponse:
         """Run a request that the endpoint may run, and answer it."""
         self.ran.append(request_id)
-        await asyncio.sleep(self.work_seconds)
-        load = b"%d,0,2" % len(self.server.connections)
+        self._running += 1
+        try:
+            await asyncio.sleep(self.work_seconds)
+        finally:
+            self._running -= 1
         headers = (
             (wire.REQUEST_ID, request_id),
             (wire.SIGNATURE, b"seal"),
-            (wire.ENDPOINT_LOAD, load),
+            (wire.ENDPOINT_LOAD, self.load),
         )
         return CallerResponse(200, headers, req.method + b" " + req.target + req.body)
 
--- a/tests/soak/audit.py
+++ b/tests/soak/audit.py
@@ -132,9 +132,12 @@
     async def _run(self, req: CallerRequest, request_id: bytes) -> CallerResponse:
         if self.rng.random() < self.rejected_share:
             self._audit.record_event(request_id, f"{self.name} rejects it")
-            return CallerResponse(
-                503, ((wire.REQUEST_ID, request_id), (wire.NOT_RUN, b"1"))
+            headers = (
+                (wire.REQUEST_ID, request_id),
+                (wire.NOT_RUN, b"1"),
+                (wire.ENDPOINT_LOAD, self.load),
             )
+            return CallerResponse(503, headers)
         self._audit.record_event(request_id, f"{self.name} runs it")
         self._audit.count_run(request_id, req.method)
         reply = await super()._run(req, request_id)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -26,6 +26,7 @@
 ZONES = ("z0", "z1")
 KEYS = (1, 9000, 20_000, 33_000, 50_000, 65_535)
 BUSY_KEY_SHARE = 0.3  # Share of the requests that are for one key.
+SLOTS = 6  # Of each endpoint.
 SETTLE_SECONDS = 45.0  # Long, because test hosts can be slow.
 DEADLINE_SECONDS = 1.5
 
@@ -211,6 +212,7 @@
         name = f"e{self._last_number}"
         endpoint = AuditedEndpoint(name, service, self.audit)
         endpoint.work_seconds = self.rng.uniform(0.01, 0.08)
+        endpoint.slots = SLOTS
         await endpoint.server.start("127.0.0.1", 0)
         proxy = FaultInjectingProxy(
             endpoint.server.port, on_fault=self._record_response_fault
@@ -229,7 +231,12 @@
     def register(self, endpoint: AuditedEndpoint, state: str) -> None:
         """Write the object that registers an endpoint with the platform."""
         zone = ZONES[int(endpoint.name[1:]) % len(ZONES)]
-        info = {"service": endpoint.service, "version": "v", "zone": zone, "slots": 2}
+        info = {
+            "service": endpoint.service,
+            "version": "v",
+            "zone": zone,
+            "slots": endpoint.slots,
+        }
         status = {"state": state, "seq": 1, "coldLeftS": 0}
         address = f"127.0.0.1:{self.proxies[endpoint.name].port}"
         endpoint.leaving = state == "draining"
@@ -253,6 +260,7 @@
         endpoint = AuditedEndpoint(name, earlier.service, self.audit)
         endpoint.started_ms = earlier.started_ms + 1000
         endpoint.work_seconds = earlier.work_seconds
+        endpoint.slots = earlier.slots
         await endpoint.server.start("127.0.0.1", 0)
         self.endpoints[name] = endpoint
         self.proxies[name].move_to(endpoint.server.port)
