Overlap disturbed responses, rejections and failures in the soak

Change: disturbances of endpoints last up to 10 s, and one may repeat, cut and lose responses at once.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -116,7 +116,7 @@
     endpoints = _some_endpoints(world)
     for endpoint in endpoints:
         endpoint.rejected_share = world.rng.uniform(0.1, 0.6)
-    await _wait_random(world, 1.0, 6.0)
+    await _wait_random(world, 1.0, 10.0)
     for endpoint in endpoints:
         endpoint.rejected_share = 0.0
 
@@ -126,22 +126,25 @@
     endpoints = _some_endpoints(world)
     for endpoint in endpoints:
         endpoint.failed_share = world.rng.uniform(0.05, 0.5)
-    await _wait_random(world, 1.0, 6.0)
+    await _wait_random(world, 1.0, 10.0)
     for endpoint in endpoints:
         endpoint.failed_share = 0.0
 
 
 async def responses_disturbed(world: SoakWorld) -> None:
     """Repeat, cut or lose responses of some endpoints."""
-    kind = world.rng.choice(("repeated", "cut", "lost"))
-    share = world.rng.uniform(0.02, 0.3 if kind == "repeated" else 0.1)
-    faults = ResponseFaults(world.rng, **{kind: share})
+    faults = ResponseFaults(
+        world.rng,
+        repeated=world.rng.choice((0.0, world.rng.uniform(0.02, 0.3))),
+        cut=world.rng.choice((0.0, world.rng.uniform(0.01, 0.1))),
+        lost=world.rng.choice((0.0, world.rng.uniform(0.01, 0.1))),
+    )
     proxies = [
         world.proxies[e.name] for e in _some_endpoints(world) if e.name in world.proxies
     ]
     for proxy in proxies:
         proxy.response_faults = faults
-    await _wait_random(world, 1.0, 6.0)
+    await _wait_random(world, 1.0, 10.0)
     for proxy in proxies:
         proxy.response_faults = None
 
--- /dev/null
+++ b/tests/soak/test_proxy.py
@@ -0,0 +1,67 @@
+"""The fault-injecting proxy disturbs responses as it says.
+
+Guards against soak runs in which a disturbance does nothing.
+"""
+
+import asyncio
+import random
+
+import pytest
+
+from tests.soak.proxy import MAX_COPY_DELAY_SECONDS, FaultInjectingProxy, ResponseFaults
+
+RESPONSE = b"HTTP/1.1 200 OK\r\n\r\n"
+
+
+async def _answer(reader, writer):
+    while await reader.read(100):
+        writer.write(RESPONSE)
+    writer.close()
+
+
+async def _send_request(faults):
+    """Return the received bytes, whether the connection broke, and the reports."""
+    reports = []
+    target = await asyncio.start_server(_answer, "127.0.0.1", 0)
+    proxy = FaultInjectingProxy(
+        target.sockets[0].getsockname()[1],
+        on_fault=lambda fault, response: reports.append((fault, response)),
+    )
+    await proxy.start()
+    proxy.response_faults = faults
+    reader, writer = await asyncio.open_connection("127.0.0.1", proxy.port)
+    writer.write(b"request")
+    received, broken = b"", False
+    try:
+        async with asyncio.timeout(3 * MAX_COPY_DELAY_SECONDS):
+            while data := await reader.read(100):
+                received += data
+            broken = True
+    except TimeoutError:
+        pass  # The connection is still open.
+    except ConnectionResetError:
+        broken = True
+    writer.close()
+    proxy.close()
+    target.close()
+    return received, broken, reports
+
+
+@pytest.mark.parametrize(
+    ("fault", "expected", "broken"),
+    [("repeated", RESPONSE * 2, False), ("lost", b"", True), ("cut", None, True)],
+)
+def test_a_response_is_disturbed(fault, expected, broken):
+    faults = ResponseFaults(random.Random(1), **{fault: 1.0})
+    received, was_broken, reports = asyncio.run(_send_request(faults))
+    assert was_broken == broken
+    assert reports == [(fault, RESPONSE)]
+    if expected is not None:
+        assert received == expected
+    else:
+        # A reset may overtake the bytes before it.
+        assert received in (b"", RESPONSE[: len(RESPONSE) // 2])
+
+
+def test_without_faults_a_response_arrives_once():
+    assert asyncio.run(_send_request(None)) == (RESPONSE, False, [])
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,7 +13,7 @@
 import time
 
 from arbutusflow.gateway.client_connection import ClientConnection
-from arbutusflow.gateway.model import Address, ExchangeError, HttpResponse
+from arbutusflow.gateway.model import Address, ExchangeError
 from arbutusflow.platform import wire
 from arbutusflow.platform.settings import SETTINGS_VARIABLE
 from tests.gateway.object_platform import SETTINGS, ObjectStore
@@ -292,32 +292,34 @@
             len(body),
         )
         answer = await conn.exchange(head, body, DEADLINE_SECONDS + 1.0)
-        self._check_answer(answer, request_id, method, target, body)
+        self.check_answer(answer.status, answer.body, request_id, method, target, body)
 
     def _choose_key(self) -> int:
         if self.rng.random() < BUSY_KEY_SHARE:
             return self.busy_key
         return self.rng.choice(KEYS)
 
-    def _check_answer(
+    def check_answer(
         self,
-        answer: HttpResponse,
+        status: int,
+        answer: bytes,
         request_id: bytes,
         method: bytes,
         target: bytes,
         body: bytes,
     ) -> None:
-        self.answer_counts[answer.status] = self.answer_counts.get(answer.status, 0) + 1
-        if answer.status == 200 and answer.body != expected_body(method, target, body):
+        """Check the status and body that a caller got for a request."""
+        self.answer_counts[status] = self.answer_counts.get(status, 0) + 1
+        self.audit.record_event(request_id, f"its caller gets {status}")
+        if status == 200 and answer != expected_body(method, target, body):
             self.audit.record_violation(
                 f"request {request_id.decode()} got the answer of another request"
             )
-        self.audit.record_event(request_id, f"its caller gets {answer.status}")
-        if answer.status in PROMISES and method == b"POST":
+        if status in PROMISES and method == b"POST":
             self.audit.refused.add(request_id)
-        if answer.status in (404, 400):
+        if status in (404, 400):
             self.audit.record_violation(
-                f"a valid request was answered with status {answer.status}"
+                f"a valid request was answered with status {status}"
             )
 
     async def send_requests(self) -> None:
