Let one named instance close the grants of leaving keys

Cause: the answers of orders have no identifier, so a second copy of one confirms the next renewal on the connection, and a move waits only for leases of grants without an answer.

Change: before the release, the owner is granted the leaving range once more with a reserved token, on a connection of its own, and refuses all earlier grants from then on. The table names the one incarnation that may send this grant. Another planner takes the range over by a new table, waits until all others have applied it, and then for the lease of a closing grant that may have been on its way.

Conclusion: an order that gives keys may be sent by one instance only, and the table has to say which.

--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -322,13 +322,13 @@
         complete = True
         try:
             for key_range in key_ranges:
-                if not self._may_still_grant(key_range):
+                if not self.may_still_grant(key_range):
                     continue
                 started_at = loop.time()
                 response = await self._orders.grant(
                     endpoint,
                     key_range,
-                    functools.partial(self._may_still_grant, key_range),
+                    functools.partial(self.may_still_grant, key_range),
                 )
                 if response is None:
                     return
@@ -343,7 +343,8 @@
         finally:
             self._grants_in_progress.discard(endpoint.id)
 
-    def _may_still_grant(self, key_range: KeyRange) -> bool:
+    def may_still_grant(self, key_range: KeyRange) -> bool:
+        """Return whether a range may be granted as the table in force has it."""
         now = asyncio.get_running_loop().time()
         stored = next(
             (s for s in self.tables.values() if key_range in s.table.ranges), None
--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -3,11 +3,15 @@
 Only the instance that is the planner of a service (`Fleet.is_planner`) moves its keys.
 
 Invariants: a range is assigned to another owner only under the conditions stated in
-`key_planner`. A new table is stored before any instance grants keys under it.
+`key_planner`. A new table is stored before any instance grants keys under it. Only the
+instance that the table names closes, releases and assigns a leaving range. Another one
+takes it over by a new table, which the former has to apply like any instance that
+grants keys.
 """
 
 import asyncio
 import dataclasses
+import functools
 import random
 from collections.abc import Callable, Coroutine
 
@@ -18,7 +22,11 @@
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.fleet import FLEET_KIND, TABLE_PREFIX, Fleet
 from arbutusflow.gateway.key_leases import KeyLeases
-from arbutusflow.gateway.key_orders import KeyOrders
+from arbutusflow.gateway.key_orders import (
+    GRANT_TIMEOUT_SECONDS,
+    KeyOrders,
+    closing_expiry,
+)
 from arbutusflow.gateway.key_table import (
     GrantId,
     KeyRange,
@@ -42,6 +50,8 @@
 # A move that would have to wait this long for a lease to expire is cancelled at once.
 MAX_LEASE_WAIT_SECONDS = 1.0
 WAIT_LOG_SECONDS = 1.0
+# The planner takes over a leaving range that another instance has not moved by then.
+TAKE_OVER_SECONDS = 1.5
 # Each write of a table costs every instance a call to the store, and demand is
 # reported only once a second.
 BALANCE_INTERVAL_SECONDS = 1.0
@@ -53,11 +63,16 @@
 
     revision: int  # Of the table that marks the range as leaving.
     first_seen_at: float
+    closing_token: int
+    # When this instance first saw the range leaving, also to be closed by another one.
+    leaving_since: float
     # When this instance learned that all others had stopped granting the range.
     grants_known_stopped_at: float | None = None
     release_in_progress: bool = False
     retry_at: float = 0.0
     release_handover: str | None = None  # Set after the release; may be empty.
+    # End of the leases of closing grants that were not confirmed to this instance.
+    closed_until: float = -1e9
     wait_logged_at: float = 0.0  # When a wait for an instance was last logged.
 
     def __post_init__(self) -> None:
@@ -103,25 +118,40 @@
         All instances do this, because any of them may become the planner.
         """
         service = stored.table.service
-        current = {
-            key_range.grant_id for key_range in stored.table.ranges if key_range.leaving
-        }
+        leaving = {p.grant_id: p for p in stored.table.ranges if p.leaving}
         for key in [k for k in self._revocations if k[0] == service]:
-            if key[1] not in current:
+            if key[1] not in leaving:
                 del self._revocations[key]
-        for grant in current:
-            self._revocations.setdefault(
-                (service, grant), _Revocation(stored.revision, now)
-            )
+        for grant, key_range in leaving.items():
+            token = key_range.closing_token
+            known = self._revocations.get((service, grant))
+            if known is None or known.closing_token != token:
+                since = now if known is None else known.leaving_since
+                self._revocations[service, grant] = _Revocation(
+                    stored.revision, now, token, since
+                )
 
     def tick(self, partitioned_services: list[str], now: float) -> None:
         """Plan the services whose planner this instance is."""
         if not self._fleet.has_store_contact(now) or not self._fleet.registered:
             return
         for service in partitioned_services:
-            if service not in self._writing and self._fleet.is_planner(service, now):
+            if service not in self._writing and (
+                self._fleet.is_planner(service, now) or self._has_own_moves(service)
+            ):
                 self._plan(service, now)
 
+    def _has_own_moves(self, service: str) -> bool:
+        """Return whether this instance has begun moves, as the planner of before."""
+        stored = self._leases.tables.get(service)
+        return stored is not None and any(
+            self._is_own_move(key_range) for key_range in stored.table.ranges
+        )
+
+    def _is_own_move(self, key_range: KeyRange) -> bool:
+        life = self._fleet.own_record.life
+        return key_range.leaving and key_range.closer_life == life
+
     def _plan(self, service: str, now: float) -> None:
         endpoints = {
             name: e
@@ -136,6 +166,7 @@
             self._advance_revocations(service, stored, now)
         balance = (
             now - self._balanced_at.get(service, -1e9) >= BALANCE_INTERVAL_SECONDS
+            and self._fleet.is_planner(service, now)
             and self._fleet.can_move_without_wait(now)
             and self.has_recent_demand(service)
         )
@@ -151,8 +182,15 @@
         def handover_if_cancelled(key_range: KeyRange) -> str | None:
             return self._handover_if_cancelled(service, key_range, now)
 
+        def must_take_over(key_range: KeyRange) -> bool:
+            return self._must_take_over(service, key_range, now)
+
         if not balance and not key_planner.needs_change(
-            table, endpoints, handover_if_transferable, handover_if_cancelled
+            table,
+            endpoints,
+            handover_if_transferable,
+            handover_if_cancelled,
+            must_take_over,
         ):
             return
         planned = key_planner.plan(
@@ -164,6 +202,8 @@
             handover_if_cancelled,
             balance=balance,
             immovable=self._immovable_endpoints(endpoints, now) if balance else (),
+            own_life=self._fleet.own_record.life,
+            must_take_over=must_take_over,
         )
         if balance:
             self._balanced_at[service] = now
@@ -220,9 +260,9 @@
         for key_range in stored.table.ranges:
             if not key_range.leaving:
                 continue
-            revocation = self._revocations.setdefault(
-                (service, key_range.grant_id), _Revocation(stored.revision, now)
-            )
+            revocation = self._find_revocation(service, key_range)
+            if revocation is None:
+                continue
             if self._copy.revision < revocation.revision:
                 # This copy of the store is older than the table, so it may lack an
                 # instance that registered before the table was written.
@@ -231,6 +271,13 @@
                 revocation.grants_known_stopped_at = self._grants_known_stopped_at(
                     service, revocation, now
                 )
+                if revocation.leaving_since != revocation.first_seen_at:
+                    # A closing grant of another instance may be on its way.
+                    revocation.closed_until = closing_expiry(
+                        now + GRANT_TIMEOUT_SECONDS
+                    )
+            if not self._is_own_move(key_range):
+                continue
             if (
                 revocation.grants_known_stopped_at is None
                 or revocation.release_handover is not None
@@ -287,12 +334,24 @@
         loop = asyncio.get_running_loop()
         self._leases.withdraw(key_range)
         try:
-            revocation.release_handover = await self._orders.release(
-                endpoint, key_range
-            )
+            # One of the earlier grants may be on its way although it counts as
+            # answered: an endpoint may send an answer twice, and the answers of orders
+            # have no identifier.
+            if await self._orders.close_grants(
+                endpoint,
+                key_range,
+                functools.partial(self._leases.may_still_grant, key_range),
+            ):
+                revocation.release_handover = await self._orders.release(
+                    endpoint, key_range
+                )
         finally:
             revocation.release_in_progress = False
             revocation.retry_at = loop.time() + RELEASE_RETRY_SECONDS
+            if revocation.release_handover is None:
+                revocation.closed_until = closing_expiry(loop.time())
+                # Leaves time to assign the keys if the owner does not respond.
+                revocation.retry_at = revocation.closed_until + RELEASE_RETRY_SECONDS
         if revocation.release_handover is None:
             return
         self._log.write(
@@ -304,6 +363,26 @@
         )
         self.tick([service], loop.time())
 
+    def _find_revocation(self, service: str, key_range: KeyRange) -> _Revocation | None:
+        """Return the progress of taking a range, as its table marks it, if any."""
+        revocation = self._revocations.get((service, key_range.grant_id))
+        if revocation is None or revocation.closing_token != key_range.closing_token:
+            return None
+        return revocation
+
+    def _must_take_over(self, service: str, key_range: KeyRange, now: float) -> bool:
+        """Return whether this instance has to move a range in place of another one."""
+        if not key_range.leaving or self._is_own_move(key_range):
+            return False
+        revocation = self._find_revocation(service, key_range)
+        if revocation is None or not self._fleet.is_planner(service, now):
+            return False
+        lives = {record.life for record in self._fleet.alive(now)}
+        return (
+            key_range.closer_life not in lives
+            or now - revocation.first_seen_at >= TAKE_OVER_SECONDS
+        ) and self._handover_if_cancelled(service, key_range, now) is None
+
     def _handover_if_transferable(
         self, service: str, key_range: KeyRange, now: float
     ) -> str | None:
@@ -312,9 +391,13 @@
         Returns None while the current owner may still hold the range. The handover is
         empty if the range was not released and its lease has expired instead.
         """
-        revocation = self._revocations.get((service, key_range.grant_id))
+        revocation = self._find_revocation(service, key_range)
         if revocation is None or revocation.grants_known_stopped_at is None:
             return None
+        if not self._is_own_move(key_range):
+            return None
+        if revocation.release_in_progress or now < revocation.closed_until:
+            return None
         sent, unanswered = self._latest_grant_times(
             service, key_range.endpoint, revocation, now
         )
@@ -332,7 +415,7 @@
         Otherwise the lease would expire while the move waits for an unresponsive
         instance or for an unanswered grant. Returns None if the move should continue.
         """
-        revocation = self._revocations.get((service, key_range.grant_id))
+        revocation = self._find_revocation(service, key_range)
         if revocation is None:
             return None
         owner = self._leases.endpoints.get(key_range.endpoint)
@@ -341,7 +424,7 @@
         if revocation.grants_known_stopped_at is None:
             return (
                 ""
-                if now - revocation.first_seen_at >= MAX_INSTANCE_WAIT_SECONDS
+                if now - revocation.leaving_since >= MAX_INSTANCE_WAIT_SECONDS
                 else None
             )
         if revocation.release_in_progress:
--- a/arbutusflow/gateway/key_orders.py
+++ b/arbutusflow/gateway/key_orders.py
@@ -5,9 +5,9 @@
 Invariants: the reported time of a grant is never earlier than its arrival at the
 endpoint, which starts the lease. A grant in flight counts as arriving when its exchange
 times out, because this instance may end before it can report anything else. A completed
-one, answered or not, counts as arriving when its exchange ended. The confirmation of a
-release comes on a connection of its own, because the answers of orders have no
-identifier; that of a renewal may be a second copy of another one.
+one, answered or not, counts as arriving when its exchange ended. A confirmation on
+which a move depends comes on a connection of its own, because the answers of orders
+have no identifier; the confirmation of a renewal may be a second copy of another one.
 """
 
 import asyncio
@@ -16,13 +16,21 @@
 
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.event_log import EventLog
-from arbutusflow.gateway.key_table import KEY_LEASE_SECONDS, KeyRange, lease_expiry
+from arbutusflow.gateway.key_table import (
+    KEY_LEASE_SECONDS,
+    LEASE_EXPIRY_FACTOR,
+    LEASE_EXPIRY_SLACK_SECONDS,
+    KeyRange,
+    lease_expiry,
+)
 from arbutusflow.gateway.model import Endpoint, ExchangeError, HttpResponse
 from arbutusflow.gateway.peers import LeaseReport
 from arbutusflow.platform import wire
 
 GRANT_TIMEOUT_SECONDS = 0.8  # An endpoint answers a grant in milliseconds.
 RELEASE_TIMEOUT_SECONDS = 2.5  # Endpoints answer once their running requests end.
+# The release follows at once, but requests that run keep the keys meanwhile.
+CLOSING_LEASE_SECONDS = 1.5
 # How long an expired lease is still reported, because reports may be lost.
 REPORT_SLACK_SECONDS = 1.0
 
@@ -53,6 +61,15 @@
     response: HttpResponse | None = None
 
 
+def closing_expiry(sent_until: float) -> float:
+    """Return the time by which the lease of a closing grant has certainly expired."""
+    return (
+        sent_until
+        + CLOSING_LEASE_SECONDS * LEASE_EXPIRY_FACTOR
+        + LEASE_EXPIRY_SLACK_SECONDS
+    )
+
+
 class KeyOrders:
     """Sends the orders of this instance to all endpoints."""
 
@@ -66,6 +83,7 @@
         self._log = log
         self._lease_seconds = min(KEY_LEASE_SECONDS, lease_seconds)
         self._sent_grants: dict[str, _SentGrants] = {}
+        self._closing_until = -1e9  # When the leases of all closing grants have ended.
         # Called when an endpoint says that it leaves; set by the process.
         self.on_leaving: Callable[[tuple[str, int]], None] = lambda process: None
 
@@ -109,13 +127,44 @@
                     grants.unanswered_ended_at = grants.last_ended_at
         return outcome.response
 
+    async def close_grants(
+        self, endpoint: Endpoint, key_range: KeyRange, may_send: Callable[[], bool]
+    ) -> bool:
+        """Grant a leaving range with its closing token, for a short time.
+
+        Returns whether the endpoint confirmed it: it refuses grants with lower tokens
+        from then on. The confirmation comes on a connection of its own, so it can
+        belong to no other order. The keys may be held until `closing_expiry`.
+        """
+        loop = asyncio.get_running_loop()
+        self._closing_until = closing_expiry(loop.time() + GRANT_TIMEOUT_SECONDS)
+        body = wire.encode_grant(
+            key_range.first,
+            key_range.last,
+            key_range.closing_token,
+            CLOSING_LEASE_SECONDS,
+            "",
+        )
+        outcome = _Outcome()
+        await self._send_order(
+            endpoint,
+            wire.GRANT_PATH,
+            body,
+            GRANT_TIMEOUT_SECONDS,
+            outcome,
+            may_send,
+            fresh=True,
+        )
+        return outcome.response is not None and outcome.response.status == 200
+
     async def release(self, endpoint: Endpoint, key_range: KeyRange) -> str | None:
         """Ask an endpoint to release a range; return the value of its handover header.
 
         Returns an empty string if the endpoint confirmed the release without that
         header, and None unless it confirmed the release.
         """
-        body = wire.encode_release(key_range.first, key_range.last, key_range.token)
+        token = key_range.closing_token or key_range.token
+        body = wire.encode_release(key_range.first, key_range.last, token)
         outcome = _Outcome()
         await self._send_order(
             endpoint,
@@ -194,8 +243,11 @@
         return grants.in_flight > 0 or now - grants.tried_at < seconds
 
     def may_have_unconfirmed_lease(self, now: float) -> bool:
-        """Return whether the lease of an unanswered grant may still be valid."""
-        return any(
+        """Return whether a lease may be valid that no report to others tells of.
+
+        That is the lease of an unanswered grant or of a closing grant.
+        """
+        return now < self._closing_until or any(
             now < lease_expiry(grants.last_grant_times(now)[1])
             for grants in self._sent_grants.values()
         )
--- a/arbutusflow/gateway/key_planner.py
+++ b/arbutusflow/gateway/key_planner.py
@@ -124,6 +124,7 @@
     next_token: int
     assigned_load: dict[str, float]  # Requests per second, by endpoint.
     capacity: dict[str, float]  # Requests per second, by endpoint.
+    own_life: int  # Incarnation of the instance that plans.
 
     def regrant(self, index: int, started_ms: int, handover: str) -> None:
         """Give a range back to its owner with a new token."""
@@ -139,8 +140,11 @@
         self.next_token += 1
 
     def mark_leaving(self, index: int) -> None:
-        """Mark a range as leaving."""
-        self.ranges[index] = self.ranges[index].as_leaving()
+        """Mark a range as leaving, with a token for closing its earlier grants."""
+        self.ranges[index] = self.ranges[index].as_leaving(
+            self.next_token, self.own_life
+        )
+        self.next_token += 1
 
     def below_capacity(self) -> list[str]:
         """Return the endpoints whose assigned load is below their capacity."""
@@ -173,6 +177,8 @@
     *,
     balance: bool = True,
     immovable: Collection[str] = (),
+    own_life: int = 0,
+    must_take_over: Callable[[KeyRange], bool] = lambda key_range: False,
 ) -> KeyTable:
     """Return the next table of a service; an equal table if nothing changes.
 
@@ -181,6 +187,8 @@
     `handover_if_transferable` decides whether a leaving range may be granted to another
     owner, and `handover_if_cancelled` whether it goes back to its owner because it
     cannot move now. Balancing moves no keys away from `immovable` endpoints.
+    `must_take_over` selects the leaving ranges that another instance was closing and
+    that the planner, with the incarnation `own_life`, closes from now on.
     """
     ready = {name: e for name, e in endpoints.items() if not e.draining}
     draft = _DraftTable(
@@ -188,8 +196,12 @@
         next_token=table.next_token,
         assigned_load=dict.fromkeys(sorted(ready), 0.0),
         capacity={name: capacity[name] for name in ready},
+        own_life=own_life,
     )
     _mark_leaving(draft, endpoints)
+    for index, key_range in enumerate(draft.ranges):
+        if must_take_over(key_range):
+            draft.mark_leaving(index)
     for key_range in draft.ranges:
         if key_range.endpoint in draft.assigned_load and not key_range.leaving:
             draft.assigned_load[key_range.endpoint] += loads.of_range(
@@ -210,6 +222,7 @@
     endpoints: Mapping[str, Endpoint],
     handover_if_transferable: HandoverLookup,
     handover_if_cancelled: HandoverLookup = lambda key_range: None,
+    must_take_over: Callable[[KeyRange], bool] = lambda key_range: False,
 ) -> bool:
     """Return whether `plan` would change a table regardless of the loads.
 
@@ -224,6 +237,7 @@
             if (
                 handover_if_transferable(key_range) is not None
                 or handover_if_cancelled(key_range) is not None
+                or must_take_over(key_range)
             ):
                 return True
         elif _must_leave(key_range, endpoint):
--- a/arbutusflow/gateway/key_table.py
+++ b/arbutusflow/gateway/key_table.py
@@ -37,15 +37,21 @@
     # Returned by the previous owner when it released all of these keys, or empty.
     handover: str = ""
     leaving: bool = False  # Being moved to another owner: the lease is not renewed.
+    # While leaving: token with which the owner is made to refuse all earlier grants,
+    # and the incarnation of the only instance that may use it.
+    closing_token: int = 0
+    closer_life: int = 0
 
     @property
     def key_count(self) -> int:
         """Number of keys."""
         return self.last - self.first + 1
 
-    def as_leaving(self) -> "KeyRange":
-        """Return the range marked as leaving."""
-        return msgspec.structs.replace(self, leaving=True)
+    def as_leaving(self, closing_token: int, closer_life: int) -> "KeyRange":
+        """Return the range marked as leaving, to be closed by one instance."""
+        return msgspec.structs.replace(
+            self, leaving=True, closing_token=closing_token, closer_life=closer_life
+        )
 
     @property
     def grant_id(self) -> GrantId:
@@ -104,8 +110,9 @@
         for key_range in self.ranges:
             if key_range.first != next_key or key_range.last < key_range.first:
                 raise ValueError(f"gap or overlap of key ranges at key {next_key}")
-            if key_range.token >= self.next_token:
-                raise ValueError(f"token {key_range.token} has not been issued yet")
+            token = max(key_range.token, key_range.closing_token)
+            if token >= self.next_token:
+                raise ValueError(f"token {token} has not been issued yet")
             next_key = key_range.last + 1
         if next_key != KEY_SPACE:
             raise ValueError(f"keys from {next_key} on are not covered")
--- a/tests/gateway/test_answer_matching.py
+++ b/tests/gateway/test_answer_matching.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 
+import msgspec
 import pytest
 from hypothesis import given, settings, strategies as st
 
@@ -199,27 +200,52 @@
 
 ENDPOINT = ListedEndpoint("e1", "s", Address("h", 1), "z", 2, False, 0.0, 1)
 KEY_RANGE = KeyRange(0, 9, "e1", 1, 7)
+LEAVING = KEY_RANGE.as_leaving(9, 1)
 
 
 def make_orders(pool):
     return KeyOrders(pool, FakeLog(), 10.0)
 
 
-def test_the_confirmation_of_a_release_belongs_to_no_other_order(connect_to):
+def test_confirmations_on_which_a_move_depends_belong_to_no_other_order(connect_to):
     """The answers of orders have no identifier, and second copies of them come late.
 
-    Guards against taking a copy of the answer to a grant for that of a release.
+    Guards against taking a copy of the answer to a grant for the confirmation that the
+    endpoint refuses earlier grants, or that it released the keys.
     """
     copies = Answering(0.001, copies=(0.03, 0.2), echoes_id=False)
-    endpoint = Endpoint([copies, Answering(0.0, answered=False)])
+    endpoint = Endpoint([copies, Answering(0.0, answered=False)] * 2)
 
     async def scenario():
         orders = make_orders(connect_to(endpoint))
-        await orders.grant(ENDPOINT, KEY_RANGE)
-        return await orders.release(ENDPOINT, KEY_RANGE)
+        confirmed = []
+        for _ in range(2):
+            await orders.grant(ENDPOINT, KEY_RANGE)
+            closed = await orders.close_grants(ENDPOINT, LEAVING, lambda: True)
+            confirmed.append(closed)
+        return confirmed, await orders.release(ENDPOINT, LEAVING)
 
-    assert run(scenario()) is None
-    assert endpoint.connections == 2
+    assert run(scenario()) == ([False, False], "")
+    assert endpoint.connections == 5
+
+
+def test_a_leaving_range_is_closed_and_released_with_a_higher_token(connect_to):
+    endpoint = Endpoint([])
+    bodies = []
+
+    def receive(link, data):
+        bodies.append(data.partition(b"\r\n\r\n")[2])
+        Endpoint.receive(endpoint, link, data)
+
+    endpoint.receive = receive
+
+    async def scenario():
+        orders = make_orders(connect_to(endpoint))
+        await orders.close_grants(ENDPOINT, LEAVING, lambda: True)
+        await orders.release(ENDPOINT, LEAVING)
+
+    run(scenario())
+    assert [msgspec.json.decode(body)["fence"] for body in bodies] == [9, 9]
 
 
 def test_a_grant_that_was_not_sent_needs_no_wait(monkeypatch):
--- a/tests/gateway/test_key_planner.py
+++ b/tests/gateway/test_key_planner.py
@@ -214,6 +214,9 @@
             assert after == before
         else:
             assert after.leaving
+            assert after.closing_token >= table.next_token
+    closing = [p.closing_token for p in restarted.ranges if p.leaving]
+    assert len(set(closing)) == len(closing)
 
 
 def test_keys_that_cannot_move_go_to_the_new_process_of_a_restarted_endpoint():
--- a/tests/gateway/test_ownership_under_faults.py
+++ b/tests/gateway/test_ownership_under_faults.py
@@ -11,6 +11,7 @@
 
 from arbutusflow.gateway import fleet as fleet_module, key_moves
 from arbutusflow.gateway.fleet import TABLE_PREFIX, Fleet
+from arbutusflow.gateway.key_orders import KeyOrders
 from tests.gateway.sim_fleet import SAMPLED_KEYS, SERVICE, SimFleet, run_fleet
 
 FAULT_PHASE_SECONDS = 40.0
@@ -421,18 +422,37 @@
     monkeypatch.setattr(key_moves, "lease_expiry", lambda granted: granted + 0.5)
 
 
+def _skip_closing(monkeypatch):
+    """Leave out the closing grants, which make up for some of the other rules."""
+
+    async def confirm(self, endpoint, key_range, may_send):
+        return True
+
+    monkeypatch.setattr(KeyOrders, "close_grants", confirm)
+
+
+def _close_without_being_named(monkeypatch):
+    """Let each planner close and assign the ranges that another one marked."""
+    monkeypatch.setattr(
+        key_moves.KeyMoves, "_is_own_move", lambda self, key_range: key_range.leaving
+    )
+
+
 def _never_lose_right_to_grant(monkeypatch):
+    _skip_closing(monkeypatch)
     monkeypatch.setattr(Fleet, "may_grant", lambda self, now: True)
     monkeypatch.setattr(Fleet, "grants_stopped_at", lambda self, *a: a[-1])
     monkeypatch.setattr(Fleet, "latest_possible_grant", lambda self, r, now: 0.0)
 
 
 def _skip_agreement(monkeypatch):
+    _skip_closing(monkeypatch)
     monkeypatch.setattr(Fleet, "grants_stopped_at", lambda self, *a: a[-1])
     monkeypatch.setattr(Fleet, "has_applied", lambda self, *a: True)
 
 
 def _ignore_unanswered_grants(monkeypatch):
+    _skip_closing(monkeypatch)
     original = key_moves.KeyMoves._latest_grant_times
 
     def latest(self, *args):
@@ -456,6 +476,7 @@
         _skip_agreement,
         _ignore_unanswered_grants,
         _keep_right_of_unresponsive_instances,
+        _close_without_being_named,
     ],
 )
 def test_a_broken_rule_is_detected(break_rule, monkeypatch):
