Look routes up by prefix instead of comparing all of them

Cause: each request was compared with the routes of its host one after the other.

Change: routes are kept by host, length and prefix; a match takes one look-up for each length of prefix that the host has.

Conclusion: the cost of a request does not grow with the number of routes.

--- a/arbutusflow/gateway/routing.py
+++ b/arbutusflow/gateway/routing.py
@@ -4,19 +4,26 @@
 
 
 class RouteTable:
-    """Routes of one configuration, matched by host and longest path prefix."""
+    """Routes of one configuration, matched by host and longest path prefix.
+
+    A match takes as many look-ups as a host has lengths of prefixes, so it does not
+    slow down with the number of routes. The first of several routes with the same host
+    and prefix counts.
+    """
 
     def __init__(self, cfg: Configuration) -> None:
-        self._hosts: dict[str, list[Route]] = {}
-        for route in cfg.routes:
-            self._hosts.setdefault(route.host, []).append(route)
-        for routes in self._hosts.values():
-            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+        # By host, then by length of the prefix, longest first, then by prefix.
+        self._hosts: dict[str, dict[int, dict[str, Route]]] = {}
+        for route in sorted(cfg.routes, key=lambda r: len(r.prefix), reverse=True):
+            lengths = self._hosts.setdefault(route.host, {})
+            by_prefix = lengths.setdefault(len(route.prefix), {})
+            by_prefix.setdefault(route.prefix, route)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix."""
-        for route in self._hosts.get(host, ()):
-            if path.startswith(route.prefix):
+        for length, by_prefix in self._hosts.get(host, {}).items():
+            route = by_prefix.get(path[:length])
+            if route is not None:
                 return route
         return None
 
