Log how a configuration reached an instance, and how late

Change: the event has the way in which the objects arrived, how long the instance knew that another one had later objects, and how long it took to apply them.

--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -257,6 +257,7 @@
         item = self.config_copy.objects.get(CONFIGURATION_NAME)
         if item is None:
             return
+        started = self._loop.time()
         try:
             cfg = decode_configuration(item.spec)
         except ConfigurationError as exc:
@@ -271,7 +272,18 @@
         self.fleet_task.set_partitioned_services(
             [x.name for x in cfg.services.values() if x.partitioned]
         )
-        self.log.write("configuration", version=cfg.version, routes=len(cfg.routes))
+        self.log.write(
+            "configuration",
+            version=cfg.version,
+            routes=len(cfg.routes),
+            revision=item.revision,
+            updated_by=self.config_copy.updated_by,
+            # How long this instance knew that another one had later objects.
+            behind_seconds=round(
+                self.fleet_task.relay.behind_seconds(CONFIGURATION_KIND, started), 3
+            ),
+            apply_seconds=round(self._loop.time() - started, 4),
+        )
 
     def _on_endpoints(self) -> None:
         self.directory.update(self._loop.time())
--- a/arbutusflow/gateway/state_relay.py
+++ b/arbutusflow/gateway/state_relay.py
@@ -76,6 +76,11 @@
         behind = self._behind.get(kind)
         return behind is not None and now - behind[1] >= MAX_BEHIND_SECONDS
 
+    def behind_seconds(self, kind: str, now: float) -> float:
+        """Return how long ago another instance told of later objects; 0 if none."""
+        behind = self._behind.get(kind)
+        return 0.0 if behind is None else now - behind[1]
+
     def _request(
         self, kind: str, copy: ObjectCopy, source: Address, now: float
     ) -> None:
--- a/arbutusflow/gateway/store_watch.py
+++ b/arbutusflow/gateway/store_watch.py
@@ -97,6 +97,9 @@
         self.unreachable_since: float | None = (
             None  # Since when the store does not answer.
         )
+        # How the latest objects arrived: "list", "watch", or as "changes" or "objects"
+        # that another instance sent.
+        self.updated_by = ""
         # Since when the store answers; initially the creation of the copy.
         self.reachable_since = asyncio.get_running_loop().time()
         self._rng = rng or random.Random()  # Jitter of retries.
@@ -169,7 +172,7 @@
         for change in changes:
             self._apply(change)
         self._keep_batch(base, revision, changes)
-        self._end_relayed_update(revision)
+        self._end_relayed_update(revision, "changes")
 
     def use_relayed_objects(
         self, revision: int, objects: Iterable[StoredObject]
@@ -181,14 +184,15 @@
         self._batches.clear()
         self._keep_batch(revision, revision, ())
         self._log.write("store_copy_told", kind=self._kind, objects=len(self.objects))
-        self._end_relayed_update(revision)
+        self._end_relayed_update(revision, "objects")
 
     @property
     def _accepts_relayed(self) -> bool:
         return self.parked or not self.was_read
 
-    def _end_relayed_update(self, revision: int) -> None:
+    def _end_relayed_update(self, revision: int, updated_by: str) -> None:
         self.revision = revision
+        self.updated_by = updated_by
         self._latest = None
         # Objects that are not relayed may have changed since.
         self._list_needed = bool(self._relayed_prefix)
@@ -330,7 +334,7 @@
         self._keep_batch(self.revision, snapshot.revision, changes)
         self.objects = objects
         self._latest = None
-        self.revision = snapshot.revision
+        self.revision, self.updated_by = snapshot.revision, "list"
         if not may_lag:
             self.current_at = started
         self._list_needed = False
@@ -363,6 +367,7 @@
         self._mark_reachable()
         if not result.changes:
             return
+        self.updated_by = "watch"
         self._on_change()
         if self.coalesce_seconds:
             await asyncio.sleep(self.coalesce_seconds)
