Do not use endpoints that ended while a fault of the soak waited

That is an error of the soak, not of the product.

Change: both faults check after waiting that the endpoint is still the one they chose.

Conclusion: a failure of a background task stays a violation.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -87,6 +87,8 @@
         return
     await world.add_endpoint("keyed")
     leaving = world.rng.choice(keyed)
+    if world.endpoints.get(leaving.name) is not leaving:
+        return  # It crashed or restarted meanwhile.
     world.register(leaving, "draining")
     await asyncio.sleep(world.rng.uniform(2.5, 4.0))
     if leaving.name in world.endpoints:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -262,6 +262,8 @@
         endpoint.work_seconds = earlier.work_seconds
         endpoint.slots = earlier.slots
         await endpoint.server.start("127.0.0.1", 0)
+        if self.endpoints.get(name) is not earlier:
+            return  # It crashed or was restarted meanwhile.
         self.endpoints[name] = endpoint
         self.proxies[name].move_to(endpoint.server.port)
         await asyncio.sleep(register_after)
