--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -263,7 +263,10 @@
         endpoint.slots = earlier.slots
         await endpoint.server.start("127.0.0.1", 0)
         if self.endpoints.get(name) is not earlier:
-            return  # It crashed or was restarted meanwhile.
+            # It crashed or was restarted meanwhile.
+            endpoint.alive = False
+            endpoint.server.stop_accepting()
+            return
         self.endpoints[name] = endpoint
         self.proxies[name].move_to(endpoint.server.port)
         await asyncio.sleep(register_after)
