Check in the soak that instances obey what endpoints say of themselves

Change: the audit records for each instance which answers it passed on and which waits it was asked for, and checks what reaches the endpoint afterwards; restarts, pauses and (for waits) network faults excuse it. Half of the endpoints that leave say so only in their answers.

--- a/tests/soak/audit.py
+++ b/tests/soak/audit.py
@@ -11,6 +11,7 @@
 from arbutusflow.gateway.caller_server import CallerRequest, CallerResponse
 from arbutusflow.platform import wire
 from tests.gateway.object_platform import FakeEndpoint
+from tests.soak.statements import StatementAudit
 
 # An endpoint's clock may be slow, so that a lease lasts two percent longer there.
 LEASE_STRETCH = 1.02
@@ -40,6 +41,11 @@
         default_factory=lambda: collections.defaultdict(list)
     )
 
+    def __post_init__(self) -> None:
+        self.statements = StatementAudit(
+            self.record_violation, lambda: self.last_recovery
+        )
+
     def record_event(self, request_id: bytes, text: str) -> None:
         """Record what happened to a request, with the seconds since the start."""
         self._events[request_id].append(f"{time.monotonic() - self.started:.3f} {text}")
@@ -123,6 +129,26 @@
         """First key, last key, fencing token and end of lease of each grant."""
         return self._grants
 
+    @property
+    def process_name(self) -> str:
+        """Name of this process of the endpoint."""
+        return f"{self.name}/{self.started_ms}"
+
+    async def _handle(self, req: CallerRequest) -> CallerResponse:
+        request_id = req.header(wire.REQUEST_ID) or b""
+        statements, arrived = self._audit.statements, time.monotonic()
+        reply = await super()._handle(req)
+        if reply.status != 421:
+            statements.check_arrival(request_id, self.process_name, arrived)
+        now = time.monotonic()
+        if any(name == wire.LEAVING for name, _ in reply.headers):
+            statements.record_leaving(request_id, self.process_name)
+        wait = next((v for n, v in reply.headers if n == wire.RETRY_AFTER), None)
+        if wait is not None:
+            until = now + float(wait)
+            statements.record_wait(request_id, self.process_name, now, until)
+        return reply
+
     def _grant(self, order: dict[str, Any]) -> CallerResponse:
         reply = super()._grant({**order, "holdS": order["holdS"] * LEASE_STRETCH})
         if reply.status == 200:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -81,7 +81,10 @@
 
 
 async def endpoint_drains(world: SoakWorld) -> None:
-    """Replace an endpoint of the keyed service by draining it first."""
+    """Replace an endpoint of the keyed service by draining it first.
+
+    It says in its answers that it leaves, and the store may tell it, too.
+    """
     keyed = [e for e in world.endpoints.values() if e.service == "keyed"]
     if len(keyed) <= MIN_KEYED_ENDPOINTS:
         return
@@ -89,7 +92,9 @@
     leaving = world.rng.choice(keyed)
     if world.endpoints.get(leaving.name) is not leaving:
         return  # It crashed or restarted meanwhile.
-    world.register(leaving, "draining")
+    leaving.leaving = True
+    if world.rng.random() < 0.5:
+        world.register(leaving, "draining")
     await asyncio.sleep(world.rng.uniform(2.5, 4.0))
     if leaving.name in world.endpoints:
         world.crash_endpoint(leaving.name)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 
 from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.model import Address, ExchangeError
@@ -80,8 +81,10 @@
         directory: pathlib.Path,
         store_port: int,
         product: pathlib.Path,
+        on_signal: Callable[[str], None],
     ) -> None:
         self._product = product
+        self._on_signal = on_signal
         self.name = f"n{number}"
         self.zone = ZONES[number % len(ZONES)]
         # All instances use the same metrics port, so each instance of each test process
@@ -112,6 +115,7 @@
 
     def signal(self, number: int) -> None:
         """Send a signal to the process."""
+        self._on_signal(self.name)
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
@@ -174,7 +178,13 @@
             proxy = FaultInjectingProxy(store_port)
             await proxy.start()
             self.store_proxies.append(proxy)
-            gateway = GatewayProcess(number, self._directory, proxy.port, self._product)
+            gateway = GatewayProcess(
+                number,
+                self._directory,
+                proxy.port,
+                self._product,
+                self._record_signal,
+            )
             gateway.start()
             self.gateways.append(gateway)
         await self.settle()
@@ -204,6 +214,9 @@
         if not task.cancelled() and task.exception() is not None:
             self.audit.record_violation(f"background task failed: {task.exception()!r}")
 
+    def _record_signal(self, instance: str) -> None:
+        self.audit.statements.record_disturbance(instance, time.monotonic())
+
     # Endpoints.
 
     async def add_endpoint(self, service: str) -> AuditedEndpoint:
@@ -296,7 +309,11 @@
             self._choose_key(),
             len(body),
         )
+        statements = self.audit.statements
+        statements.record_sent(request_id, gateway.name, time.monotonic())
         answer = await conn.exchange(head, body, DEADLINE_SECONDS + 1.0)
+        if answer.header(wire.SIGNATURE) is not None:
+            statements.record_answer(request_id, time.monotonic())
         self.check_answer(answer.status, answer.body, request_id, method, target, body)
 
     def _choose_key(self) -> int:
