Let a planner that shuts down finish its moves

Keys of an endpoint that is gone waited for their lease to expire, or for the next planner, if the planner was told to stop while it moved them.

Cause: since closing grants are sent again, they were subject to the condition of renewals, which end with SIGTERM. The record of an instance also stayed in the store while a closing grant of it might hold, although only a planner that takes a range over has to wait for that, and does.

Change: closing grants need the table in force and the right to grant, as before SIGTERM. Whether a range was taken over is a field of its own.

--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -322,13 +322,13 @@
         complete = True
         try:
             for key_range in key_ranges:
-                if not self.may_still_grant(key_range):
+                if not self._may_renew(key_range):
                     continue
                 started_at = loop.time()
                 response = await self._orders.grant(
                     endpoint,
                     key_range,
-                    functools.partial(self.may_still_grant, key_range),
+                    functools.partial(self._may_renew, key_range),
                 )
                 if response is None:
                     return
@@ -343,13 +343,16 @@
         finally:
             self._grants_in_progress.discard(endpoint.id)
 
-    def may_still_grant(self, key_range: KeyRange) -> bool:
-        """Return whether a range may be granted as the table in force has it."""
+    def _may_renew(self, key_range: KeyRange) -> bool:
+        return not self.stopping and self.may_grant(key_range)
+
+    def may_grant(self, key_range: KeyRange) -> bool:
+        """Return whether a range is in force and this instance may grant it."""
         now = asyncio.get_running_loop().time()
         stored = next(
             (s for s in self.tables.values() if key_range in s.table.ranges), None
         )
-        return stored is not None and self._fleet.may_grant(now) and not self.stopping
+        return stored is not None and self._fleet.may_grant(now)
 
     def _handle_grant_reply(
         self, endpoint: Endpoint, key_range: KeyRange, response: HttpResponse
--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -1,6 +1,7 @@
 """Plans and carries out moves of keys between endpoints.
 
-Only the instance that is the planner of a service (`Fleet.is_planner`) moves its keys.
+Only the instance that is the planner of a service (`Fleet.is_planner`) begins to move
+its keys. It finishes its moves even if another one has become the planner.
 
 Invariants: a range is assigned to another owner only under the conditions stated in
 `key_planner`. A new table is stored before any instance grants keys under it. Only the
@@ -64,8 +65,10 @@
     revision: int  # Of the table that marks the range as leaving.
     first_seen_at: float
     closing_token: int
-    # When this instance first saw the range leaving, also to be closed by another one.
+    # When this instance first saw the range leaving, and whether another one was to
+    # close it then.
     leaving_since: float
+    taken_over: bool
     # When this instance learned that all others had stopped granting the range.
     grants_known_stopped_at: float | None = None
     release_in_progress: bool = False
@@ -126,13 +129,16 @@
             token = key_range.closing_token
             known = self._revocations.get((service, grant))
             if known is None or known.closing_token != token:
-                since = now if known is None else known.leaving_since
                 self._revocations[service, grant] = _Revocation(
-                    stored.revision, now, token, since
+                    revision=stored.revision,
+                    first_seen_at=now,
+                    closing_token=token,
+                    leaving_since=now if known is None else known.leaving_since,
+                    taken_over=known is not None,
                 )
 
     def tick(self, partitioned_services: list[str], now: float) -> None:
-        """Plan the services whose planner this instance is."""
+        """Plan the services whose planner this instance is, and finish its moves."""
         if not self._fleet.has_store_contact(now) or not self._fleet.registered:
             return
         for service in partitioned_services:
@@ -271,7 +277,7 @@
                 revocation.grants_known_stopped_at = self._grants_known_stopped_at(
                     service, revocation, now
                 )
-                if revocation.leaving_since != revocation.first_seen_at:
+                if revocation.taken_over:
                     # A closing grant of another instance may be on its way.
                     revocation.closed_until = closing_expiry(
                         now + GRANT_TIMEOUT_SECONDS
@@ -340,7 +346,7 @@
             if await self._orders.close_grants(
                 endpoint,
                 key_range,
-                functools.partial(self._leases.may_still_grant, key_range),
+                functools.partial(self._leases.may_grant, key_range),
             ):
                 revocation.release_handover = await self._orders.release(
                     endpoint, key_range
--- a/arbutusflow/gateway/key_orders.py
+++ b/arbutusflow/gateway/key_orders.py
@@ -83,7 +83,6 @@
         self._log = log
         self._lease_seconds = min(KEY_LEASE_SECONDS, lease_seconds)
         self._sent_grants: dict[str, _SentGrants] = {}
-        self._closing_until = -1e9  # When the leases of all closing grants have ended.
         # Called when an endpoint says that it leaves; set by the process.
         self.on_leaving: Callable[[tuple[str, int]], None] = lambda process: None
 
@@ -136,8 +135,6 @@
         from then on. The confirmation comes on a connection of its own, so it can
         belong to no other order. The keys may be held until `closing_expiry`.
         """
-        loop = asyncio.get_running_loop()
-        self._closing_until = closing_expiry(loop.time() + GRANT_TIMEOUT_SECONDS)
         body = wire.encode_grant(
             key_range.first,
             key_range.last,
@@ -243,11 +240,8 @@
         return grants.in_flight > 0 or now - grants.tried_at < seconds
 
     def may_have_unconfirmed_lease(self, now: float) -> bool:
-        """Return whether a lease may be valid that no report to others tells of.
-
-        That is the lease of an unanswered grant or of a closing grant.
-        """
-        return now < self._closing_until or any(
+        """Return whether the lease of an unanswered grant may still be valid."""
+        return any(
             now < lease_expiry(grants.last_grant_times(now)[1])
             for grants in self._sent_grants.values()
         )
--- a/tests/gateway/test_ownership_under_faults.py
+++ b/tests/gateway/test_ownership_under_faults.py
@@ -201,6 +201,30 @@
     assert run_fleet(scenario) == ([], 1.0)
 
 
+def test_a_planner_that_shuts_down_finishes_its_moves():
+    """Guards against keys that wait for the next planner, or for their lease to expire,
+    because the planner no longer gives orders after SIGTERM."""
+
+    async def scenario(sim):
+        await asyncio.sleep(8.0)
+        planner = next(
+            instance
+            for instance in sim.instances.values()
+            if instance.task.fleet.is_planner(SERVICE, sim.now)
+        )
+        stopping = asyncio.create_task(planner.stop())
+        await asyncio.sleep(0.1)
+        sim.unlisted.add("e1")
+        await asyncio.sleep(1.5)
+        owners = {p.endpoint for p in _table(sim, planner.name).ranges}
+        await stopping
+        return owners, sim.violations
+
+    owners, violations = run_fleet(scenario)
+    assert "e1" not in owners
+    assert violations == []
+
+
 def test_leaving_keys_stay_with_their_owner_when_all_instances_restart():
     """Guards against 4 s without an owner after all instances have exited."""
 
