Report a wait that is not obeyed once for overlapping waits

Cause: an endpoint that asks to wait does so in every rejection, so one instance that does not obey gave hundreds of violations.

Change: overlapping waits of one endpoint and instance are reported once.

--- a/tests/soak/audit.py
+++ b/tests/soak/audit.py
@@ -143,9 +143,9 @@
         now = time.monotonic()
         if any(name == wire.LEAVING for name, _ in reply.headers):
             statements.record_leaving(request_id, self.process_name)
-        wait = next((v for n, v in reply.headers if n == wire.RETRY_AFTER), None)
-        if wait is not None:
-            until = now + float(wait)
+        seconds = next((v for n, v in reply.headers if n == wire.RETRY_AFTER), None)
+        if seconds is not None:
+            until = now + float(seconds)
             statements.record_wait(request_id, self.process_name, now, until)
         return reply
 
--- a/tests/soak/statements.py
+++ b/tests/soak/statements.py
@@ -47,6 +47,8 @@
         self._said_leaving: dict[bytes, str] = {}  # Endpoint by answered request.
         self._passed_on: dict[tuple[str, str], float] = {}
         self._waits: dict[tuple[str, str], list[_Wait]] = {}
+        # Of waits that overlap, only the first one is reported.
+        self._reported_until: dict[tuple[str, str], float] = {}
 
     def record_sent(self, request_id: bytes, instance: str, now: float) -> None:
         """Record that a caller sends a request to an instance."""
@@ -98,8 +100,11 @@
             if excused or not wait.asked_at + CROSSING_SECONDS < now < wait.until:
                 continue
             wait.arrivals += 1
-            if wait.arrivals == MAX_CROSSING_REQUESTS + 1:
+            if wait.arrivals == MAX_CROSSING_REQUESTS + 1 and (
+                now >= self._reported_until.get(pair, -1e9)
+            ):
+                self._reported_until[pair] = wait.until
                 self._report(
                     f"{wait.arrivals} requests reached {endpoint} from {req.instance}"
-                    f" within the wait that it asked for at {wait.asked_at:.2f} s"
+                    f" in the wait that it asked for {now - wait.asked_at:.2f} s before"
                 )
