Play planned stops of real processes, and check that no answer is lost

Callers on plain sockets keep connections, send ahead, send bodies in pieces and in chunks, read late, or go on opening connections to an instance that stops; a balancer follows the readiness checks.

--- a/tests/soak/audit.py
+++ b/tests/soak/audit.py
@@ -1,6 +1,8 @@
 """Checks the guarantees of the gateway on what callers and endpoints observe."""
 
+import asyncio
 import collections
+import contextlib
 import dataclasses
 import random
 import time
@@ -11,6 +13,7 @@
 from arbutusflow.gateway.caller_server import CallerRequest, CallerResponse
 from arbutusflow.platform import wire
 from tests.gateway.object_platform import FakeEndpoint
+from tests.soak.lost_audit import EndpointRecord
 from tests.soak.statements import StatementAudit
 
 # An endpoint's clock may be slow, so that a lease lasts two percent longer there.
@@ -36,6 +39,10 @@
     # First key, last key, fencing token and endpoint of each grant that was applied.
     granted: list[tuple[int, int, int, str]] = dataclasses.field(default_factory=list)
     started: float = dataclasses.field(default_factory=time.monotonic)
+    # What endpoints saw of each request, by its identifier.
+    seen: dict[bytes, EndpointRecord] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(EndpointRecord)
+    )
     # What endpoints, proxies and callers saw of each request, in order.
     _events: dict[bytes, list[str]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list)
@@ -121,6 +128,10 @@
         self.rejected_share = 0.0
         self.failed_share = 0.0
         self.rng = random.Random(name)
+        # Shortest and longest work of a request; None for `work_seconds` each time.
+        self.work_range: tuple[float, float] | None = None
+        # Limits the requests that it runs at once; the others wait.
+        self.running_limit: asyncio.Semaphore | None = None
         self._audit = audit
         audit.endpoints.append(self)
 
@@ -164,9 +175,20 @@
                 (wire.ENDPOINT_LOAD, self.load),
             )
             return CallerResponse(503, headers)
-        self._audit.record_event(request_id, f"{self.name} runs it")
-        self._audit.count_run(request_id, req.method)
-        reply = await super()._run(req, request_id)
+        seen = self._audit.seen[request_id]
+        seen.arrived = True
+        async with self.running_limit or contextlib.nullcontext():
+            self._audit.record_event(request_id, f"{self.name} runs it")
+            self._audit.count_run(request_id, req.method)
+            if self.work_range is not None:
+                self.work_seconds = self.rng.uniform(*self.work_range)
+            start = time.monotonic()
+            seen.runs.append((start, None))
+            number = len(seen.runs) - 1
+            try:
+                reply = await super()._run(req, request_id)
+            finally:
+                seen.runs[number] = (start, time.monotonic())
         if self.rng.random() < self.failed_share:
             reply = dataclasses.replace(reply, status=self.rng.choice(FAILURES))
         self._audit.record_event(request_id, f"{self.name} answers {reply.status}")
--- /dev/null
+++ b/tests/soak/lost_audit.py
@@ -0,0 +1,67 @@
+"""Finds the requests that a planned stop has cut off, from what was seen outside.
+
+A request that an instance has read gets a complete answer although the instance is
+stopped. Its caller sees otherwise if its connection ends without one, after the request
+has reached an endpoint or later than `LOSS_SLACK_SECONDS` after its last byte was sent,
+or if the instance answers in place of an endpoint that is still at work.
+
+Not counted: requests that had reached their deadline; requests behind another one that
+reached no endpoint; requests sent early in the stop whose endpoint is at work in the
+last part of the grace period.
+"""
+
+import dataclasses
+
+from tests.soak.callers import CallRecord
+
+GRACE_SECONDS = 6.0  # `graceS` of the settings of the soak.
+WINDOW_SECONDS = GRACE_SECONDS + 1.0  # After SIGTERM.
+LOSS_SLACK_SECONDS = 0.2
+# A request sent later than this after SIGTERM is answered before the end in any case.
+EARLY_SECONDS = 3.0
+LAST_PART_SECONDS = GRACE_SECONDS / 6
+DEADLINE_SLACK_SECONDS = 0.05  # Of the clocks of callers and endpoints.
+
+
+@dataclasses.dataclass
+class EndpointRecord:
+    """What endpoints saw of a request. Times are seconds on the clock of the run."""
+
+    arrived: bool = False
+    # Start and end of each run; an end is None while the endpoint is at work.
+    runs: list[tuple[float, float | None]] = dataclasses.field(default_factory=list)
+    broken_off: bool = False  # By the endpoint or on the way.
+
+    def at_work(self, since: float, until: float) -> bool:
+        """Whether an endpoint was at work at some moment of this time."""
+        return any(
+            start < until and (end is None or end > since) for start, end in self.runs
+        )
+
+
+def is_lost(
+    call: CallRecord, endpoint: EndpointRecord, stops: dict[str, list[float]]
+) -> bool:
+    """Return whether a planned stop of its instance has cut the request off.
+
+    `stops` holds the times at which each instance got SIGTERM.
+    """
+    ended = call.ended_at
+    if ended is None or call.signed:
+        return False
+    stop = max((t for t in stops.get(call.instance, ()) if t <= ended), default=None)
+    if stop is None or ended > stop + WINDOW_SECONDS:
+        return False
+    if endpoint.broken_off or ended >= call.deadline_at - DEADLINE_SLACK_SECONDS:
+        return False
+    end_of_grace = stop + GRACE_SECONDS
+    excused = call.sent_at <= stop + EARLY_SECONDS and endpoint.at_work(
+        end_of_grace - LAST_PART_SECONDS, end_of_grace
+    )
+    if excused:
+        return False
+    if call.status is not None:
+        return endpoint.at_work(ended - DEADLINE_SLACK_SECONDS, ended)
+    if call.behind and not endpoint.arrived:
+        return False
+    return endpoint.arrived or ended > call.sent_at + LOSS_SLACK_SECONDS
--- /dev/null
+++ b/tests/soak/stops.py
@@ -0,0 +1,251 @@
+"""Planned stops of real processes, one after the other and overlapping, under load.
+
+Usage: `python -m tests.soak.stops --seed 1 --seconds 45`. Callers of several kinds keep
+sending; a balancer takes instances out of rotation that fail their readiness checks.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import random
+import signal
+import tempfile
+import time
+from collections.abc import Iterable
+
+import typer
+
+from arbutusflow.gateway.client_connection import ClientConnection
+from arbutusflow.gateway.model import Address, ExchangeError
+from arbutusflow.platform import wire
+from tests.soak.callers import Caller, CallerHabits, CallerSocket, CallRecord
+from tests.soak.lost_audit import is_lost
+from tests.soak.world import ROOT, GatewayProcess, SoakWorld
+
+CHECK_PERIOD_SECONDS = 1.0  # Of the balancer.
+MISSES = 2  # Failed checks in a row that take an instance out of rotation.
+ROUTE_TIMEOUT_SECONDS = 9.0  # Longer than any caller waits.
+
+
+@dataclasses.dataclass(frozen=True)
+class StopScenario:
+    """What a run plays. Times are seconds."""
+
+    instances: int = 3
+    callers: int = 30
+    # Share of the callers that go on opening connections to an instance that stops.
+    insistent: float = 0.0
+    habits: CallerHabits = CallerHabits()
+    work_range: tuple[float, float] = (0.1, 1.0)
+    running_limit: int | None = None  # Of each endpoint; the others wait there.
+    at_once: int = 1  # Most instances that are stopped together.
+    gap_range: tuple[float, float] = (0.5, 2.0)  # From the start of one to the next.
+    seconds: float = 12.0
+
+
+@dataclasses.dataclass
+class StopReport:
+    """What a run showed."""
+
+    calls: list[CallRecord]
+    lost: list[str]
+    violations: list[str]
+    stop_seconds: list[float]  # How long each stop took.
+
+    def summary(self) -> str:
+        """Return the figures of the run in one line."""
+        statuses: dict[int | None, int] = {}
+        for call in self.calls:
+            statuses[call.status] = statuses.get(call.status, 0) + 1
+        longest = max(self.stop_seconds, default=0.0)
+        return (
+            f"{len(self.calls)} requests, {len(self.stop_seconds)} stops, the longest"
+            f" {longest:.2f} s; answers by status: {statuses}; lost: {len(self.lost)}"
+        )
+
+
+class StopPlayer:
+    """Callers, balancer and operator of one run."""
+
+    def __init__(self, world: SoakWorld, scenario: StopScenario) -> None:
+        self._world = world
+        self._scenario = scenario
+        self._rng = world.rng
+        self._out_of_rotation: set[str] = set()
+        self._stopping: set[str] = set()
+        self._stops: dict[str, list[float]] = {}
+        self._calls: list[CallRecord] = []
+        self._stop_seconds: list[float] = []
+
+    async def run(self) -> StopReport:
+        """Play the scenario and judge what was seen."""
+        scenario, world = self._scenario, self._world
+        for gateway in world.gateways:
+            world.spawn(self._check_readiness(gateway))
+        for number in range(scenario.callers):
+            insists = number < scenario.insistent * scenario.callers
+            world.spawn(self._call(number, insists=insists))
+        await asyncio.sleep(1.0)
+        await self._stop_instances()
+        world.callers_active = False
+        until = time.monotonic() + scenario.habits.deadline_seconds[1] + 3.0
+        while world.tasks and time.monotonic() < until:
+            await asyncio.sleep(0.1)
+        return StopReport(
+            self._calls, list(self._lost()), world.audit.violations, self._stop_seconds
+        )
+
+    def _lost(self) -> Iterable[str]:
+        for call in self._calls:
+            seen = self._world.audit.seen[call.request_id]
+            if not is_lost(call, seen, self._stops):
+                continue
+            ended = call.ended_at or 0.0
+            stop = max(t for t in self._stops[call.instance] if t <= ended)
+            runs = [
+                (f"{a - stop:+.2f}", b and f"{b - stop:+.2f}") for a, b in seen.runs
+            ]
+            yield (
+                f"{call.describe()}: sent {call.sent_at - stop:+.2f} s, ended"
+                f" {ended - stop:+.2f} s after SIGTERM; arrived: {seen.arrived},"
+                f" runs: {runs}"
+            )
+
+    async def _stop_instances(self) -> None:
+        scenario = self._scenario
+        stops: set[asyncio.Task[None]] = set()
+        until = time.monotonic() + scenario.seconds
+        while time.monotonic() < until:
+            running = [g for g in self._world.gateways if g.name not in self._stopping]
+            count = min(
+                self._rng.randint(1, scenario.at_once),
+                scenario.at_once - len(self._stopping),
+                len(running),
+            )
+            for gateway in self._rng.sample(running, max(count, 0)):
+                self._stopping.add(gateway.name)
+                stops.add(asyncio.create_task(self._stop(gateway)))
+            await asyncio.sleep(self._rng.uniform(*scenario.gap_range))
+        await asyncio.gather(*stops)
+
+    async def _stop(self, gateway: GatewayProcess) -> None:
+        start = time.monotonic()
+        self._stops.setdefault(gateway.name, []).append(start)
+        await gateway.end(signal.SIGTERM)
+        self._stop_seconds.append(time.monotonic() - start)
+        await asyncio.sleep(self._rng.uniform(0.0, 0.5))
+        gateway.start()
+        while gateway.name in self._out_of_rotation:
+            await asyncio.sleep(0.05)
+        self._stopping.discard(gateway.name)
+
+    async def _check_readiness(self, gateway: GatewayProcess) -> None:
+        head = b"GET %b HTTP/1.1\r\nHost: h\r\n\r\n" % wire.READINESS_PATH
+        misses = 0
+        while self._world.callers_active:
+            ready = False
+            with contextlib.suppress(ExchangeError):
+                conn = await ClientConnection.open(
+                    Address(gateway.host, gateway.readiness_port), 1.0
+                )
+                try:
+                    ready = (await conn.exchange(head, b"", 1.0)).status == 200
+                finally:
+                    conn.close()
+            misses = 0 if ready else misses + 1
+            if ready:
+                self._out_of_rotation.discard(gateway.name)
+            elif misses >= MISSES:
+                self._out_of_rotation.add(gateway.name)
+            await asyncio.sleep(CHECK_PERIOD_SECONDS)
+
+    def _choose_instance(self, *, insists: bool) -> GatewayProcess:
+        gateways = self._world.gateways
+        stopping = [g for g in gateways if g.name in self._stopping]
+        if insists and stopping:
+            return self._rng.choice(stopping)
+        ready = [g for g in gateways if g.name not in self._out_of_rotation]
+        return self._rng.choice(ready or gateways)
+
+    async def _call(self, number: int, *, insists: bool) -> None:
+        rng = random.Random(self._rng.random())
+        caller = Caller(f"c{number}", rng, self._scenario.habits, self._calls)
+        while self._world.callers_active:
+            gateway = self._choose_instance(insists=insists)
+            try:
+                sock = await CallerSocket.open(gateway.address)
+            except (OSError, TimeoutError):
+                await asyncio.sleep(0.05)
+                continue
+            try:
+                with contextlib.suppress(OSError):
+                    while self._world.callers_active:
+                        if not await caller.exchange(sock, gateway.name) or insists:
+                            break
+                        await asyncio.sleep(rng.uniform(0.0, 0.2))
+            finally:
+                sock.close()
+
+
+async def play_stops(
+    seed: int,
+    directory: pathlib.Path,
+    scenario: StopScenario,
+    product: pathlib.Path = ROOT,
+) -> StopReport:
+    """Play one run with real processes of the gateway of `product`."""
+    world = SoakWorld(seed, directory, scenario.instances, product)
+    world.timeout_seconds = ROUTE_TIMEOUT_SECONDS
+    try:
+        await world.start()
+        for endpoint in world.endpoints.values():
+            endpoint.work_range = scenario.work_range
+            if scenario.running_limit is not None:
+                endpoint.running_limit = asyncio.Semaphore(scenario.running_limit)
+        return await StopPlayer(world, scenario).run()
+    finally:
+        await world.close()
+
+
+SCENARIOS = {
+    "steady": StopScenario(at_once=2, instances=6),
+    "ahead": StopScenario(at_once=2, instances=6, habits=CallerHabits(ahead=0.6)),
+    "insistent": StopScenario(
+        at_once=2,
+        instances=6,
+        insistent=0.34,
+        habits=CallerHabits(chunked=0.5, in_pieces=0.3),
+    ),
+    "full": StopScenario(
+        at_once=2,
+        instances=6,
+        callers=60,
+        work_range=(1.0, 8.0),
+        running_limit=3,
+        habits=CallerHabits(deadline_seconds=(2.5, 8.5)),
+    ),
+    "late-readers": StopScenario(
+        at_once=2, instances=6, habits=CallerHabits(reads_late=0.5)
+    ),
+}
+
+
+def main(
+    scenario: str = "insistent",
+    seed: int = 1,
+    seconds: float = 45.0,
+    product: pathlib.Path = ROOT,
+) -> None:
+    """Play one scenario, and print its figures and the requests that were cut off."""
+    chosen = dataclasses.replace(SCENARIOS[scenario], seconds=seconds)
+    directory = pathlib.Path(tempfile.mkdtemp(prefix=f"stops-{seed}-"))
+    report = asyncio.run(play_stops(seed, directory, chosen, product))
+    typer.echo(f"{scenario}, seed {seed}: {report.summary()}; logs: {directory}")
+    for line in (*report.lost, *report.violations):
+        typer.echo(f"  {line}")
+    raise typer.Exit(1 if report.lost or report.violations else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/tests/soak/test_lost_audit.py
@@ -0,0 +1,61 @@
+"""The check for cut-off requests, just inside and just outside each of its bounds."""
+
+import dataclasses
+
+import pytest
+
+from tests.soak.callers import CallRecord
+from tests.soak.lost_audit import EndpointRecord, is_lost
+
+STOPS = {"n0": [100.0]}
+CALL = CallRecord(
+    b"r", "n0", True, False, deadline_at=110.0, sent_at=104.0, ended_at=105.0
+)
+ARRIVED = EndpointRecord(arrived=True, runs=[(104.0, 104.5)])
+
+
+def judge(call=CALL, endpoint=ARRIVED, **changes):
+    return is_lost(dataclasses.replace(call, **changes), endpoint, STOPS)
+
+
+def test_a_cut_request_that_reached_an_endpoint_is_lost():
+    assert judge()
+    assert not judge(status=200, signed=True)
+    assert not judge(status=503)
+
+
+@pytest.mark.parametrize("ended, lost", [(99.9, False), (106.9, True), (107.1, False)])
+def test_only_ends_between_the_signal_and_the_end_of_the_window_count(ended, lost):
+    assert judge(sent_at=99.0, ended_at=ended) is lost
+
+
+@pytest.mark.parametrize("ended, lost", [(104.1, False), (104.3, True)])
+def test_a_request_that_reached_no_endpoint_may_cross_the_close(ended, lost):
+    assert judge(endpoint=EndpointRecord(), ended_at=ended) is lost
+
+
+def test_a_request_behind_another_counts_once_it_reached_an_endpoint():
+    assert judge(behind=True)
+    assert not judge(endpoint=EndpointRecord(), behind=True)
+
+
+@pytest.mark.parametrize("sent, lost", [(102.9, False), (103.1, True)])
+def test_work_at_the_end_of_the_grace_period_excuses_early_requests(sent, lost):
+    endpoint = EndpointRecord(arrived=True, runs=[(sent, None)])
+    assert judge(endpoint=endpoint, sent_at=sent, ended_at=105.9) is lost
+
+
+def test_a_queued_request_is_not_excused_by_work_that_never_began():
+    endpoint = EndpointRecord(arrived=True)
+    assert judge(endpoint=endpoint, sent_at=101.0, ended_at=105.7)
+
+
+def test_an_answer_in_place_of_an_endpoint_at_work_counts():
+    working = EndpointRecord(arrived=True, runs=[(104.0, None)])
+    assert judge(endpoint=working, status=502)
+    assert not judge(status=502)
+
+
+def test_a_deadline_and_a_broken_answer_excuse_the_instance():
+    assert not judge(deadline_at=105.0)
+    assert not judge(endpoint=dataclasses.replace(ARRIVED, broken_off=True))
--- /dev/null
+++ b/tests/soak/test_stops.py
@@ -0,0 +1,35 @@
+"""Planned stops of real processes under load; each test is one seeded run.
+
+`python -m tests.soak.stops` plays them longer.
+"""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from tests.soak.stops import SCENARIOS, play_stops
+
+SECONDS = 4.0  # In which stops begin.
+
+
+def _play(name, directory):
+    scenario = dataclasses.replace(SCENARIOS[name], instances=4, seconds=SECONDS)
+    return asyncio.run(play_stops(1, directory, scenario))
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        pytest.param("insistent", id="callers-keep-coming"),
+        pytest.param("full", id="requests-wait-at-endpoints"),
+        pytest.param("ahead", id="requests-behind-others"),
+        pytest.param("steady", id="callers-follow-readiness"),
+    ],
+)
+def test_a_planned_stop_leaves_no_request_without_its_answer(name, tmp_path):
+    """Guards against connections that end under requests read before the end."""
+    report = _play(name, tmp_path)
+    assert report.violations == []
+    assert report.lost == []
+    assert len(report.stop_seconds) > 1
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -32,12 +32,14 @@
 DEADLINE_SECONDS = 1.5
 
 
-def _route(name: str, prefix: str, kind: str, service: str) -> dict[str, object]:
+def _route(
+    name: str, prefix: str, kind: str, service: str, timeout_seconds: float
+) -> dict[str, object]:
     return {
         "name": name,
         "pathPrefix": prefix,
         "routeType": kind,
-        "timeoutS": DEADLINE_SECONDS,
+        "timeoutS": timeout_seconds,
         "targetLatencyS": 0.5,
         "priority": 1,
         "service": service,
@@ -45,18 +47,23 @@
     }
 
 
-def configuration(version: int) -> dict[str, object]:
+def configuration(
+    version: int, timeout_seconds: float = DEADLINE_SECONDS
+) -> dict[str, object]:
     """Return a version of the configuration, with a route named after the version."""
     services = [
         {**CONFIGURATION["services"][0], "name": "keyed"},
         {**CONFIGURATION["services"][1], "name": "plain"},
     ]
     paths = [
-        _route("lookup", "/x/", "safe", "keyed"),
-        _route("order", "/y/", "unsafe", "plain"),
-        _route("keyed-order", "/z/", "unsafe", "keyed"),
+        _route(*route, timeout_seconds)
+        for route in (
+            ("lookup", "/x/", "safe", "keyed"),
+            ("order", "/y/", "unsafe", "plain"),
+            ("keyed-order", "/z/", "unsafe", "keyed"),
+            (f"v{version}", f"/v{version}/", "safe", "plain"),
+        )
     ]
-    paths += [_route(f"v{version}", f"/v{version}/", "safe", "plain")]
     hosts = [{"host": "shop.example", "paths": paths}]
     return {
         **CONFIGURATION,
@@ -99,6 +106,7 @@
         self._settings.write_text(
             SETTINGS.format(name=self.name, host=self.host, zone=self.zone, **ports)
         )
+        self.readiness_port = ports["ready"]
         self.process: subprocess.Popen[bytes] | None = None
         self.paused = False
 
@@ -153,6 +161,7 @@
         self.audit = Audit()
         self.store = ObjectStore()
         self.version = 1
+        self.timeout_seconds = DEADLINE_SECONDS  # Of all routes.
         self._directory = directory
         self._instance_count = instances
         self.gateways: list[GatewayProcess] = []
@@ -170,7 +179,8 @@
         """Start all parts, and wait until each instance serves all keys."""
         await self.store.server.start("127.0.0.1", 0)
         store_port = self.store.server.port
-        self.store.put("config", "main", configuration(self.version))
+        cfg = configuration(self.version, self.timeout_seconds)
+        self.store.put("config", "main", cfg)
         for service, count in (("keyed", 5), ("plain", 3)):
             for _ in range(count):
                 await self.add_endpoint(service)
