Log each request that ends without an answer, and what a stop did to requests

The log could not tell the hypotheses apart: a request that was cut left no line. request_cut names it with the cause (process_ended, behind_closing_response) and how long it was held; stopped has the seconds since SIGTERM and the outcomes of requests since then.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -82,6 +82,9 @@
 Handler = Callable[[CallerRequest], Awaitable[CallerResponse]]
 # Logs an exception raised by a handler; the first argument names the activity.
 ErrorHandler = Callable[[str, BaseException], None]
+# Called for a request that this instance ends without a response; the second argument
+# names the cause.
+CutHandler = Callable[[CallerRequest, str], None]
 
 
 class CallerServer:
@@ -93,6 +96,7 @@
         self.handler = handler
         self.budget = budget
         self.on_error = on_error
+        self.on_cut: CutHandler = lambda req, cause: None
         self.limits = DEFAULT_LIMITS
         # Returns by its headers within how many seconds a request has to be complete.
         self.read_seconds: Callable[[Headers], float] = lambda headers: MAX_READ_SECONDS
@@ -127,6 +131,11 @@
         for conn in list(self.connections):
             conn.close_if_idle()
 
+    def report_unanswered(self, cause: str) -> None:
+        """Report all complete requests that have no response."""
+        for conn in self.connections:
+            conn.report_unanswered(cause)
+
     @property
     def pending_requests(self) -> int:
         """Number of requests without a response."""
@@ -379,7 +388,14 @@
                 self._start_timer(self._server.limits.header_seconds)
         self._resume()
 
+    def report_unanswered(self, cause: str) -> None:
+        """Report the complete requests that have no response."""
+        for pipelined in self._pipeline:
+            if pipelined.request is not None:
+                self._server.on_cut(pipelined.request, cause)
+
     def _cancel_pipeline(self) -> None:
+        self.report_unanswered("behind_closing_response")
         for pipelined in self._pipeline:
             if pipelined.task is not None:
                 pipelined.task.cancel()
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -103,6 +103,8 @@
         # By process of an endpoint that said that it leaves: when it became known.
         self._leaving: dict[EndpointProcess, float] = {}
         self._leave_started = False
+        # Outcomes of requests since the stop began.
+        self._outcomes_while_stopping: collections.Counter[str] = collections.Counter()
         self._tasks: set[asyncio.Task[None]] = set()
         self._configuration: Configuration | None = None
         self.log = EventLog(cfg.instance)
@@ -159,7 +161,7 @@
             on_strike=self._on_strike,
             on_cleared=self._on_cleared,
             on_leaving=self._on_leaving,
-            count_outcome=self.metrics.count_outcome,
+            count_outcome=self._count_outcome,
             observe_latency=self.metrics.observe_latency,
         )
         self.fleet_task.orders.on_leaving = self._on_leaving
@@ -168,6 +170,7 @@
             self.dispatcher.handle, BodyBudget(lambda: body_bytes), log.write_exception
         )
         self.caller_server.read_seconds = _read_seconds
+        self.caller_server.on_cut = self._log_cut
         self.readiness_server = CallerServer(
             self._readiness, BodyBudget(lambda: 0), log.write_exception
         )
@@ -204,7 +207,8 @@
         for copy in (self.config_copy, self.endpoint_copy, self.fleet_task.copy):
             self._start_task(copy.run())
         await self._stopped.wait()
-        self.log.write("stopped", dropped_lines=self.log.dropped)
+        self.caller_server.report_unanswered("process_ended")
+        self._log_stopped()
 
     def _periodic_callbacks(self) -> list[tuple[float, Callable[[], None]]]:
         return [
@@ -485,6 +489,32 @@
             self.caller_server.close_after_responses()
             self.log.write("stopping", active=self.caller_server.pending_requests)
 
+    def _count_outcome(self, outcome: str) -> None:
+        self.metrics.count_outcome(outcome)
+        if self._stopping_since is not None:
+            self._outcomes_while_stopping[outcome] += 1
+
+    def _log_cut(self, req: CallerRequest, cause: str) -> None:
+        """Log a request that this instance ends without a response."""
+        self._count_outcome("cut")
+        request_id = req.header(wire.REQUEST_ID) or b""
+        self.log.write_rate_limited(
+            "request_cut",
+            request_id=request_id.decode("latin-1"),
+            cause=cause,
+            held_seconds=round(self._loop.time() - req.received_at, 4),
+        )
+
+    def _log_stopped(self) -> None:
+        now = self._loop.time()
+        since = now if self._stopping_since is None else self._stopping_since
+        self.log.write(
+            "stopped",
+            seconds=round(now - since, 3),
+            outcomes=dict(self._outcomes_while_stopping),
+            dropped_lines=self.log.dropped,
+        )
+
     def _continue_stop(self, now: float) -> None:
         assert self._stopping_since is not None
         elapsed = now - self._stopping_since
--- a/tests/gateway/test_caller_server.py
+++ b/tests/gateway/test_caller_server.py
@@ -157,6 +157,25 @@
     assert seen[0].header(b"deadline-ms") is None
 
 
+def test_requests_without_a_response_are_reported_with_the_cause():
+    """Guards against requests cut off by this instance that leave no log line."""
+
+    async def never(req):
+        await asyncio.sleep(60.0)
+
+    async def main():
+        cut = []
+        server = CallerServer(never, BodyBudget(lambda: 10**6), lambda *_: None)
+        server.on_cut = lambda req, cause: cut.append((req.target, cause))
+        conn = CallerConnection(server)
+        conn.connection_made(FakeTransport())
+        conn.data_received(GET % b"a" + GET % b"b" + b"GET /incomplete HTTP/1.1\r\n")
+        server.report_unanswered("process_ended")
+        return cut
+
+    assert run(main()) == [(b"/a", "process_ended"), (b"/b", "process_ended")]
+
+
 def test_a_handler_exception_is_logged_and_returns_500():
     """Guards against a caller that gets no response if the handler raises."""
 
