Answer requests behind the response with which a stop closes a connection

What callers saw: safe requests sent ahead on one connection ended with the connection around SIGTERM, though endpoints were running them.

Cause: from SIGTERM on the next response of a connection carried Connection: close, and all requests behind it were cancelled, also those that had been passed on. Class of fault: a connection is closed by the state of one request, not of all that were read on it.

Change: after SIGTERM the first response ends reading; what was read is answered in order, and the last response closes. A caller that goes on sending ahead does not hold the stop up.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -123,7 +123,10 @@
             self._server.close()
 
     def close_after_responses(self) -> None:
-        """Close each connection after its next response."""
+        """Read no further requests on a connection after its next response.
+
+        Requests that were read before are answered; then the connection is closed.
+        """
         self.stopping = True
 
     def close_idle(self) -> None:
@@ -349,14 +352,19 @@
         self, status: int, headers: tuple[tuple[bytes, bytes], ...] = ()
     ) -> None:
         """Respond with an error and process no further input."""
-        self._input_closed = True
-        self._request_started = False
-        self._release_body()
+        self._close_input()
         pipelined = _PipelinedRequest(None, keep_alive=False)
         pipelined.reply = CallerResponse(status, headers)
         self._pipeline.append(pipelined)
         self._write_ready_responses()
 
+    def _close_input(self) -> None:
+        """Process no further input; a request that is not complete is dropped."""
+        self._input_closed = True
+        self._request_started = False
+        self._stop_timer()
+        self._release_body()
+
     def _release_body(self) -> None:
         if self._reserved_bytes:
             self._server.budget.release(self._reserved_bytes)
@@ -365,7 +373,10 @@
     def _write_ready_responses(self) -> None:
         while self._pipeline and self._pipeline[0].reply is not None:
             pipelined = self._pipeline.popleft()
-            keep = pipelined.keep_alive and not self._server.stopping
+            if self._server.stopping:
+                # Endpoints may be running the requests behind this one.
+                self._close_input()
+            keep = pipelined.keep_alive
             if self._input_closed and not self._pipeline:
                 keep = False
             if pipelined.reply is not None:
