End an instance only when what it has read is answered

What callers saw: connections that ended without a status 5.6 s after SIGTERM, both under requests that were read shortly before and under requests that had been waiting at an endpoint since before the signal.

Cause: the stop went on accepting as long as one request was pending, so callers that keep coming held it until the end of the grace period; then the process ended in the same tick, with what it had just read and with what it was still waiting for. Class of fault: an end by the clock that does not ask what was accepted. A request was accepted without a look at the time left.

Change: the life of an instance is a state machine without clock (lifecycle): leaving the rotation, draining, closing, ending. A request is sent to an endpoint only if it ends by its deadline, or by the longest response time measured lately, before the final answers; otherwise it is refused at once with a promise that is true. Listening ends one second before the final answers. What has no answer then gets 502 if an endpoint may be running it, 503 if it was never sent. The process ends when all is written, and not while it deregisters under new requests. Times keep their order for any grace period; a second signal is logged.

Why it works: no request is without a decision at the end, and those that could be cut are not accepted. What is not covered: a response time longer than all of the last 10 s; such a request gets 502 from the instance while its endpoint is at work.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 from collections.abc import Awaitable, Callable
 
 import httptools
@@ -134,6 +135,15 @@
         for conn in list(self.connections):
             conn.close_if_idle()
 
+    def finish(self) -> None:
+        """Process no further input, and cancel all handlers.
+
+        A handler that is cancelled returns the final response to its request. Requests
+        that are not complete get status 503.
+        """
+        for conn in list(self.connections):
+            conn.finish()
+
     def report_unanswered(self, cause: str) -> None:
         """Report all complete requests that have no response."""
         for conn in self.connections:
@@ -365,6 +375,28 @@
         self._stop_timer()
         self._release_body()
 
+    def finish(self) -> None:
+        """Cancel the handlers, which respond, and close the connection after that."""
+        if self._request_started:
+            self._reject(503)
+        self._close_input()
+        for pipelined in self._pipeline:
+            if pipelined.task is not None and pipelined.reply is None:
+                pipelined.task.add_done_callback(
+                    functools.partial(self._ensure_response, pipelined)
+                )
+                pipelined.task.cancel()
+        if not self._pipeline:
+            self._close()
+
+    def _ensure_response(
+        self, pipelined: _PipelinedRequest, task: "asyncio.Task[None]"
+    ) -> None:
+        """Respond to a request whose handler was cancelled before it began."""
+        if pipelined.reply is None:
+            pipelined.reply = CallerResponse(503)
+            self._write_ready_responses()
+
     def _release_body(self) -> None:
         if self._reserved_bytes:
             self._server.budget.release(self._reserved_bytes)
--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -21,6 +21,7 @@
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.key_demand import KeyDemand
 from arbutusflow.gateway.key_leases import KeyLeases
+from arbutusflow.gateway.lifecycle import Lifecycle, Phase
 from arbutusflow.gateway.model import (
     Configuration,
     ExchangeError,
@@ -29,6 +30,7 @@
     Route,
     Service,
 )
+from arbutusflow.gateway.response_times import LongestResponseTimes
 from arbutusflow.gateway.retry_budget import RetryBudget
 from arbutusflow.gateway.routing import RouteTable, WeightedRoundRobin
 from arbutusflow.platform import wire
@@ -125,6 +127,7 @@
         demand: KeyDemand,
         crash_strikes: CrashStrikes,
         log: EventLog,
+        lifecycle: Lifecycle,
         instance_count: Callable[[], int],
         tries_suspect: Callable[[bytes], bool],
         on_strike: Callable[[bytes, EndpointProcess], None],
@@ -141,6 +144,8 @@
         self._demand = demand
         self._crash_strikes = crash_strikes
         self._log = log
+        self._lifecycle = lifecycle
+        self._response_times = LongestResponseTimes()
         self._instance_count = instance_count
         self._tries_suspect = tries_suspect
         self._on_strike = on_strike
@@ -164,12 +169,20 @@
     async def handle(self, req: CallerRequest) -> CallerResponse:
         """Serve one request."""
         request_id = req.header(wire.REQUEST_ID) or b""
+        ctx: _RequestContext | None = None
         try:
             ctx = self._parse_request(req, request_id)
             reply = await self._serve(ctx)
             self._count_outcome("answered")
         except RequestError as exc:
             reply = self._error_reply(req, request_id, exc)
+        except asyncio.CancelledError:
+            if self._lifecycle.phase < Phase.ENDING:
+                raise
+            # This instance ends before the request does.
+            status = 502 if ctx is not None and ctx.may_have_run else 503
+            error = RequestError(status, "instance_ends")
+            reply = self._error_reply(req, request_id, error)
         self._observe_latency(self._loop.time() - req.received_at)
         return reply
 
@@ -321,6 +334,9 @@
     def _refusal(self, ctx: _RequestContext, state: EndpointState) -> str | None:
         """Return why the request must not be sent to the endpoint now, if so."""
         now = self._loop.time()
+        longest = self._response_times.longest(ctx.service.name, now)
+        if not self._lifecycle.admits(longest, self._response_deadline(ctx), now):
+            return "instance_stops"
         return self._admission.check(
             state, ctx.route, ctx.deadline - now, now - ctx.req.received_at, now
         )
@@ -401,13 +417,20 @@
                 ctx.sends += 1
                 ctx.req.cancellable = ctx.idempotent
                 started = self._loop.time()
-                response = await conn.exchange(
-                    self._request_head(ctx, state),
-                    ctx.req.body,
-                    self._response_deadline(ctx) - started,
-                    ctx.request_id,
-                    ctx.req.method == b"HEAD",
-                )
+                try:
+                    response = await conn.exchange(
+                        self._request_head(ctx, state),
+                        ctx.req.body,
+                        self._response_deadline(ctx) - started,
+                        ctx.request_id,
+                        ctx.req.method == b"HEAD",
+                    )
+                except asyncio.CancelledError:
+                    ctx.may_have_run = True
+                    raise
+                finally:
+                    now = self._loop.time()
+                    self._response_times.record(ctx.service.name, now - started, now)
         except ExchangeError as exc:
             self._handle_exchange_error(ctx, state, exc)
             return None
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -36,6 +36,7 @@
     ZONE_REPORT_SECONDS,
     FleetTask,
 )
+from arbutusflow.gateway.lifecycle import Lifecycle, Phase, Work
 from arbutusflow.gateway.metrics import GatewayMetrics
 from arbutusflow.gateway.model import Configuration, GatewaySettings
 from arbutusflow.gateway.peers import (
@@ -69,10 +70,7 @@
 ENDPOINT_BATCH_SECONDS = 0.25
 BODY_MEMORY_FRACTION = 0.3  # Share of the memory limit available for request bodies.
 RESPONSE_MEMORY_FRACTION = 0.2  # The same for the bodies of responses.
-# The platform takes an instance out of rotation after two failed readiness checks, made
-# once a second. Connections opened until then are served.
-ROTATION_DELAY_SECONDS = 2.6
-STOP_MARGIN_SECONDS = 0.4  # Before SIGKILL.
+LEAVE_TIMEOUT_SECONDS = 0.2  # For the write that deregisters this instance.
 # Strikes are repeated in all reports of this period, because datagrams can be lost.
 STRIKE_REPORT_SECONDS = 3.0
 MAX_REPORTED_STRIKES = 8  # Bounds the size of a report.
@@ -92,7 +90,7 @@
         self._settings_text = _read(path)
         self._rng = random.Random()
         self._started_at = self._loop.time()
-        self._stopping_since: float | None = None
+        self.lifecycle = Lifecycle()
         self._stopped = asyncio.Event()
         self._strikes: collections.deque[tuple[float, StrikeReport]] = (
             collections.deque(maxlen=MAX_REPORTED_STRIKES)
@@ -102,7 +100,7 @@
         self._known_strikes: dict[tuple[str, int], None] = {}
         # By process of an endpoint that said that it leaves: when it became known.
         self._leaving: dict[EndpointProcess, float] = {}
-        self._leave_started = False
+        self._leave_task: asyncio.Task[None] | None = None
         # Outcomes of requests since the stop began.
         self._outcomes_while_stopping: collections.Counter[str] = collections.Counter()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -156,6 +154,7 @@
             demand=self.fleet_task.demand,
             crash_strikes=self.crash_strikes,
             log=log,
+            lifecycle=self.lifecycle,
             instance_count=self.fleet_task.instance_count,
             tries_suspect=self.fleet_task.fleet.tries_suspect,
             on_strike=self._on_strike,
@@ -231,7 +230,7 @@
         self.endpoints.remove_departed(now)
         self.endpoints.expire_peer_reports(now)
         self.fleet_task.tick(now)
-        if self._stopping_since is not None:
+        if self.lifecycle.stopping:
             self._continue_stop(now)
 
     def _prune_connections(self) -> None:
@@ -441,12 +440,10 @@
 
     @property
     def ready(self) -> bool:
-        """Whether requests can be served."""
-        return (
-            self._stopping_since is None
-            and self._configuration is not None
-            and self.endpoint_copy.was_read
-        )
+        """Whether the balancer may send callers."""
+        if self._configuration is not None and self.endpoint_copy.was_read:
+            self.lifecycle.become_ready()
+        return self.lifecycle.ready
 
     async def _readiness(self, req: CallerRequest) -> CallerResponse:
         if req.target != wire.READINESS_PATH:
@@ -483,15 +480,16 @@
         self.log.write("settings_reloaded")
 
     def _stop(self) -> None:
-        if self._stopping_since is None:
-            self._stopping_since = self._loop.time()
-            self.fleet_task.leases.stopping = True
-            self.caller_server.close_after_responses()
-            self.log.write("stopping", active=self.caller_server.pending_requests)
+        if not self.lifecycle.stop(self._loop.time(), self._cfg.stop_seconds):
+            self.log.write("stop_repeated", phase=self.lifecycle.phase.name)
+            return
+        self.fleet_task.leases.stopping = True
+        self.caller_server.close_after_responses()
+        self.log.write("stopping", active=self.caller_server.pending_requests)
 
     def _count_outcome(self, outcome: str) -> None:
         self.metrics.count_outcome(outcome)
-        if self._stopping_since is not None:
+        if self.lifecycle.stopping:
             self._outcomes_while_stopping[outcome] += 1
 
     def _log_cut(self, req: CallerRequest, cause: str) -> None:
@@ -506,33 +504,41 @@
         )
 
     def _log_stopped(self) -> None:
-        now = self._loop.time()
-        since = now if self._stopping_since is None else self._stopping_since
+        plan = self.lifecycle.plan
+        assert plan is not None
         self.log.write(
             "stopped",
-            seconds=round(now - since, 3),
+            seconds=round(self._loop.time() - plan.began, 3),
             outcomes=dict(self._outcomes_while_stopping),
             dropped_lines=self.log.dropped,
         )
 
     def _continue_stop(self, now: float) -> None:
-        assert self._stopping_since is not None
-        elapsed = now - self._stopping_since
-        if elapsed < ROTATION_DELAY_SECONDS:
-            return
-        self.caller_server.close_idle()
-        deadline = self._cfg.stop_seconds - STOP_MARGIN_SECONDS
-        if not self.caller_server.pending_requests or elapsed >= deadline:
+        """Carry out what the phases require that have come since the last call."""
+        server, phase = self.caller_server, self.lifecycle.phase
+        while True:
+            deregistered = self._leave_task is not None and self._leave_task.done()
+            work = Work(server.pending_requests, server.is_busy, deregistered)
+            previous, phase = phase, self.lifecycle.advance(work, now)
+            if phase is previous:
+                break
+            self._enter_phase(phase)
+        if phase in (Phase.DRAINING, Phase.CLOSING):
+            server.close_idle()
+
+    def _enter_phase(self, phase: Phase) -> None:
+        if phase is Phase.CLOSING:
             self.caller_server.stop_accepting()
-            if not self._leave_started:
-                self._leave_started = True
-                self._start_task(self._leave(self._stopping_since + deadline))
-
-    async def _leave(self, deadline: float) -> None:
-        """Deregister, and end after the last requests or at the deadline."""
-        await self.fleet_task.leave(STOP_MARGIN_SECONDS / 2)
-        while self.caller_server.is_busy and self._loop.time() < deadline:
-            await asyncio.sleep(TICK_INTERVAL_SECONDS)
+            leave = self.fleet_task.leave(LEAVE_TIMEOUT_SECONDS)
+            self._leave_task = self._loop.create_task(leave)
+        elif phase is Phase.ENDING:
+            self.caller_server.finish()
+        elif phase is Phase.ENDED:
+            self._start_task(self._end())
+
+    async def _end(self) -> None:
+        assert self._leave_task is not None
+        await self._leave_task
         self._stopped.set()
 
 
--- a/tests/gateway/test_caller_server.py
+++ b/tests/gateway/test_caller_server.py
@@ -157,6 +157,37 @@
     assert transport.closed
 
 
+@pytest.mark.parametrize("delay", [0.0, 0.1], ids=["not-begun", "running"])
+def test_an_instance_that_ends_answers_all_that_it_has_read(delay):
+    """Guards against connections that end under requests held by an instance."""
+
+    async def held(req):
+        try:
+            await asyncio.sleep(60.0)
+        except asyncio.CancelledError:
+            return CallerResponse(502, body=req.target + b" ends")
+
+    async def main():
+        server = CallerServer(held, BodyBudget(lambda: 10**6), lambda *_: None)
+        conn, transport = CallerConnection(server), FakeTransport()
+        conn.connection_made(transport)
+        conn.data_received(GET % b"a" + GET % b"b" + b"POST /incomplete HTTP/1.1\r\n")
+        if delay:
+            await asyncio.sleep(delay)
+        server.finish()
+        conn.data_received(b"\r\n")
+        await asyncio.sleep(0.1)
+        return transport, server.pending_requests
+
+    transport, pending = run(main())
+    answers = [int(x[:3]) for x in transport.written.split(b"HTTP/1.1 ")[1:]]
+    # A handler that has not begun cannot have sent its request to an endpoint.
+    held_status = 502 if delay else 503
+    assert answers == [held_status, held_status, 503]
+    assert transport.closed
+    assert pending == 0
+
+
 async def slowly(req):
     """Respond to `/a` at once and to others after a second."""
     await asyncio.sleep(0.0 if req.target == b"/a" else 1.0)
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 
 import pytest
@@ -12,6 +13,7 @@
 from arbutusflow.gateway.dispatch import Dispatcher
 from arbutusflow.gateway.endpoint_load import EndpointTable
 from arbutusflow.gateway.key_demand import KeyDemand
+from arbutusflow.gateway.lifecycle import Lifecycle, Phase
 from arbutusflow.gateway.model import (
     Address,
     CallerLimits,
@@ -133,6 +135,8 @@
     unlisted_after=None,
     full=0,
     in_flight=0,
+    lifecycle=None,
+    cancel_after=None,
 ):
     """Return the reply, the hosts that were sent the request, and the seconds taken.
 
@@ -169,6 +173,7 @@
             crash_strikes=CrashStrikes(),
             tries_suspect=lambda digest: False,
             log=log,
+            lifecycle=Lifecycle() if lifecycle is None else lifecycle,
             instance_count=lambda: 3,
             on_strike=lambda digest, process: None,
             on_cleared=lambda digest: None,
@@ -202,7 +207,10 @@
         for _ in range(repetitions):
             started = loop.time()
             req = CallerRequest(b"GET", b"/x", headers, b"", started)
-            replies.append(await dispatcher.handle(req))
+            task = loop.create_task(dispatcher.handle(req))
+            if cancel_after is not None:
+                loop.call_later(cancel_after, task.cancel)
+            replies.append(await task)
             seconds = loop.time() - started
             if repetitions > 1:
                 await asyncio.sleep(10.0)  # The backoff of the endpoint ends meanwhile.
@@ -402,3 +410,69 @@
     rejected = response(503, (b"Not-Executed", b"1"), (b"Instance-Load", b"2,6,2"))
     reply, sent, _ = handle(rejected, OK, partitioned=True, endpoints=1)
     assert (reply.status, len(sent)) == (503, 1)
+
+
+def _stopping(remaining):
+    """Return the life of an instance that gives final answers `remaining` s from now.
+
+    The clock of `virtual_time` starts at 1000 s.
+    """
+    lifecycle = Lifecycle()
+    lifecycle.stop(1000.0, 6.0)
+    lifecycle.plan = dataclasses.replace(
+        lifecycle.plan, answers_until=1000.0 + remaining
+    )
+    return lifecycle
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_request_that_cannot_end_before_the_instance_is_refused_at_once(idempotent):
+    """Guards against requests that a planned stop accepts and then cuts off."""
+    reply, sent, seconds = handle(
+        OK, idempotent=idempotent, deadline_ms=b"2000", lifecycle=_stopping(1.5)
+    )
+    assert (reply.status, sent, seconds) == (503, [], 0.0)
+    assert (b"Retry-After", b"0.10") in reply.headers
+
+
+def test_a_request_that_ends_by_its_deadline_before_the_instance_is_sent():
+    reply, sent, _ = handle(OK, deadline_ms=b"1400", lifecycle=_stopping(1.5))
+    assert (reply.status, len(sent)) == (200, 1)
+
+
+def test_requests_are_admitted_by_the_longest_response_time_measured():
+    """Guards against refusals of all requests as soon as a stop has begun."""
+    lifecycle = Lifecycle()
+    lifecycle.stop(1000.0, 6.0)
+    now, until = 1004.0, 1009.0  # Final answers are given at 1005.3.
+    assert not lifecycle.admits(None, until, now)
+    assert lifecycle.admits(1.0, until, now)
+    assert not lifecycle.admits(1.2, until, now)
+
+
+@pytest.mark.parametrize(
+    "outcome, options, status",
+    [
+        (NO_RESPONSE, {"idempotent": False}, 502),
+        (NO_RESPONSE, {"idempotent": True}, 502),
+        (OK, {"idempotent": False, "partitioned": True, "owned_after": 60.0}, 503),
+    ],
+    ids=["sent", "sent-idempotent", "not-sent"],
+)
+def test_an_instance_that_ends_answers_what_it_still_has(outcome, options, status):
+    """Guards against connections that end under requests held by an instance.
+
+    Only a request that was not sent gets a status that promises that it has not run.
+    """
+    lifecycle = _stopping(0.2)
+    lifecycle.phase = Phase.ENDING
+    lifecycle.plan = dataclasses.replace(lifecycle.plan, answers_until=1e9)
+    reply, _, seconds = handle(
+        outcome, lifecycle=lifecycle, cancel_after=0.2, **options
+    )
+    assert (reply.status, round(seconds, 1)) == (status, 0.2)
+
+
+def test_a_disconnect_still_cancels_the_request_of_a_running_instance():
+    with pytest.raises(asyncio.CancelledError):
+        handle(NO_RESPONSE, cancel_after=0.2)
--- /dev/null
+++ b/tests/gateway/test_lifecycle.py
@@ -0,0 +1,135 @@
+"""Phases of an instance, with times that need no clock."""
+
+import itertools
+
+import pytest
+from hypothesis import given, strategies as st
+
+from arbutusflow.gateway.lifecycle import Lifecycle, Phase, StopPlan, Work
+from arbutusflow.gateway.response_times import (
+    WINDOW_SECONDS,
+    LongestResponseTimes,
+)
+
+GRACE_SECONDS = 6.0
+IDLE = Work(0, connections_busy=False, deregistered=True)
+BUSY = Work(1, connections_busy=True)
+NEW_CONNECTION = Work(0, connections_busy=True, deregistered=True)
+REGISTERED = Work(0, connections_busy=False)
+ANY_WORK = st.sampled_from([IDLE, BUSY, NEW_CONNECTION, REGISTERED])
+
+
+def _stopped(grace_seconds=GRACE_SECONDS):
+    lifecycle = Lifecycle()
+    lifecycle.become_ready()
+    lifecycle.stop(0.0, grace_seconds)
+    return lifecycle
+
+
+def _advance(lifecycle, work, now):
+    """Return all phases entered at this time."""
+    entered = []
+    while True:
+        previous = lifecycle.phase
+        if lifecycle.advance(work, now) is previous:
+            return entered
+        entered.append(lifecycle.phase)
+
+
+def test_an_instance_is_ready_only_between_its_start_and_a_stop():
+    lifecycle = Lifecycle()
+    assert not lifecycle.ready
+    lifecycle.become_ready()
+    assert lifecycle.ready
+    lifecycle.stop(0.0, GRACE_SECONDS)
+    lifecycle.become_ready()
+    assert not lifecycle.ready
+
+
+def test_a_second_signal_changes_nothing():
+    lifecycle = _stopped()
+    plan = lifecycle.plan
+    assert not lifecycle.stop(3.0, GRACE_SECONDS)
+    assert lifecycle.plan is plan
+
+
+def test_an_idle_instance_ends_when_the_balancer_has_had_its_time():
+    lifecycle = _stopped()
+    assert _advance(lifecycle, IDLE, 2.5) == []
+    assert _advance(lifecycle, IDLE, 2.7)[-1] is Phase.ENDED
+
+
+def test_requests_are_accepted_while_others_are_pending_but_not_until_the_end():
+    """Guards against requests that are read when no time is left to serve them."""
+    lifecycle = _stopped()
+    assert _advance(lifecycle, BUSY, 2.7) == [Phase.DRAINING]
+    assert _advance(lifecycle, BUSY, 4.2) == []
+    assert _advance(lifecycle, BUSY, 4.4) == [Phase.CLOSING]
+
+
+def test_pending_requests_get_final_answers_before_the_end():
+    """Guards against a process that ends with requests that it has read."""
+    lifecycle = _stopped()
+    _advance(lifecycle, BUSY, 5.2)
+    assert lifecycle.phase is Phase.CLOSING
+    assert _advance(lifecycle, BUSY, 5.35) == [Phase.ENDING]
+    assert _advance(lifecycle, BUSY, 5.5) == []
+    assert _advance(lifecycle, BUSY, 5.65) == [Phase.ENDED]
+
+
+def test_a_new_connection_gets_time_before_the_process_ends():
+    lifecycle = _stopped()
+    _advance(lifecycle, NEW_CONNECTION, 2.7)
+    assert lifecycle.phase is Phase.CLOSING
+    assert _advance(lifecycle, IDLE, 2.8)[-1] is Phase.ENDED
+
+
+def test_requests_that_arrive_while_an_instance_deregisters_are_waited_for():
+    """Guards against a process that ends in the same moment in which it deregisters."""
+    lifecycle = _stopped()
+    assert _advance(lifecycle, REGISTERED, 2.7)[-1] is Phase.CLOSING
+    assert _advance(lifecycle, BUSY, 2.75) == []
+    assert _advance(lifecycle, IDLE, 3.0)[-1] is Phase.ENDED
+
+
+@given(
+    st.lists(st.tuples(st.floats(0.0, 3.0), ANY_WORK), max_size=30),
+    st.one_of(st.just(0.0), st.floats(0.0, 30.0)),
+)
+def test_phases_never_go_back_and_the_process_ends_in_time(steps, grace_seconds):
+    """Guards against a stop that SIGKILL ends, also after a pause of the process."""
+    lifecycle = _stopped(grace_seconds)
+    phases, now = [lifecycle.phase], 0.0
+    for seconds, work in steps:
+        now += seconds
+        phases += _advance(lifecycle, work, now)
+        if now >= lifecycle.plan.ends_at:
+            assert lifecycle.phase is Phase.ENDED
+    assert all(b == a + 1 for a, b in itertools.pairwise(phases))
+
+
+@given(st.floats(0.0, 60.0))
+def test_the_times_of_a_stop_are_in_order_for_any_grace_period(grace_seconds):
+    plan = StopPlan.from_grace(10.0, grace_seconds)
+    times = [plan.began, plan.rotation_until, plan.accepts_until]
+    times += [plan.answers_until, plan.ends_at]
+    assert times == sorted(times)
+    assert plan.ends_at <= 10.0 + max(grace_seconds, 0.0)
+
+
+@pytest.mark.parametrize("until, admitted", [(5.2, True), (5.4, False)])
+def test_a_request_is_admitted_if_its_deadline_is_before_the_final_answers(
+    until, admitted
+):
+    assert _stopped().admits(None, until, 3.0) is admitted
+
+
+def test_the_longest_response_time_is_forgotten_after_two_windows():
+    times = LongestResponseTimes()
+    assert times.longest("s", 0.0) is None
+    times.record("s", 2.0, 0.0)
+    times.record("s", 1.0, WINDOW_SECONDS + 1.0)
+    assert times.longest("s", WINDOW_SECONDS + 2.0) == 2.0
+    assert times.longest("s", 2 * WINDOW_SECONDS + 2.0) == 1.0
+    assert times.longest("s", 9 * WINDOW_SECONDS) is None
+    assert times.longest("other", 0.0) is None
