Close a connection in two steps after its last response

What callers see: a reset in place of an answer, when more of their bytes arrive while an instance closes the connection: a next request, a long body that was refused, a caller that reads late. It can act at any close after a response, in a planned stop on every connection.

Cause: the socket was closed at once. The kernel answers what arrives then with a reset and discards what it has not delivered of the response. Class of fault: closing a socket is taken for delivering what was written to it.

Change: the instance ends its own side, reads and discards for up to 0.5 s (as long as the caller reads the response, up to the idle timeout), then closes. A stop waits for these connections.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -21,6 +21,9 @@
 MAX_PIPELINED_REQUESTS = 16
 # How long after its start a connection is not closed as idle by a planned stop.
 NEW_CONNECTION_SECONDS = 0.25
+# How long a connection that ends is read after its last response was written. Closing a
+# socket with unread bytes sends a reset, which can discard the response on its way.
+LINGER_SECONDS = 0.5
 # For a request whose body takes longer than any caller waits.
 MAX_READ_SECONDS = 60.0
 # Used until a configuration is available.
@@ -184,6 +187,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._opened_at = self._loop.time()
         self._input_closed = False  # No further input is processed.
+        self._lingers_until: float | None = None  # Set while input is only discarded.
         self._reading_paused = False
         self._reserved_bytes = 0  # Body bytes reserved from the budget.
         self._reset_request()
@@ -210,11 +214,20 @@
         age = self._loop.time() - self._opened_at
         return not self._input_closed and age < NEW_CONNECTION_SECONDS
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether the responses have ended, and what still arrives is discarded."""
+        return (
+            self._lingers_until is not None
+            and self._transport is not None
+            and not self._transport.is_closing()
+        )
+
     @property
     def is_busy(self) -> bool:
         """Whether there is or may soon be a request, or the caller reads a response."""
         unsent = self._transport.get_write_buffer_size() if self._transport else 0
-        return bool(self.pending_requests or unsent) or self._is_new
+        return bool(self.pending_requests or unsent) or self._is_new or self.is_closing
 
     # Callbacks of `asyncio.Protocol`.
 
@@ -377,6 +390,8 @@
 
     def finish(self) -> None:
         """Cancel the handlers, which respond, and close the connection after that."""
+        if self.is_closing:
+            return
         if self._request_started:
             self._reject(503)
         self._close_input()
@@ -386,7 +401,7 @@
                     functools.partial(self._ensure_response, pipelined)
                 )
                 pipelined.task.cancel()
-        if not self._pipeline:
+        if not self._pipeline and not self.is_closing:
             self._close()
 
     def _ensure_response(
@@ -421,7 +436,7 @@
                 # By HTTP/1.1, pipelined requests after a response with
                 # `Connection: close` are not processed; callers send them again.
                 self._cancel_pipeline()
-                self._close()
+                self._close_after_response()
                 return
         if not self._pipeline:
             if not self._request_started:
@@ -453,9 +468,34 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _close_after_response(self) -> None:
+        """End the responses, and close when the caller does or after a limited time."""
+        self._close_input()
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._lingers_until = self._loop.time() + self._server.limits.idle_seconds
+        try:
+            self._transport.write_eof()
+        except OSError:
+            self._transport.abort()  # The caller has reset the connection.
+            return
+        self._resume()
+        self._start_timer(LINGER_SECONDS)
+
+    def _continue_closing(self, until: float) -> None:
+        """Close the connection, unless its caller is still reading the response."""
+        assert self._transport is not None
+        unsent = self._transport.get_write_buffer_size()
+        if unsent and self._loop.time() < until:
+            self._start_timer(LINGER_SECONDS)
+        elif unsent:
+            self._transport.abort()
+        else:
+            self._transport.close()
+
     def close_if_idle(self) -> None:
         """Close the connection unless it is new or has a pending request."""
-        if not self.pending_requests and not self._is_new:
+        if not self.pending_requests and not self._is_new and not self.is_closing:
             self._close()
 
     # Timers and flow control.
@@ -475,6 +515,9 @@
 
     def _time_out(self) -> None:
         self._timer = None
+        if self._lingers_until is not None:
+            self._continue_closing(self._lingers_until)
+            return
         if self._pipeline:
             if self._request_started:
                 self._start_body_timer()
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -24,6 +24,7 @@
         self.unsent = 0
         self.closed = False
         self.aborted = False
+        self.eof_written = False
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         return self.sock if name == "socket" else default
@@ -31,6 +32,12 @@
     def write(self, data: bytes) -> None:
         self.written += data
 
+    def write_eof(self) -> None:
+        self.eof_written = True
+
+    def can_write_eof(self) -> bool:
+        return True
+
     def get_write_buffer_size(self) -> int:
         return self.unsent
 
--- a/tests/gateway/test_caller_server.py
+++ b/tests/gateway/test_caller_server.py
@@ -184,7 +184,7 @@
     # A handler that has not begun cannot have sent its request to an endpoint.
     held_status = 502 if delay else 503
     assert answers == [held_status, held_status, 503]
-    assert transport.closed
+    assert transport.eof_written
     assert pending == 0
 
 
--- /dev/null
+++ b/tests/gateway/test_closing_connections.py
@@ -0,0 +1,95 @@
+"""Connections that close after a response, over real sockets on a loopback address."""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+
+from arbutusflow.domain.body_budget import BodyBudget
+from arbutusflow.gateway.caller_server import (
+    LINGER_SECONDS,
+    CallerResponse,
+    CallerServer,
+)
+
+HOST = "127.0.0.1"
+BODY = b"x" * (4 * 1024 * 1024)  # More than the buffers of both sockets hold.
+SMALL_BUFFER_BYTES = 16 * 1024
+GET = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+WAIT_SECONDS = 30.0
+
+
+async def _respond(req):
+    return CallerResponse(200, body=BODY)
+
+
+@contextlib.asynccontextmanager
+async def _connect():
+    """Provide a server and a connected socket that reads only when told to."""
+    server = CallerServer(_respond, BodyBudget(lambda: 10**8), lambda *_: None)
+    await server.start(HOST, 0)
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    sock.setblocking(False)
+    try:
+        await asyncio.get_running_loop().sock_connect(sock, (HOST, server.port))
+        yield server, sock
+    finally:
+        sock.close()
+        server.stop_accepting()
+
+
+async def _read_all(sock):
+    received = b""
+    while data := await asyncio.get_running_loop().sock_recv(sock, 1 << 20):
+        received += data
+    return received
+
+
+def _run(scenario):
+    async def main():
+        async with asyncio.timeout(WAIT_SECONDS), _connect() as (server, sock):
+            return await scenario(server, sock)
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize("reason", ["caller-closes", "instance-stops"])
+def test_a_reset_does_not_overtake_the_answer(reason):
+    """Guards against answers that are lost because more bytes of the caller arrive."""
+
+    async def scenario(server, sock):
+        loop = asyncio.get_running_loop()
+        head = GET
+        if reason == "instance-stops":
+            server.close_after_responses()
+            head = GET.replace(b"Connection: close\r\n", b"")
+        await loop.sock_sendall(sock, head)
+        while not any(conn.is_closing for conn in server.connections):
+            await asyncio.sleep(0.01)
+        await loop.sock_sendall(sock, b"GET /next HTTP/1.1\r\n")
+        return await _read_all(sock)
+
+    assert _run(scenario).endswith(BODY)
+
+
+def test_a_caller_that_never_stops_sending_is_closed_after_the_linger_time():
+    """Guards against a connection that a caller holds open without end."""
+
+    async def scenario(server, sock):
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(sock, GET)
+        received = await _read_all(sock)
+        began = loop.time()
+        with contextlib.suppress(OSError):
+            while loop.time() < began + 20 * LINGER_SECONDS:
+                await loop.sock_sendall(sock, b"x" * 1024)
+                await asyncio.sleep(0.01)
+        while server.connections:
+            await asyncio.sleep(0.01)
+        return received, loop.time() - began
+
+    received, seconds = _run(scenario)
+    assert received.endswith(BODY)
+    assert seconds < 15 * LINGER_SECONDS
