Serve the connections that the kernel has accepted when listening ends

What callers see: a reset instead of an answer, if they connect in the moment in which a stop closes the listening socket, or while a busy instance has not got to its queue yet.

Cause: closing a listening socket resets all connections in its queue, although their callers may have sent requests.

Evidence: new test with 20 connections in the queue: ConnectionResetError before.

Change: what is queued is accepted before the socket is closed, and counts as work of the stop.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -9,7 +9,8 @@
 import collections
 import dataclasses
 import functools
-from collections.abc import Awaitable, Callable
+import socket
+from collections.abc import Awaitable, Callable, Iterator
 
 import httptools
 
@@ -26,6 +27,7 @@
 LINGER_SECONDS = 0.5
 # For a request whose body takes longer than any caller waits.
 MAX_READ_SECONDS = 60.0
+BACKLOG = 1024  # Connections that the kernel accepts ahead of this process.
 # Used until a configuration is available.
 DEFAULT_LIMITS = CallerLimits(16384, 64 * 1024 * 1024, 3.0, 15.0)
 
@@ -106,13 +108,17 @@
         self.read_seconds: Callable[[Headers], float] = lambda headers: MAX_READ_SECONDS
         self.stopping = False
         self.connections: set[CallerConnection] = set()
+        self._listener: socket.socket | None = None
         self._server: asyncio.Server | None = None
+        # Connections that are being set up when listening ends.
+        self._accepting: set[asyncio.Task[object]] = set()
 
     async def start(self, host: str, port: int) -> None:
         """Start listening. Raises OSError."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: CallerConnection(self), host, port, backlog=1024, reuse_address=True
+        self._listener = socket.create_server((host, port), backlog=BACKLOG)
+        self._listener.setblocking(False)
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(self), sock=self._listener, backlog=BACKLOG
         )
 
     @property
@@ -122,9 +128,38 @@
         return int(self._server.sockets[0].getsockname()[1])
 
     def stop_accepting(self) -> None:
-        """Close the listening socket and keep open connections."""
-        if self._server is not None:
-            self._server.close()
+        """Close the listening socket and keep open connections.
+
+        Connections that the kernel has accepted would be reset; they are kept, too.
+        """
+        if self._server is None or not self._server.is_serving():
+            return
+        loop = asyncio.get_running_loop()
+        for sock in self._accept_queued():
+            setup = loop.connect_accepted_socket(lambda: CallerConnection(self), sock)
+            task: asyncio.Task[object] = loop.create_task(setup)
+            self._accepting.add(task)
+            task.add_done_callback(self._finish_accepting)
+        self._server.close()
+
+    def _accept_queued(self) -> Iterator[socket.socket]:
+        assert self._listener is not None
+        for _ in range(BACKLOG):
+            try:
+                sock, _address = self._listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as exc:
+                self.on_error("accepting queued connections", exc)
+                return
+            sock.setblocking(False)
+            yield sock
+
+    def _finish_accepting(self, task: asyncio.Task[object]) -> None:
+        self._accepting.discard(task)
+        exc = None if task.cancelled() else task.exception()
+        if exc is not None:
+            self.on_error("accepting queued connections", exc)
 
     def close_after_responses(self) -> None:
         """Read no further requests on a connection after its next response.
@@ -160,7 +195,7 @@
     @property
     def is_busy(self) -> bool:
         """Whether a connection has or may soon have a request, or unsent bytes."""
-        return any(conn.is_busy for conn in self.connections)
+        return bool(self._accepting) or any(conn.is_busy for conn in self.connections)
 
 
 class _PipelinedRequest:
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -14,6 +14,7 @@
 )
 
 HOST = "127.0.0.1"
+QUEUED_CONNECTIONS = 20
 BODY = b"x" * (4 * 1024 * 1024)  # More than the buffers of both sockets hold.
 SMALL_BUFFER_BYTES = 16 * 1024
 GET = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
@@ -93,3 +94,28 @@
     received, seconds = _run(scenario)
     assert received.endswith(BODY)
     assert seconds < 15 * LINGER_SECONDS
+
+
+def test_connections_that_the_kernel_has_accepted_are_served_by_a_stop():
+    """Guards against resets of callers that connect just before listening ends."""
+
+    async def scenario(server, sock):
+        port, early = server.port, []
+        for _ in range(QUEUED_CONNECTIONS):
+            # The kernel completes these connections before the event loop runs again.
+            queued = socket.create_connection((HOST, server.port))
+            queued.sendall(GET)
+            queued.setblocking(False)
+            early.append(queued)
+        server.close_after_responses()
+        server.stop_accepting()
+        answers = await asyncio.gather(*(_read_all(queued) for queued in early))
+        for queued in early:
+            queued.close()
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(HOST, port)
+        return answers
+
+    answers = _run(scenario)
+    assert len(answers) == QUEUED_CONNECTIONS
+    assert all(answer.endswith(BODY) for answer in answers)
