Set up the connections that asyncio has accepted before listening ends

What callers saw: a connection on which nothing happened until the process ended.

Cause: asyncio accepts connections in one iteration of the event loop and sets them up in the next. If the server is closed between, the set-up fails and the socket is left open and unread; nothing is logged. Class of fault: an end that does not ask what was accepted.

The new case of the test reproduces it without load: ConnectionResetError before.

Change: the listening socket is taken from the event loop first; one iteration later, when what was accepted is set up, the queue is drained and the socket closed.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -128,13 +128,21 @@
         return int(self._server.sockets[0].getsockname()[1])
 
     def stop_accepting(self) -> None:
-        """Close the listening socket and keep open connections.
+        """End listening soon, and keep open connections.
 
-        Connections that the kernel has accepted would be reset; they are kept, too.
+        Connections that the kernel or the event loop has accepted are kept, too.
         """
-        if self._server is None or not self._server.is_serving():
+        if self._listener is None or self._listener.fileno() < 0:
             return
         loop = asyncio.get_running_loop()
+        loop.remove_reader(self._listener)
+        # asyncio drops connections that it has accepted and not set up when the server
+        # is closed. They are set up in the next iteration of the loop.
+        loop.call_soon(self._close_listener)
+
+    def _close_listener(self) -> None:
+        assert self._server is not None
+        loop = asyncio.get_running_loop()
         for sock in self._accept_queued():
             setup = loop.connect_accepted_socket(lambda: CallerConnection(self), sock)
             task: asyncio.Task[object] = loop.create_task(setup)
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -96,8 +96,13 @@
     assert seconds < 15 * LINGER_SECONDS
 
 
-def test_connections_that_the_kernel_has_accepted_are_served_by_a_stop():
-    """Guards against resets of callers that connect just before listening ends."""
+@pytest.mark.parametrize("accepting", [False, True], ids=["queued", "being-set-up"])
+def test_connections_that_were_accepted_when_listening_ends_are_served(accepting):
+    """Guards against resets of callers that connect just before listening ends.
+
+    Also against connections that the event loop has accepted and then forgets: nobody
+    reads them until the process ends.
+    """
 
     async def scenario(server, sock):
         port, early = server.port, []
@@ -108,7 +113,13 @@
             queued.setblocking(False)
             early.append(queued)
         server.close_after_responses()
-        server.stop_accepting()
+        if accepting:
+            # In this iteration the loop accepts them, after this task has run. They
+            # are set up in the next one, after listening has ended.
+            await asyncio.sleep(0)
+            asyncio.get_running_loop().call_soon(server.stop_accepting)
+        else:
+            server.stop_accepting()
         answers = await asyncio.gather(*(_read_all(queued) for queued in early))
         for queued in early:
             queued.close()
