Play second signals, reloads and silent stores beside planned stops

Scenario disturbed of the soak of stops: beside the stops come second SIGTERMs, settings that change with SIGHUP, new configurations, stores that are silent for 1 to 6 s, and stops right after the start. Reloads are judged by the same rule. Requests with keys are not judged there, as the rule excepts them while the store is disturbed.

--- a/tests/soak/lost_audit.py
+++ b/tests/soak/lost_audit.py
@@ -20,6 +20,7 @@
 # A request sent later than this after SIGTERM is answered before the end in any case.
 EARLY_SECONDS = 3.0
 LAST_PART_SECONDS = GRACE_SECONDS / 6
+RELOAD_SECONDS = 2.0  # Requests sent until then after a reload have to be answered.
 DEADLINE_SLACK_SECONDS = 0.05  # Of the clocks of callers and endpoints.
 
 
@@ -65,3 +66,25 @@
     if call.behind and not endpoint.arrived:
         return False
     return endpoint.arrived or ended > call.sent_at + LOSS_SLACK_SECONDS
+
+
+def is_lost_by_reload(
+    call: CallRecord, endpoint: EndpointRecord, reloads: dict[str, list[float]]
+) -> bool:
+    """Return whether a request was cut off by a reload of its instance's settings.
+
+    `reloads` holds the times at which each instance got SIGHUP.
+    """
+    ended = call.ended_at
+    if ended is None or call.status is not None or endpoint.broken_off:
+        return False
+    if ended >= call.deadline_at - DEADLINE_SLACK_SECONDS:
+        return False
+    if not any(
+        call.sent_at <= reload + RELOAD_SECONDS and ended >= reload
+        for reload in reloads.get(call.instance, ())
+    ):
+        return False
+    if call.behind and not endpoint.arrived:
+        return False
+    return endpoint.arrived or ended > call.sent_at + LOSS_SLACK_SECONDS
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -20,12 +20,14 @@
 from arbutusflow.gateway.model import Address, ExchangeError
 from arbutusflow.platform import wire
 from tests.soak.callers import Caller, CallerHabits, CallerSocket, CallRecord
-from tests.soak.lost_audit import is_lost
-from tests.soak.world import ROOT, GatewayProcess, SoakWorld
+from tests.soak.lost_audit import is_lost, is_lost_by_reload
+from tests.soak.world import ROOT, GatewayProcess, SoakWorld, configuration
 
 CHECK_PERIOD_SECONDS = 1.0  # Of the balancer.
 MISSES = 2  # Failed checks in a row that take an instance out of rotation.
 ROUTE_TIMEOUT_SECONDS = 9.0  # Longer than any caller waits.
+EARLY_STOP_SHARE = 0.25  # Of the starts that are followed by a stop at once.
+EARLY_STOP_SECONDS = (0.3, 1.5)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,6 +43,9 @@
     running_limit: int | None = None  # Of each endpoint; the others wait there.
     at_once: int = 1  # Most instances that are stopped together.
     gap_range: tuple[float, float] = (0.5, 2.0)  # From the start of one to the next.
+    # Whether second signals, reloads, configurations, a silent store and stops right
+    # after the start come beside the stops. Requests with keys are then not judged.
+    disturbed: bool = False
     seconds: float = 12.0
 
 
@@ -75,6 +80,7 @@
         self._out_of_rotation: set[str] = set()
         self._stopping: set[str] = set()
         self._stops: dict[str, list[float]] = {}
+        self._reloads: dict[str, list[float]] = {}
         self._calls: list[CallRecord] = []
         self._stop_seconds: list[float] = []
 
@@ -99,6 +105,10 @@
     def _lost(self) -> Iterable[str]:
         for call in self._calls:
             seen = self._world.audit.seen[call.request_id]
+            if self._scenario.disturbed and call.idempotent:
+                continue  # It has a key.
+            if is_lost_by_reload(call, seen, self._reloads):
+                yield f"{call.describe()}: cut off around a reload"
             if not is_lost(call, seen, self._stops):
                 continue
             ended = call.ended_at or 0.0
@@ -130,15 +140,52 @@
         await asyncio.gather(*stops)
 
     async def _stop(self, gateway: GatewayProcess) -> None:
+        disturbed = self._scenario.disturbed
+        if disturbed:
+            self._world.spawn(self._disturb(gateway))
+        await self._end(gateway)
+        gateway.start()
+        if disturbed and self._rng.random() < EARLY_STOP_SHARE:
+            # It may not be ready yet.
+            await asyncio.sleep(self._rng.uniform(*EARLY_STOP_SECONDS))
+            await self._end(gateway)
+            gateway.start()
+        while gateway.name in self._out_of_rotation:
+            await asyncio.sleep(0.05)
+        self._stopping.discard(gateway.name)
+
+    async def _end(self, gateway: GatewayProcess) -> None:
+        """Stop an instance as planned, and wait until it can be started again."""
         start = time.monotonic()
         self._stops.setdefault(gateway.name, []).append(start)
         await gateway.end(signal.SIGTERM)
         self._stop_seconds.append(time.monotonic() - start)
         await asyncio.sleep(self._rng.uniform(0.0, 0.5))
-        gateway.start()
-        while gateway.name in self._out_of_rotation:
-            await asyncio.sleep(0.05)
-        self._stopping.discard(gateway.name)
+
+    async def _disturb(self, gateway: GatewayProcess) -> None:
+        """Do one more thing to an instance that is being stopped."""
+        kind, process = self._rng.randrange(4), gateway.process
+        if kind == 1:
+            # The reload begins shortly before the stop.
+            gateway.change_settings(self._rng.randint(50, 90))
+            self._reloads.setdefault(gateway.name, []).append(time.monotonic())
+            gateway.signal(signal.SIGHUP)
+            return
+        await asyncio.sleep(self._rng.uniform(0.0, 3.0))
+        if kind == 0:
+            if gateway.process is process:
+                gateway.signal(signal.SIGTERM)
+        elif kind == 2:
+            world = self._world
+            world.version += 1
+            cfg = configuration(world.version, world.timeout_seconds)
+            world.store.put("config", "main", cfg)
+        else:
+            number = self._world.gateways.index(gateway)
+            proxy = self._world.store_proxies[number]
+            proxy.block()
+            await asyncio.sleep(self._rng.uniform(1.0, 6.0))
+            proxy.clear_faults()
 
     async def _check_readiness(self, gateway: GatewayProcess) -> None:
         head = b"GET %b HTTP/1.1\r\nHost: h\r\n\r\n" % wire.READINESS_PATH
@@ -225,6 +272,13 @@
         running_limit=3,
         habits=CallerHabits(deadline_seconds=(2.5, 8.5)),
     ),
+    "disturbed": StopScenario(
+        at_once=3,
+        instances=6,
+        insistent=0.2,
+        habits=CallerHabits(ahead=0.1, chunked=0.5, in_pieces=0.2),
+        disturbed=True,
+    ),
     "late-readers": StopScenario(
         at_once=2, instances=6, habits=CallerHabits(reads_late=0.5)
     ),
--- a/tests/soak/test_lost_audit.py
+++ b/tests/soak/test_lost_audit.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.soak.callers import CallRecord
-from tests.soak.lost_audit import EndpointRecord, is_lost
+from tests.soak.lost_audit import EndpointRecord, is_lost, is_lost_by_reload
 
 STOPS = {"n0": [100.0]}
 CALL = CallRecord(
@@ -59,3 +59,15 @@
 def test_a_deadline_and_a_broken_answer_excuse_the_instance():
     assert not judge(deadline_at=105.0)
     assert not judge(endpoint=dataclasses.replace(ARRIVED, broken_off=True))
+
+
+@pytest.mark.parametrize(
+    "sent, ended, lost",
+    [(99.0, 100.1, True), (101.9, 103.0, True), (102.1, 103.0, False)]
+    + [(99.0, 99.9, False)],
+)
+def test_a_request_that_is_cut_around_a_reload_counts(sent, ended, lost):
+    call = dataclasses.replace(CALL, sent_at=sent, ended_at=ended)
+    assert is_lost_by_reload(call, ARRIVED, STOPS) is lost
+    answered = dataclasses.replace(call, status=503)
+    assert not is_lost_by_reload(answered, ARRIVED, STOPS)
--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -25,6 +25,7 @@
         pytest.param("full", id="requests-wait-at-endpoints"),
         pytest.param("ahead", id="requests-behind-others"),
         pytest.param("steady", id="callers-follow-readiness"),
+        pytest.param("disturbed", id="signals-reloads-and-silent-stores-beside-it"),
     ],
 )
 def test_a_planned_stop_leaves_no_request_without_its_answer(name, tmp_path):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -121,6 +121,14 @@
                 stderr=log,
             )
 
+    def change_settings(self, retry_slack: int) -> None:
+        """Write the settings file with another bound of the retry budget."""
+        text = self._settings.read_text()
+        changed = re.sub(
+            r"retryBudgetSlack = \d+", f"retryBudgetSlack = {retry_slack}", text
+        )
+        self._settings.write_text(changed)
+
     def signal(self, number: int) -> None:
         """Send a signal to the process."""
         self._on_signal(self.name)
