--- /dev/null
+++ b/arbutusflow/cli/instances.py
@@ -0,0 +1,65 @@
+"""Command that prints what entry instances are doing."""
+
+from typing import TYPE_CHECKING, Annotated
+
+import typer
+
+from arbutusflow.cli.exit_status import ExitStatus
+from arbutusflow.cli.options import JsonOption, print_json
+from arbutusflow.domain.errors import AdminUnreachableError
+
+if TYPE_CHECKING:
+    from arbutusflow.gateway.instance_state import InstanceState
+
+
+def instances(
+    addresses: Annotated[
+        list[str],
+        typer.Argument(
+            metavar="HOST:PORT...", help="Metrics addresses of entry instances."
+        ),
+    ],
+    as_json: JsonOption = False,
+) -> None:
+    """Print the phase, the pending work and the configuration of entry instances.
+
+    Exit status 3 if one of them does not respond.
+    """
+    from arbutusflow.adapters.admin_client import AdminClient
+    from arbutusflow.gateway.instance_state import STATE_PATH, InstanceState
+
+    states: dict[str, InstanceState | None] = {}
+    for address in addresses:
+        client = AdminClient.from_text(address)
+        try:
+            states[address] = client.get(STATE_PATH, InstanceState)
+        except AdminUnreachableError as exc:
+            cause = f" ({exc.__cause__})" if exc.__cause__ else ""
+            typer.echo(f"arbutusflow: {address} does not respond{cause}", err=True)
+            states[address] = None
+    if as_json:
+        print_json(states)
+    else:
+        typer.echo(
+            f"{'instance':<24}{'zone':<18}{'phase':<18}{'for s':>8}"
+            f"{'requests':>10}{'ends in s':>11}{'version':>9}{'for s':>9}"
+        )
+        for address, state in states.items():
+            typer.echo(_line(state) if state else f"{address:<42}no response")
+    if None in states.values():
+        raise typer.Exit(ExitStatus.UNREACHABLE)
+
+
+def _line(state: "InstanceState") -> str:
+    ends_in = "" if state.ends_in_seconds is None else f"{state.ends_in_seconds:.1f}"
+    version = "none" if state.configuration is None else str(state.configuration)
+    since = (
+        ""
+        if state.configuration_seconds is None
+        else f"{state.configuration_seconds:.1f}"
+    )
+    return (
+        f"{state.instance:<24}{state.zone:<18}{state.phase:<18}"
+        f"{state.phase_seconds:>8.1f}{state.requests:>10}{ends_in:>11}"
+        f"{version:>9}{since:>9}"
+    )
--- a/arbutusflow/cli/main.py
+++ b/arbutusflow/cli/main.py
@@ -21,6 +21,7 @@
     zone,
 )
 from arbutusflow.cli.exit_status import exit_status_for
+from arbutusflow.cli.instances import instances
 from arbutusflow.cli.status import status
 from arbutusflow.domain.errors import ArbutusflowError
 
@@ -56,6 +57,7 @@
 app.command("gateway")(gateway.gateway)
 app.add_typer(config.app, name="config")
 app.command("status")(status)
+app.command("instances")(instances)
 app.add_typer(explain.app, name="explain")
 app.add_typer(drain.app, name="drain")
 app.add_typer(zone.app, name="zone")
--- /dev/null
+++ b/arbutusflow/gateway/instance_state.py
@@ -0,0 +1,19 @@
+"""State of an instance for operators, served as JSON next to the metrics."""
+
+import msgspec
+
+STATE_PATH = "/state"
+
+
+class InstanceState(msgspec.Struct, frozen=True):
+    """What an instance is doing. Times are in seconds."""
+
+    instance: str
+    zone: str
+    phase: str  # Name of a `Phase`, in lower case.
+    phase_seconds: float  # Since it entered the phase.
+    requests: int  # Read completely or in part, and not answered.
+    connections: int  # Of callers.
+    ends_in_seconds: float | None  # The latest end of a stop; None if there is none.
+    configuration: int | None  # Version in force.
+    configuration_seconds: float | None  # Since it is in force.
--- a/arbutusflow/gateway/lifecycle.py
+++ b/arbutusflow/gateway/lifecycle.py
@@ -80,8 +80,9 @@
 class Lifecycle:
     """Phase of an instance, and which requests it may still pass on."""
 
-    def __init__(self) -> None:
+    def __init__(self, now: float = 0.0) -> None:
         self.phase = Phase.STARTING
+        self.phase_since = now
         self.plan: StopPlan | None = None
 
     @property
@@ -94,17 +95,17 @@
         """Whether a stop has begun."""
         return self.plan is not None
 
-    def become_ready(self) -> None:
+    def become_ready(self, now: float) -> None:
         """Note that the configuration and the endpoints are known."""
         if self.phase is Phase.STARTING:
-            self.phase = Phase.READY
+            self._enter(Phase.READY, now)
 
     def stop(self, now: float, grace_seconds: float) -> bool:
         """Begin a planned stop; return False if one has begun before."""
         if self.plan is not None:
             return False
         self.plan = StopPlan.from_grace(now, grace_seconds)
-        self.phase = Phase.LEAVING_ROTATION
+        self._enter(Phase.LEAVING_ROTATION, now)
         return True
 
     def advance(self, work: Work, now: float) -> Phase:
@@ -124,9 +125,12 @@
         else:
             ends = False
         if ends:
-            self.phase = Phase(self.phase + 1)
+            self._enter(Phase(self.phase + 1), now)
         return self.phase
 
+    def _enter(self, phase: Phase, now: float) -> None:
+        self.phase, self.phase_since = phase, now
+
     def admits(self, longest_seconds: float | None, until: float, now: float) -> bool:
         """Return whether a request may be sent to an endpoint.
 
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -7,6 +7,8 @@
 import signal
 from collections.abc import Callable, Coroutine
 
+import msgspec
+
 from arbutusflow.domain.body_budget import BodyBudget
 from arbutusflow.domain.errors import (
     ConfigurationError,
@@ -36,6 +38,7 @@
     ZONE_REPORT_SECONDS,
     FleetTask,
 )
+from arbutusflow.gateway.instance_state import STATE_PATH, InstanceState
 from arbutusflow.gateway.lifecycle import Lifecycle, Phase, Work
 from arbutusflow.gateway.metrics import GatewayMetrics
 from arbutusflow.gateway.model import Configuration, GatewaySettings
@@ -90,7 +93,7 @@
         self._settings_text = _read(path)
         self._rng = random.Random()
         self._started_at = self._loop.time()
-        self.lifecycle = Lifecycle()
+        self.lifecycle = Lifecycle(self._started_at)
         self._stopped = asyncio.Event()
         self._strikes: collections.deque[tuple[float, StrikeReport]] = (
             collections.deque(maxlen=MAX_REPORTED_STRIKES)
@@ -105,6 +108,7 @@
         self._outcomes_while_stopping: collections.Counter[str] = collections.Counter()
         self._tasks: set[asyncio.Task[None]] = set()
         self._configuration: Configuration | None = None
+        self._configuration_since = 0.0  # When it came into force.
         self.log = EventLog(cfg.instance)
         self.metrics = GatewayMetrics()
         self._create_components()
@@ -269,7 +273,7 @@
         known = self._configuration
         if known is not None and cfg.version <= known.version:
             return
-        self._configuration = cfg
+        self._configuration, self._configuration_since = cfg, self._loop.time()
         self.caller_server.limits = cfg.limits
         self.dispatcher.apply_configuration(cfg)
         self.fleet_task.set_partitioned_services(
@@ -442,7 +446,7 @@
     def ready(self) -> bool:
         """Whether the balancer may send callers."""
         if self._configuration is not None and self.endpoint_copy.was_read:
-            self.lifecycle.become_ready()
+            self.lifecycle.become_ready(self._loop.time())
         return self.lifecycle.ready
 
     async def _readiness(self, req: CallerRequest) -> CallerResponse:
@@ -450,7 +454,28 @@
             return CallerResponse(404)
         return CallerResponse(200 if self.ready else 503)
 
+    def state(self) -> InstanceState:
+        """Return what this instance is doing."""
+        now, plan, cfg = self._loop.time(), self.lifecycle.plan, self._configuration
+        since = self._configuration_since
+        return InstanceState(
+            instance=self._cfg.instance,
+            zone=self._cfg.zone,
+            phase=self.lifecycle.phase.name.lower(),
+            phase_seconds=round(now - self.lifecycle.phase_since, 3),
+            requests=self.caller_server.pending_requests,
+            connections=len(self.caller_server.connections),
+            ends_in_seconds=None if plan is None else round(plan.ends_at - now, 3),
+            configuration=None if cfg is None else cfg.version,
+            configuration_seconds=None if cfg is None else round(now - since, 3),
+        )
+
     async def _metrics(self, req: CallerRequest) -> CallerResponse:
+        if req.target == STATE_PATH.encode():
+            headers = ((b"Content-Type", b"application/json"),)
+            return CallerResponse(200, headers, msgspec.json.encode(self.state()))
+        self.metrics.set_gauge("phase", float(self.lifecycle.phase))
+        self.metrics.set_gauge("requests_pending", self.caller_server.pending_requests)
         self.metrics.set_gauge("store_calls", self.store.calls)
         self.metrics.set_gauge("connections_opened", self.pool.opened)
         self.metrics.set_gauge("stray_responses", self.pool.strays)
--- /dev/null
+++ b/tests/gateway/test_instance_state.py
@@ -0,0 +1,91 @@
+"""What operators see of an instance, from its state to the command line."""
+
+import json
+import threading
+from http.server import BaseHTTPRequestHandler, HTTPServer
+
+import msgspec
+import pytest
+from typer.testing import CliRunner
+
+from arbutusflow.cli.main import app
+from arbutusflow.gateway.caller_server import CallerRequest
+from arbutusflow.gateway.instance_state import STATE_PATH, InstanceState
+from tests.gateway.test_whole_path import run_with_cluster
+
+STOPPING = InstanceState("n1", "z", "draining", 1.25, 3, 5, 2.0, 7, 60.0)
+STARTING = InstanceState("n2", "z", "starting", 0.5, 0, 0, None, None, None)
+
+
+@pytest.fixture
+def serve():
+    """Return a function that starts a server with the state of an instance."""
+    servers = []
+
+    def start(state):
+        class Handler(BaseHTTPRequestHandler):
+            def do_GET(self):  # noqa: N802
+                body = msgspec.json.encode(state)
+                self.send_response(200 if self.path == STATE_PATH else 404)
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, *args):
+                pass
+
+        server = HTTPServer(("127.0.0.1", 0), Handler)
+        thread = threading.Thread(target=server.serve_forever)
+        thread.start()
+        servers.append((server, thread))
+        return f"127.0.0.1:{server.server_port}"
+
+    yield start
+    for server, thread in servers:
+        server.shutdown()
+        server.server_close()
+        thread.join()
+
+
+def run(*args):
+    return CliRunner().invoke(app, ["instances", *args])
+
+
+def test_one_command_tells_what_each_instance_is_doing(serve):
+    result = run(serve(STOPPING), serve(STARTING))
+    assert result.exit_code == 0
+    first, second = result.stdout.splitlines()[1:]
+    assert first.split() == ["n1", "z", "draining", "1.2", "3", "2.0", "7", "60.0"]
+    assert second.split() == ["n2", "z", "starting", "0.5", "0", "none"]
+
+
+def test_the_state_of_instances_is_also_printed_as_json(serve):
+    address = serve(STOPPING)
+    result = run(address, "--json")
+    assert json.loads(result.stdout)[address]["phase"] == "draining"
+
+
+def test_an_instance_that_does_not_respond_is_named_and_gives_exit_status_3(serve):
+    """Guards against a list that silently leaves instances out."""
+    result = run(serve(STOPPING), "127.0.0.1:1")
+    assert result.exit_code == 3
+    assert "127.0.0.1:1" in result.stdout
+    assert "127.0.0.1:1 does not respond" in result.stderr
+
+
+def test_a_stop_shows_in_the_state_of_the_instance(tmp_path):
+    """Guards against a state that goes on saying ready after SIGTERM."""
+
+    async def scenario(cluster):
+        gateway = cluster.gateways["n1"]
+        before = gateway.state()
+        gateway._stop()
+        target = STATE_PATH.encode()
+        reply = await gateway._metrics(CallerRequest(b"GET", target, [], b"", 0.0))
+        return before, msgspec.json.decode(reply.body, type=InstanceState)
+
+    before, after = run_with_cluster(scenario, tmp_path)
+    assert (before.phase, before.ends_in_seconds) == ("ready", None)
+    assert before.configuration is not None
+    assert after.phase == "leaving_rotation"
+    assert 5.0 < after.ends_in_seconds <= 5.6
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -21,7 +21,7 @@
 
 def _stopped(grace_seconds=GRACE_SECONDS):
     lifecycle = Lifecycle()
-    lifecycle.become_ready()
+    lifecycle.become_ready(0.0)
     lifecycle.stop(0.0, grace_seconds)
     return lifecycle
 
@@ -39,10 +39,10 @@
 def test_an_instance_is_ready_only_between_its_start_and_a_stop():
     lifecycle = Lifecycle()
     assert not lifecycle.ready
-    lifecycle.become_ready()
+    lifecycle.become_ready(0.0)
     assert lifecycle.ready
     lifecycle.stop(0.0, GRACE_SECONDS)
-    lifecycle.become_ready()
+    lifecycle.become_ready(0.0)
     assert not lifecycle.ready
 
 
