Play a rolling restart of all instances, and report latency, grants and store calls

Scenario rolling stops each instance once, --at-once together; with 0 only the load is played, for comparison.

--- a/tests/gateway/object_platform.py
+++ b/tests/gateway/object_platform.py
@@ -68,6 +68,7 @@
     def __init__(self) -> None:
         self.revision = 1
         self.down = False  # Simulates an outage: each call is refused.
+        self.calls = 0
         self.lose_answers = False  # Applies writes without responding.
         self._compacted_revision = 0  # History up to this revision is compacted.
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
@@ -112,6 +113,7 @@
         self._changed = asyncio.Event()
 
     async def _handle(self, req: CallerRequest) -> CallerResponse:
+        self.calls += 1
         if self.down:
             return CallerResponse(503)
         url = urlsplit(req.target.decode())
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -46,6 +46,9 @@
     # Whether second signals, reloads, configurations, a silent store and stops right
     # after the start come beside the stops. Requests with keys are then not judged.
     disturbed: bool = False
+    # Whether each instance is stopped once, `at_once` together, the next ones when all
+    # are back in rotation; `seconds` then has no effect.
+    rolling: bool = False
     seconds: float = 12.0
 
 
@@ -57,6 +60,16 @@
     lost: list[str]
     violations: list[str]
     stop_seconds: list[float]  # How long each stop took.
+    grants: int  # Orders by which endpoints got keys, while stops were played.
+    store_calls: int
+
+    def latencies(self) -> str:
+        """Return the latencies of successes: median, 99 in 100 and the longest."""
+        times = sorted(c.ended_at - c.sent_at for c in self.calls if c.status == 200)
+        if not times:
+            return "no success"
+        median, high = times[len(times) // 2], times[int(0.99 * (len(times) - 1))]
+        return f"{median:.3f}, {high:.3f}, {times[-1]:.3f} s"
 
     def summary(self) -> str:
         """Return the figures of the run in one line."""
@@ -66,7 +79,9 @@
         longest = max(self.stop_seconds, default=0.0)
         return (
             f"{len(self.calls)} requests, {len(self.stop_seconds)} stops, the longest"
-            f" {longest:.2f} s; answers by status: {statuses}; lost: {len(self.lost)}"
+            f" {longest:.2f} s; answers by status: {statuses}; lost: {len(self.lost)};"
+            f" latency {self.latencies()}; {self.grants} grants,"
+            f" {self.store_calls} calls to the store"
         )
 
 
@@ -93,13 +108,24 @@
             insists = number < scenario.insistent * scenario.callers
             world.spawn(self._call(number, insists=insists))
         await asyncio.sleep(1.0)
-        await self._stop_instances()
+        grants, store_calls = len(world.audit.granted), world.store.calls
+        if scenario.rolling:
+            await self._restart_all()
+        else:
+            await self._stop_instances()
+        grants = len(world.audit.granted) - grants
+        store_calls = world.store.calls - store_calls
         world.callers_active = False
         until = time.monotonic() + scenario.habits.deadline_seconds[1] + 3.0
         while world.tasks and time.monotonic() < until:
             await asyncio.sleep(0.1)
         return StopReport(
-            self._calls, list(self._lost()), world.audit.violations, self._stop_seconds
+            self._calls,
+            list(self._lost()),
+            world.audit.violations,
+            self._stop_seconds,
+            grants,
+            store_calls,
         )
 
     def _lost(self) -> Iterable[str]:
@@ -139,6 +165,17 @@
             await asyncio.sleep(self._rng.uniform(*scenario.gap_range))
         await asyncio.gather(*stops)
 
+    async def _restart_all(self) -> None:
+        """Restart each instance once; with `at_once` 0 only the load is played."""
+        gateways, count = self._world.gateways, self._scenario.at_once
+        if not count:
+            await asyncio.sleep(self._scenario.seconds)
+            return
+        for first in range(0, len(gateways), count):
+            group = gateways[first : first + count]
+            self._stopping.update(gateway.name for gateway in group)
+            await asyncio.gather(*(self._stop(gateway) for gateway in group))
+
     async def _stop(self, gateway: GatewayProcess) -> None:
         disturbed = self._scenario.disturbed
         if disturbed:
@@ -279,6 +316,8 @@
         habits=CallerHabits(ahead=0.1, chunked=0.5, in_pieces=0.2),
         disturbed=True,
     ),
+    # The callers leave room for what the restarts move elsewhere.
+    "rolling": StopScenario(callers=24, work_range=(0.05, 0.3), rolling=True),
     "late-readers": StopScenario(
         at_once=2, instances=6, habits=CallerHabits(reads_late=0.5)
     ),
@@ -290,9 +329,13 @@
     seed: int = 1,
     seconds: float = 45.0,
     product: pathlib.Path = ROOT,
+    instances: int = 6,
+    at_once: int = 2,
 ) -> None:
     """Play one scenario, and print its figures and the requests that were cut off."""
-    chosen = dataclasses.replace(SCENARIOS[scenario], seconds=seconds)
+    chosen = dataclasses.replace(
+        SCENARIOS[scenario], seconds=seconds, instances=instances, at_once=at_once
+    )
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f"stops-{seed}-"))
     report = asyncio.run(play_stops(seed, directory, chosen, product))
     typer.echo(f"{scenario}, seed {seed}: {report.summary()}; logs: {directory}")
