Keep the end of a short grace period within its last sixth, and reject negative ones

A negative grace period in the settings was accepted and would plan times in the past.

Change: margins are at most 0.08 and 0.06 of the grace period; a period that is negative or not finite is a settings error that names the file. Both tests failed before (the second for -1 and nan).

Figures: with graceS 6 nothing changes (final answers at 5.3 s, end at 5.6 s).

--- a/arbutusflow/gateway/lifecycle.py
+++ b/arbutusflow/gateway/lifecycle.py
@@ -15,11 +15,14 @@
 # The balancer takes an instance out of rotation after two failed readiness checks, made
 # once a second. Connections opened until then are served.
 ROTATION_SECONDS = 2.6
-# At most this part of the grace period is spent on leaving the rotation.
-MAX_ROTATION_FRACTION = 0.5
 END_MARGIN_SECONDS = 0.4  # Between the end of the process and SIGKILL.
 # Between the final answers and the end: they are written, and connections are closed.
 FINAL_ANSWER_SECONDS = 0.3
+# Largest parts of a short grace period for each of these. Work at endpoints goes on
+# into the last sixth of the grace period.
+MAX_ROTATION_FRACTION = 0.5
+MAX_END_MARGIN_FRACTION = 0.08
+MAX_FINAL_ANSWER_FRACTION = 0.06
 # Requests that arrive later than this before the final answers are not worth accepting.
 ACCEPT_MARGIN_SECONDS = 1.0
 # Requests vary around the longest response time that was measured.
@@ -69,8 +72,11 @@
         The order of the times holds for any grace period, also for one that is too
         short for all of them.
         """
-        ends_at = began + max(0.0, grace_seconds - END_MARGIN_SECONDS)
-        answers_until = max(began, ends_at - FINAL_ANSWER_SECONDS)
+        margin = min(END_MARGIN_SECONDS, MAX_END_MARGIN_FRACTION * grace_seconds)
+        ends_at = began + grace_seconds - margin
+        answers_until = ends_at - min(
+            FINAL_ANSWER_SECONDS, MAX_FINAL_ANSWER_FRACTION * grace_seconds
+        )
         rotation = min(ROTATION_SECONDS, MAX_ROTATION_FRACTION * grace_seconds)
         rotation_until = min(began + rotation, answers_until)
         accepts_until = max(rotation_until, answers_until - ACCEPT_MARGIN_SECONDS)
--- a/arbutusflow/platform/settings.py
+++ b/arbutusflow/platform/settings.py
@@ -32,6 +32,14 @@
         raise SettingsError(f"{path}: a field is missing or invalid: {exc!r}") from exc
 
 
+def _period(value: Any) -> float:
+    """Return a period in seconds. Raises ValueError if it is negative or not finite."""
+    seconds = float(value)
+    if not 0.0 <= seconds < float("inf"):
+        raise ValueError(f"{value} is not a period in seconds")
+    return seconds
+
+
 def _decode(document: dict[str, Any]) -> GatewaySettings:
     listen, bounds = document["listen"], document["bounds"]
     return GatewaySettings(
@@ -45,7 +53,7 @@
         store_address=Address.parse(document["provider"]["address"]),
         seeds=tuple(Address.parse(seed) for seed in document.get("seeds", ())),
         memory_bytes=int(float(document["limits"]["memoryMb"]) * 1_000_000),
-        stop_seconds=float(bounds["graceS"]),
+        stop_seconds=_period(bounds["graceS"]),
         drain_seconds=float(bounds["drainS"]),
         max_lease_seconds=float(bounds["maxHoldS"]),
         retry_ratio=float(bounds["retryBudgetRatio"]),
--- a/tests/gateway/test_documents.py
+++ b/tests/gateway/test_documents.py
@@ -9,6 +9,7 @@
 from arbutusflow.platform import wire
 from arbutusflow.platform.documents import decode_configuration, decode_endpoint
 from arbutusflow.platform.settings import load_settings
+from tests.gateway.object_platform import SETTINGS
 
 CONFIGURATION = {
     "version": 7,
@@ -154,3 +155,20 @@
     path.write_text(text)
     with pytest.raises(SettingsError, match=r"node\.toml"):
         load_settings(path)
+
+
+@pytest.mark.parametrize(
+    "grace, accepted",
+    [("0", True), ("0.5", True), ("-1", False), ("nan", False), ('"x"', False)],
+)
+def test_a_grace_period_that_is_no_period_is_rejected(grace, accepted, tmp_path):
+    """Guards against a stop that is planned with times in the past."""
+    ports = {"front": 1, "ready": 2, "peer": 3, "store": 4}
+    text = SETTINGS.format(name="n", host="127.0.0.1", zone="z", **ports)
+    path = tmp_path / "node.toml"
+    path.write_text(text.replace("graceS = 6", f"graceS = {grace}"))
+    if accepted:
+        assert load_settings(path).stop_seconds == float(grace)
+    else:
+        with pytest.raises(SettingsError, match=str(path)):
+            load_settings(path)
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -117,6 +117,13 @@
     assert plan.ends_at <= 10.0 + max(grace_seconds, 0.0)
 
 
+@given(st.floats(0.01, 60.0))
+def test_work_at_an_endpoint_is_not_broken_off_before_the_last_sixth(grace_seconds):
+    """Guards against a short grace period that is spent on the margins of the end."""
+    plan = StopPlan.from_grace(0.0, grace_seconds)
+    assert plan.answers_until >= grace_seconds * 5 / 6
+
+
 @pytest.mark.parametrize("until, admitted", [(5.2, True), (5.4, False)])
 def test_a_request_is_admitted_if_its_deadline_is_before_the_final_answers(
     until, admitted
