--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -58,6 +58,7 @@
 
     calls: list[CallRecord]
     lost: list[str]
+    unanswered: list[str]  # All of them, also those that the rule excepts.
     violations: list[str]
     stop_seconds: list[float]  # How long each stop took.
     grants: int  # Orders by which endpoints got keys, while stops were played.
@@ -122,6 +123,7 @@
         return StopReport(
             self._calls,
             list(self._lost()),
+            self._unanswered(),
             world.audit.violations,
             self._stop_seconds,
             grants,
@@ -134,19 +136,27 @@
             if self._scenario.disturbed and call.idempotent:
                 continue  # It has a key.
             if is_lost_by_reload(call, seen, self._reloads):
-                yield f"{call.describe()}: cut off around a reload"
-            if not is_lost(call, seen, self._stops):
-                continue
-            ended = call.ended_at or 0.0
-            stop = max(t for t in self._stops[call.instance] if t <= ended)
-            runs = [
-                (f"{a - stop:+.2f}", b and f"{b - stop:+.2f}") for a, b in seen.runs
-            ]
-            yield (
-                f"{call.describe()}: sent {call.sent_at - stop:+.2f} s, ended"
-                f" {ended - stop:+.2f} s after SIGTERM; arrived: {seen.arrived},"
-                f" runs: {runs}"
-            )
+                yield f"around a reload: {self._describe(call)}"
+            if is_lost(call, seen, self._stops):
+                yield self._describe(call)
+
+    def _describe(self, call: CallRecord) -> str:
+        """Return what was seen of a request, with times after the latest SIGTERM."""
+        seen, ended = self._world.audit.seen[call.request_id], call.ended_at or 0.0
+        stops = self._stops.get(call.instance, ())
+        stop = max((t for t in stops if t <= ended), default=None)
+        if stop is None:
+            return f"{call.describe()}: no stop before"
+        runs = [(f"{a - stop:+.2f}", b and f"{b - stop:+.2f}") for a, b in seen.runs]
+        return (
+            f"{call.describe()}: sent {call.sent_at - stop:+.2f} s, ended"
+            f" {ended - stop:+.2f} s, deadline {call.deadline_at - stop:+.2f} s after"
+            f" SIGTERM; arrived: {seen.arrived}, runs: {runs}"
+        )
+
+    def _unanswered(self) -> list[str]:
+        """Describe all requests without an answer, also those that are excepted."""
+        return [self._describe(call) for call in self._calls if call.status is None]
 
     async def _stop_instances(self) -> None:
         scenario = self._scenario
@@ -339,6 +349,7 @@
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f"stops-{seed}-"))
     report = asyncio.run(play_stops(seed, directory, chosen, product))
     typer.echo(f"{scenario}, seed {seed}: {report.summary()}; logs: {directory}")
+    (directory / "unanswered.txt").write_text("\n".join(report.unanswered))
     for line in (*report.lost, *report.violations):
         typer.echo(f"  {line}")
     raise typer.Exit(1 if report.lost or report.violations else 0)
