Test that a stop waits for requests, and when a phase began

Twenty changes that each take one rule out of the state machine were tried by hand on the tests of lifecycle and dispatch: two survived (pending requests while closing, the time of a phase), one showed that a bound was dead. Tests for the two are added, the bound is removed; all of the rest were found.

--- a/arbutusflow/gateway/lifecycle.py
+++ b/arbutusflow/gateway/lifecycle.py
@@ -77,8 +77,9 @@
         answers_until = ends_at - min(
             FINAL_ANSWER_SECONDS, MAX_FINAL_ANSWER_FRACTION * grace_seconds
         )
-        rotation = min(ROTATION_SECONDS, MAX_ROTATION_FRACTION * grace_seconds)
-        rotation_until = min(began + rotation, answers_until)
+        rotation_until = began + min(
+            ROTATION_SECONDS, MAX_ROTATION_FRACTION * grace_seconds
+        )
         accepts_until = max(rotation_until, answers_until - ACCEPT_MARGIN_SECONDS)
         return cls(began, rotation_until, accepts_until, answers_until, ends_at)
 
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -77,6 +77,25 @@
     assert _advance(lifecycle, BUSY, 5.65) == [Phase.ENDED]
 
 
+def test_an_instance_waits_for_requests_though_no_connection_is_busy():
+    """Guards against a stop that looks at connections only."""
+    lifecycle = _stopped()
+    _advance(lifecycle, IDLE, 2.5)
+    pending = Work(1, connections_busy=False, deregistered=True)
+    assert _advance(lifecycle, pending, 4.4)[-1] is Phase.CLOSING
+
+
+def test_the_time_of_the_latest_change_of_phase_is_known():
+    lifecycle = Lifecycle(1.0)
+    assert lifecycle.phase_since == 1.0
+    lifecycle.become_ready(2.0)
+    assert lifecycle.phase_since == 2.0
+    lifecycle.stop(3.0, GRACE_SECONDS)
+    assert lifecycle.phase_since == 3.0
+    _advance(lifecycle, BUSY, 5.7)
+    assert (lifecycle.phase, lifecycle.phase_since) == (Phase.DRAINING, 5.7)
+
+
 def test_a_new_connection_gets_time_before_the_process_ends():
     lifecycle = _stopped()
     _advance(lifecycle, NEW_CONNECTION, 2.7)
