Deliver answers before connections close, also slow, late and kept ones

- An answer that is read steadily for longer than the idle timeout was cut off (8 MiB at 1.3 MB/s with 2 s: 3.6 MB).
Now only a caller that makes no progress for that time is reset.
- 0.5 s after the write the socket was closed although the kernel still held the answer; later bytes of the caller reset it.
The linger time now begins when all is acknowledged.
- A kept connection with an unsent answer was closed as idle, by a stop, its end or the idle timeout.
- An answer that the end of the process cuts left no line: request_cut with cause response_unsent.
- finish() stopped the timer that closes a connection.
- Bytes behind a rejection in the same chunk could write after the end of the responses: an exception in the protocol that callers can cause.
- An IPv6 address of the settings could no longer be listened on.
- An aborted connection in the queue ended the set-up of those behind it; a failure while deregistering kept the process from ending.

Evidence: five new cases of test_closing_connections and four of test_caller_server fail on the code before.

After: all pass; test_whole_path, test_endless_bytes and test_fuzzing as well.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -15,6 +15,7 @@
 import httptools
 
 from arbutusflow.domain.body_budget import BodyBudget
+from arbutusflow.gateway.closing import TwoStepClose, unsent_bytes
 from arbutusflow.gateway.model import CallerLimits
 
 # Reading pauses at this number of unanswered requests on a connection; the requests of
@@ -22,9 +23,6 @@
 MAX_PIPELINED_REQUESTS = 16
 # How long after its start a connection is not closed as idle by a planned stop.
 NEW_CONNECTION_SECONDS = 0.25
-# How long a connection that ends is read after its last response was written. Closing a
-# socket with unread bytes sends a reset, which can discard the response on its way.
-LINGER_SECONDS = 0.5
 # For a request whose body takes longer than any caller waits.
 MAX_READ_SECONDS = 60.0
 BACKLOG = 1024  # Connections that the kernel accepts ahead of this process.
@@ -115,7 +113,10 @@
 
     async def start(self, host: str, port: int) -> None:
         """Start listening. Raises OSError."""
-        self._listener = socket.create_server((host, port), backlog=BACKLOG)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._listener = socket.create_server(
+            (host, port), family=family, backlog=BACKLOG
+        )
         self._listener.setblocking(False)
         self._server = await asyncio.get_running_loop().create_server(
             lambda: CallerConnection(self), sock=self._listener, backlog=BACKLOG
@@ -157,6 +158,8 @@
                 sock, _address = self._listener.accept()
             except BlockingIOError:
                 return
+            except ConnectionAbortedError:
+                continue  # The caller has reset it.
             except OSError as exc:
                 self.on_error("accepting queued connections", exc)
                 return
@@ -190,10 +193,11 @@
         for conn in list(self.connections):
             conn.finish()
 
-    def report_unanswered(self, cause: str) -> None:
-        """Report all complete requests that have no response."""
+    def report_cut(self) -> None:
+        """Report all complete requests whose response the end of the process cuts."""
         for conn in self.connections:
-            conn.report_unanswered(cause)
+            conn.report_unanswered("process_ended")
+            conn.report_unsent("response_unsent")
 
     @property
     def pending_requests(self) -> int:
@@ -230,7 +234,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._opened_at = self._loop.time()
         self._input_closed = False  # No further input is processed.
-        self._lingers_until: float | None = None  # Set while input is only discarded.
+        self._closing: TwoStepClose | None = None  # Set when the responses have ended.
+        self._latest_request: CallerRequest | None = None  # That has a response.
         self._reading_paused = False
         self._reserved_bytes = 0  # Body bytes reserved from the budget.
         self._reset_request()
@@ -261,7 +266,7 @@
     def is_closing(self) -> bool:
         """Whether the responses have ended, and what still arrives is discarded."""
         return (
-            self._lingers_until is not None
+            self._closing is not None
             and self._transport is not None
             and not self._transport.is_closing()
         )
@@ -286,6 +291,8 @@
         self._input_closed = True
         self._server.connections.discard(self)
         self._stop_timer()
+        if self._closing is not None:
+            self._closing.stop()
         self._release_body()
         for pipelined in self._pipeline:
             if (
@@ -332,6 +339,8 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        if self._input_closed:
+            return
         self._reset_request()
         self._request_started = True
         self._received_at = self._loop.time()
@@ -347,6 +356,8 @@
 
     def on_headers_complete(self) -> None:
         """Check the header size and the announced body size."""
+        if self._input_closed:
+            return
         self._in_body = True
         size = len(self._target) + sum(len(n) + len(v) + 4 for n, v in self._headers)
         if size > self._server.limits.header_bytes:
@@ -436,8 +447,9 @@
         if self.is_closing:
             return
         if self._request_started:
-            self._reject(503)
-        self._close_input()
+            self._reject(503, ((b"Retry-After", b"0.1"),))
+        else:
+            self._close_input()
         for pipelined in self._pipeline:
             if pipelined.task is not None and pipelined.reply is None:
                 pipelined.task.add_done_callback(
@@ -445,7 +457,7 @@
                 )
                 pipelined.task.cancel()
         if not self._pipeline and not self.is_closing:
-            self._close()
+            self._close_idle()
 
     def _ensure_response(
         self, pipelined: _PipelinedRequest, task: "asyncio.Task[None]"
@@ -474,10 +486,10 @@
                     pipelined.request is not None
                     and pipelined.request.method == b"HEAD"
                 )
+                self._latest_request = pipelined.request
                 self._write(_encode(pipelined.reply, keep, head_only))
             if not keep:
-                # By HTTP/1.1, pipelined requests after a response with
-                # `Connection: close` are not processed; callers send them again.
+                # Only behind a request that itself asked for the close.
                 self._cancel_pipeline()
                 self._close_after_response()
                 return
@@ -495,6 +507,12 @@
             if pipelined.request is not None:
                 self._server.on_cut(pipelined.request, cause)
 
+    def report_unsent(self, cause: str) -> None:
+        """Report the latest response if its caller has not taken all of it."""
+        unsent = self._transport.get_write_buffer_size() if self._transport else 0
+        if unsent and self._latest_request is not None:
+            self._server.on_cut(self._latest_request, cause)
+
     def _cancel_pipeline(self) -> None:
         self.report_unanswered("behind_closing_response")
         for pipelined in self._pipeline:
@@ -506,40 +524,29 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
-    def _close(self) -> None:
+    def _close_idle(self) -> None:
+        """Close the connection, in two steps if its caller still reads a response."""
+        if self._transport is not None and unsent_bytes(self._transport):
+            self._close_after_response()
+            return
         self._input_closed = True
         if self._transport is not None:
             self._transport.close()
 
     def _close_after_response(self) -> None:
-        """End the responses, and close when the caller does or after a limited time."""
+        """Close the connection in two steps; what still arrives is discarded."""
         self._close_input()
-        if self._transport is None or self._transport.is_closing():
-            return
-        self._lingers_until = self._loop.time() + self._server.limits.idle_seconds
-        try:
-            self._transport.write_eof()
-        except OSError:
-            self._transport.abort()  # The caller has reset the connection.
+        if self._transport is None or self._transport.is_closing() or self._closing:
             return
         self._resume()
-        self._start_timer(LINGER_SECONDS)
-
-    def _continue_closing(self, until: float) -> None:
-        """Close the connection, unless its caller is still reading the response."""
-        assert self._transport is not None
-        unsent = self._transport.get_write_buffer_size()
-        if unsent and self._loop.time() < until:
-            self._start_timer(LINGER_SECONDS)
-        elif unsent:
-            self._transport.abort()
-        else:
-            self._transport.close()
+        idle_seconds = self._server.limits.idle_seconds
+        self._closing = TwoStepClose(self._transport, idle_seconds)
+        self._closing.begin()
 
     def close_if_idle(self) -> None:
         """Close the connection unless it is new or has a pending request."""
         if not self.pending_requests and not self._is_new and not self.is_closing:
-            self._close()
+            self._close_idle()
 
     # Timers and flow control.
 
@@ -558,9 +565,6 @@
 
     def _time_out(self) -> None:
         self._timer = None
-        if self._lingers_until is not None:
-            self._continue_closing(self._lingers_until)
-            return
         if self._pipeline:
             if self._request_started:
                 self._start_body_timer()
@@ -568,7 +572,7 @@
         if self._request_started or self._head_size:
             self._reject(408)
         else:
-            self._close()
+            self._close_idle()
 
     def _pause(self) -> None:
         if (
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -210,7 +210,7 @@
         for copy in (self.config_copy, self.endpoint_copy, self.fleet_task.copy):
             self._start_task(copy.run())
         await self._stopped.wait()
-        self.caller_server.report_unanswered("process_ended")
+        self.caller_server.report_cut()
         self._log_stopped()
 
     def _periodic_callbacks(self) -> list[tuple[float, Callable[[], None]]]:
@@ -234,6 +234,8 @@
         self.endpoints.remove_departed(now)
         self.endpoints.expire_peer_reports(now)
         self.fleet_task.tick(now)
+        if self._configuration is not None and self.endpoint_copy.was_read:
+            self.lifecycle.become_ready(now)
         if self.lifecycle.stopping:
             self._continue_stop(now)
 
@@ -445,8 +447,6 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer may send callers."""
-        if self._configuration is not None and self.endpoint_copy.was_read:
-            self.lifecycle.become_ready(self._loop.time())
         return self.lifecycle.ready
 
     async def _readiness(self, req: CallerRequest) -> CallerResponse:
@@ -563,8 +563,10 @@
 
     async def _end(self) -> None:
         assert self._leave_task is not None
-        await self._leave_task
-        self._stopped.set()
+        try:
+            await self._leave_task
+        finally:
+            self._stopped.set()
 
 
 def _read_seconds(headers: Headers) -> float:
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -10,6 +10,9 @@
     def __init__(self) -> None:
         self.options: dict[tuple[int, int], Any] = {}
 
+    def fileno(self) -> int:
+        return -1
+
     def setsockopt(self, level: int, name: int, value: Any) -> None:
         self.options[level, name] = value
 
@@ -30,6 +33,8 @@
         return self.sock if name == "socket" else default
 
     def write(self, data: bytes) -> None:
+        if self.eof_written:
+            raise RuntimeError("cannot write after write_eof")
         self.written += data
 
     def write_eof(self) -> None:
--- a/tests/gateway/test_caller_server.py
+++ b/tests/gateway/test_caller_server.py
@@ -1,6 +1,7 @@
 """Requests, malformed input, timeouts and disconnects of callers."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -10,6 +11,7 @@
     CallerResponse,
     CallerServer,
 )
+from arbutusflow.gateway.closing import LINGER_SECONDS
 from arbutusflow.gateway.model import CallerLimits
 from tests.gateway.fakes import FakeTransport
 from tests.gateway.virtual_time import run
@@ -177,17 +179,62 @@
         server.finish()
         conn.data_received(b"\r\n")
         await asyncio.sleep(0.1)
-        return transport, server.pending_requests
+        ended = transport.eof_written
+        await asyncio.sleep(2 * LINGER_SECONDS)
+        return transport, ended and server.pending_requests == 0
 
-    transport, pending = run(main())
+    transport, ended = run(main())
     answers = [int(x[:3]) for x in transport.written.split(b"HTTP/1.1 ")[1:]]
     # A handler that has not begun cannot have sent its request to an endpoint.
     held_status = 502 if delay else 503
     assert answers == [held_status, held_status, 503]
+    assert ended
+    assert transport.closed
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        2 * (b"GET / HTTP/1.1\r\nX: %b\r\n\r\n" % (b"a" * 600)),
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\n"
+        + b"a" * 50
+        + b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n",
+    ],
+    ids=["two-heads-too-large", "expect-behind-a-body-over-budget"],
+)
+def test_nothing_is_written_behind_a_rejection_in_the_same_chunk(data):
+    """Guards against an exception in the protocol that callers can cause."""
+
+    async def main():
+        server = CallerServer(slowly, BodyBudget(lambda: 10), lambda *_: None)
+        server.limits = LIMITS
+        conn, transport = CallerConnection(server), FakeTransport()
+        conn.connection_made(transport)
+        conn.data_received(data)
+        return transport, server.pending_requests
+
+    transport, pending = run(main())
+    assert transport.written.count(b"HTTP/1.1 ") == 1
     assert transport.eof_written
     assert pending == 0
 
 
+@pytest.mark.parametrize("host", ["127.0.0.1", "::1"])
+def test_a_server_listens_on_addresses_of_both_families(host, monkeypatch):
+    """Guards against an IPv6 address of the settings on which nothing can listen."""
+    families = []
+
+    def create_server(address, *, family, backlog):
+        families.append(family)
+        raise OSError
+
+    monkeypatch.setattr(socket, "create_server", create_server)
+    server = CallerServer(slowly, BodyBudget(lambda: 10), lambda *_: None)
+    with pytest.raises(OSError):
+        run(server.start(host, 0))
+    assert families == [socket.AF_INET6 if ":" in host else socket.AF_INET]
+
+
 async def slowly(req):
     """Respond to `/a` at once and to others after a second."""
     await asyncio.sleep(0.0 if req.target == b"/a" else 1.0)
@@ -231,7 +278,7 @@
         conn = CallerConnection(server)
         conn.connection_made(FakeTransport())
         conn.data_received(GET % b"a" + GET % b"b" + b"GET /incomplete HTTP/1.1\r\n")
-        server.report_unanswered("process_ended")
+        server.report_cut()
         return cut
 
     assert run(main()) == [(b"/a", "process_ended"), (b"/b", "process_ended")]
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -2,27 +2,34 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 
 import pytest
 
 from arbutusflow.domain.body_budget import BodyBudget
 from arbutusflow.gateway.caller_server import (
-    LINGER_SECONDS,
+    NEW_CONNECTION_SECONDS,
     CallerResponse,
     CallerServer,
 )
+from arbutusflow.gateway.closing import LINGER_SECONDS
 
 HOST = "127.0.0.1"
 QUEUED_CONNECTIONS = 20
-BODY = b"x" * (4 * 1024 * 1024)  # More than the buffers of both sockets hold.
+MIB = 1024 * 1024
+BODY = b"x" * (4 * MIB)  # More than the buffers of both sockets hold.
+CHUNK_BYTES = 1 << 18
 SMALL_BUFFER_BYTES = 16 * 1024
 GET = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+KEPT_GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 WAIT_SECONDS = 30.0
 
 
 async def _respond(req):
-    return CallerResponse(200, body=BODY)
+    """Respond with as many MiB as the path says."""
+    size = int(req.target[1:] or b"4") * MIB
+    return CallerResponse(200, body=b"x" * size)
 
 
 @contextlib.asynccontextmanager
@@ -41,10 +48,12 @@
         server.stop_accepting()
 
 
-async def _read_all(sock):
+async def _read_all(sock, seconds=0.0):
+    """Read to the end of the connection, and spread the reading over `seconds`."""
     received = b""
-    while data := await asyncio.get_running_loop().sock_recv(sock, 1 << 20):
+    while data := await asyncio.get_running_loop().sock_recv(sock, CHUNK_BYTES):
         received += data
+        await asyncio.sleep(seconds * len(data) / len(BODY))
     return received
 
 
@@ -65,7 +74,7 @@
         head = GET
         if reason == "instance-stops":
             server.close_after_responses()
-            head = GET.replace(b"Connection: close\r\n", b"")
+            head = KEPT_GET
         await loop.sock_sendall(sock, head)
         while not any(conn.is_closing for conn in server.connections):
             await asyncio.sleep(0.01)
@@ -75,6 +84,83 @@
     assert _run(scenario).endswith(BODY)
 
 
+def test_a_caller_that_reads_slowly_gets_the_whole_answer():
+    """Guards against a time limit on answers that are being read steadily."""
+
+    async def scenario(server, sock):
+        server.limits = dataclasses.replace(server.limits, idle_seconds=1.0)
+        head = GET.replace(b"/", b"/16", 1)
+        await asyncio.get_running_loop().sock_sendall(sock, head)
+        # Each part is read well within the idle time, all of them are not.
+        return await _read_all(sock, seconds=1.0)  # For each 4 MiB.
+
+    assert _run(scenario).endswith(4 * BODY)
+
+
+def test_a_caller_that_stops_reading_is_reset_after_the_idle_time():
+    """Guards against answers that take memory without end."""
+
+    async def scenario(server, sock):
+        server.limits = dataclasses.replace(server.limits, idle_seconds=1.0)
+        await asyncio.get_running_loop().sock_sendall(sock, GET)
+        while not server.connections:
+            await asyncio.sleep(0.01)
+        while server.connections:
+            await asyncio.sleep(0.01)
+
+    _run(scenario)
+
+
+def test_a_request_that_comes_after_the_linger_time_cuts_no_answer():
+    """Guards against a close while the kernel has not delivered the answer."""
+
+    async def scenario(server, sock):
+        server.close_after_responses()
+        loop = asyncio.get_running_loop()
+        # So much that the buffers of the kernel hold all of it.
+        await loop.sock_sendall(sock, GET.replace(b"/", b"/2", 1))
+        await asyncio.sleep(3 * LINGER_SECONDS)
+        await loop.sock_sendall(sock, b"GET /next HTTP/1.1\r\n")
+        await asyncio.sleep(0.1)
+        return await _read_all(sock)
+
+    assert _run(scenario).endswith(BODY[: 2 * MIB])
+
+
+@pytest.mark.parametrize("how", ["close_idle", "finish"])
+def test_a_kept_connection_is_not_reset_under_an_answer_that_is_being_read(how):
+    """Guards against stops that take a connection with an unsent answer for idle."""
+
+    async def scenario(server, sock):
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(sock, KEPT_GET)
+        while not any(conn._latest_request for conn in server.connections):
+            await asyncio.sleep(0.01)
+        server.close_after_responses()
+        await asyncio.sleep(NEW_CONNECTION_SECONDS)
+        getattr(server, how)()
+        await loop.sock_sendall(sock, KEPT_GET)
+        await asyncio.sleep(0.1)
+        return await _read_all(sock)
+
+    assert _run(scenario).endswith(BODY)
+
+
+def test_an_answer_that_the_end_of_the_process_cuts_is_reported():
+    """Guards against cut answers that leave no log line."""
+
+    async def scenario(server, sock):
+        cut = []
+        server.on_cut = lambda req, cause: cut.append((req.target, cause))
+        await asyncio.get_running_loop().sock_sendall(sock, GET)
+        while not any(conn.is_closing for conn in server.connections):
+            await asyncio.sleep(0.01)
+        server.report_cut()
+        return cut
+
+    assert _run(scenario) == [(b"/", "response_unsent")]
+
+
 def test_a_caller_that_never_stops_sending_is_closed_after_the_linger_time():
     """Guards against a connection that a caller holds open without end."""
 
--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -10,7 +10,6 @@
 
 from arbutusflow.domain.body_budget import BodyBudget
 from arbutusflow.gateway.caller_server import (
-    LINGER_SECONDS,
     CallerConnection,
     CallerResponse,
     CallerServer,
@@ -21,6 +20,7 @@
     ClientConnection,
     ResponseProgress,
 )
+from arbutusflow.gateway.closing import LINGER_SECONDS
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.model import Address, CallerLimits, ExchangeError
 from tests.gateway.fakes import FakeTransport
