Admit late requests by responses that were given, not by rejections or old windows

Found by an independent review: a service whose requests were only rejected counted as measured (0.01 s), and a window without responses as a time of 0 s, so a request could be sent 10 ms before the final answers; one response was enough; requests in flight were not looked at, so a service that has just become slow looked fast.

The final 503 of an instance that ends has a Retry-After.

Tests: five cases, of which those for rejections, empty windows, few responses and requests in flight fail on the code before.

--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from arbutusflow.gateway.admission import Admission
+from arbutusflow.gateway.admission import MIN_RETRY_AFTER_SECONDS, Admission
 from arbutusflow.gateway.caller_server import CallerRequest, CallerResponse
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.crash_strikes import CrashStrikes, EndpointProcess
@@ -79,6 +79,11 @@
 _REPLACED_HEADERS = frozenset({wire.DEADLINE, wire.EXPECTED_ENDPOINT})
 
 
+def _is_refusal(response: HttpResponse) -> bool:
+    """Return whether the endpoint says that it has not run the request."""
+    return response.header(wire.NOT_RUN) is not None or response.status == 421
+
+
 class RequestError(Exception):
     """The gateway itself responds to the request with an error."""
 
@@ -181,7 +186,8 @@
                 raise
             # This instance ends before the request does.
             status = 502 if ctx is not None and ctx.may_have_run else 503
-            error = RequestError(status, "instance_ends")
+            wait = None if status == 502 else MIN_RETRY_AFTER_SECONDS
+            error = RequestError(status, "instance_ends", wait)
             reply = self._error_reply(req, request_id, error)
         self._observe_latency(self._loop.time() - req.received_at)
         return reply
@@ -417,6 +423,8 @@
                 ctx.sends += 1
                 ctx.req.cancellable = ctx.idempotent
                 started = self._loop.time()
+                number = self._response_times.begin(endpoint.service, started)
+                has_run = False
                 try:
                     response = await conn.exchange(
                         self._request_head(ctx, state),
@@ -425,12 +433,14 @@
                         ctx.request_id,
                         ctx.req.method == b"HEAD",
                     )
+                    has_run = not _is_refusal(response)
                 except asyncio.CancelledError:
                     ctx.may_have_run = True
                     raise
                 finally:
-                    now = self._loop.time()
-                    self._response_times.record(ctx.service.name, now - started, now)
+                    self._response_times.end(
+                        endpoint.service, number, self._loop.time(), has_run=has_run
+                    )
         except ExchangeError as exc:
             self._handle_exchange_error(ctx, state, exc)
             return None
@@ -482,7 +492,7 @@
         load = wire.ReportedLoad.parse(response.header(wire.ENDPOINT_LOAD))
         if load is not None:
             state.record_load_report(load.running, load.waiting, now)
-        refused = response.header(wire.NOT_RUN) is not None or response.status == 421
+        refused = _is_refusal(response)
         if not refused:
             state.record_response(seconds, ahead, now)
         elif response.status == 503:
@@ -525,7 +535,7 @@
         self, ctx: _RequestContext, state: EndpointState, response: HttpResponse
     ) -> CallerResponse | None:
         """Return the reply to the caller, or None if the request may be retried."""
-        if response.header(wire.NOT_RUN) is not None or response.status == 421:
+        if _is_refusal(response):
             self._log_failed_attempt(ctx, state, f"not_run_{response.status}")
             if response.status == 421 and ctx.key is not None:
                 self._leases.mark_not_held(ctx.service.name, ctx.key)
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -137,6 +137,8 @@
     in_flight=0,
     lifecycle=None,
     cancel_after=None,
+    pause=10.0,
+    stop_after=None,
 ):
     """Return the reply, the hosts that were sent the request, and the seconds taken.
 
@@ -204,6 +206,9 @@
         if partitioned:
             headers.append((b"shard-key", b"7"))
         replies = []
+        if stop_after is not None:
+            # Final answers are given 1.3 s after that, before any deadline.
+            loop.call_later(stop_after, lambda: lifecycle.stop(loop.time() - 4.0, 6.0))
         for _ in range(repetitions):
             started = loop.time()
             req = CallerRequest(b"GET", b"/x", headers, b"", started)
@@ -213,7 +218,8 @@
             replies.append(await task)
             seconds = loop.time() - started
             if repetitions > 1:
-                await asyncio.sleep(10.0)  # The backoff of the endpoint ends meanwhile.
+                # The backoff of the endpoint ends within the default pause.
+                await asyncio.sleep(pause)
         if repetitions > 1:
             return replies
         return replies[0], pool.sent, seconds
@@ -450,6 +456,22 @@
     assert not lifecycle.admits(1.2, until, now)
 
 
+@pytest.mark.parametrize(
+    "outcome, status", [(OK, 200), (REFUSED, 503)], ids=["has-run", "rejected"]
+)
+def test_late_requests_are_sent_by_the_times_of_earlier_ones_that_have_run(
+    outcome, status
+):
+    """Guards against response times that are not recorded, or those of rejections."""
+    lifecycle = Lifecycle()
+    replies = handle(
+        *[outcome] * 20, lifecycle=lifecycle, repetitions=6, pause=0.1, stop_after=0.55
+    )
+    assert replies[-1].status == status
+    refused = replies[-1].body == b"instance_stops\n"
+    assert refused is (outcome is REFUSED)
+
+
 @pytest.mark.parametrize(
     "outcome, options, status",
     [
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -7,6 +7,7 @@
 
 from arbutusflow.gateway.lifecycle import Lifecycle, Phase, StopPlan, Work
 from arbutusflow.gateway.response_times import (
+    MIN_RESPONSES,
     WINDOW_SECONDS,
     LongestResponseTimes,
 )
@@ -150,12 +151,39 @@
     assert _stopped().admits(None, until, 3.0) is admitted
 
 
+def _measured(*times, has_run=True, at=0.0):
+    measured = LongestResponseTimes()
+    for seconds in times:
+        number = measured.begin("s", at - seconds)
+        measured.end("s", number, at, has_run=has_run)
+    return measured
+
+
 def test_the_longest_response_time_is_forgotten_after_two_windows():
-    times = LongestResponseTimes()
-    assert times.longest("s", 0.0) is None
-    times.record("s", 2.0, 0.0)
-    times.record("s", 1.0, WINDOW_SECONDS + 1.0)
-    assert times.longest("s", WINDOW_SECONDS + 2.0) == 2.0
-    assert times.longest("s", 2 * WINDOW_SECONDS + 2.0) == 1.0
-    assert times.longest("s", 9 * WINDOW_SECONDS) is None
+    """Guards against a service without recent responses that counts as immediate."""
+    times = _measured(2.0, *[0.1] * MIN_RESPONSES)
+    assert times.longest("s", WINDOW_SECONDS + 1.0) == 2.0
+    assert times.longest("s", 2 * WINDOW_SECONDS + 1.0) is None
     assert times.longest("other", 0.0) is None
+
+
+def test_times_of_the_window_before_count_beside_the_current_one():
+    times = _measured(2.0, *[0.1] * MIN_RESPONSES)
+    number = times.begin("s", WINDOW_SECONDS)
+    times.end("s", number, WINDOW_SECONDS + 1.0, has_run=True)
+    assert times.longest("s", WINDOW_SECONDS + 2.0) == 2.0
+
+
+def test_rejections_and_few_responses_do_not_count_as_measured():
+    """Guards against an overloaded service that looks fast because it rejects."""
+    assert _measured(*[0.01] * 100, has_run=False).longest("s", 0.0) is None
+    assert _measured(*[0.01] * (MIN_RESPONSES - 1)).longest("s", 0.0) is None
+    assert _measured(*[0.01] * MIN_RESPONSES).longest("s", 0.0) == pytest.approx(0.01)
+
+
+def test_a_request_in_flight_counts_with_its_age():
+    """Guards against a service that has become slow and has not responded since."""
+    times = _measured(*[0.1] * MIN_RESPONSES)
+    times.begin("s", 1.0)
+    times.begin("s", 3.0)
+    assert times.longest("s", 4.0) == 3.0
