Compute all lease ends in lease_expiry, and send both kinds of grants in one place

Cause: closing_expiry repeated the formula of lease_expiry with another length, and grant and close_grants repeated the arguments of _send_order.

Change: lease_expiry takes the length of the lease; _send_grant makes the call for both. Behaviour is the same. test_answer_matching and test_fleet_reports pass.

--- a/arbutusflow/gateway/key_orders.py
+++ b/arbutusflow/gateway/key_orders.py
@@ -18,8 +18,6 @@
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.key_table import (
     KEY_LEASE_SECONDS,
-    LEASE_EXPIRY_FACTOR,
-    LEASE_EXPIRY_SLACK_SECONDS,
     KeyRange,
     lease_expiry,
 )
@@ -63,11 +61,7 @@
 
 def closing_expiry(sent_until: float) -> float:
     """Return the time by which the lease of a closing grant has certainly expired."""
-    return (
-        sent_until
-        + CLOSING_LEASE_SECONDS * LEASE_EXPIRY_FACTOR
-        + LEASE_EXPIRY_SLACK_SECONDS
-    )
+    return lease_expiry(sent_until, CLOSING_LEASE_SECONDS)
 
 
 class KeyOrders:
@@ -108,15 +102,7 @@
         outcome = _Outcome()
         grants.in_flight += 1
         try:
-            await self._send_order(
-                endpoint,
-                wire.GRANT_PATH,
-                body,
-                GRANT_TIMEOUT_SECONDS,
-                outcome,
-                may_send,
-                fresh=False,
-            )
+            await self._send_grant(endpoint, body, outcome, may_send, fresh=False)
         finally:
             grants.in_flight -= 1
             grants.tried_at = asyncio.get_running_loop().time()
@@ -143,15 +129,7 @@
             "",
         )
         outcome = _Outcome()
-        await self._send_order(
-            endpoint,
-            wire.GRANT_PATH,
-            body,
-            GRANT_TIMEOUT_SECONDS,
-            outcome,
-            may_send,
-            fresh=True,
-        )
+        await self._send_grant(endpoint, body, outcome, may_send, fresh=True)
         return outcome.response is not None and outcome.response.status == 200
 
     async def release(self, endpoint: Endpoint, key_range: KeyRange) -> str | None:
@@ -176,6 +154,25 @@
             return None
         return (response.header(wire.HANDOVER) or b"").decode("latin-1")
 
+    async def _send_grant(
+        self,
+        endpoint: Endpoint,
+        body: bytes,
+        outcome: _Outcome,
+        may_send: Callable[[], bool],
+        *,
+        fresh: bool,
+    ) -> None:
+        await self._send_order(
+            endpoint,
+            wire.GRANT_PATH,
+            body,
+            GRANT_TIMEOUT_SECONDS,
+            outcome,
+            may_send,
+            fresh=fresh,
+        )
+
     async def _send_order(
         self,
         endpoint: Endpoint,
--- a/arbutusflow/gateway/key_table.py
+++ b/arbutusflow/gateway/key_table.py
@@ -126,13 +126,9 @@
     revision: int
 
 
-def lease_expiry(granted_at: float) -> float:
+def lease_expiry(granted_at: float, lease_seconds: float = KEY_LEASE_SECONDS) -> float:
     """Return the time by which a lease granted at `granted_at` has certainly expired.
 
     Allows for the clock error of the endpoint and for network delay.
     """
-    return (
-        granted_at
-        + KEY_LEASE_SECONDS * LEASE_EXPIRY_FACTOR
-        + LEASE_EXPIRY_SLACK_SECONDS
-    )
+    return granted_at + lease_seconds * LEASE_EXPIRY_FACTOR + LEASE_EXPIRY_SLACK_SECONDS
