Return the outcome of an order instead of filling one that the caller made

Cause: _send_order filled an object of its callers, although release needs only the response.

Change: _send_order returns a frozen _Outcome. A grant whose exchange is cancelled counts as sent without an answer, also if it was still connecting: the cautious side, and so far only the end of the process cancels one. Otherwise behaviour is the same. test_answer_matching and test_fleet_reports pass.

--- a/arbutusflow/gateway/key_orders.py
+++ b/arbutusflow/gateway/key_orders.py
@@ -51,11 +51,11 @@
         return latest_arrival, latest_arrival
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class _Outcome:
     """What became of one order."""
 
-    sent: bool = False  # Whether any byte of it may have reached the endpoint.
+    sent: bool  # Whether any byte of it may have reached the endpoint.
     response: HttpResponse | None = None
 
 
@@ -99,10 +99,10 @@
             key_range.handover,
         )
         grants = self._sent_grants.setdefault(endpoint.id, _SentGrants())
-        outcome = _Outcome()
+        outcome = _Outcome(sent=True)  # If the exchange is cancelled.
         grants.in_flight += 1
         try:
-            await self._send_grant(endpoint, body, outcome, may_send, fresh=False)
+            outcome = await self._send_grant(endpoint, body, may_send, fresh=False)
         finally:
             grants.in_flight -= 1
             grants.tried_at = asyncio.get_running_loop().time()
@@ -128,8 +128,7 @@
             CLOSING_LEASE_SECONDS,
             "",
         )
-        outcome = _Outcome()
-        await self._send_grant(endpoint, body, outcome, may_send, fresh=True)
+        outcome = await self._send_grant(endpoint, body, may_send, fresh=True)
         return outcome.response is not None and outcome.response.status == 200
 
     async def release(self, endpoint: Endpoint, key_range: KeyRange) -> str | None:
@@ -140,14 +139,8 @@
         """
         token = key_range.closing_token or key_range.token
         body = wire.encode_release(key_range.first, key_range.last, token)
-        outcome = _Outcome()
-        await self._send_order(
-            endpoint,
-            wire.RELEASE_PATH,
-            body,
-            RELEASE_TIMEOUT_SECONDS,
-            outcome,
-            fresh=True,
+        outcome = await self._send_order(
+            endpoint, wire.RELEASE_PATH, body, RELEASE_TIMEOUT_SECONDS, fresh=True
         )
         response = outcome.response
         if response is None or response.status != 200:
@@ -158,17 +151,15 @@
         self,
         endpoint: Endpoint,
         body: bytes,
-        outcome: _Outcome,
         may_send: Callable[[], bool],
         *,
         fresh: bool,
-    ) -> None:
-        await self._send_order(
+    ) -> _Outcome:
+        return await self._send_order(
             endpoint,
             wire.GRANT_PATH,
             body,
             GRANT_TIMEOUT_SECONDS,
-            outcome,
             may_send,
             fresh=fresh,
         )
@@ -179,11 +170,10 @@
         path: bytes,
         body: bytes,
         timeout: float,
-        outcome: _Outcome,
         may_send: Callable[[], bool] = lambda: True,
         *,
         fresh: bool,
-    ) -> None:
+    ) -> _Outcome:
         head = (
             b"POST %b HTTP/1.1\r\nHost: %b:%d\r\n%b: %b\r\n"
             b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n"
@@ -197,20 +187,21 @@
                 len(body),
             )
         )
+        sent = False
         try:
             async with self._pool.connection(
                 endpoint.address, at_most_once=False, timeout=timeout, fresh=fresh
             ) as conn:
                 if not may_send():
-                    return
-                outcome.sent = True
-                response = outcome.response = await conn.exchange(head, body, timeout)
+                    return _Outcome(sent=False)
+                sent = True
+                response = await conn.exchange(head, body, timeout)
                 # An answer with status 421 may come from another endpoint.
                 leaving = wire.parse_leaving(response.header(wire.LEAVING))
                 if leaving and response.status != 421:
                     self.on_leaving(endpoint.process)
+                return _Outcome(sent=True, response=response)
         except ExchangeError as exc:
-            outcome.sent = outcome.sent and exc.sent
             self._log.write_rate_limited(
                 "order_unanswered",
                 endpoint=endpoint.id,
@@ -218,6 +209,7 @@
                 sent=exc.sent,
                 detail=exc.detail,
             )
+            return _Outcome(sent=sent and exc.sent)
 
     # Records of sent grants.
 
