Release leaving ranges with their closing token only

Cause: release fell back to the token of the grant, for ranges without a closing token. Only a test released a range that was not leaving.

Change: release sends the closing token. The test on the identifier in orders marks its range as leaving; its assertions are as before.

--- a/arbutusflow/gateway/key_orders.py
+++ b/arbutusflow/gateway/key_orders.py
@@ -132,13 +132,14 @@
         return outcome.response is not None and outcome.response.status == 200
 
     async def release(self, endpoint: Endpoint, key_range: KeyRange) -> str | None:
-        """Ask an endpoint to release a range; return the value of its handover header.
+        """Ask an endpoint to release a leaving range; return its handover header.
 
         Returns an empty string if the endpoint confirmed the release without that
         header, and None unless it confirmed the release.
         """
-        token = key_range.closing_token or key_range.token
-        body = wire.encode_release(key_range.first, key_range.last, token)
+        body = wire.encode_release(
+            key_range.first, key_range.last, key_range.closing_token
+        )
         outcome = await self._send_order(
             endpoint, wire.RELEASE_PATH, body, RELEASE_TIMEOUT_SECONDS, fresh=True
         )
--- a/tests/gateway/test_fleet_reports.py
+++ b/tests/gateway/test_fleet_reports.py
@@ -287,8 +287,9 @@
     async def scenario():
         orders = KeyOrders(Pool(), FakeLog(), 10.0)
         endpoint = Endpoint("e1", "s", Address("h", 1), "z", 2, False, 0.0, 1)
-        await orders.grant(endpoint, KeyRange(0, 9, "e1", 1, 7))
-        await orders.release(endpoint, KeyRange(0, 9, "e1", 1, 7))
+        key_range = KeyRange(0, 9, "e1", 1, 7)
+        await orders.grant(endpoint, key_range)
+        await orders.release(endpoint, key_range.as_leaving(8, 1))
 
     run(scenario())
     assert len(heads) == 2
