Look for own moves among the leaving ranges instead of in whole tables

Cause: on each tick (0.05 s) each recorded instance walked all ranges of all tables to find moves that it had begun, although it tracks the leaving ranges.

Change: what is tracked is grouped by service and holds the range; _has_own_moves asks only that.

--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -64,7 +64,7 @@
 
     revision: int  # Of the table that marks the range as leaving.
     first_seen_at: float
-    closing_token: int
+    key_range: KeyRange  # As the table marks it.
     # When this instance first saw the range leaving, and whether another one was to
     # close it then.
     leaving_since: float
@@ -81,6 +81,10 @@
     def __post_init__(self) -> None:
         self.wait_logged_at = self.first_seen_at
 
+    def is_of(self, key_range: KeyRange) -> bool:
+        """Return whether this is about a range as its table marks it now."""
+        return self.key_range.closing_token == key_range.closing_token
+
 
 class KeyMoves:
     """Plans the key tables of the services whose planner this instance is."""
@@ -103,7 +107,8 @@
         self._leases = leases
         self._orders = orders
         self._log = log
-        self._revocations: dict[tuple[str, GrantId], _Revocation] = {}
+        # Of the leaving ranges of all tables, by service.
+        self._revocations: dict[str, dict[GrantId, _Revocation]] = {}
         self._writing: set[str] = set()
         self._balanced_at: dict[str, float] = {}
         # Listed endpoints of a service without a table, and since when they are listed.
@@ -120,22 +125,24 @@
 
         All instances do this, because any of them may become the planner.
         """
-        service = stored.table.service
-        leaving = {p.grant_id: p for p in stored.table.ranges if p.leaving}
-        for key in [k for k in self._revocations if k[0] == service]:
-            if key[1] not in leaving:
-                del self._revocations[key]
-        for grant, key_range in leaving.items():
-            token = key_range.closing_token
-            known = self._revocations.get((service, grant))
-            if known is None or known.closing_token != token:
-                self._revocations[service, grant] = _Revocation(
-                    revision=stored.revision,
-                    first_seen_at=now,
-                    closing_token=token,
-                    leaving_since=now if known is None else known.leaving_since,
-                    taken_over=known is not None,
-                )
+        known_revocations = self._revocations.get(stored.table.service, {})
+        current: dict[GrantId, _Revocation] = {}
+        for key_range in stored.table.ranges:
+            if not key_range.leaving:
+                continue
+            grant = key_range.grant_id
+            known = known_revocations.get(grant)
+            if known is not None and known.is_of(key_range):
+                current[grant] = known
+                continue
+            current[grant] = _Revocation(
+                revision=stored.revision,
+                first_seen_at=now,
+                key_range=key_range,
+                leaving_since=now if known is None else known.leaving_since,
+                taken_over=known is not None,
+            )
+        self._revocations[stored.table.service] = current
 
     def tick(self, partitioned_services: list[str], now: float) -> None:
         """Plan the services whose planner this instance is, and finish its moves."""
@@ -149,9 +156,9 @@
 
     def _has_own_moves(self, service: str) -> bool:
         """Return whether this instance has begun moves, as the planner of before."""
-        stored = self._leases.tables.get(service)
-        return stored is not None and any(
-            self._is_own_move(key_range) for key_range in stored.table.ranges
+        return any(
+            self._is_own_move(revocation.key_range)
+            for revocation in self._revocations.get(service, {}).values()
         )
 
     def _is_own_move(self, key_range: KeyRange) -> bool:
@@ -371,8 +378,8 @@
 
     def _find_revocation(self, service: str, key_range: KeyRange) -> _Revocation | None:
         """Return the progress of taking a range, as its table marks it, if any."""
-        revocation = self._revocations.get((service, key_range.grant_id))
-        if revocation is None or revocation.closing_token != key_range.closing_token:
+        revocation = self._revocations.get(service, {}).get(key_range.grant_id)
+        if revocation is None or not revocation.is_of(key_range):
             return None
         return revocation
 
