Do not wait for the lease of a closing grant that was not sent

What callers saw: keys of an endpoint that no connection reached stayed without an owner for up to a closing lease longer than their lease needs.

Cause: close_grants returned False both for a closing grant without a confirmation and for one that was never sent (no connection, or no right to grant), and the move waited for its lease either way.

Change: close_grants returns None if nothing was sent, judged as for grant. The lease of an earlier closing grant that was sent still counts.

The simulated fleet has endpoints that refuse connections for it.

--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -346,22 +346,24 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         self._leases.withdraw(key_range)
+        closed: bool | None = False
         try:
             # One of the earlier grants may be on its way although it counts as
             # answered: an endpoint may send an answer twice, and the answers of orders
             # have no identifier.
-            if await self._orders.close_grants(
+            closed = await self._orders.close_grants(
                 endpoint,
                 key_range,
                 functools.partial(self._leases.may_grant, key_range),
-            ):
+            )
+            if closed:
                 revocation.release_handover = await self._orders.release(
                     endpoint, key_range
                 )
         finally:
             revocation.release_in_progress = False
             revocation.retry_at = loop.time() + RELEASE_RETRY_SECONDS
-            if revocation.release_handover is None:
+            if revocation.release_handover is None and closed is not None:
                 revocation.closed_until = closing_expiry(loop.time())
                 # Leaves time to assign the keys if the owner does not respond.
                 revocation.retry_at = revocation.closed_until + RELEASE_RETRY_SECONDS
--- a/arbutusflow/gateway/key_orders.py
+++ b/arbutusflow/gateway/key_orders.py
@@ -114,12 +114,13 @@
 
     async def close_grants(
         self, endpoint: Endpoint, key_range: KeyRange, may_send: Callable[[], bool]
-    ) -> bool:
+    ) -> bool | None:
         """Grant a leaving range with its closing token, for a short time.
 
         Returns whether the endpoint confirmed it: it refuses grants with lower tokens
         from then on. The confirmation comes on a connection of its own, so it can
-        belong to no other order. The keys may be held until `closing_expiry`.
+        belong to no other order. The keys may be held until `closing_expiry`. Returns
+        None if nothing was sent, so that no lease has to expire.
         """
         body = wire.encode_grant(
             key_range.first,
@@ -129,6 +130,8 @@
             "",
         )
         outcome = await self._send_grant(endpoint, body, may_send, fresh=True)
+        if not outcome.sent:
+            return None
         return outcome.response is not None and outcome.response.status == 200
 
     async def release(self, endpoint: Endpoint, key_range: KeyRange) -> str | None:
--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -313,6 +313,8 @@
     @contextlib.asynccontextmanager
     async def connection(self, address: Address, **options: Any) -> Any:
         target = self.sim.by_address[address]
+        if target.endpoint.id in self.sim.closed_ports:
+            raise ExchangeError("refused", sent=False)
         fresh = options.get("fresh", False)
         yield _OrderConnection(self.sim, self.sender, target, fresh)
 
@@ -474,6 +476,7 @@
         self.loop = asyncio.get_running_loop()
         self.store = SimStore()
         self.blocked_orders: set[tuple[str, str]] = set()
+        self.closed_ports: set[str] = set()  # Endpoints that refuse connections.
         self.blocked_datagrams: set[tuple[str, str]] = set()
         self.datagram_loss = 0.01  # Share of datagrams that are lost.
         self.late_grant_share = 0.0
--- a/tests/gateway/test_answer_matching.py
+++ b/tests/gateway/test_answer_matching.py
@@ -266,6 +266,33 @@
     assert run(scenario()) == ((-1e9, -1e9), True)
 
 
+def test_a_closing_grant_that_was_not_sent_is_told_from_one_without_an_answer(
+    monkeypatch,
+):
+    """Guards against a wait for the lease of a closing grant that met no open port, or
+    that the right to grant did not outlast."""
+    silent = Endpoint([Answering(0.0, answered=False)])
+
+    async def refuse(*args):
+        raise ExchangeError("refused", sent=False)
+
+    async def scenario():
+        orders = make_orders(ConnectionPool(b"request-id"))
+        results = []
+        for open_connection, may_send in (
+            (refuse, True),
+            (silent.open, False),
+            (silent.open, True),
+        ):
+            monkeypatch.setattr(ClientConnection, "open", open_connection)
+            results.append(
+                await orders.close_grants(ENDPOINT, LEAVING, lambda may=may_send: may)
+            )
+        return results
+
+    assert run(scenario()) == [None, None, False]
+
+
 def test_a_right_to_grant_that_ends_while_connecting_is_not_used(monkeypatch):
     """Guards against a renewal by a table that the others have left behind."""
     endpoint = Endpoint([])
--- a/tests/gateway/test_ownership_under_faults.py
+++ b/tests/gateway/test_ownership_under_faults.py
@@ -12,6 +12,7 @@
 from arbutusflow.gateway import fleet as fleet_module, key_moves
 from arbutusflow.gateway.fleet import TABLE_PREFIX, Fleet
 from arbutusflow.gateway.key_orders import KeyOrders
+from arbutusflow.gateway.key_table import KEY_LEASE_SECONDS, lease_expiry
 from tests.gateway.sim_fleet import SAMPLED_KEYS, SERVICE, SimFleet, run_fleet
 
 FAULT_PHASE_SECONDS = 40.0
@@ -19,6 +20,7 @@
 BUSY_KEYS_SECONDS = 2.0  # Between two sets of busy keys.
 SEEDS = range(12)
 RECOVERY_TARGET_SECONDS = 3.0  # Required by the users after a failure.
+REASSIGN_SECONDS = 0.3  # For the table of a move, and the grants by it.
 
 
 async def _inject_random_faults(sim: SimFleet) -> None:
@@ -266,6 +268,27 @@
     assert run_fleet(scenario) == ([], 1.0)
 
 
+@pytest.mark.parametrize("endpoint", ["e0", "e1", "e2", "e3"])
+def test_keys_of_an_endpoint_that_cannot_be_reached_move_when_their_lease_ends(
+    endpoint,
+):
+    """Guards against a wait for the lease of a closing grant that was never sent."""
+
+    async def scenario(sim):
+        await asyncio.sleep(8.0)
+        sim.closed_ports.add(endpoint)
+        sim.unlisted.add(endpoint)
+        holder = sim.endpoints[endpoint]
+        while any(lease.until > sim.now for lease in holder.leases):
+            await asyncio.sleep(0.01)
+        # The clock of the endpoint may run slow, and the grant may have arrived late.
+        slack = lease_expiry(0.0) - KEY_LEASE_SECONDS
+        await asyncio.sleep(slack + REASSIGN_SECONDS)
+        return sim.violations, sim.held_key_share()
+
+    assert run_fleet(scenario) == ([], 1.0)
+
+
 async def _split_ranges(sim: SimFleet) -> None:
     """Make adjacent keys busy, so that each endpoint owns several ranges."""
     sim.busy_keys = list(range(20_000, 20_080)) * 5
