Fail a list of the store that cannot go on, instead of returning what was read

Cause: a page without any readable name ended a list although the store said that it has more entries. The list looked complete, and endpoints on the missing pages counted as gone.

Change: such a list raises PlatformError, which the copy of the store logs and retries. A list goes on after a name. Names that are not strings, or not Unicode, cannot be written into the query, and the name of an earlier page would bring the same page again. A page with at least one readable name is still followed by the next one, after its last readable name.

Evidence: the four cases of test_a_list_that_cannot_go_on_is_an_error fail before (nothing is raised) and pass after. The test of lists that go on behind such entries passes before as well.

--- a/arbutusflow/platform/store.py
+++ b/arbutusflow/platform/store.py
@@ -132,7 +132,8 @@
         """Return the objects of a kind. Raises PlatformError.
 
         The revision is that of the first page: a watch from there reports all that
-        changed between the pages again.
+        changed between the pages again. A list that cannot go on, because no entry of a
+        page has a readable name, is an error.
 
         `timeout` in seconds applies to the first byte of each page. With `may_lag` the
         objects may be seconds old; such a call is priced at a tenth of others.
@@ -152,8 +153,15 @@
             left_out.extend(missing)
             if first_revision is None:
                 first_revision = page.revision
-            if not found or not page.has_more:
+            if not page.has_more:
                 return Snapshot(tuple(objects), first_revision, tuple(left_out))
+            if not found:
+                # A list goes on after a name; that of another page would repeat this.
+                reason = missing[0] if missing else "the page is empty"
+                raise PlatformError(
+                    f"the list of {kind} cannot go on, its last page has no readable"
+                    f" name: {reason}"
+                )
             query = f"?after={objects[-1].name}"
             query += f"&{option}" if option else ""
 
--- a/tests/gateway/test_unreadable_entries.py
+++ b/tests/gateway/test_unreadable_entries.py
@@ -129,6 +129,54 @@
     assert [name for name, _ in events].count("store_entry_unreadable") == 1
 
 
+UNNAMED = rb'{"metadata":{"name":"\udcff"},"spec":{}}'
+MORE = b'"hasMore":true,"asOf":40'
+
+
+class PagedStore(StoreClient):
+    """Answers a list with several pages, by the value of `after`."""
+
+    def __init__(self, pages):
+        super().__init__(Address("store", 1))
+        self.pages = pages
+
+    async def _call(self, method, path, *args, **options):
+        _, _, after = path.partition("after=")
+        return HttpResponse(200, b"", (), self.pages[after], reusable=True)
+
+
+def list_pages(pages):
+    async def main():
+        return await PagedStore(pages).list("servers", 1.0, ResponseProgress(1.0))
+
+    return run(main())
+
+
+def test_a_list_goes_on_behind_entries_without_readable_names():
+    snapshot = list_pages(
+        {
+            "": page("items", [entry(1), UNNAMED], MORE),
+            "i-1": page("items", [UNNAMED, entry(2)], MORE),
+            "i-2": page("items", [entry(3)]),
+        }
+    )
+    assert [item.name for item in snapshot.objects] == ["i-1", "i-2", "i-3"]
+
+
+@pytest.mark.parametrize("first", [[], [entry(1)]])
+@pytest.mark.parametrize("parts", [[UNNAMED, UNNAMED], []])
+def test_a_list_that_cannot_go_on_is_an_error(first, parts):
+    """Guards against a list that looks complete although the store has more entries.
+
+    Endpoints on its missing pages would count as gone.
+    """
+    pages = {"": page("items", parts, MORE)}
+    if first:
+        pages = {"": page("items", first, MORE), "i-1": pages[""]}
+    with pytest.raises(PlatformError, match="cannot go on"):
+        list_pages(pages)
+
+
 @pytest.mark.parametrize("kind", SPOILT_VALUES)
 def test_other_instances_can_be_sent_what_was_read(kind):
     """Guards against a number that no datagram can carry and that ends the relay."""
