Split well-formed events of a watch with msgspec instead of the scanner

Cause: each event was scanned by split_object and then decoded again, also if it is well-formed.

Change: split_event reads the two fields as msgspec.Raw; the scanner is needed only if that fails. An event without an object is left out with that reason instead of the name of the key.

New tests: both ways agree on events of several forms; events without an object are left out.

--- a/arbutusflow/platform/entries.py
+++ b/arbutusflow/platform/entries.py
@@ -31,7 +31,13 @@
     hasMore: bool = False  # noqa: N815
 
 
+class _Event(msgspec.Struct):
+    object: msgspec.Raw
+    removed: msgspec.Raw = msgspec.Raw(b"false")
+
+
 _page_decoder = msgspec.json.Decoder(_Page)
+_event_decoder = msgspec.json.Decoder(_Event)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +67,22 @@
         raise PlatformError(f"malformed response from the store: {exc!r}") from exc
 
 
+def split_event(data: bytes) -> tuple[bytes, bool]:
+    """Return the encoded object of an event, and whether it was removed.
+
+    Raises ValueError if the event has no object.
+    """
+    try:
+        event = _event_decoder.decode(data)
+        return bytes(event.object), bytes(event.removed) == b"true"
+    except _DECODE_ERRORS:
+        pass  # Not well-formed; the slower way may still find the object.
+    members = split_object(data)
+    if "object" not in members:
+        raise ValueError("an event without an object")
+    return members["object"], members.get("removed", b"").strip() == b"true"
+
+
 def split_object(data: bytes) -> dict[str, bytes]:
     """Return the encoded members of an object by key, as far as keys are readable."""
     members = {}
--- a/arbutusflow/platform/store.py
+++ b/arbutusflow/platform/store.py
@@ -103,13 +103,11 @@
     """Return the changes of objects with readable names, and why others are missing."""
     changes, left_out = [], []
     for part in parts:
-        members = entries.split_object(part)
         try:
-            item = _decode_object(members["object"])
-        except (KeyError, ValueError) as exc:
+            data, removed = entries.split_event(part)
+            changes.append(Change(_decode_object(data), removed))
+        except ValueError as exc:
             left_out.append(str(exc))
-            continue
-        changes.append(Change(item, members.get("removed", b"").strip() == b"true"))
     return changes, tuple(left_out)
 
 
--- a/tests/gateway/test_unreadable_entries.py
+++ b/tests/gateway/test_unreadable_entries.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import time
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -17,7 +18,8 @@
 from arbutusflow.gateway.model import Address, HttpResponse
 from arbutusflow.gateway.peers import CopyTransfer
 from arbutusflow.gateway.store_watch import ObjectCopy
-from arbutusflow.platform.entries import split_page
+from arbutusflow.platform import entries
+from arbutusflow.platform.entries import split_event, split_page
 from arbutusflow.platform.store import StoreClient
 from tests.gateway.fakes import FakeLog
 from tests.gateway.test_documents import ENTRY
@@ -201,6 +203,39 @@
         split_page(body, "items")
 
 
+@pytest.mark.parametrize(
+    "event",
+    [
+        b'{"object":{"a":1},"removed":true}',
+        b' { "removed" : true , "other":[1,{}], "object" : {"a":[]} } ',
+        rb'{"\u006fbject":{"a":"]},"},"removed":false}',
+        b'{"object":1,"object":{"a":2},"removed":true,"removed":false}',
+        b'{"object":{"a":1}}',
+        b'{"object":null,"removed":"true"}',
+        b'{"object":{"a":1},"removed":null}',
+    ],
+)
+def test_both_ways_to_split_an_event_agree(event, monkeypatch):
+    """Guards against an event that means something else beside an unreadable one."""
+    fast = split_event(event)
+
+    def fail(data):
+        raise msgspec.DecodeError("not well-formed")
+
+    monkeypatch.setattr(entries, "_event_decoder", SimpleNamespace(decode=fail))
+    data, removed = split_event(event)
+    assert (data.strip(), removed) == fast
+
+
+@pytest.mark.parametrize("event", [b"{}", b"7", b"null", b'{"removed":true}'])
+def test_an_event_without_an_object_is_left_out_and_logged(event):
+    parts = [event, b'{"object":%b,"removed":false}' % entry(5)]
+    store = Store(page("items", [entry(1)]), page("events", parts, b'"asOf":44'))
+    names, _, events = listed_endpoints(store)
+    assert names == {"i-1", "i-5"}
+    assert [name for name, _ in events].count("store_entry_unreadable") == 1
+
+
 def _as_string(data):
     """Return a JSON string with any bytes but unescaped quotes and backslashes."""
     return b'"%b"' % data.replace(b"\\", b"").replace(b'"', rb"\"")
