Use another idle connection if the latest one has carried the request

Cause: the pool opened a new connection as soon as the most recently used idle one had carried the identifier of a repeat, though an idle one that had not may serve it. New connections count towards the limit of the endpoint.

Change: _take_idle goes on to the next one; the order and the limits of idle times are as before.

--- a/arbutusflow/gateway/connection_pool.py
+++ b/arbutusflow/gateway/connection_pool.py
@@ -116,21 +116,22 @@
         max_idle_seconds = (
             MAX_IDLE_AT_MOST_ONCE_SECONDS if at_most_once else MAX_IDLE_SECONDS
         )
-        while idle:
-            conn = idle[-1]  # The most recently used one is least likely to be stale.
+        # The most recently used one is least likely to be stale.
+        for index in range(len(idle) - 1, -1, -1):
+            conn = idle[index]
+            idle_seconds = now - conn.idle_since
+            if not conn.usable or idle_seconds >= MAX_IDLE_SECONDS:
+                del idle[index]
+                conn.close()
+                continue
             limit = min(
                 max_idle_seconds, conn.keep_alive_seconds * KEEP_ALIVE_REUSE_FRACTION
             )
-            if conn.usable and now - conn.idle_since < limit:
-                if conn.has_carried(request_id):
-                    return None
-                idle.pop()
+            if idle_seconds >= limit:
+                return None
+            if not conn.has_carried(request_id):
+                del idle[index]
                 return conn
-            if not conn.usable or now - conn.idle_since >= MAX_IDLE_SECONDS:
-                idle.pop()
-                conn.close()
-                continue
-            return None
         return None
 
     def _count_stray(self) -> None:
--- a/tests/gateway/test_answer_matching.py
+++ b/tests/gateway/test_answer_matching.py
@@ -123,6 +123,22 @@
     assert run(scenario()) == [(1, 1), (2, 2)]
 
 
+def test_another_idle_connection_serves_a_repeat(connect_to):
+    """Guards against a new connection, which counts towards the limit of the endpoint,
+    while an idle one that has not carried the request is there."""
+    endpoint = Endpoint([Answering(0.1), Answering(0.2)])
+
+    async def scenario():
+        pool = connect_to(endpoint)
+        first = await asyncio.gather(
+            send(pool, endpoint, b"b"), send(pool, endpoint, b"a")
+        )
+        return first, await send(pool, endpoint, b"a"), pool.opened
+
+    # The connection of the second request is the most recently used one.
+    assert run(scenario()) == ([(1, 1), (2, 2)], (3, 3), 2)
+
+
 @pytest.mark.parametrize("request_ids", [(b"a",), (b"a", b"b")])
 def test_a_second_copy_of_an_answer_is_counted(connect_to, request_ids):
     """Guards against copies that operators cannot see, while the connection is idle or
