--- a/tests/gateway/test_key_planner.py
+++ b/tests/gateway/test_key_planner.py
@@ -16,6 +16,7 @@
 
 NO_LOAD = KeyLoads({})
 RELEASED = lambda key_range: "handover"  # noqa: E731
+NOT_RELEASED = lambda key_range: None  # noqa: E731
 
 
 def endpoints(count, **changes):
@@ -175,9 +176,7 @@
     """Until then, their owner may still hold them."""
     table = plan_until_stable(KeyTable.empty("s"), endpoints(4))
     remaining = {n: e for n, e in endpoints(4).items() if n != "e1"}
-    pending = plan_until_stable(
-        table, remaining, handover_if_transferable=lambda key_range: None
-    )
+    pending = plan_until_stable(table, remaining, handover_if_transferable=NOT_RELEASED)
     assert [p.endpoint for p in pending.ranges if p.leaving] == ["e1"]
 
 
@@ -188,15 +187,18 @@
     return plan_until_stable(table, listed, loads)
 
 
-def _plan_without_proof(table, listed):
+def _plan_without_proof(
+    table, listed, loads=NO_LOAD, handover_if_cancelled=NOT_RELEASED, balance=False
+):
     """Plan while no owner has released a range and no lease has expired."""
     return plan(
         table,
         listed,
         dict.fromkeys(listed, 10.0),
-        NO_LOAD,
-        lambda key_range: None,
-        balance=False,
+        loads,
+        NOT_RELEASED,
+        handover_if_cancelled,
+        balance=balance,
     )
 
 
@@ -224,14 +226,8 @@
     table = _table_with_split_ranges(endpoints(4))
     listed = endpoints(4, e1=(False, 2))
     leaving = _plan_without_proof(table, listed)
-    returned = plan(
-        leaving,
-        listed,
-        dict.fromkeys(listed, 10.0),
-        NO_LOAD,
-        lambda key_range: None,
-        lambda key_range: "",
-        balance=False,
+    returned = _plan_without_proof(
+        leaving, listed, handover_if_cancelled=lambda key_range: ""
     )
     owned = [p for p in returned.ranges if p.endpoint == "e1"]
     assert owned
@@ -265,7 +261,7 @@
     for loads, present, released in steps:
         listed = {n: e for n, e in endpoints(6).items() if int(n[1]) in present}
         capacity = dict.fromkeys(listed, 10.0)
-        handover_if_transferable = RELEASED if released else (lambda key_range: None)
+        handover_if_transferable = RELEASED if released else NOT_RELEASED
         planned = plan(
             table, listed, capacity, KeyLoads(loads), handover_if_transferable
         )
@@ -286,18 +282,17 @@
     """
     listed = endpoints(4)
     table = plan_until_stable(KeyTable.empty("s"), listed)
-    not_released = lambda key_range: None  # noqa: E731
-    assert needs_change(KeyTable.empty("s"), listed, not_released)
-    assert not needs_change(table, listed, not_released)
-    assert needs_change(table, endpoints(4, e1=(True, 1)), not_released)
-    assert needs_change(table, endpoints(4, e1=(False, 2)), not_released)
+    assert needs_change(KeyTable.empty("s"), listed, NOT_RELEASED)
+    assert not needs_change(table, listed, NOT_RELEASED)
+    assert needs_change(table, endpoints(4, e1=(True, 1)), NOT_RELEASED)
+    assert needs_change(table, endpoints(4, e1=(False, 2)), NOT_RELEASED)
     leaving = plan_until_stable(
-        table, endpoints(3), handover_if_transferable=not_released
+        table, endpoints(3), handover_if_transferable=NOT_RELEASED
     )
-    assert not needs_change(leaving, endpoints(3), not_released)
+    assert not needs_change(leaving, endpoints(3), NOT_RELEASED)
     assert needs_change(leaving, endpoints(3), RELEASED)
     # A restart of the owner is no proof of release.
-    assert not needs_change(leaving, endpoints(4, e3=(False, 2)), not_released)
+    assert not needs_change(leaving, endpoints(4, e3=(False, 2)), NOT_RELEASED)
     assert needs_change(leaving, endpoints(4, e3=(False, 2)), RELEASED)
 
 
@@ -318,23 +313,12 @@
     """
     listed = endpoints(4)
     loads = KeyLoads({20_000 + n: 0.5 for n in range(80)})
-    blocked = plan(
-        plan_until_stable(KeyTable.empty("s"), listed),
-        listed,
-        dict.fromkeys(listed, 10.0),
-        loads,
-        lambda key_range: None,
-    )
+    table = plan_until_stable(KeyTable.empty("s"), listed)
+    blocked = _plan_without_proof(table, listed, loads, balance=True)
     leaving = [key_range for key_range in blocked.ranges if key_range.leaving]
     assert leaving
-    returned = plan(
-        blocked,
-        listed,
-        dict.fromkeys(listed, 10.0),
-        loads,
-        lambda key_range: None,
-        lambda key_range: "proof",
-        balance=False,
+    returned = _plan_without_proof(
+        blocked, listed, loads, handover_if_cancelled=lambda key_range: "proof"
     )
     for key_range in leaving:
         new_range = _range_of(returned, key_range.first)
@@ -346,16 +330,9 @@
 def test_keys_are_not_returned_to_a_lost_endpoint():
     table = plan_until_stable(KeyTable.empty("s"), endpoints(4))
     listed = endpoints(3)
-    blocked = plan_until_stable(
-        table, listed, handover_if_transferable=lambda key_range: None
-    )
-    replanned = plan(
-        blocked,
-        listed,
-        dict.fromkeys(listed, 10.0),
-        NO_LOAD,
-        lambda key_range: None,
-        lambda key_range: "",
+    blocked = plan_until_stable(table, listed, handover_if_transferable=NOT_RELEASED)
+    replanned = _plan_without_proof(
+        blocked, listed, handover_if_cancelled=lambda key_range: "", balance=True
     )
     assert [p for p in replanned.ranges if p.endpoint == "e3"] == [
         p for p in blocked.ranges if p.endpoint == "e3"
