Name the identity of an endpoint's process once, in the types of the gateway

EndpointProcess stood in crash_strikes, and endpoint_directory, key_orders and model wrote tuple[str, int] for the same. It is now part of model. Behaviour is the same; test_suspect_requests, test_endpoints and test_answer_matching pass.

--- a/arbutusflow/gateway/crash_strikes.py
+++ b/arbutusflow/gateway/crash_strikes.py
@@ -13,6 +13,8 @@
 import dataclasses
 from collections.abc import Callable
 
+from arbutusflow.gateway.model import EndpointProcess
+
 MAX_STRIKES = 3  # A request with so many is refused.
 STRIKE_LIFETIME_SECONDS = 600.0
 # From the last strike to the first trial; the wait grows with each further strike, so
@@ -24,9 +26,6 @@
 # the same start time is of a process whose entry was not known yet.
 SAME_CRASH_SECONDS = 3.0
 
-# Identifier and start time of a process of an endpoint.
-EndpointProcess = tuple[str, int]
-
 
 @dataclasses.dataclass(slots=True)
 class _Suspect:
--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -16,13 +16,14 @@
 from arbutusflow.gateway.admission import Admission
 from arbutusflow.gateway.caller_server import CallerRequest, CallerResponse
 from arbutusflow.gateway.connection_pool import ConnectionPool
-from arbutusflow.gateway.crash_strikes import CrashStrikes, EndpointProcess
+from arbutusflow.gateway.crash_strikes import CrashStrikes
 from arbutusflow.gateway.endpoint_load import EndpointState, EndpointTable
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.key_demand import KeyDemand
 from arbutusflow.gateway.key_leases import KeyLeases
 from arbutusflow.gateway.model import (
     Configuration,
+    EndpointProcess,
     ExchangeError,
     HttpResponse,
     Repeatability,
--- a/arbutusflow/gateway/endpoint_directory.py
+++ b/arbutusflow/gateway/endpoint_directory.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from arbutusflow.gateway.event_log import EventLog
-from arbutusflow.gateway.model import Endpoint
+from arbutusflow.gateway.model import Endpoint, EndpointProcess
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform.documents import decode_endpoint
 from arbutusflow.platform.store import StoredObject
@@ -57,7 +57,7 @@
             self._retained.pop(name, None)
         self._set_listed(listed)
 
-    def mark_leaving(self, process: tuple[str, int]) -> bool:
+    def mark_leaving(self, process: EndpointProcess) -> bool:
         """Treat a process as draining because it said so itself.
 
         Returns whether this is news. Holds until another process takes its place.
--- a/arbutusflow/gateway/key_orders.py
+++ b/arbutusflow/gateway/key_orders.py
@@ -21,7 +21,12 @@
     KeyRange,
     lease_expiry,
 )
-from arbutusflow.gateway.model import Endpoint, ExchangeError, HttpResponse
+from arbutusflow.gateway.model import (
+    Endpoint,
+    EndpointProcess,
+    ExchangeError,
+    HttpResponse,
+)
 from arbutusflow.gateway.peers import LeaseReport
 from arbutusflow.platform import wire
 
@@ -78,7 +83,7 @@
         self._lease_seconds = min(KEY_LEASE_SECONDS, lease_seconds)
         self._sent_grants: dict[str, _SentGrants] = {}
         # Called when an endpoint says that it leaves; set by the process.
-        self.on_leaving: Callable[[tuple[str, int]], None] = lambda process: None
+        self.on_leaving: Callable[[EndpointProcess], None] = lambda process: None
 
     async def grant(
         self,
--- a/arbutusflow/gateway/model.py
+++ b/arbutusflow/gateway/model.py
@@ -8,6 +8,9 @@
 
 KEY_SPACE = 65536  # Keys of a partitioned service are integers from 0 to 65535.
 
+# Identifier and start time of a process of an endpoint.
+EndpointProcess = tuple[str, int]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
@@ -121,7 +124,7 @@
     started_ms: int  # Start time of the process; identifies the process.
 
     @property
-    def process(self) -> tuple[str, int]:
+    def process(self) -> EndpointProcess:
         """Identifier and start time, which identify the process."""
         return self.id, self.started_ms
 
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -22,7 +22,7 @@
     Headers,
 )
 from arbutusflow.gateway.connection_pool import ConnectionPool
-from arbutusflow.gateway.crash_strikes import CrashStrikes, EndpointProcess
+from arbutusflow.gateway.crash_strikes import CrashStrikes
 from arbutusflow.gateway.dispatch import Dispatcher
 from arbutusflow.gateway.endpoint_directory import EndpointDirectory
 from arbutusflow.gateway.endpoint_load import EndpointTable
@@ -37,7 +37,11 @@
     FleetTask,
 )
 from arbutusflow.gateway.metrics import GatewayMetrics
-from arbutusflow.gateway.model import Configuration, GatewaySettings
+from arbutusflow.gateway.model import (
+    Configuration,
+    EndpointProcess,
+    GatewaySettings,
+)
 from arbutusflow.gateway.peers import (
     FleetDigest,
     FollowerReport,
