Pass the state of leaving ranges to the planner as one object

Change: the Protocol key_planner.LeavingState says it once. KeyMoves makes one object of it for each plan, which builds the set at most once. The tests pass FakeLeavingState with the same lookups as before; their assertions are as before. Behaviour is the same; test_key_planner and test_hot_sets pass. Not measured.

--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -183,40 +183,18 @@
             and self._fleet.can_move_without_wait(now)
             and self.has_recent_demand(service)
         )
-        handovers: dict[KeyRange, str | None] = {}
-
-        def handover_if_transferable(key_range: KeyRange) -> str | None:
-            if key_range not in handovers:
-                handovers[key_range] = self._handover_if_transferable(
-                    service, key_range, now
-                )
-            return handovers[key_range]
-
-        def handover_if_cancelled(key_range: KeyRange) -> str | None:
-            return self._handover_if_cancelled(service, key_range, now)
-
-        def must_take_over(key_range: KeyRange) -> bool:
-            return self._must_take_over(service, key_range, now)
-
-        if not balance and not key_planner.needs_change(
-            table,
-            endpoints,
-            handover_if_transferable,
-            handover_if_cancelled,
-            must_take_over,
-        ):
+        leaving = _LeavingState(self, service, now)
+        if not balance and not key_planner.needs_change(table, endpoints, leaving):
             return
         planned = key_planner.plan(
             table,
             endpoints,
             self.capacities_of(service),
             key_planner.KeyLoads(self.loads_of(service)),
-            handover_if_transferable,
-            handover_if_cancelled,
+            leaving,
             balance=balance,
             immovable=self._immovable_endpoints(endpoints, now) if balance else (),
             own_life=self._fleet.own_record.life,
-            must_take_over=must_take_over,
         )
         if balance:
             self._balanced_at[service] = now
@@ -385,16 +363,20 @@
             return None
         return revocation
 
-    def _must_take_over(self, service: str, key_range: KeyRange, now: float) -> bool:
+    def _alive_lives(self, now: float) -> set[int]:
+        return {record.life for record in self._fleet.alive(now)}
+
+    def _must_take_over(
+        self, service: str, key_range: KeyRange, leaving: "_LeavingState", now: float
+    ) -> bool:
         """Return whether this instance has to move a range in place of another one."""
         if not key_range.leaving or self._is_own_move(key_range):
             return False
         revocation = self._find_revocation(service, key_range)
         if revocation is None or not self._fleet.is_planner(service, now):
             return False
-        lives = {record.life for record in self._fleet.alive(now)}
         return (
-            key_range.closer_life not in lives
+            key_range.closer_life not in leaving.alive_lives
             or now - revocation.first_seen_at >= TAKE_OVER_SECONDS
         ) and self._handover_if_cancelled(service, key_range, now) is None
 
@@ -499,3 +481,31 @@
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+class _LeavingState:
+    """The `key_planner.LeavingState` of a service at one time."""
+
+    def __init__(self, moves: KeyMoves, service: str, now: float) -> None:
+        self._moves = moves
+        self._service = service
+        self._now = now
+        self._handovers: dict[KeyRange, str | None] = {}
+
+    @functools.cached_property
+    def alive_lives(self) -> set[int]:
+        """Incarnations of the instances that are alive."""
+        return self._moves._alive_lives(self._now)
+
+    def handover_if_transferable(self, key_range: KeyRange) -> str | None:
+        if key_range not in self._handovers:
+            self._handovers[key_range] = self._moves._handover_if_transferable(
+                self._service, key_range, self._now
+            )
+        return self._handovers[key_range]
+
+    def handover_if_cancelled(self, key_range: KeyRange) -> str | None:
+        return self._moves._handover_if_cancelled(self._service, key_range, self._now)
+
+    def must_take_over(self, key_range: KeyRange) -> bool:
+        return self._moves._must_take_over(self._service, key_range, self, self._now)
--- a/arbutusflow/gateway/key_planner.py
+++ b/arbutusflow/gateway/key_planner.py
@@ -11,7 +11,8 @@
 import heapq
 import itertools
 import math
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
+from typing import Protocol
 
 import msgspec
 
@@ -49,9 +50,24 @@
 DONOR_DEVIATIONS = 2.0
 PIECE_DEVIATIONS = 0.5
 
-# Maps a leaving range to the handover to grant it with, or to None if it must not be
-# granted yet.
-HandoverLookup = Callable[[KeyRange], str | None]
+
+class LeavingState(Protocol):
+    """State of the leaving ranges of one service at the time of a plan."""
+
+    def handover_if_transferable(self, key_range: KeyRange) -> str | None:
+        """Return the handover to grant a leaving range to another owner with.
+
+        Returns None if it must not be granted yet.
+        """
+
+    def handover_if_cancelled(self, key_range: KeyRange) -> str | None:
+        """Return the handover to give a leaving range back to its owner with.
+
+        Returns None unless it goes back because it cannot move now.
+        """
+
+    def must_take_over(self, key_range: KeyRange) -> bool:
+        """Return whether the planner closes a range in place of another instance."""
 
 
 class KeyLoads:
@@ -172,23 +188,18 @@
     endpoints: Mapping[str, Endpoint],
     capacity: Mapping[str, float],
     loads: KeyLoads,
-    handover_if_transferable: HandoverLookup,
-    handover_if_cancelled: HandoverLookup = lambda key_range: None,
+    leaving: LeavingState,
     *,
     balance: bool = True,
     immovable: Collection[str] = (),
     own_life: int = 0,
-    must_take_over: Callable[[KeyRange], bool] = lambda key_range: False,
 ) -> KeyTable:
     """Return the next table of a service; an equal table if nothing changes.
 
     `endpoints` contains all listed endpoints of the service, including draining ones;
     `capacity` is the number of requests per second that each can serve.
-    `handover_if_transferable` decides whether a leaving range may be granted to another
-    owner, and `handover_if_cancelled` whether it goes back to its owner because it
-    cannot move now. Balancing moves no keys away from `immovable` endpoints.
-    `must_take_over` selects the leaving ranges that another instance was closing and
-    that the planner, with the incarnation `own_life`, closes from now on.
+    Balancing moves no keys away from `immovable` endpoints. `own_life` is the
+    incarnation of the planner, which closes the ranges that it marks as leaving.
     """
     ready = {name: e for name, e in endpoints.items() if not e.draining}
     draft = _DraftTable(
@@ -200,7 +211,7 @@
     )
     _mark_leaving(draft, endpoints)
     for index, key_range in enumerate(draft.ranges):
-        if must_take_over(key_range):
+        if leaving.must_take_over(key_range):
             draft.mark_leaving(index)
     for key_range in draft.ranges:
         if key_range.endpoint in draft.assigned_load and not key_range.leaving:
@@ -208,10 +219,8 @@
                 key_range.first, key_range.last
             )
     if ready:
-        _cancel_blocked_moves(
-            draft, ready, loads, handover_if_transferable, handover_if_cancelled
-        )
-        _assign_unowned(draft, ready, loads, handover_if_transferable)
+        _cancel_blocked_moves(draft, ready, loads, leaving)
+        _assign_unowned(draft, ready, loads, leaving)
         if balance:
             _balance(draft, loads, immovable)
     return KeyTable(table.service, draft.next_token, _merge_unowned(draft.ranges))
@@ -220,9 +229,7 @@
 def needs_change(
     table: KeyTable,
     endpoints: Mapping[str, Endpoint],
-    handover_if_transferable: HandoverLookup,
-    handover_if_cancelled: HandoverLookup = lambda key_range: None,
-    must_take_over: Callable[[KeyRange], bool] = lambda key_range: False,
+    leaving: LeavingState,
 ) -> bool:
     """Return whether `plan` would change a table regardless of the loads.
 
@@ -235,9 +242,9 @@
         endpoint = endpoints.get(key_range.endpoint)
         if key_range.leaving:
             if (
-                handover_if_transferable(key_range) is not None
-                or handover_if_cancelled(key_range) is not None
-                or must_take_over(key_range)
+                leaving.handover_if_transferable(key_range) is not None
+                or leaving.handover_if_cancelled(key_range) is not None
+                or leaving.must_take_over(key_range)
             ):
                 return True
         elif _must_leave(key_range, endpoint):
@@ -272,8 +279,7 @@
     draft: _DraftTable,
     ready: Mapping[str, Endpoint],
     loads: KeyLoads,
-    handover_if_transferable: HandoverLookup,
-    handover_if_cancelled: HandoverLookup,
+    leaving: LeavingState,
 ) -> None:
     """Give leaving ranges that cannot move back to their owners, with new tokens.
 
@@ -287,9 +293,9 @@
             or owner.started_ms < key_range.started_ms
         ):
             continue
-        if handover_if_transferable(key_range) is not None:
+        if leaving.handover_if_transferable(key_range) is not None:
             continue
-        handover = handover_if_cancelled(key_range)
+        handover = leaving.handover_if_cancelled(key_range)
         if handover is None:
             continue
         draft.regrant(index, owner.started_ms, handover)
@@ -302,13 +308,13 @@
     draft: _DraftTable,
     ready: Mapping[str, Endpoint],
     loads: KeyLoads,
-    handover_if_transferable: HandoverLookup,
+    leaving: LeavingState,
 ) -> None:
     result: list[KeyRange] = []
     for key_range in draft.ranges:
         handover = "" if not key_range.endpoint else None
         if key_range.leaving:
-            handover = handover_if_transferable(key_range)
+            handover = leaving.handover_if_transferable(key_range)
         if handover is None:
             result.append(key_range)
             continue
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -1,8 +1,12 @@
 """Fake transport, socket and event log for tests without I/O."""
 
 import asyncio
+import dataclasses
+from collections.abc import Callable
 from typing import Any
 
+from arbutusflow.gateway.key_table import KeyRange
+
 
 class FakeSocket:
     """Records socket options."""
@@ -63,3 +67,12 @@
 
     def write_exception(self, during: str, exc: BaseException) -> None:
         self.write("error", during=during, error=type(exc).__name__)
+
+
+@dataclasses.dataclass(frozen=True)
+class FakeLeavingState:
+    """State of the leaving ranges for plans; by default none can move."""
+
+    handover_if_transferable: Callable[[KeyRange], str | None] = lambda key_range: None
+    handover_if_cancelled: Callable[[KeyRange], str | None] = lambda key_range: None
+    must_take_over: Callable[[KeyRange], bool] = lambda key_range: False
--- a/tests/gateway/key_load_model.py
+++ b/tests/gateway/key_load_model.py
@@ -19,6 +19,7 @@
 from arbutusflow.gateway.key_planner import KeyLoads, plan
 from arbutusflow.gateway.key_table import KeyRange, KeyTable
 from arbutusflow.gateway.model import KEY_SPACE, Address, Endpoint
+from tests.gateway.fakes import FakeLeavingState
 
 STEP_SECONDS = 0.1
 PLAN_SECONDS = 1.0
@@ -84,7 +85,7 @@
             self.endpoints,
             self.capacity,
             KeyLoads({}),
-            lambda key_range: None,
+            FakeLeavingState(),
             balance=False,
         )
         self._demands = [KeyDemand() for _ in range(REPORTING_INSTANCES)]
@@ -141,7 +142,7 @@
             self.endpoints,
             self.capacity,
             loads,
-            lambda key_range: self._handover(key_range, now),
+            FakeLeavingState(lambda key_range: self._handover(key_range, now)),
             balance=balance,
         )
         if planned == self.table:
--- a/tests/gateway/test_key_planner.py
+++ b/tests/gateway/test_key_planner.py
@@ -13,10 +13,11 @@
 )
 from arbutusflow.gateway.key_table import KeyRange, KeyTable
 from arbutusflow.gateway.model import KEY_SPACE, Address, Endpoint
+from tests.gateway.fakes import FakeLeavingState
 
 NO_LOAD = KeyLoads({})
-RELEASED = lambda key_range: "handover"  # noqa: E731
-NOT_RELEASED = lambda key_range: None  # noqa: E731
+RELEASED = FakeLeavingState(lambda key_range: "handover")
+NOT_RELEASED = FakeLeavingState()
 
 
 def endpoints(count, **changes):
@@ -36,12 +37,12 @@
     loads=NO_LOAD,
     capacity=None,
     rounds=30,
-    handover_if_transferable=RELEASED,
+    leaving=RELEASED,
 ):
     """Plan until nothing changes; by default every range is released at once."""
     capacity = capacity or dict.fromkeys(listed, 10.0)
     for _ in range(rounds):
-        planned = plan(table, listed, capacity, loads, handover_if_transferable)
+        planned = plan(table, listed, capacity, loads, leaving)
         planned.check()
         if planned == table:
             break
@@ -176,7 +177,7 @@
     """Until then, their owner may still hold them."""
     table = plan_until_stable(KeyTable.empty("s"), endpoints(4))
     remaining = {n: e for n, e in endpoints(4).items() if n != "e1"}
-    pending = plan_until_stable(table, remaining, handover_if_transferable=NOT_RELEASED)
+    pending = plan_until_stable(table, remaining, leaving=NOT_RELEASED)
     assert [p.endpoint for p in pending.ranges if p.leaving] == ["e1"]
 
 
@@ -188,7 +189,7 @@
 
 
 def _plan_without_proof(
-    table, listed, loads=NO_LOAD, handover_if_cancelled=NOT_RELEASED, balance=False
+    table, listed, loads=NO_LOAD, leaving=NOT_RELEASED, balance=False
 ):
     """Plan while no owner has released a range and no lease has expired."""
     return plan(
@@ -196,12 +197,16 @@
         listed,
         dict.fromkeys(listed, 10.0),
         loads,
-        NOT_RELEASED,
-        handover_if_cancelled,
+        leaving,
         balance=balance,
     )
 
 
+def _cancelled(handover):
+    """Return the state of leaving ranges that go back to their owners."""
+    return FakeLeavingState(handover_if_cancelled=lambda key_range: handover)
+
+
 @pytest.mark.parametrize("draining", [False, True])
 def test_keys_of_a_restarted_endpoint_move_only_with_proof_of_release(draining):
     """Guards against granting them to others while a renewal of an instance that does
@@ -226,9 +231,7 @@
     table = _table_with_split_ranges(endpoints(4))
     listed = endpoints(4, e1=(False, 2))
     leaving = _plan_without_proof(table, listed)
-    returned = _plan_without_proof(
-        leaving, listed, handover_if_cancelled=lambda key_range: ""
-    )
+    returned = _plan_without_proof(leaving, listed, leaving=_cancelled(""))
     owned = [p for p in returned.ranges if p.endpoint == "e1"]
     assert owned
     assert all((p.started_ms, p.leaving) == (2, False) for p in owned)
@@ -261,10 +264,8 @@
     for loads, present, released in steps:
         listed = {n: e for n, e in endpoints(6).items() if int(n[1]) in present}
         capacity = dict.fromkeys(listed, 10.0)
-        handover_if_transferable = RELEASED if released else NOT_RELEASED
-        planned = plan(
-            table, listed, capacity, KeyLoads(loads), handover_if_transferable
-        )
+        leaving = RELEASED if released else NOT_RELEASED
+        planned = plan(table, listed, capacity, KeyLoads(loads), leaving)
         planned.check()
         marked = [
             p
@@ -286,9 +287,7 @@
     assert not needs_change(table, listed, NOT_RELEASED)
     assert needs_change(table, endpoints(4, e1=(True, 1)), NOT_RELEASED)
     assert needs_change(table, endpoints(4, e1=(False, 2)), NOT_RELEASED)
-    leaving = plan_until_stable(
-        table, endpoints(3), handover_if_transferable=NOT_RELEASED
-    )
+    leaving = plan_until_stable(table, endpoints(3), leaving=NOT_RELEASED)
     assert not needs_change(leaving, endpoints(3), NOT_RELEASED)
     assert needs_change(leaving, endpoints(3), RELEASED)
     # A restart of the owner is no proof of release.
@@ -317,9 +316,7 @@
     blocked = _plan_without_proof(table, listed, loads, balance=True)
     leaving = [key_range for key_range in blocked.ranges if key_range.leaving]
     assert leaving
-    returned = _plan_without_proof(
-        blocked, listed, loads, handover_if_cancelled=lambda key_range: "proof"
-    )
+    returned = _plan_without_proof(blocked, listed, loads, leaving=_cancelled("proof"))
     for key_range in leaving:
         new_range = _range_of(returned, key_range.first)
         assert (new_range.endpoint, new_range.leaving) == (key_range.endpoint, False)
@@ -330,9 +327,9 @@
 def test_keys_are_not_returned_to_a_lost_endpoint():
     table = plan_until_stable(KeyTable.empty("s"), endpoints(4))
     listed = endpoints(3)
-    blocked = plan_until_stable(table, listed, handover_if_transferable=NOT_RELEASED)
+    blocked = plan_until_stable(table, listed, leaving=NOT_RELEASED)
     replanned = _plan_without_proof(
-        blocked, listed, handover_if_cancelled=lambda key_range: "", balance=True
+        blocked, listed, leaving=_cancelled(""), balance=True
     )
     assert [p for p in replanned.ranges if p.endpoint == "e3"] == [
         p for p in blocked.ranges if p.endpoint == "e3"
