--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -16,7 +16,7 @@
 from arbutusflow.gateway.admission import MIN_RETRY_AFTER_SECONDS, Admission
 from arbutusflow.gateway.caller_server import CallerRequest, CallerResponse
 from arbutusflow.gateway.connection_pool import ConnectionPool
-from arbutusflow.gateway.crash_strikes import CrashStrikes, EndpointProcess
+from arbutusflow.gateway.crash_strikes import CrashStrikes
 from arbutusflow.gateway.endpoint_load import EndpointState, EndpointTable
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.key_demand import KeyDemand
@@ -24,6 +24,7 @@
 from arbutusflow.gateway.lifecycle import Lifecycle, Phase
 from arbutusflow.gateway.model import (
     Configuration,
+    EndpointProcess,
     ExchangeError,
     HttpResponse,
     Repeatability,
--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -64,7 +64,7 @@
 
     revision: int  # Of the table that marks the range as leaving.
     first_seen_at: float
-    closing_token: int
+    key_range: KeyRange  # As the table marks it.
     # When this instance first saw the range leaving, and whether another one was to
     # close it then.
     leaving_since: float
@@ -81,6 +81,10 @@
     def __post_init__(self) -> None:
         self.wait_logged_at = self.first_seen_at
 
+    def is_of(self, key_range: KeyRange) -> bool:
+        """Return whether this is about a range as its table marks it now."""
+        return self.key_range.closing_token == key_range.closing_token
+
 
 class KeyMoves:
     """Plans the key tables of the services whose planner this instance is."""
@@ -103,7 +107,8 @@
         self._leases = leases
         self._orders = orders
         self._log = log
-        self._revocations: dict[tuple[str, GrantId], _Revocation] = {}
+        # Of the leaving ranges of all tables, by service.
+        self._revocations: dict[str, dict[GrantId, _Revocation]] = {}
         self._writing: set[str] = set()
         self._balanced_at: dict[str, float] = {}
         # Listed endpoints of a service without a table, and since when they are listed.
@@ -120,22 +125,24 @@
 
         All instances do this, because any of them may become the planner.
         """
-        service = stored.table.service
-        leaving = {p.grant_id: p for p in stored.table.ranges if p.leaving}
-        for key in [k for k in self._revocations if k[0] == service]:
-            if key[1] not in leaving:
-                del self._revocations[key]
-        for grant, key_range in leaving.items():
-            token = key_range.closing_token
-            known = self._revocations.get((service, grant))
-            if known is None or known.closing_token != token:
-                self._revocations[service, grant] = _Revocation(
-                    revision=stored.revision,
-                    first_seen_at=now,
-                    closing_token=token,
-                    leaving_since=now if known is None else known.leaving_since,
-                    taken_over=known is not None,
-                )
+        known_revocations = self._revocations.get(stored.table.service, {})
+        current: dict[GrantId, _Revocation] = {}
+        for key_range in stored.table.ranges:
+            if not key_range.leaving:
+                continue
+            grant = key_range.grant_id
+            known = known_revocations.get(grant)
+            if known is not None and known.is_of(key_range):
+                current[grant] = known
+                continue
+            current[grant] = _Revocation(
+                revision=stored.revision,
+                first_seen_at=now,
+                key_range=key_range,
+                leaving_since=now if known is None else known.leaving_since,
+                taken_over=known is not None,
+            )
+        self._revocations[stored.table.service] = current
 
     def tick(self, partitioned_services: list[str], now: float) -> None:
         """Plan the services whose planner this instance is, and finish its moves."""
@@ -149,9 +156,9 @@
 
     def _has_own_moves(self, service: str) -> bool:
         """Return whether this instance has begun moves, as the planner of before."""
-        stored = self._leases.tables.get(service)
-        return stored is not None and any(
-            self._is_own_move(key_range) for key_range in stored.table.ranges
+        return any(
+            self._is_own_move(revocation.key_range)
+            for revocation in self._revocations.get(service, {}).values()
         )
 
     def _is_own_move(self, key_range: KeyRange) -> bool:
@@ -176,40 +183,18 @@
             and self._fleet.can_move_without_wait(now)
             and self.has_recent_demand(service)
         )
-        handovers: dict[KeyRange, str | None] = {}
-
-        def handover_if_transferable(key_range: KeyRange) -> str | None:
-            if key_range not in handovers:
-                handovers[key_range] = self._handover_if_transferable(
-                    service, key_range, now
-                )
-            return handovers[key_range]
-
-        def handover_if_cancelled(key_range: KeyRange) -> str | None:
-            return self._handover_if_cancelled(service, key_range, now)
-
-        def must_take_over(key_range: KeyRange) -> bool:
-            return self._must_take_over(service, key_range, now)
-
-        if not balance and not key_planner.needs_change(
-            table,
-            endpoints,
-            handover_if_transferable,
-            handover_if_cancelled,
-            must_take_over,
-        ):
+        leaving = _LeavingState(self, service, now)
+        if not balance and not key_planner.needs_change(table, endpoints, leaving):
             return
         planned = key_planner.plan(
             table,
             endpoints,
             self.capacities_of(service),
             key_planner.KeyLoads(self.loads_of(service)),
-            handover_if_transferable,
-            handover_if_cancelled,
+            leaving,
             balance=balance,
             immovable=self._immovable_endpoints(endpoints, now) if balance else (),
             own_life=self._fleet.own_record.life,
-            must_take_over=must_take_over,
         )
         if balance:
             self._balanced_at[service] = now
@@ -339,22 +324,24 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         self._leases.withdraw(key_range)
+        closed: bool | None = False
         try:
             # One of the earlier grants may be on its way although it counts as
             # answered: an endpoint may send an answer twice, and the answers of orders
             # have no identifier.
-            if await self._orders.close_grants(
+            closed = await self._orders.close_grants(
                 endpoint,
                 key_range,
                 functools.partial(self._leases.may_grant, key_range),
-            ):
+            )
+            if closed:
                 revocation.release_handover = await self._orders.release(
                     endpoint, key_range
                 )
         finally:
             revocation.release_in_progress = False
             revocation.retry_at = loop.time() + RELEASE_RETRY_SECONDS
-            if revocation.release_handover is None:
+            if revocation.release_handover is None and closed is not None:
                 revocation.closed_until = closing_expiry(loop.time())
                 # Leaves time to assign the keys if the owner does not respond.
                 revocation.retry_at = revocation.closed_until + RELEASE_RETRY_SECONDS
@@ -371,21 +358,25 @@
 
     def _find_revocation(self, service: str, key_range: KeyRange) -> _Revocation | None:
         """Return the progress of taking a range, as its table marks it, if any."""
-        revocation = self._revocations.get((service, key_range.grant_id))
-        if revocation is None or revocation.closing_token != key_range.closing_token:
+        revocation = self._revocations.get(service, {}).get(key_range.grant_id)
+        if revocation is None or not revocation.is_of(key_range):
             return None
         return revocation
 
-    def _must_take_over(self, service: str, key_range: KeyRange, now: float) -> bool:
+    def _alive_lives(self, now: float) -> set[int]:
+        return {record.life for record in self._fleet.alive(now)}
+
+    def _must_take_over(
+        self, service: str, key_range: KeyRange, leaving: "_LeavingState", now: float
+    ) -> bool:
         """Return whether this instance has to move a range in place of another one."""
         if not key_range.leaving or self._is_own_move(key_range):
             return False
         revocation = self._find_revocation(service, key_range)
         if revocation is None or not self._fleet.is_planner(service, now):
             return False
-        lives = {record.life for record in self._fleet.alive(now)}
         return (
-            key_range.closer_life not in lives
+            key_range.closer_life not in leaving.alive_lives
             or now - revocation.first_seen_at >= TAKE_OVER_SECONDS
         ) and self._handover_if_cancelled(service, key_range, now) is None
 
@@ -490,3 +481,31 @@
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+class _LeavingState:
+    """The `key_planner.LeavingState` of a service at one time."""
+
+    def __init__(self, moves: KeyMoves, service: str, now: float) -> None:
+        self._moves = moves
+        self._service = service
+        self._now = now
+        self._handovers: dict[KeyRange, str | None] = {}
+
+    @functools.cached_property
+    def alive_lives(self) -> set[int]:
+        """Incarnations of the instances that are alive."""
+        return self._moves._alive_lives(self._now)
+
+    def handover_if_transferable(self, key_range: KeyRange) -> str | None:
+        if key_range not in self._handovers:
+            self._handovers[key_range] = self._moves._handover_if_transferable(
+                self._service, key_range, self._now
+            )
+        return self._handovers[key_range]
+
+    def handover_if_cancelled(self, key_range: KeyRange) -> str | None:
+        return self._moves._handover_if_cancelled(self._service, key_range, self._now)
+
+    def must_take_over(self, key_range: KeyRange) -> bool:
+        return self._moves._must_take_over(self._service, key_range, self, self._now)
--- a/arbutusflow/gateway/key_orders.py
+++ b/arbutusflow/gateway/key_orders.py
@@ -18,12 +18,15 @@
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.key_table import (
     KEY_LEASE_SECONDS,
-    LEASE_EXPIRY_FACTOR,
-    LEASE_EXPIRY_SLACK_SECONDS,
     KeyRange,
     lease_expiry,
 )
-from arbutusflow.gateway.model import Endpoint, ExchangeError, HttpResponse
+from arbutusflow.gateway.model import (
+    Endpoint,
+    EndpointProcess,
+    ExchangeError,
+    HttpResponse,
+)
 from arbutusflow.gateway.peers import LeaseReport
 from arbutusflow.platform import wire
 
@@ -53,21 +56,17 @@
         return latest_arrival, latest_arrival
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class _Outcome:
     """What became of one order."""
 
-    sent: bool = False  # Whether any byte of it may have reached the endpoint.
+    sent: bool  # Whether any byte of it may have reached the endpoint.
     response: HttpResponse | None = None
 
 
 def closing_expiry(sent_until: float) -> float:
     """Return the time by which the lease of a closing grant has certainly expired."""
-    return (
-        sent_until
-        + CLOSING_LEASE_SECONDS * LEASE_EXPIRY_FACTOR
-        + LEASE_EXPIRY_SLACK_SECONDS
-    )
+    return lease_expiry(sent_until, CLOSING_LEASE_SECONDS)
 
 
 class KeyOrders:
@@ -84,7 +83,7 @@
         self._lease_seconds = min(KEY_LEASE_SECONDS, lease_seconds)
         self._sent_grants: dict[str, _SentGrants] = {}
         # Called when an endpoint says that it leaves; set by the process.
-        self.on_leaving: Callable[[tuple[str, int]], None] = lambda process: None
+        self.on_leaving: Callable[[EndpointProcess], None] = lambda process: None
 
     async def grant(
         self,
@@ -105,18 +104,10 @@
             key_range.handover,
         )
         grants = self._sent_grants.setdefault(endpoint.id, _SentGrants())
-        outcome = _Outcome()
+        outcome = _Outcome(sent=True)  # If the exchange is cancelled.
         grants.in_flight += 1
         try:
-            await self._send_order(
-                endpoint,
-                wire.GRANT_PATH,
-                body,
-                GRANT_TIMEOUT_SECONDS,
-                outcome,
-                may_send,
-                fresh=False,
-            )
+            outcome = await self._send_grant(endpoint, body, may_send, fresh=False)
         finally:
             grants.in_flight -= 1
             grants.tried_at = asyncio.get_running_loop().time()
@@ -128,12 +119,13 @@
 
     async def close_grants(
         self, endpoint: Endpoint, key_range: KeyRange, may_send: Callable[[], bool]
-    ) -> bool:
+    ) -> bool | None:
         """Grant a leaving range with its closing token, for a short time.
 
         Returns whether the endpoint confirmed it: it refuses grants with lower tokens
         from then on. The confirmation comes on a connection of its own, so it can
-        belong to no other order. The keys may be held until `closing_expiry`.
+        belong to no other order. The keys may be held until `closing_expiry`. Returns
+        None if nothing was sent, so that no lease has to expire.
         """
         body = wire.encode_grant(
             key_range.first,
@@ -142,51 +134,55 @@
             CLOSING_LEASE_SECONDS,
             "",
         )
-        outcome = _Outcome()
-        await self._send_order(
-            endpoint,
-            wire.GRANT_PATH,
-            body,
-            GRANT_TIMEOUT_SECONDS,
-            outcome,
-            may_send,
-            fresh=True,
-        )
+        outcome = await self._send_grant(endpoint, body, may_send, fresh=True)
+        if not outcome.sent:
+            return None
         return outcome.response is not None and outcome.response.status == 200
 
     async def release(self, endpoint: Endpoint, key_range: KeyRange) -> str | None:
-        """Ask an endpoint to release a range; return the value of its handover header.
+        """Ask an endpoint to release a leaving range; return its handover header.
 
         Returns an empty string if the endpoint confirmed the release without that
         header, and None unless it confirmed the release.
         """
-        token = key_range.closing_token or key_range.token
-        body = wire.encode_release(key_range.first, key_range.last, token)
-        outcome = _Outcome()
-        await self._send_order(
-            endpoint,
-            wire.RELEASE_PATH,
-            body,
-            RELEASE_TIMEOUT_SECONDS,
-            outcome,
-            fresh=True,
+        body = wire.encode_release(
+            key_range.first, key_range.last, key_range.closing_token
+        )
+        outcome = await self._send_order(
+            endpoint, wire.RELEASE_PATH, body, RELEASE_TIMEOUT_SECONDS, fresh=True
         )
         response = outcome.response
         if response is None or response.status != 200:
             return None
         return (response.header(wire.HANDOVER) or b"").decode("latin-1")
 
+    async def _send_grant(
+        self,
+        endpoint: Endpoint,
+        body: bytes,
+        may_send: Callable[[], bool],
+        *,
+        fresh: bool,
+    ) -> _Outcome:
+        return await self._send_order(
+            endpoint,
+            wire.GRANT_PATH,
+            body,
+            GRANT_TIMEOUT_SECONDS,
+            may_send,
+            fresh=fresh,
+        )
+
     async def _send_order(
         self,
         endpoint: Endpoint,
         path: bytes,
         body: bytes,
         timeout: float,
-        outcome: _Outcome,
         may_send: Callable[[], bool] = lambda: True,
         *,
         fresh: bool,
-    ) -> None:
+    ) -> _Outcome:
         head = (
             b"POST %b HTTP/1.1\r\nHost: %b:%d\r\n%b: %b\r\n"
             b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n"
@@ -200,20 +196,21 @@
                 len(body),
             )
         )
+        sent = False
         try:
             async with self._pool.connection(
                 endpoint.address, at_most_once=False, timeout=timeout, fresh=fresh
             ) as conn:
                 if not may_send():
-                    return
-                outcome.sent = True
-                response = outcome.response = await conn.exchange(head, body, timeout)
+                    return _Outcome(sent=False)
+                sent = True
+                response = await conn.exchange(head, body, timeout)
                 # An answer with status 421 may come from another endpoint.
                 leaving = wire.parse_leaving(response.header(wire.LEAVING))
                 if leaving and response.status != 421:
                     self.on_leaving(endpoint.process)
+                return _Outcome(sent=True, response=response)
         except ExchangeError as exc:
-            outcome.sent = outcome.sent and exc.sent
             self._log.write_rate_limited(
                 "order_unanswered",
                 endpoint=endpoint.id,
@@ -221,6 +218,7 @@
                 sent=exc.sent,
                 detail=exc.detail,
             )
+            return _Outcome(sent=sent and exc.sent)
 
     # Records of sent grants.
 
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -24,7 +24,7 @@
     Headers,
 )
 from arbutusflow.gateway.connection_pool import ConnectionPool
-from arbutusflow.gateway.crash_strikes import CrashStrikes, EndpointProcess
+from arbutusflow.gateway.crash_strikes import CrashStrikes
 from arbutusflow.gateway.dispatch import Dispatcher
 from arbutusflow.gateway.endpoint_directory import EndpointDirectory
 from arbutusflow.gateway.endpoint_load import EndpointTable
@@ -41,7 +41,11 @@
 from arbutusflow.gateway.instance_state import STATE_PATH, InstanceState
 from arbutusflow.gateway.lifecycle import Lifecycle, Phase, Work
 from arbutusflow.gateway.metrics import GatewayMetrics
-from arbutusflow.gateway.model import Configuration, GatewaySettings
+from arbutusflow.gateway.model import (
+    Configuration,
+    EndpointProcess,
+    GatewaySettings,
+)
 from arbutusflow.gateway.peers import (
     FleetDigest,
     FollowerReport,
--- a/arbutusflow/platform/store.py
+++ b/arbutusflow/platform/store.py
@@ -103,13 +103,11 @@
     """Return the changes of objects with readable names, and why others are missing."""
     changes, left_out = [], []
     for part in parts:
-        members = entries.split_object(part)
         try:
-            item = _decode_object(members["object"])
-        except (KeyError, ValueError) as exc:
+            data, removed = entries.split_event(part)
+            changes.append(Change(_decode_object(data), removed))
+        except ValueError as exc:
             left_out.append(str(exc))
-            continue
-        changes.append(Change(item, members.get("removed", b"").strip() == b"true"))
     return changes, tuple(left_out)
 
 
@@ -132,7 +130,8 @@
         """Return the objects of a kind. Raises PlatformError.
 
         The revision is that of the first page: a watch from there reports all that
-        changed between the pages again.
+        changed between the pages again. A list that cannot go on, because no entry of a
+        page has a readable name, is an error.
 
         `timeout` in seconds applies to the first byte of each page. With `may_lag` the
         objects may be seconds old; such a call is priced at a tenth of others.
@@ -152,8 +151,15 @@
             left_out.extend(missing)
             if first_revision is None:
                 first_revision = page.revision
-            if not found or not page.has_more:
+            if not page.has_more:
                 return Snapshot(tuple(objects), first_revision, tuple(left_out))
+            if not found:
+                # A list goes on after a name; that of another page would repeat this.
+                reason = missing[0] if missing else "the page is empty"
+                raise PlatformError(
+                    f"the list of {kind} cannot go on, its last page has no readable"
+                    f" name: {reason}"
+                )
             query = f"?after={objects[-1].name}"
             query += f"&{option}" if option else ""
 
--- a/tests/gateway/test_answer_matching.py
+++ b/tests/gateway/test_answer_matching.py
@@ -123,6 +123,22 @@
     assert run(scenario()) == [(1, 1), (2, 2)]
 
 
+def test_another_idle_connection_serves_a_repeat(connect_to):
+    """Guards against a new connection, which counts towards the limit of the endpoint,
+    while an idle one that has not carried the request is there."""
+    endpoint = Endpoint([Answering(0.1), Answering(0.2)])
+
+    async def scenario():
+        pool = connect_to(endpoint)
+        first = await asyncio.gather(
+            send(pool, endpoint, b"b"), send(pool, endpoint, b"a")
+        )
+        return first, await send(pool, endpoint, b"a"), pool.opened
+
+    # The connection of the second request is the most recently used one.
+    assert run(scenario()) == ([(1, 1), (2, 2)], (3, 3), 2)
+
+
 @pytest.mark.parametrize("request_ids", [(b"a",), (b"a", b"b")])
 def test_a_second_copy_of_an_answer_is_counted(connect_to, request_ids):
     """Guards against copies that operators cannot see, while the connection is idle or
@@ -266,6 +282,33 @@
     assert run(scenario()) == ((-1e9, -1e9), True)
 
 
+def test_a_closing_grant_that_was_not_sent_is_told_from_one_without_an_answer(
+    monkeypatch,
+):
+    """Guards against a wait for the lease of a closing grant that met no open port, or
+    that the right to grant did not outlast."""
+    silent = Endpoint([Answering(0.0, answered=False)])
+
+    async def refuse(*args):
+        raise ExchangeError("refused", sent=False)
+
+    async def scenario():
+        orders = make_orders(ConnectionPool(b"request-id"))
+        results = []
+        for open_connection, may_send in (
+            (refuse, True),
+            (silent.open, False),
+            (silent.open, True),
+        ):
+            monkeypatch.setattr(ClientConnection, "open", open_connection)
+            results.append(
+                await orders.close_grants(ENDPOINT, LEAVING, lambda may=may_send: may)
+            )
+        return results
+
+    assert run(scenario()) == [None, None, False]
+
+
 def test_a_right_to_grant_that_ends_while_connecting_is_not_used(monkeypatch):
     """Guards against a renewal by a table that the others have left behind."""
     endpoint = Endpoint([])
--- a/tests/gateway/test_unreadable_entries.py
+++ b/tests/gateway/test_unreadable_entries.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import time
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -17,7 +18,8 @@
 from arbutusflow.gateway.model import Address, HttpResponse
 from arbutusflow.gateway.peers import CopyTransfer
 from arbutusflow.gateway.store_watch import ObjectCopy
-from arbutusflow.platform.entries import split_page
+from arbutusflow.platform import entries
+from arbutusflow.platform.entries import split_event, split_page
 from arbutusflow.platform.store import StoreClient
 from tests.gateway.fakes import FakeLog
 from tests.gateway.test_documents import ENTRY
@@ -129,6 +131,54 @@
     assert [name for name, _ in events].count("store_entry_unreadable") == 1
 
 
+UNNAMED = rb'{"metadata":{"name":"\udcff"},"spec":{}}'
+MORE = b'"hasMore":true,"asOf":40'
+
+
+class PagedStore(StoreClient):
+    """Answers a list with several pages, by the value of `after`."""
+
+    def __init__(self, pages):
+        super().__init__(Address("store", 1))
+        self.pages = pages
+
+    async def _call(self, method, path, *args, **options):
+        _, _, after = path.partition("after=")
+        return HttpResponse(200, b"", (), self.pages[after], reusable=True)
+
+
+def list_pages(pages):
+    async def main():
+        return await PagedStore(pages).list("servers", 1.0, ResponseProgress(1.0))
+
+    return run(main())
+
+
+def test_a_list_goes_on_behind_entries_without_readable_names():
+    snapshot = list_pages(
+        {
+            "": page("items", [entry(1), UNNAMED], MORE),
+            "i-1": page("items", [UNNAMED, entry(2)], MORE),
+            "i-2": page("items", [entry(3)]),
+        }
+    )
+    assert [item.name for item in snapshot.objects] == ["i-1", "i-2", "i-3"]
+
+
+@pytest.mark.parametrize("first", [[], [entry(1)]])
+@pytest.mark.parametrize("parts", [[UNNAMED, UNNAMED], []])
+def test_a_list_that_cannot_go_on_is_an_error(first, parts):
+    """Guards against a list that looks complete although the store has more entries.
+
+    Endpoints on its missing pages would count as gone.
+    """
+    pages = {"": page("items", parts, MORE)}
+    if first:
+        pages = {"": page("items", first, MORE), "i-1": pages[""]}
+    with pytest.raises(PlatformError, match="cannot go on"):
+        list_pages(pages)
+
+
 @pytest.mark.parametrize("kind", SPOILT_VALUES)
 def test_other_instances_can_be_sent_what_was_read(kind):
     """Guards against a number that no datagram can carry and that ends the relay."""
@@ -153,6 +203,39 @@
         split_page(body, "items")
 
 
+@pytest.mark.parametrize(
+    "event",
+    [
+        b'{"object":{"a":1},"removed":true}',
+        b' { "removed" : true , "other":[1,{}], "object" : {"a":[]} } ',
+        rb'{"\u006fbject":{"a":"]},"},"removed":false}',
+        b'{"object":1,"object":{"a":2},"removed":true,"removed":false}',
+        b'{"object":{"a":1}}',
+        b'{"object":null,"removed":"true"}',
+        b'{"object":{"a":1},"removed":null}',
+    ],
+)
+def test_both_ways_to_split_an_event_agree(event, monkeypatch):
+    """Guards against an event that means something else beside an unreadable one."""
+    fast = split_event(event)
+
+    def fail(data):
+        raise msgspec.DecodeError("not well-formed")
+
+    monkeypatch.setattr(entries, "_event_decoder", SimpleNamespace(decode=fail))
+    data, removed = split_event(event)
+    assert (data.strip(), removed) == fast
+
+
+@pytest.mark.parametrize("event", [b"{}", b"7", b"null", b'{"removed":true}'])
+def test_an_event_without_an_object_is_left_out_and_logged(event):
+    parts = [event, b'{"object":%b,"removed":false}' % entry(5)]
+    store = Store(page("items", [entry(1)]), page("events", parts, b'"asOf":44'))
+    names, _, events = listed_endpoints(store)
+    assert names == {"i-1", "i-5"}
+    assert [name for name, _ in events].count("store_entry_unreadable") == 1
+
+
 def _as_string(data):
     """Return a JSON string with any bytes but unescaped quotes and backslashes."""
     return b'"%b"' % data.replace(b"\\", b"").replace(b'"', rb"\"")
