--- a/tests/gateway/object_platform.py
+++ b/tests/gateway/object_platform.py
@@ -206,15 +206,16 @@
         return dataclasses.replace(reply, headers=headers)
 
     async def _answer(self, req: CallerRequest) -> CallerResponse:
+        request_id = req.header(wire.REQUEST_ID) or b""
+        echoed_headers = ((wire.REQUEST_ID, request_id),)
         expected = req.header(wire.EXPECTED_ENDPOINT)
         if expected is not None and expected != self.name.encode():
-            return CallerResponse(421, ((wire.ENDPOINT_ID, self.name.encode()),))
+            own_name = ((wire.ENDPOINT_ID, self.name.encode()),)
+            return CallerResponse(421, echoed_headers + own_name)
         if req.target == wire.GRANT_PATH:
             return self._grant(msgspec.json.decode(req.body))
         if req.target == wire.RELEASE_PATH:
             return self._release(msgspec.json.decode(req.body))
-        request_id = req.header(wire.REQUEST_ID) or b""
-        echoed_headers = ((wire.REQUEST_ID, request_id),)
         if req.header(wire.EXPECTED_ENDPOINT) != self.name.encode():
             return CallerResponse(421, echoed_headers)
         key = wire.parse_key(req.header(wire.KEY))
