Keep an endpoint on trial until a request sent after its wait has run

Cause: any answer of an endpoint that had asked to wait ended its trial, also the answer to a request that was sent before the wait. At the end of the wait the instance then sent it all that it had instead of one request.

Change: an answer counts if its request was sent after the end of the wait.

Figures: with two requests in flight when the endpoint asked to wait, four of four requests reached it beside the trial before; now none. The test failed before the change.

Conclusion: work comes back one request at a time also to endpoints that were busy when they asked.

--- a/arbutusflow/gateway/endpoint_load.py
+++ b/arbutusflow/gateway/endpoint_load.py
@@ -97,7 +97,9 @@
             self.measured_responses += 1
             gain = max(SERVICE_TIME_GAIN, 1 / self.measured_responses)
             self.measured_seconds += gain * (sample - self.measured_seconds)
-        self.on_trial = False
+        if now - seconds >= self.wait_until:
+            # Answers to requests that were sent before the wait say nothing about it.
+            self.on_trial = False
         self.last_response_at = now
         self.backoff_seconds = INITIAL_BACKOFF_SECONDS
         self.backoff_until = 0.0
--- a/tests/gateway/test_statements_over_connections.py
+++ b/tests/gateway/test_statements_over_connections.py
@@ -342,6 +342,31 @@
     play(scenario)
 
 
+def test_answers_to_requests_on_their_way_do_not_end_the_gradual_return():
+    """Guards against a burst at the end of the wait from an instance whose earlier
+    requests were answered meanwhile."""
+
+    async def scenario(site):
+        endpoint, state, crossing = await ask_to_wait(site)
+        advance(CROSSING_SECONDS)
+        for arrival in endpoint.arrivals[:2]:
+            arrival.answer()
+        await until(lambda: sum(task.done() for task in crossing) == 3)
+        left = state.wait_until - asyncio.get_running_loop().time()
+        advance(left + MARGIN_SECONDS)
+        trial = site.send()
+        await endpoint.arrival(4)
+        assert [(await site.send()).status for _ in range(4)] == [503] * 4
+        assert len(endpoint.arrivals) == 4
+        endpoint.arrivals[3].answer()
+        assert (await trial).status == 200
+        site.send()
+        site.send()
+        await endpoint.arrival(6)
+
+    play(scenario)
+
+
 @pytest.mark.parametrize("path", [b"/safe/1", b"/once/1"])
 def test_a_request_whose_connection_opens_when_the_answer_arrives_is_not_sent(path):
     """It was assigned to the endpoint before the instance read that it wants none."""
