Keep the word of a leaving endpoint whose entry was removed

Cause: the statement of an endpoint that was no longer listed was dropped. If its entry came back, by a late write or a stale read, the endpoint got work again, later than allowed after it had said that it leaves.

Conclusion: a statement holds for its process, whatever the store lists.

--- a/arbutusflow/gateway/endpoint_directory.py
+++ b/arbutusflow/gateway/endpoint_directory.py
@@ -60,17 +60,19 @@
     def mark_leaving(self, process: tuple[str, int]) -> bool:
         """Treat a process as draining because it said so itself.
 
-        Returns whether this is news. Holds until another process takes its place.
+        Returns whether this is news. Holds until another process takes its place, also
+        if its entry was removed and is listed again.
         """
         name, started_ms = process
-        known = self.endpoints.get(name)
+        known = self.endpoints.get(name) or self._latest.get(name)
         if known is None or known.draining or known.started_ms != started_ms:
             return False
         leaving = dataclasses.replace(known, draining=True)
         self._remember(leaving)
         if name in self._retained:
             self._retained[name] = leaving
-        self._set_listed({**self.endpoints, name: leaving})
+        if name in self.endpoints:
+            self._set_listed({**self.endpoints, name: leaving})
         return True
 
     def expire(self, now: float) -> bool:
--- a/tests/gateway/test_endpoint_statements.py
+++ b/tests/gateway/test_endpoint_statements.py
@@ -144,6 +144,21 @@
     assert not directory.endpoints["a"].draining
 
 
+def test_the_word_of_a_process_holds_when_it_is_listed_again():
+    """Its entry was removed while it answered. Guards against a late write or a stale
+    read by which an endpoint that said that it leaves gets work again."""
+    copy = FakeCopy("a", "b")
+    directory = make_directory(copy)
+    del copy.objects["a"]
+    directory.update(1.0)
+    assert directory.mark_leaving(("a", 2000))
+    assert not directory.mark_leaving(("a", 2000))
+    assert "a" not in directory.endpoints
+    put_entry(copy, 3, 2000)
+    directory.update(2.0)
+    assert directory.endpoints["a"].draining
+
+
 def test_an_entry_that_is_retained_in_an_outage_keeps_the_word():
     copy = FakeCopy("a")
     directory = make_directory(copy)
