Count requests that leaving or waiting endpoints did not get

Cause: metrics and logs told refusals for endpoints that asked to wait, but not refusals for endpoints that leave, and not how many requests went elsewhere.

Change: gauges count the choices of an endpoint that passed others which leave or asked to wait; refusals name endpoints_leaving and owner_leaving; the log names the process that says that it leaves.

Conclusion: an operator sees who said what and what it cost.

--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -339,8 +339,13 @@
                 name, excluded, now, local_seconds, compare_all=compare_all
             )
         if state is None:
-            asked = any(s.wait_seconds(now) for s in self._endpoints.for_service(name))
-            reason = "endpoints_asked_to_wait" if asked else "no_endpoint"
+            states = self._endpoints.for_service(name)
+            if any(s.wait_seconds(now) for s in states):
+                reason = "endpoints_asked_to_wait"
+            elif any(s.leaving_since is not None for s in states):
+                reason = "endpoints_leaving"
+            else:
+                reason = "no_endpoint"
             raise self._final_error(ctx, reason)
         return state
 
@@ -368,7 +373,9 @@
                 if state is not None and self._endpoints.may_serve_keys(state, now):
                     return state
             if self._loop.time() >= until:
-                raise self._final_error(ctx, "key_without_owner")
+                leaving = owner in self._endpoints.states
+                reason = "owner_leaving" if leaving else "key_without_owner"
+                raise self._final_error(ctx, reason)
             await asyncio.sleep(KEY_POLL_INTERVAL_SECONDS)
 
     async def _send(
--- a/arbutusflow/gateway/endpoint_load.py
+++ b/arbutusflow/gateway/endpoint_load.py
@@ -170,6 +170,10 @@
         self.states: dict[str, EndpointState] = {}
         self._services: dict[str, list[EndpointState]] = {}
         self._peer_reports: dict[str, _PeerLoadReport] = {}
+        # How often an endpoint was chosen while others of its service were left out
+        # because they leave or asked to wait.
+        self.choices_past_leaving = 0
+        self.choices_past_waiting = 0
 
     def update_peer_report(
         self, instance: str, in_flight: Mapping[str, int], now: float
@@ -289,14 +293,17 @@
         time is at most `local_seconds`. `compare_all` compares all endpoints instead of
         a few, which a request that would be refused otherwise needs.
         """
-        candidates = [
-            state
-            for state in self.for_service(service)
-            if state.leaving_since is None
-            and not state.replaced
-            and state.endpoint.id not in tried
-            and not state.wait_seconds(now)
-        ]
+        candidates, some_leave, some_wait = [], False, False
+        for state in self.for_service(service):
+            if state.leaving_since is not None:
+                some_leave = True
+            elif state.wait_seconds(now):
+                some_wait = True
+            elif not state.replaced and state.endpoint.id not in tried:
+                candidates.append(state)
+        if candidates and not compare_all:
+            self.choices_past_leaving += some_leave
+            self.choices_past_waiting += some_wait
         # If all endpoints are in backoff, try them rather than refuse every request.
         usable = [s for s in candidates if now >= s.backoff_until] or candidates
         for state in usable:
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -426,7 +426,9 @@
             return
         now = self._loop.time()
         self._leaving[process] = now
-        self.log.write("endpoint_says_it_leaves", endpoint=process[0])
+        self.log.write(
+            "endpoint_says_it_leaves", endpoint=process[0], started_ms=process[1]
+        )
         self._use_endpoints(now)
         self.fleet_task.report_to_fleet()
 
@@ -458,6 +460,8 @@
         self.metrics.set_gauge("connections_opened", self.pool.opened)
         self.metrics.set_gauge("stray_responses", self.pool.strays)
         self.metrics.set_gauge("log_lines_dropped", self.log.dropped)
+        for name in ("choices_past_leaving", "choices_past_waiting"):
+            self.metrics.set_gauge(name, getattr(self.endpoints, name))
         return CallerResponse(
             200, ((b"Content-Type", b"text/plain"),), self.metrics.render()
         )
