--- a/tests/gateway/test_false_statements.py
+++ b/tests/gateway/test_false_statements.py
@@ -4,7 +4,6 @@
 against operators who cannot see why requests went elsewhere.
 """
 
-
 import pytest
 
 from arbutusflow.gateway.caller_server import CallerRequest
