Check that only the adapter knows the header of leaving endpoints

Cause: the check of the platform's names did not know this header.

Change: its name is among them, in both spellings.

Conclusion: the translation stays in one package.

--- a/tests/gateway/test_boundary.py
+++ b/tests/gateway/test_boundary.py
@@ -11,6 +11,7 @@
     r"Response-Seal|Expect-Instance|Instance-Load|Instance-Id|Not-Executed|Shard-Key"
     r"|routeType|trafficSplit|pathPrefix|targetLatencyS|maxAttempts|holdS|coldLeftS"
     r"|warmupS|nodeName|maxConns|ARBUTUSFLOW_CONFIG|/arbutusflow/(?:grant|release|ready)"
+    r"|[Ss]erver-[Ll]eaving"
 )
 MODULES = sorted(
     path for path in PACKAGE.rglob("*.py") if "platform" not in path.parent.parts[-1:]
