Tell the earliest wait although an endpoint's address is taken

Cause: an endpoint whose address belongs to another one counted as one that asked for no wait. If all others had asked to wait, callers were told to come back within a second.

Change: only endpoints that can get requests count.

Conclusion: the time that callers are told is that of the first endpoint that can serve them.

--- a/arbutusflow/gateway/admission.py
+++ b/arbutusflow/gateway/admission.py
@@ -61,7 +61,8 @@
         third of it, unless all endpoints asked for no requests until later.
         """
         states = [owner] if owner else self._endpoints.for_service(service)
-        asked = [s.wait_seconds(now) for s in states if s.leaving_since is None]
+        usable = [s for s in states if s.leaving_since is None and not s.replaced]
+        asked = [s.wait_seconds(now) for s in usable]
         if asked and min(asked) > 0:
             return min(asked) * self._rng.uniform(1.0, 1.3)
         waits = [
--- a/tests/gateway/test_endpoint_statements.py
+++ b/tests/gateway/test_endpoint_statements.py
@@ -251,7 +251,7 @@
     assert table.choose("s", set(), 9.0) is None
 
 
-def test_the_earliest_end_is_told_if_all_asked_to_wait():
+def two_endpoints():
     table = EndpointTable("z", 2.0, random.Random(1))
     table.update(
         {
@@ -260,12 +260,26 @@
         },
         0.0,
     )
+    return table
+
+
+def test_the_earliest_end_is_told_if_all_asked_to_wait():
+    table = two_endpoints()
     table.states["e0"].record_wait(40.0, 0.0)
     table.states["e1"].record_wait(20.0, 0.0)
     told = Admission(table, random.Random(1)).retry_after("s", None, 2.0, 10.0)
     assert 10.0 <= told <= 13.0
 
 
+def test_an_endpoint_without_an_address_does_not_hide_the_waits_of_the_others():
+    """Guards against callers that come back many times before any can serve them."""
+    table = two_endpoints()
+    table.states["e0"].mark_replaced()
+    table.states["e1"].record_wait(20.0, 0.0)
+    told = Admission(table, random.Random(1)).retry_after("s", None, 2.0, 10.0)
+    assert 10.0 <= told <= 13.0
+
+
 @settings(max_examples=200, deadline=None)
 @given(
     steps=st.lists(
