Test that only a 503 asks an instance to wait

Cause: no test failed when Retry-After counted in answers of any status.

Change: 200, 404, 429 and 500 with the header leave the endpoint in use.

Figures: with the check of the status taken out in a scratch copy, the test fails for each of the four; it passes with it.

Conclusion: the part has its test.

--- a/tests/gateway/test_endpoint_statements.py
+++ b/tests/gateway/test_endpoint_statements.py
@@ -222,6 +222,21 @@
     assert (reply.status, len(sent)) == (200, 2)
 
 
+@pytest.mark.parametrize(
+    "answer",
+    [
+        response(200, (b"Response-Seal", b"s"), (b"Retry-After", b"25")),
+        response(404, (b"Retry-After", b"25")),
+        response(429, REJECTED, (b"Retry-After", b"25")),
+        response(500, (b"Retry-After", b"25")),
+    ],
+)
+def test_only_a_503_asks_to_wait(answer):
+    """Guards against endpoints that are left out although they serve requests."""
+    replies = handle(answer, OK, endpoints=1, repetitions=2)
+    assert replies[1].status == 200
+
+
 def one_endpoint():
     table = EndpointTable("z", 2.0, random.Random(1))
     endpoint = Endpoint("e0", "s", Address("e0", 1), "z", 2, False, 0.0, 1)
