Make tests of statements fail, not hang or pass, when their part is missing

Cause: with parts taken out one at a time in a scratch copy, two tests ran without end (requests to endpoints and owners that wait), one passed (the log line of an endpoint that says that it leaves), and the spread of the ends of waits was found by chance only.

Change: opening a connection takes time in the fake pool; the line must be there; two instances that are asked at once must come back apart.

--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -84,6 +84,7 @@
     async def connection(
         self, address, *, at_most_once=False, timeout=1.0, request_id=None
     ):
+        await asyncio.sleep(0.0001)  # Opening a connection takes time.
         if timeout != 1.0:  # Only `Dispatcher._check_for_crash` uses 1 s.
             outcome = (
                 self.outcomes.pop(0) if len(self.outcomes) > 1 else self.outcomes[0]
--- a/tests/gateway/test_false_statements.py
+++ b/tests/gateway/test_false_statements.py
@@ -103,6 +103,7 @@
         assert world.now == began
         assert float((await metrics(inst))[outcome("endpoints_leaving")]) == 1
         said = logged(inst, "endpoint_says_it_leaves")
+        assert len(said) == 3
         assert [line["started_ms"] for line in said] == [
             world.processes[line["endpoint"]].started_ms for line in said
         ]
--- a/tests/gateway/test_statements_over_connections.py
+++ b/tests/gateway/test_statements_over_connections.py
@@ -80,7 +80,8 @@
         self._servers, self._requests = {}, 0
 
     async def add_instance(self, name="n0"):
-        inst = self.instances[name] = StatementInstance(name)
+        inst = StatementInstance(name, seed=len(self.instances))
+        self.instances[name] = inst
         self._servers[name] = CallerServer(
             inst.gateway.dispatcher.handle, BodyBudget(lambda: MAX_BODY_BYTES), fail
         )
@@ -409,6 +410,26 @@
     play(scenario)
 
 
+def test_instances_that_are_asked_at_once_come_back_at_different_times():
+    """Guards against a burst from all instances at the end of the wait."""
+
+    async def scenario(site):
+        endpoint = await site.add_endpoint("e0")
+        await site.add_instance("n1")
+        ends = []
+        for number, name in enumerate(("n0", "n1")):
+            request = site.send(instance=name)
+            (await endpoint.arrival(number + 1)).answer(503, *ASKS_TO_WAIT)
+            await request
+            state = site.instances[name].gateway.endpoints.states["e0"]
+            ends.append(state.wait_until - asyncio.get_running_loop().time())
+        assert ends[0] != ends[1]
+        for end in ends:
+            assert WAIT_SECONDS <= end <= WAIT_SECONDS + MAX_WAIT_SPREAD_SECONDS
+
+    play(scenario)
+
+
 def test_a_wait_does_not_hold_for_the_next_process():
     async def scenario(site):
         endpoint, _, _ = await ask_to_wait(site)
