--- a/tests/gateway/test_endpoint_statements.py
+++ b/tests/gateway/test_endpoint_statements.py
@@ -144,6 +144,21 @@
     assert not directory.endpoints["a"].draining
 
 
+def test_the_word_of_a_process_holds_when_it_is_listed_again():
+    """Its entry was removed while it answered. Guards against a late write or a stale
+    read by which an endpoint that said that it leaves gets work again."""
+    copy = FakeCopy("a", "b")
+    directory = make_directory(copy)
+    del copy.objects["a"]
+    directory.update(1.0)
+    assert directory.mark_leaving(("a", 2000))
+    assert not directory.mark_leaving(("a", 2000))
+    assert "a" not in directory.endpoints
+    put_entry(copy, 3, 2000)
+    directory.update(2.0)
+    assert directory.endpoints["a"].draining
+
+
 def test_an_entry_that_is_retained_in_an_outage_keeps_the_word():
     copy = FakeCopy("a")
     directory = make_directory(copy)
@@ -207,6 +222,21 @@
     assert (reply.status, len(sent)) == (200, 2)
 
 
+@pytest.mark.parametrize(
+    "answer",
+    [
+        response(200, (b"Response-Seal", b"s"), (b"Retry-After", b"25")),
+        response(404, (b"Retry-After", b"25")),
+        response(429, REJECTED, (b"Retry-After", b"25")),
+        response(500, (b"Retry-After", b"25")),
+    ],
+)
+def test_only_a_503_asks_to_wait(answer):
+    """Guards against endpoints that are left out although they serve requests."""
+    replies = handle(answer, OK, endpoints=1, repetitions=2)
+    assert replies[1].status == 200
+
+
 def one_endpoint():
     table = EndpointTable("z", 2.0, random.Random(1))
     endpoint = Endpoint("e0", "s", Address("e0", 1), "z", 2, False, 0.0, 1)
@@ -236,7 +266,7 @@
     assert table.choose("s", set(), 9.0) is None
 
 
-def test_the_earliest_end_is_told_if_all_asked_to_wait():
+def two_endpoints():
     table = EndpointTable("z", 2.0, random.Random(1))
     table.update(
         {
@@ -245,12 +275,26 @@
         },
         0.0,
     )
+    return table
+
+
+def test_the_earliest_end_is_told_if_all_asked_to_wait():
+    table = two_endpoints()
     table.states["e0"].record_wait(40.0, 0.0)
     table.states["e1"].record_wait(20.0, 0.0)
     told = Admission(table, random.Random(1)).retry_after("s", None, 2.0, 10.0)
     assert 10.0 <= told <= 13.0
 
 
+def test_an_endpoint_without_an_address_does_not_hide_the_waits_of_the_others():
+    """Guards against callers that come back many times before any can serve them."""
+    table = two_endpoints()
+    table.states["e0"].mark_replaced()
+    table.states["e1"].record_wait(20.0, 0.0)
+    told = Admission(table, random.Random(1)).retry_after("s", None, 2.0, 10.0)
+    assert 10.0 <= told <= 13.0
+
+
 @settings(max_examples=200, deadline=None)
 @given(
     steps=st.lists(
