--- /dev/null
+++ b/tests/soak/configurations.py
@@ -0,0 +1,133 @@
+"""Configurations of a run: their documents, and what each of them allows.
+
+Routes that stay allow the traffic of ordinary callers; others are added, removed and
+moved between services from version to version, and tell which version is in force.
+"""
+
+import dataclasses
+import random
+
+from tests.gateway.test_documents import CONFIGURATION
+
+HOST = "shop.example"
+TIMEOUT_SECONDS = 1.5
+SLOW_TIMEOUT_SECONDS = 4.0
+MAX_ADDED_ROUTES = 4  # Older ones are removed.
+SERVICES = ("keyed", "plain", "spare")
+MOVED_PREFIX = b"/m/"
+# Which services the moved route may name; two share its requests.
+MOVED_TARGETS = (("plain",), ("spare",), ("plain", "spare"))
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """One route of a version."""
+
+    name: str
+    prefix: bytes
+    kind: str
+    services: tuple[str, ...]
+    timeout_seconds: float = TIMEOUT_SECONDS
+
+    def document(self) -> dict[str, object]:
+        """Return the entry of the configuration document."""
+        targets: dict[str, object] = {"service": self.services[0]}
+        if len(self.services) > 1:
+            parts = [{"service": name, "weight": 50} for name in self.services]
+            targets = {"trafficSplit": parts}
+        return {
+            "name": self.name,
+            "pathPrefix": self.prefix.decode(),
+            "routeType": self.kind,
+            "timeoutS": self.timeout_seconds,
+            "targetLatencyS": 0.5,
+            "priority": 1,
+            "maxAttempts": 2,
+            **targets,
+        }
+
+
+LASTING_ROUTES = (
+    Route("lookup", b"/x/", "safe", ("keyed",)),
+    Route("order", b"/y/", "unsafe", ("plain",)),
+    Route("keyed-order", b"/z/", "unsafe", ("keyed",)),
+    Route("browse", b"/p/", "safe", ("plain",), SLOW_TIMEOUT_SECONDS),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Version:
+    """A version of the configuration. The store acknowledges it when it is sent."""
+
+    number: int
+    sent_at: float  # Seconds on the clock of the run.
+    routes: tuple[Route, ...]
+
+    def allows(self, path: bytes, service: str | None) -> bool:
+        """Whether a request may go to this service; None stands for status 404."""
+        matching = [route for route in self.routes if path.startswith(route.prefix)]
+        if not matching:
+            return service is None
+        return service in max(matching, key=lambda route: len(route.prefix)).services
+
+    def document(self) -> dict[str, object]:
+        """Return the document that the operator writes to the store."""
+        template = CONFIGURATION["services"]
+        services = [
+            {**template[0 if name == "keyed" else 1], "name": name} for name in SERVICES
+        ]
+        paths = [route.document() for route in self.routes]
+        return {
+            **CONFIGURATION,
+            "version": self.number,
+            "services": services,
+            "hosts": [{"host": HOST, "paths": paths}],
+        }
+
+
+class ConfigurationHistory:
+    """The versions that the operator has sent, in order."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self.versions: list[Version] = []
+        self.timeout_seconds: float | None = None  # Of all routes, if one is set.
+
+    def add(self, now: float) -> Version:
+        """Draw, record and return the next version."""
+        number, added = 1, []
+        if self.versions:
+            number = self.versions[-1].number + self._rng.randint(1, 5)
+            added = list(self.versions[-1].routes[len(LASTING_ROUTES) + 1 :])
+        targets = self._rng.choice(MOVED_TARGETS)
+        service = self._rng.choice(("plain", "spare"))
+        added.append(Route(f"v{number}", b"/v%d/" % number, "safe", (service,)))
+        while len(added) > MAX_ADDED_ROUTES or (
+            len(added) > 1 and self._rng.random() < 0.3
+        ):
+            del added[self._rng.randrange(len(added) - 1)]
+        moved = Route("moved", MOVED_PREFIX, "safe", targets)
+        routes = (*LASTING_ROUTES, moved, *added)
+        if self.timeout_seconds is not None:
+            routes = tuple(
+                dataclasses.replace(route, timeout_seconds=self.timeout_seconds)
+                for route in routes
+            )
+        self.versions.append(Version(number, now, routes))
+        return self.versions[-1]
+
+    def newest_index(self, until: float) -> int:
+        """Return the index of the last version sent until then, or -1."""
+        found = -1
+        for index, version in enumerate(self.versions):
+            if version.sent_at <= until:
+                found = index
+        return found
+
+    def allowing(self, path: bytes, service: str | None, until: float) -> list[int]:
+        """Return the indexes of the versions sent until then that allow an outcome."""
+        return [
+            index
+            for index, version in enumerate(self.versions)
+            if version.sent_at <= until and version.allows(path, service)
+        ]
