Play the callers, entries and planned work of the protocol in the soak

Cause: the soak's callers used one connection for a few lookups and orders. None left early, retried, sent ahead or used routes that come and go, stops came alone, and endpoints answered 421 to requests that name no endpoint, so faults around these could not show.

--- /dev/null
+++ b/tests/soak/gateway_process.py
@@ -0,0 +1,113 @@
+"""One instance of a run: its settings file, its process, and the signals to it.
+
+A run ends only processes that it has started, each by its own handle.
+"""
+
+import asyncio
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Callable
+
+from arbutusflow.gateway.model import Address
+from arbutusflow.platform.settings import SETTINGS_VARIABLE
+from tests.gateway.object_platform import SETTINGS
+
+ZONES = ("z0", "z1")
+
+
+def _free_port(host: str) -> int:
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return int(sock.getsockname()[1])
+
+
+class GatewayProcess:
+    """One instance, whose process can be ended and started again."""
+
+    def __init__(
+        self,
+        number: int,
+        directory: pathlib.Path,
+        store_port: int,
+        product: pathlib.Path,
+        on_signal: Callable[[str, int], None],
+    ) -> None:
+        self._product = product
+        self._on_signal = on_signal
+        self.name = f"n{number}"
+        self.zone = ZONES[number % len(ZONES)]
+        # All instances use the same metrics port, so each instance of each test process
+        # needs a loopback address of its own.
+        pid = os.getpid()
+        self.host = f"127.{pid // 250 % 200 + 1}.{pid % 250}.{number + 1}"
+        self.caller_port = _free_port(self.host)
+        self.log_path = directory / f"{self.name}.log"
+        self._settings_path = directory / f"{self.name}.toml"
+        ports = {"front": self.caller_port, "store": store_port}
+        ports |= {kind: _free_port(self.host) for kind in ("ready", "peer")}
+        self.settings = SETTINGS.format(
+            name=self.name, host=self.host, zone=self.zone, **ports
+        )
+        self.write_settings(self.settings)
+        self.readiness_port = ports["ready"]
+        self.process: subprocess.Popen[bytes] | None = None
+        self.starts = 0
+
+    def write_settings(self, text: str) -> None:
+        """Write the settings file."""
+        self._settings_path.write_text(text)
+
+    def start(self) -> None:
+        """Start the process."""
+        self._on_signal(self.name, 0)
+        self.starts += 1
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "arbutusflow", "gateway"],
+                cwd=self._product,
+                env={**os.environ, SETTINGS_VARIABLE: str(self._settings_path)},
+                stdout=log,
+                stderr=log,
+                # An interrupt of the terminal goes to the run only, which ends it.
+                start_new_session=True,
+            )
+
+    @property
+    def running(self) -> bool:
+        """Whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self._on_signal(self.name, number)
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process and wait for its end, without giving control away."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+    async def end(self, number: int) -> None:
+        """Send a signal and wait until the process has ended; kill it after 7 s."""
+        self.signal(signal.SIGCONT)
+        self.signal(number)
+        process = self.process
+        if process is None:
+            return
+        for _ in range(70):
+            if process.poll() is not None:
+                return
+            await asyncio.sleep(0.1)
+        process.kill()
+        process.wait()
+
+    @property
+    def address(self) -> Address:
+        """Address to which callers connect."""
+        return Address(self.host, self.caller_port)
--- /dev/null
+++ b/tests/soak/planned_work.py
@@ -0,0 +1,66 @@
+"""Work that an operator plans: configurations, reloaded settings and stops.
+
+Instances must lose nothing by it. Stops follow one another and overlap.
+"""
+
+import asyncio
+import re
+import signal
+
+from tests.soak.gateway_process import GatewayProcess
+from tests.soak.world import SoakWorld
+
+STOP_GAP_SECONDS = (0.2, 5.0)  # Between the starts of two stops of a series.
+
+
+async def configuration_changes(world: SoakWorld) -> None:
+    """Write versions that add, remove and move routes, quickly or seconds apart."""
+    longest = world.rng.choice((0.4, 3.0))
+    for _ in range(world.rng.randint(1, 4)):
+        world.write_configuration()
+        await asyncio.sleep(world.rng.uniform(0.05, longest))
+
+
+async def settings_reloaded(world: SoakWorld) -> None:
+    """Change the settings files of instances, with SIGHUP or without any signal."""
+    count = world.rng.randint(1, len(world.gateways))
+    for gateway in world.rng.sample(world.gateways, count):
+        slack = world.rng.randint(40, 80)
+        changed = f"retryBudgetSlack = {slack}"
+        text = re.sub(r"retryBudgetSlack = \d+", changed, gateway.settings)
+        if world.rng.random() < 0.2:
+            # The file is read while it is being written.
+            gateway.write_settings(text[: len(text) // 2])
+            gateway.signal(signal.SIGHUP)
+            await asyncio.sleep(world.rng.uniform(0.0, 0.3))
+        gateway.write_settings(text)
+        if world.rng.random() < 0.8:
+            gateway.signal(signal.SIGHUP)
+        await asyncio.sleep(world.rng.uniform(0.0, 1.0))
+
+
+async def instances_stopped(world: SoakWorld) -> None:
+    """Stop instances gracefully, in series or overlapping, and start them again.
+
+    At most half of the instances are stopped at once.
+    """
+    stops: set[asyncio.Task[None]] = set()
+    for _ in range(world.rng.randint(1, 3)):
+        free = [g for g in world.gateways if g.name not in world.stopping]
+        if len(world.stopping) < max(len(world.gateways) // 2, 1):
+            gateway = world.rng.choice(free)
+            stops.add(asyncio.create_task(_stop(world, gateway)))
+        await asyncio.sleep(world.rng.uniform(*STOP_GAP_SECONDS))
+    await asyncio.gather(*stops)
+
+
+async def _stop(world: SoakWorld, gateway: GatewayProcess) -> None:
+    world.stopping.add(gateway.name)
+    try:
+        with world.disturbances.lasting(gateway.name, planned=True):
+            await gateway.end(signal.SIGTERM)
+            await asyncio.sleep(world.rng.uniform(0.0, 0.5))
+            if not gateway.running:
+                gateway.start()
+    finally:
+        world.stopping.discard(gateway.name)
--- /dev/null
+++ b/tests/soak/test_judge.py
@@ -0,0 +1,171 @@
+"""The judge of the soak leaves out what disturbances excuse, and reports the rest.
+
+Guards against violations that are excused by mistake, and against false alarms.
+"""
+
+import random
+import time
+
+import pytest
+
+from tests.soak.audit import Audit
+from tests.soak.configurations import ConfigurationHistory
+from tests.soak.connection_audit import is_cut, is_cut_by_reload
+from tests.soak.disturbances import STORE, Disturbances
+from tests.soak.judge import Judge
+from tests.soak.lost_audit import EndpointRecord
+from tests.soak.records import Arrival, PlayedCall, RequestRecord
+
+
+class Run:
+    """A judge with a clock that stands at 100 s; 10 s ago /v1/ was dropped."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.audit = Audit()
+        self.history = ConfigurationHistory(random.Random(1))
+        self.disturbances = Disturbances(lambda: self.now)
+        self.judge = Judge(self.audit, self.history, self.disturbances)
+        self.calls = []
+        for sent_at in (0.0, 50.0):
+            self.history.add(sent_at)
+
+    def play(self, **changes):
+        """Judge a request that an endpoint had reached when its connection ended."""
+        fields = {
+            "request_id": b"r%d" % len(self.calls),
+            "instance": "n0",
+            "idempotent": True,
+            "behind": False,
+            "deadline_at": 110.0,
+            "sent_at": 100.0,
+            "began_at": 100.0,
+            "ended_at": 101.0,
+            "target": b"/p/1",
+        }
+        call = PlayedCall(**(fields | changes))
+        self.audit.seen[call.request_id] = RequestRecord(
+            True,
+            [(100.1, 100.5)],
+            arrivals=[Arrival(100.1, "e1")],
+            services=["plain"],
+            planned_ends=[100.5],
+        )
+        self.calls.append(call)
+        self.judge.judge_run(self.calls)
+        return [violation.rule for violation in self.audit.found]
+
+
+def test_a_request_cut_after_a_planned_stop_is_lost():
+    run = Run()
+    run.judge.stops["n0"].append(99.0)
+    assert run.play() == ["LOST"]
+
+
+@pytest.mark.parametrize(
+    ("subject", "at", "keyed", "rules"),
+    [
+        ("n0", 98.0, False, []),  # As `disturbances` counts it, not planned.
+        ("e7", 98.0, False, []),
+        ("e7", 96.9, False, ["LOST"]),
+        (STORE, 98.0, False, ["LOST"]),
+        (STORE, 98.0, True, []),
+    ],
+)
+def test_unplanned_disturbances_excuse_losses_around_a_stop(subject, at, keyed, rules):
+    run = Run()
+    run.judge.stops["n0"].append(99.0)
+    run.now = at
+    run.disturbances.record(subject)
+    target = b"/x/1" if keyed else b"/p/1"
+    found = run.play(keyed=keyed, target=target)
+    assert [rule for rule in found if rule != "ROUTE"] == rules
+
+
+def test_a_caller_that_left_has_lost_nothing():
+    run = Run()
+    run.judge.stops["n0"].append(99.0)
+    assert run.play(left_at=101.0) == []
+
+
+@pytest.mark.parametrize(("calls", "rules"), [(3, []), (4, ["LOST"]), (9, ["LOST"])])
+def test_more_than_three_cut_connections_are_a_violation_at_any_time(calls, rules):
+    run = Run()
+    for _ in range(calls):
+        found = run.play()
+    assert found == rules
+
+
+def test_an_instance_that_is_not_in_touch_may_cut_connections():
+    run = Run()
+    run.disturbances.record("n0")
+    for _ in range(9):
+        found = run.play()
+    assert found == []
+
+
+@pytest.mark.parametrize(
+    ("disturbed_at", "rules"), [(96.9, ["CONFIG"]), (97.1, []), (None, ["CONFIG"])]
+)
+def test_a_late_configuration_counts_at_instances_in_touch(disturbed_at, rules):
+    run = Run()
+    if disturbed_at is not None:
+        run.now = disturbed_at
+        run.disturbances.record("n0")
+    target = b"/v%d/1" % run.history.versions[1].number
+    dropped = {"target": target, "status": 404}
+    call_id = b"r0"
+    run.calls.append(
+        PlayedCall(
+            call_id,
+            "n0",
+            True,
+            False,
+            110.0,
+            100.0,
+            101.0,
+            began_at=100.0,
+            **dropped,
+        )
+    )
+    run.judge.judge_run(run.calls)
+    assert [violation.rule for violation in run.audit.found] == rules
+
+
+def test_requests_are_judged_once_and_not_before_their_time():
+    run = Run()
+    run.judge.stops["n0"].append(time.monotonic() - 1.0)
+    now = time.monotonic()
+    call = PlayedCall(b"r1", "n0", True, False, now + 9, now - 0.5, now, began_at=now)
+    run.audit.seen[b"r1"].arrived = True
+    run.judge.judge_ended([call])
+    assert run.audit.found == []
+    for _ in range(2):
+        run.judge.judge_ended([call], final=True)
+    assert [violation.rule for violation in run.audit.found] == ["LOST"]
+
+
+@pytest.mark.parametrize(
+    ("changes", "endpoint", "cut"),
+    [
+        ({}, EndpointRecord(arrived=True), True),
+        ({"status": 200}, EndpointRecord(arrived=True), False),
+        ({"deadline_at": 101.0}, EndpointRecord(arrived=True), False),
+        ({}, EndpointRecord(arrived=True, broken_off=True), False),
+        ({"ended_at": 100.1}, EndpointRecord(), False),
+        ({"ended_at": 100.3}, EndpointRecord(), True),
+        ({"behind": True}, EndpointRecord(), False),
+    ],
+)
+def test_what_counts_as_cut(changes, endpoint, cut):
+    fields = {"deadline_at": 110.0, "sent_at": 100.0, "ended_at": 101.0}
+    call = PlayedCall(b"r", "n0", True, **({"behind": False} | fields | changes))
+    assert is_cut(call, endpoint) is cut
+
+
+@pytest.mark.parametrize(
+    ("reload_at", "cut"), [(101.1, False), (100.9, True), (98.1, True), (97.9, False)]
+)
+def test_a_reload_is_charged_with_requests_cut_after_it(reload_at, cut):
+    call = PlayedCall(b"r", "n0", True, False, 110.0, 100.0, 101.0)
+    assert is_cut_by_reload(call, EndpointRecord(arrived=True), [reload_at]) is cut
