Leave a folder that explains each failed seed of the soak

Cause: a failed seed printed its violations and a directory of logs. To see what had happened to the request or the keys, one had to search the logs or play the seed again, which seldom repeats.

Change: one folder for each failed seed, with seed, command and faults, the violations, the lines of the record about their requests or keys in order, the logs of the instances concerned and the trail of each request (`arbutusflow explain trail`).

Conclusion: a failure can be read from its folder alone.

--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -1,8 +1,8 @@
 """Runs the soak test with a range of seeds.
 
-Usage: `python -m tests.soak.runner --first 1 --count 50`. The exit status is 1 if a
-seed failed, 2 for bad arguments and 130 after an interrupt; no process of a run stays
-behind.
+Usage: `python -m tests.soak.runner --first 1 --count 50`. Each failed seed leaves a
+folder that explains it. The exit status is 1 if a seed failed, 2 for bad arguments and
+130 after an interrupt; no process of a run stays behind.
 """
 
 import asyncio
@@ -20,6 +20,7 @@
 import typer
 
 from tests.soak import faults
+from tests.soak.failure_folder import write_failure
 from tests.soak.recover_audit import RECOVERY_SECONDS
 from tests.soak.world import ROOT, SoakWorld
 
@@ -119,6 +120,8 @@
         finally:
             await world.close()
     found = world.audit.found
+    if found:
+        write_failure(failures / f"seed-{seed}", seed, cmd, world, injected)
     began = world.first_fault_at or world.audit.started
     return SeedResult(
         seed,
@@ -209,6 +212,7 @@
         for violation in result.violations:
             typer.echo(f"  {violation}")
         if result.violations:
+            typer.echo(f"  explained in {out / f'seed-{seed}'}")
             failed.append(seed)
         sys.stdout.flush()
     typer.echo(f"{len(numbers)} seeds, {len(failed)} failed: {failed}")
