Judge the recovery from the last disturbance on, and end the play before its processes

Cause: RECOVER counted from the kill of all instances, though other disturbances may have followed.

Change: the recovery begins at the end of the last unplanned disturbance; the play is cancelled and awaited before the processes are killed.

Conclusion: a recovery is judged only in time that nothing excuses.

--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -7,6 +7,7 @@
 
 import bisect
 import collections
+import dataclasses
 import time
 
 from tests.soak.audit import Audit
@@ -174,7 +175,9 @@
     def _judge_recovery(self, calls: list[PlayedCall]) -> None:
         if self.final_kill is None:
             return
-        report = judge_recovery(calls, self.final_kill)
+        back_at = max(self.final_kill.back_at, self._disturbances.last_end)
+        kill = dataclasses.replace(self.final_kill, back_at=back_at)
+        report = judge_recovery(calls, kill)
         self.judged["RECOVER"] = report.sent_after if report.judged else 0
         if not report.recovered:
             self._audit.record_violation(
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -107,8 +107,8 @@
     world = SoakWorld(seed, directory, plan.instances, plan.product)
     injected: list[str] = []
     with _processes_end(world):
+        play = asyncio.ensure_future(_play(world, plan, injected))
         try:
-            play = asyncio.ensure_future(_play(world, plan, injected))
             if plan.stop_early:
                 watch = asyncio.ensure_future(_stop_when_found(world, play))
                 await asyncio.wait([play, watch], return_when=asyncio.ALL_COMPLETED)
@@ -118,6 +118,8 @@
                 await play
             world.judge.judge_run(world.book.ended)
         finally:
+            play.cancel()  # It must start no process while the run ends.
+            await asyncio.gather(play, return_exceptions=True)
             await world.close()
     found = world.audit.found
     if found:
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -15,6 +15,7 @@
 from tests.soak.judge import Judge
 from tests.soak.lost_audit import EndpointRecord
 from tests.soak.records import Arrival, PlayedCall, RequestRecord
+from tests.soak.recover_audit import FinalKill
 
 
 class Run:
@@ -145,6 +146,32 @@
     assert [violation.rule for violation in run.audit.found] == ["LOST"]
 
 
+@pytest.mark.parametrize(
+    ("last_fault_at", "rules"), [(None, ["RECOVER"]), (90.0, []), (80.0, ["RECOVER"])]
+)
+def test_the_recovery_begins_after_the_last_disturbance(last_fault_at, rules):
+    run = Run()
+    run.judge.final_kill = FinalKill(at=70.0, back_at=72.0)
+    if last_fault_at is not None:
+        run.now = last_fault_at
+        run.disturbances.record("e7")
+    for number in range(20):
+        sent_at, status = (60.0, 200) if number < 10 else (100.0, 503)
+        call = PlayedCall(
+            b"r%d" % number,
+            "n0",
+            True,
+            False,
+            sent_at + 2,
+            sent_at,
+            sent_at + 1,
+            status,
+        )
+        run.calls.append(call)
+    run.judge.judge_run(run.calls)
+    assert [violation.rule for violation in run.audit.found] == rules
+
+
 @pytest.mark.parametrize(
     ("changes", "endpoint", "cut"),
     [
