Tell in the folder of a failed seed who was disturbed when, and which routes were in force

Its folder did not tell which versions were written when, nor what had happened to the link of that instance.

Change: run.txt lists the disturbances with their kinds, and the versions with their routes.

Conclusion: the next failure of this kind can be traced without another run.

--- a/tests/soak/configurations.py
+++ b/tests/soak/configurations.py
@@ -64,6 +64,11 @@
     sent_at: float  # Seconds on the clock of the run.
     routes: tuple[Route, ...]
 
+    def describe(self, zero: float) -> str:
+        """Return the version in one line, with the seconds since `zero`."""
+        routes = (f"{r.prefix.decode()} {'+'.join(r.services)}" for r in self.routes)
+        return f"{self.sent_at - zero:.3f} version {self.number}: {', '.join(routes)}"
+
     def allows(self, path: bytes, service: str | None) -> bool:
         """Whether a request may go to this service; None stands for status 404."""
         matching = [route for route in self.routes if path.startswith(route.prefix)]
--- a/tests/soak/disturbances.py
+++ b/tests/soak/disturbances.py
@@ -22,6 +22,13 @@
     start: float
     end: float | None  # None while it lasts.
     planned: bool
+    note: str = ""
+
+    def describe(self, zero: float) -> str:
+        """Return the span in one line, with the seconds since `zero`."""
+        until = "the end" if self.end is None else f"{self.end - zero:.3f}"
+        kind = "planned" if self.planned else "unplanned"
+        return f"{self.start - zero:.3f} to {until} {self.subject}: {kind} {self.note}"
 
     def overlaps(self, since: float, until: float) -> bool:
         """Whether some moment of the time lies in this span."""
@@ -35,16 +42,22 @@
         self._clock = clock
         self._spans: list[Span] = []
 
-    def record(self, subject: str, *, planned: bool = False) -> None:
+    def record(self, subject: str, *, planned: bool = False, note: str = "") -> None:
         """Record a disturbance of a moment, such as a signal."""
         now = self._clock()
-        self._spans.append(Span(subject, now, now, planned))
+        self._spans.append(Span(subject, now, now, planned, note))
+
+    def lines(self, zero: float) -> list[str]:
+        """Return all disturbances in order, with the seconds since `zero`."""
+        return [span.describe(zero) for span in self._spans]
 
     @contextlib.contextmanager
-    def lasting(self, *subjects: str, planned: bool = False) -> Iterator[None]:
+    def lasting(
+        self, *subjects: str, planned: bool = False, note: str = ""
+    ) -> Iterator[None]:
         """Record a disturbance that lasts as long as the context."""
         now = self._clock()
-        spans = [Span(subject, now, None, planned) for subject in subjects]
+        spans = [Span(subject, now, None, planned, note) for subject in subjects]
         self._spans += spans
         try:
             yield
--- a/tests/soak/failure_folder.py
+++ b/tests/soak/failure_folder.py
@@ -1,6 +1,7 @@
 """Writes all that explains a failed seed into one folder, without running it again.
 
-`run.txt` holds the seed, the command and the faults; `violations.txt` the violations;
+`run.txt` holds the seed, the command, the faults, who was disturbed when, and the
+versions of the configuration; `violations.txt` the violations;
 `record.txt` the lines about their requests and keys in order; `logs/` the logs of the
 instances concerned; `trail-ID.txt` what `arbutusflow explain trail` tells of a request.
 """
@@ -25,7 +26,10 @@
     folder.mkdir(parents=True, exist_ok=True)
     found = world.audit.found
     started = f"Times are seconds; 0 is {world.started_unix:.3f} (Unix)."
+    zero = world.audit.started
     lines = [f"seed {seed}", command, started, "faults:", *faults]
+    lines += ["disturbances:", *world.disturbances.lines(zero), "configurations:"]
+    lines += [version.describe(zero) for version in world.history.versions]
     _write(folder / "run.txt", lines)
     _write(folder / "violations.txt", world.audit.violations)
     _write(folder / "record.txt", _record_lines(world, found))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -46,21 +46,25 @@
     world.audit.last_recovery = time.monotonic()
 
 
-async def _inject_network_fault(world: SoakWorld, proxy: FaultInjectingProxy) -> None:
+async def _inject_network_fault(
+    world: SoakWorld, subject: str, proxy: FaultInjectingProxy
+) -> None:
     kind = world.rng.randrange(5)
-    if kind == 0:
-        proxy.block()
-    elif kind == 1:
-        proxy.block(upstream=world.rng.random() < 0.5)
-    elif kind == 2:
-        proxy.delay_seconds = world.rng.uniform(0.05, 0.4)
-    elif kind == 3:
-        proxy.silence()
-    else:
-        proxy.refuses_connections = True
-        proxy.reset()
-    await _wait_random(world)
-    proxy.clear_faults()
+    note = ("link blocked", "one way blocked", "link slow", "silent", "link refused")
+    with world.disturbances.lasting(subject, note=note[kind]):
+        if kind == 0:
+            proxy.block()
+        elif kind == 1:
+            proxy.block(upstream=world.rng.random() < 0.5)
+        elif kind == 2:
+            proxy.delay_seconds = world.rng.uniform(0.05, 0.4)
+        elif kind == 3:
+            proxy.silence()
+        else:
+            proxy.refuses_connections = True
+            proxy.reset()
+        await _wait_random(world)
+        proxy.clear_faults()
     _record_recovery(world)
 
 
@@ -68,15 +72,18 @@
     """Inject network faults between some instances and the store."""
     count = world.rng.randint(1, len(world.store_proxies))
     numbers = world.rng.sample(range(len(world.store_proxies)), count)
-    names = [world.gateways[number].name for number in numbers]
-    proxies = [world.store_proxies[number] for number in numbers]
-    with world.disturbances.lasting(*names):
-        await asyncio.gather(*(_inject_network_fault(world, p) for p in proxies))
+    faults = (
+        _inject_network_fault(
+            world, world.gateways[number].name, world.store_proxies[number]
+        )
+        for number in numbers
+    )
+    await asyncio.gather(*faults)
 
 
 async def store_refuses_calls(world: SoakWorld) -> None:
     """Make the store refuse all calls for some time."""
-    with world.disturbances.lasting(STORE):
+    with world.disturbances.lasting(STORE, note="down"):
         world.store.down = True
         await _wait_random(world)
         world.store.down = False
@@ -84,7 +91,7 @@
 
 async def store_loses_answers(world: SoakWorld) -> None:
     """Make the store apply writes without responding, and discard its history."""
-    with world.disturbances.lasting(STORE):
+    with world.disturbances.lasting(STORE, note="loses answers"):
         world.store.lose_answers = True
         world.store.compact()
         await _wait_random(world, 0.3, 2.0)
@@ -94,8 +101,7 @@
 async def endpoint_network_fails(world: SoakWorld) -> None:
     """Inject a network fault between the instances and one endpoint."""
     name = world.rng.choice(list(world.proxies))
-    with world.disturbances.lasting(name):
-        await _inject_network_fault(world, world.proxies[name])
+    await _inject_network_fault(world, name, world.proxies[name])
 
 
 async def endpoint_crashes(world: SoakWorld) -> None:
@@ -175,7 +181,7 @@
     )
     names = [e.name for e in _some_endpoints(world) if e.name in world.proxies]
     proxies = [world.proxies[name] for name in names]
-    with world.disturbances.lasting(*names):
+    with world.disturbances.lasting(*names, note="responses disturbed"):
         for proxy in proxies:
             proxy.response_faults = faults
         await _wait_random(world, 1.0, 10.0)
@@ -186,7 +192,7 @@
 async def instance_paused(world: SoakWorld) -> None:
     """Pause the process of an instance and resume it."""
     gateway = world.rng.choice(world.gateways)
-    with world.disturbances.lasting(gateway.name):
+    with world.disturbances.lasting(gateway.name, note="paused"):
         gateway.signal(signal.SIGSTOP)
         await _wait_random(world, 0.2, 6.0)
         gateway.signal(signal.SIGCONT)
@@ -194,7 +200,8 @@
 
 
 async def _kill(world: SoakWorld, gateways: list[GatewayProcess]) -> None:
-    with world.disturbances.lasting(*(gateway.name for gateway in gateways)):
+    names = [gateway.name for gateway in gateways]
+    with world.disturbances.lasting(*names, note="killed"):
         for gateway in gateways:
             await gateway.end(signal.SIGKILL)
         await _wait_random(world, 0.0, 1.5)
--- a/tests/soak/test_runner.py
+++ b/tests/soak/test_runner.py
@@ -40,12 +40,18 @@
     for request_id, text in ((b"r7", "sent"), (b"r8", "sent"), (b"r7", "refused")):
         world.audit.record_event(request_id, text)
     world.audit.record_violation("r7 was refused but ran", "REFUSED", (b"r7",))
+    world.write_configuration()
+    with world.disturbances.lasting("n1", note="paused"):
+        world.disturbances.record("e1", note="end")
     folder = tmp_path / "failures" / "seed-9"
     write_failure(folder, 9, "the command", world, ["0.1 a_fault"])
     run = (folder / "run.txt").read_text()
     assert "seed 9" in run
     assert "the command" in run
     assert "a_fault" in run
+    assert "n1: unplanned paused" in run
+    assert "e1: unplanned end" in run
+    assert "version 1: /x/ keyed" in run
     assert "REFUSED" in (folder / "violations.txt").read_text()
     record = (folder / "record.txt").read_text()
     assert "r8" not in record
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -157,7 +157,9 @@
         elif number == signal.SIGTERM:
             self.judge.stops[instance].append(now)
         # Faults record that what they do is not planned.
-        self.disturbances.record(instance, planned=True)
+        self.disturbances.record(
+            instance, planned=True, note=f"signal {number}" if number else "start"
+        )
         self.audit.statements.record_disturbance(instance, now)
 
     # Endpoints.
@@ -215,7 +217,7 @@
 
     def end_endpoint(self, name: str, *, planned: bool = False) -> FaultInjectingProxy:
         """Stop an endpoint whose object stays; return the proxy at its address."""
-        self.disturbances.record(name, planned=planned)
+        self.disturbances.record(name, planned=planned, note="end")
         endpoint, proxy = self.endpoints.pop(name), self.proxies.pop(name)
         endpoint.alive = False
         endpoint.server.stop_accepting()
@@ -225,7 +227,7 @@
 
     async def restart_endpoint(self, name: str, register_after: float) -> None:
         """Replace the process of an endpoint under its identifier and address."""
-        self.disturbances.record(name)
+        self.disturbances.record(name, note="restart")
         earlier = self.endpoints[name]
         earlier.alive = False
         earlier.server.stop_accepting()
