Take addresses over as soon as the protocol allows it

An address was taken over 2 to 4 s after its endpoint had ended, mostly after its entry was gone.

Change: it is taken over after 2 to 2.5 s.

--- a/tests/soak/entry_faults.py
+++ b/tests/soak/entry_faults.py
@@ -54,7 +54,7 @@
     service = world.endpoints[name].service
     proxy = world.end_endpoint(name)
     removed_after = world.rng.choice((0.0, world.rng.uniform(0.5, SILENCE_SECONDS)))
-    taken_after = ADDRESS_REUSE_SECONDS + world.rng.uniform(0.0, 2.0)
+    taken_after = ADDRESS_REUSE_SECONDS + world.rng.uniform(0.0, 0.5)
 
     async def remove() -> None:
         await asyncio.sleep(removed_after)
