--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -20,8 +20,9 @@
 from arbutusflow.gateway.model import Address, ExchangeError
 from arbutusflow.platform import wire
 from tests.soak.callers import Caller, CallerHabits, CallerSocket, CallRecord
+from tests.soak.gateway_process import GatewayProcess
 from tests.soak.lost_audit import is_lost, is_lost_by_reload
-from tests.soak.world import ROOT, GatewayProcess, SoakWorld, configuration
+from tests.soak.world import ROOT, SoakWorld
 
 CHECK_PERIOD_SECONDS = 1.0  # Of the balancer.
 MISSES = 2  # Failed checks in a row that take an instance out of rotation.
@@ -214,7 +215,10 @@
         kind, process = self._rng.randrange(4), gateway.process
         if kind == 1:
             # The reload begins shortly before the stop.
-            gateway.change_settings(self._rng.randint(50, 90))
+            slack = f"retryBudgetSlack = {self._rng.randint(50, 90)}"
+            gateway.write_settings(
+                gateway.settings.replace("retryBudgetSlack = 60", slack)
+            )
             self._reloads.setdefault(gateway.name, []).append(time.monotonic())
             gateway.signal(signal.SIGHUP)
             return
@@ -223,10 +227,7 @@
             if gateway.process is process:
                 gateway.signal(signal.SIGTERM)
         elif kind == 2:
-            world = self._world
-            world.version += 1
-            cfg = configuration(world.version, world.timeout_seconds)
-            world.store.put("config", "main", cfg)
+            self._world.write_configuration()
         else:
             number = self._world.gateways.index(gateway)
             proxy = self._world.store_proxies[number]
