Give each test process loopback addresses of its own

Cause: tests that choose a free port of 127.0.0.1, release it and bind it later race with the other connections and servers of the host. In one test process that was rare; workers that run side by side open connections all the time. The soak also left ports of crashed endpoints to whichever process bound them next, so its instances could have reached the endpoints of another run.

Change: tests/loopback.py derives addresses from the process identifier, as the soak did for its instances, and chooses several ports while it holds all of them. The soak's store, endpoints and proxies, the end-to-end tests and the tests of peer streams use it. The test of a refused connection keeps its port bound instead of releasing it.

--- a/tests/gateway/object_platform.py
+++ b/tests/gateway/object_platform.py
@@ -46,7 +46,7 @@
 budgetWindowS = 10
 retryBudgetSlack = 60
 [provider]
-address = "127.0.0.1:{store}"
+address = "{store_host}:{store}"
 """
 
 
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -9,7 +9,6 @@
 import contextlib
 import dataclasses
 import os
-import socket
 
 import pytest
 
@@ -21,15 +20,10 @@
 from tests.gateway.fakes import FakeTransport
 from tests.gateway.object_platform import SETTINGS, FakeEndpoint, ObjectStore
 from tests.gateway.test_documents import CONFIGURATION
+from tests.loopback import free_ports, own_host
 
 WAIT_TIMEOUT_SECONDS = 30.0
-HOST = "127.0.0.1"
-
-
-def free_port():
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+HOST = own_host()
 
 
 async def wait_until(condition):
@@ -50,7 +44,7 @@
         self.runs = {}
 
     async def start(self):
-        self.ports["store"] = free_port()
+        (self.ports["store"],) = free_ports(HOST, 1)
         await self.store.server.start(HOST, self.ports["store"])
         self.store.put("config", "main", CONFIGURATION)
         for name, service in (("i-1", "a"), ("i-2", "a"), ("i-3", "b")):
@@ -59,7 +53,8 @@
             await self.add_gateway(name)
 
     async def add_endpoint(self, name, service):
-        endpoint, port = FakeEndpoint(name, partitioned=service == "a"), free_port()
+        endpoint = FakeEndpoint(name, partitioned=service == "a")
+        (port,) = free_ports(HOST, 1)
         await endpoint.server.start(HOST, port)
         self.endpoints.append(endpoint)
         info = {"service": service, "version": "v", "zone": "z", "slots": 2}
@@ -71,12 +66,20 @@
         )
 
     async def add_gateway(self, name, ports=None):
-        ports = ports or {kind: free_port() for kind in ("front", "ready", "peer")}
+        if ports is None:
+            ports = dict(
+                zip(("front", "ready", "peer"), free_ports(HOST, 3), strict=True)
+            )
         self.ports[name] = ports
         path = self.directory / f"{name}.toml"
         path.write_text(
             SETTINGS.format(
-                name=name, host=HOST, zone="z", store=self.ports["store"], **ports
+                name=name,
+                host=HOST,
+                zone="z",
+                store_host=HOST,
+                store=self.ports["store"],
+                **ports,
             )
         )
         cfg = platform_settings.load_settings(path)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -7,7 +7,6 @@
 import random
 import re
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -19,6 +18,7 @@
 from arbutusflow.platform.settings import SETTINGS_VARIABLE
 from tests.gateway.object_platform import SETTINGS, ObjectStore
 from tests.gateway.test_documents import CONFIGURATION
+from tests.loopback import free_ports, own_host
 from tests.soak.audit import PROMISES, Audit, AuditedEndpoint, expected_body
 from tests.soak.proxy import FaultInjectingProxy
 
@@ -73,12 +73,6 @@
     }
 
 
-def _free_port(host: str) -> int:
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return int(sock.getsockname()[1])
-
-
 class GatewayProcess:
     """One instance, whose process can be ended and started again."""
 
@@ -96,17 +90,22 @@
         self.zone = ZONES[number % len(ZONES)]
         # All instances use the same metrics port, so each instance of each test process
         # needs a loopback address of its own.
-        pid = os.getpid()
-        self.host = f"127.{pid // 250 % 200 + 1}.{pid % 250}.{number + 1}"
-        self.caller_port = _free_port(self.host)
+        self.host = own_host(number + 1)
+        self.caller_port, self.readiness_port, peer_port = free_ports(self.host, 3)
         self._log = directory / f"{self.name}.log"
         self._settings = directory / f"{self.name}.toml"
-        ports = {"front": self.caller_port, "store": store_port}
-        ports |= {kind: _free_port(self.host) for kind in ("ready", "peer")}
         self._settings.write_text(
-            SETTINGS.format(name=self.name, host=self.host, zone=self.zone, **ports)
+            SETTINGS.format(
+                name=self.name,
+                host=self.host,
+                zone=self.zone,
+                front=self.caller_port,
+                ready=self.readiness_port,
+                peer=peer_port,
+                store_host=own_host(),
+                store=store_port,
+            )
         )
-        self.readiness_port = ports["ready"]
         self.process: subprocess.Popen[bytes] | None = None
         self.paused = False
 
@@ -177,7 +176,7 @@
 
     async def start(self) -> None:
         """Start all parts, and wait until each instance serves all keys."""
-        await self.store.server.start("127.0.0.1", 0)
+        await self.store.server.start(own_host(), 0)
         store_port = self.store.server.port
         cfg = configuration(self.version, self.timeout_seconds)
         self.store.put("config", "main", cfg)
@@ -185,7 +184,7 @@
             for _ in range(count):
                 await self.add_endpoint(service)
         for number in range(self._instance_count):
-            proxy = FaultInjectingProxy(store_port)
+            proxy = FaultInjectingProxy(store_port, own_host())
             await proxy.start()
             self.store_proxies.append(proxy)
             gateway = GatewayProcess(
@@ -236,9 +235,9 @@
         endpoint = AuditedEndpoint(name, service, self.audit)
         endpoint.work_seconds = self.rng.uniform(0.01, 0.08)
         endpoint.slots = SLOTS
-        await endpoint.server.start("127.0.0.1", 0)
+        await endpoint.server.start(own_host(), 0)
         proxy = FaultInjectingProxy(
-            endpoint.server.port, on_fault=self._record_response_fault
+            endpoint.server.port, own_host(), self._record_response_fault
         )
         await proxy.start()
         self.endpoints[name], self.proxies[name] = endpoint, proxy
@@ -261,7 +260,7 @@
             "slots": endpoint.slots,
         }
         status = {"state": state, "seq": 1, "coldLeftS": 0}
-        address = f"127.0.0.1:{self.proxies[endpoint.name].port}"
+        address = f"{own_host()}:{self.proxies[endpoint.name].port}"
         endpoint.leaving = state == "draining"
         born = endpoint.started_ms
         entry = {"address": address, "info": info, "status": status, "born": born}
@@ -284,7 +283,7 @@
         endpoint.started_ms = earlier.started_ms + 1000
         endpoint.work_seconds = earlier.work_seconds
         endpoint.slots = earlier.slots
-        await endpoint.server.start("127.0.0.1", 0)
+        await endpoint.server.start(own_host(), 0)
         if self.endpoints.get(name) is not earlier:
             # It crashed or was restarted meanwhile.
             endpoint.alive = False
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 from types import SimpleNamespace
 
 import msgspec
@@ -23,6 +22,7 @@
 from arbutusflow.runtime.curl_loop import CurlResponse
 from arbutusflow.runtime.traffic import TrafficTask
 from arbutusflow.standins.endpoint_server import EndpointStandIn
+from tests.loopback import free_ports, own_host
 
 ENDPOINT = Endpoint("registry-1", "zone-a", "127.0.0.1", 1, slots=1)
 CFG = Configuration(
@@ -201,8 +201,7 @@
     """Guards against a coordinator that ignores the cancel message of the entry hop."""
 
     async def run():
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            address = Address(*free.getsockname())
+        address = Address(own_host(), *free_ports(own_host(), 1))
         arrived, cancelled = asyncio.Event(), asyncio.Event()
 
         async def handler(message):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -327,9 +327,11 @@
 
 
 def test_refused_connection_has_exit_status_3():
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        port = server.getsockname()[1]
-    result = run("drain", "entry", "--admin", f"127.0.0.1:{port}")
+    # A bound port that does not listen refuses, and no other process can take it.
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port = sock.getsockname()[1]
+        result = run("drain", "entry", "--admin", f"127.0.0.1:{port}")
     assert result.exit_code == 3
     assert "--admin or ARBUTUSFLOW_ADMIN" in result.stderr
 
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-import socket
 from collections import Counter
 from types import SimpleNamespace
 
@@ -31,6 +30,7 @@
     CurlRequest,
 )
 from arbutusflow.standins.silent_relay import silent_relay
+from tests.loopback import free_ports, own_host
 
 HOST = "127.0.0.1"
 LONG_TIMEOUT_SECONDS = 3600.0
@@ -140,8 +140,8 @@
 
 async def run_with_link(steps):
     """Run `steps` with a link that is connected to a peer through a relay."""
-    with socket.create_server((HOST, 0)) as free:
-        port = free.getsockname()[1]
+    host = own_host()
+    (port,) = free_ports(host, 1)
     received = Counter()
 
     async def handler(message):
@@ -149,8 +149,8 @@
         return VersionsReply(message.id, ())
 
     async with (
-        peer_server(Address(HOST, port), handler),
-        silent_relay(HOST, port) as relay,
+        peer_server(Address(host, port), handler),
+        silent_relay(host, port) as relay,
     ):
         link = PeerLink(
             Address(HOST, relay.port), ping_interval_seconds=LONG_TIMEOUT_SECONDS
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import socket
 from types import SimpleNamespace
 
 import msgspec
@@ -17,6 +16,7 @@
 from arbutusflow.domain.body_budget import SMALL_BODY_BYTES
 from arbutusflow.domain.configuration import Configuration, Limits
 from arbutusflow.runtime.traffic import TrafficTask
+from tests.loopback import free_ports, own_host
 from tests.test_cancellation import CFG, SCOPE, request
 
 BODY = random.Random(8).randbytes(Limits().body_bytes)
@@ -103,8 +103,7 @@
     """Guards against truncated bodies and frames with more than one large body."""
 
     async def run():
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            address = Address(*free.getsockname())
+        address = Address(own_host(), *free_ports(own_host(), 1))
         frames = []
 
         def encode(messages, encode=peer.encode_frame):
