Look up changes of the simulated store by their revision

Cause: each watch scanned the whole history of changes.

Change: the history is sorted by revision, so a binary search finds the first change.

--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -6,8 +6,10 @@
 """
 
 import asyncio
+import bisect
 import contextlib
 import dataclasses
+import operator
 import os
 import random
 from collections.abc import Awaitable, Callable
@@ -56,8 +58,12 @@
 
     def changes_since(self, revision: int, kind: str) -> tuple[Change, ...]:
         """Return the changes of one kind after a revision."""
+        # Each change has a higher revision than the one before.
+        first = bisect.bisect_right(self.history, revision, key=operator.itemgetter(0))
         return tuple(
-            c for r, c in self.history if r > revision and _is_of_kind(c.object, kind)
+            change
+            for _, change in self.history[first:]
+            if _is_of_kind(change.object, kind)
         )
 
     def write_other(self, value: int) -> None:
