Check KNOWN-RED.txt in the process that controls parallel workers

Cause: under pytest-xdist each worker collects. A listed test that does not exist failed the run, but as an internal error without the message: pytest prints a usage error only in the controlling process. An entry whose whole file is gone was never noticed.

Change: the controlling process checks the identifiers that each worker reports. An entry whose file does not exist also fails the collection, which is stricter than before.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -24,11 +24,27 @@
     for item in items:
         if item.nodeid in listed:
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", strict=False))
-    collected_files = {item.nodeid.partition("::")[0] for item in items}
+    # The message of an error in a parallel worker is lost; the controller checks then.
+    if not hasattr(config, "workerinput"):
+        _check_all_listed_exist(config, [item.nodeid for item in items])
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_node_collection_finished(node, ids):
+    _check_all_listed_exist(node.config, ids)
+
+
+def _check_all_listed_exist(config, collected):
+    """Raise UsageError if a listed test of a collected or missing file is missing."""
     if config.getoption("keyword") or any("::" in arg for arg in config.args):
         return
-    missing = listed - {item.nodeid for item in items}
-    missing = {test for test in missing if test.partition("::")[0] in collected_files}
+    collected_files = {test.partition("::")[0] for test in collected}
+    missing = {
+        test
+        for test in _known_red() - set(collected)
+        if (file := test.partition("::")[0]) in collected_files
+        or not (LIST.parent / file).exists()
+    }
     if missing:
         raise pytest.UsageError(f"KNOWN-RED.txt lists unknown tests: {sorted(missing)}")
 
