Run the tests with parallel workers, and the checks side by side

Change: make unit runs pytest with one worker for each core, at most 4. More would take the cores that the soak's tests need for five processes of their own with deadlines; no other number was measured for the whole run. Workers that have finished take over tests of others (worksteal). Tests marked long start first. make test runs formatter, linter, types, layers, features and the built file four at a time, the output of each in one piece, and pytest after them; its summary stays the last line.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 STAMP := $(VENV)/.installed
 SOURCES := $(shell find arbutusflow -name '*.py')
 
-.PHONY: demo test check unit features binary binary-check reference lock clean
+.PHONY: demo test check format lint types layers unit features binary binary-check
+.PHONY: reference lock clean
 
 $(STAMP): pyproject.toml requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -18,18 +19,32 @@
 demo: $(STAMP)
 	$(BIN)/python -m arbutusflow.standins.demo examples/ecuador.yaml
 
-# The unit tests run last, so that the output ends with the summary of pytest.
-.NOTPARALLEL:
-test: check features binary-check unit
+# Each core runs one worker, up to this number: some tests run five processes of their
+# own, whose deadlines need free cores.
+MAX_WORKERS ?= 4
 
-check: $(STAMP)
+# The checks run side by side, each with its output in one piece. The unit tests run last,
+# so that the output ends with the summary of pytest.
+test: $(STAMP)
+	$(MAKE) --no-print-directory --jobs=4 --output-sync=target check features binary-check
+	$(MAKE) --no-print-directory unit
+
+check: format lint types layers
+
+format: $(STAMP)
 	$(BIN)/ruff format --check .
+
+lint: $(STAMP)
 	$(BIN)/ruff check .
+
+types: $(STAMP)
 	$(BIN)/mypy
+
+layers: $(STAMP)
 	$(BIN)/lint-imports
 
 unit: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses auto --maxprocesses $(MAX_WORKERS) --dist worksteal
 
 features: $(STAMP)
 	@if ls features/*.feature >/dev/null 2>&1; then \
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,9 @@
 
 Only the tests named there are affected: they run as always, and every other failure
 still fails the suite. A listed test that no longer exists fails the collection.
+
+Tests that are marked `long` start first: parallel workers would wait for one that
+started last.
 """
 
 import pathlib
@@ -27,6 +30,8 @@
     # The message of an error in a parallel worker is lost; the controller checks then.
     if not hasattr(config, "workerinput"):
         _check_all_listed_exist(config, [item.nodeid for item in items])
+    # The sort is stable, so all workers have the same order.
+    items.sort(key=lambda item: item.get_closest_marker("long") is None)
 
 
 @pytest.hookimpl(optionalhook=True)
