--- a/tests/gateway/test_documents.py
+++ b/tests/gateway/test_documents.py
@@ -164,7 +164,8 @@
 def test_a_grace_period_that_is_no_period_is_rejected(grace, accepted, tmp_path):
     """Guards against a stop that is planned with times in the past."""
     ports = {"front": 1, "ready": 2, "peer": 3, "store": 4}
-    text = SETTINGS.format(name="n", host="127.0.0.1", zone="z", **ports)
+    hosts = {"host": "127.0.0.1", "store_host": "127.0.0.1"}
+    text = SETTINGS.format(name="n", zone="z", **hosts, **ports)
     path = tmp_path / "node.toml"
     path.write_text(text.replace("graceS = 6", f"graceS = {grace}"))
     if accepted:
--- a/tests/soak/gateway_process.py
+++ b/tests/soak/gateway_process.py
@@ -7,7 +7,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -16,16 +15,11 @@
 from arbutusflow.gateway.model import Address
 from arbutusflow.platform.settings import SETTINGS_VARIABLE
 from tests.gateway.object_platform import SETTINGS
+from tests.loopback import free_ports, own_host
 
 ZONES = ("z0", "z1")
 
 
-def _free_port(host: str) -> int:
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return int(sock.getsockname()[1])
-
-
 class GatewayProcess:
     """One instance, whose process can be ended and started again."""
 
@@ -43,18 +37,21 @@
         self.zone = ZONES[number % len(ZONES)]
         # All instances use the same metrics port, so each instance of each test process
         # needs a loopback address of its own.
-        pid = os.getpid()
-        self.host = f"127.{pid // 250 % 200 + 1}.{pid % 250}.{number + 1}"
-        self.caller_port = _free_port(self.host)
+        self.host = own_host(number + 1)
+        self.caller_port, self.readiness_port, peer_port = free_ports(self.host, 3)
         self.log_path = directory / f"{self.name}.log"
         self._settings_path = directory / f"{self.name}.toml"
-        ports = {"front": self.caller_port, "store": store_port}
-        ports |= {kind: _free_port(self.host) for kind in ("ready", "peer")}
         self.settings = SETTINGS.format(
-            name=self.name, host=self.host, zone=self.zone, **ports
+            name=self.name,
+            host=self.host,
+            zone=self.zone,
+            front=self.caller_port,
+            ready=self.readiness_port,
+            peer=peer_port,
+            store_host=own_host(),
+            store=store_port,
         )
         self.write_settings(self.settings)
-        self.readiness_port = ports["ready"]
         self.process: subprocess.Popen[bytes] | None = None
         self.started_at = 0.0  # On the clock of the run.
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,6 +13,7 @@
 from arbutusflow.gateway.model import ExchangeError
 from arbutusflow.platform import wire
 from tests.gateway.object_platform import ObjectStore
+from tests.loopback import own_host
 from tests.soak.audit import PROMISES, Audit, AuditedEndpoint, expected_body
 from tests.soak.balancer import Balancer
 from tests.soak.callers import Answer
@@ -74,7 +75,7 @@
 
     async def start(self) -> None:
         """Start all parts, and wait until each instance serves all keys."""
-        await self.store.server.start("127.0.0.1", 0)
+        await self.store.server.start(own_host(), 0)
         store_port = self.store.server.port
         self.history.timeout_seconds = self.timeout_seconds
         self.write_configuration()
@@ -82,7 +83,7 @@
             for _ in range(count):
                 await self.add_endpoint(service)
         for number in range(self._instance_count):
-            proxy = FaultInjectingProxy(store_port)
+            proxy = FaultInjectingProxy(store_port, own_host())
             await proxy.start()
             self.store_proxies.append(proxy)
             gateway = GatewayProcess(
@@ -173,10 +174,10 @@
         endpoint = AuditedEndpoint(name, service, self.audit)
         endpoint.usual_seconds = self.rng.uniform(0.01, 0.08)
         endpoint.slots = SLOTS
-        await endpoint.server.start("127.0.0.1", 0)
+        await endpoint.server.start(own_host(), 0)
         if proxy is None:
             proxy = FaultInjectingProxy(
-                endpoint.server.port, on_fault=self._record_response_fault
+                endpoint.server.port, own_host(), self._record_response_fault
             )
             await proxy.start()
         else:
@@ -204,7 +205,7 @@
             "slots": endpoint.slots,
         }
         status = {"state": state, "seq": 1, "coldLeftS": 0}
-        address = f"127.0.0.1:{self.proxies[endpoint.name].port}"
+        address = f"{own_host()}:{self.proxies[endpoint.name].port}"
         endpoint.leaving = state == "draining"
         born = endpoint.started_ms
         entry = {"address": address, "info": info, "status": status, "born": born}
@@ -235,7 +236,7 @@
         endpoint.started_ms = earlier.started_ms + 1000
         endpoint.usual_seconds = earlier.usual_seconds
         endpoint.slots = earlier.slots
-        await endpoint.server.start("127.0.0.1", 0)
+        await endpoint.server.start(own_host(), 0)
         if self.endpoints.get(name) is not earlier:
             # It crashed or was restarted meanwhile.
             endpoint.alive = False
