Count requests and transfers of changes between instances, and their repeats

Change: each instance counts by kind of object its requests sent, repeated and received, and its transfers sent, repeated, too large, used and unused with their bytes (metric arbutusflow_transfers). changes_sent names each transfer of 8 KiB or more and each repeat with its receiver; changes_late and changes_received tell the receiver's requests and delay.

Tests: the two new ones fail before (no counts). Changed tests only pass the log and the source that the relay now takes.

--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -188,7 +188,7 @@
         self.copy.list_may_lag = True
         for copy in copies.values():
             copy.set_parked(True)
-        self.relay = StateRelay({FLEET_KIND: self.copy, **copies}, self.peers)
+        self.relay = StateRelay({FLEET_KIND: self.copy, **copies}, self.peers, log)
         self.probes = StoreProbes(store, self.relay.copies, self.report_to_fleet)
         self.fleet = Fleet(own_record, self.copy, self.peers, self._loop.time())
         self.followers = Followers()
@@ -223,6 +223,7 @@
             self.fleet.exclude_unresponsive(now)
             self._log_right_to_grant(now)
         self._check_store(now)
+        self.relay.tick(now)
         self._update_watch_modes(now)
         self._tick_keys(now)
 
@@ -666,7 +667,7 @@
             case CopyRequest():
                 self.relay.send_changes(message, source)
             case CopyTransfer():
-                self.relay.use_transfer(message, now)
+                self.relay.use_transfer(message, source, now)
             case FollowerReport():
                 self._on_follower_report(message, source, now)
             case FleetDigest():
--- a/arbutusflow/gateway/metrics.py
+++ b/arbutusflow/gateway/metrics.py
@@ -1,5 +1,7 @@
 """Counters and latency histograms in the Prometheus text format."""
 
+from collections.abc import Mapping
+
 import prometheus_client
 
 # Upper bounds in seconds, from one hop on a fast network to the longest deadline.
@@ -30,6 +32,13 @@
             registry=self.registry,
         )
 
+        self._transfers = prometheus_client.Gauge(
+            "arbutusflow_transfers",
+            "Changes of the store's objects between instances, since the start",
+            ["kind", "event"],
+            registry=self.registry,
+        )
+
     def count_outcome(self, outcome: str) -> None:
         """Count a request or an attempt by its outcome."""
         self._outcomes.labels(outcome).inc()
@@ -42,6 +51,11 @@
         """Set the current value of a gauge."""
         self._gauges.labels(name).set(value)
 
+    def set_transfers(self, counts: Mapping[tuple[str, str], int]) -> None:
+        """Set the counts of transfers between instances, by kind and event."""
+        for (kind, event), count in counts.items():
+            self._transfers.labels(kind, event).set(count)
+
     def render(self) -> bytes:
         """Return all metrics in the text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/arbutusflow/gateway/peers.py
+++ b/arbutusflow/gateway/peers.py
@@ -297,10 +297,13 @@
         """Log a rejected datagram; the next report replaces it."""
         self._log.write_rate_limited("peer_report_rejected", detail=str(exc))
 
-    def send(self, message: Message, targets: list[Address]) -> None:
-        """Send a message to other instances."""
+    def send(self, message: Message, targets: list[Address]) -> int:
+        """Send a message to other instances.
+
+        Returns the bytes of its datagram, or 0 if it was not sent.
+        """
         if self._transport is None:
-            return
+            return 0
         data = self._encoder.encode(message)
         if len(data) >= MIN_COMPRESSED_BYTES:
             data = COMPRESSED_MARK + zlib.compress(data, COMPRESSION_LEVEL)
@@ -308,9 +311,10 @@
             self._log.write_rate_limited(
                 "peer_message_too_large", kind=type(message).__name__, bytes=len(data)
             )
-            return
+            return 0
         for target in targets:
             self._transport.sendto(data, (target.host, target.port))
+        return len(data)
 
     def alive(self, now: float) -> list[PeerState]:
         """Return the instances that sent a report recently."""
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -458,6 +458,7 @@
         self.metrics.set_gauge("connections_opened", self.pool.opened)
         self.metrics.set_gauge("stray_responses", self.pool.strays)
         self.metrics.set_gauge("log_lines_dropped", self.log.dropped)
+        self.metrics.set_transfers(self.fleet_task.relay.counts)
         return CallerResponse(
             200, ((b"Content-Type", b"text/plain"),), self.metrics.render()
         )
--- a/tests/gateway/test_state_relay.py
+++ b/tests/gateway/test_state_relay.py
@@ -1,28 +1,31 @@
 """Operators see how each change of the store's objects reached an instance, and when.
 
 Guards against late configurations of which nobody can tell whether the store or another
-instance was slow.
+instance was slow, whether requests were lost, or whether repeats filled a link.
 """
 
 import asyncio
 
+from arbutusflow.gateway.metrics import GatewayMetrics
 from arbutusflow.gateway.model import Address
-from arbutusflow.gateway.peers import CopyTransfer
+from arbutusflow.gateway.peers import CopyRequest, CopyTransfer
 from arbutusflow.gateway.state_relay import MAX_BEHIND_SECONDS, StateRelay
+from tests.gateway.fakes import FakeLog
 from tests.gateway.test_store_watch import run_scenario
 
 SOURCE = Address("h", 1)
+DATAGRAM_BYTES = 30_000
 
 
 class FakePeers:
     """Accepts messages and sends none."""
 
     def send(self, message, targets):
-        pass
+        return DATAGRAM_BYTES
 
 
 def make_relay(copy):
-    return StateRelay({"kind": copy}, FakePeers())
+    return StateRelay({"kind": copy}, FakePeers(), FakeLog())
 
 
 def test_a_copy_tells_how_its_latest_objects_arrived():
@@ -36,9 +39,10 @@
         relay = make_relay(copy)
         packed = [("a", item.revision + 1, item.raw)]
         transfer = CopyTransfer("kind", copy.revision, item.revision + 1, packed)
-        relay.use_transfer(transfer, 0.0)
+        relay.use_transfer(transfer, SOURCE, 0.0)
         arrivals.append(copy.updated_by)
-        relay.use_transfer(CopyTransfer("kind", 0, item.revision + 2, packed), 0.0)
+        transfer = CopyTransfer("kind", 0, item.revision + 2, packed)
+        relay.use_transfer(transfer, SOURCE, 0.0)
         return [*arrivals, copy.updated_by]
 
     assert run_scenario(scenario) == ["list", "watch", "changes", "objects"]
@@ -55,7 +59,63 @@
         waits.append(relay.behind_seconds("kind", 12.0))
         assert relay.is_behind("kind", 10.0 + MAX_BEHIND_SECONDS)
         copy.set_parked(True)
-        relay.use_transfer(CopyTransfer("kind", copy.revision, later, []), 12.0)
+        transfer = CopyTransfer("kind", copy.revision, later, [])
+        relay.use_transfer(transfer, SOURCE, 12.0)
         return [*waits, relay.behind_seconds("kind", 13.0)]
 
     assert run_scenario(scenario) == [0.0, 2.0, 0.0]
+
+
+def test_requests_and_transfers_are_counted_with_their_repeats():
+    """Guards against repeats on a slow link that nothing shows."""
+
+    async def scenario(store, writer, copy):
+        await asyncio.sleep(0.5)
+        await writer.create("kind", "a", 1)
+        await asyncio.sleep(0.1)
+        relay = make_relay(copy)
+        for target in ("a", "b", "a"):
+            request = CopyRequest("kind", copy.revision - 1)
+            relay.send_changes(request, Address(target, 1))
+        return relay.counts, relay._log.events
+
+    counts, events = run_scenario(scenario)
+    assert counts["kind", "requests_received"] == 3
+    assert counts["kind", "transfers_sent"] == 3
+    assert counts["kind", "transfers_repeated"] == 1
+    assert counts["kind", "bytes_sent"] == 3 * DATAGRAM_BYTES
+    assert counts["kind", "bytes_repeated"] == DATAGRAM_BYTES
+    sent = [fields for event, fields in events if event == "changes_sent"]
+    assert [(x["target"], x["repeated"]) for x in sent] == [
+        ("a", False),
+        ("b", False),
+        ("a", True),
+    ]
+
+
+def test_a_copy_that_is_late_tells_how_often_it_asked():
+    async def scenario(store, writer, copy):
+        await asyncio.sleep(0.5)
+        relay = make_relay(copy)
+        for now in (10.0, 10.4, 10.7, 10.9):
+            relay.request_changes({"kind": copy.revision + 1}, SOURCE, now)
+            relay.tick(now)
+        copy.set_parked(True)
+        transfer = CopyTransfer("kind", copy.revision, copy.revision + 1, [])
+        relay.use_transfer(transfer, SOURCE, 11.0)
+        relay.use_transfer(transfer, SOURCE, 11.1)
+        return relay.counts, relay._log.events
+
+    counts, events = run_scenario(scenario)
+    assert counts["kind", "requests_sent"] == 3
+    assert counts["kind", "requests_repeated"] == 2
+    assert counts["kind", "late"] == 1
+    assert counts["kind", "transfers_used"] == 1
+    assert counts["kind", "transfers_unused"] == 1
+    (late,) = [fields for event, fields in events if event == "changes_late"]
+    assert late["requests"] == 3
+    (received,) = [fields for event, fields in events if event == "changes_received"]
+    assert (received["requests"], received["behind_seconds"]) == (3, 1.0)
+    metrics = GatewayMetrics()
+    metrics.set_transfers(counts)
+    assert b'event="requests_sent",kind="kind"} 3.0' in metrics.render()
