Carry changes between instances in numbered pieces, and repair only lost ones

Cause: a change travelled as one datagram of up to 65,507 bytes, in dozens of fragments of which none may be lost; larger ones were not sent. Followers asked again every 0.3 s and got the whole change each time, and after 0.8 s all of them read the store.

Change: a transfer is cut into pieces of 1,200 bytes, which fit into one packet even with 100 bytes of a tunnel. The receiver requests pieces, 8 on their way at most, so the sender keeps no state but its latest encoded transfers (16 MB at most) and its rate is bounded (2.5 MB/s). Pieces that later requested ones overtook, or that were not answered within a measured time, are requested again. A receipt goes on with the next granter after 0.6 s of silence: changes between two revisions are the same bytes at every instance (the latest change of each object, by name). A transfer is used only whole, if its checksum and its header are right. Pieces that were not asked for, overlap, disagree, come twice or are of another version are dropped and counted; memory grows with the bytes received, not with those announced (8 MB at most).

The simulated fleet has links with a bandwidth and loses packets of datagrams.

--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -22,6 +22,7 @@
     STALL_SECONDS,
     Fleet,
     InstanceRecord,
+    rank_hash,
 )
 from arbutusflow.gateway.followers import (
     CLAIM_SPREAD_SECONDS,
@@ -48,6 +49,7 @@
     TableRequest,
     TableTransfer,
 )
+from arbutusflow.gateway.pieces import PieceRequest, TransferPiece
 from arbutusflow.gateway.state_relay import StateRelay
 from arbutusflow.gateway.store_probes import StoreProbes
 from arbutusflow.gateway.store_watch import ObjectCopy
@@ -188,7 +190,10 @@
         self.copy.list_may_lag = True
         for copy in copies.values():
             copy.set_parked(True)
-        self.relay = StateRelay({FLEET_KIND: self.copy, **copies}, self.peers, log)
+        self.relay = StateRelay(
+            {FLEET_KIND: self.copy, **copies}, self.peers, log, self._loop.time()
+        )
+        self.relay.sources = self._relay_sources
         self.probes = StoreProbes(store, self.relay.copies, self.report_to_fleet)
         self.fleet = Fleet(own_record, self.copy, self.peers, self._loop.time())
         self.followers = Followers()
@@ -665,9 +670,13 @@
                 if reply is not None:
                     self.peers.send(reply, [source])
             case CopyRequest():
-                self.relay.send_changes(message, source)
+                self.relay.send_changes(message, source, now)
             case CopyTransfer():
                 self.relay.use_transfer(message, source, now)
+            case TransferPiece():
+                self.relay.accept_piece(message, source, now)
+            case PieceRequest():
+                self.relay.send_pieces(message, source, now)
             case FollowerReport():
                 self._on_follower_report(message, source, now)
             case FleetDigest():
@@ -694,6 +703,15 @@
         self._request_tables(digest.tables, source, 0.0, now)
         self._workload.apply_digest(digest, self._reported_in_flight)
 
+    def _relay_sources(self) -> list[Address]:
+        """Return the granters that may send copies, those of the own zone first."""
+        own = self.fleet.own_record
+        records = sorted(
+            self.fleet.others(),
+            key=lambda r: (r.zone != own.zone, rank_hash(own.name, r.name)),
+        )
+        return [Address(r.host, r.port) for r in records]
+
     def _request_tables(
         self, tables: dict[str, int], source: Address, delay: float, now: float
     ) -> None:
--- a/arbutusflow/gateway/peers.py
+++ b/arbutusflow/gateway/peers.py
@@ -17,6 +17,7 @@
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.key_table import KeyRange, KeyTable
 from arbutusflow.gateway.model import Address
+from arbutusflow.gateway.pieces import PieceRequest, TransferPiece
 
 ALIVE_SECONDS = 2.0  # Even in a large fleet, one report may be lost within this time.
 # Links are narrow, and bytes across zones are priced.
@@ -173,6 +174,8 @@
     | TableChanged
     | CopyRequest
     | CopyTransfer
+    | TransferPiece
+    | PieceRequest
     | FollowerReport
     | FleetDigest
 )
@@ -252,7 +255,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decode a message and pass it to its handler."""
         try:
-            message = self._decoder.decode(_decompress(data))
+            message = self.decode(data)
         except (msgspec.MsgspecError, zlib.error) as exc:
             self._log.write_rate_limited(
                 "peer_report_malformed", source=addr[0], detail=str(exc)
@@ -304,9 +307,9 @@
         """
         if self._transport is None:
             return 0
-        data = self._encoder.encode(message)
-        if len(data) >= MIN_COMPRESSED_BYTES:
-            data = COMPRESSED_MARK + zlib.compress(data, COMPRESSION_LEVEL)
+        # Pieces are parts of compressed bytes.
+        is_piece = isinstance(message, TransferPiece)
+        data = self._encoder.encode(message) if is_piece else self.encode(message)
         if len(data) > MAX_DATAGRAM_BYTES:
             self._log.write_rate_limited(
                 "peer_message_too_large", kind=type(message).__name__, bytes=len(data)
@@ -316,6 +319,21 @@
             self._transport.sendto(data, (target.host, target.port))
         return len(data)
 
+    def encode(self, message: Message) -> bytes:
+        """Return a message in bytes, compressed if that saves any."""
+        data = self._encoder.encode(message)
+        if len(data) >= MIN_COMPRESSED_BYTES:
+            data = COMPRESSED_MARK + zlib.compress(data, COMPRESSION_LEVEL)
+        return data
+
+    def decode(self, data: bytes) -> Message:
+        """Return the message of some bytes.
+
+        Raises msgspec.MsgspecError or zlib.error. Takes at most `MAX_MESSAGE_BYTES` of
+        memory for the decompressed bytes.
+        """
+        return self._decoder.decode(_decompress(data))
+
     def alive(self, now: float) -> list[PeerState]:
         """Return the instances that sent a report recently."""
         return [p for p in self.peers.values() if now - p.received_at < ALIVE_SECONDS]
--- a/arbutusflow/gateway/state_relay.py
+++ b/arbutusflow/gateway/state_relay.py
@@ -4,12 +4,21 @@
 with the fleet. So does an instance that starts while the store is unreachable, or in a
 zone that is cut off from it.
 
-Invariants: changes are applied only to the revision that they are based on, and a copy
-never returns to an earlier revision. Objects from another instance do not give the
-right to grant keys, because the receiver is not registered or has no contact.
+Changes travel in pieces (see `pieces`), which the receiver requests. Its receipt goes
+on with another source when one falls silent. One receipt is under way for each kind;
+later changes are requested when it has ended.
+
+Invariants: changes are applied only to the revision that they are based on, whole, and
+only if their checksum is right; a copy never returns to an earlier revision. Objects
+from another instance do not give the right to grant keys, because the receiver is not
+registered or has no contact.
 """
 
 import collections
+import zlib
+from collections.abc import Callable, Iterable
+
+import msgspec
 
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.model import Address
@@ -19,6 +28,16 @@
     PackedChange,
     PeerReports,
 )
+from arbutusflow.gateway.piece_receipt import Receipt
+from arbutusflow.gateway.pieces import (
+    MAX_TRANSFER_BYTES,
+    WINDOW_PIECES,
+    OutgoingTransfer,
+    PieceRequest,
+    SendRate,
+    TransferCache,
+    TransferPiece,
+)
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform.store import Change, StoredObject
 
@@ -26,6 +45,14 @@
 # A copy that stays behind for this long is read from the store instead. Two requests
 # or their answers may be lost before.
 MAX_BEHIND_SECONDS = 0.8
+# Unanswered requests to the instance that told of changes before others are asked.
+TRIES_WITH_TELLER = 2
+# A receipt without a new piece for this long goes on with another source: longer than a
+# request that is lost takes to be repeated.
+SOURCE_SILENCE_SECONDS = 0.6
+# A receipt that no source continues is given up.
+RECEIPT_EXPIRY_SECONDS = 5.0
+MAX_ASKED_SOURCES = 4  # Whose pieces may begin a receipt.
 MAX_KNOWN_RECEIVERS = 256  # Bounds the memory for telling repeats.
 MIN_LOGGED_BYTES = 8192  # Smaller transfers are frequent, and are only counted.
 
@@ -34,11 +61,22 @@
     """Requests changes of objects from other instances, and answers their requests."""
 
     def __init__(
-        self, copies: dict[str, ObjectCopy], peers: PeerReports, log: EventLog
+        self,
+        copies: dict[str, ObjectCopy],
+        peers: PeerReports,
+        log: EventLog,
+        now: float,
     ) -> None:
         self.copies = copies
         self._peers = peers
         self._log = log
+        # Instances that may continue a receipt, best first.
+        self.sources: Callable[[], list[Address]] = list
+        self._receipts: dict[str, Receipt] = {}  # By kind.
+        # By kind: instances that were asked and may begin a receipt; latest last.
+        self._asked: dict[str, list[Address]] = {}
+        self._cache = TransferCache()
+        self._rate = SendRate(now)
         # By kind and event: requests, transfers, bytes and their repeats.
         self.counts: collections.Counter[tuple[str, str]] = collections.Counter()
         # By kind: requests for the changes that this copy is behind.
@@ -99,9 +137,13 @@
     def _request(
         self, kind: str, copy: ObjectCopy, source: Address, now: float
     ) -> None:
+        if kind in self._receipts:
+            return
         if now - self._requested_at.get(kind, -1e9) < REQUEST_INTERVAL_SECONDS:
             return
         self._requested_at[kind] = now
+        asked = [a for a in self._asked.get(kind, ()) if a != source]
+        self._asked[kind] = [*asked, source][-MAX_ASKED_SOURCES:]
         self.counts[kind, "requests_sent"] += 1
         if self._tries[kind]:
             self.counts[kind, "requests_repeated"] += 1
@@ -109,7 +151,11 @@
         self._peers.send(CopyRequest(kind, copy.revision), [source])
 
     def tick(self, now: float) -> None:
-        """Log copies that are late; called by a timer."""
+        """Repair receipts and log copies that are late; called by a timer."""
+        for receipt in list(self._receipts.values()):
+            self._maintain_receipt(receipt, now)
+        for kind in self._behind:
+            self._request_elsewhere(kind, now)
         for kind in self._behind.keys() - self._told_late:
             if self.is_behind(kind, now):
                 self._told_late.add(kind)
@@ -122,56 +168,231 @@
                     requests=self._tries[kind],
                 )
 
+    def _request_elsewhere(self, kind: str, now: float) -> None:
+        """Request changes from others if their teller does not answer."""
+        tries, others = self._tries[kind], self.sources()
+        if tries >= TRIES_WITH_TELLER and others:
+            source = others[tries % len(others)]
+            self._request(kind, self.copies[kind], source, now)
+
     def _note_caught_up(self, kind: str) -> None:
         self._behind.pop(kind, None)
         self._tries.pop(kind, None)
         self._told_late.discard(kind)
 
-    def send_changes(self, request: CopyRequest, source: Address) -> None:
-        """Send the changes since a revision or, if they are unknown, all objects."""
+    # Sending.
+
+    def send_changes(self, request: CopyRequest, source: Address, now: float) -> None:
+        """Send the first pieces of the changes since a revision.
+
+        If the changes are not known, they are those of all objects.
+        """
         copy = self.copies.get(request.kind)
         if copy is None or not copy.was_read:
             return
         self.counts[request.kind, "requests_received"] += 1
-        changes = copy.changes_since(request.revision)
-        base = request.revision
+        revision = copy.relayed_revision
+        if revision <= request.revision:
+            return
+        transfer = self._outgoing(request.kind, request.revision, revision)
+        if transfer is None:
+            transfer = self._outgoing(request.kind, 0, revision)
+        if transfer is not None:
+            sent = self._send_pieces(transfer, range(WINDOW_PIECES), source, now)
+            self._count_sent(transfer, sent, source)
+
+    def send_pieces(self, request: PieceRequest, source: Address, now: float) -> None:
+        """Send the requested pieces, or the first ones of what is known instead."""
+        copy = self.copies.get(request.kind)
+        if copy is None or not copy.was_read:
+            return
+        self.counts[request.kind, "piece_requests_received"] += 1
+        transfer = self._outgoing(request.kind, request.base, request.revision)
+        if transfer is not None and transfer.digest == request.digest:
+            self._send_pieces(transfer, request.numbers, source, now)
+        elif copy.relayed_revision > request.have:
+            self.send_changes(CopyRequest(request.kind, request.have), source, now)
+
+    def _outgoing(self, kind: str, base: int, revision: int) -> OutgoingTransfer | None:
+        """Return the changes between two revisions, if known and not too large.
+
+        From base 0, they are all objects.
+        """
+        if base >= revision:
+            return None
+        known = self._cache.get(kind, base, revision)
+        if known is not None:
+            return known
+        copy = self.copies[kind]
+        changes = copy.changes_between(base, revision)
+        if changes is None and not base and revision == copy.relayed_revision:
+            objects = sorted(copy.relayed_objects(), key=lambda item: item.name)
+            changes = [Change(item, removed=False) for item in objects]
         if changes is None:
-            changes = [Change(item, removed=False) for item in copy.relayed_objects()]
-            base = 0
+            return None
         packed = [_pack(change) for change in changes]
-        revision = copy.relayed_revision
-        sent_bytes = self._peers.send(
-            CopyTransfer(request.kind, base, revision, packed), [source]
-        )
-        self._count_sent(request.kind, base, revision, sent_bytes, source)
+        data = self._peers.encode(CopyTransfer(kind, base, revision, packed))
+        if len(data) > MAX_TRANSFER_BYTES:
+            self.counts[kind, "transfers_too_large"] += 1
+            self._log.write_rate_limited(
+                "transfer_too_large", kind=kind, bytes=len(data)
+            )
+            return None
+        transfer = OutgoingTransfer.from_data(kind, base, revision, data)
+        self._cache.add(transfer)
+        return transfer
+
+    def _send_pieces(
+        self,
+        transfer: OutgoingTransfer,
+        numbers: Iterable[int],
+        target: Address,
+        now: float,
+    ) -> int:
+        """Send pieces as far as the rate allows it; return their bytes."""
+        kind, total = transfer.kind, 0
+        for piece in transfer.pieces(numbers):
+            if not self._rate.allows(len(piece.data), now):
+                self.counts[kind, "pieces_over_rate"] += 1
+                continue
+            sent_bytes = self._peers.send(piece, [target])
+            total += sent_bytes
+            self.counts[kind, "pieces_sent"] += 1
+            self.counts[kind, "bytes_sent"] += sent_bytes
+        return total
 
     def _count_sent(
-        self, kind: str, base: int, revision: int, sent_bytes: int, target: Address
+        self, transfer: OutgoingTransfer, sent_bytes: int, target: Address
     ) -> None:
-        if not sent_bytes:
-            self.counts[kind, "transfers_too_large"] += 1
-            return
-        key, transfer = (target, kind), (base, revision)
-        repeated = self._latest_sent.pop(key, None) == transfer
+        """Count that a transfer was begun; it is repeated if that was the latest."""
+        kind = transfer.kind
+        key, identity = (target, kind), (transfer.base, transfer.revision)
+        repeated = self._latest_sent.pop(key, None) == identity
         while len(self._latest_sent) >= MAX_KNOWN_RECEIVERS:
             del self._latest_sent[next(iter(self._latest_sent))]
-        self._latest_sent[key] = transfer
+        self._latest_sent[key] = identity
         self.counts[kind, "transfers_sent"] += 1
-        self.counts[kind, "bytes_sent"] += sent_bytes
         if repeated:
             self.counts[kind, "transfers_repeated"] += 1
             self.counts[kind, "bytes_repeated"] += sent_bytes
-        if repeated or sent_bytes >= MIN_LOGGED_BYTES:
+        if repeated or len(transfer.data) >= MIN_LOGGED_BYTES:
             self._log.write_rate_limited(
                 "changes_sent",
                 kind=kind,
-                base=base,
-                revision=revision,
-                bytes=sent_bytes,
+                base=transfer.base,
+                revision=transfer.revision,
+                bytes=len(transfer.data),
                 target=target.host,
                 repeated=repeated,
             )
 
+    # Receiving.
+
+    def accept_piece(self, piece: TransferPiece, source: Address, now: float) -> None:
+        """Store a piece of a transfer, request what is missing, and apply the whole."""
+        kind = piece.kind
+        if kind not in self.copies:
+            return  # Not counted: names from other instances are not bounded.
+        receipt, reason = self._receipt_for(piece, source, now)
+        if receipt is not None:
+            reason = receipt.accept(piece, now)
+        self.counts[kind, f"pieces_{reason}"] += 1
+        if receipt is None or reason != "used":
+            return
+        if receipt.is_complete:
+            self._complete(receipt, now)
+        else:
+            self._request_pieces(receipt, now)
+
+    def _receipt_for(
+        self, piece: TransferPiece, source: Address, now: float
+    ) -> tuple[Receipt | None, str]:
+        """Return the receipt that a piece belongs to, or why it belongs to none."""
+        copy, receipt = self.copies[piece.kind], self._receipts.get(piece.kind)
+        if not piece.is_valid:
+            return None, "invalid"
+        if piece.revision <= copy.revision or piece.base > copy.revision:
+            return None, "outdated"
+        if receipt is not None:
+            if receipt.belongs(piece):
+                return receipt, ""
+            # A source that cannot continue the transfer sends what it has instead.
+            replaces = piece.revision > receipt.revision or (
+                receipt.awaits_source and piece.revision == receipt.revision
+            )
+            if source != receipt.source or not replaces:
+                return None, "of_other_transfer"
+            self.counts[piece.kind, "receipts_replaced"] += 1
+        elif source not in self._asked.get(piece.kind, ()):
+            return None, "unasked"
+        receipt = self._receipts[piece.kind] = Receipt(piece, source, now)
+        return receipt, ""
+
+    def _request_pieces(self, receipt: Receipt, now: float) -> None:
+        before = receipt.repeated
+        request = receipt.request(self.copies[receipt.kind].revision, now)
+        if request is not None:
+            self.counts[receipt.kind, "piece_requests_sent"] += 1
+            repeated = receipt.repeated - before
+            self.counts[receipt.kind, "pieces_requested_again"] += repeated
+            self._peers.send(request, [receipt.source])
+
+    def _maintain_receipt(self, receipt: Receipt, now: float) -> None:
+        """Request lost pieces again, from another source if this one is silent."""
+        if receipt.revision <= self.copies[receipt.kind].revision:
+            self._drop(receipt, "overtaken", now)
+            return
+        if now - receipt.progress_at >= RECEIPT_EXPIRY_SECONDS:
+            self._drop(receipt, "silent", now)
+            return
+        silent_since = max(receipt.progress_at, receipt.source_since)
+        if now - silent_since >= SOURCE_SILENCE_SECONDS:
+            others = self.sources()
+            # In turn: the first of them may be silent as well.
+            index = others.index(receipt.source) + 1 if receipt.source in others else 0
+            if others:
+                receipt.continue_from(others[index % len(others)], now)
+                self.counts[receipt.kind, "sources_changed"] += 1
+        receipt.expire(now)
+        self._request_pieces(receipt, now)
+
+    def _drop(self, receipt: Receipt, reason: str, now: float) -> None:
+        """Give up a receipt, so that changes are requested anew."""
+        del self._receipts[receipt.kind]
+        self._requested_at.pop(receipt.kind, None)
+        self.counts[receipt.kind, f"receipts_{reason}"] += 1
+        if reason != "overtaken":
+            self._log.write_rate_limited(
+                "receipt_given_up",
+                kind=receipt.kind,
+                revision=receipt.revision,
+                reason=reason,
+                source=receipt.source.host,
+            )
+
+    def _complete(self, receipt: Receipt, now: float) -> None:
+        data = receipt.data()
+        if data is None:
+            self._drop(receipt, "bad_checksum", now)
+            return
+        try:
+            message = self._peers.decode(data)
+        except (msgspec.MsgspecError, zlib.error) as exc:
+            self._log.write_rate_limited("transfer_malformed", detail=str(exc))
+            self._drop(receipt, "malformed", now)
+            return
+        header = receipt.kind, receipt.base, receipt.revision
+        if not isinstance(message, CopyTransfer) or header != (
+            message.kind,
+            message.base,
+            message.revision,
+        ):
+            self._drop(receipt, "malformed", now)
+            return
+        del self._receipts[receipt.kind]
+        self.counts[receipt.kind, "receipts_complete"] += 1
+        self.use_transfer(message, receipt.source, now)
+
     def use_transfer(self, message: CopyTransfer, source: Address, now: float) -> None:
         """Apply changes or objects that another instance sent."""
         copy = self.copies.get(message.kind)
@@ -188,6 +409,7 @@
             message, source, behind_seconds, used=copy.revision > before
         )
         self._note_caught_up(message.kind)
+        self._asked.pop(message.kind, None)
         # The next report tells whether there are further changes.
         self._requested_at.pop(message.kind, None)
 
--- a/arbutusflow/gateway/store_watch.py
+++ b/arbutusflow/gateway/store_watch.py
@@ -141,15 +141,27 @@
             if name.startswith(self._relayed_prefix)
         ]
 
-    def changes_since(self, revision: int) -> list[Change] | None:
-        """Return the changes after a revision, or None if they are not known."""
-        if not self._batches or revision < self._batches[0].base or not revision:
+    def changes_between(self, base: int, revision: int) -> list[Change] | None:
+        """Return the changes from one revision to another, or None if not known.
+
+        All copies that know them return the same: the latest change of each object,
+        by name.
+        """
+        if not self._batches or not self._batches[0].base <= base or not base:
+            return None
+        if revision > self.revision:
             return None
+        latest: dict[str, Change] = {}
+        for batch in self._batches:
+            if batch.revision <= base or batch.base >= revision:
+                continue
+            if batch.revision > revision:
+                return None  # It does not tell which of its changes came later.
+            latest.update((change.object.name, change) for change in batch.changes)
         return [
             change
-            for batch in self._batches
-            if batch.revision > revision
-            for change in batch.changes
+            for _, change in sorted(latest.items())
+            if change.removed or change.object.revision > base
         ]
 
     def _keep_batch(self, base: int, revision: int, changes: Iterable[Change]) -> None:
--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -1,16 +1,19 @@
 """Simulation of several instances with a store and endpoints in virtual time.
 
 Store calls, datagrams and orders to endpoints can be blocked, delayed, lost or answered
-late. Endpoints reject grants with a token lower than an earlier one. Every grant that
-an endpoint applies is checked: no other endpoint may hold one of its keys.
+late. Links can have a bandwidth: bytes wait for those before them. A datagram that is
+larger than a packet is lost if any of its fragments is. Endpoints reject grants with a
+token lower than an earlier one. Every grant that an endpoint applies is checked: no
+other endpoint may hold one of its keys.
 """
 
 import asyncio
 import contextlib
 import dataclasses
+import math
 import os
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import msgspec
@@ -33,6 +36,8 @@
 # Received datagrams that the kernel keeps for a suspended instance. Fewer than on a
 # real host, because there are fewer instances that send any.
 MAX_UNREAD_DATAGRAMS = 10
+PACKET_BYTES = 1480  # Of a datagram, at an MTU of 1,500 bytes.
+PACKET_HEADER_BYTES = 20
 SERVICE = "registry"
 SAMPLED_KEYS = tuple(range(0, 65536, 512))
 OTHER_KIND = "config"  # Objects that no instance writes.
@@ -53,6 +58,19 @@
         self.transit_seconds = 0.004  # Per call, and again for the reply of a watch.
         self.lag_seconds = 0.0  # Delay of watches that may lag.
         self.changed = asyncio.Event()
+        # Seconds until an answer of some bytes has reached an instance.
+        self.transfer_seconds: Callable[[str, int], float] = lambda name, size: 0.0
+        self._sizes: dict[tuple[str, int], int] = {}
+
+    def size_of(self, items: Iterable[StoredObject]) -> int:
+        """Return the bytes of an answer with these objects."""
+        total = 0
+        for item in items:
+            key = item.name, item.revision
+            if key not in self._sizes:
+                self._sizes[key] = len(msgspec.json.encode(item.raw))
+            total += self._sizes[key]
+        return total
 
     def changes_since(self, revision: int, kind: str) -> tuple[Change, ...]:
         """Return the changes of one kind after a revision."""
@@ -60,7 +78,7 @@
             c for r, c in self.history if r > revision and _is_of_kind(c.object, kind)
         )
 
-    def write_other(self, value: int) -> None:
+    def write_other(self, value: Any) -> None:
         """Write the object that all instances have to learn."""
         self.revision += 1
         spec = {"value": value}
@@ -108,8 +126,15 @@
         may_lag: bool = False,
     ) -> Snapshot:
         await self._reach_store()
-        items = (i for i in self._store.objects.values() if _is_of_kind(i, kind))
-        return Snapshot(tuple(items), self._store.revision)
+        objects = self._store.objects.values()
+        items = tuple(i for i in objects if _is_of_kind(i, kind))
+        revision = self._store.revision
+        await self._receive(items)
+        return Snapshot(items, revision)
+
+    async def _receive(self, items: Iterable[StoredObject]) -> None:
+        size = self._store.size_of(items)
+        await asyncio.sleep(self._store.transfer_seconds(self._name, size))
 
     async def watch(
         self,
@@ -131,7 +156,9 @@
                 while not store.changes_since(revision, kind):
                     await store.changed.wait()
         await self._reach_store()
-        return Changes(store.changes_since(revision, kind), store.revision)
+        result = Changes(store.changes_since(revision, kind), store.revision)
+        await self._receive(change.object for change in result.changes)
+        return result
 
     async def probe(self, timeout: float) -> None:
         self.probes += 1
@@ -330,7 +357,9 @@
             target[0],
         ) in sim.blocked_datagrams or sim.rng.random() < sim.datagram_loss:
             return
-        sim.call_later(0.002, lambda: sim.deliver(self.sender, target[0], data))
+        seconds, arrives = sim.carry(self.sender, target[0], len(data))
+        if arrives:
+            sim.call_later(seconds, lambda: sim.deliver(self.sender, target[0], data))
 
 
 class _Workload:
@@ -382,6 +411,8 @@
         # Datagrams that arrive while it is suspended; later ones are dropped.
         self.unread: list[tuple[str, bytes]] = []
         self.stopped = False
+        # By revision of `OTHER_KIND`: when it was in force here.
+        self.in_force_at: dict[int, float] = {}
         life = sim.rng.getrandbits(40)
         log, client = EventLog(name, fd=sim.log_fd), SimStoreClient(sim.store, name)
         copies = {}
@@ -390,7 +421,7 @@
                 client,  # type: ignore[arg-type]
                 OTHER_KIND,
                 WATCH_SECONDS,
-                lambda: None,
+                self._note_other,
                 log,
                 random.Random(life + 1),
             )
@@ -412,6 +443,11 @@
             *(asyncio.create_task(copy.run()) for copy in copies.values()),
         ]
 
+    def _note_other(self) -> None:
+        item = self.other_copy.objects.get(OTHER_NAME)
+        if item is not None:
+            self.in_force_at.setdefault(item.revision, self.sim.now)
+
     async def _run(self) -> None:
         count = 0
         while True:
@@ -476,6 +512,12 @@
         self.blocked_orders: set[tuple[str, str]] = set()
         self.blocked_datagrams: set[tuple[str, str]] = set()
         self.datagram_loss = 0.01  # Share of datagrams that are lost.
+        self.packet_loss = 0.0  # Share of the packets of datagrams that are lost.
+        # By instance: bandwidth of its link, the same in both directions.
+        self.link_bytes_per_second: dict[str, float] = {}
+        self.store_bytes_per_second = math.inf
+        self.datagram_bytes = 0  # Sent by all instances.
+        self._link_free_at: dict[str, float] = {}
         self.late_grant_share = 0.0
         # Share of the grants on pooled connections that are applied late although an
         # answer arrives at once.
@@ -547,6 +589,42 @@
         """Call `action` after a delay in virtual time."""
         self.loop.call_later(seconds, action)
 
+    def set_links(
+        self, bytes_per_second: dict[str, float], store_bytes_per_second: float
+    ) -> None:
+        """Give the links of instances and of the store a bandwidth."""
+        self.link_bytes_per_second = bytes_per_second
+        self.store_bytes_per_second = store_bytes_per_second
+        self.store.transfer_seconds = self._answer_seconds
+
+    def carry(self, sender: str, target: str, size: int) -> tuple[float, bool]:
+        """Return after how many seconds a datagram arrives, and whether it does."""
+        packets = math.ceil(size / PACKET_BYTES)
+        size += packets * PACKET_HEADER_BYTES
+        self.datagram_bytes += size
+        arrived = self._pass(f"{sender} out", self._rate(sender), size, self.now)
+        # No random number without loss, so that other scenarios keep their course.
+        share = self.packet_loss
+        lost = share > 0 and self.rng.random() >= (1 - share) ** packets
+        if not lost:
+            arrived = self._pass(f"{target} in", self._rate(target), size, arrived)
+        return arrived - self.now + 0.002, not lost
+
+    def _rate(self, instance: str) -> float:
+        return self.link_bytes_per_second.get(instance, math.inf)
+
+    def _pass(self, link: str, rate: float, size: int, start: float) -> float:
+        """Return when the bytes have passed a link that they reach at `start`."""
+        start = max(start, self._link_free_at.get(link, 0.0))
+        self._link_free_at[link] = start + size / rate
+        return self._link_free_at[link]
+
+    def _answer_seconds(self, instance: str, size: int) -> float:
+        sent = self._pass("store out", self.store_bytes_per_second, size, self.now)
+        rate = self._rate(instance)
+        # The last byte cannot arrive before it was sent; others arrive meanwhile.
+        return max(sent, self._pass(f"{instance} in", rate, size, self.now)) - self.now
+
     def deliver(self, sender: str, target: str, data: bytes) -> None:
         """Deliver a datagram; a suspended instance receives it after it resumes."""
         instance = self.instances.get(target)
--- a/tests/gateway/test_state_relay.py
+++ b/tests/gateway/test_state_relay.py
@@ -5,27 +5,34 @@
 """
 
 import asyncio
+import random
 
 from arbutusflow.gateway.metrics import GatewayMetrics
 from arbutusflow.gateway.model import Address
-from arbutusflow.gateway.peers import CopyRequest, CopyTransfer
+from arbutusflow.gateway.peers import CopyRequest, CopyTransfer, PeerReports
 from arbutusflow.gateway.state_relay import MAX_BEHIND_SECONDS, StateRelay
 from tests.gateway.fakes import FakeLog
 from tests.gateway.test_store_watch import run_scenario
 
 SOURCE = Address("h", 1)
-DATAGRAM_BYTES = 30_000
 
 
-class FakePeers:
-    """Accepts messages and sends none."""
+class Link:
+    """Transport that keeps the datagrams."""
 
-    def send(self, message, targets):
-        return DATAGRAM_BYTES
+    def __init__(self):
+        self.sent = []
+
+    def sendto(self, data, target):
+        self.sent.append(data)
 
 
 def make_relay(copy):
-    return StateRelay({"kind": copy}, FakePeers(), FakeLog())
+    peers = PeerReports("n0", 1, lambda *_: None, lambda *_: None, FakeLog())
+    peers.connection_made(Link())
+    relay = StateRelay({"kind": copy}, peers, FakeLog(), 0.0)
+    relay.link = peers._transport
+    return relay
 
 
 def test_a_copy_tells_how_its_latest_objects_arrived():
@@ -71,20 +78,21 @@
 
     async def scenario(store, writer, copy):
         await asyncio.sleep(0.5)
-        await writer.create("kind", "a", 1)
+        await writer.create("kind", "a", random.Random(1).randbytes(20_000).hex())
         await asyncio.sleep(0.1)
         relay = make_relay(copy)
         for target in ("a", "b", "a"):
             request = CopyRequest("kind", copy.revision - 1)
-            relay.send_changes(request, Address(target, 1))
-        return relay.counts, relay._log.events
+            relay.send_changes(request, Address(target, 1), 0.0)
+        return relay.counts, relay._log.events, relay.link.sent
 
-    counts, events = run_scenario(scenario)
+    counts, events, datagrams = run_scenario(scenario)
     assert counts["kind", "requests_received"] == 3
     assert counts["kind", "transfers_sent"] == 3
     assert counts["kind", "transfers_repeated"] == 1
-    assert counts["kind", "bytes_sent"] == 3 * DATAGRAM_BYTES
-    assert counts["kind", "bytes_repeated"] == DATAGRAM_BYTES
+    size = sum(map(len, datagrams))
+    assert counts["kind", "bytes_sent"] == size
+    assert counts["kind", "bytes_repeated"] == size / 3
     sent = [fields for event, fields in events if event == "changes_sent"]
     assert [(x["target"], x["repeated"]) for x in sent] == [
         ("a", False),
