Take changes from others while the store is read, and spread the reads of followers

Cause: a follower that was behind for 0.8 s read the store and took no changes from others meanwhile; all did so at the same moment, when the store's link was busiest.

Change: a copy that is read takes what arrives first, from whichever side. A copy of which only some objects are relayed (the records) does not, because its watch would miss the others. A watch that relayed changes have overtaken is repeated without a list of all objects. A granter that reads because it is behind asks on. Followers read 0 to 0.5 s later than granters, by a hash of their name, and not while pieces are arriving, until 3 s behind. A read that was begun is not given up, because calls are priced.

Tests: the five new ones fail before.

--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -50,7 +50,7 @@
     TableTransfer,
 )
 from arbutusflow.gateway.pieces import PieceRequest, TransferPiece
-from arbutusflow.gateway.state_relay import StateRelay
+from arbutusflow.gateway.state_relay import READ_SPREAD_SECONDS, StateRelay
 from arbutusflow.gateway.store_probes import StoreProbes
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform.store import StoreClient
@@ -194,6 +194,8 @@
             {FLEET_KIND: self.copy, **copies}, self.peers, log, self._loop.time()
         )
         self.relay.sources = self._relay_sources
+        share = rank_hash(own_record.name) % 1000 / 1000
+        self._read_delay = READ_SPREAD_SECONDS * share  # As a follower.
         self.probes = StoreProbes(store, self.relay.copies, self.report_to_fleet)
         self.fleet = Fleet(own_record, self.copy, self.peers, self._loop.time())
         self.followers = Followers()
@@ -254,6 +256,7 @@
 
     def _update_watch_modes(self, now: float) -> None:
         """Call the store for each copy only as often as the current roles require."""
+        self.relay.read_delay = 0.0 if self.fleet.registered else self._read_delay
         for kind, copy in self.relay.copies.items():
             if not self.fleet.registered:
                 copy.set_watch_mode(
@@ -763,7 +766,8 @@
         """Request changes of the copies that this granter does not watch."""
         is_same_zone = record is not None and record.zone == self.fleet.own_record.zone
         for kind, copy in self.relay.copies.items():
-            if not copy.parked:
+            # A copy that is read because it is behind still takes what arrives first.
+            if not copy.parked and not self.relay.is_behind(kind, now):
                 continue
             # The watcher of the zone may have lost the store without noticing.
             delay = OTHER_ZONE_EXTRA_DELAY_SECONDS
--- a/arbutusflow/gateway/state_relay.py
+++ b/arbutusflow/gateway/state_relay.py
@@ -42,9 +42,15 @@
 from arbutusflow.platform.store import Change, StoredObject
 
 REQUEST_INTERVAL_SECONDS = 0.3  # Longer than a request and its answer take.
-# A copy that stays behind for this long is read from the store instead. Two requests
+# A copy that stays behind for this long is read from the store as well. Two requests
 # or their answers may be lost before.
 MAX_BEHIND_SECONDS = 0.8
+# Followers read the store later, spread over this time: their granters do so before,
+# and those that have read it free the links of the others.
+READ_SPREAD_SECONDS = 0.5
+# A receipt that goes on ends before an answer of the store, which uses the same link.
+RECEIPT_PROGRESS_SECONDS = 0.25
+MAX_RECEIPT_SECONDS = 3.0  # After this time behind, the store is read in any case.
 # Unanswered requests to the instance that told of changes before others are asked.
 TRIES_WITH_TELLER = 2
 # A receipt without a new piece for this long goes on with another source: longer than a
@@ -72,6 +78,8 @@
         self._log = log
         # Instances that may continue a receipt, best first.
         self.sources: Callable[[], list[Address]] = list
+        # How much later than others this instance reads the store, in seconds.
+        self.read_delay = 0.0
         self._receipts: dict[str, Receipt] = {}  # By kind.
         # By kind: instances that were asked and may begin a receipt; latest last.
         self._asked: dict[str, list[Address]] = {}
@@ -125,9 +133,19 @@
                     self._request(kind, copy, source, now)
 
     def is_behind(self, kind: str, now: float) -> bool:
-        """Return whether changes of a kind did not arrive in time."""
-        behind = self._behind.get(kind)
-        return behind is not None and now - behind[1] >= MAX_BEHIND_SECONDS
+        """Return whether changes of a kind did not arrive in time.
+
+        They are then read from the store, unless they are arriving.
+        """
+        if kind in self._told_late:
+            return True  # A call to the store that was begun is not given up.
+        behind = self.behind_seconds(kind, now)
+        if behind < MAX_BEHIND_SECONDS + self.read_delay:
+            return False
+        receipt = self._receipts.get(kind)
+        if receipt is None or behind >= MAX_RECEIPT_SECONDS:
+            return True
+        return now - receipt.progress_at >= RECEIPT_PROGRESS_SECONDS
 
     def behind_seconds(self, kind: str, now: float) -> float:
         """Return how long ago another instance told of later objects; 0 if none."""
--- a/arbutusflow/gateway/store_watch.py
+++ b/arbutusflow/gateway/store_watch.py
@@ -200,7 +200,9 @@
 
     @property
     def _accepts_relayed(self) -> bool:
-        return self.parked or not self.was_read
+        # A copy of which only some objects are relayed would miss changes of the others
+        # if its own watch went on from the relayed revision.
+        return self.parked or not self.was_read or not self._relayed_prefix
 
     def _end_relayed_update(self, revision: int, updated_by: str) -> None:
         self.revision = revision
@@ -359,12 +361,14 @@
         wait, may_lag = self.wait_seconds, self.may_lag and not self._next_watch_current
         self._next_watch_current = False
         self._progress = ResponseProgress(RECEIVE_STALL_SECONDS)
+        watched = self.revision
         result = await self._store.watch(
-            self._kind, self.revision, wait, self._progress, may_lag=may_lag
+            self._kind, watched, wait, self._progress, may_lag=may_lag
         )
         elapsed = loop.time() - started
         if result.revision < self.revision:
-            self._list_needed = True
+            # Another instance may have sent later changes meanwhile.
+            self._list_needed = self.revision == watched
             return
         self._log_unreadable([c.object for c in result.changes], result.left_out)
         for change in result.changes:
--- a/tests/gateway/test_state_relay.py
+++ b/tests/gateway/test_state_relay.py
@@ -5,14 +5,25 @@
 """
 
 import asyncio
+import dataclasses
 import random
 
+import pytest
+
 from arbutusflow.gateway.metrics import GatewayMetrics
 from arbutusflow.gateway.model import Address
 from arbutusflow.gateway.peers import CopyRequest, CopyTransfer, PeerReports
-from arbutusflow.gateway.state_relay import MAX_BEHIND_SECONDS, StateRelay
+from arbutusflow.gateway.state_relay import (
+    MAX_BEHIND_SECONDS,
+    READ_SPREAD_SECONDS,
+    RECEIPT_PROGRESS_SECONDS,
+    StateRelay,
+)
 from tests.gateway.fakes import FakeLog
+from tests.gateway.sim_fleet import run_fleet
+from tests.gateway.test_pieces import KIND, Network, two_nodes
 from tests.gateway.test_store_watch import run_scenario
+from tests.gateway.virtual_time import run
 
 SOURCE = Address("h", 1)
 
@@ -127,3 +138,87 @@
     metrics = GatewayMetrics()
     metrics.set_transfers(counts)
     assert b'event="requests_sent",kind="kind"} 3.0' in metrics.render()
+
+
+@pytest.mark.parametrize("seconds", [0.3, 0.6])
+def test_a_copy_that_is_read_from_the_store_takes_changes_of_others(seconds):
+    """Guards against changes that arrive but wait for a slow answer of the store."""
+
+    async def scenario(store, writer, copy):
+        await asyncio.sleep(0.5)
+        item = await writer.create("kind", "a", 1)
+        await asyncio.sleep(0.1)
+        store.transfer_seconds = lambda name, size: seconds
+        first = copy.revision
+        store.revision += 5
+        copy.list_now()
+        await asyncio.sleep(0.05)
+        assert not copy.parked
+        later = dataclasses.replace(item, revision=first + 10, spec=2, raw={"spec": 2})
+        transfer = CopyTransfer("kind", first, first + 10, [_packed(later)])
+        make_relay(copy).use_transfer(transfer, SOURCE, 0.0)
+        in_force = [copy.objects["a"].spec]
+        await asyncio.sleep(1.0)  # The answer of the store is older.
+        in_force.append(copy.objects["a"].spec)
+        return in_force, copy.revision - first
+
+    assert run_scenario(scenario) == ([2, 2], 10)
+
+
+def test_a_watch_that_others_have_overtaken_needs_no_list():
+    """Guards against a priced call for all objects after each relayed change."""
+
+    async def scenario(store, writer, copy):
+        await asyncio.sleep(0.5)
+        item = await writer.create("kind", "a", 1)
+        await asyncio.sleep(0.1)
+        first, lists = copy.revision, []
+        store.transfer_seconds = lambda name, size: lists.append(name) or 0.3
+        await writer.create("kind", "b", 1)
+        await asyncio.sleep(0.05)  # Its answer is on its way.
+        later = dataclasses.replace(item, revision=first + 10, spec=2, raw={"spec": 2})
+        transfer = CopyTransfer("kind", first, first + 10, [_packed(later)])
+        make_relay(copy).use_transfer(transfer, SOURCE, 0.0)
+        store.revision = first + 10
+        await asyncio.sleep(2.0)
+        return copy.objects["a"].spec, copy.revision - first, len(lists)
+
+    assert run_scenario(scenario) == (2, 10, 1)
+
+
+def _packed(item):
+    return (item.name, item.revision, item.raw)
+
+
+def test_followers_read_the_store_later_than_granters_and_not_all_at_once():
+    """Guards against a change that all instances read at the same moment."""
+
+    async def scenario(sim):
+        await asyncio.sleep(6.0)
+        delays = {True: [], False: []}
+        for instance in sim.instances.values():
+            task = instance.task
+            delays[task.fleet.registered].append(task.relay.read_delay)
+        return delays
+
+    delays = run_fleet(scenario, instances=40)
+    assert set(delays[True]) == {0.0}
+    assert max(delays[False]) - min(delays[False]) > 0.6 * READ_SPREAD_SECONDS
+    assert len(set(delays[False])) > 20
+
+
+def test_the_store_is_not_read_while_the_changes_are_arriving():
+    async def scenario():
+        network = Network()
+        source, receiver = two_nodes(network, 400_000)
+        relay, started = receiver.relay, receiver.now
+        relay.request_changes({KIND: 11}, source.address, started)
+        await asyncio.sleep(0.01)
+        (receipt,) = relay._receipts.values()
+        late = started + MAX_BEHIND_SECONDS + 0.01
+        receipt.progress_at = late
+        arriving = relay.is_behind(KIND, late)
+        receipt.progress_at = late - RECEIPT_PROGRESS_SECONDS - 0.01
+        return arriving, relay.is_behind(KIND, late)
+
+    assert run(scenario()) == (False, True)
