Decode large configurations in steps beside the requests

Change: the adapter's decoder yields after each route.

Not changed: decoding of the message that holds the changes is one step, 22 ms for 10,000 routes (wall time, busy machine); unchanged routes are decoded anew.

--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -9,7 +9,6 @@
 
 from arbutusflow.domain.body_budget import BodyBudget
 from arbutusflow.domain.errors import (
-    ConfigurationError,
     SettingsError,
 )
 from arbutusflow.gateway import key_demand
@@ -21,6 +20,7 @@
     CallerServer,
     Headers,
 )
+from arbutusflow.gateway.configuration_updates import ConfigurationUpdates
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.crash_strikes import CrashStrikes, EndpointProcess
 from arbutusflow.gateway.dispatch import Dispatcher
@@ -47,7 +47,7 @@
 from arbutusflow.gateway.retry_budget import RetryBudget
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform import wire
-from arbutusflow.platform.documents import decode_configuration
+from arbutusflow.platform.documents import decode_configuration_in_steps
 from arbutusflow.platform.store import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -114,6 +114,9 @@
     def _create_components(self) -> None:
         cfg, log = self._cfg, self.log
         self.store = StoreClient(cfg.store_address)
+        self.configuration_updates = ConfigurationUpdates(
+            decode_configuration_in_steps, log
+        )
         self.config_copy = ObjectCopy(
             self.store, CONFIGURATION_KIND, WATCH_SECONDS, self._on_configuration, log
         )
@@ -261,12 +264,25 @@
         item = self.config_copy.objects.get(CONFIGURATION_NAME)
         if item is None:
             return
-        started = self._loop.time()
-        try:
-            cfg = decode_configuration(item.spec)
-        except ConfigurationError as exc:
-            self.log.write("configuration_rejected", detail=str(exc))
-            return
+        started, updated_by = self._loop.time(), self.config_copy.updated_by
+        # How long this instance knew that another one had later objects.
+        behind = self.fleet_task.relay.behind_seconds(CONFIGURATION_KIND, started)
+        revision = item.revision
+        self.configuration_updates.start(
+            item.spec,
+            lambda cfg: self._apply_configuration(
+                cfg, revision, updated_by, behind, started
+            ),
+        )
+
+    def _apply_configuration(
+        self,
+        cfg: Configuration,
+        revision: int,
+        updated_by: str,
+        behind_seconds: float,
+        started: float,
+    ) -> None:
         known = self._configuration
         if known is not None and cfg.version <= known.version:
             return
@@ -280,12 +296,9 @@
             "configuration",
             version=cfg.version,
             routes=len(cfg.routes),
-            revision=item.revision,
-            updated_by=self.config_copy.updated_by,
-            # How long this instance knew that another one had later objects.
-            behind_seconds=round(
-                self.fleet_task.relay.behind_seconds(CONFIGURATION_KIND, started), 3
-            ),
+            revision=revision,
+            updated_by=updated_by,
+            behind_seconds=round(behind_seconds, 3),
             apply_seconds=round(self._loop.time() - started, 4),
         )
 
--- a/arbutusflow/platform/documents.py
+++ b/arbutusflow/platform/documents.py
@@ -1,6 +1,7 @@
 """Decodes documents that operators and endpoints write to the store."""
 
 import math
+from collections.abc import Generator
 from typing import Any
 
 from arbutusflow.domain.errors import ConfigurationError
@@ -20,6 +21,20 @@
 
 def decode_configuration(spec: Any) -> Configuration:
     """Decode the operator's configuration. Raises ConfigurationError."""
+    steps = decode_configuration_in_steps(spec)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            cfg: Configuration = end.value
+            return cfg
+
+
+def decode_configuration_in_steps(spec: Any) -> Generator[None, None, Configuration]:
+    """Decode the operator's configuration; yield after each route.
+
+    Returns the configuration. Raises ConfigurationError.
+    """
     try:
         # Services with other protocols are left out. Their routes remain, and requests
         # to them are refused.
@@ -28,13 +43,14 @@
             for item in spec["services"]
             if item.get("protocol", "h1") == "h1"
         }
+        routes = []
+        for entry in spec["hosts"]:
+            for path in entry["paths"]:
+                routes.append(_route(entry["host"], path))
+                yield
         return Configuration(
             version=int(spec["version"]),
-            routes=tuple(
-                _route(entry["host"], path)
-                for entry in spec["hosts"]
-                for path in entry["paths"]
-            ),
+            routes=tuple(routes),
             services=services,
             limits=_limits(spec["limits"]),
         )
