End the wait for changes that the store delivered

Cause: only a message of another instance ended the wait, and an instance that watches for itself asks no others. It then counted as behind for good, went on watching although its zone had another watcher, and since would also have asked others in vain.

Change: the timer compares the copy with the revision that was waited for.

Test: fails before.

--- a/arbutusflow/gateway/state_relay.py
+++ b/arbutusflow/gateway/state_relay.py
@@ -172,8 +172,11 @@
         """Repair receipts and log copies that are late; called by a timer."""
         for receipt in list(self._receipts.values()):
             self._maintain_receipt(receipt, now)
-        for kind in self._behind:
-            self._request_elsewhere(kind, now)
+        for kind, (known, _) in list(self._behind.items()):
+            if self.copies[kind].revision >= known:
+                self._note_caught_up(kind)  # It was read from the store.
+            else:
+                self._request_elsewhere(kind, now)
         for kind in self._behind.keys() - self._told_late:
             if self.is_behind(kind, now):
                 self._told_late.add(kind)
--- a/tests/gateway/test_state_relay.py
+++ b/tests/gateway/test_state_relay.py
@@ -222,3 +222,23 @@
         return arriving, relay.is_behind(KIND, late)
 
     assert run(scenario()) == (False, True)
+
+
+def test_a_copy_that_caught_up_by_its_own_watch_is_no_longer_behind():
+    """Guards against an instance that goes on watching, and asks others in vain."""
+
+    async def scenario(store, writer, copy):
+        await asyncio.sleep(0.5)
+        relay = make_relay(copy)
+        relay.sources = lambda: [SOURCE]
+        for now in (10.0, 10.4, 10.9):
+            relay.request_changes({"kind": copy.revision + 1}, SOURCE, now)
+            relay.tick(now)
+        late = relay.is_behind("kind", 11.0)
+        await writer.create("kind", "a", 1)
+        await asyncio.sleep(0.1)
+        requests = len(relay.link.sent)
+        relay.tick(12.0)
+        return late, relay.is_behind("kind", 12.0), len(relay.link.sent) - requests
+
+    assert run_scenario(scenario) == (True, False, 0)
