Tell others at once of later objects that they learn from reports

Cause: at each step from the store to a follower, a change waited for the next regular report: up to 0.3 s within the zone, 0.15 s for followers.

Change: a granter sends its digests as soon as the objects of a relayed kind have changed, and the watcher of a zone its report, within the 0.05 s of their timer. Records and key tables are left out: they are sent when they change.

Test: fails before (0.20 s from a granter to its follower, 0.08 s allowed).

--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -163,6 +163,8 @@
         self._last_zone_state: tuple[dict[str, int], tuple[int, ...]] = ({}, ())
         self._zone_reported_at = self._fleet_reported_at = self._digest_at = -1e9
         self._started = self._loop.time()
+        # By kind: revisions when a report or a digest was last due.
+        self._told_revisions: dict[str, int] = {}
         self._reported_in_flight: dict[str, int] = {}  # In the latest follower report.
         self._demand_due = False
         self._lost_contact: set[str] = set()  # Instances that cannot read the store.
@@ -463,7 +465,10 @@
             if now - self._fleet_reported_at >= self.following.report_seconds:
                 self.report_to_granter()
             return
-        if now - self._digest_at >= FOLLOWER_REPORT_SECONDS:
+        revisions = self._relayed_revisions()
+        has_news = revisions != self._told_revisions
+        self._told_revisions = revisions
+        if has_news or now - self._digest_at >= FOLLOWER_REPORT_SECONDS:
             self._digest_at = now
             self._send_digest(self.followers.addresses())
         fleet_size = len(self.fleet.records)
@@ -472,17 +477,34 @@
         if now - self._fleet_reported_at >= period:
             self.report_to_fleet()
             return
+        if has_news and self.fleet.is_zone_watcher(now):
+            # Its zone learns later objects from this instance.
+            self.report_to_zone()
+            return
         period = ZONE_REPORT_SECONDS_PER_INSTANCE * self.fleet.zone_size
         if self.followers.alive(now):
             period = max(period, FLEET_REPORT_SECONDS)
         if now - self._zone_reported_at >= max(ZONE_REPORT_SECONDS, period):
             self.report_to_zone()
 
+    def _relayed_revisions(self) -> dict[str, int]:
+        """Return by kind the revisions of objects that others learn from reports only.
+
+        Key tables are sent to others when they change.
+        """
+        revisions = self.relay.revisions()
+        del revisions[FLEET_KIND]
+        return revisions
+
     def report_to_zone(self) -> None:
         """Send a report to this instance's zone if load or revisions have changed."""
         self._zone_reported_at = self._loop.time()
         load = self._in_flight()
-        revisions = (*self._workload.known_revisions(), *self.fleet.applied.values())
+        revisions = (
+            *self._workload.known_revisions(),
+            *self._relayed_revisions().values(),
+            *self.fleet.applied.values(),
+        )
         if (load, revisions) == self._last_zone_state:
             return
         self._last_zone_state = (load, revisions)
--- a/tests/gateway/test_large_changes.py
+++ b/tests/gateway/test_large_changes.py
@@ -78,3 +78,28 @@
         assert revision >= latest.get(instance, 0)
         latest[instance] = revision
     assert {latest[instance] for instance in last} == {max(versions)}
+
+
+def test_a_granter_tells_its_followers_of_a_change_at_once():
+    """Guards against a change that waits for the next regular report at each step."""
+
+    async def scenario(sim):
+        sim.store.write_other(1)
+        await asyncio.sleep(8.0)
+        sim.datagram_loss = 0.0
+        waits = []
+        for value in range(2, 6):
+            sim.store.write_other(value)
+            revision = sim.store.revision
+            await asyncio.sleep(2.0 + 0.13 * value)
+            for instance in sim.instances.values():
+                if instance.task.fleet.registered:
+                    continue
+                granter = sim.instances[instance.task.following.target(sim.now).host]
+                told, known = instance.in_force_at, granter.in_force_at
+                waits.append(told[revision] - known[revision])
+        return waits
+
+    waits = run_fleet(scenario, instances=24)
+    assert len(waits) > 30
+    assert max(waits) <= 0.08  # Reports are made every 0.05 s.
