--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -22,6 +22,7 @@
     STALL_SECONDS,
     Fleet,
     InstanceRecord,
+    rank_hash,
 )
 from arbutusflow.gateway.followers import (
     CLAIM_SPREAD_SECONDS,
@@ -48,7 +49,8 @@
     TableRequest,
     TableTransfer,
 )
-from arbutusflow.gateway.state_relay import StateRelay
+from arbutusflow.gateway.pieces import PieceRequest, TransferPiece
+from arbutusflow.gateway.state_relay import READ_SPREAD_SECONDS, StateRelay
 from arbutusflow.gateway.store_probes import StoreProbes
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform.store import StoreClient
@@ -161,6 +163,8 @@
         self._last_zone_state: tuple[dict[str, int], tuple[int, ...]] = ({}, ())
         self._zone_reported_at = self._fleet_reported_at = self._digest_at = -1e9
         self._started = self._loop.time()
+        # By kind: revisions when a report or a digest was last due.
+        self._told_revisions: dict[str, int] = {}
         self._reported_in_flight: dict[str, int] = {}  # In the latest follower report.
         self._demand_due = False
         self._lost_contact: set[str] = set()  # Instances that cannot read the store.
@@ -188,7 +192,12 @@
         self.copy.list_may_lag = True
         for copy in copies.values():
             copy.set_parked(True)
-        self.relay = StateRelay({FLEET_KIND: self.copy, **copies}, self.peers)
+        self.relay = StateRelay(
+            {FLEET_KIND: self.copy, **copies}, self.peers, log, self._loop.time()
+        )
+        self.relay.sources = self._relay_sources
+        share = rank_hash(own_record.name) % 1000 / 1000
+        self._read_delay = READ_SPREAD_SECONDS * share  # As a follower.
         self.probes = StoreProbes(store, self.relay.copies, self.report_to_fleet)
         self.fleet = Fleet(own_record, self.copy, self.peers, self._loop.time())
         self.followers = Followers()
@@ -223,6 +232,7 @@
             self.fleet.exclude_unresponsive(now)
             self._log_right_to_grant(now)
         self._check_store(now)
+        self.relay.tick(now)
         self._update_watch_modes(now)
         self._tick_keys(now)
 
@@ -248,6 +258,7 @@
 
     def _update_watch_modes(self, now: float) -> None:
         """Call the store for each copy only as often as the current roles require."""
+        self.relay.read_delay = 0.0 if self.fleet.registered else self._read_delay
         for kind, copy in self.relay.copies.items():
             if not self.fleet.registered:
                 copy.set_watch_mode(
@@ -454,7 +465,10 @@
             if now - self._fleet_reported_at >= self.following.report_seconds:
                 self.report_to_granter()
             return
-        if now - self._digest_at >= FOLLOWER_REPORT_SECONDS:
+        revisions = self._relayed_revisions()
+        has_news = revisions != self._told_revisions
+        self._told_revisions = revisions
+        if has_news or now - self._digest_at >= FOLLOWER_REPORT_SECONDS:
             self._digest_at = now
             self._send_digest(self.followers.addresses())
         fleet_size = len(self.fleet.records)
@@ -463,17 +477,34 @@
         if now - self._fleet_reported_at >= period:
             self.report_to_fleet()
             return
+        if has_news and self.fleet.is_zone_watcher(now):
+            # Its zone learns later objects from this instance.
+            self.report_to_zone()
+            return
         period = ZONE_REPORT_SECONDS_PER_INSTANCE * self.fleet.zone_size
         if self.followers.alive(now):
             period = max(period, FLEET_REPORT_SECONDS)
         if now - self._zone_reported_at >= max(ZONE_REPORT_SECONDS, period):
             self.report_to_zone()
 
+    def _relayed_revisions(self) -> dict[str, int]:
+        """Return by kind the revisions of objects that others learn from reports only.
+
+        Key tables are sent to others when they change.
+        """
+        revisions = self.relay.revisions()
+        del revisions[FLEET_KIND]
+        return revisions
+
     def report_to_zone(self) -> None:
         """Send a report to this instance's zone if load or revisions have changed."""
         self._zone_reported_at = self._loop.time()
         load = self._in_flight()
-        revisions = (*self._workload.known_revisions(), *self.fleet.applied.values())
+        revisions = (
+            *self._workload.known_revisions(),
+            *self._relayed_revisions().values(),
+            *self.fleet.applied.values(),
+        )
         if (load, revisions) == self._last_zone_state:
             return
         self._last_zone_state = (load, revisions)
@@ -664,9 +695,13 @@
                 if reply is not None:
                     self.peers.send(reply, [source])
             case CopyRequest():
-                self.relay.send_changes(message, source)
+                self.relay.send_changes(message, source, now)
             case CopyTransfer():
-                self.relay.use_transfer(message, now)
+                self.relay.use_transfer(message, source, now)
+            case TransferPiece():
+                self.relay.accept_piece(message, source, now)
+            case PieceRequest():
+                self.relay.send_pieces(message, source, now)
             case FollowerReport():
                 self._on_follower_report(message, source, now)
             case FleetDigest():
@@ -693,6 +728,15 @@
         self._request_tables(digest.tables, source, 0.0, now)
         self._workload.apply_digest(digest, self._reported_in_flight)
 
+    def _relay_sources(self) -> list[Address]:
+        """Return the granters that may send copies, those of the own zone first."""
+        own = self.fleet.own_record
+        records = sorted(
+            self.fleet.others(),
+            key=lambda r: (r.zone != own.zone, rank_hash(own.name, r.name)),
+        )
+        return [Address(r.host, r.port) for r in records]
+
     def _request_tables(
         self, tables: dict[str, int], source: Address, delay: float, now: float
     ) -> None:
@@ -744,7 +788,8 @@
         """Request changes of the copies that this granter does not watch."""
         is_same_zone = record is not None and record.zone == self.fleet.own_record.zone
         for kind, copy in self.relay.copies.items():
-            if not copy.parked:
+            # A copy that is read because it is behind still takes what arrives first.
+            if not copy.parked and not self.relay.is_behind(kind, now):
                 continue
             # The watcher of the zone may have lost the store without noticing.
             delay = OTHER_ZONE_EXTRA_DELAY_SECONDS
--- a/arbutusflow/gateway/store_watch.py
+++ b/arbutusflow/gateway/store_watch.py
@@ -141,15 +141,27 @@
             if name.startswith(self._relayed_prefix)
         ]
 
-    def changes_since(self, revision: int) -> list[Change] | None:
-        """Return the changes after a revision, or None if they are not known."""
-        if not self._batches or revision < self._batches[0].base or not revision:
+    def changes_between(self, base: int, revision: int) -> list[Change] | None:
+        """Return the changes from one revision to another, or None if not known.
+
+        All copies that know them return the same: the latest change of each object,
+        by name.
+        """
+        if not self._batches or not self._batches[0].base <= base or not base:
+            return None
+        if revision > self.revision:
             return None
+        latest: dict[str, Change] = {}
+        for batch in self._batches:
+            if batch.revision <= base or batch.base >= revision:
+                continue
+            if batch.revision > revision:
+                return None  # It does not tell which of its changes came later.
+            latest.update((change.object.name, change) for change in batch.changes)
         return [
             change
-            for batch in self._batches
-            if batch.revision > revision
-            for change in batch.changes
+            for _, change in sorted(latest.items())
+            if change.removed or change.object.revision > base
         ]
 
     def _keep_batch(self, base: int, revision: int, changes: Iterable[Change]) -> None:
@@ -188,7 +200,9 @@
 
     @property
     def _accepts_relayed(self) -> bool:
-        return self.parked or not self.was_read
+        # A copy of which only some objects are relayed would miss changes of the others
+        # if its own watch went on from the relayed revision.
+        return self.parked or not self.was_read or not self._relayed_prefix
 
     def _end_relayed_update(self, revision: int, updated_by: str) -> None:
         self.revision = revision
@@ -347,12 +361,14 @@
         wait, may_lag = self.wait_seconds, self.may_lag and not self._next_watch_current
         self._next_watch_current = False
         self._progress = ResponseProgress(RECEIVE_STALL_SECONDS)
+        watched = self.revision
         result = await self._store.watch(
-            self._kind, self.revision, wait, self._progress, may_lag=may_lag
+            self._kind, watched, wait, self._progress, may_lag=may_lag
         )
         elapsed = loop.time() - started
         if result.revision < self.revision:
-            self._list_needed = True
+            # Another instance may have sent later changes meanwhile.
+            self._list_needed = self.revision == watched
             return
         self._log_unreadable([c.object for c in result.changes], result.left_out)
         for change in result.changes:
