--- a/tests/gateway/statement_world.py
+++ b/tests/gateway/statement_world.py
@@ -255,6 +255,14 @@
         self.processes[name] = self.at[address] = process
         return process
 
+    def is_known(self, name):
+        """Return whether all instances have read an entry of an endpoint's process."""
+        started_ms = self.processes[name].started_ms
+        latest = [m.inst.gateway.directory._latest for m in self.members.values()]
+        return all(
+            name in known and known[name].started_ms == started_ms for known in latest
+        )
+
     def close(self):
         for task in self.tasks:
             task.cancel()
