Keep what a process said when its entry vanishes and comes back

Cause: the state of an endpoint was dropped some time after its entry had vanished. When the entry came back, a leaving owner of keys got requests for 0.8 s more, and an endpoint that had asked to wait got all that came.

Change: states of processes that are not listed any more are kept, 1024 at most, and used again if the same process is listed. The random runs play endpoints whose entry vanishes while they answer and is written late.

Conclusion: both statements hold for the process, listed or not.

--- a/arbutusflow/gateway/endpoint_load.py
+++ b/arbutusflow/gateway/endpoint_load.py
@@ -1,7 +1,8 @@
 """Load and health of each endpoint as observed by this instance.
 
 Invariants: an endpoint that the store does not list as ready, that said that it leaves,
-or that asked for no requests until later, is never chosen.
+or that asked for no requests until later, is never chosen. This holds for its process,
+also if its entry vanishes and comes back.
 
 The load that other instances cause is known with a delay, in which they all see the
 same endpoint as the least loaded one. Each request is therefore sent to the best of a
@@ -43,6 +44,7 @@
 # Share of the drain period in which a leaving endpoint is still sent requests for its
 # keys. It may have started to drain a second before this instance is notified.
 DRAIN_SERVE_FRACTION = 0.4
+MAX_DEPARTED_STATES = 1024  # Bounds the memory for endpoints that have left.
 MAX_WAIT_SPREAD_SECONDS = 1.0  # Over which instances end a wait that one asked for.
 
 
@@ -166,6 +168,8 @@
         self._rng = rng
         self._drain_seconds = drain_seconds
         self._listed: set[str] = set()
+        # By process: states of endpoints that may be listed again.
+        self._departed: dict[tuple[str, int], EndpointState] = {}
         self._delisted: list[str] = []  # Endpoints in `states` that are not listed.
         self.states: dict[str, EndpointState] = {}
         self._services: dict[str, list[EndpointState]] = {}
@@ -200,6 +204,10 @@
             if state is not None:
                 state.peer_in_flight += sign * count
 
+    def _peer_in_flight(self, name: str) -> int:
+        reports = self._peer_reports.values()
+        return sum(report.in_flight.get(name, 0) for report in reports)
+
     def update(self, endpoints: dict[str, Endpoint], now: float) -> None:
         """Replace the set of endpoints that the store lists."""
         states: dict[str, EndpointState] = {}
@@ -207,15 +215,16 @@
         for name, endpoint in endpoints.items():
             state = self.states.get(name)
             if state is None or state.endpoint.started_ms != endpoint.started_ms:
+                state = self._departed.pop(endpoint.process, None)
+                if state is not None:
+                    state.peer_in_flight = self._peer_in_flight(name)
+            if state is None:
                 state = EndpointState(endpoint, cold_until=now + endpoint.cold_seconds)
                 state.service_seconds = self._median_service_seconds(endpoint.service)
                 # Without a first request it would never be chosen while endpoints with
                 # lower measured service times are idle.
                 state.never_chosen = bool(self.states) and endpoint.zone == self._zone
-                state.peer_in_flight = sum(
-                    report.in_flight.get(name, 0)
-                    for report in self._peer_reports.values()
-                )
+                state.peer_in_flight = self._peer_in_flight(name)
             state.endpoint = endpoint
             if not endpoint.draining:
                 state.leaving_since = None
@@ -252,6 +261,11 @@
         return state.leaving_since + DRAIN_SERVE_FRACTION * self._drain_seconds
 
     def _replace_states(self, states: dict[str, EndpointState]) -> None:
+        for name, state in self.states.items():
+            if states.get(name) is not state:
+                self._departed[state.endpoint.process] = state
+        while len(self._departed) > MAX_DEPARTED_STATES:
+            del self._departed[next(iter(self._departed))]
         self.states = states
         self._delisted = [name for name in states if name not in self._listed]
         self._services = {}
--- a/tests/gateway/test_endpoint_statements.py
+++ b/tests/gateway/test_endpoint_statements.py
@@ -4,6 +4,7 @@
 says, and against more than two requests to one that asked for none.
 """
 
+import dataclasses
 import random
 import time
 
@@ -170,6 +171,20 @@
     assert directory.endpoints["a"].draining
 
 
+def test_an_endpoint_that_leaves_and_is_listed_again_gets_no_more_time():
+    """Guards against requests for keys of an endpoint whose entry came back late."""
+    table, state = one_endpoint()
+    leaving = dataclasses.replace(state.endpoint, draining=True)
+    table.update({"e0": leaving}, 10.0)
+    assert table.may_serve_keys(table.states["e0"], 10.5)
+    for now, listed in ((11.0, {}), (13.0, {"e0": leaving})):
+        table.update(listed, now)
+    assert not table.may_serve_keys(table.states["e0"], 13.0)
+    following = dataclasses.replace(leaving, started_ms=2)
+    table.update({"e0": following}, 14.0)
+    assert table.may_serve_keys(table.states["e0"], 14.0)
+
+
 # Waiting.
 
 
@@ -259,6 +274,21 @@
     assert max(spreads) <= MAX_WAIT_SPREAD_SECONDS
 
 
+def test_a_wait_holds_for_a_process_that_is_listed_again():
+    """Guards against a burst to an endpoint whose entry vanished and came back."""
+    table, state = one_endpoint()
+    state.record_wait(10.0, 0.0)
+    table.update({}, 1.0)
+    table.update({}, 5.0)
+    assert table.states == {}
+    table.update_peer_report("n1", {"e0": 3}, 5.5)
+    table.update({"e0": state.endpoint}, 6.0)
+    assert table.states["e0"].peer_in_flight == 3
+    assert table.choose("s", set(), 9.0) is None
+    table.update({"e0": dataclasses.replace(state.endpoint, started_ms=2)}, 9.0)
+    assert table.choose("s", set(), 9.0) is table.states["e0"]
+
+
 def test_a_later_shorter_wait_does_not_end_an_earlier_one():
     table, state = one_endpoint()
     state.record_wait(10.0, 0.0)
--- a/tests/gateway/test_statement_machine.py
+++ b/tests/gateway/test_statement_machine.py
@@ -131,6 +131,18 @@
             self.run(2.1)
             self.act(self.world.publish, endpoint)
 
+    @rule(endpoint=endpoints)
+    def vanish(self, endpoint):
+        """Let an endpoint leave whose entry is removed, and written late once more."""
+        if not self.world.is_known(endpoint):
+            return
+        for instance in INSTANCES:
+            for path in PATHS[ENDPOINTS[endpoint]] * 2:
+                self.act(self.world.send, instance, path, endpoint)
+        self.run(0.004)
+        self.world.processes[endpoint].leaving = True
+        self.unlist(endpoint, returns=True)
+
     @rule(instance=instances, reads_store=st.booleans())
     def change_reading(self, instance, reads_store):
         self.act(self.world.set_reading, instance, reads_store)
@@ -197,6 +209,7 @@
     "say_leaving": 2,
     "write_entry": 2,
     "unlist": 1,
+    "vanish": 1,
     "start_again": 1,
     "use_address_again": 1,
     "change_reading": 1,
@@ -219,6 +232,7 @@
         "say_leaving": (endpoint, flag),
         "write_entry": (endpoint, "ready" if flag else "draining"),
         "unlist": (endpoint, flag),
+        "vanish": (endpoint,),
         "start_again": (endpoint, flag),
         "use_address_again": (endpoint, rng.choice(sorted(ENDPOINTS)), flag),
         "change_reading": (instance, flag),
