--- a/tests/soak/audit.py
+++ b/tests/soak/audit.py
@@ -280,6 +280,7 @@
             number = len(seen.runs) - 1
             try:
                 reply = await super()._run(req, request_id)
+                seen.finished += 1
             finally:
                 seen.runs[number] = (start, time.monotonic())
         if self.rng.random() < self.failed_share:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -39,5 +39,6 @@
 
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     services: list[str] = dataclasses.field(default_factory=list)  # Of each run.
+    finished: int = 0  # Number of runs that ended by themselves.
     # When each run would end by itself.
     planned_ends: list[float] = dataclasses.field(default_factory=list)
