Judge replaced answers by the runs that their instance cut, in both soaks

The soak counted runs that ended by themselves and left out replaced answers where all had; the soak of stops records runs that the instance cut. The second is kept: it tells the same without a count, and its cases are those of the earlier test (a run that was cut, one that was not).

--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -31,7 +31,7 @@
         for sent_at in (0.0, 50.0):
             self.history.add(sent_at)
 
-    def play(self, finished=0, **changes):
+    def play(self, cut_at=(), **changes):
         """Judge a request that an endpoint had reached when its connection ended."""
         fields = {
             "request_id": b"r%d" % len(self.calls),
@@ -51,7 +51,7 @@
             arrivals=[Arrival(100.1, "e1")],
             services=["plain"],
             planned_ends=[100.5],
-            finished=finished,
+            cut_at=list(cut_at),
         )
         self.calls.append(call)
         self.judge.judge_run(self.calls)
@@ -84,13 +84,13 @@
     assert [rule for rule in found if rule != "ROUTE"] == rules
 
 
-@pytest.mark.parametrize(("finished", "rules"), [(0, ["LOST"]), (1, [])])
-def test_an_answer_in_place_of_a_finished_one_is_no_loss(finished, rules):
+@pytest.mark.parametrize(("cut_at", "rules"), [((100.5,), ["LOST"]), ((), [])])
+def test_an_answer_in_place_of_a_finished_one_is_no_loss(cut_at, rules):
     """Guards against false alarms at seeds 4010 and 4011: unmarked rejections."""
     run = Run()
     run.judge.stops["n0"].append(99.0)
     call = {"status": 502, "ended_at": 100.51}
-    assert run.play(finished=finished, **call) == rules
+    assert run.play(cut_at, **call) == rules
 
 
 def test_a_caller_that_left_has_lost_nothing():
