--- a/arbutusflow/gateway/lifecycle.py
+++ b/arbutusflow/gateway/lifecycle.py
@@ -50,7 +50,8 @@
     """What an instance still has to do before it ends."""
 
     requests: int  # Read completely or in part, and not answered.
-    # Whether a connection is too new to have sent its request, or has unsent bytes.
+    # Whether a connection has a request or is too new to have sent one, has unsent
+    # bytes, or is closing.
     connections_busy: bool
     deregistered: bool = False
 
