Show that late requests of a planned stop are cut off, by a failing test

Cause by the first hypothesis: a request that is read late in a stop is sent if the longest response measured lately fits in the time left; its own run may be longer.

--- a/tests/soak/audit.py
+++ b/tests/soak/audit.py
@@ -195,6 +195,9 @@
         self.rng = random.Random(name)
         # Shortest and longest work of a request; None for `work_seconds` each time.
         self.work_range: tuple[float, float] | None = None
+        # Share of the requests whose work takes `tail_factor` times as long as drawn.
+        self.tail_share = 0.0
+        self.tail_factor = 1.0
         self.usual_seconds = 0.01  # Work of a request.
         # Limits the requests that it runs at once; the others wait.
         self.running_limit: asyncio.Semaphore | None = None
@@ -253,7 +256,8 @@
 
     def _draw_work(self, target: bytes) -> float:
         if self.work_range is not None:
-            return self.rng.uniform(*self.work_range)
+            factor = self.tail_factor if self.rng.random() < self.tail_share else 1.0
+            return factor * self.rng.uniform(*self.work_range)
         if target.endswith(b"/slow"):
             return self.rng.uniform(*SLOW_WORK_SECONDS)
         return self.usual_seconds
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -41,6 +41,9 @@
     insistent: float = 0.0
     habits: CallerHabits = CallerHabits()
     work_range: tuple[float, float] = (0.1, 1.0)
+    # Share of the runs that take `tail_factor` times as long as drawn.
+    tail_share: float = 0.0
+    tail_factor: float = 5.0
     running_limit: int | None = None  # Of each endpoint; the others wait there.
     at_once: int = 1  # Most instances that are stopped together.
     gap_range: tuple[float, float] = (0.5, 2.0)  # From the start of one to the next.
@@ -312,6 +315,8 @@
         await world.start()
         for endpoint in world.endpoints.values():
             endpoint.work_range = scenario.work_range
+            endpoint.tail_share = scenario.tail_share
+            endpoint.tail_factor = scenario.tail_factor
             if scenario.running_limit is not None:
                 endpoint.running_limit = asyncio.Semaphore(scenario.running_limit)
         return await StopPlayer(world, scenario).run()
@@ -343,6 +348,17 @@
         habits=CallerHabits(ahead=0.1, chunked=0.5, in_pieces=0.2),
         disturbed=True,
     ),
+    # What was measured lately says little about how long the next run takes.
+    "uneven": StopScenario(
+        at_once=2,
+        instances=6,
+        callers=48,
+        insistent=0.5,
+        habits=CallerHabits(chunked=0.3, in_pieces=0.2, deadline_seconds=(2.5, 8.5)),
+        work_range=(0.05, 0.6),
+        tail_share=0.1,
+        tail_factor=8.0,
+    ),
     # The callers leave room for what the restarts move elsewhere.
     "rolling": StopScenario(callers=24, work_range=(0.05, 0.3), rolling=True),
     "late-readers": StopScenario(
--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -25,6 +25,7 @@
         pytest.param("full", id="requests-wait-at-endpoints"),
         pytest.param("ahead", id="requests-behind-others"),
         pytest.param("steady", id="callers-follow-readiness"),
+        pytest.param("uneven", id="runs-differ-in-length"),
         pytest.param("disturbed", id="signals-reloads-and-silent-stores-beside-it"),
     ],
 )
