Send late requests of a stop only if their deadline ends before it

Cause: from 2.6 s after SIGTERM on, a request was sent if the longest response of its service in the last 10 s, times 1.2, fitted in the time left. What was measured is no bound for the next run; class of fault: an estimate used where a bound is needed. Its deadline and its route's timeout are bounds. Change: the estimate counts only for requests that are read while the instance leaves rotation, whose callers could not know of the stop; their work may go on into the last sixth of the grace period. Later ones are sent if they end in any case before the final answers, else refused at once with 503, also before they wait for the owner of their key. Two tests asserted the fault, that a request read 4 s after SIGTERM is sent by the measured times. They now read it 2.5 s after it, and a property test covers all times after the rotation.

--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -107,6 +107,7 @@
     request_id: bytes
     key: int | None
     digest: bytes
+    read_at: float  # When the request was complete.
     deadline: float  # Earlier of the caller's deadline and the route's timeout.
     deadline_is_callers: bool  # Whether `deadline` is the caller's deadline.
     # The caller's deadline, or `deadline` if it gave none. Bounds its own retries too.
@@ -261,6 +262,7 @@
             request_id=request_id,
             key=key,
             digest=digest.digest(),
+            read_at=self._loop.time(),
             deadline=req.received_at + timeout,
             deadline_is_callers=deadline_is_callers,
             caller_deadline=req.received_at
@@ -325,8 +327,10 @@
         return RequestError(503, reason, retry_after)
 
     async def _choose_endpoint(self, ctx: _RequestContext) -> EndpointState:
+        self._check_stop(ctx)
         if ctx.key is not None:
             state = await self._wait_for_owner(ctx)
+            self._check_stop(ctx)
         else:
             state = self._choose_by_cost(ctx)
         refusal = self._refusal(ctx, state)
@@ -341,13 +345,20 @@
     def _refusal(self, ctx: _RequestContext, state: EndpointState) -> str | None:
         """Return why the request must not be sent to the endpoint now, if so."""
         now = self._loop.time()
-        longest = self._response_times.longest(ctx.service.name, now)
-        if not self._lifecycle.admits(longest, self._response_deadline(ctx), now):
-            return "instance_stops"
         return self._admission.check(
             state, ctx.route, ctx.deadline - now, now - ctx.req.received_at, now
         )
 
+    def _check_stop(self, ctx: _RequestContext) -> None:
+        """Raise RequestError if this instance may end before the request does."""
+        if not self._lifecycle.stopping:
+            return
+        now = self._loop.time()
+        longest = self._response_times.longest(ctx.service.name, now)
+        until = self._response_deadline(ctx)
+        if not self._lifecycle.admits(longest, ctx.read_at, until, now):
+            raise self._final_error(ctx, "instance_stops")
+
     def _choose_by_cost(
         self, ctx: _RequestContext, *, compare_all: bool = False
     ) -> EndpointState:
--- a/arbutusflow/gateway/lifecycle.py
+++ b/arbutusflow/gateway/lifecycle.py
@@ -3,8 +3,9 @@
 A state machine without network or clock; `process` carries out what it decides.
 
 Invariants: phases follow each other in the order of `Phase` and never go back. Each
-request that is read before the end gets an answer: it is sent to an endpoint only if it
-is expected to end by `answers_until`, and what has no answer then gets a final one.
+request that is read before the end gets an answer: one that is read while the instance
+leaves rotation is sent to an endpoint if it is expected to end by `answers_until`, a
+later one only if its deadline is before that. What has no answer then gets a final one.
 Listening ends when callers have had time to learn that the instance stops, and at the
 latest when no further request could be served.
 """
@@ -139,15 +140,19 @@
     def _enter(self, phase: Phase, now: float) -> None:
         self.phase, self.phase_since = phase, now
 
-    def admits(self, longest_seconds: float | None, until: float, now: float) -> bool:
+    def admits(
+        self, longest_seconds: float | None, read_at: float, until: float, now: float
+    ) -> bool:
         """Return whether a request may be sent to an endpoint.
 
         `longest_seconds` is the longest response time measured lately, None if there is
-        none; `until` is when the request ends in any case.
+        none; `read_at` is when the request was complete, and `until` when it ends in
+        any case. Response times are no bound for later ones, so they count only for
+        requests whose callers could not know that the instance stops.
         """
         if self.plan is None or until <= self.plan.answers_until:
             return True
-        if longest_seconds is None:
+        if longest_seconds is None or read_at > self.plan.rotation_until:
             return False
         remaining = self.plan.answers_until - now
         return longest_seconds * RESPONSE_TIME_MARGIN <= remaining
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -208,8 +208,9 @@
             headers.append((b"shard-key", b"7"))
         replies = []
         if stop_after is not None:
-            # Final answers are given 1.3 s after that, before any deadline.
-            loop.call_later(stop_after, lambda: lifecycle.stop(loop.time() - 4.0, 6.0))
+            # Final answers are given 1.3 s after that, before any deadline, and the
+            # instance leaves rotation for 0.58 s.
+            loop.call_later(stop_after, lambda: lifecycle.stop(loop.time() - 0.42, 2.0))
         for _ in range(repetitions):
             started = loop.time()
             req = CallerRequest(b"GET", b"/x", headers, b"", started)
@@ -442,6 +443,18 @@
     assert (b"Retry-After", b"0.10") in reply.headers
 
 
+def test_a_late_request_is_refused_before_it_waits_for_the_owner_of_its_key():
+    """Guards against a caller that waits for a refusal that is certain at once."""
+    reply, sent, seconds = handle(
+        OK,
+        partitioned=True,
+        owned_after=0.3,
+        deadline_ms=b"2000",
+        lifecycle=_stopping(1.5),
+    )
+    assert (reply.status, sent, seconds) == (503, [], 0.0)
+
+
 def test_a_request_that_ends_by_its_deadline_before_the_instance_is_sent():
     reply, sent, _ = handle(OK, deadline_ms=b"1400", lifecycle=_stopping(1.5))
     assert (reply.status, len(sent)) == (200, 1)
@@ -451,16 +464,16 @@
     """Guards against refusals of all requests as soon as a stop has begun."""
     lifecycle = Lifecycle()
     lifecycle.stop(1000.0, 6.0)
-    now, until = 1004.0, 1009.0  # Final answers are given at 1005.3.
-    assert not lifecycle.admits(None, until, now)
-    assert lifecycle.admits(1.0, until, now)
-    assert not lifecycle.admits(1.2, until, now)
+    read_at, now, until = 1002.5, 1004.0, 1009.0  # Final answers are given at 1005.3.
+    assert not lifecycle.admits(None, read_at, until, now)
+    assert lifecycle.admits(1.0, read_at, until, now)
+    assert not lifecycle.admits(1.2, read_at, until, now)
 
 
 @pytest.mark.parametrize(
     "outcome, status", [(OK, 200), (REFUSED, 503)], ids=["has-run", "rejected"]
 )
-def test_late_requests_are_sent_by_the_times_of_earlier_ones_that_have_run(
+def test_requests_of_a_stop_are_sent_by_the_times_of_earlier_ones_that_have_run(
     outcome, status
 ):
     """Guards against response times that are not recorded, or those of rejections."""
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -148,7 +148,19 @@
 def test_a_request_is_admitted_if_its_deadline_is_before_the_final_answers(
     until, admitted
 ):
-    assert _stopped().admits(None, until, 3.0) is admitted
+    assert _stopped().admits(None, 3.0, until, 3.0) is admitted
+
+
+@given(st.floats(0.0, 30.0), st.floats(0.0, 30.0), st.floats(0.0, 10.0))
+def test_short_responses_admit_no_request_that_is_read_after_the_rotation(
+    grace_seconds, read_at, longest
+):
+    """Guards against a late run that is longer than those before, and is cut off."""
+    lifecycle = _stopped(grace_seconds)
+    plan = lifecycle.plan
+    read_at += plan.rotation_until + 1e-6
+    assert not lifecycle.admits(longest, read_at, plan.answers_until + 1e-6, read_at)
+    assert lifecycle.admits(longest, read_at, plan.answers_until, read_at)
 
 
 def _measured(*times, has_run=True, at=0.0):
