Answer requests that the kernel has received when a connection is closed

Cause: a connection counts as idle if the event loop has read no request from it. While the loop is busy a request waits in the kernel; the idle timeout, the closing of idle connections by a stop and the end of the process then reset it. Class of fault: a close that doesn't ask what was received. Change: a connection with unread input isn't idle. What is read after the final answers is rejected with 503 at once. Figures: test_a_request_that_the_kernel_has_received_is_answered failed in its three cases (connection reset), passes now. Conclusion: mended by the test; that it is the users' case is only suspected, it needs a loaded machine.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -15,7 +15,7 @@
 import httptools
 
 from arbutusflow.domain.body_budget import BodyBudget
-from arbutusflow.gateway.closing import TwoStepClose, unsent_bytes
+from arbutusflow.gateway.closing import TwoStepClose, unread_bytes, unsent_bytes
 from arbutusflow.gateway.model import CallerLimits
 
 # Reading pauses at this number of unanswered requests on a connection; the requests of
@@ -26,6 +26,8 @@
 # For a request whose body takes longer than any caller waits.
 MAX_READ_SECONDS = 60.0
 BACKLOG = 1024  # Connections that the kernel accepts ahead of this process.
+# For requests that another instance can serve at once.
+RETRY_SOON = ((b"Retry-After", b"0.1"),)
 # Used until a configuration is available.
 DEFAULT_LIMITS = CallerLimits(16384, 64 * 1024 * 1024, 3.0, 15.0)
 
@@ -105,6 +107,7 @@
         # Returns by its headers within how many seconds a request has to be complete.
         self.read_seconds: Callable[[Headers], float] = lambda headers: MAX_READ_SECONDS
         self.stopping = False
+        self.finished = False  # Whether `finish` was called.
         self.connections: set[CallerConnection] = set()
         self._listener: socket.socket | None = None
         self._server: asyncio.Server | None = None
@@ -188,8 +191,9 @@
         """Process no further input, and cancel all handlers.
 
         A handler that is cancelled returns the final response to its request. Requests
-        that are not complete get status 503.
+        that are not complete, or that are read after this, get status 503.
         """
+        self.finished = True
         for conn in list(self.connections):
             conn.finish()
 
@@ -275,7 +279,18 @@
     def is_busy(self) -> bool:
         """Whether there is or may soon be a request, or the caller reads a response."""
         unsent = self._transport.get_write_buffer_size() if self._transport else 0
-        return bool(self.pending_requests or unsent) or self._is_new or self.is_closing
+        waiting = bool(self.pending_requests or unsent) or self._has_unread_input()
+        return waiting or self._is_new or self.is_closing
+
+    def _has_unread_input(self) -> bool:
+        """Whether bytes of the caller are read in the next iteration of the loop."""
+        return (
+            self._transport is not None
+            and not self._input_closed
+            and not self._reading_paused
+            and not self._transport.is_closing()
+            and unread_bytes(self._transport) > 0
+        )
 
     # Callbacks of `asyncio.Protocol`.
 
@@ -318,6 +333,9 @@
         """Parse received bytes."""
         if self._input_closed:
             return
+        if self._server.finished:
+            self._reject(503, RETRY_SOON)
+            return
         self._head_size += len(data)
         if not self._request_started and not self._pipeline:
             self._start_timer(self._server.limits.header_seconds)
@@ -447,7 +465,9 @@
         if self.is_closing:
             return
         if self._request_started:
-            self._reject(503, ((b"Retry-After", b"0.1"),))
+            self._reject(503, RETRY_SOON)
+        elif not self._pipeline and self._has_unread_input():
+            return  # It is rejected when it is read.
         else:
             self._close_input()
         for pipelined in self._pipeline:
@@ -525,7 +545,12 @@
             self._transport.write(data)
 
     def _close_idle(self) -> None:
-        """Close the connection, in two steps if its caller still reads a response."""
+        """Close the connection, in two steps if its caller still reads a response.
+
+        It stays open if a request waits to be read.
+        """
+        if self._has_unread_input():
+            return
         if self._transport is not None and unsent_bytes(self._transport):
             self._close_after_response()
             return
--- a/arbutusflow/gateway/closing.py
+++ b/arbutusflow/gateway/closing.py
@@ -21,15 +21,22 @@
 
 def unsent_bytes(transport: asyncio.Transport) -> int:
     """Return how many written bytes the peer has not acknowledged."""
-    return transport.get_write_buffer_size() + _kernel_bytes(transport)
+    return transport.get_write_buffer_size() + _kernel_bytes(
+        transport, termios.TIOCOUTQ
+    )
 
 
-def _kernel_bytes(transport: asyncio.Transport) -> int:
+def unread_bytes(transport: asyncio.Transport) -> int:
+    """Return how many bytes the kernel has received and the event loop hasn't read."""
+    return _kernel_bytes(transport, termios.FIONREAD)
+
+
+def _kernel_bytes(transport: asyncio.Transport, queue: int) -> int:
     sock = transport.get_extra_info("socket")
     if sock is None or sock.fileno() < 0:
         return 0
     try:
-        reply = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+        reply = fcntl.ioctl(sock.fileno(), queue, bytes(_INT.size))
     except OSError:
         return 0  # The system does not tell; then only the own buffer counts.
     return int(_INT.unpack(reply)[0])
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -146,6 +146,32 @@
     assert _run(scenario).endswith(BODY)
 
 
+@pytest.mark.parametrize("how", ["close_idle", "finish", "idle-timeout"])
+def test_a_request_that_the_kernel_has_received_is_answered(how):
+    """Guards against a connection that counts as idle while a request waits there.
+
+    The event loop has not read it yet, for example because it was busy.
+    """
+
+    async def scenario(server, sock):
+        while not server.connections:
+            await asyncio.sleep(0.01)
+        (conn,) = server.connections
+        await asyncio.sleep(NEW_CONNECTION_SECONDS)
+        sock.send(GET)  # Is received before the event loop runs again.
+        if how == "idle-timeout":
+            conn._time_out()
+        else:
+            server.close_after_responses()
+            getattr(server, how)()
+        return await _read_all(sock)
+
+    answer = _run(scenario)
+    # The instance ends right after `finish`, and serves nothing more.
+    refused = answer.startswith(b"HTTP/1.1 503") and b"Retry-After" in answer
+    assert refused if how == "finish" else answer.endswith(BODY)
+
+
 def test_an_answer_that_the_end_of_the_process_cuts_is_reported():
     """Guards against cut answers that leave no log line."""
 
