--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -9,13 +9,13 @@
 import collections
 import dataclasses
 import functools
-import socket
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 
 import httptools
 
 from arbutusflow.domain.body_budget import BodyBudget
 from arbutusflow.gateway.closing import TwoStepClose, unread_bytes, unsent_bytes
+from arbutusflow.gateway.listener import Listener
 from arbutusflow.gateway.model import CallerLimits
 
 # Reading pauses at this number of unanswered requests on a connection; the requests of
@@ -25,7 +25,6 @@
 NEW_CONNECTION_SECONDS = 0.25
 # For a request whose body takes longer than any caller waits.
 MAX_READ_SECONDS = 60.0
-BACKLOG = 1024  # Connections that the kernel accepts ahead of this process.
 # For requests that another instance can serve at once.
 RETRY_SOON = ((b"Retry-After", b"0.1"),)
 # Used until a configuration is available.
@@ -109,71 +108,23 @@
         self.stopping = False
         self.finished = False  # Whether `finish` was called.
         self.connections: set[CallerConnection] = set()
-        self._listener: socket.socket | None = None
-        self._server: asyncio.Server | None = None
-        # Connections that are being set up when listening ends.
-        self._accepting: set[asyncio.Task[object]] = set()
+        self._listener = Listener(lambda: CallerConnection(self), self._report_error)
+
+    def _report_error(self, activity: str, exc: BaseException) -> None:
+        self.on_error(activity, exc)
 
     async def start(self, host: str, port: int) -> None:
         """Start listening. Raises OSError."""
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._listener = socket.create_server(
-            (host, port), family=family, backlog=BACKLOG
-        )
-        self._listener.setblocking(False)
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(self), sock=self._listener, backlog=BACKLOG
-        )
+        await self._listener.start(host, port)
 
     @property
     def port(self) -> int:
         """The listening port; port 0 lets the operating system choose it."""
-        assert self._server is not None
-        return int(self._server.sockets[0].getsockname()[1])
+        return self._listener.port
 
     def stop_accepting(self) -> None:
-        """End listening soon, and keep open connections.
-
-        Connections that the kernel or the event loop has accepted are kept, too.
-        """
-        if self._listener is None or self._listener.fileno() < 0:
-            return
-        loop = asyncio.get_running_loop()
-        loop.remove_reader(self._listener)
-        # asyncio drops connections that it has accepted and not set up when the server
-        # is closed. They are set up in the next iteration of the loop.
-        loop.call_soon(self._close_listener)
-
-    def _close_listener(self) -> None:
-        assert self._server is not None
-        loop = asyncio.get_running_loop()
-        for sock in self._accept_queued():
-            setup = loop.connect_accepted_socket(lambda: CallerConnection(self), sock)
-            task: asyncio.Task[object] = loop.create_task(setup)
-            self._accepting.add(task)
-            task.add_done_callback(self._finish_accepting)
-        self._server.close()
-
-    def _accept_queued(self) -> Iterator[socket.socket]:
-        assert self._listener is not None
-        for _ in range(BACKLOG):
-            try:
-                sock, _address = self._listener.accept()
-            except BlockingIOError:
-                return
-            except ConnectionAbortedError:
-                continue  # The caller has reset it.
-            except OSError as exc:
-                self.on_error("accepting queued connections", exc)
-                return
-            sock.setblocking(False)
-            yield sock
-
-    def _finish_accepting(self, task: asyncio.Task[object]) -> None:
-        self._accepting.discard(task)
-        exc = None if task.cancelled() else task.exception()
-        if exc is not None:
-            self.on_error("accepting queued connections", exc)
+        """End listening soon, and keep the connections accepted until then."""
+        self._listener.stop()
 
     def close_after_responses(self) -> None:
         """Read no further requests on a connection after its next response.
@@ -211,7 +162,7 @@
     @property
     def is_busy(self) -> bool:
         """Whether a connection has or may soon have a request, or unsent bytes."""
-        return bool(self._accepting) or any(conn.is_busy for conn in self.connections)
+        return self._listener.is_busy or any(conn.is_busy for conn in self.connections)
 
 
 class _PipelinedRequest:
