Reject a body that is late behind a pending request instead of polling it

Cause: the time-out of the connection does nothing while a request is pending, and starts the timer of the body again, with a time left of 0 s. Change: a body past its deadline is rejected with 408, behind the pending answers. The test test_a_body_that_is_late_behind_a_pending_request_is_rejected_once failed before and passes now (one call). Conclusion: mended.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -541,7 +541,7 @@
 
     def _time_out(self) -> None:
         self._timer = None
-        if self._pipeline:
+        if self._pipeline and self._loop.time() < self._read_until:
             if self._request_started:
                 self._start_body_timer()
             return
--- a/tests/gateway/test_caller_server.py
+++ b/tests/gateway/test_caller_server.py
@@ -122,6 +122,33 @@
     assert statuses(transport) == [408]
 
 
+def test_a_body_that_is_late_behind_a_pending_request_is_rejected_once():
+    """Guards against a timer that starts itself again without a pause."""
+
+    class CountingConnection(CallerConnection):
+        time_outs = 0
+
+        def _time_out(self):
+            self.time_outs += 1
+            super()._time_out()
+
+    async def main():
+        async def handle(req):
+            await asyncio.sleep(0.3)
+            return CallerResponse(200)
+
+        server = CallerServer(handle, BodyBudget(lambda: 10**6), lambda *_: None)
+        server.read_seconds = lambda headers: 0.1
+        conn, transport = CountingConnection(server), FakeTransport()
+        conn.connection_made(transport)
+        conn.data_received(GET % b"a")
+        conn.data_received(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx")
+        await asyncio.sleep(0.5)
+        return statuses(transport), conn.time_outs
+
+    assert asyncio.run(main()) == ([200, 408], 1)
+
+
 def test_an_idle_connection_is_closed_after_the_idle_timeout():
     assert not serve(GET % b"a", seconds=14.0)[0].closed
     transport, _ = serve(GET % b"a", seconds=16.0)
