Read the settings file when a stop begins

Cause: the settings file may change without a signal and is looked at each second; a stop that begins in between uses the grace period of before, and SIGKILL ends the process. Change: SIGTERM reads the file first. Figures: test_a_stop_uses_the_grace_period_that_the_settings_file_holds (6 s become 2 s right before SIGTERM) failed before, the process still ran after 2 s; it passes now, with 502 in time. Conclusion: mended; whether a grace period ever changes is not known.

--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -527,6 +527,7 @@
         self.log.write("settings_reloaded")
 
     def _stop(self) -> None:
+        self._reload()  # The grace period may have changed without a signal.
         if not self.lifecycle.stop(self._loop.time(), self._cfg.stop_seconds):
             self.log.write("stop_repeated", phase=self.lifecycle.phase.name)
             return
--- a/tests/soak/test_late_requests.py
+++ b/tests/soak/test_late_requests.py
@@ -134,3 +134,30 @@
     answer, seconds = asyncio.run(play())
     assert answer.status == 504
     assert deadline_seconds <= seconds <= deadline_seconds + 0.5
+
+
+def test_a_stop_uses_the_grace_period_that_the_settings_file_holds(tmp_path):
+    """Guards against a stop that SIGKILL ends, because the file changed without SIGHUP.
+
+    The request has no answer then, though an endpoint has it.
+    """
+    grace_seconds = 2
+
+    async def play():
+        world = SoakWorld(1, tmp_path, 2)
+        world.timeout_seconds = ROUTE_TIMEOUT_SECONDS
+        try:
+            await world.start()
+            _set_work(world, "plain", LONG_SECONDS)
+            gateway = world.gateways[0]
+            pending = asyncio.ensure_future(_send(world, 1, b"POST", b"/y/1"))
+            await asyncio.sleep(0.2)
+            changed = f"graceS = {grace_seconds}"
+            gateway.write_settings(gateway.settings.replace("graceS = 6", changed))
+            gateway.signal(signal.SIGTERM)
+            await asyncio.sleep(grace_seconds)
+            return gateway.running, (await pending).status
+        finally:
+            await world.close()
+
+    assert asyncio.run(play()) == (False, 502)
