Count the times of a stop from the arrival of its signal

Cause: the times of a stop were counted from the turn of the event loop that acts on the signal, so requests that come later than 3 s after it are sent by measured times, and the process goes on until SIGKILL. Class of fault: a bound that is counted from when it is noticed. Change: a signal handler of the interpreter, which runs between two instructions, notes the time. Conclusion: mended, but for a process that the system doesn't run at all meanwhile.

--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import signal
+import types
 from collections.abc import Callable, Coroutine
 
 import msgspec
@@ -108,6 +109,7 @@
         # By process of an endpoint that said that it leaves: when it became known.
         self._leaving: dict[EndpointProcess, float] = {}
         self._leave_task: asyncio.Task[None] | None = None
+        self._stop_signal_at: float | None = None  # When SIGTERM arrived.
         # Outcomes of requests since the stop began.
         self._outcomes_while_stopping: collections.Counter[str] = collections.Counter()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -190,12 +192,7 @@
     async def run(self) -> None:
         """Serve until SIGTERM. Raises OSError if an address is in use."""
         cfg = self._cfg
-        for number, action in (
-            (signal.SIGTERM, self._stop),
-            (signal.SIGINT, self._stop),
-            (signal.SIGHUP, self._reload),
-        ):
-            self._loop.add_signal_handler(number, action)
+        self.handle_signals()
         await self._loop.create_datagram_endpoint(
             lambda: self.fleet_task.peers, local_addr=(cfg.peer_host, cfg.peer_port)
         )
@@ -220,6 +217,18 @@
         self.caller_server.report_cut()
         self._log_stopped()
 
+    def handle_signals(self) -> None:
+        """Stop at SIGTERM and SIGINT, and reload the settings at SIGHUP."""
+        for number, action in (
+            (signal.SIGTERM, self._stop),
+            (signal.SIGINT, self._stop),
+            (signal.SIGHUP, self._reload),
+        ):
+            self._loop.add_signal_handler(number, action)
+        # Runs also while a callback holds the event loop, which acts on it later.
+        signal.signal(signal.SIGTERM, self._note_stop_signal)
+        signal.siginterrupt(signal.SIGTERM, False)
+
     def _periodic_callbacks(self) -> list[tuple[float, Callable[[], None]]]:
         return [
             (TICK_INTERVAL_SECONDS, self._tick),
@@ -526,9 +535,16 @@
         )
         self.log.write("settings_reloaded")
 
+    def _note_stop_signal(self, number: int, frame: types.FrameType | None) -> None:
+        if self._stop_signal_at is None:
+            self._stop_signal_at = self._loop.time()
+
     def _stop(self) -> None:
         self._reload()  # The grace period may have changed without a signal.
-        if not self.lifecycle.stop(self._loop.time(), self._cfg.stop_seconds):
+        began = self._stop_signal_at
+        if began is None:
+            began = self._loop.time()
+        if not self.lifecycle.stop(began, self._cfg.stop_seconds):
             self.log.write("stop_repeated", phase=self.lifecycle.phase.name)
             return
         self.fleet_task.leases.stopping = True
