Check which process of an endpoint said that it leaves

Cause: answers do not name the process, and a statement counted only for the process whose entry was known when the request was sent; class of fault: an answer is ascribed to the process that was known at its request. A time to wait had the same fault (BUDGET): it was kept with the earlier process, so that a burst reached the later one. Change: a later process that may be the one that said so gets no requests until it has answered a health check on a connection that was opened after its entry was read (leaving_checks). With the header in the answer it counts as leaving since the first statement, else it gets requests at once. If a service has no other endpoint to choose, its requests wait for that, 0.1 s at most. An answer that arrives after the new entry was read is treated likewise. After a wait of an earlier process, the later one gets one request at a time until one has run. Cost of a wrong belief: an endpoint that left and started again gets no requests from an instance for a connection and an answer. One that answers no health check would stay without requests from the instances that read the statement (docs/platform.md). Conclusion: mended, on the assumption that health checks carry the header like all answers.

--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 from collections.abc import Callable
@@ -17,7 +18,11 @@
 from arbutusflow.gateway.caller_server import CallerRequest, CallerResponse
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.crash_strikes import CrashStrikes
-from arbutusflow.gateway.endpoint_load import EndpointState, EndpointTable
+from arbutusflow.gateway.endpoint_load import (
+    CHECK_SECONDS,
+    EndpointState,
+    EndpointTable,
+)
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.key_demand import KeyDemand
 from arbutusflow.gateway.key_leases import KeyLeases
@@ -332,6 +337,7 @@
             state = await self._wait_for_owner(ctx)
             self._check_stop(ctx)
         else:
+            await self._wait_for_check(ctx)
             state = self._choose_by_cost(ctx)
         refusal = self._refusal(ctx, state)
         if refusal is not None and ctx.key is None:
@@ -383,6 +389,21 @@
             raise self._final_error(ctx, reason)
         return state
 
+    async def _wait_for_check(self, ctx: _RequestContext) -> None:
+        """Wait for the check of an endpoint if no other one can be chosen."""
+        until = min(
+            self._loop.time() + CHECK_SECONDS, ctx.deadline - MIN_ATTEMPT_SECONDS
+        )
+        while True:
+            now = self._loop.time()
+            pending = self._endpoints.pending_check(ctx.service.name, now)
+            if pending is None or now >= until:
+                return
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(until):
+                    await pending.wait()
+            self._check_stop(ctx)
+
     async def _wait_for_owner(self, ctx: _RequestContext) -> EndpointState:
         """Return the endpoint that owns the key, waiting for an ownership change."""
         assert ctx.key is not None
@@ -432,8 +453,9 @@
                 timeout=remaining,
                 request_id=ctx.request_id,
             ) as conn:
-                if self._loop.time() < state.wait_until:
-                    # It asked to wait while the connection was being opened.
+                if self._loop.time() < state.wait_until or state.pending_check:
+                    # It asked to wait while the connection was being opened, or may
+                    # have said that it leaves.
                     if not was_tried:
                         ctx.tried.discard(endpoint.id)
                     return None
@@ -543,7 +565,7 @@
         wait = wire.parse_wait(response.header(wire.RETRY_AFTER), time.time())
         if wait:
             wait += self._endpoints.wait_spread(wait)
-            state.record_wait(wait, now)
+            self._endpoints.record_wait(state, wait, now)
             self._log.write_rate_limited(
                 "endpoint_asks_to_wait",
                 endpoint=state.endpoint.id,
--- a/arbutusflow/gateway/endpoint_load.py
+++ b/arbutusflow/gateway/endpoint_load.py
@@ -2,13 +2,15 @@
 
 Invariants: an endpoint that the store does not list as ready, that said that it leaves,
 or that asked for no requests until later, is never chosen. This holds for its process,
-also if its entry vanishes and comes back.
+also if its entry vanishes and comes back. A process that may be the one that said that
+it leaves is not chosen until that is known (see `leaving_checks`).
 
 The load that other instances cause is known with a delay, in which they all see the
 same endpoint as the least loaded one. Each request is therefore sent to the best of a
 few endpoints that are chosen at random (power of d choices).
 """
 
+import asyncio
 import dataclasses
 import random
 from collections.abc import Mapping
@@ -45,6 +47,9 @@
 # keys. It may have started to drain a second before this instance is notified.
 DRAIN_SERVE_FRACTION = 0.4
 MAX_DEPARTED_STATES = 1024  # Bounds the memory for endpoints that have left.
+# Requests that no other endpoint can serve wait as long for the check of a process that
+# may leave; it answers in milliseconds.
+CHECK_SECONDS = 0.1
 MAX_WAIT_SPREAD_SECONDS = 1.0  # Over which instances end a wait that one asked for.
 
 
@@ -74,6 +79,9 @@
     wait_until: float = -1e9  # Until when it asked for no requests.
     # Whether it asked to wait and has run no request since. It then gets one at a time.
     on_trial: bool = False
+    # Set while a statement that its endpoint leaves may be of this process; the event
+    # occurs when that has been decided.
+    pending_check: asyncio.Event | None = None
 
     def other_in_flight(self, now: float) -> int:
         """Return the number of in-flight requests of other instances."""
@@ -139,8 +147,21 @@
         """Return for how long no request may be sent; 0 if one may."""
         if now < self.wait_until:
             return self.wait_until - now
+        if self.pending_check is not None:
+            return CHECK_SECONDS
         return self.service_seconds if self.on_trial and self.own_in_flight else 0.0
 
+    def begin_check(self) -> None:
+        """Send no requests until it is known whether this process leaves."""
+        if self.pending_check is None:
+            self.pending_check = asyncio.Event()
+
+    def end_check(self) -> None:
+        """Send requests again unless this process leaves."""
+        if self.pending_check is not None:
+            self.pending_check.set()
+            self.pending_check = None
+
     def mark_replaced(self) -> None:
         """Stop using this endpoint for good: its address belongs to another one."""
         self.replaced = True
@@ -170,6 +191,8 @@
         self._listed: set[str] = set()
         # By process: states of endpoints that may be listed again.
         self._departed: dict[tuple[str, int], EndpointState] = {}
+        # Until when each endpoint asked for no requests, whichever its process.
+        self._wait_until: dict[str, float] = {}
         self._delisted: list[str] = []  # Endpoints in `states` that are not listed.
         self.states: dict[str, EndpointState] = {}
         self._services: dict[str, list[EndpointState]] = {}
@@ -218,6 +241,7 @@
                 state = self._departed.pop(endpoint.process, None)
                 if state is not None:
                     state.peer_in_flight = self._peer_in_flight(name)
+                    state.end_check()
             if state is None:
                 state = EndpointState(endpoint, cold_until=now + endpoint.cold_seconds)
                 state.service_seconds = self._median_service_seconds(endpoint.service)
@@ -225,6 +249,8 @@
                 # lower measured service times are idle.
                 state.never_chosen = bool(self.states) and endpoint.zone == self._zone
                 state.peer_in_flight = self._peer_in_flight(name)
+                # This process may be the one that asked, before its entry was read.
+                state.on_trial = now < self._wait_until.get(name, -1e9)
             state.endpoint = endpoint
             if not endpoint.draining:
                 state.leaving_since = None
@@ -276,6 +302,22 @@
         times = sorted(s.service_seconds for s in self._services.get(service, ()))
         return times[len(times) // 2] if times else INITIAL_SERVICE_SECONDS
 
+    def record_wait(self, state: EndpointState, seconds: float, now: float) -> None:
+        """Send no requests to an endpoint that asked for none in an answer.
+
+        An answer does not name the process. A later process that may have sent it gets
+        one request at a time until one has run.
+        """
+        state.record_wait(seconds, now)
+        name = state.endpoint.id
+        until = max(now + seconds, self._wait_until.pop(name, -1e9))
+        self._wait_until[name] = until
+        while len(self._wait_until) > MAX_DEPARTED_STATES:
+            del self._wait_until[next(iter(self._wait_until))]
+        current = self.states.get(name)
+        if current is not None and current is not state:
+            current.on_trial = True
+
     def wait_spread(self, seconds: float) -> float:
         """Return a random addition to a wait, which instances must not end at once."""
         return self._rng.uniform(0.0, min(MAX_WAIT_SPREAD_SECONDS, seconds / 2))
@@ -284,6 +326,17 @@
         """Return the endpoints of a service."""
         return self._services.get(service, [])
 
+    def pending_check(self, service: str, now: float) -> asyncio.Event | None:
+        """Return a check whose result decides whether any endpoint may be chosen."""
+        pending = None
+        for state in self.for_service(service):
+            if state.leaving_since is not None or state.replaced:
+                continue
+            if not state.wait_seconds(now):
+                return None
+            pending = pending or state.pending_check
+        return pending
+
     def cost(self, state: EndpointState, now: float) -> float:
         """Return the expected cost of a request at the endpoint, in seconds."""
         cost = state.expected_seconds(now)
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -39,6 +39,7 @@
     FleetTask,
 )
 from arbutusflow.gateway.instance_state import STATE_PATH, InstanceState
+from arbutusflow.gateway.leaving_checks import LeavingChecks
 from arbutusflow.gateway.lifecycle import Lifecycle, Phase, Work
 from arbutusflow.gateway.metrics import GatewayMetrics
 from arbutusflow.gateway.model import (
@@ -152,6 +153,9 @@
         )
         response_bytes = int(cfg.memory_bytes * RESPONSE_MEMORY_FRACTION)
         self.pool = ConnectionPool(wire.REQUEST_ID, BodyBudget(lambda: response_bytes))
+        self.leaving_checks = LeavingChecks(
+            self.endpoints, self.pool, self._health_path, self._on_leaving, log
+        )
         self.crash_strikes = CrashStrikes()
         self.retry_budget = RetryBudget(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_seconds
@@ -317,6 +321,7 @@
 
     def _use_endpoints(self, now: float) -> None:
         self.endpoints.update(self.directory.endpoints, now)
+        self.leaving_checks.update()
         self.fleet_task.leases.update_endpoints(self.directory.endpoints)
 
     # Reports to and from other instances.
@@ -443,9 +448,18 @@
             del self._leaving[process]
         return dict(self._leaving.keys())
 
+    def _health_path(self, service: str) -> str:
+        cfg = self._configuration
+        known = None if cfg is None else cfg.services.get(service)
+        return "/" if known is None else str(known.health_path)
+
     def _on_leaving(self, process: EndpointProcess) -> None:
-        if not self.directory.mark_leaving(process):
-            return
+        if self.directory.mark_leaving(process):
+            self._use_leaving(process)
+        self.leaving_checks.record(process)
+
+    def _use_leaving(self, process: EndpointProcess) -> None:
+        """Use what this instance was the first to learn of a process."""
         now = self._loop.time()
         self._leaving[process] = now
         self.log.write(
--- a/tests/gateway/object_platform.py
+++ b/tests/gateway/object_platform.py
@@ -214,6 +214,8 @@
         if expected is not None and expected != self.name.encode():
             own_name = ((wire.ENDPOINT_ID, self.name.encode()),)
             return CallerResponse(421, echoed_headers + own_name)
+        if req.target == b"/health":
+            return CallerResponse(200, echoed_headers)
         if req.target == wire.GRANT_PATH:
             return self._grant(msgspec.json.decode(req.body))
         if req.target == wire.RELEASE_PATH:
--- a/tests/gateway/statement_world.py
+++ b/tests/gateway/statement_world.py
@@ -71,6 +71,11 @@
         if expected not in head.split(b"\r\n"):
             headers.append((wire.ENDPOINT_ID, process.name.encode()))
             return 421
+        if head.startswith(b"GET /health "):
+            # A health check of the instance, which both rules allow.
+            if process.leaving:
+                headers.append((wire.LEAVING, b"1"))
+            return 200
         process.arrivals += 1
         self._world.audit.check_arrival(request_id, process.id, now())
         wait = process.wait_until - now()
@@ -116,7 +121,8 @@
 
     def __init__(self, world, name, seed):
         self.inst = StatementInstance(name, seed)
-        self.inst.gateway.dispatcher._pool = _Pool(world, self)
+        gateway, pool = self.inst.gateway, _Pool(world, self)
+        gateway.dispatcher._pool = gateway.leaving_checks._pool = pool
         self.running = True
         self.reads_store = True
         self.thawed = asyncio.Event()
@@ -257,14 +263,6 @@
         self.processes[name] = self.at[address] = process
         return process
 
-    def is_known(self, name):
-        """Return whether all instances have read an entry of an endpoint's process."""
-        started_ms = self.processes[name].started_ms
-        latest = [m.inst.gateway.directory._latest for m in self.members.values()]
-        return all(
-            name in known and known[name].started_ms == started_ms for known in latest
-        )
-
     def close(self):
         for task in self.tasks:
             task.cancel()
--- a/tests/gateway/test_statement_machine.py
+++ b/tests/gateway/test_statement_machine.py
@@ -16,7 +16,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from arbutusflow.gateway.endpoint_directory import EndpointDirectory
-from arbutusflow.gateway.endpoint_load import EndpointState
+from arbutusflow.gateway.endpoint_load import EndpointState, EndpointTable
+from arbutusflow.gateway.leaving_checks import LeavingChecks
 from arbutusflow.gateway.model import Address
 from arbutusflow.gateway.process import Gateway
 from tests.gateway.statement_world import StatementWorld
@@ -75,9 +76,6 @@
 
     @rule(endpoint=endpoints, published=st.booleans())
     def say_leaving(self, endpoint, published):
-        # See the limits in docs/platform.md.
-        if not self.world.is_known(endpoint):
-            return
         self.world.processes[endpoint].leaving = True
         if published:
             self.act(self.world.publish, endpoint, "draining")
@@ -102,6 +100,16 @@
         if published:
             self.act(self.world.publish, endpoint)
 
+    @rule(endpoint=endpoints, instance=instances, seconds=st.sampled_from([0.3, 2.1]))
+    def leave_unread(self, endpoint, instance, seconds):
+        """Start an endpoint that leaves before the entry of its process is read."""
+        self.start_again(endpoint, published=False)
+        self.say_leaving(endpoint, published=False)
+        self.read_statement(instance, endpoint)
+        self.run(seconds)
+        self.act(self.world.publish, endpoint)
+        self.read_statement(instance, endpoint)
+
     @rule(endpoint=endpoints, other=endpoints, published=st.booleans())
     def use_address_again(self, endpoint, other, published):
         """Start an endpoint at the address of another one, which moves."""
@@ -134,8 +142,6 @@
     @rule(endpoint=endpoints)
     def vanish(self, endpoint):
         """Let an endpoint leave whose entry is removed, and written late once more."""
-        if not self.world.is_known(endpoint):
-            return
         for instance in INSTANCES:
             for path in PATHS[ENDPOINTS[endpoint]] * 2:
                 self.act(self.world.send, instance, path, endpoint)
@@ -211,6 +217,7 @@
     "unlist": 1,
     "vanish": 1,
     "start_again": 1,
+    "leave_unread": 1,
     "use_address_again": 1,
     "change_reading": 1,
     "change_speed": 1,
@@ -234,6 +241,7 @@
         "unlist": (endpoint, flag),
         "vanish": (endpoint,),
         "start_again": (endpoint, flag),
+        "leave_unread": (endpoint, instance, rng.choice([0.3, 2.1])),
         "use_address_again": (endpoint, rng.choice(sorted(ENDPOINTS)), flag),
         "change_reading": (instance, flag),
         "change_speed": (endpoint, rng.choice([0.02, 0.4])),
@@ -311,9 +319,66 @@
     monkeypatch.setattr(Gateway, "_on_leaving", on_leaving)
 
 
+def _check_nothing(monkeypatch):
+    """Let a statement count only for the process to which the request was sent."""
+    monkeypatch.setattr(LeavingChecks, "record", lambda *args: None)
+
+
+def _serve_keys_longer(monkeypatch):
+    """Let the time for requests with keys begin when the check is answered."""
+    monkeypatch.setattr(LeavingChecks, "_set_leaving_since", lambda *args: None)
+
+
+def _keep_waits_to_processes(monkeypatch):
+    """Let a wait count only for the process to which the request was sent."""
+
+    def record_wait(self, state, seconds, now):
+        state.record_wait(seconds, now)
+
+    monkeypatch.setattr(EndpointTable, "record_wait", record_wait)
+
+
+@pytest.mark.parametrize("is_late", [False, True])
+@pytest.mark.parametrize("is_unlisted", [False, True])
+def test_a_process_that_asks_to_wait_before_its_entry_is_read_gets_one_request(
+    is_late, is_unlisted
+):
+    """Guards against a burst at a process whose wait was taken for one of the earlier
+    process, also if the answer comes after its entry was read."""
+    machine = StatementMachine()
+    machine.start_again("e0", published=False)
+    machine.ask_to_wait("e0", 6.0)
+    for _ in range(6):
+        machine.act(machine.world.send, "n0", b"/safe/1")
+    machine.run(0.004 if is_late else 0.2)
+    if is_unlisted:
+        machine.unlist("e0", returns=False)
+        machine.run(0.001 if is_late else 2.1)
+    machine.act(machine.world.publish, "e0")
+    machine.run(0.7)
+    arrivals = machine.world.processes["e0"].arrivals
+    for _ in range(12):
+        machine.act(machine.world.send, "n0", b"/safe/1")
+    machine.run(1.0)
+    found = machine.world.processes["e0"].arrivals - arrivals, machine.world.violations
+    machine.act(machine.world.close)
+    machine.runner.close()
+    assert found[0] <= 1
+    assert found[1] == []
+
+
 @pytest.mark.parametrize(
     "break_rule",
-    [_ignore_waits, _ignore_leaving, _use_later_entries, _forget_unlisted, _apply_late],
+    [
+        _ignore_waits,
+        _ignore_leaving,
+        _use_later_entries,
+        _forget_unlisted,
+        _apply_late,
+        _check_nothing,
+        _keep_waits_to_processes,
+        _serve_keys_longer,
+    ],
 )
 def test_a_broken_rule_is_detected(break_rule, monkeypatch):
     """Shows that the test above fails if a part is missing."""
