Look for busy connections only when a stop needs it, and test two more parts

Change: the question is asked from the closing phase on, when idle connections are closed. Tests: a stop that begins while a request waits for the owner of its key, and a connection with unread input counts as busy. Conclusion: mended.

--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -596,7 +596,9 @@
         server, phase = self.caller_server, self.lifecycle.phase
         while True:
             deregistered = self._leave_task is not None and self._leave_task.done()
-            work = Work(server.pending_requests, server.is_busy, deregistered)
+            # Earlier phases ask for requests only, and there are many connections then.
+            busy = phase >= Phase.CLOSING and server.is_busy
+            work = Work(server.pending_requests, busy, deregistered)
             previous, phase = phase, self.lifecycle.advance(work, now)
             if phase is previous:
                 break
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -158,7 +158,9 @@
             await asyncio.sleep(0.01)
         (conn,) = server.connections
         await asyncio.sleep(NEW_CONNECTION_SECONDS)
+        assert not server.is_busy
         sock.send(GET)  # Is received before the event loop runs again.
+        assert server.is_busy
         if how == "idle-timeout":
             conn._time_out()
         else:
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -462,6 +462,14 @@
     assert (reply.status, sent, seconds) == (503, [], 0.0)
 
 
+def test_a_stop_that_begins_while_a_request_waits_for_the_owner_of_its_key_counts():
+    """Guards against a request that is sent when it can't end before the instance."""
+    reply, sent, _ = handle(
+        OK, partitioned=True, owned_after=0.3, lifecycle=Lifecycle(), stop_after=0.1
+    )
+    assert (reply.status, reply.body, sent) == (503, b"instance_stops\n", [])
+
+
 def test_a_request_that_ends_by_its_deadline_before_the_instance_is_sent():
     reply, sent, _ = handle(OK, deadline_ms=b"1400", lifecycle=_stopping(1.5))
     assert (reply.status, len(sent)) == (200, 1)
