Bound how late a stop may have been noticed

Callers of an instance that the system didn't run when SIGTERM arrived would see what mends for a held event loop: 502 of the instance while an endpoint is at work. Change: a stop counts from the last tick before the handler ran, at most 50 ms too early as a rule, and from a sixth of the grace period before at most. A process that is not run for longer than a sixth of its grace period still ends late.

--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -67,6 +67,8 @@
 from arbutusflow.runtime.timers import TimerService
 
 TICK_INTERVAL_SECONDS = 0.05
+# Largest part of the grace period that a signal counts as noticed late.
+MAX_LAG_FRACTION = 1 / 6
 PRUNE_INTERVAL_SECONDS = 1.0
 # Fraction of an endpoint's connection limit that all instances together may keep idle.
 # The rest is for connections in use, and for those of a restarted fleet while the
@@ -110,7 +112,8 @@
         # By process of an endpoint that said that it leaves: when it became known.
         self._leaving: dict[EndpointProcess, float] = {}
         self._leave_task: asyncio.Task[None] | None = None
-        self._stop_signal_at: float | None = None  # When SIGTERM arrived.
+        self._ticked_at = self._started_at
+        self._stop_signal_after: float | None = None  # A time before SIGTERM arrived.
         # Outcomes of requests since the stop began.
         self._outcomes_while_stopping: collections.Counter[str] = collections.Counter()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -229,7 +232,7 @@
             (signal.SIGHUP, self._reload),
         ):
             self._loop.add_signal_handler(number, action)
-        # Runs also while a callback holds the event loop, which acts on it later.
+        # The event loop may act on the signal late.
         signal.signal(signal.SIGTERM, self._note_stop_signal)
         signal.siginterrupt(signal.SIGTERM, False)
 
@@ -249,6 +252,7 @@
 
     def _tick(self) -> None:
         now = self._loop.time()
+        self._ticked_at = now
         if self.directory.expire(now):
             self._use_endpoints(now)
         self.endpoints.remove_departed(now)
@@ -550,15 +554,21 @@
         self.log.write("settings_reloaded")
 
     def _note_stop_signal(self, number: int, frame: types.FrameType | None) -> None:
-        if self._stop_signal_at is None:
-            self._stop_signal_at = self._loop.time()
+        """Note when SIGTERM can't have arrived yet.
+
+        The interpreter calls this between two instructions, also while a callback holds
+        the event loop. If the process was not running when the signal arrived, this is
+        the first that it runs, and its last tick was before.
+        """
+        if self._stop_signal_after is None:
+            self._stop_signal_after = self._ticked_at
 
     def _stop(self) -> None:
         self._reload()  # The grace period may have changed without a signal.
-        began = self._stop_signal_at
-        if began is None:
-            began = self._loop.time()
-        if not self.lifecycle.stop(began, self._cfg.stop_seconds):
+        now, grace_seconds = self._loop.time(), self._cfg.stop_seconds
+        began = now if self._stop_signal_after is None else self._stop_signal_after
+        lag = min(now - began, MAX_LAG_FRACTION * grace_seconds)
+        if not self.lifecycle.stop(now - lag, grace_seconds):
             self.log.write("stop_repeated", phase=self.lifecycle.phase.name)
             return
         self.fleet_task.leases.stopping = True
--- a/tests/gateway/test_signals_at_start.py
+++ b/tests/gateway/test_signals_at_start.py
@@ -8,11 +8,14 @@
 import signal
 import subprocess
 import sys
-import threading
 import time
 
+import pytest
+
+from arbutusflow.gateway.process import MAX_LAG_FRACTION, TICK_INTERVAL_SECONDS
 from tests.gateway.statement_instance import StatementInstance
 
+GRACE_SECONDS = 6.0  # Of the instances of the tests.
 # Puts a module in the place of the command line that sends SIGHUP to the process when
 # it is used, as the platform may do while the real one is being imported.
 _CODE = """
@@ -47,18 +50,27 @@
     assert _start("version").returncode == -signal.SIGHUP
 
 
-def test_a_stop_begins_when_its_signal_arrives():
-    """Guards against a stop that SIGKILL ends, because the event loop was held."""
+@pytest.mark.parametrize("held_seconds", [0.0, 0.6, 2.0])
+def test_a_stop_begins_at_the_latest_when_its_signal_arrives(held_seconds):
+    """Guards against a stop that SIGKILL ends, because the signal was noticed late.
+
+    A long pause of the process does not use the grace period up.
+    """
 
     async def stop():
         loop, instance = asyncio.get_running_loop(), StatementInstance("a")
-        instance.gateway.handle_signals()
-        sent_at = loop.time() + 0.1
-        timer = threading.Timer(0.1, os.kill, (os.getpid(), signal.SIGTERM))
-        timer.start()
-        time.sleep(0.6)
-        await asyncio.sleep(0.05)
-        timer.join()
-        return instance.gateway.lifecycle.plan.began - sent_at
-
-    assert asyncio.run(stop()) < 0.3
+        gateway = instance.gateway
+        gateway.handle_signals()
+        gateway._tick()
+        await asyncio.sleep(TICK_INTERVAL_SECONDS)
+        os.kill(os.getpid(), signal.SIGTERM)
+        sent_at = loop.time()
+        time.sleep(held_seconds)  # Holds the event loop.
+        await asyncio.sleep(0.01)
+        return sent_at - gateway.lifecycle.plan.began
+
+    early = asyncio.run(stop())
+    if held_seconds > GRACE_SECONDS * MAX_LAG_FRACTION:
+        assert early == pytest.approx(GRACE_SECONDS * MAX_LAG_FRACTION - 2.0, abs=0.1)
+    else:
+        assert 0.0 <= early < 5 * TICK_INTERVAL_SECONDS
