Give callers' identifiers the millisecond of the clock, name both times in refusals

Cause: `uuid6.uuid7()` gives each identifier of a process a millisecond of its own, so above 1,000 identifiers a second they run ahead of the clock and are refused as `request_id_skew`. The refusal named neither the difference nor the times, and no line of the log at the default level named it.

A refusal names the difference, the allowed skew and both times; the instance logs one such request a second as a warning, with these texts.

--- a/arbutusflow/adapters/caller_http.py
+++ b/arbutusflow/adapters/caller_http.py
@@ -8,11 +8,11 @@
 import asyncio
 import math
 import urllib.parse
+import uuid
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
 import msgspec
-import uuid6
 from werkzeug.sansio.utils import get_content_length
 
 from arbutusflow.adapters.endpoint import repr_digest
@@ -22,6 +22,7 @@
 from arbutusflow.domain.body_budget import SMALL_BODY_BYTES, BodyBudget
 from arbutusflow.domain.configuration import Configuration, Kind, Service
 from arbutusflow.domain.reasons import RefusalReason
+from arbutusflow.request_ids import new_request_id
 
 MAX_DEADLINE_MS = 600_000
 MAX_CALLER_NAME_LENGTH = 255
@@ -206,7 +207,7 @@
             method,
             body,
             content_type,
-            request_id or str(uuid6.uuid7()),
+            request_id or new_request_id(),
             caller,
             deadline_ms,
         )
@@ -253,7 +254,7 @@
             "Arbutus-Request-Id and reuse it on each resend",
         )
     try:
-        request_id = uuid6.UUID(text)
+        request_id = uuid.UUID(text)
     except ValueError:
         request_id = None
     if request_id is None or request_id.version != 7:
--- a/arbutusflow/domain/delivery.py
+++ b/arbutusflow/domain/delivery.py
@@ -68,6 +68,7 @@
     HistoryEntry,
     RequestHistory,
     created_seconds,
+    skew_detail,
 )
 
 REQUEST_ID_LIFETIME_SECONDS = 120.0
@@ -329,8 +330,15 @@
         if created > wall + self._max_skew_seconds:
             # An earlier coordinator whose clock was ahead may have accepted it.
             accepted = created <= wall + self._clock_tolerance_seconds
-            reason = RefusalReason.REQUEST_ID_SKEW
-            return [_refuse(ticket, reason, may_have_run=accepted)]
+            detail = skew_detail(created, wall, self._max_skew_seconds)
+            return [
+                _refuse(
+                    ticket,
+                    RefusalReason.REQUEST_ID_SKEW,
+                    may_have_run=accepted,
+                    detail=detail,
+                )
+            ]
         unknown = self._unknown_reason(request, created, wall)
         if unknown is not None and not request.repeatable:
             return [_refuse(ticket, unknown)]
--- a/arbutusflow/domain/request_history.py
+++ b/arbutusflow/domain/request_history.py
@@ -9,12 +9,14 @@
 
 import collections
 import dataclasses
+import datetime
 import heapq
 import uuid
 
 from arbutusflow.domain.delivery_messages import Answer, RequestRecord
 from arbutusflow.domain.reasons import Refusal, RefusalReason
 
+_LAST_DATE_SECONDS = 253_402_300_799.0  # Last second of the year 9999.
 MAX_ANSWER_DIVISOR = 4  # A single answer may use up to a quarter of the bytes.
 
 IN_PROGRESS = None
@@ -51,6 +53,27 @@
     return (parsed.int >> 80) / 1000.0
 
 
+def skew_detail(created: float, wall: float, max_skew_seconds: float) -> str:
+    """Return why an identifier is refused that is ahead of the clock of the instance.
+
+    `created` and `wall` are in seconds since the epoch.
+    """
+    return (
+        f"the request identifier is {created - wall:.3f} s ahead of the clock of the"
+        f" instance, more than {max_skew_seconds:g} s: its time is"
+        f" {_time_text(created)}, that of the instance {_time_text(wall)}; the caller's"
+        " clock is wrong, or its library gives each identifier a millisecond of its own"
+    )
+
+
+def _time_text(seconds: float) -> str:
+    # An identifier can carry a time after the year 9999, which no datetime can.
+    if seconds > _LAST_DATE_SECONDS:
+        return f"{seconds:.3f} s after 1970-01-01"
+    date = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return date.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+
+
 class RequestHistory:
     """Bounded table of request identifiers."""
 
--- a/arbutusflow/runtime/observer.py
+++ b/arbutusflow/runtime/observer.py
@@ -24,6 +24,7 @@
 RequestHandler = Callable[[ForwardRequest], Awaitable[ForwardReply]]
 
 ENTRY_ROLE, COORDINATOR_ROLE = "entry", "coordinator"
+SKEW_WARNING_INTERVAL_SECONDS = 1.0
 
 
 class Observer:
@@ -36,6 +37,7 @@
         self._metrics = metrics
         self._request_log = request_log
         self._retries: dict[str, list[str]] = {}
+        self._next_skew_warning_at = 0.0
 
     def start(self, timers: Timers) -> None:
         """Start the timers that flush metrics and set the gauges."""
@@ -72,7 +74,7 @@
             self._metrics.finished(
                 outcome.service, outcome.rank, outcome.outcome, duration_ms
             )
-        level = Level.WARNING if reply.outcome == "unknown" else Level.DEBUG
+        level = self._level_of(reply, started)
         if is_logged(level):
             log_event(
                 "request",
@@ -83,6 +85,7 @@
                 kind=outcome.kind,
                 outcome=outcome.outcome,
                 reason=outcome.reason,
+                detail=outcome.detail,
                 duration_ms=round(duration_ms, 3),
                 endpoint=outcome.endpoint,
                 coordinator=outcome.coordinator,
@@ -90,6 +93,20 @@
             )
         return reply
 
+    def _level_of(self, reply: ForwardReply, now: float) -> Level:
+        """Return the level of the line of a request.
+
+        One request a second whose identifier is ahead of the clock is a warning: the
+        operator has to know, and a caller can send thousands of them.
+        """
+        if reply.outcome == "unknown":
+            return Level.WARNING
+        is_skewed = reply.reason == RefusalReason.REQUEST_ID_SKEW.value
+        if not is_skewed or now < self._next_skew_warning_at:
+            return Level.DEBUG
+        self._next_skew_warning_at = now + SKEW_WARNING_INTERVAL_SECONDS
+        return Level.WARNING
+
     def record_retry(self, request_id: str, reason: RetryReason) -> None:
         """Count a retry and keep its reason for the outcome of the request."""
         self._metrics.retried(reason)
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -2,9 +2,13 @@
 
 import dataclasses
 import random
+import re
+import time
 from collections import Counter
+from datetime import datetime
 
 import pytest
+import uuid6
 from hypothesis import Phase, find, given, settings, strategies as st
 
 from arbutusflow.domain import (
@@ -380,6 +384,36 @@
     assert sim.result(ticket) == expected
 
 
+def test_ids_of_a_library_that_runs_ahead_are_refused_with_both_times(monkeypatch):
+    """Guards against a refusal that hides that the caller's library runs ahead."""
+    sim = Simulation()
+    monkeypatch.setattr("uuid6._last_v7_timestamp", None)
+    monkeypatch.setattr(time, "time_ns", lambda: int(sim.wall * 1e9))
+    for _ in range(10_000):
+        sim.now += 1 / 5_000
+        ticket = sim.arrive(str(uuid6.uuid7()))
+        if sim.result(ticket) is not None:
+            break
+        sim.dispatch()
+        sim.end(0)
+    refusal = sim.replies[ticket]
+    assert refusal.reason is RefusalReason.REQUEST_ID_SKEW
+    ahead = re.search(r"identifier is (\S+) s ahead .* than 5 s", refusal.detail)
+    assert float(ahead[1]) == pytest.approx(5.0, abs=0.01)
+    times = re.findall(r"[\d-]+T[\d:.]+Z", refusal.detail)
+    created, wall = (datetime.fromisoformat(text).timestamp() for text in times)
+    assert wall == pytest.approx(sim.wall, abs=0.001)
+    assert created - wall == pytest.approx(float(ahead[1]), abs=0.002)
+
+
+def test_an_identifier_after_the_year_9999_is_refused_with_its_time():
+    """Guards against an error instead of a refusal, as no date can hold the time."""
+    sim = Simulation()
+    ticket = sim.arrive("ffffffff-ffff-7000-8000-000000000000")
+    assert sim.result(ticket) == ("not-run", "request_id_skew")
+    assert "281474976710.655 s after 1970-01-01" in sim.replies[ticket].detail
+
+
 @pytest.mark.parametrize("clock_lag", [0.0, 0.5, 0.99])
 def test_no_second_run_if_the_next_coordinator_has_a_lagging_clock(clock_lag):
     """Guards against a second run after a takeover between differing clocks."""
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -168,6 +168,26 @@
     assert metrics.latencies == [("registry", "urgent", "answered")]
 
 
+def test_refused_identifiers_ahead_of_the_clock_are_logged_once_a_second(log_lines):
+    """Guards against refusals of a caller's library that no line of the log names."""
+    observer = Observer(StubControl(), RecordingMetrics(), RequestLog())
+    detail = "1.5 s ahead, both times"
+
+    async def handler(req):
+        return ForwardReply(0, "not-run", "request_id_skew", detail, 400)
+
+    async def observe():
+        for _ in range(100):
+            await observer.observe(ENTRY_ROLE, handler, REQUEST)
+
+    asyncio.run(observe())
+    (found,) = lines_named(log_lines, "request")
+    assert (found["level"], found["detail"]) == ("warning", detail)
+    observer._next_skew_warning_at -= 1.0
+    asyncio.run(observe())
+    assert len(lines_named(log_lines, "request")) == 2
+
+
 def test_request_of_a_caller_that_left_is_recorded():
     observer = Observer(StubControl(), RecordingMetrics(), log := RequestLog())
 
