Let the demo run the gateway, with its faults and changes

Cause: the demo ran the earlier path (runtime, adapters, domain), not the product of today, and showed no fault, stop, hot key or change.

Change: `python -m arbutusflow.standins.demo` runs four instances as processes of their own (`python -m arbutusflow gateway`), and in its process the store, 12 endpoints and the callers, on loopback addresses of its own. It plays a calm part, a burst, a killed instance, a planned stop, a hot key and a configuration change, prints one table and writes one page with plots as inline SVG. `--seed`, `--seconds`, `--keep`, `--page`, `--network`. It exits with 1 for a broken promise, 2 with one line for bad input, 130 after an interrupt. `platform/other_side.py` has the names of the wire that stand-ins need. A contract of import-linter keeps the demo from domain, runtime and adapters.

New promises, each planted in tests/test_promises.py: an answer to each request unless its instance was killed, one owner of a key at a time with rising tokens, a planned stop in time with status 0, a configuration in force within 2 s.

A refusal counts as "not run" only for work that may not be repeated, as the gateway promises it (the former demo of the earlier path compared all).

Conclusion: the first command shows the product and fails if it does not work.

--- a/Makefile
+++ b/Makefile
@@ -11,13 +11,15 @@
 .PHONY: reference lock clean
 
 $(STAMP): pyproject.toml requirements.lock
+	@$(PYTHON) -c 'import sys; sys.exit(None if sys.version_info >= (3, 11) else \
+		"Python 3.11 or later is needed; name one with PYTHON=...")'
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet -r requirements.lock
 	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation -e .
 	touch $@
 
 demo: $(STAMP)
-	$(BIN)/python -m arbutusflow.standins.demo examples/ecuador.yaml
+	$(BIN)/python -m arbutusflow.standins.demo
 
 # Each core runs one worker, up to this number: some tests run five processes of their
 # own, whose deadlines need free cores.
@@ -77,4 +79,4 @@
 		--no-emit-find-links --no-emit-options --output-file requirements.lock pyproject.toml
 
 clean:
-	rm -rf $(VENV) build dist
+	rm -rf $(VENV) build dist arbutusflow-demo.html
--- a/arbutusflow/standins/promises.py
+++ b/arbutusflow/standins/promises.py
@@ -9,7 +9,12 @@
 import enum
 from collections.abc import Iterable, Mapping, Sequence
 
+from arbutusflow.standins.key_endpoint import Holding
+
 CALM_PART = "calm"
+NO_ANSWER = "no_answer"  # Reason of a request that was sent and got no answer.
+NO_CONNECTION = "no_connection"  # Reason of a request that was not sent.
+APPLY_SECONDS = 2.0  # In which a new configuration is in force everywhere.
 MIN_ANSWERED_SHARE = 0.99  # Of the requests of the calm part.
 MAX_NAMED_REASONS = 3
 
@@ -35,6 +40,29 @@
     sent_at: float
     ended_at: float
     own_answer: bool = True  # False for the answer of another request.
+    instance: str = ""  # That it was sent to.
+    connected_at: float = 0.0  # When its connection was opened.
+    service: str = ""  # That answered it.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlannedStop:
+    """A planned stop of an instance, as the one who stopped it saw it."""
+
+    instance: str
+    exit_status: int | None  # None if it had to be killed.
+    seconds: float  # Until the process ended.
+    allowed_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationChange:
+    """A version that gave the requests of one route to another service."""
+
+    route: str
+    before: str  # Service that answers until the change.
+    after: str
+    written_at: float  # Seconds on the clock of the requests.
 
 
 def broken_request_promises(
@@ -57,6 +85,105 @@
     return broken
 
 
+def unanswered(
+    sent: Iterable[SentRequest], kills: Sequence[tuple[str, float]]
+) -> list[str]:
+    """Return the requests without any answer, but for those that a kill cut off.
+
+    `kills` are instances that were killed, and when. A kill cuts off the requests on
+    connections that were open then, also those sent before the caller reads its end.
+    """
+    return [
+        f"request {item.request_id} to {item.instance} got no answer within"
+        f" {item.ended_at - item.sent_at:.2f} s"
+        for item in sent
+        if item.reason == NO_ANSWER
+        and not any(
+            item.instance == instance and item.connected_at <= at <= item.ended_at
+            for instance, at in kills
+        )
+    ]
+
+
+def second_owners(holdings: Iterable[Holding]) -> list[str]:
+    """Return where two endpoints held a key at once, or where a token did not rise."""
+    broken: dict[str, None] = {}  # Renewals repeat a message.
+    held: list[Holding] = []
+    # Latest token of each endpoint and range.
+    tokens: dict[tuple[str, int, int], int] = {}
+    for item in sorted(holdings, key=lambda holding: holding.since):
+        held = [other for other in held if other.until > item.since]
+        for other in held:
+            if other.endpoint != item.endpoint and _share_keys(other, item):
+                holders = f"{other.endpoint} and {item.endpoint}"
+                broken[f"{_keys_text(other, item)} held by {holders} at once"] = None
+        for (endpoint, first, last), token in tokens.items():
+            if endpoint == item.endpoint or first > item.last or last < item.first:
+                continue
+            if token >= item.token:
+                broken[
+                    f"keys {item.first}-{item.last}: token {item.token} of"
+                    f" {item.endpoint} is not above token {token} of {endpoint}"
+                ] = None
+        held.append(item)
+        tokens[item.endpoint, item.first, item.last] = item.token
+    return list(broken)
+
+
+def _share_keys(one: Holding, other: Holding) -> bool:
+    return one.first <= other.last and other.first <= one.last
+
+
+def _keys_text(one: Holding, other: Holding) -> str:
+    return f"keys {max(one.first, other.first)}-{min(one.last, other.last)}"
+
+
+def unclean_stops(stops: Iterable[PlannedStop]) -> list[str]:
+    """Return the planned stops that did not end with status 0 in time."""
+    broken = []
+    for stop in stops:
+        if stop.exit_status is None:
+            broken.append(
+                f"{stop.instance} still ran {stop.seconds:.1f} s after its planned stop"
+            )
+        elif stop.exit_status != 0:
+            broken.append(
+                f"{stop.instance} ended its planned stop with status {stop.exit_status}"
+            )
+        elif stop.seconds > stop.allowed_seconds:
+            broken.append(
+                f"the planned stop of {stop.instance} took {stop.seconds:.1f} s, more"
+                f" than {stop.allowed_seconds:g} s"
+            )
+    return broken
+
+
+def wrong_configuration(
+    sent: Iterable[SentRequest], change: ConfigurationChange
+) -> list[str]:
+    """Return the requests that a service answered which the configuration forbids.
+
+    Both services are right for requests in flight at the change, and for those sent in
+    the `APPLY_SECONDS` after it.
+    """
+    broken = []
+    for item in sent:
+        if item.group != change.route or item.outcome is not Outcome.ANSWERED:
+            continue
+        allowed = set()
+        if item.sent_at < change.written_at + APPLY_SECONDS:
+            allowed.add(change.before)
+        if item.ended_at >= change.written_at:
+            allowed.add(change.after)
+        if item.service not in allowed:
+            broken.append(
+                f"request {item.request_id} was answered by {item.service}"
+                f" {item.sent_at - change.written_at:+.2f} s from the configuration"
+                f" change to {change.after}"
+            )
+    return broken
+
+
 def unserved_calm_part(sent: Iterable[SentRequest]) -> list[str]:
     """Return why too few requests of the calm part were answered, if so."""
     calm = [item for item in sent if item.part == CALM_PART]
