Check that killed and stopped instances serve again at the end of the demo

Cause: an instance that did not come back after its kill or stop went unnoticed, as the other instances serve its callers. A release whose connection ended before its answer counted the keys as held until the order only, not until the wait for their work ended.

Change: a promise over the state of every instance after the last part, planted as an ended and as an unready instance; releases record the end of the wait in any case. The tests of the whole demo take 10 to 20 s each, so they are not marked as long.

Conclusion: all instances are judged at the end, not only those that callers reached.

--- a/arbutusflow/standins/demo_play.py
+++ b/arbutusflow/standins/demo_play.py
@@ -19,12 +19,14 @@
     Call,
     DemoWorld,
     configuration,
+    is_ready,
 )
 from arbutusflow.standins.gateway_fleet import STOP_SECONDS, GatewayInstance
 from arbutusflow.standins.key_endpoint import Holding
 from arbutusflow.standins.promises import (
     CALM_PART,
     ConfigurationChange,
+    FinalState,
     PlannedStop,
     SentRequest,
 )
@@ -86,6 +88,7 @@
     longest_sample_gap: float = 0.0  # Between two samples of the owners.
     kills: list[tuple[str, float]] = dataclasses.field(default_factory=list)
     stops: list[PlannedStop] = dataclasses.field(default_factory=list)
+    final_states: list[FinalState] = dataclasses.field(default_factory=list)
     change: ConfigurationChange | None = None
     events: list[tuple[float, str]] = dataclasses.field(default_factory=list)
     runs: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -131,6 +134,9 @@
                 raise_failures()
             await self._callers.finish()
         result = self.recording
+        for instance in self._world.instances:
+            ready, status = await is_ready(instance), instance.exit_status
+            result.final_states.append(FinalState(instance.name, status, ready))
         result.sent, result.not_sent = self._callers.sent, self._callers.not_sent
         for endpoint in self._world.endpoints:
             for request_id in endpoint.runs:
--- a/arbutusflow/standins/demo_report.py
+++ b/arbutusflow/standins/demo_report.py
@@ -9,6 +9,7 @@
     Outcome,
     SentRequest,
     broken_request_promises,
+    missing_instances,
     second_owners,
     unanswered,
     unclean_stops,
@@ -105,6 +106,11 @@
             len(recording.stops),
             unclean_stops(recording.stops),
         ),
+        Check(
+            "killed and stopped instances serve again at the end",
+            len(recording.final_states),
+            missing_instances(recording.final_states),
+        ),
         Check(
             "99 of 100 requests of the calm part are answered",
             sum(item.part == PARTS[0].name for item in sent),
--- a/arbutusflow/standins/key_endpoint.py
+++ b/arbutusflow/standins/key_endpoint.py
@@ -136,16 +136,18 @@
     async def _release(self, order: KeyOrder) -> Reply:
         # New work for the keys is refused from here on.
         released = self._end_holdings(order, time.monotonic())
-        while any(
-            key is not None and order.first <= key <= order.last
-            for key in self._running
-        ):
-            await asyncio.sleep(RELEASE_POLL_SECONDS)
-        # The keys count as held until the work for them has ended.
-        now = time.monotonic()
-        for item in released:
-            self.ended_holdings.remove(item)
-            self.ended_holdings.append(dataclasses.replace(item, until=now))
+        try:
+            while any(
+                key is not None and order.first <= key <= order.last
+                for key in self._running
+            ):
+                await asyncio.sleep(RELEASE_POLL_SECONDS)
+        finally:
+            # The keys count as held until the work for them has ended.
+            now = time.monotonic()
+            for item in released:
+                self.ended_holdings.remove(item)
+                self.ended_holdings.append(dataclasses.replace(item, until=now))
         return Reply(200, ((wire.HANDOVER, b"handover"),))
 
     def _end_holdings(self, order: KeyOrder, now: float) -> list[Holding]:
--- a/arbutusflow/standins/promises.py
+++ b/arbutusflow/standins/promises.py
@@ -55,6 +55,15 @@
     allowed_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FinalState:
+    """State of an instance after the last part."""
+
+    instance: str
+    exit_status: int | None  # None while it runs.
+    ready: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationChange:
     """A version that gave the requests of one route to another service."""
@@ -158,6 +167,20 @@
     return broken
 
 
+def missing_instances(states: Iterable[FinalState]) -> list[str]:
+    """Return the instances that do not serve at the end, as all were started again."""
+    broken = []
+    for state in states:
+        if state.exit_status is not None:
+            broken.append(
+                f"{state.instance} is not there at the end: it ended with status"
+                f" {state.exit_status}"
+            )
+        elif not state.ready:
+            broken.append(f"{state.instance} is not ready at the end")
+    return broken
+
+
 def wrong_configuration(
     sent: Iterable[SentRequest], change: ConfigurationChange
 ) -> list[str]:
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -46,7 +46,6 @@
     return run_demo(DemoOptions(1, seconds, False, page, own_network())), page
 
 
-@pytest.mark.long
 def test_it_ends_with_0_and_writes_a_page_that_needs_no_network(tmp_path, capsys):
     """Guards against a first command that shows no working product."""
     status, page = play(tmp_path)
@@ -59,7 +58,6 @@
         assert word not in text
 
 
-@pytest.mark.long
 def test_it_ends_with_1_when_endpoints_run_no_request(tmp_path, capsys, monkeypatch):
     """Guards against a demo that refuses its requests and ends with 0."""
 
@@ -73,7 +71,6 @@
     assert "requests of the calm part were answered" in capsys.readouterr().out
 
 
-@pytest.mark.long
 def test_it_ends_with_1_when_an_answer_belongs_to_another_request(
     tmp_path, capsys, monkeypatch
 ):
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -10,10 +10,12 @@
     CALM_PART,
     NO_ANSWER,
     ConfigurationChange,
+    FinalState,
     Outcome,
     PlannedStop,
     SentRequest,
     broken_request_promises,
+    missing_instances,
     second_owners,
     unanswered,
     unclean_stops,
@@ -156,6 +158,22 @@
     assert all(text in message for message in messages)
 
 
+@pytest.mark.parametrize(
+    ("status", "ready", "text"),
+    [
+        (None, True, None),
+        (None, False, "instance-1 is not ready"),
+        (1, False, "ended with status 1"),
+        (-9, False, "ended with status -9"),
+    ],
+)
+def test_instances_must_serve_again_at_the_end(status, ready, text):
+    """Guards against an instance that does not come back after its end."""
+    messages = missing_instances([FinalState("instance-1", status, ready)])
+    assert len(messages) == (text is not None)
+    assert all(text in message for message in messages)
+
+
 CHANGE = ConfigurationChange("notice", "artwork", "notices", written_at=100.0)
 
 
