--- a/arbutusflow/standins/fleet.py
+++ b/arbutusflow/standins/fleet.py
@@ -1,7 +1,7 @@
-"""Runs the processes of an example deployment on loopback addresses.
+"""Runs the processes of an example deployment of the earlier path on loopback.
 
-The demo, measurements and tests use it to run real processes. Code that serves
-requests never starts a process.
+Measurements use it to run real processes. Code that serves requests never starts a
+process.
 """
 
 import asyncio
@@ -152,29 +152,17 @@
         """Send a signal to one process."""
         self.processes[name].send_signal(number)
 
-    def stop(self) -> list[str]:
-        """Stop the entry instances gracefully, then kill the stand-ins.
-
-        Returns the names of the entry instances that failed to stop gracefully, each
-        with its exit status. Instances ended by SIGKILL are not failures.
-        """
+    def stop(self) -> None:
+        """Stop the entry instances gracefully, then kill what still runs."""
         entries = [entry.instance for entry in self.entry_instances]
         for name in entries:
             self._terminate(name)
-        failed = [
-            f"{name} ({self.processes[name].poll()})"
-            for name in entries
-            if not self._stopped_gracefully(name)
-        ]
+        for name in entries:
+            self._wait_for_end(name)
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
                 process.wait()
-        return failed
-
-    def read_log(self, name: str) -> str:
-        """Return the log of a process."""
-        return (self._directory / f"{name}.log").read_text()
 
     def _start_process(
         self,
@@ -200,14 +188,11 @@
             process.send_signal(signal.SIGCONT)
             process.terminate()
 
-    def _stopped_gracefully(self, name: str) -> bool:
+    def _wait_for_end(self, name: str) -> None:
         process = self.processes.get(name)
-        if process is None:
-            return True
-        try:
-            return process.wait(STOP_TIMEOUT_SECONDS) in (0, -signal.SIGKILL)
-        except subprocess.TimeoutExpired:
-            return False
+        if process is not None:
+            with contextlib.suppress(subprocess.TimeoutExpired):  # It is killed then.
+                process.wait(STOP_TIMEOUT_SECONDS)
 
 
 def _with_port_offset(cfg: Configuration, offset: int) -> Configuration:
--- a/tests/test_operator_pages.py
+++ b/tests/test_operator_pages.py
@@ -8,6 +8,8 @@
 import typer
 
 from arbutusflow.cli.main import app
+from arbutusflow.gateway.model import Address
+from arbutusflow.platform.settings import load_settings
 
 PAGES = sorted((pathlib.Path(__file__).parents[1] / "docs" / "operators").glob("*.md"))
 # Indented code lines without a colon, and inline code.
@@ -34,3 +36,16 @@
     options = {name for item in command.params for name in item.opts}
     used = {word for word in rest if word.startswith("--")}
     assert used <= options | {"--help"}, f"{page}: {used - options}"
+
+
+def test_the_settings_file_of_an_instance_is_valid(tmp_path):
+    """Guards against an example that the process rejects."""
+    page = next(path for path in PAGES if path.name == "running.md").read_text()
+    (example,) = re.findall(r"^```toml\n(.*?)^```", page, re.M | re.S)
+    path = tmp_path / "instance-1.toml"
+    path.write_text(example)
+    cfg = load_settings(path)
+    assert (cfg.instance, cfg.caller_address) == (
+        "instance-1",
+        Address("10.0.1.11", 8080),
+    )
