Start the parts of the demo when every instance serves the keys of all owners

Cause: the demo waited for ready instances and for leases at the endpoints. An instance is ready before it knows the owners of keys, and then refuses requests for them.

Change: before the calm part, every instance has to serve requests for 16 keys.

--- a/arbutusflow/standins/demo_callers.py
+++ b/arbutusflow/standins/demo_callers.py
@@ -12,14 +12,17 @@
 
 from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.model import Address, ExchangeError, HttpResponse
-from arbutusflow.platform import wire
 from arbutusflow.request_ids import new_request_id
-from arbutusflow.standins.demo_world import HOST, Call, is_ready
+from arbutusflow.standins.demo_world import (
+    DEADLINE_SECONDS,
+    Call,
+    is_ready,
+    request_head,
+)
 from arbutusflow.standins.gateway_fleet import GatewayInstance
 from arbutusflow.standins.key_endpoint import answer_body
 from arbutusflow.standins.promises import NO_ANSWER, NO_CONNECTION, Outcome, SentRequest
 
-DEADLINE_SECONDS = 2.0
 # How long after its deadline a caller still waits for the answer.
 ANSWER_MARGIN_SECONDS = 3.0
 CONNECT_SECONDS = 1.0
@@ -112,7 +115,7 @@
         sent_at = time.monotonic()
         try:
             response = await conn.exchange(
-                _head(call, request_id, key),
+                request_head(call, request_id, key),
                 b"",
                 DEADLINE_SECONDS + ANSWER_MARGIN_SECONDS,
             )
@@ -222,16 +225,3 @@
                 connected_at=connected_at,
             )
         )
-
-
-def _head(call: Call, request_id: str, key: int) -> bytes:
-    lines = [
-        b"%b %b1 HTTP/1.1" % (call.method, call.prefix.encode()),
-        b"Host: " + HOST.encode(),
-        wire.REQUEST_ID + b": " + request_id.encode(),
-        wire.DEADLINE + b": " + wire.format_deadline(DEADLINE_SECONDS),
-        b"Content-Length: 0",
-    ]
-    if call.keyed:
-        lines.append(wire.KEY + b": %d" % key)
-    return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/arbutusflow/standins/demo_world.py
+++ b/arbutusflow/standins/demo_world.py
@@ -24,6 +24,7 @@
     WeightedService,
 )
 from arbutusflow.platform import wire
+from arbutusflow.request_ids import new_request_id
 from arbutusflow.standins.embedded_server import ErrorHandler
 from arbutusflow.standins.gateway_fleet import (
     GatewayInstance,
@@ -45,6 +46,8 @@
 TIMEOUT_SECONDS = 3.0
 START_SECONDS = 40.0  # Longest wait until all keys are served.
 CHECK_SECONDS = 1.0  # Timeout of a readiness check.
+DEADLINE_SECONDS = 2.0  # Of a request.
+STARTED_KEYS = tuple(range(0, KEY_SPACE, KEY_SPACE // 16))  # Served before the start.
 WATCHED_KEYS = tuple(range(0, KEY_SPACE, KEY_SPACE // 64))
 
 
@@ -183,9 +186,9 @@
         ]
 
     async def wait_until_served(self) -> None:
-        """Wait until all instances are ready and all keys have owners.
+        """Wait until all instances are ready and serve keys of all owners.
 
-        Raises StartError.
+        An instance is ready before it knows the owners of keys. Raises StartError.
         """
         until = time.monotonic() + START_SECONDS
         while True:
@@ -196,17 +199,56 @@
                         f" {instance.last_line()}"
                     )
             ready = [await is_ready(instance) for instance in self.instances]
-            if all(ready) and not self.unowned_keys():
+            serving = [
+                all(ready) and await serves_keys(instance, STARTED_KEYS)
+                for instance in self.instances
+            ]
+            if all(serving) and not self.unowned_keys():
                 return
             if time.monotonic() > until:
+                unowned = len(self.unowned_keys())
                 raise StartError(
                     f"after {START_SECONDS:g} s {sum(ready)} of {len(ready)} instances"
-                    f" are ready and {len(self.unowned_keys())} of"
+                    f" are ready, {sum(serving)} serve keys, and {unowned} of"
                     f" {len(WATCHED_KEYS)} watched keys have no owner"
                 )
             await asyncio.sleep(0.1)
 
 
+def request_head(call: Call, request_id: str, key: int) -> bytes:
+    """Return the bytes of a request without a body."""
+    lines = [
+        b"%b %b1 HTTP/1.1" % (call.method, call.prefix.encode()),
+        b"Host: " + HOST.encode(),
+        wire.REQUEST_ID + b": " + request_id.encode(),
+        wire.DEADLINE + b": " + wire.format_deadline(DEADLINE_SECONDS),
+        b"Content-Length: 0",
+    ]
+    if call.keyed:
+        lines.append(wire.KEY + b": %d" % key)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+async def serves_keys(instance: GatewayInstance, keys: Sequence[int]) -> bool:
+    """Return whether an instance serves a request for each of some keys."""
+    try:
+        conn = await ClientConnection.open(
+            instance.settings.caller_address, CHECK_SECONDS
+        )
+    except ExchangeError:
+        return False
+    try:
+        for key in keys:
+            head = request_head(CALLS[0], new_request_id(), key)
+            if (await conn.exchange(head, b"", DEADLINE_SECONDS)).status != 200:
+                return False
+        return True
+    except ExchangeError:
+        return False
+    finally:
+        conn.close()
+
+
 async def is_ready(instance: GatewayInstance) -> bool:
     """Return whether an instance passes its readiness check."""
     head = b"GET %b HTTP/1.1\r\nHost: h\r\n\r\n" % wire.READINESS_PATH
