Play each line of LOST beside planned stops, and judge configurations

Cause: the scenarios drew from what earlier incidents had shown, not from the words of the rule; requests were judged by the deadline of the caller alone. Change: scenarios for stops in series and of a zone, reloads with changed and half-written settings, configurations in series with changed time-outs, limits and routes, kept idle connections, silent stores, endpoints that come and go, large bodies at a slow link, deadlines around the final answers, the times of two sites, and freezes. Time-outs of the versions that may be in force count as ends of a request. `cut_by_configurations` judges the line on configurations, in the soak, too. Requests that are lost only without the slack of 0.05 s are listed apart. The scenarios, the troubles and the judge are modules of their own.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -19,9 +19,14 @@
 CONNECT_SECONDS = 1.0
 ANSWER_MARGIN_SECONDS = 1.5  # How long after its deadline a caller waits for an answer.
 RECEIVE_BYTES = 65536
+# Of a caller that reads slowly, at 0.4 MB/s.
+SLOW_BYTES = 8192
+SLOW_PAUSE_SECONDS = 0.02
 KEYED_TARGET = b"/x/1"
 SAFE_TARGETS = (KEYED_TARGET, b"/p/1")
 ORDER_TARGET = b"/y/1"
+UPLOAD_TARGET = b"/u/1"
+BODY_PIECES = 12  # In which a body is sent slowly.
 
 
 @dataclasses.dataclass
@@ -43,6 +48,7 @@
     target: bytes = b""
     body: bytes = b""
     keyed: bool = False  # Whether its service is partitioned by key.
+    began_at: float = 0.0  # When its first byte was sent.
 
     def describe(self) -> str:
         """Return the request and its end, for a failure message."""
@@ -52,6 +58,11 @@
         return f"{name} ({kind}{behind}) at {self.instance}, status {self.status}"
 
 
+def _split(data: bytes, count: int) -> list[bytes]:
+    size = -(-len(data) // count)
+    return [data[i : i + size] for i in range(0, len(data), size)]
+
+
 @dataclasses.dataclass(frozen=True)
 class Answer:
     """A complete answer."""
@@ -69,14 +80,20 @@
 class CallerSocket:
     """A connection whose answers are read only when asked for."""
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, *, slow: bool = False) -> None:
         self._sock = sock
+        self._slow = slow
         self._received = b""
 
     @classmethod
-    async def open(cls, address: Address) -> "CallerSocket":
-        """Connect. Raises OSError or TimeoutError."""
+    async def open(cls, address: Address, *, slow: bool = False) -> "CallerSocket":
+        """Connect; a slow one takes `SLOW_BYTES` at a time.
+
+        Raises OSError or TimeoutError.
+        """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        if slow:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BYTES)
         sock.setblocking(False)
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
@@ -86,7 +103,7 @@
         except BaseException:
             sock.close()
             raise
-        return cls(sock)
+        return cls(sock, slow=slow)
 
     def close(self) -> None:
         """Close the connection."""
@@ -111,7 +128,10 @@
         return Answer(int(lines[0].split()[1]), headers, body)
 
     async def _receive(self) -> None:
-        data = await asyncio.get_running_loop().sock_recv(self._sock, RECEIVE_BYTES)
+        size = SLOW_BYTES if self._slow else RECEIVE_BYTES
+        data = await asyncio.get_running_loop().sock_recv(self._sock, size)
+        if self._slow:
+            await asyncio.sleep(SLOW_PAUSE_SECONDS)
         if not data:
             raise EOFError
         self._received += data
@@ -130,6 +150,14 @@
     reads_late: float = 0.0  # Sends the next request before it reads the answer.
     piece_seconds: float = 0.3
     late_seconds: float = 1.5
+    uploads: float = 0.0  # Of the requests that are not safe: with a large body.
+    upload_bytes: tuple[int, int] = (60_000, 360_000)
+    # How long a large body takes, as at a slow link; its deadline counts from the first
+    # byte.
+    upload_seconds: tuple[float, float] = (0.1, 1.5)
+    slow_reads: float = 0.0  # Of its connections: reads slowly from them.
+    idle: float = 0.0  # Leaves its connection idle for `idle_seconds`.
+    idle_seconds: tuple[float, float] = (0.5, 2.4)
     deadline_seconds: tuple[float, float] = (2.5, 5.0)
 
 
@@ -161,6 +189,13 @@
         self._count += 1
         request_id = b"%b-%d" % (self._name.encode(), self._count)
         seconds = self._rng.uniform(*self._habits.deadline_seconds)
+        upload = not safe and self._chance(self._habits.uploads)
+        target, body = self._rng.choice(SAFE_TARGETS), b""
+        if not safe:
+            target, body = ORDER_TARGET, request_id * 20
+        if upload:
+            size = self._rng.randint(*self._habits.upload_bytes)
+            target, body = UPLOAD_TARGET, bytes(size)
         record = CallRecord(
             request_id,
             instance,
@@ -168,11 +203,11 @@
             behind,
             time.monotonic() + seconds,
             method=b"GET" if safe else b"POST",
-            target=self._rng.choice(SAFE_TARGETS) if safe else ORDER_TARGET,
-            body=b"" if safe else request_id * 20,
+            target=target,
+            body=body,
+            keyed=target == KEYED_TARGET,
+            began_at=time.monotonic(),
         )
-        record.keyed = record.target == KEYED_TARGET
-        body = record.body
         lines = [
             b"%b %b HTTP/1.1" % (record.method, record.target),
             b"Host: shop.example",
@@ -182,12 +217,13 @@
         ]
         if not safe and self._chance(self._habits.chunked):
             lines.append(b"Transfer-Encoding: chunked")
-            half = len(body) // 2
-            parts = [b"%x\r\n%b\r\n" % (len(x), x) for x in (body[:half], body[half:])]
+            count = BODY_PIECES if upload else 2
+            pieces = _split(body, count)
+            parts = [b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces]
             parts.append(b"0\r\n\r\n")
         else:
             lines.append(b"Content-Length: %d" % len(body))
-            parts = [body] if body else []
+            parts = _split(body, BODY_PIECES if upload else 1) if body else []
         return record, [b"\r\n".join(lines) + b"\r\n\r\n", *parts]
 
     async def exchange(self, sock: CallerSocket, instance: str) -> bool:
@@ -196,8 +232,12 @@
         safe = ahead or self._chance(0.5)
         record, parts = self._new_request(instance, safe=safe, behind=False)
         pending = [record]
-        if self._chance(self._habits.in_pieces):
-            pause = self._habits.piece_seconds / len(parts)
+        upload = record.target == UPLOAD_TARGET
+        if upload or self._chance(self._habits.in_pieces):
+            seconds = self._habits.piece_seconds
+            if upload:
+                seconds = self._rng.uniform(*self._habits.upload_seconds)
+            pause = seconds / len(parts)
             for part in parts:
                 await sock.send(part)
                 await asyncio.sleep(pause)
--- a/tests/soak/configurations.py
+++ b/tests/soak/configurations.py
@@ -12,6 +12,7 @@
 
 HOST = "shop.example"
 TIMEOUT_SECONDS = 1.5
+NO_TIMEOUT_SECONDS = 60.0  # Longer than any caller waits.
 SLOW_TIMEOUT_SECONDS = 4.0
 MAX_ADDED_ROUTES = 4  # Older ones are removed.
 SERVICES = ("keyed", "plain", "spare")
@@ -53,6 +54,7 @@
     Route("order", b"/y/", "unsafe", ("plain",)),
     Route("keyed-order", b"/z/", "unsafe", ("keyed",)),
     Route("browse", b"/p/", "safe", ("plain",), SLOW_TIMEOUT_SECONDS),
+    Route("upload", b"/u/", "upload", ("plain",), NO_TIMEOUT_SECONDS),
 )
 
 
@@ -63,6 +65,12 @@
     number: int
     sent_at: float  # Seconds on the clock of the run.
     routes: tuple[Route, ...]
+    idle_seconds: float | None = None  # Limit for callers, if it is not the usual one.
+
+    def route_for(self, path: bytes) -> Route | None:
+        """Return the route of a path."""
+        matching = (route for route in self.routes if path.startswith(route.prefix))
+        return max(matching, key=lambda route: len(route.prefix), default=None)
 
     def describe(self, zero: float) -> str:
         """Return the version in one line, with the seconds since `zero`."""
@@ -71,10 +79,8 @@
 
     def allows(self, path: bytes, service: str | None) -> bool:
         """Whether a request may go to this service; None stands for status 404."""
-        matching = [route for route in self.routes if path.startswith(route.prefix)]
-        if not matching:
-            return service is None
-        return service in max(matching, key=lambda route: len(route.prefix)).services
+        route = self.route_for(path)
+        return service is None if route is None else service in route.services
 
     def document(self) -> dict[str, object]:
         """Return the document that the operator writes to the store."""
@@ -83,8 +89,12 @@
             {**template[0 if name == "keyed" else 1], "name": name} for name in SERVICES
         ]
         paths = [route.document() for route in self.routes]
+        limits: Any = CONFIGURATION["limits"]
+        if self.idle_seconds is not None:
+            limits = {**limits, "idleTimeoutS": self.idle_seconds}
         return {
             **CONFIGURATION,
+            "limits": limits,
             "version": self.number,
             "services": services,
             "hosts": [{"host": HOST, "paths": paths}],
@@ -97,7 +107,9 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self.versions: list[Version] = []
-        self.timeout_seconds: float | None = None  # Of all routes, if one is set.
+        # Shortest and longest time-out of all routes but uploads, if they are set.
+        self.timeout_range: tuple[float, float] | None = None
+        self.idle_choices: tuple[float, ...] = ()  # Of the limit for callers.
 
     def add(self, now: float) -> Version:
         """Draw, record and return the next version."""
@@ -114,12 +126,16 @@
             del added[self._rng.randrange(len(added) - 1)]
         moved = Route("moved", MOVED_PREFIX, "safe", targets)
         routes = (*LASTING_ROUTES, moved, *added)
-        if self.timeout_seconds is not None:
+        if self.timeout_range is not None:
+            seconds = self._rng.uniform(*self.timeout_range)
             routes = tuple(
-                dataclasses.replace(route, timeout_seconds=self.timeout_seconds)
+                route
+                if route.kind == "upload"
+                else dataclasses.replace(route, timeout_seconds=seconds)
                 for route in routes
             )
-        self.versions.append(Version(number, now, routes))
+        idle = self._rng.choice(self.idle_choices) if self.idle_choices else None
+        self.versions.append(Version(number, now, routes, idle))
         return self.versions[-1]
 
     def newest_index(self, until: float) -> int:
@@ -130,6 +146,20 @@
                 found = index
         return found
 
+    def shortest_timeout(self, path: bytes, since: float, until: float) -> float:
+        """Return the shortest time-out of a path in versions that may be in force.
+
+        `since` is the earliest time at which a superseded version was in force.
+        """
+        ends = [version.sent_at for version in self.versions[1:]] + [float("inf")]
+        return min(
+            route.timeout_seconds
+            for version, end in zip(self.versions, ends, strict=True)
+            if version.sent_at <= until
+            and end >= since
+            and (route := version.route_for(path)) is not None
+        )
+
     def allowing(self, path: bytes, service: str | None, until: float) -> list[int]:
         """Return the indexes of the versions sent until then that allow an outcome."""
         return [
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -19,7 +19,12 @@
     regresses,
 )
 from tests.soak.configurations import ConfigurationHistory
-from tests.soak.connection_audit import MAX_CUT_REQUESTS, is_cut, is_cut_by_reload
+from tests.soak.connection_audit import (
+    MAX_CUT_REQUESTS,
+    cut_by_configurations,
+    is_cut,
+    is_cut_by_reload,
+)
 from tests.soak.disturbances import Disturbances
 from tests.soak.gone_audit import GONE_SECONDS, judge_leaving
 from tests.soak.lost_audit import WINDOW_SECONDS, is_lost
@@ -47,6 +52,8 @@
         self.judged: collections.Counter[str] = collections.Counter()
         self._count = 0  # Of judged requests, which are the first ones that ended.
         self._cut: list[PlayedCall] = []
+        # Requests that nothing unplanned disturbed, outside stops.
+        self._calm: list[tuple[PlayedCall, RequestRecord]] = []
 
     def judge_ended(self, calls: list[PlayedCall], *, final: bool = False) -> None:
         """Judge the requests that have ended since the last call of this function."""
@@ -62,6 +69,7 @@
     def judge_run(self, calls: list[PlayedCall]) -> None:
         """Judge what shows only over the whole run."""
         self.judge_ended(calls, final=True)
+        self._judge_configurations()
         self._judge_regress(calls)
         self._judge_leaving(calls)
         self._judge_recovery(calls)
@@ -112,12 +120,21 @@
             text = f"{call.describe()} was cut off around SIGHUP"
             self._report("LOST", text, call)
             return
+        if calm and not any(at <= ended <= at + WINDOW_SECONDS for at in stops):
+            self._calm.append((call, record))
         if self._in_touch(call) and record.arrived and is_cut(call, record):
             self._cut.append(call)
             if len(self._cut) == MAX_CUT_REQUESTS + 1:
                 text = f"{len(self._cut)} connections were closed without an answer"
                 self._report("LOST", text, *self._cut)
 
+    def _judge_configurations(self) -> None:
+        sent = [version.sent_at for version in self._history.versions]
+        self.judged["LOST configuration"] = len(self._calm)
+        for call in cut_by_configurations(self._calm, sent):
+            text = f"{call.describe()} was cut off beside a configuration"
+            self._report("LOST", text, call)
+
     def _endpoint_disturbed(
         self, record: RequestRecord, since: float, until: float
     ) -> bool:
--- a/tests/soak/lost_audit.py
+++ b/tests/soak/lost_audit.py
@@ -42,11 +42,15 @@
 
 
 def is_lost(
-    call: CallRecord, endpoint: EndpointRecord, stops: dict[str, list[float]]
+    call: CallRecord,
+    endpoint: EndpointRecord,
+    stops: dict[str, list[float]],
+    slack_seconds: float = DEADLINE_SLACK_SECONDS,
 ) -> bool:
     """Return whether a planned stop of its instance has cut the request off.
 
-    `stops` holds the times at which each instance got SIGTERM.
+    `stops` holds the times at which each instance got SIGTERM, `slack_seconds` is how
+    long before its deadline a request may end.
     """
     ended = call.ended_at
     if ended is None or call.signed:
@@ -56,7 +60,7 @@
         return False
     if endpoint.broken_off:
         return False
-    last_end = call.deadline_at - DEADLINE_SLACK_SECONDS
+    last_end = call.deadline_at - slack_seconds
     end_of_grace = stop + GRACE_SECONDS
     excused = call.sent_at <= stop + EARLY_SECONDS and endpoint.at_work(
         end_of_grace - LAST_PART_SECONDS, end_of_grace
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -11,7 +11,6 @@
     """One request of a caller. Times are seconds on the clock of the run."""
 
     key: int = 0
-    began_at: float = 0.0  # When its first byte was sent.
     # When its caller closed the connection without waiting for the answer.
     left_at: float | None = None
 
--- /dev/null
+++ b/tests/soak/stop_report.py
@@ -0,0 +1,164 @@
+"""Judges one run of planned stops by each line of rule LOST, and reports its figures.
+
+A request that a line excuses is not reported under it; a line that nothing could have
+broken shows in `judged`.
+"""
+
+import collections
+import dataclasses
+import time
+from collections.abc import Iterable
+
+from tests.soak.callers import CallRecord
+from tests.soak.config_audit import APPLY_SECONDS
+from tests.soak.connection_audit import (
+    MAX_CUT_REQUESTS,
+    cut_by_configurations,
+    is_cut,
+    is_cut_by_reload,
+)
+from tests.soak.lost_audit import WINDOW_SECONDS, is_lost
+from tests.soak.records import RequestRecord
+from tests.soak.stop_troubles import Troubles
+from tests.soak.world import SoakWorld
+
+
+@dataclasses.dataclass
+class StopReport:
+    """What a run showed."""
+
+    calls: list[CallRecord]
+    lost: list[str]
+    # Lost if the clocks of callers and instances agree: they end within the slack of
+    # `lost_audit` before their deadline.
+    nearly_lost: list[str]
+    unanswered: list[str]  # All of them, also those that the rule excepts.
+    judged: dict[str, int]  # Number of requests by line of the rule.
+    violations: list[str]
+    stop_seconds: list[float]  # How long each stop took.
+    # How late this process, with its callers and endpoints, was at most. What was seen
+    # has that much uncertainty.
+    longest_lag: float
+    grants: int  # Orders by which endpoints got keys, while stops were played.
+    store_calls: int
+
+    def latencies(self) -> str:
+        """Return the latencies of successes: median, 99 in 100 and the longest."""
+        times = sorted(c.ended_at - c.sent_at for c in self.calls if c.status == 200)
+        if not times:
+            return "no success"
+        median, high = times[len(times) // 2], times[int(0.99 * (len(times) - 1))]
+        return f"{median:.3f}, {high:.3f}, {times[-1]:.3f} s"
+
+    def summary(self) -> str:
+        """Return the figures of the run in one line."""
+        statuses = dict(collections.Counter(call.status for call in self.calls))
+        stops = sorted(self.stop_seconds) or [0.0]
+        return (
+            f"{len(self.calls)} requests, {len(self.stop_seconds)} stops, median"
+            f" {stops[len(stops) // 2]:.2f} s, the longest {stops[-1]:.2f} s; answers"
+            f" by status: {statuses}; lost: {len(self.lost)}, nearly:"
+            f" {len(self.nearly_lost)}; judged: {self.judged};"
+            f" latency {self.latencies()}; {self.grants} grants,"
+            f" {self.store_calls} calls to the store; observer late by at most"
+            f" {self.longest_lag:.2f} s"
+        )
+
+
+class StopJudge:
+    """Judges the requests of one run."""
+
+    def __init__(
+        self, world: SoakWorld, troubles: Troubles, stops: dict[str, list[float]]
+    ) -> None:
+        self._world = world
+        self._troubles = troubles
+        self._stops = stops
+        self.lost: list[str] = []
+        self.nearly_lost: list[str] = []
+        self.judged: collections.Counter[str] = collections.Counter()
+        self._outside_stops: list[tuple[CallRecord, RequestRecord]] = []
+        self._cut: list[str] = []  # By instances in touch.
+
+    def judge(self, calls: Iterable[CallRecord]) -> None:
+        """Judge all requests of the run."""
+        for call in calls:
+            if call.ended_at is not None:
+                self._judge(self._limited(call))
+        versions = self._world.history.versions
+        sent = [version.sent_at for version in versions]
+        for call in cut_by_configurations(self._outside_stops, sent):
+            self.lost.append(f"beside a configuration: {self.describe(call)}")
+        if len(self._cut) > MAX_CUT_REQUESTS:
+            self.lost += [f"in touch: {text}" for text in self._cut]
+
+    def _limited(self, call: CallRecord) -> CallRecord:
+        """Return a request with the end of its route's time-out, if that is earlier."""
+        timeout = self._world.history.shortest_timeout(
+            call.target, call.began_at - APPLY_SECONDS - 1.0, call.sent_at
+        )
+        deadline = min(call.deadline_at, call.began_at + timeout)
+        return dataclasses.replace(call, deadline_at=deadline)
+
+    def _judge(self, call: CallRecord) -> None:
+        record, ended = self._world.audit.seen[call.request_id], call.ended_at or 0.0
+        troubles, name = self._troubles, call.instance
+        if self._endpoint_ended(record, call.began_at, ended):
+            return
+        if troubles.freezes.disturb(name, call.began_at, ended):
+            self.judged["beside a freeze, not judged"] += 1
+            return
+        silent = troubles.silences.disturb(name, call.began_at, ended)
+        if silent and call.keyed:
+            return
+        self.judged["store silent, no key"] += silent
+        self._judge_in_touch(call, record, silent=silent)
+        if any(at <= ended <= at + WINDOW_SECONDS for at in self._stops.get(name, ())):
+            self.judged["stop"] += 1
+            if is_lost(call, record, self._stops):
+                self.lost.append(self.describe(call))
+            elif is_lost(call, record, self._stops, 0.0):
+                self.nearly_lost.append(self.describe(call))
+        else:
+            self._outside_stops.append((call, record))
+            self.judged["configuration"] += 1
+        reloads = troubles.reloads[name]
+        if any(call.sent_at <= at + APPLY_SECONDS and ended >= at for at in reloads):
+            self.judged["reload"] += 1
+            if is_cut_by_reload(call, record, reloads):
+                self.lost.append(f"around a reload: {self.describe(call)}")
+
+    def _judge_in_touch(
+        self, call: CallRecord, record: RequestRecord, *, silent: bool
+    ) -> None:
+        ended = call.ended_at or 0.0
+        disturbances = self._world.disturbances
+        if silent or not disturbances.in_touch(call.instance, call.began_at, ended):
+            return
+        self.judged["in touch"] += 1
+        if record.arrived and is_cut(call, record):
+            self._cut.append(self.describe(call))
+
+    def _endpoint_ended(
+        self, record: RequestRecord, since: float, until: float
+    ) -> bool:
+        calm = self._world.disturbances.calm
+        return any(not calm(at.endpoint, since, until) for at in record.arrivals)
+
+    def describe(self, call: CallRecord) -> str:
+        """Return what was seen of a request, with times after the latest SIGTERM."""
+        seen, ended = self._world.audit.seen[call.request_id], call.ended_at or 0.0
+        stops = self._stops.get(call.instance, ())
+        stop = max((t for t in stops if t <= ended), default=None)
+        zero, what = (call.began_at, "it began") if stop is None else (stop, "SIGTERM")
+        runs = [(f"{a - zero:+.2f}", b and f"{b - zero:+.2f}") for a, b in seen.runs]
+        cuts = [f"{at - zero:+.3f}" for at in seen.cut_at]
+        return (
+            f"{call.describe()}, {call.target.decode()}: sent"
+            f" {call.sent_at - zero:+.2f} s, ended {ended - zero:+.3f} s, limit"
+            f" {call.deadline_at - zero:+.3f} s after {what}; arrived: {seen.arrived},"
+            f" runs: {runs}, cut: {cuts}; at {time.ctime(self._unix(ended))}"
+        )
+
+    def _unix(self, at: float) -> float:
+        return time.time() - time.monotonic() + at
--- /dev/null
+++ b/tests/soak/stop_scenarios.py
@@ -0,0 +1,178 @@
+"""What runs of planned stops play: instances, callers, work, and troubles beside."""
+
+import dataclasses
+
+from tests.soak.callers import CallerHabits
+
+LONG_TIMEOUT_SECONDS = 9.0  # Longer than any caller waits.
+
+
+@dataclasses.dataclass(frozen=True)
+class StopScenario:
+    """What a run plays. Times are seconds."""
+
+    instances: int = 6
+    callers: int = 30
+    # Share of the callers that go on opening connections to an instance that stops.
+    insistent: float = 0.0
+    habits: CallerHabits = CallerHabits()
+    work_range: tuple[float, float] = (0.1, 1.0)
+    # Share of the runs that take `tail_factor` times as long as drawn.
+    tail_share: float = 0.0
+    tail_factor: float = 5.0
+    running_limit: int | None = None  # Of each endpoint; the others wait there.
+    timeout_range: tuple[float, float] = (LONG_TIMEOUT_SECONDS, LONG_TIMEOUT_SECONDS)
+    idle_choices: tuple[float, ...] = ()  # Of the idle limit; each version draws one.
+    at_once: int = 2  # Most instances that are stopped together.
+    one_zone: bool = False  # Whether these are instances of one availability zone.
+    gap_range: tuple[float, float] = (0.5, 2.0)  # From the start of one to the next.
+    # Share of the starts that are followed by a stop, either `again_seconds` after the
+    # start or as soon as the instance is ready.
+    again_share: float = 0.0
+    again_seconds: tuple[float, float] = (0.3, 1.5)
+    # Shares of the stops beside which each of these is done.
+    second_signals: float = 0.0
+    silent_stores: float = 0.0
+    freezes: float = 0.0
+    # Mean number of each of these in a second, over the whole run.
+    reloads: float = 0.0
+    configurations: float = 0.0
+    endpoint_changes: float = 0.0
+    # Whether each instance is stopped once, `at_once` together, the next ones when all
+    # are back in rotation; `seconds` then has no effect.
+    rolling: bool = False
+    seconds: float = 12.0
+
+
+_PIECES = CallerHabits(ahead=0.1, chunked=0.5, in_pieces=0.2)
+_LONG_WAITS = CallerHabits(
+    ahead=0.1, chunked=0.3, in_pieces=0.2, idle=0.1, deadline_seconds=(2.5, 8.5)
+)
+_TESSERE = CallerHabits(
+    ahead=0.1, chunked=0.3, in_pieces=0.1, idle=0.1, deadline_seconds=(1.5, 2.5)
+)
+_ACREDITA = CallerHabits(
+    ahead=0.1,
+    chunked=0.3,
+    in_pieces=0.1,
+    idle=0.1,
+    deadline_seconds=(2.0, 3.0),
+    uploads=0.3,
+)
+_UNEVEN = StopScenario(
+    callers=48,
+    insistent=0.5,
+    habits=_LONG_WAITS,
+    work_range=(0.05, 0.6),
+    tail_share=0.1,
+    tail_factor=8.0,
+)
+
+SCENARIOS = {
+    "steady": StopScenario(),
+    "ahead": StopScenario(habits=CallerHabits(ahead=0.6)),
+    "insistent": StopScenario(
+        insistent=0.34, habits=CallerHabits(chunked=0.5, in_pieces=0.3)
+    ),
+    "full": StopScenario(
+        callers=60,
+        work_range=(1.0, 8.0),
+        running_limit=3,
+        habits=CallerHabits(deadline_seconds=(2.5, 8.5)),
+    ),
+    "disturbed": StopScenario(
+        at_once=3,
+        insistent=0.2,
+        habits=_PIECES,
+        again_share=0.25,
+        second_signals=0.25,
+        silent_stores=0.25,
+        reloads=0.2,
+        configurations=0.2,
+    ),
+    # What was measured lately says little about how long the next run takes.
+    "uneven": _UNEVEN,
+    # The same instance again and again, also while it starts.
+    "series": dataclasses.replace(
+        _UNEVEN, again_share=0.6, second_signals=0.5, gap_range=(0.2, 1.0)
+    ),
+    "zone": dataclasses.replace(_UNEVEN, at_once=3, one_zone=True, again_share=0.2),
+    "reloads": dataclasses.replace(
+        _UNEVEN, reloads=3.0, again_share=0.2, gap_range=(1.5, 3.0)
+    ),
+    "configurations": dataclasses.replace(
+        _UNEVEN,
+        configurations=3.0,
+        timeout_range=(1.0, 9.0),
+        idle_choices=(3.0, 5.0, 15.0),
+        gap_range=(2.0, 4.0),
+    ),
+    # Most of the connections are kept and idle for up to four fifths of their limit.
+    "kept": StopScenario(
+        callers=80,
+        insistent=0.05,
+        habits=dataclasses.replace(_LONG_WAITS, ahead=0.3, idle=0.5, reads_late=0.05),
+        idle_choices=(3.0,),
+        gap_range=(1.5, 4.0),
+    ),
+    "silent-stores": dataclasses.replace(
+        _UNEVEN, silent_stores=1.0, second_signals=0.2, again_share=0.2
+    ),
+    "endpoints": dataclasses.replace(_UNEVEN, endpoint_changes=0.7),
+    "bodies": dataclasses.replace(
+        _UNEVEN,
+        callers=30,
+        habits=dataclasses.replace(_LONG_WAITS, uploads=0.6, slow_reads=0.3),
+    ),
+    "huge-bodies": dataclasses.replace(
+        _UNEVEN,
+        callers=12,
+        habits=dataclasses.replace(
+            _LONG_WAITS,
+            uploads=0.6,
+            reads_late=0.1,
+            slow_reads=0.2,
+            upload_bytes=(360_000, 4_000_000),
+            upload_seconds=(0.5, 3.0),
+            deadline_seconds=(4.0, 8.5),
+        ),
+    ),
+    # Deadlines and time-outs end around the final answers.
+    "ends": dataclasses.replace(
+        _UNEVEN,
+        habits=dataclasses.replace(_LONG_WAITS, deadline_seconds=(0.8, 6.0)),
+        work_range=(0.5, 4.0),
+        tail_share=0.2,
+        tail_factor=2.0,
+    ),
+    "timeouts": dataclasses.replace(
+        _UNEVEN, timeout_range=(1.0, 1.5), configurations=0.1
+    ),
+    "tessere": StopScenario(
+        callers=60,
+        insistent=0.34,
+        habits=_TESSERE,
+        work_range=(0.04, 0.15),
+        tail_share=0.01,
+        timeout_range=(0.8, 1.2),
+        configurations=0.1,
+        reloads=0.1,
+        again_share=0.2,
+    ),
+    "acredita": StopScenario(
+        callers=50,
+        insistent=0.34,
+        habits=_ACREDITA,
+        work_range=(0.1, 0.37),
+        tail_share=0.02,
+        timeout_range=(1.0, 1.5),
+        configurations=0.1,
+        reloads=0.1,
+        again_share=0.2,
+    ),
+    # Not planned: this only shows what happens.
+    "freezes": dataclasses.replace(_UNEVEN, freezes=0.7),
+    # The callers leave room for what the restarts move elsewhere.
+    "rolling": StopScenario(callers=24, work_range=(0.05, 0.3), rolling=True),
+    "late-readers": StopScenario(habits=CallerHabits(reads_late=0.5)),
+}
--- a/tests/soak/test_config_audit.py
+++ b/tests/soak/test_config_audit.py
@@ -8,7 +8,12 @@
 import pytest
 
 from tests.soak.config_audit import HandledCall, Outcome, is_late, outcomes, regresses
-from tests.soak.configurations import ConfigurationHistory, Route, Version
+from tests.soak.configurations import (
+    NO_TIMEOUT_SECONDS,
+    ConfigurationHistory,
+    Route,
+    Version,
+)
 from tests.soak.records import PlayedCall, RequestRecord
 from tests.soak.route_audit import strange_services
 
@@ -159,3 +164,19 @@
     assert any(names[i] - names[i + 1] for i in range(29))
     assert all(names[i + 1] - names[i] for i in range(29))
     assert len(moved) == 3
+
+
+@pytest.mark.parametrize(
+    ("since", "until", "seconds"),
+    [(0.0, 9.9, 2.0), (0.0, 10.1, 1.0), (10.1, 20.1, 1.0), (20.1, 30.0, 3.0)],
+)
+def test_the_shortest_timeout_of_the_versions_that_may_be_in_force(
+    since, until, seconds
+):
+    """Guards against requests excused by a time-out that is not in force any more."""
+    cfg = ConfigurationHistory(random.Random(1))
+    for sent_at, timeout in ((0.0, 2.0), (10.0, 1.0), (20.0, 3.0)):
+        cfg.timeout_range = (timeout, timeout)
+        cfg.add(sent_at)
+    assert cfg.shortest_timeout(b"/p/1", since, until) == seconds
+    assert cfg.shortest_timeout(b"/u/1", since, until) == NO_TIMEOUT_SECONDS
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -206,3 +206,24 @@
 def test_a_reload_is_charged_with_requests_cut_after_it(reload_at, cut):
     call = PlayedCall(b"r", "n0", True, False, 110.0, 100.0, 101.0)
     assert is_cut_by_reload(call, EndpointRecord(arrived=True), [reload_at]) is cut
+
+
+@pytest.mark.parametrize(
+    ("ended_at", "calm_cuts", "rules"),
+    [(52.9, 0, ["LOST"]), (53.1, 0, []), (52.9, 1, []), (49.9, 0, [])],
+)
+def test_the_judge_finds_requests_cut_beside_a_configuration(
+    ended_at, calm_cuts, rules
+):
+    """The second version was sent at 50 s; an instance may cut some at any time."""
+    run = Run()
+    calls = {b"cut": (None, ended_at)} | {b"ok%d" % n: (200, 51.0) for n in range(2)}
+    calls |= {b"calm%d" % n: (None, 70.0) for n in range(calm_cuts)}
+    for request_id, (status, ended) in calls.items():
+        call = PlayedCall(request_id, "n0", True, False, 110.0, ended - 1, ended)
+        call.status, call.began_at, call.target = status, ended - 1, b"/p/1"
+        run.calls.append(call)
+        run.audit.seen[request_id].arrived = True
+    run.calls.sort(key=lambda call: call.ended_at)
+    run.judge.judge_run(run.calls)
+    assert [violation.rule for violation in run.audit.found] == rules
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -7,7 +7,7 @@
 import re
 import signal
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 
 from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.model import ExchangeError
@@ -52,7 +52,6 @@
         self.store = ObjectStore()
         self.disturbances = Disturbances()
         self.history = ConfigurationHistory(self.rng)
-        self.timeout_seconds: float | None = None  # Of all routes, if one is set.
         self.judge = Judge(self.audit, self.history, self.disturbances)
         self.book = CallBook(self._record_end)
         self.book.on_sent = self._record_sent
@@ -62,6 +61,7 @@
         self.store_proxies: list[FaultInjectingProxy] = []
         self.proxies: dict[str, FaultInjectingProxy] = {}  # By endpoint.
         self.endpoints: dict[str, AuditedEndpoint] = {}
+        self.on_endpoint: Callable[[AuditedEndpoint], None] = lambda endpoint: None
         self.balancer = Balancer(self.rng, self.gateways, self._is_active)
         self.stopping: set[str] = set()  # Instances that are being stopped.
         self.tasks: set[asyncio.Task[None]] = set()  # Faults and callers.
@@ -77,7 +77,6 @@
         """Start all parts, and wait until each instance serves all keys."""
         await self.store.server.start(own_host(), 0)
         store_port = self.store.server.port
-        self.history.timeout_seconds = self.timeout_seconds
         self.write_configuration()
         for service, count in ENDPOINTS:
             for _ in range(count):
@@ -174,6 +173,7 @@
         endpoint = AuditedEndpoint(name, service, self.audit)
         endpoint.usual_seconds = self.rng.uniform(0.01, 0.08)
         endpoint.slots = SLOTS
+        self.on_endpoint(endpoint)
         await endpoint.server.start(own_host(), 0)
         if proxy is None:
             proxy = FaultInjectingProxy(
@@ -236,6 +236,7 @@
         endpoint.started_ms = earlier.started_ms + 1000
         endpoint.usual_seconds = earlier.usual_seconds
         endpoint.slots = earlier.slots
+        self.on_endpoint(endpoint)
         await endpoint.server.start(own_host(), 0)
         if self.endpoints.get(name) is not earlier:
             # It crashed or was restarted meanwhile.
