Show that an idle close resets a request in the kernel, by a failing test

Cause: from 2.6 s after SIGTERM on, connections without a request are closed at each tick, by what the process has read. A request that the kernel has received meanwhile is reset. It is one that crosses the close, unless the process got no processor for longer than the slack of the rule between its look at the sockets and the close.

--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -216,3 +216,24 @@
     answers = _run(scenario)
     assert len(answers) == QUEUED_CONNECTIONS
     assert all(answer.endswith(BODY) for answer in answers)
+
+
+def test_a_request_that_waits_in_the_kernel_is_served_before_an_idle_close():
+    """Guards against resets of requests that came while the process did not run.
+
+    A process that gets no processor between its look at the sockets and the close takes
+    a connection for idle on which a request arrived long before.
+    """
+
+    async def scenario(server, sock):
+        loop = asyncio.get_running_loop()
+        head = KEPT_GET.replace(b"/", b"/0", 1)
+        await loop.sock_sendall(sock, head)
+        await loop.sock_recv(sock, CHUNK_BYTES)
+        await asyncio.sleep(1.5 * NEW_CONNECTION_SECONDS)
+        # Nothing is read between these two calls.
+        sock.send(head)
+        server.close_idle()
+        return await loop.sock_recv(sock, CHUNK_BYTES)
+
+    assert _run(scenario).startswith(b"HTTP/1.1 200")
