--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -192,10 +192,10 @@
         upload = not safe and self._chance(self._habits.uploads)
         target, body = self._rng.choice(SAFE_TARGETS), b""
         if not safe:
-            target, body = ORDER_TARGET, request_id * 20
+            target = UPLOAD_TARGET if upload else ORDER_TARGET
+            body = request_id * 20
         if upload:
-            size = self._rng.randint(*self._habits.upload_bytes)
-            target, body = UPLOAD_TARGET, bytes(size)
+            body = bytes(self._rng.randint(*self._habits.upload_bytes))
         record = CallRecord(
             request_id,
             instance,
@@ -217,8 +217,7 @@
         ]
         if not safe and self._chance(self._habits.chunked):
             lines.append(b"Transfer-Encoding: chunked")
-            count = BODY_PIECES if upload else 2
-            pieces = _split(body, count)
+            pieces = _split(body, BODY_PIECES if upload else 2)
             parts = [b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces]
             parts.append(b"0\r\n\r\n")
         else:
--- a/tests/soak/stop_report.py
+++ b/tests/soak/stop_report.py
@@ -120,7 +120,7 @@
         record, ended = self._world.audit.seen[call.request_id], call.ended_at or 0.0
         name, calm = call.instance, self._world.disturbances.calm
         times = call.began_at, ended
-        if any(not calm(arrival.endpoint, *times) for arrival in record.arrivals):
+        if not all(calm(arrival.endpoint, *times) for arrival in record.arrivals):
             return
         if not calm(FREEZE + name, *times):
             self.judged["beside a freeze, not judged"] += 1
--- a/tests/soak/stop_scenarios.py
+++ b/tests/soak/stop_scenarios.py
@@ -1,6 +1,7 @@
 """What runs of planned stops play: instances, callers, work, and troubles beside."""
 
 import dataclasses
+from typing import Any
 
 from tests.soak.callers import CallerHabits
 
@@ -56,6 +57,15 @@
     tail_factor=8.0,
 )
 
+
+def _habits(**changes: Any) -> CallerHabits:
+    return dataclasses.replace(_LONG_WAITS, **changes)
+
+
+def _uneven(**changes: Any) -> StopScenario:
+    return dataclasses.replace(_UNEVEN, **changes)
+
+
 SCENARIOS = {
     "steady": StopScenario(),
     "ahead": StopScenario(habits=CallerHabits(ahead=0.6)),
@@ -81,15 +91,10 @@
     # What was measured lately says little about how long the next run takes.
     "uneven": _UNEVEN,
     # The same instance again and again, also while it starts.
-    "series": dataclasses.replace(
-        _UNEVEN, again_share=0.6, second_signals=0.5, gap_range=(0.2, 1.0)
-    ),
-    "zone": dataclasses.replace(_UNEVEN, at_once=3, one_zone=True, again_share=0.2),
-    "reloads": dataclasses.replace(
-        _UNEVEN, reloads=3.0, again_share=0.2, gap_range=(1.5, 3.0)
-    ),
-    "configurations": dataclasses.replace(
-        _UNEVEN,
+    "series": _uneven(again_share=0.6, second_signals=0.5, gap_range=(0.2, 1.0)),
+    "zone": _uneven(at_once=3, one_zone=True, again_share=0.2),
+    "reloads": _uneven(reloads=3.0, again_share=0.2, gap_range=(1.5, 3.0)),
+    "configurations": _uneven(
         configurations=2.0,
         timeout_range=(6.0, 9.0),
         idle_choices=(3.0, 5.0, 15.0),
@@ -99,24 +104,16 @@
     "kept": StopScenario(
         callers=80,
         insistent=0.05,
-        habits=dataclasses.replace(_LONG_WAITS, ahead=0.3, idle=0.5, reads_late=0.05),
+        habits=_habits(ahead=0.3, idle=0.5, reads_late=0.05),
         idle_choices=(3.0,),
         gap_range=(1.5, 4.0),
     ),
-    "silent-stores": dataclasses.replace(
-        _UNEVEN, silent_stores=1.0, second_signals=0.2, again_share=0.2
-    ),
-    "endpoints": dataclasses.replace(_UNEVEN, endpoint_changes=0.7),
-    "bodies": dataclasses.replace(
-        _UNEVEN,
-        callers=30,
-        habits=dataclasses.replace(_LONG_WAITS, uploads=0.6, slow_reads=0.3),
-    ),
-    "huge-bodies": dataclasses.replace(
-        _UNEVEN,
+    "silent-stores": _uneven(silent_stores=1.0, second_signals=0.2, again_share=0.2),
+    "endpoints": _uneven(endpoint_changes=0.7),
+    "bodies": _uneven(callers=30, habits=_habits(uploads=0.6, slow_reads=0.3)),
+    "huge-bodies": _uneven(
         callers=12,
-        habits=dataclasses.replace(
-            _LONG_WAITS,
+        habits=_habits(
             uploads=0.6,
             reads_late=0.1,
             slow_reads=0.2,
@@ -126,20 +123,17 @@
         ),
     ),
     # Deadlines and time-outs end around the final answers.
-    "ends": dataclasses.replace(
-        _UNEVEN,
-        habits=dataclasses.replace(_LONG_WAITS, deadline_seconds=(0.8, 6.0)),
+    "ends": _uneven(
+        habits=_habits(deadline_seconds=(0.8, 6.0)),
         work_range=(0.5, 4.0),
         tail_share=0.2,
         tail_factor=2.0,
     ),
-    "timeouts": dataclasses.replace(
-        _UNEVEN, timeout_range=(1.0, 1.5), configurations=0.5
-    ),
+    "timeouts": _uneven(timeout_range=(1.0, 1.5), configurations=0.5),
     "tessere": StopScenario(
         callers=60,
         insistent=0.34,
-        habits=dataclasses.replace(_LONG_WAITS, deadline_seconds=(1.5, 2.5)),
+        habits=_habits(deadline_seconds=(1.5, 2.5)),
         work_range=(0.04, 0.15),
         tail_share=0.01,
         timeout_range=(0.8, 1.2),
@@ -150,9 +144,7 @@
     "acredita": StopScenario(
         callers=50,
         insistent=0.34,
-        habits=dataclasses.replace(
-            _LONG_WAITS, uploads=0.3, deadline_seconds=(2.0, 3.0)
-        ),
+        habits=_habits(uploads=0.3, deadline_seconds=(2.0, 3.0)),
         work_range=(0.1, 0.37),
         tail_share=0.02,
         timeout_range=(1.0, 1.5),
@@ -161,7 +153,7 @@
         again_share=0.2,
     ),
     # Not planned: this only shows what happens.
-    "freezes": dataclasses.replace(_UNEVEN, freezes=0.7),
+    "freezes": _uneven(freezes=0.7),
     # The callers leave room for what the restarts move elsewhere.
     "rolling": StopScenario(callers=24, work_range=(0.05, 0.3), rolling=True),
     "late-readers": StopScenario(habits=CallerHabits(reads_late=0.5)),
--- a/tests/soak/stop_troubles.py
+++ b/tests/soak/stop_troubles.py
@@ -1,8 +1,7 @@
 """What happens beside planned stops: signals, reloads, configurations, silent stores.
 
-Most of it is planned work; a silent store excuses only requests with a key, and what
-ends an endpoint only the requests that had reached it. A freeze of an instance is not
-planned.
+A silent store excuses only requests with a key, and what ends an endpoint only those
+that had reached it. A freeze of an instance is not planned.
 """
 
 import asyncio
@@ -19,10 +18,8 @@
 # Subjects of disturbances; the name of the instance follows.
 SILENT_STORE = "store of "
 FREEZE = "freeze of "
-# A process handles SIGHUP as soon as its interpreter runs, and has read its settings
-# some time later.
-INTERPRETER_SECONDS = 0.3
-START_SECONDS = 3.0
+INTERPRETER_SECONDS = 0.3  # After a start; then a process handles SIGHUP.
+START_SECONDS = 3.0  # Then it has read its settings.
 HALF_WRITTEN_SECONDS = (0.0, 0.5)  # Until the rest of the settings is written.
 BURST = 4  # Most configurations in one series.
 BURST_GAP_SECONDS = 0.15
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -228,12 +228,9 @@
 ) -> None:
     """Play one scenario, and print its figures and the requests that were cut off."""
     chosen = SCENARIOS[scenario]
-    chosen = dataclasses.replace(
-        chosen,
-        seconds=seconds,
-        instances=instances,
-        at_once=chosen.at_once if at_once is None else at_once,
-    )
+    chosen = dataclasses.replace(chosen, seconds=seconds, instances=instances)
+    if at_once is not None:
+        chosen = dataclasses.replace(chosen, at_once=at_once)
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f"stops-{seed}-"))
     report = asyncio.run(play_stops(seed, directory, chosen, product))
     typer.echo(f"{scenario}, seed {seed}: {report.summary()}; logs: {directory}")
--- a/tests/soak/test_config_audit.py
+++ b/tests/soak/test_config_audit.py
@@ -8,12 +8,7 @@
 import pytest
 
 from tests.soak.config_audit import HandledCall, Outcome, is_late, outcomes, regresses
-from tests.soak.configurations import (
-    NO_TIMEOUT_SECONDS,
-    ConfigurationHistory,
-    Route,
-    Version,
-)
+from tests.soak.configurations import ConfigurationHistory, Route, Version
 from tests.soak.records import PlayedCall, RequestRecord
 from tests.soak.route_audit import strange_services
 
@@ -179,4 +174,4 @@
         cfg.timeout_range = (timeout, timeout)
         cfg.add(sent_at)
     assert cfg.shortest_timeout(b"/p/1", since, until) == seconds
-    assert cfg.shortest_timeout(b"/u/1", since, until) == NO_TIMEOUT_SECONDS
+    assert cfg.shortest_timeout(b"/u/1", since, until) == 60.0  # Uploads have none.
--- a/tests/soak/test_connection_audit.py
+++ b/tests/soak/test_connection_audit.py
@@ -15,16 +15,13 @@
 )
 
 
-def answered(count, ended_at, instance="n0"):
-    call = dataclasses.replace(
-        CALL, status=200, signed=True, ended_at=ended_at, instance=instance
-    )
+def ended(count, at, **changes):
+    call = dataclasses.replace(CALL, ended_at=at, **changes)
     return [(call, ARRIVED)] * count
 
 
-def cut(count, ended_at, **changes):
-    call = dataclasses.replace(CALL, ended_at=ended_at, **changes)
-    return [(call, ARRIVED)] * count
+def answered(count, at):
+    return ended(count, at, status=200, signed=True)
 
 
 def lost(*groups):
@@ -38,26 +35,26 @@
 )
 def test_only_cuts_until_one_second_after_the_bound_count(ended_at, expected):
     others = answered(9, 90.0), answered(9, 101.0)
-    assert lost(*others, cut(1, ended_at)) == expected
+    assert lost(*others, ended(1, ended_at)) == expected
 
 
 @pytest.mark.parametrize(("beside", "expected"), [(3, 0), (4, 4)])
 def test_cuts_over_three_times_as_often_count(beside, expected):
-    calm = answered(99, 90.0), cut(1, 90.0)
-    assert lost(*calm, answered(100 - beside, 101.0), cut(beside, 101.0)) == expected
+    calm = answered(99, 90.0), ended(1, 90.0)
+    assert lost(*calm, answered(100 - beside, 101.0), ended(beside, 101.0)) == expected
 
 
 def test_cuts_are_counted_for_each_instance():
     """Guards against a fault of one instance that others' cuts hide."""
-    of_others = [(dataclasses.replace(c, instance="n1"), r) for c, r in cut(9, 90.0)]
-    assert lost(answered(9, 90.0), of_others, cut(1, 101.0)) == 1
+    of_another = ended(9, 90.0, instance="n1")
+    assert lost(answered(9, 90.0), of_another, ended(1, 101.0)) == 1
 
 
 @pytest.mark.parametrize(("limit", "expected"), [(101.71, 0), (101.72, 1)])
 def test_a_request_that_has_used_seven_tenths_of_its_time_is_not_counted(
     limit, expected
 ):
-    assert lost(answered(9, 90.0), cut(1, 101.5, deadline_at=limit)) == expected
+    assert lost(answered(9, 90.0), ended(1, 101.5, deadline_at=limit)) == expected
 
 
 def test_answers_and_what_an_endpoint_broke_off_are_no_cuts():
@@ -66,4 +63,4 @@
 
 
 def test_cuts_count_if_nothing_ended_at_other_times():
-    assert lost(cut(1, 101.0)) == 1
+    assert lost(ended(1, 101.0)) == 1
