--- /dev/null
+++ b/tests/soak/stop_troubles.py
@@ -0,0 +1,127 @@
+"""What happens beside planned stops: signals, reloads, configurations, silent stores.
+
+A silent store excuses only requests with a key, and what ends an endpoint only those
+that had reached it. A freeze of an instance is not planned.
+"""
+
+import asyncio
+import collections
+import signal
+import time
+from collections.abc import Awaitable, Callable
+
+from tests.soak.faults import endpoint_crashes, endpoint_drains, endpoint_restarts
+from tests.soak.gateway_process import GatewayProcess
+from tests.soak.stop_scenarios import StopScenario
+from tests.soak.world import SoakWorld
+
+# Subjects of disturbances; the name of the instance follows.
+SILENT_STORE = "store of "
+FREEZE = "freeze of "
+INTERPRETER_SECONDS = 0.3  # After a start; then a process handles SIGHUP.
+START_SECONDS = 3.0  # Then it has read its settings.
+HALF_WRITTEN_SECONDS = (0.0, 0.5)  # Until the rest of the settings is written.
+BURST = 4  # Most configurations in one series.
+BURST_GAP_SECONDS = 0.15
+
+
+class Troubles:
+    """Draws what happens beside the stops of one run, and does it."""
+
+    def __init__(self, world: SoakWorld, scenario: StopScenario) -> None:
+        self._world = world
+        self._scenario = scenario
+        self._rng = world.rng
+        self.reloads: dict[str, list[float]] = collections.defaultdict(list)
+
+    def start(self) -> None:
+        """Start what happens at any time."""
+        scenario = self._scenario
+        for rate, action in (
+            (scenario.reloads, self._reload_some),
+            (scenario.configurations, self._write_configurations),
+            (scenario.endpoint_changes, self._change_endpoint),
+        ):
+            if rate:
+                self._world.spawn(self._repeat(rate, action))
+
+    async def _repeat(self, rate: float, action: Callable[[], Awaitable[None]]) -> None:
+        while self._world.callers_active:
+            await asyncio.sleep(self._rng.expovariate(rate))
+            await action()
+
+    async def _write_configurations(self) -> None:
+        for _ in range(self._rng.randint(1, BURST)):
+            self._world.write_configuration()
+            await asyncio.sleep(self._rng.uniform(0.0, BURST_GAP_SECONDS))
+
+    async def _change_endpoint(self) -> None:
+        changes = endpoint_drains, endpoint_crashes, endpoint_restarts, _lose_entry
+        self._world.spawn(self._rng.choice(changes)(self._world))
+
+    async def _reload_some(self) -> None:
+        gateway = self._rng.choice(self._world.gateways)
+        process, age = gateway.process, time.monotonic() - gateway.started_at
+        if age < INTERPRETER_SECONDS:
+            return
+        slack = f"retryBudgetSlack = {self._rng.randint(50, 90)}"
+        text = gateway.settings.replace("retryBudgetSlack = 60", slack)
+        if age > START_SECONDS and self._rng.random() < 0.5:
+            gateway.write_settings(text[: self._rng.randrange(len(text))])
+            self._signal_reload(gateway)
+            await asyncio.sleep(self._rng.uniform(*HALF_WRITTEN_SECONDS))
+        gateway.write_settings(text)
+        if gateway.process is process:
+            self._signal_reload(gateway)
+
+    def _signal_reload(self, gateway: GatewayProcess) -> None:
+        self.reloads[gateway.name].append(time.monotonic())
+        gateway.signal(signal.SIGHUP)
+
+    def beside_stop(self, gateway: GatewayProcess) -> None:
+        """Start what is drawn beside a stop of this instance, which begins now."""
+        scenario = self._scenario
+        for share, action in (
+            (scenario.second_signals, self._signal_again),
+            (scenario.silent_stores, self._silence_store),
+            (scenario.freezes, self._freeze),
+        ):
+            if self._rng.random() < share:
+                self._world.spawn(action(gateway))
+
+    async def _signal_again(self, gateway: GatewayProcess) -> None:
+        process = gateway.process
+        for _ in range(self._rng.randint(1, 2)):
+            await asyncio.sleep(self._rng.uniform(0.0, 3.0))
+            if gateway.process is process:
+                gateway.signal(signal.SIGTERM)
+
+    async def _silence_store(self, gateway: GatewayProcess) -> None:
+        proxy = self._world.store_proxies[self._world.gateways.index(gateway)]
+        seconds = self._rng.uniform(1.0, 6.0)
+        await asyncio.sleep(self._rng.uniform(0.0, 3.0))
+        with self._world.disturbances.lasting(SILENT_STORE + gateway.name):
+            proxy.block()
+            await asyncio.sleep(seconds)
+            proxy.clear_faults()
+
+    async def _freeze(self, gateway: GatewayProcess) -> None:
+        process = gateway.process
+        await asyncio.sleep(self._rng.uniform(0.0, 4.0))
+        if gateway.process is not process:
+            return
+        with self._world.disturbances.lasting(FREEZE + gateway.name):
+            gateway.signal(signal.SIGSTOP)
+            await asyncio.sleep(self._rng.uniform(0.1, 2.0))
+            if gateway.process is process:
+                gateway.signal(signal.SIGCONT)
+
+
+async def _lose_entry(world: SoakWorld) -> None:
+    """Remove the entry of an endpoint that goes on serving, and write it again."""
+    plain = [e for e in world.endpoints.values() if e.service == "plain"]
+    endpoint = world.rng.choice(plain)
+    world.store.remove("servers", endpoint.name)
+    await asyncio.sleep(world.rng.uniform(0.5, 5.0))
+    if endpoint.alive:
+        world.register(endpoint, "ready")
--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -27,6 +27,11 @@
         pytest.param("steady", id="callers-follow-readiness"),
         pytest.param("uneven", id="runs-differ-in-length"),
         pytest.param("disturbed", id="signals-reloads-and-silent-stores-beside-it"),
+        pytest.param("series", id="the-same-instance-again-while-it-starts"),
+        pytest.param("configurations", id="configurations-in-quick-series"),
+        pytest.param("kept", id="idle-connections-are-used-again"),
+        pytest.param("bodies", id="large-bodies-at-a-slow-link"),
+        pytest.param("acredita", id="short-time-outs-and-uploads-without-one"),
     ],
 )
 def test_a_planned_stop_leaves_no_request_without_its_answer(name, tmp_path):
