Draw run lengths, deadlines, zones and kinds of faults of the soak from the seed

Change: a new module, workload, draws from the seed: a share of runs that take five to eight times as long, slower endpoints, deadlines of 1.5 to 8 s, one zone with all instances but one, seeds with planned work only, and whether all instances are killed at the end. Phases may repeat a few faults, so that these overlap; processes are paused for up to 14 s. Callers leave connections silent at the start and pause longer within bodies. A caller that cannot send all of a body takes the time of that as the end of the request, not its beginning: nobody has read it whole. That is what the rule says; earlier pauses were too short to show it.

--- a/tests/soak/audit.py
+++ b/tests/soak/audit.py
@@ -255,12 +255,12 @@
         return reply
 
     def _draw_work(self, target: bytes) -> float:
+        factor = self.tail_factor if self.rng.random() < self.tail_share else 1.0
         if self.work_range is not None:
-            factor = self.tail_factor if self.rng.random() < self.tail_share else 1.0
             return factor * self.rng.uniform(*self.work_range)
         if target.endswith(b"/slow"):
-            return self.rng.uniform(*SLOW_WORK_SECONDS)
-        return self.usual_seconds
+            return factor * self.rng.uniform(*SLOW_WORK_SECONDS)
+        return factor * self.usual_seconds
 
     async def _run(self, req: CallerRequest, request_id: bytes) -> CallerResponse:
         if self.rng.random() < self.rejected_share:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -34,6 +34,7 @@
 MIN_KEYED_ENDPOINTS = 3
 FAULT_GAP_SECONDS = (0.1, 1.5)  # Shortest and longest time between two faults.
 PHASE_SECONDS = 7.5
+LONGEST_PAUSES_SECONDS = (6.0, 6.0, 14.0)  # Of a process.
 
 
 async def _wait_random(
@@ -194,7 +195,7 @@
     gateway = world.rng.choice(world.gateways)
     with world.disturbances.lasting(gateway.name, note="paused"):
         gateway.signal(signal.SIGSTOP)
-        await _wait_random(world, 0.2, 6.0)
+        await _wait_random(world, 0.2, world.rng.choice(LONGEST_PAUSES_SECONDS))
         gateway.signal(signal.SIGCONT)
     _record_recovery(world)
 
@@ -250,10 +251,13 @@
 def draw_phase(rng: random.Random) -> list[Fault]:
     """Draw the faults that occur in a phase."""
     drawn = rng.random()
-    if drawn < 0.25:
+    if drawn < 0.2:
         return list(PLANNED)
     faults = [fault for family in FAMILIES for fault in family]
-    if drawn < 0.65:
+    if drawn < 0.5:
+        # The same few again and again, so that they overlap in all ways.
+        faults = rng.sample(faults, rng.randint(2, 4))
+    elif drawn < 0.75:
         families = rng.sample(FAMILIES, rng.randint(1, 2))
         faults = [fault for family in families for fault in family]
     # Configurations tell which one is in force, so each phase changes them.
@@ -266,7 +270,8 @@
     phase_end = start
     while (now := time.monotonic()) < start + seconds:
         if now >= phase_end:
-            faults = draw_phase(world.rng)
+            planned_only = world.workload.planned_only
+            faults = list(PLANNED) if planned_only else draw_phase(world.rng)
             phase_end = now + PHASE_SECONDS
         fault = world.rng.choice(faults)
         injected.append(f"{now - world.audit.started:.1f} {fault.__name__}")
--- a/tests/soak/gateway_process.py
+++ b/tests/soak/gateway_process.py
@@ -30,11 +30,15 @@
         store_port: int,
         product: pathlib.Path,
         on_signal: Callable[[str, int], None],
+        first_zone: int | None = None,
     ) -> None:
+        """Write the settings; `first_zone` is how many instances are in that zone."""
         self._product = product
         self._on_signal = on_signal
         self.name = f"n{number}"
         self.zone = ZONES[number % len(ZONES)]
+        if first_zone is not None:
+            self.zone = ZONES[0 if number < first_zone else 1]
         # All instances use the same metrics port, so each instance of each test process
         # needs a loopback address of its own.
         self.host = own_host(number + 1)
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -29,6 +29,7 @@
 MAX_RETRIES = 3
 BUSY_GAP_SECONDS = 0.05  # Longest time between two requests on a connection.
 LONG_GAP_SECONDS = 3.0
+LONGEST_PAUSES_SECONDS = (0.4, 0.4, 2.5)  # Between two parts of a body.
 LEFT_WORK_SHARE = 0.5  # Of the requests that are left: those whose work takes long.
 LONGEST_STAY_SECONDS = 0.6  # Of a caller that leaves while work takes long.
 PROBE_PERIOD_SECONDS = 0.25  # Of the requests for routes that come and go.
@@ -44,9 +45,15 @@
     slow_work: float
     impatient: float  # Retries at once, though it was told to wait.
     long_gap: float
+    longest_pause: float  # Seconds between two parts of a body.
+    silent_start: float  # Connections that carry nothing for some time.
+    deadline_seconds: float = DEADLINE_SECONDS
+    slow_deadline_seconds: float = SLOW_DEADLINE_SECONDS
 
     @classmethod
-    def from_rng(cls, rng: random.Random) -> "LoadHabits":
+    def from_rng(
+        cls, rng: random.Random, deadline_range: tuple[float, float] | None
+    ) -> "LoadHabits":
         """Draw the habits of a caller; most callers have few of them."""
 
         def draw(highest: float) -> float:
@@ -54,7 +61,21 @@
 
         slow = rng.choice((0.05, rng.uniform(0.0, 0.8)))
         ahead = rng.choice((0.0, rng.uniform(0.0, 0.8)))
-        return cls(draw(0.4), ahead, draw(0.3), slow, draw(1.0), draw(0.05))
+        deadlines = (DEADLINE_SECONDS, SLOW_DEADLINE_SECONDS)
+        if deadline_range is not None:
+            deadline = rng.uniform(*deadline_range)
+            deadlines = (deadline, max(deadline, SLOW_DEADLINE_SECONDS))
+        return cls(
+            draw(0.4),
+            ahead,
+            draw(0.3),
+            slow,
+            draw(1.0),
+            draw(0.05),
+            rng.choice(LONGEST_PAUSES_SECONDS),
+            draw(0.5),
+            *deadlines,
+        )
 
 
 class CallBook:
@@ -90,13 +111,14 @@
         busy_key: int,
         choose: Callable[[], GatewayProcess],
         is_active: Callable[[], bool],
+        deadline_range: tuple[float, float] | None = None,
     ) -> None:
         self._rng = rng
         self._book = book
         self._busy_key = busy_key
         self._choose = choose
         self._is_active = is_active
-        self._habits = LoadHabits.from_rng(rng)
+        self._habits = LoadHabits.from_rng(rng, deadline_range)
 
     def _chance(self, share: float) -> bool:
         return self._rng.random() < share
@@ -118,6 +140,8 @@
             await asyncio.sleep(0.1)
             return []
         try:
+            if self._chance(self._habits.silent_start):
+                await asyncio.sleep(self._rng.uniform(0.0, LONG_GAP_SECONDS))
             while self._is_active():
                 leaves = self._chance(self._habits.leaves)
                 target = self._draw_target()
@@ -187,8 +211,8 @@
         """Return a new request."""
         method, target, keyed = kind
         if seconds is None:
-            slow = target.endswith(SLOW)
-            seconds = SLOW_DEADLINE_SECONDS if slow else DEADLINE_SECONDS
+            slow, habits = target.endswith(SLOW), self._habits
+            seconds = habits.slow_deadline_seconds if slow else habits.deadline_seconds
         request_id = self._book.next_id()
         return PlayedCall(
             request_id,
@@ -262,13 +286,17 @@
         )
         call.began_at = call.sent_at = time.monotonic()
         self._book.on_sent(call)
-        if call.body and self._chance(self._habits.slow_body):
-            await sock.send(head + call.body[:1])
-            await asyncio.sleep(self._rng.uniform(0.05, 0.4))
-            await sock.send(call.body[1:])
-        else:
-            await sock.send(head + call.body)
-        call.sent_at = time.monotonic()
+        try:
+            if call.body and self._chance(self._habits.slow_body):
+                await sock.send(head + call.body[:1])
+                longest = min(self._habits.longest_pause, 0.6 * left)
+                await asyncio.sleep(self._rng.uniform(min(0.05, longest), longest))
+                await sock.send(call.body[1:])
+            else:
+                await sock.send(head + call.body)
+        finally:
+            # Of a request that could not be sent, no instance has read the last byte.
+            call.sent_at = time.monotonic()
 
     async def _read(
         self, sock: CallerSocket, call: PlayedCall, leaves_after: float | None
@@ -312,7 +340,7 @@
         is_active: Callable[[], bool],
     ) -> None:
         super().__init__(rng, book, KEYS[0], choose, is_active)
-        self._habits = LoadHabits(0.0, 0.0, 0.0, 0.0, 0.0, 0.0)
+        self._habits = LoadHabits(0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0)
 
     async def probe(
         self,
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -22,6 +22,7 @@
 from tests.soak import faults
 from tests.soak.failure_folder import write_failure
 from tests.soak.recover_audit import RECOVERY_SECONDS
+from tests.soak.workload import draw_workload
 from tests.soak.world import ROOT, SoakWorld
 
 FAULT_END_SECONDS = 20.0  # Longest wait for the injected faults to end.
@@ -83,7 +84,7 @@
         await asyncio.sleep(0.1)
     for proxy in (*world.store_proxies, *world.proxies.values()):
         proxy.clear_faults()
-    if world.rng.random() < FINAL_KILL_SHARE:
+    if world.workload.final_kill:
         injected.append("all_instances_killed at the end")
         await faults.all_instances_killed(world)
         await asyncio.sleep(RECOVERY_SECONDS + AFTER_RECOVERY_SECONDS)
@@ -105,6 +106,7 @@
 ) -> SeedResult:
     """Run one seed; a failed one leaves a folder below `failures`."""
     world = SoakWorld(seed, directory, plan.instances, plan.product)
+    world.workload = draw_workload(seed, plan.instances, FINAL_KILL_SHARE)
     injected: list[str] = []
     with _processes_end(world):
         play = asyncio.ensure_future(_play(world, plan, injected))
--- /dev/null
+++ b/tests/soak/test_workload.py
@@ -0,0 +1,91 @@
+"""Properties of a run that are drawn from its seed."""
+
+import asyncio
+import collections
+import random
+
+from tests.soak.audit import SLOW_WORK_SECONDS, Audit, AuditedEndpoint
+from tests.soak.faults import FAMILIES, PLANNED, draw_phase
+from tests.soak.gateway_process import GatewayProcess
+from tests.soak.load import SLOW_DEADLINE_SECONDS, LoadHabits
+from tests.soak.workload import TAIL_FACTORS, Workload, draw_workload
+from tests.soak.world import ROOT, SoakWorld
+
+SEEDS = range(1, 401)
+
+
+def test_a_seed_always_draws_the_same_run():
+    """Guards against failed seeds that cannot be played again."""
+    assert [draw_workload(s, 4, 0.2) for s in SEEDS] == [
+        draw_workload(s, 4, 0.2) for s in SEEDS
+    ]
+
+
+def test_seeds_draw_runs_of_all_kinds():
+    """Guards against a soak that never plays one of the properties."""
+    runs = [draw_workload(seed, 4, 0.2) for seed in SEEDS]
+    for name in ("timeout_seconds", "first_zone", "planned_only", "final_kill"):
+        set_in = sum(bool(getattr(run, name)) for run in runs)
+        assert 0.1 * len(runs) < set_in < 0.7 * len(runs), name
+    assert min(run.tail_share for run in runs) < 0.01 < max(r.tail_share for r in runs)
+
+
+def test_callers_give_up_before_the_timeout_of_their_route():
+    """Guards against requests that time out and are counted as lost."""
+    for seed in SEEDS:
+        workload = draw_workload(seed, 4, 0.2)
+        habits = LoadHabits.from_rng(random.Random(seed), workload.deadline_range)
+        longest = max(habits.deadline_seconds, habits.slow_deadline_seconds)
+        if workload.timeout_seconds is None:
+            assert longest == SLOW_DEADLINE_SECONDS
+        else:
+            assert longest < workload.timeout_seconds
+
+
+def test_a_few_runs_take_several_times_as_long():
+    """Guards against endpoints whose measured times bound those that follow."""
+    endpoint = AuditedEndpoint("e1", "plain", Audit())
+    endpoint.usual_seconds, endpoint.tail_share, endpoint.tail_factor = 0.1, 0.01, 5.0
+    drawn = collections.Counter(endpoint._draw_work(b"/p/1") for _ in range(10_000))
+    assert drawn.keys() == {0.1, 0.5}
+    assert 50 < drawn[0.5] < 200
+    slow = [endpoint._draw_work(b"/p/slow") for _ in range(2000)]
+    assert max(slow) > 2 * SLOW_WORK_SECONDS[1]
+
+
+async def _add_endpoint(world):
+    try:
+        return await world.add_endpoint("plain")
+    finally:
+        await world.close()
+
+
+def test_endpoints_and_zones_of_a_world_follow_its_workload(tmp_path):
+    """Guards against properties that are drawn and not played."""
+    world = SoakWorld(1, tmp_path, 4)
+    world.workload = Workload(
+        tail_share=0.05, tail_factors=TAIL_FACTORS, pace=4.0, first_zone=3
+    )
+    endpoint = asyncio.run(_add_endpoint(world))
+    assert endpoint.tail_share == 0.05
+    assert TAIL_FACTORS[0] <= endpoint.tail_factor <= TAIL_FACTORS[1]
+    assert 0.04 <= endpoint.usual_seconds <= 0.32
+    zones = [
+        GatewayProcess(number, tmp_path, 1, ROOT, lambda *_: None, 3).zone
+        for number in range(4)
+    ]
+    assert zones == ["z0", "z0", "z0", "z1"]
+
+
+def test_phases_repeat_a_few_faults_or_mix_many():
+    """Guards against faults that never overlap with themselves or with all others."""
+    rng = random.Random(1)
+    everything = {fault for family in FAMILIES for fault in family}
+    sizes = collections.Counter()
+    for _ in range(1000):
+        unplanned = set(draw_phase(rng)) & everything
+        sizes[len(unplanned)] += 1
+    assert sizes[0] > 100  # Planned work alone.
+    assert sum(sizes[number] for number in (2, 3, 4)) > 100
+    assert sizes[len(everything)] > 100
+    assert set(PLANNED).isdisjoint(everything)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -24,6 +24,7 @@
 from tests.soak.load import KEYS, CallBook, LoadCaller, ProbeCaller
 from tests.soak.proxy import FaultInjectingProxy
 from tests.soak.records import PlayedCall
+from tests.soak.workload import Workload
 
 # Repository whose gateway the processes of a run execute.
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -53,6 +54,7 @@
         self.disturbances = Disturbances()
         self.history = ConfigurationHistory(self.rng)
         self.timeout_seconds: float | None = None  # Of all routes, if one is set.
+        self.workload = Workload()  # Set before the start.
         self.judge = Judge(self.audit, self.history, self.disturbances)
         self.book = CallBook(self._record_end)
         self.book.on_sent = self._record_sent
@@ -77,7 +79,8 @@
         """Start all parts, and wait until each instance serves all keys."""
         await self.store.server.start(own_host(), 0)
         store_port = self.store.server.port
-        self.history.timeout_seconds = self.timeout_seconds
+        timeout = self.timeout_seconds or self.workload.timeout_seconds
+        self.history.timeout_seconds = timeout
         self.write_configuration()
         for service, count in ENDPOINTS:
             for _ in range(count):
@@ -92,6 +95,7 @@
                 proxy.port,
                 self._product,
                 self._record_signal,
+                self.workload.first_zone,
             )
             gateway.start()
             self.gateways.append(gateway)
@@ -172,7 +176,10 @@
         self._last_number += 1
         name = f"e{self._last_number}"
         endpoint = AuditedEndpoint(name, service, self.audit)
-        endpoint.usual_seconds = self.rng.uniform(0.01, 0.08)
+        workload = self.workload
+        endpoint.usual_seconds = workload.pace * self.rng.uniform(0.01, 0.08)
+        endpoint.tail_share = workload.tail_share
+        endpoint.tail_factor = self.rng.uniform(*workload.tail_factors)
         endpoint.slots = SLOTS
         await endpoint.server.start(own_host(), 0)
         if proxy is None:
@@ -235,6 +242,8 @@
         endpoint = AuditedEndpoint(name, earlier.service, self.audit)
         endpoint.started_ms = earlier.started_ms + 1000
         endpoint.usual_seconds = earlier.usual_seconds
+        endpoint.tail_share = earlier.tail_share
+        endpoint.tail_factor = earlier.tail_factor
         endpoint.slots = earlier.slots
         await endpoint.server.start(own_host(), 0)
         if self.endpoints.get(name) is not earlier:
@@ -269,6 +278,7 @@
                 self.busy_key,
                 self.balancer.choose,
                 self._is_active,
+                self.workload.deadline_range,
             )
             self.spawn(caller.run(), background=True)
         self.spawn(self._watch_processes(), background=True)
