Let endpoints of the soak queue, start slowly and drain longer, and stops overlap more

Stops ended at 2.8 s, because nothing long was pending, and few requests came late in one. Change, all drawn from the seed: endpoints that run as many requests at once as they have slots, that are slow after their start and say so, and that drain for up to 9 s with their entry removed, unchanged or draining; slower work and more callers beside long deadlines; stops that overlap within a second; more probes of the routes just added or removed. judged has "LOST late": the judged requests sent so late in a stop that work up to its end does not excuse them.

--- a/tests/soak/audit.py
+++ b/tests/soak/audit.py
@@ -199,6 +199,9 @@
         self.tail_share = 0.0
         self.tail_factor = 1.0
         self.usual_seconds = 0.01  # Work of a request.
+        # Until when, on the clock of the run, work takes `cold_factor` times as long.
+        self.cold_until = -1e9
+        self.cold_factor = 1.0
         # Limits the requests that it runs at once; the others wait.
         self.running_limit: asyncio.Semaphore | None = None
         self._audit = audit
@@ -256,6 +259,8 @@
 
     def _draw_work(self, target: bytes) -> float:
         factor = self.tail_factor if self.rng.random() < self.tail_share else 1.0
+        if time.monotonic() < self.cold_until:
+            factor *= self.cold_factor
         if self.work_range is not None:
             return factor * self.rng.uniform(*self.work_range)
         if target.endswith(b"/slow"):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,7 @@
 from tests.soak.audit import AuditedEndpoint
 from tests.soak.disturbances import STORE
 from tests.soak.entry_faults import (
+    MIN_ENDPOINTS,
     address_taken_over,
     endpoint_is_silent,
     late_write_of_earlier_process,
@@ -34,6 +35,9 @@
 MIN_KEYED_ENDPOINTS = 3
 FAULT_GAP_SECONDS = (0.1, 1.5)  # Shortest and longest time between two faults.
 PHASE_SECONDS = 7.5
+# After which an endpoint that leaves has ended.
+LONGEST_DRAINS_SECONDS = (4.0, 9.0)
+DRAINED_SERVICES = ("keyed", "keyed", "plain")
 LONGEST_PAUSES_SECONDS = (6.0, 6.0, 14.0)  # Of a process.
 
 
@@ -115,21 +119,27 @@
 
 
 async def endpoint_drains(world: SoakWorld) -> None:
-    """Replace an endpoint of the keyed service by draining it first.
+    """Replace an endpoint, mostly of the keyed service, by draining it first.
 
-    It says in its answers that it leaves, and the store may tell it, too.
+    It says in its answers that it leaves. Its entry says so, too, stays or is removed.
     """
-    keyed = [e for e in world.endpoints.values() if e.service == "keyed"]
-    if len(keyed) <= MIN_KEYED_ENDPOINTS:
+    service = world.rng.choice(DRAINED_SERVICES)
+    staying = [e for e in world.endpoints.values() if e.service == service]
+    if len(staying) <= MIN_ENDPOINTS[service]:
         return
-    await world.add_endpoint("keyed")
-    leaving = world.rng.choice(keyed)
+    await world.add_endpoint(service)
+    leaving = world.rng.choice(staying)
     if world.endpoints.get(leaving.name) is not leaving:
         return  # It crashed or restarted meanwhile.
     leaving.leaving = True
-    if world.rng.random() < 0.5:
+    drawn = world.rng.random()
+    if drawn < 0.4:
         world.register(leaving, "draining")
-    await asyncio.sleep(world.rng.uniform(2.5, 4.0))
+    elif drawn < 0.6:
+        world.store.remove("servers", leaving.name)
+    await asyncio.sleep(
+        world.rng.uniform(2.5, world.rng.choice(LONGEST_DRAINS_SECONDS))
+    )
     if leaving.name in world.endpoints:
         world.crash_endpoint(leaving.name, planned=True)
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -22,7 +22,7 @@
 from tests.soak.connection_audit import MAX_CUT_REQUESTS, is_cut, is_cut_by_reload
 from tests.soak.disturbances import Disturbances
 from tests.soak.gone_audit import GONE_SECONDS, judge_leaving
-from tests.soak.lost_audit import WINDOW_SECONDS, is_lost
+from tests.soak.lost_audit import EARLY_SECONDS, WINDOW_SECONDS, is_lost
 from tests.soak.records import PlayedCall, RequestRecord
 from tests.soak.recover_audit import FinalKill, judge_recovery
 from tests.soak.route_audit import strange_services
@@ -103,6 +103,7 @@
         stops, reloads = self.stops[call.instance], self.reloads[call.instance]
         if calm and any(at <= ended <= at + WINDOW_SECONDS for at in stops):
             self.judged["LOST"] += 1
+            self.judged["LOST late"] += self._is_late_in_stop(call)
             if is_lost(call, record, self.stops):
                 since = ended - max(at for at in stops if at <= ended)
                 text = f"{call.describe()} was cut off {since:.2f} s after SIGTERM"
@@ -118,6 +119,14 @@
                 text = f"{len(self._cut)} connections were closed without an answer"
                 self._report("LOST", text, *self._cut)
 
+    def _is_late_in_stop(self, call: PlayedCall) -> bool:
+        """Whether work up to the end of the stop does not excuse the request."""
+        times = (t for t in self.stops[call.instance] if t <= call.sent_at)
+        stop = max(times, default=call.sent_at)
+        starts = self.starts[call.instance]
+        restarted = any(stop < at <= call.sent_at for at in starts)
+        return not restarted and call.sent_at > stop + EARLY_SECONDS
+
     def _endpoint_disturbed(
         self, record: RequestRecord, since: float, until: float
     ) -> bool:
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -29,10 +29,11 @@
 MAX_RETRIES = 3
 BUSY_GAP_SECONDS = 0.05  # Longest time between two requests on a connection.
 LONG_GAP_SECONDS = 3.0
-LONGEST_PAUSES_SECONDS = (0.4, 0.4, 2.5)  # Between two parts of a body.
+NEWEST_SHARE = 0.6  # Of the probes: those for routes of the two newest versions.
+LONGEST_PAUSES_SECONDS = (0.4, 2.5)  # Between two parts of a body.
 LEFT_WORK_SHARE = 0.5  # Of the requests that are left: those whose work takes long.
 LONGEST_STAY_SECONDS = 0.6  # Of a caller that leaves while work takes long.
-PROBE_PERIOD_SECONDS = 0.25  # Of the requests for routes that come and go.
+PROBE_PERIOD_SECONDS = 0.15  # Of the requests for routes that come and go.
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,7 +69,7 @@
         return cls(
             draw(0.4),
             ahead,
-            draw(0.3),
+            draw(0.5),
             slow,
             draw(1.0),
             draw(0.05),
@@ -368,7 +369,9 @@
                 sock.close()
 
     def _draw_probe(self, history: ConfigurationHistory) -> tuple[bytes, bytes, bool]:
-        version = self._rng.choice(history.versions[-6:])
+        # Mostly routes that were just added or removed.
+        newest = 2 if self._rng.random() < NEWEST_SHARE else 6
+        version = self._rng.choice(history.versions[-newest:])
         drawn = self._rng.random()
         if drawn < 0.1:
             return b"GET", b"/never/1", False
--- a/tests/soak/planned_work.py
+++ b/tests/soak/planned_work.py
@@ -12,7 +12,8 @@
 from tests.soak.world import SoakWorld
 
 INTERPRETER_SECONDS = 1.0  # More than the start of an interpreter takes.
-STOP_GAP_SECONDS = (0.2, 5.0)  # Between the starts of two stops of a series.
+# Between the starts of two stops of a series, which overlap mostly or now and then.
+STOP_GAPS_SECONDS = ((0.0, 1.0), (0.2, 5.0))
 
 
 async def configuration_changes(world: SoakWorld) -> None:
@@ -51,12 +52,13 @@
     At most half of the instances are stopped at once.
     """
     stops: set[asyncio.Task[None]] = set()
-    for _ in range(world.rng.randint(1, 3)):
+    gap_range = world.rng.choice(STOP_GAPS_SECONDS)
+    for _ in range(world.rng.randint(1, 4)):
         free = [g for g in world.gateways if g.name not in world.stopping]
         if len(world.stopping) < max(len(world.gateways) // 2, 1):
             gateway = world.rng.choice(free)
             stops.add(asyncio.create_task(_stop(world, gateway)))
-        await asyncio.sleep(world.rng.uniform(*STOP_GAP_SECONDS))
+        await asyncio.sleep(world.rng.uniform(*gap_range))
     await asyncio.gather(*stops)
 
 
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -206,3 +206,21 @@
 def test_a_reload_is_charged_with_requests_cut_after_it(reload_at, cut):
     call = PlayedCall(b"r", "n0", True, False, 110.0, 100.0, 101.0)
     assert is_cut_by_reload(call, EndpointRecord(arrived=True), [reload_at]) is cut
+
+
+@pytest.mark.parametrize(
+    "sent_at, started_at, late",
+    [
+        pytest.param(100.0, 0.0, 1, id="late"),
+        pytest.param(98.0, 0.0, 0, id="early"),
+        pytest.param(100.0, 99.0, 0, id="next-process"),
+    ],
+)
+def test_requests_late_in_a_stop_are_counted(sent_at, started_at, late):
+    """Guards against runs that seem to judge late requests and play none."""
+    run = Run()
+    run.judge.stops["n0"].append(96.5)
+    run.judge.starts["n0"].append(started_at)
+    run.play(sent_at=sent_at, began_at=sent_at, status=200, signed=True)
+    assert run.judge.judged["LOST"] == 1
+    assert run.judge.judged["LOST late"] == late
--- a/tests/soak/test_workload.py
+++ b/tests/soak/test_workload.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import random
+import time
 
 from tests.soak.audit import SLOW_WORK_SECONDS, Audit, AuditedEndpoint
 from tests.soak.faults import FAMILIES, PLANNED, draw_phase
@@ -24,7 +25,14 @@
 def test_seeds_draw_runs_of_all_kinds():
     """Guards against a soak that never plays one of the properties."""
     runs = [draw_workload(seed, 4, 0.2) for seed in SEEDS]
-    for name in ("timeout_seconds", "first_zone", "planned_only", "final_kill"):
+    for name in (
+        "timeout_seconds",
+        "first_zone",
+        "planned_only",
+        "final_kill",
+        "cold_seconds",
+        "queues",
+    ):
         set_in = sum(bool(getattr(run, name)) for run in runs)
         assert 0.1 * len(runs) < set_in < 0.7 * len(runs), name
     assert min(run.tail_share for run in runs) < 0.01 < max(r.tail_share for r in runs)
@@ -64,10 +72,15 @@
     """Guards against properties that are drawn and not played."""
     world = SoakWorld(1, tmp_path, 4)
     world.workload = Workload(
-        tail_share=0.05, tail_factors=TAIL_FACTORS, pace=4.0, first_zone=3
+        tail_share=0.05,
+        tail_factors=TAIL_FACTORS,
+        pace=4.0,
+        first_zone=3,
+        queues=True,
     )
     endpoint = asyncio.run(_add_endpoint(world))
     assert endpoint.tail_share == 0.05
+    assert endpoint.running_limit is not None
     assert TAIL_FACTORS[0] <= endpoint.tail_factor <= TAIL_FACTORS[1]
     assert 0.04 <= endpoint.usual_seconds <= 0.32
     zones = [
@@ -77,6 +90,15 @@
     assert zones == ["z0", "z0", "z0", "z1"]
 
 
+def test_an_endpoint_that_has_just_started_is_slow():
+    """Guards against endpoints that are as fast at their start as ever."""
+    endpoint = AuditedEndpoint("e1", "plain", Audit())
+    endpoint.usual_seconds, endpoint.cold_factor = 0.1, 4.0
+    assert endpoint._draw_work(b"/p/1") == 0.1
+    endpoint.cold_until = time.monotonic() + 60.0
+    assert endpoint._draw_work(b"/p/1") == 0.4
+
+
 def test_phases_repeat_a_few_faults_or_mix_many():
     """Guards against faults that never overlap with themselves or with all others."""
     rng = random.Random(1)
--- a/tests/soak/workload.py
+++ b/tests/soak/workload.py
@@ -1,6 +1,7 @@
 """What the requests, endpoints and zones of a run are like, drawn from its seed.
 
-Runs of an endpoint differ much in length: a few take several times as long as others.
+Runs of an endpoint differ much in length: a few take several times as long as others,
+and an endpoint that has just started is slow.
 Callers wait for less time than the timeouts of the routes, so that the rules on lost
 requests need not know these.
 """
@@ -12,8 +13,20 @@
 LONG_DEADLINE_SECONDS = (1.5, 8.0)  # Shortest and longest in these runs.
 USUAL_TAIL_SHARE = 0.01
 MAX_TAIL_SHARE = 0.08
+# Shares of the seeds with a property.
+LONG_SHARE = 0.6
+LONG_SLOW_SHARE = 0.8  # Slow work, if deadlines are long.
+SLOW_SHARE = 0.25  # The same if they are not.
+UNEVEN_SHARE = 0.6
+QUEUES_SHARE = 0.5
+PLANNED_SHARE = 0.35
 TAIL_FACTORS = (5.0, 8.0)
-MAX_PACE = 8.0
+MAX_PACE = 12.0
+MAX_COLD_SECONDS = 6.0
+COLD_FACTORS = (2.0, 8.0)
+HIGH_PACE = 4.0  # From which on more callers are needed for as many requests.
+CALLERS = 24
+MANY_CALLERS = 48
 
 
 @dataclasses.dataclass(frozen=True)
@@ -27,7 +40,12 @@
     # Share of the runs of endpoints that take `tail_factors` times as long.
     tail_share: float = 0.0
     tail_factors: tuple[float, float] = (1.0, 1.0)
+    queues: bool = False  # Endpoints run as many requests as they have slots at once.
+    # For up to so many seconds after its start an endpoint is slower by a factor.
+    cold_seconds: float = 0.0
+    cold_factors: tuple[float, float] = (1.0, 1.0)
     pace: float = 1.0  # By which the work of requests is longer.
+    callers: int = CALLERS
     # Number of instances in the first zone; None for as many as in the other one.
     first_zone: int | None = None
     planned_only: bool = False  # Nothing but planned work is played.
@@ -37,17 +55,23 @@
 def draw_workload(seed: int, instances: int, final_kill_share: float) -> Workload:
     """Return the properties of a run."""
     rng = random.Random(f"workload {seed}")
-    long = rng.random() < 0.5
-    pace = rng.choice((1.0, rng.uniform(1.0, MAX_PACE)))
-    tail_share = rng.choice((USUAL_TAIL_SHARE, rng.uniform(0.0, MAX_TAIL_SHARE)))
-    uneven = instances > 2 and rng.random() < 0.5
+    long = rng.random() < LONG_SHARE
+    slow = rng.random() < (LONG_SLOW_SHARE if long else SLOW_SHARE)
+    pace = rng.uniform(2.0, MAX_PACE) if slow else 1.0
+    other_share = rng.uniform(0.0, MAX_TAIL_SHARE)
+    tail_share = other_share if rng.random() < 0.33 else USUAL_TAIL_SHARE
+    uneven = instances > 2 and rng.random() < UNEVEN_SHARE
     return Workload(
         timeout_seconds=LONG_TIMEOUT_SECONDS if long else None,
         deadline_range=LONG_DEADLINE_SECONDS if long else None,
         tail_share=tail_share,
         tail_factors=TAIL_FACTORS,
+        queues=rng.random() < QUEUES_SHARE,
+        cold_seconds=rng.choice((0.0, MAX_COLD_SECONDS)),
+        cold_factors=COLD_FACTORS,
         pace=pace,
+        callers=MANY_CALLERS if pace > HIGH_PACE else CALLERS,
         first_zone=instances - 1 if uneven else None,
-        planned_only=rng.random() < 0.3,
+        planned_only=rng.random() < PLANNED_SHARE,
         final_kill=rng.random() < final_kill_share,
     )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -28,7 +28,6 @@
 
 # Repository whose gateway the processes of a run execute.
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-CALLERS = 24
 ENDPOINTS = (("keyed", 5), ("plain", 4), ("spare", 2))  # Of each service.
 SLOTS = 6  # Of each endpoint.
 SETTLE_SECONDS = 45.0  # Long, because test hosts can be slow.
@@ -180,6 +179,11 @@
         endpoint.usual_seconds = workload.pace * self.rng.uniform(0.01, 0.08)
         endpoint.tail_share = workload.tail_share
         endpoint.tail_factor = self.rng.uniform(*workload.tail_factors)
+        if workload.queues:
+            endpoint.running_limit = asyncio.Semaphore(SLOTS)
+        endpoint.cold_factor = self.rng.uniform(*workload.cold_factors)
+        cold_seconds = self.rng.uniform(0.0, workload.cold_seconds)
+        endpoint.cold_until = time.monotonic() + cold_seconds
         endpoint.slots = SLOTS
         await endpoint.server.start(own_host(), 0)
         if proxy is None:
@@ -211,7 +215,8 @@
             "zone": zone,
             "slots": endpoint.slots,
         }
-        status = {"state": state, "seq": 1, "coldLeftS": 0}
+        cold_left = max(endpoint.cold_until - time.monotonic(), 0.0)
+        status = {"state": state, "seq": 1, "coldLeftS": round(cold_left, 1)}
         address = f"{own_host()}:{self.proxies[endpoint.name].port}"
         endpoint.leaving = state == "draining"
         born = endpoint.started_ms
@@ -244,6 +249,8 @@
         endpoint.usual_seconds = earlier.usual_seconds
         endpoint.tail_share = earlier.tail_share
         endpoint.tail_factor = earlier.tail_factor
+        if earlier.running_limit is not None:
+            endpoint.running_limit = asyncio.Semaphore(SLOTS)
         endpoint.slots = earlier.slots
         await endpoint.server.start(own_host(), 0)
         if self.endpoints.get(name) is not earlier:
@@ -271,7 +278,7 @@
             )
             work = prober.probe(gateway, self.history, self.balancer.receives)
             self.spawn(work, background=True)
-        for _ in range(CALLERS):
+        for _ in range(self.workload.callers):
             caller = LoadCaller(
                 random.Random(self.rng.random()),
                 self.book,
