Slow endpoints down beside planned work, and judge late readers by what they can know

Late readers whose request reached no endpoint are not judged by LOST; those that did are. SIGHUP is sent to processes that handle it, and to all others 8 s after their start, so that a product that never handles it is still found. The last check waits as long as callers do. Tests of judge, workload, proxy and runner pass.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -27,6 +27,7 @@
 )
 from tests.soak.proxy import FaultInjectingProxy, ResponseFaults
 from tests.soak.recover_audit import FinalKill
+from tests.soak.workload import TAIL_FACTORS
 from tests.soak.world import SoakWorld
 
 Fault = Callable[[SoakWorld], Coroutine[object, object, None]]
@@ -182,6 +183,14 @@
         endpoint.failed_share = 0.0
 
 
+async def endpoints_slow_down(world: SoakWorld) -> None:
+    """Make all work of some endpoints take several times as long for some time."""
+    until = time.monotonic() + world.rng.uniform(0.5, 6.0)
+    for endpoint in _some_endpoints(world):
+        endpoint.cold_until = until
+        endpoint.cold_factor = world.rng.uniform(*TAIL_FACTORS)
+
+
 async def responses_disturbed(world: SoakWorld) -> None:
     """Repeat, cut or lose responses of some endpoints."""
     faults = ResponseFaults(
@@ -250,11 +259,13 @@
     (endpoint_asks_to_wait, endpoints_reject, endpoints_fail, responses_disturbed),
     (instance_paused, instance_killed),
 )
+# Nothing may be lost by planned work, also while endpoints are slow.
 PLANNED: tuple[Fault, ...] = (
     configuration_changes,
     settings_reloaded,
     instances_stopped,
     endpoint_drains,
+    endpoints_slow_down,
 )
 
 
@@ -281,7 +292,9 @@
     while (now := time.monotonic()) < start + seconds:
         if now >= phase_end:
             planned_only = world.workload.planned_only
-            faults = list(PLANNED) if planned_only else draw_phase(world.rng)
+            faults = draw_phase(world.rng)
+            if planned_only:
+                faults = [*PLANNED, instances_stopped]
             phase_end = now + PHASE_SECONDS
         fault = world.rng.choice(faults)
         injected.append(f"{now - world.audit.started:.1f} {fault.__name__}")
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -19,6 +19,7 @@
 from tests.soak.configurations import HOST, MOVED_PREFIX, ConfigurationHistory
 from tests.soak.gateway_process import GatewayProcess
 from tests.soak.records import PlayedCall
+from tests.soak.workload import Workload
 
 KEYS = (1, 9000, 20_000, 33_000, 50_000, 65_535)
 BUSY_KEY_SHARE = 0.3  # Share of the requests that are for one key.
@@ -56,19 +57,17 @@
     slow_deadline_seconds: float = SLOW_DEADLINE_SECONDS
 
     @classmethod
-    def from_rng(
-        cls, rng: random.Random, deadline_range: tuple[float, float] | None
-    ) -> "LoadHabits":
+    def from_rng(cls, rng: random.Random, workload: Workload) -> "LoadHabits":
         """Draw the habits of a caller; most callers have few of them."""
 
         def draw(highest: float) -> float:
             return rng.choice((0.0, 0.0, rng.uniform(0.0, highest)))
 
-        slow = rng.choice((0.05, rng.uniform(0.0, 0.8)))
+        slow = rng.choice((0.05, rng.uniform(0.0, 0.8))) * workload.slow_paths
         ahead = rng.choice((0.0, rng.uniform(0.0, 0.8)))
         deadlines = (DEADLINE_SECONDS, SLOW_DEADLINE_SECONDS)
-        if deadline_range is not None:
-            deadline = rng.uniform(*deadline_range)
+        if workload.deadline_range is not None:
+            deadline = rng.uniform(*workload.deadline_range)
             deadlines = (deadline, max(deadline, SLOW_DEADLINE_SECONDS))
         return cls(
             draw(0.4),
@@ -117,14 +116,14 @@
         busy_key: int,
         choose: Callable[[], GatewayProcess],
         is_active: Callable[[], bool],
-        deadline_range: tuple[float, float] | None = None,
+        workload: Workload,
     ) -> None:
         self._rng = rng
         self._book = book
         self._busy_key = busy_key
         self._choose = choose
         self._is_active = is_active
-        self._habits = LoadHabits.from_rng(rng, deadline_range)
+        self._habits = LoadHabits.from_rng(rng, workload)
 
     def _chance(self, share: float) -> bool:
         return self._rng.random() < share
@@ -151,7 +150,8 @@
             while self._is_active():
                 leaves = self._chance(self._habits.leaves)
                 target = self._draw_target()
-                if leaves and self._chance(LEFT_WORK_SHARE):
+                slow_paths = self._habits.slow_work > 0.0
+                if leaves and slow_paths and self._chance(LEFT_WORK_SHARE):
                     target = b"GET", b"/p" + SLOW, False
                 calls = [self.new_call(gateway.name, target)]
                 if calls[0].idempotent and self._chance(self._habits.ahead):
@@ -255,6 +255,7 @@
             leaves_after = self._rng.uniform(0.0, longest)
         for number, call in enumerate(calls):
             if number and self._chance(SPACED_SHARE):
+                calls[0].reads_late = True
                 await asyncio.sleep(self._rng.uniform(0.0, LONGEST_SPACE_SECONDS))
             try:
                 await self._send(sock, call)
@@ -269,6 +270,7 @@
         for call in calls:
             answer = None
             if keep and leaves_after is None and call.target.endswith(LARGE):
+                call.reads_late = True
                 await asyncio.sleep(self._rng.uniform(0.0, LATE_READ_SECONDS))
             if keep:
                 answer = await self._read(sock, call, leaves_after)
@@ -351,7 +353,7 @@
         choose: Callable[[], GatewayProcess],
         is_active: Callable[[], bool],
     ) -> None:
-        super().__init__(rng, book, KEYS[0], choose, is_active)
+        super().__init__(rng, book, KEYS[0], choose, is_active, Workload())
         self._habits = LoadHabits(0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0)
 
     async def probe(
--- a/tests/soak/planned_work.py
+++ b/tests/soak/planned_work.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import pathlib
 import re
 import signal
 import time
@@ -12,6 +13,7 @@
 from tests.soak.world import SoakWorld
 
 INTERPRETER_SECONDS = 1.0  # More than the start of an interpreter takes.
+MAX_INTERPRETER_SECONDS = 8.0  # The same on a busy host.
 # Between the starts of two stops of a series, which overlap mostly or now and then.
 STOP_GAPS_SECONDS = ((0.0, 1.0), (0.2, 5.0))
 
@@ -34,7 +36,7 @@
         slack = world.rng.randint(40, 80)
         changed = f"retryBudgetSlack = {slack}"
         text = re.sub(r"retryBudgetSlack = \d+", changed, gateway.settings)
-        started = time.monotonic() - gateway.started_at >= INTERPRETER_SECONDS
+        started = _takes_reloads(gateway)
         if started and world.rng.random() < 0.2:
             # The file is read while it is being written.
             gateway.write_settings(text[: len(text) // 2])
@@ -46,6 +48,24 @@
         await asyncio.sleep(world.rng.uniform(0.0, 1.0))
 
 
+def _takes_reloads(gateway: GatewayProcess) -> bool:
+    """Whether SIGHUP is due to be handled; a busy host starts interpreters late."""
+    age = time.monotonic() - gateway.started_at
+    if age < INTERPRETER_SECONDS or gateway.process is None:
+        return False
+    return age >= MAX_INTERPRETER_SECONDS or handles_reload(gateway.process.pid)
+
+
+def handles_reload(pid: int) -> bool:
+    """Return whether a process ignores or catches SIGHUP."""
+    try:
+        status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return False  # It has ended.
+    masks = re.findall(r"^Sig(?:Ign|Cgt):\s*(\w+)", status, re.MULTILINE)
+    return any(int(mask, 16) >> (signal.SIGHUP - 1) & 1 for mask in masks)
+
+
 async def instances_stopped(world: SoakWorld) -> None:
     """Stop instances gracefully, in series or overlapping, and start them again.
 
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -261,3 +261,34 @@
     )
     run.judge.judge_run(run.calls)
     assert [violation.rule for violation in run.audit.found] == rules
+
+
+@pytest.mark.parametrize(
+    "reads_late, arrived, rules",
+    [
+        pytest.param(True, False, [], id="end-not-seen"),
+        pytest.param(True, True, ["LOST"], id="passed-on"),
+        pytest.param(False, False, ["LOST"], id="end-seen"),
+    ],
+)
+def test_a_late_reader_does_not_show_when_its_connection_ended(
+    reads_late, arrived, rules
+):
+    """Guards against requests on closed connections that are counted as lost."""
+    run = Run()
+    run.judge.stops["n0"].append(99.0)
+    call = PlayedCall(
+        b"r0",
+        "n0",
+        idempotent=True,
+        behind=False,
+        deadline_at=110.0,
+        sent_at=100.0,
+        began_at=100.0,
+        ended_at=100.7,
+        target=b"/p/large",
+        reads_late=reads_late,
+    )
+    run.audit.seen[b"r0"] = RequestRecord(arrived)
+    run.judge.judge_run([call])
+    assert [violation.rule for violation in run.audit.found] == rules
--- a/tests/soak/test_workload.py
+++ b/tests/soak/test_workload.py
@@ -3,12 +3,17 @@
 import asyncio
 import collections
 import random
+import subprocess
+import sys
 import time
 
+import pytest
+
 from tests.soak.audit import SLOW_WORK_SECONDS, Audit, AuditedEndpoint
-from tests.soak.faults import FAMILIES, PLANNED, draw_phase
+from tests.soak.faults import FAMILIES, PLANNED, draw_phase, endpoints_slow_down
 from tests.soak.gateway_process import GatewayProcess
 from tests.soak.load import SLOW_DEADLINE_SECONDS, LoadHabits
+from tests.soak.planned_work import handles_reload
 from tests.soak.workload import TAIL_FACTORS, Workload, draw_workload
 from tests.soak.world import ROOT, SoakWorld
 
@@ -32,17 +37,19 @@
         "final_kill",
         "cold_seconds",
         "queues",
+        "slow_paths",
     ):
         set_in = sum(bool(getattr(run, name)) for run in runs)
         assert 0.1 * len(runs) < set_in < 0.7 * len(runs), name
-    assert min(run.tail_share for run in runs) < 0.01 < max(r.tail_share for r in runs)
+    shares = {run.tail_share for run in runs}
+    assert {0.0, 0.01} < shares and max(shares) > 0.05
 
 
 def test_callers_give_up_before_the_timeout_of_their_route():
     """Guards against requests that time out and are counted as lost."""
     for seed in SEEDS:
         workload = draw_workload(seed, 4, 0.2)
-        habits = LoadHabits.from_rng(random.Random(seed), workload.deadline_range)
+        habits = LoadHabits.from_rng(random.Random(seed), workload)
         longest = max(habits.deadline_seconds, habits.slow_deadline_seconds)
         if workload.timeout_seconds is None:
             assert longest == SLOW_DEADLINE_SECONDS
@@ -99,6 +106,18 @@
     assert endpoint._draw_work(b"/p/1") == 0.4
 
 
+def test_slow_endpoints_become_fast_again(tmp_path):
+    """Guards against endpoints that stay slow, so that no more is seen of the rest."""
+    world = SoakWorld(1, tmp_path, 4)
+    endpoint = AuditedEndpoint("e1", "plain", Audit())
+    endpoint.usual_seconds = 0.1
+    world.endpoints["e1"] = endpoint
+    asyncio.run(endpoints_slow_down(world))
+    low, high = TAIL_FACTORS
+    assert 0.1 * low <= endpoint._draw_work(b"/p/1") <= 0.1 * high
+    assert endpoint.cold_until < time.monotonic() + 10.0
+
+
 def test_phases_repeat_a_few_faults_or_mix_many():
     """Guards against faults that never overlap with themselves or with all others."""
     rng = random.Random(1)
@@ -111,3 +130,27 @@
     assert sum(sizes[number] for number in (2, 3, 4)) > 100
     assert sizes[len(everything)] > 100
     assert set(PLANNED).isdisjoint(everything)
+
+
+@pytest.mark.parametrize(
+    "prepare, handles",
+    [
+        pytest.param("SIG_DFL", False, id="default"),
+        pytest.param("SIG_IGN", True, id="ignored"),
+    ],
+)
+def test_a_process_that_handles_reloads_is_told_apart(prepare, handles):
+    """Guards against SIGHUP that ends a process whose interpreter has not started."""
+    text = f"import signal; signal.signal(signal.SIGHUP, signal.{prepare})"
+    process = subprocess.Popen(
+        [sys.executable, "-c", f"{text}; print(flush=True); input()"],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+    try:
+        process.stdout.readline()
+        assert handles_reload(process.pid) == handles
+    finally:
+        process.kill()
+        process.communicate()
+    assert not handles_reload(process.pid)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -285,7 +285,7 @@
                 self.busy_key,
                 self.balancer.choose,
                 self._is_active,
-                self.workload.deadline_range,
+                self.workload,
             )
             self.spawn(caller.run(), background=True)
         self.spawn(self._watch_processes(), background=True)
@@ -380,14 +380,17 @@
                     await asyncio.sleep(0.1)
 
     async def _is_served(self, gateway: GatewayProcess, key: int) -> bool:
+        # An instance may refuse what would end too late.
+        seconds = 1.5 if self.workload.deadline_range is None else 5.0
         head = (
             b"GET /x/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %b\r\n"
-            b"Deadline-Ms: 1500\r\nShard-Key: %d\r\n\r\n" % (self.book.next_id(), key)
+            b"Deadline-Ms: %d\r\nShard-Key: %d\r\n\r\n"
+            % (self.book.next_id(), seconds * 1000, key)
         )
         with contextlib.suppress(ExchangeError):
             conn = await ClientConnection.open(gateway.address, 1.0)
             try:
-                return (await conn.exchange(head, b"", 2.5)).status == 200
+                return (await conn.exchange(head, b"", seconds + 1.0)).status == 200
             finally:
                 conn.close()
         return False
