--- a/tests/soak/entry_faults.py
+++ b/tests/soak/entry_faults.py
@@ -12,6 +12,7 @@
 from tests.soak.world import SoakWorld
 
 ADDRESS_REUSE_SECONDS = 2.0  # `addrReuseS` of the settings of the soak.
+LATE_REGISTRATION_SECONDS = 1.5  # Longest time from the start to the entry.
 MAX_TAKEN_OVER = 3  # Addresses at once.
 SILENCE_SECONDS = 3.0  # After which the entry of an endpoint that ended is removed.
 MIN_ENDPOINTS = {"keyed": 3, "plain": 2, "spare": 1}  # More are there before one ends.
@@ -52,7 +53,8 @@
 async def _take_address_over(world: SoakWorld) -> None:
     """End an endpoint; one of another service gets its address.
 
-    The old entry is removed at once or, as after a crash, some time later.
+    The old entry is removed at once or, as after a crash, some time later. The other
+    one serves some time before its entry tells so.
     """
     names = _free_endpoints(world)
     if not names:
@@ -72,7 +74,10 @@
     removal = asyncio.create_task(remove())
     await asyncio.sleep(taken_after)
     other = world.rng.choice([s for s in MIN_ENDPOINTS if s != service])
-    await world.add_endpoint(other, proxy)
+    endpoint = await world.add_endpoint(other, proxy, registers=False)
+    await asyncio.sleep(world.rng.uniform(0.0, LATE_REGISTRATION_SECONDS))
+    if world.endpoints.get(endpoint.name) is endpoint:
+        world.register(endpoint, "ready")
     await removal
     if world.rng.random() < 0.7:
         await world.add_endpoint(service)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -169,7 +169,11 @@
     # Endpoints.
 
     async def add_endpoint(
-        self, service: str, proxy: FaultInjectingProxy | None = None
+        self,
+        service: str,
+        proxy: FaultInjectingProxy | None = None,
+        *,
+        registers: bool = True,
     ) -> AuditedEndpoint:
         """Start an endpoint, at the address of an earlier one if given its proxy."""
         self._last_number += 1
@@ -195,7 +199,8 @@
             proxy.clear_faults()
             proxy.move_to(endpoint.server.port)
         self.endpoints[name], self.proxies[name] = endpoint, proxy
-        self.register(endpoint, "ready")
+        if registers:
+            self.register(endpoint, "ready")
         return endpoint
 
     def _record_response_fault(self, fault: str, response: bytes) -> None:
