Let faults of some seeds of the soak follow each other closely

Change: in four of ten seeds with unplanned faults the gaps are 0.05 to 0.6 s instead of 0.1 to 1.5 s, and more phases repeat a few faults.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -34,7 +34,6 @@
 # A fault that takes a keyed endpoint away starts only if there are more than this, so
 # that other endpoints can take over its keys.
 MIN_KEYED_ENDPOINTS = 3
-FAULT_GAP_SECONDS = (0.1, 1.5)  # Shortest and longest time between two faults.
 PHASE_SECONDS = 7.5
 # After which an endpoint that leaves has ended.
 LONGEST_DRAINS_SECONDS = (4.0, 9.0)
@@ -275,10 +274,10 @@
     if drawn < 0.2:
         return list(PLANNED)
     faults = [fault for family in FAMILIES for fault in family]
-    if drawn < 0.5:
+    if drawn < 0.6:
         # The same few again and again, so that they overlap in all ways.
         faults = rng.sample(faults, rng.randint(2, 4))
-    elif drawn < 0.75:
+    elif drawn < 0.8:
         families = rng.sample(FAMILIES, rng.randint(1, 2))
         faults = [fault for family in families for fault in family]
     # Configurations tell which one is in force, so each phase changes them.
@@ -299,4 +298,4 @@
         fault = world.rng.choice(faults)
         injected.append(f"{now - world.audit.started:.1f} {fault.__name__}")
         world.spawn(fault(world))
-        await asyncio.sleep(world.rng.uniform(*FAULT_GAP_SECONDS))
+        await asyncio.sleep(world.rng.uniform(*world.workload.fault_gap))
--- a/tests/soak/test_workload.py
+++ b/tests/soak/test_workload.py
@@ -45,6 +45,13 @@
     assert {0.0, 0.01} < shares and max(shares) > 0.05
 
 
+def test_faults_of_some_seeds_follow_each_other_closely():
+    """Guards against faults that are over before the next one begins."""
+    gaps = collections.Counter(draw_workload(s, 4, 0.2).fault_gap for s in SEEDS)
+    assert len(gaps) == 2
+    assert min(gaps.values()) > 0.1 * len(SEEDS)
+
+
 def test_callers_give_up_before_the_timeout_of_their_route():
     """Guards against requests that time out and are counted as lost."""
     for seed in SEEDS:
--- a/tests/soak/workload.py
+++ b/tests/soak/workload.py
@@ -20,6 +20,7 @@
 SLOW_SHARE = 0.25  # The same if they are not.
 UNEVEN_SHARE = 0.6
 QUEUES_SHARE = 0.5
+DENSE_SHARE = 0.4  # Of those in which more than planned work is played.
 STEADY_SHARE = 0.4
 SLOW_PATHS_SHARE = 0.8
 PLANNED_SHARE = 0.35
@@ -29,6 +30,8 @@
 COLD_FACTORS = (2.0, 8.0)
 HIGH_PACE = 3.0  # From which on more callers are needed for as many requests.
 CALLERS = 24
+FAULT_GAP_SECONDS = (0.1, 1.5)
+DENSE_GAP_SECONDS = (0.05, 0.6)
 MANY_CALLERS = 36
 
 
@@ -52,6 +55,8 @@
     # Number of instances in the first zone; None for as many as in the other one.
     first_zone: int | None = None
     slow_paths: bool = True  # Whether callers ask for work that always takes long.
+    # Shortest and longest seconds from a fault to the next one.
+    fault_gap: tuple[float, float] = FAULT_GAP_SECONDS
     planned_only: bool = False  # Nothing but planned work is played.
     final_kill: bool = False  # All instances are killed at the end.
 
@@ -69,6 +74,7 @@
     tail_share = other_share if rng.random() < 0.33 else USUAL_TAIL_SHARE
     cold_seconds = rng.choice((0.0, MAX_COLD_SECONDS))
     uneven = instances > 2 and rng.random() < UNEVEN_SHARE
+    dense = not planned_only and rng.random() < DENSE_SHARE
     return Workload(
         timeout_seconds=LONG_TIMEOUT_SECONDS if long else None,
         deadline_range=LONG_DEADLINE_SECONDS if long else None,
@@ -81,6 +87,7 @@
         callers=MANY_CALLERS if pace > HIGH_PACE else CALLERS,
         first_zone=instances - 1 if uneven else None,
         slow_paths=not steady and rng.random() < SLOW_PATHS_SHARE,
+        fault_gap=DENSE_GAP_SECONDS if dense else FAULT_GAP_SECONDS,
         planned_only=planned_only,
         final_kill=rng.random() < final_kill_share,
     )
