Let the endpoints of a demo's test refuse after its start

Since the demo starts its parts only when every instance serves keys, so endpoints that refuse from the beginning end the start instead of the calm part. Change: they refuse from the end of the start on; the test asks for the same status and line as before. Conclusion: it guards the calm part again.

--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -13,6 +13,7 @@
 from arbutusflow.standins import demo, demo_run
 from arbutusflow.standins.demo_play import due_requests
 from arbutusflow.standins.demo_run import DemoOptions, run_demo
+from arbutusflow.standins.demo_world import DemoWorld
 from arbutusflow.standins.embedded_server import Reply
 from arbutusflow.standins.gateway_fleet import CALLER_PORT, METRICS_PORT, Network
 from arbutusflow.standins.key_endpoint import KeyEndpoint
@@ -65,7 +66,13 @@
         headers = ((b"request-id", request_id), (b"not-executed", b"1"))
         return Reply(503, headers)
 
-    monkeypatch.setattr(KeyEndpoint, "_run", refuse)
+    wait_until_served = DemoWorld.wait_until_served
+
+    async def wait_and_refuse(self):
+        await wait_until_served(self)
+        monkeypatch.setattr(KeyEndpoint, "_run", refuse)
+
+    monkeypatch.setattr(DemoWorld, "wait_until_served", wait_and_refuse)
     status, _ = play(tmp_path)
     assert status == 1
     assert "requests of the calm part were answered" in capsys.readouterr().out
