End a run of stops when an instance does not start

Cause: an instance that took over 3 s to start read the settings file that the soak had half written for a reload, and ended with an error; the run waited for it for good. Figures: log of the instance: "a field is missing or invalid: KeyError('listen')". Not played again at such a load. Conclusion: a fault of the soak.

--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -147,6 +147,9 @@
 
     async def _wait_until_back(self, gateway: GatewayProcess) -> None:
         while self._world.balancer.is_out(gateway):
+            if not gateway.running:
+                self._world.audit.record_violation(f"{gateway.name} does not start")
+                return
             await asyncio.sleep(0.05)
 
     async def _end(self, gateway: GatewayProcess) -> None:
