Play endpoints in the soak that leave before their entry is read

Cause: its fault of a draining endpoint never restarts it, and restarted ones never leave. Change: endpoint_leaves_unread restarts an endpoint; the earlier process, the new one or both say that they leave, and the new entry is written 0.2 to 2.5 s late.

--- a/tests/soak/entry_faults.py
+++ b/tests/soak/entry_faults.py
@@ -87,6 +87,32 @@
         world.register(endpoint, "draining" if endpoint.leaving else "ready")
 
 
+async def endpoint_leaves_unread(world: SoakWorld) -> None:
+    """Restart an endpoint that says that it leaves; its new entry is read late.
+
+    The earlier process, the new one or both say so.
+    """
+    names = [n for n in _free_endpoints(world) if not world.endpoints[n].leaving]
+    if not names:
+        return
+    name = world.rng.choice(names)
+    earlier = world.endpoints[name]
+    leaves = world.rng.choice(((True, False), (False, True), (True, True)))
+    await world.add_endpoint(earlier.service)
+    if leaves[0]:
+        earlier.leaving = True
+        await asyncio.sleep(world.rng.uniform(0.5, 2.0))
+    if world.endpoints.get(name) is not earlier:
+        return  # It crashed or restarted meanwhile.
+    await world.restart_endpoint(name, world.rng.uniform(0.2, 2.5), leaving=leaves[1])
+    endpoint = world.endpoints.get(name)
+    if endpoint is None or not leaves[1]:
+        return
+    await asyncio.sleep(world.rng.uniform(2.5, 4.0))
+    if world.endpoints.get(name) is endpoint:
+        world.crash_endpoint(name, planned=True)
+
+
 async def unreadable_entries(world: SoakWorld) -> None:
     """Let another writer leave entries that name no endpoint, some of them for good."""
     names = []
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,6 +15,7 @@
 from tests.soak.entry_faults import (
     address_taken_over,
     endpoint_is_silent,
+    endpoint_leaves_unread,
     late_write_of_earlier_process,
     unreadable_entries,
 )
@@ -233,6 +234,7 @@
         endpoint_crashes,
         endpoint_is_silent,
         endpoint_restarts,
+        endpoint_leaves_unread,
         late_write_of_earlier_process,
         address_taken_over,
     ),
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -226,8 +226,14 @@
         proxy.reset()
         return proxy
 
-    async def restart_endpoint(self, name: str, register_after: float) -> None:
-        """Replace the process of an endpoint under its identifier and address."""
+    async def restart_endpoint(
+        self, name: str, register_after: float, *, leaving: bool = False
+    ) -> None:
+        """Replace the process of an endpoint under its identifier and address.
+
+        With `leaving` the new process says that it leaves from its start on, although
+        its entry says that it is ready.
+        """
         self.disturbances.record(name, note="restart")
         earlier = self.endpoints[name]
         earlier.alive = False
@@ -236,6 +242,7 @@
         endpoint.started_ms = earlier.started_ms + 1000
         endpoint.usual_seconds = earlier.usual_seconds
         endpoint.slots = earlier.slots
+        endpoint.leaving = leaving
         await endpoint.server.start(own_host(), 0)
         if self.endpoints.get(name) is not earlier:
             # It crashed or was restarted meanwhile.
@@ -247,6 +254,7 @@
         await asyncio.sleep(register_after)
         if self.endpoints.get(name) is endpoint:
             self.register(endpoint, "ready")
+            endpoint.leaving = leaving
 
     # Callers.
 
