--- a/tests/soak/failure_folder.py
+++ b/tests/soak/failure_folder.py
@@ -1,9 +1,10 @@
 """Writes all that explains a failed seed into one folder, without running it again.
 
-`run.txt` holds the seed, the command, the faults, who was disturbed when, and the
-versions of the configuration; `violations.txt` the violations;
-`record.txt` the lines about their requests and keys in order; `logs/` the logs of the
-instances concerned; `trail-ID.txt` what `arbutusflow explain trail` tells of a request.
+`run.txt` holds the seed, the command, the faults, who was disturbed when, how late the
+process of the run was, and the versions of the configuration; `violations.txt` the
+violations; `record.txt` the lines about their requests and keys in order; `logs/` the
+logs of the instances concerned; `trail-ID.txt` what `arbutusflow explain trail` tells
+of a request.
 """
 
 import pathlib
@@ -28,7 +29,9 @@
     started = f"Times are seconds; 0 is {world.started_unix:.3f} (Unix)."
     zero = world.audit.started
     lines = [f"seed {seed}", command, started, "faults:", *faults]
-    lines += ["disturbances:", *world.disturbances.lines(zero), "configurations:"]
+    lines += ["disturbances:", *world.disturbances.lines(zero)]
+    lines += ["lateness of this run's process:", *world.lateness.lines(zero)]
+    lines.append("configurations:")
     lines += [version.describe(zero) for version in world.history.versions]
     _write(folder / "run.txt", lines)
     _write(folder / "violations.txt", world.audit.violations)
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -54,12 +54,14 @@
     answers: dict[int, int]  # Number of answers by status.
     judged: dict[str, int]  # Number of requests that each rule was judged on.
     faults: list[str]
+    late_seconds: float  # Longest delay of the event loop of the run.
 
     def describe(self) -> str:
         """Return the result in one line."""
         judged = ", ".join(f"{rule} {count}" for rule, count in self.judged.items())
         text = f"seed {self.seed}: {len(self.faults)} faults, answers by status:"
         text += f" {self.answers}, judged: {judged}"
+        text += f"; late by at most {self.late_seconds:.2f} s"
         if self.found_after is None:
             return text
         rules = ", ".join(dict.fromkeys(self.rules))
@@ -133,6 +135,7 @@
         world.answer_counts,
         dict(world.judge.judged),
         injected,
+        world.lateness.longest_seconds,
     )
 
 
--- a/tests/soak/test_runner.py
+++ b/tests/soak/test_runner.py
@@ -43,6 +43,8 @@
     world.write_configuration()
     with world.disturbances.lasting("n1", note="paused"):
         world.disturbances.record("e1", note="end")
+    world.lateness.record(world.audit.started + 3.0, world.audit.started + 3.9)
+    world.lateness.record(world.audit.started + 4.0, world.audit.started + 4.1)
     folder = tmp_path / "failures" / "seed-9"
     write_failure(folder, 9, "the command", world, ["0.1 a_fault"])
     run = (folder / "run.txt").read_text()
@@ -51,6 +53,8 @@
     assert "a_fault" in run
     assert "n1: unplanned paused" in run
     assert "e1: unplanned end" in run
+    assert run.count("late by") == 1
+    assert "3.900 late by 0.90" in run
     assert "version 1: /x/ keyed" in run
     assert "REFUSED" in (folder / "violations.txt").read_text()
     record = (folder / "record.txt").read_text()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -21,6 +21,7 @@
 from tests.soak.disturbances import Disturbances
 from tests.soak.gateway_process import ZONES, GatewayProcess
 from tests.soak.judge import Judge
+from tests.soak.lateness import Lateness
 from tests.soak.load import KEYS, CallBook, LoadCaller, ProbeCaller
 from tests.soak.proxy import FaultInjectingProxy
 from tests.soak.records import PlayedCall
@@ -51,6 +52,7 @@
         self.started_unix = time.time()
         self.store = ObjectStore()
         self.disturbances = Disturbances()
+        self.lateness = Lateness()  # Of this process.
         self.history = ConfigurationHistory(self.rng)
         self.timeout_seconds: float | None = None  # Of all routes, if one is set.
         self.judge = Judge(self.audit, self.history, self.disturbances)
@@ -280,6 +282,7 @@
             )
             self.spawn(caller.run(), background=True)
         self.spawn(self._watch_processes(), background=True)
+        self.spawn(self.lateness.measure(self._is_active), background=True)
 
     def _is_active(self) -> bool:
         return self.callers_active
