--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,6 +16,7 @@
     MIN_ENDPOINTS,
     addresses_taken_over,
     endpoint_is_silent,
+    endpoint_leaves_unread,
     late_write_of_earlier_process,
     unreadable_entries,
 )
@@ -252,6 +253,7 @@
         endpoint_crashes,
         endpoint_is_silent,
         endpoint_restarts,
+        endpoint_leaves_unread,
         late_write_of_earlier_process,
         addresses_taken_over,
     ),
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -21,6 +21,7 @@
 from tests.soak.disturbances import Disturbances
 from tests.soak.gateway_process import ZONES, GatewayProcess
 from tests.soak.judge import Judge
+from tests.soak.lateness import Lateness
 from tests.soak.load import KEYS, CallBook, LoadCaller, ProbeCaller
 from tests.soak.proxy import FaultInjectingProxy
 from tests.soak.records import PlayedCall
@@ -51,6 +52,7 @@
         self.started_unix = time.time()
         self.store = ObjectStore()
         self.disturbances = Disturbances()
+        self.lateness = Lateness()  # Of this process.
         self.timeout_seconds: float | None = None  # Of all routes, if one is set.
         self.history = ConfigurationHistory(self.rng)
         self.workload = Workload()  # Set before the start.
@@ -246,8 +248,14 @@
         proxy.reset()
         return proxy
 
-    async def restart_endpoint(self, name: str, register_after: float) -> None:
-        """Replace the process of an endpoint under its identifier and address."""
+    async def restart_endpoint(
+        self, name: str, register_after: float, *, leaving: bool = False
+    ) -> None:
+        """Replace the process of an endpoint under its identifier and address.
+
+        With `leaving` the new process says that it leaves from its start on, although
+        its entry says that it is ready.
+        """
         self.disturbances.record(name, note="restart")
         earlier = self.endpoints[name]
         earlier.alive = False
@@ -260,6 +268,7 @@
         if earlier.running_limit is not None:
             endpoint.running_limit = asyncio.Semaphore(SLOTS)
         endpoint.slots = earlier.slots
+        endpoint.leaving = leaving
         self.on_endpoint(endpoint)
         await endpoint.server.start(own_host(), 0)
         if self.endpoints.get(name) is not earlier:
@@ -272,6 +281,7 @@
         await asyncio.sleep(register_after)
         if self.endpoints.get(name) is endpoint:
             self.register(endpoint, "ready")
+            endpoint.leaving = leaving
 
     # Callers.
 
@@ -298,6 +308,7 @@
             )
             self.spawn(caller.run(), background=True)
         self.spawn(self._watch_processes(), background=True)
+        self.spawn(self.lateness.measure(self._is_active), background=True)
 
     def _is_active(self) -> bool:
         return self.callers_active
