--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -10,7 +10,8 @@
 import pytest
 
 from arbutusflow.gateway.model import Address
-from arbutusflow.standins import demo, demo_run
+from arbutusflow.platform import wire
+from arbutusflow.standins import demo, demo_run, demo_world
 from arbutusflow.standins.demo_play import due_requests
 from arbutusflow.standins.demo_run import DemoOptions, run_demo
 from arbutusflow.standins.embedded_server import Reply
@@ -58,19 +59,38 @@
         assert word not in text
 
 
-def test_it_ends_with_1_when_endpoints_run_no_request(tmp_path, capsys, monkeypatch):
+async def refuse(self, req, request_id, key):
+    """Refuse a request in the place of an endpoint that would run it."""
+    return Reply(503, ((wire.REQUEST_ID, request_id), (wire.NOT_RUN, b"1")))
+
+
+def test_it_ends_with_1_when_requests_of_the_calm_part_are_refused(
+    tmp_path, capsys, monkeypatch
+):
     """Guards against a demo that refuses its requests and ends with 0."""
+    run = KeyEndpoint._run
 
-    async def refuse(self, req, request_id, key):
-        headers = ((b"request-id", request_id), (b"not-executed", b"1"))
-        return Reply(503, headers)
+    async def run_lookups(self, req, request_id, key):
+        # The lookups of the start have to be served.
+        is_lookup = req.target.startswith(b"/lookup/")
+        return await (run if is_lookup else refuse)(self, req, request_id, key)
 
-    monkeypatch.setattr(KeyEndpoint, "_run", refuse)
+    monkeypatch.setattr(KeyEndpoint, "_run", run_lookups)
     status, _ = play(tmp_path)
     assert status == 1
     assert "requests of the calm part were answered" in capsys.readouterr().out
 
 
+def test_it_ends_with_1_when_endpoints_run_no_request(tmp_path, capsys, monkeypatch):
+    """Guards against a demo that begins, or waits for ever, without a served key."""
+    monkeypatch.setattr(KeyEndpoint, "_run", refuse)
+    monkeypatch.setattr(demo_world, "START_SECONDS", 8.0)
+    status, page = play(tmp_path)
+    assert status == 1
+    assert "0 serve keys" in capsys.readouterr().err
+    assert not page.exists()
+
+
 def test_it_ends_with_1_when_an_answer_belongs_to_another_request(
     tmp_path, capsys, monkeypatch
 ):
