--- a/tests/gateway/test_signals_at_start.py
+++ b/tests/gateway/test_signals_at_start.py
@@ -34,6 +34,8 @@
         capture_output=True,
         text=True,
         check=False,
+        # A run of the tests that outlives its terminal was started without it.
+        preexec_fn=lambda: signal.signal(signal.SIGHUP, signal.SIG_DFL),
     )
 
 
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -1,5 +1,7 @@
 """The command of the demo: exit status, bad input, and what it leaves behind."""
 
+import contextlib
+import os
 import pathlib
 import signal
 import socket
@@ -10,10 +12,10 @@
 import pytest
 
 from arbutusflow.gateway.model import Address
-from arbutusflow.standins import demo, demo_run
+from arbutusflow.platform import wire
+from arbutusflow.standins import demo, demo_run, demo_world
 from arbutusflow.standins.demo_play import due_requests
 from arbutusflow.standins.demo_run import DemoOptions, run_demo
-from arbutusflow.standins.demo_world import DemoWorld
 from arbutusflow.standins.embedded_server import Reply
 from arbutusflow.standins.gateway_fleet import CALLER_PORT, METRICS_PORT, Network
 from arbutusflow.standins.key_endpoint import KeyEndpoint
@@ -59,25 +61,38 @@
         assert word not in text
 
 
-def test_it_ends_with_1_when_endpoints_run_no_request(tmp_path, capsys, monkeypatch):
-    """Guards against a demo that refuses its requests and ends with 0."""
+async def refuse(self, req, request_id, key):
+    """Refuse a request in the place of an endpoint that would run it."""
+    return Reply(503, ((wire.REQUEST_ID, request_id), (wire.NOT_RUN, b"1")))
 
-    async def refuse(self, req, request_id, key):
-        headers = ((b"request-id", request_id), (b"not-executed", b"1"))
-        return Reply(503, headers)
 
-    wait_until_served = DemoWorld.wait_until_served
+def test_it_ends_with_1_when_requests_of_the_calm_part_are_refused(
+    tmp_path, capsys, monkeypatch
+):
+    """Guards against a demo that refuses its requests and ends with 0."""
+    run = KeyEndpoint._run
 
-    async def wait_and_refuse(self):
-        await wait_until_served(self)
-        monkeypatch.setattr(KeyEndpoint, "_run", refuse)
+    async def run_lookups(self, req, request_id, key):
+        # The lookups of the start have to be served.
+        is_lookup = req.target.startswith(b"/lookup/")
+        return await (run if is_lookup else refuse)(self, req, request_id, key)
 
-    monkeypatch.setattr(DemoWorld, "wait_until_served", wait_and_refuse)
+    monkeypatch.setattr(KeyEndpoint, "_run", run_lookups)
     status, _ = play(tmp_path)
     assert status == 1
     assert "requests of the calm part were answered" in capsys.readouterr().out
 
 
+def test_it_ends_with_1_when_endpoints_run_no_request(tmp_path, capsys, monkeypatch):
+    """Guards against a demo that begins, or waits for ever, without a served key."""
+    monkeypatch.setattr(KeyEndpoint, "_run", refuse)
+    monkeypatch.setattr(demo_world, "START_SECONDS", 8.0)
+    status, page = play(tmp_path)
+    assert status == 1
+    assert "0 serve keys" in capsys.readouterr().err
+    assert not page.exists()
+
+
 def test_it_ends_with_1_when_an_answer_belongs_to_another_request(
     tmp_path, capsys, monkeypatch
 ):
@@ -103,7 +118,10 @@
         stdout=subprocess.DEVNULL,
         stderr=subprocess.PIPE,
         text=True,
+        # A shell starts background commands, such as a run of the tests, without it.
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.default_int_handler),
     )
+    children = []
     try:
         wait_for(lambda: accepts(Address(network.host(1), CALLER_PORT)))
         children = children_of(process.pid)
@@ -111,11 +129,14 @@
         process.send_signal(number)
         _, errors = process.communicate(timeout=WAIT_SECONDS)
     finally:
-        process.kill()
+        left = [pid for pid in children if pathlib.Path(f"/proc/{pid}").exists()]
+        for pid in (process.pid, *left):
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(pid, signal.SIGKILL)
         process.wait()
     assert process.returncode == 130
     assert errors == "demo: interrupted; all its processes have ended\n"
-    assert not [pid for pid in children if pathlib.Path(f"/proc/{pid}").exists()]
+    assert left == []
 
 
 def wait_for(condition):
