--- a/tests/soak/test_late_requests.py
+++ b/tests/soak/test_late_requests.py
@@ -55,16 +55,25 @@
             endpoint.work_range = (seconds, seconds)
 
 
+@contextlib.asynccontextmanager
+async def _running(directory):
+    """Provide a run of two instances; the one not stopped keeps the keys owned."""
+    world = SoakWorld(1, directory, 2)
+    world.timeout_seconds = ROUTE_TIMEOUT_SECONDS
+    try:
+        await world.start()
+        yield world
+    finally:
+        await world.close()
+
+
 async def _send_late(directory, method, target, service, other_target):
     """Return the answer to a late long request, and whether an endpoint has got it.
 
     The measured responses of its service are short. Another request keeps the instance
     from ending.
     """
-    world = SoakWorld(1, directory, 2)  # The other one keeps the keys owned.
-    world.timeout_seconds = ROUTE_TIMEOUT_SECONDS
-    try:
-        await world.start()
+    async with _running(directory) as world:
         for name in ("keyed", "plain"):
             _set_work(world, name, SHORT_SECONDS)
         for number in range(MIN_RESPONSES):
@@ -80,8 +89,6 @@
         answer = await _send(world, 91, method, target)
         await pending
         return answer, world.audit.seen[b"r91"].arrived
-    finally:
-        await world.close()
 
 
 @pytest.mark.parametrize(
@@ -117,10 +124,7 @@
     deadline_seconds = 1.0
 
     async def play():
-        world = SoakWorld(1, tmp_path, 2)
-        world.timeout_seconds = ROUTE_TIMEOUT_SECONDS
-        try:
-            await world.start()
+        async with _running(tmp_path) as world:
             _set_work(world, "plain", LONG_SECONDS)
             world.gateways[0].signal(signal.SIGTERM)
             await asyncio.sleep(0.2)
@@ -129,8 +133,6 @@
             await asyncio.sleep(0.2)  # Until the endpoint has seen its connection end.
             (cut_at,) = world.audit.seen[b"r1"].cut_at
             return answer, cut_at - sent_at
-        finally:
-            await world.close()
 
     answer, seconds = asyncio.run(play())
     assert answer.status == 504
@@ -145,10 +147,7 @@
     grace_seconds = 2
 
     async def play():
-        world = SoakWorld(1, tmp_path, 2)
-        world.timeout_seconds = ROUTE_TIMEOUT_SECONDS
-        try:
-            await world.start()
+        async with _running(tmp_path) as world:
             _set_work(world, "plain", LONG_SECONDS)
             gateway = world.gateways[0]
             pending = asyncio.ensure_future(_send(world, 1, b"POST", b"/y/1"))
@@ -159,8 +158,6 @@
             await asyncio.sleep(grace_seconds)
             gateway.kill()
             return (await pending).status
-        finally:
-            await world.close()
 
     assert asyncio.run(play()) == 502
 
@@ -170,10 +167,7 @@
     paused_seconds = 0.8
 
     async def play():
-        world = SoakWorld(1, tmp_path, 2)
-        world.timeout_seconds = ROUTE_TIMEOUT_SECONDS
-        try:
-            await world.start()
+        async with _running(tmp_path) as world:
             _set_work(world, "plain", 2 * LONG_SECONDS)
             gateway = world.gateways[0]
             pending = asyncio.ensure_future(_send(world, 1, b"POST", b"/y/1"))
@@ -185,7 +179,5 @@
             await asyncio.sleep(GRACE_SECONDS - paused_seconds)
             gateway.kill()
             return (await pending).status
-        finally:
-            await world.close()
 
     assert asyncio.run(play()) == 502
