Notice a watch of the store whose connection is silent

Cause: a reader of the fleet waits up to 18 s on a watch whose connection went silent, while the store answers its probes on another one; TCP keep-alive does not show it where something in between answers. If the watches of all readers are silent, nobody learns of a configuration. Change: the probe that a close watcher makes anyway, at a tenth of the price, asks for changes after the revision of its copy; if there are some that the watch has not delivered 0.3 s later, the watch is made anew. New log line: store_watch_silent. Figures: the new test (3 cases) failed before, a change was unknown after 1.5 s; it passes. No further calls: the probe changes its path only. Conclusion: bound of about 1 s for a quiet reader.

--- a/arbutusflow/gateway/store_probes.py
+++ b/arbutusflow/gateway/store_probes.py
@@ -1,8 +1,9 @@
 """Checks whether the store answers, where the calls under way would not show it.
 
 A watch that gets no answer does not end, and a parked copy makes no calls. Granters
-that watch for others therefore make a small call after some time without an answer. So
-do followers whose granters cannot read the store, because it may answer the followers.
+that watch for others therefore make a small call after some time without an answer,
+which shows as well whether a watch has missed changes. So do followers whose granters
+cannot read the store, because it may answer the followers.
 """
 
 import asyncio
@@ -55,8 +56,13 @@
             self._task = self._loop.create_task(self._probe_as_granter(copies))
 
     async def _probe_as_granter(self, copies: list[ObjectCopy]) -> None:
+        # The one that has not been heard of for longest.
+        checked = min(copies, key=lambda c: max(c.checked_at, c.answered_at))
         try:
-            await self._store.probe(PROBE_TIMEOUT_SECONDS)
+            if checked.watches_closely:
+                await checked.check_watch(PROBE_TIMEOUT_SECONDS)
+            else:
+                await self._store.probe(PROBE_TIMEOUT_SECONDS)
         except PlatformError as exc:
             for copy in copies:
                 copy.report_call_failure(str(exc))
--- a/arbutusflow/gateway/store_watch.py
+++ b/arbutusflow/gateway/store_watch.py
@@ -80,6 +80,7 @@
         # Delay after changes, so that one call returns several.
         self.coalesce_seconds = 0.0
         self._next_watch_current = False  # Overrides `may_lag` for the next watch.
+        self.checked_at = -1e9  # When the watch was last checked.
         self.objects: dict[str, StoredObject] = {}
         self._latest: int | None = 0  # None if it has to be recomputed.
         # The copy that retries an unreachable store on behalf of this one.
@@ -422,8 +423,8 @@
         """
         if revision <= self.latest_revision:
             return
-        if now - self._progress.received_at < RECEIVE_STALL_SECONDS:
-            return  # A long answer is being received, which may contain the object.
+        if self._is_receiving(now):
+            return  # The answer may contain the object.
         since = self._behind_since
         if since is None or now - since > BEHIND_RESET_SECONDS:
             self._behind_since = now
@@ -436,6 +437,40 @@
             self._next_watch_current = True
             self._cancel_call()
 
+    @property
+    def watches_closely(self) -> bool:
+        """Whether a watch is under way that returns changes at once."""
+        return not (self.parked or self.may_lag or self._list_needed)
+
+    async def check_watch(self, timeout: float) -> None:
+        """Restart the watch if the store has had changes for some time.
+
+        Its connection may be silent while the store answers on others. `timeout` in
+        seconds applies to the first byte of the check. Raises PlatformError.
+        """
+        self.checked_at = asyncio.get_running_loop().time()
+        progress = ResponseProgress(RECEIVE_STALL_SECONDS)
+        try:
+            missed = await self._store.peek(
+                self._kind, self.revision, timeout, progress
+            )
+        except HistoryGoneError:
+            self.list_now()
+            return
+        if not any(c.object.revision > self.revision for c in missed.changes):
+            return
+        # The watch under way may be about to deliver them.
+        await asyncio.sleep(BEHIND_TOLERANCE_SECONDS)
+        now = asyncio.get_running_loop().time()
+        if self.revision >= missed.revision or self._is_receiving(now):
+            return
+        self._log.write_rate_limited("store_watch_silent", kind=self._kind)
+        self._cancel_call()
+
+    def _is_receiving(self, now: float) -> bool:
+        """Return whether a long answer is arriving."""
+        return now - self._progress.received_at < RECEIVE_STALL_SECONDS
+
     def _apply(self, change: Change) -> None:
         if not change.removed:
             self.adopt(change.object)
--- a/arbutusflow/platform/store.py
+++ b/arbutusflow/platform/store.py
@@ -26,6 +26,7 @@
 CONNECT_TIMEOUT_SECONDS = 0.7
 # Added to the wait time of a watch before the call times out.
 WATCH_SLACK_SECONDS = 3.0
+PEEK_WAIT_MS = 1  # Of a watch that only returns the changes that there are.
 MAX_IDLE_SECONDS = 8.0
 _OBJECTS_PATH = "/arbutusflow/objects/"
 
@@ -186,9 +187,22 @@
         response = await self._call(
             "GET", path, timeout=wait_seconds + WATCH_SLACK_SECONDS, progress=progress
         )
-        page = entries.split_page(response.body, "events")
-        changes, left_out = _decode_changes(page.entries)
-        return Changes(tuple(changes), page.revision, left_out)
+        return _decode_watch(response)
+
+    async def peek(
+        self, kind: str, revision: int, timeout: float, progress: ResponseProgress
+    ) -> Changes:
+        """Return the changes after `revision` without waiting for any.
+
+        They may lag by seconds; the call is priced at a tenth of others. `timeout` in
+        seconds applies to the first byte.
+
+        Raises HistoryGoneError if the store no longer has the changes after `revision`,
+        and PlatformError on other errors.
+        """
+        path = f"{kind}?watch={revision}&waitMs={PEEK_WAIT_MS}&serializable=1"
+        response = await self._call("GET", path, timeout=timeout, progress=progress)
+        return _decode_watch(response)
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or None if it does not exist. Raises PlatformError."""
@@ -293,6 +307,12 @@
         return None
 
 
+def _decode_watch(response: HttpResponse) -> Changes:
+    page = entries.split_page(response.body, "events")
+    changes, left_out = _decode_changes(page.entries)
+    return Changes(tuple(changes), page.revision, left_out)
+
+
 def _decode_answer(response: HttpResponse) -> StoredObject:
     """Decode an answer with one object. Raises PlatformError."""
     try:
--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -175,6 +175,15 @@
         except TimeoutError as exc:
             raise PlatformUnavailableError("no answer") from exc
 
+    async def peek(
+        self, kind: str, revision: int, timeout: float, progress: ResponseProgress
+    ) -> Changes:
+        await self.probe(timeout)
+        store = self._store
+        if revision < store.compacted_revision:
+            raise HistoryGoneError("gone")
+        return Changes(store.changes_since(revision, kind), store.revision)
+
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         await self._reach_store()
         if name in self._store.objects:
--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -5,6 +5,7 @@
 import pytest
 
 from arbutusflow.domain.errors import PlatformUnavailableError
+from arbutusflow.gateway.store_probes import StoreProbes
 from arbutusflow.gateway.store_watch import ObjectCopy
 from tests.gateway.fakes import FakeLog
 from tests.gateway.sim_fleet import SimStore, SimStoreClient
@@ -92,6 +93,33 @@
     assert run_scenario(scenario)
 
 
+@pytest.mark.parametrize("silent_seconds", [0.0, 0.7, 5.0])
+def test_a_watch_whose_connection_is_silent_is_restarted(silent_seconds):
+    """Guards against an old configuration in force while the store answers other calls.
+
+    Nobody else tells of the change: the watches of all readers are silent, as after a
+    fault that takes all open connections and leaves new ones intact.
+    """
+
+    async def scenario(store, writer, copy):
+        probes = StoreProbes(copy._store, {"kind": copy}, lambda: None)
+        loop = asyncio.get_running_loop()
+
+        async def check(seconds):
+            for _ in range(round(seconds / 0.05)):
+                probes.check_as_granter(loop.time())
+                await asyncio.sleep(0.05)
+
+        await check(1.0)
+        store.changed = asyncio.Event()  # The watch under way sees no more changes.
+        await check(silent_seconds)
+        await writer.create("kind", "a", 1)
+        await check(1.5)
+        return "a" in copy.objects
+
+    assert run_scenario(scenario)
+
+
 def test_the_time_of_the_last_current_copy_is_a_lower_bound():
     """The right to grant keys depends on this time."""
 
