Judge requests by when their connection ended, in every window of a stop

The audit of rule LOST had blind spots and one false alarm.

- An answer of the instance counted only if its caller read it within 7 s of SIGTERM.
Now the time at which the run was cut off decides.
- An answer of the instance beside a run that goes on (cut by nobody) was not seen.
- Of two stops whose windows overlap only the later one was judged.
- An incomplete answer counted from when a slow caller had read the rest of it, which the kernel delivers after the process ended.
Now it ends with its process.
- At any time, a connection closed after the deadline of its request was not counted.
- A planned end of an endpoint excused requests that came there after it.
- The last byte of a request sent in pieces counted one pause (up to 0.3 s) late.
- Requests behind one whose caller stopped waiting counted as cut.
Record: gave_up.
- The end of a connection counted from when its caller looked.
A caller that reads late looks 3.0 s after it has sent its request; a process that stands still looks when it runs again.
Now the arrival of the end counts: TCP_INFO says how long ago the last segment came, and a caller that doesn't read polls for the end.

A request that reached an endpoint still counts.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,7 +9,9 @@
 import contextlib
 import dataclasses
 import random
+import select
 import socket
+import struct
 import time
 from collections.abc import Callable
 
@@ -19,14 +21,16 @@
 CONNECT_SECONDS = 1.0
 ANSWER_MARGIN_SECONDS = 1.5  # How long after its deadline a caller waits for an answer.
 RECEIVE_BYTES = 65536
-# Of a caller that reads slowly, at 0.4 MB/s.
-SLOW_BYTES = 8192
-SLOW_PAUSE_SECONDS = 0.02
+SLOW_BYTES = 8192  # That a caller reads at a time that reads slowly.
+WATCH_SECONDS = 0.02  # How often a caller that does not read looks for the end.
 KEYED_TARGET = b"/x/1"
 SAFE_TARGETS = (KEYED_TARGET, b"/p/1")
 ORDER_TARGET = b"/y/1"
 UPLOAD_TARGET = b"/u/1"
+SIZED_TARGET = b"/p/bytes-%d"  # Its answer has about so many bytes.
 BODY_PIECES = 12  # In which a body is sent slowly.
+# Place of the milliseconds since the last segment arrived, in what TCP_INFO returns.
+_LAST_SEGMENT = struct.Struct("56xI")
 
 
 @dataclasses.dataclass
@@ -49,6 +53,8 @@
     body: bytes = b""
     keyed: bool = False  # Whether its service is partitioned by key.
     began_at: float = 0.0  # When its first byte was sent.
+    # Whether the caller closed the connection because it had waited long enough.
+    gave_up: bool = False
 
     def describe(self) -> str:
         """Return the request and its end, for a failure message."""
@@ -80,19 +86,26 @@
 class CallerSocket:
     """A connection whose answers are read only when asked for."""
 
-    def __init__(self, sock: socket.socket, *, slow: bool = False) -> None:
+    def __init__(self, sock: socket.socket, bytes_a_second: float | None) -> None:
         self._sock = sock
-        self._slow = slow
+        self._bytes_a_second = bytes_a_second
         self._received = b""
+        # When the instance has closed its side, as far as it is known; an end that is
+        # noticed late counts from its arrival.
+        self.ended_at: float | None = None
+        self._poll = select.poll()
+        self._poll.register(sock, select.POLLRDHUP)
 
     @classmethod
-    async def open(cls, address: Address, *, slow: bool = False) -> "CallerSocket":
-        """Connect; a slow one takes `SLOW_BYTES` at a time.
+    async def open(
+        cls, address: Address, bytes_a_second: float | None = None
+    ) -> "CallerSocket":
+        """Connect; with a rate it reads slowly, `SLOW_BYTES` at a time.
 
         Raises OSError or TimeoutError.
         """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        if slow:
+        if bytes_a_second is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BYTES)
         sock.setblocking(False)
         try:
@@ -103,7 +116,7 @@
         except BaseException:
             sock.close()
             raise
-        return cls(sock, slow=slow)
+        return cls(sock, bytes_a_second)
 
     def close(self) -> None:
         """Close the connection."""
@@ -113,6 +126,25 @@
         """Send all bytes. Raises OSError."""
         await asyncio.get_running_loop().sock_sendall(self._sock, data)
 
+    def note_end(self) -> None:
+        """Note whether the instance has closed its side, also while nothing is read."""
+        if self.ended_at is None and self._poll.poll(0):
+            self.ended_at = time.monotonic() - self._silent_seconds()
+
+    def _silent_seconds(self) -> float:
+        """Return how long ago the last segment arrived."""
+        info = self._sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_SEGMENT.size
+        )
+        return float(_LAST_SEGMENT.unpack(info)[0]) / 1000
+
+    async def wait(self, seconds: float) -> None:
+        """Wait without reading."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            self.note_end()
+            await asyncio.sleep(WATCH_SECONDS)
+
     async def read_answer(self) -> Answer:
         """Read one answer. Raises EOFError or OSError if the connection ends before."""
         while b"\r\n\r\n" not in self._received:
@@ -128,12 +160,13 @@
         return Answer(int(lines[0].split()[1]), headers, body)
 
     async def _receive(self) -> None:
-        size = SLOW_BYTES if self._slow else RECEIVE_BYTES
+        size = RECEIVE_BYTES if self._bytes_a_second is None else SLOW_BYTES
         data = await asyncio.get_running_loop().sock_recv(self._sock, size)
-        if self._slow:
-            await asyncio.sleep(SLOW_PAUSE_SECONDS)
         if not data:
+            self.note_end()
             raise EOFError
+        if self._bytes_a_second is not None:
+            await asyncio.sleep(len(data) / self._bytes_a_second)
         self._received += data
 
 
@@ -144,7 +177,9 @@
     Shares are between 0 and 1, drawn for each request.
     """
 
-    ahead: float = 0.0  # Sends a second safe request behind the first.
+    ahead: float = 0.0  # Sends further safe requests behind the first.
+    behind: tuple[int, int] = (1, 1)  # Number of these.
+    order_first: float = 0.0  # Of these: the first request is not safe.
     chunked: float = 0.0  # Sends its body in chunks.
     in_pieces: float = 0.0  # Sends the request in pieces, over `piece_seconds`.
     reads_late: float = 0.0  # Sends the next request before it reads the answer.
@@ -156,6 +191,9 @@
     # byte.
     upload_seconds: tuple[float, float] = (0.1, 1.5)
     slow_reads: float = 0.0  # Of its connections: reads slowly from them.
+    slow_rates: tuple[float, float] = (400_000, 400_000)  # Bytes a second.
+    large_answers: float = 0.0  # Of the safe requests: with a large answer.
+    answer_bytes: tuple[int, int] = (100_000, 2_000_000)
     idle: float = 0.0  # Leaves its connection idle for `idle_seconds`.
     idle_seconds: tuple[float, float] = (0.5, 2.4)
     deadline_seconds: tuple[float, float] = (2.5, 5.0)
@@ -191,6 +229,8 @@
         seconds = self._rng.uniform(*self._habits.deadline_seconds)
         upload = not safe and self._chance(self._habits.uploads)
         target, body = self._rng.choice(SAFE_TARGETS), b""
+        if self._chance(self._habits.large_answers):
+            target = SIZED_TARGET % self._rng.randint(*self._habits.answer_bytes)
         if not safe:
             target = UPLOAD_TARGET if upload else ORDER_TARGET
             body = request_id * 20
@@ -226,36 +266,39 @@
         return record, [b"\r\n".join(lines) + b"\r\n\r\n", *parts]
 
     async def exchange(self, sock: CallerSocket, instance: str) -> bool:
-        """Send one or two requests; return whether the connection can be kept."""
-        ahead = self._chance(self._habits.ahead)
-        safe = ahead or self._chance(0.5)
+        """Send one or more requests; return whether the connection can be kept."""
+        habits = self._habits
+        ahead = self._chance(habits.ahead)
+        safe = self._chance(1.0 - habits.order_first if ahead else 0.5)
+        sock.note_end()
         record, parts = self._new_request(instance, safe=safe, behind=False)
         pending = [record]
         upload = record.target == UPLOAD_TARGET
-        if upload or self._chance(self._habits.in_pieces):
-            seconds = self._habits.piece_seconds
+        if upload or self._chance(habits.in_pieces):
+            seconds = habits.piece_seconds
             if upload:
-                seconds = self._rng.uniform(*self._habits.upload_seconds)
+                seconds = self._rng.uniform(*habits.upload_seconds)
             pause = seconds / len(parts)
             for part in parts:
-                await sock.send(part)
                 await asyncio.sleep(pause)
+                await sock.send(part)
         else:
             await sock.send(b"".join(parts))
         record.sent_at = time.monotonic()
         if ahead:
-            second, parts = self._new_request(instance, safe=True, behind=True)
-            with contextlib.suppress(OSError):  # The connection has ended.
-                await sock.send(b"".join(parts))
-                second.sent_at = time.monotonic()
-                pending.append(second)
-        elif self._chance(self._habits.reads_late):
+            for _ in range(self._rng.randint(*habits.behind)):
+                further, parts = self._new_request(instance, safe=True, behind=True)
+                with contextlib.suppress(OSError):  # The connection has ended.
+                    await sock.send(b"".join(parts))
+                    further.sent_at = time.monotonic()
+                    pending.append(further)
+        elif self._chance(habits.reads_late):
             # More bytes arrive at the instance while the answer is on its way; only
             # the first request is judged.
-            await asyncio.sleep(self._habits.late_seconds)
+            await sock.wait(habits.late_seconds)
             with contextlib.suppress(OSError):
                 await sock.send(b"GET /x/1 HTTP/1.1\r\nHost: ")
-            await asyncio.sleep(self._habits.late_seconds)
+            await sock.wait(habits.late_seconds)
             await self._read_answers(sock, pending)
             return False
         return await self._read_answers(sock, pending)
@@ -265,21 +308,31 @@
     ) -> bool:
         """Read the answers in order; return whether the connection can be kept."""
         self._records += pending
-        closed = False
+        closed = gave_up = False
         for record in pending:
-            with contextlib.suppress(EOFError, OSError, TimeoutError):
-                async with asyncio.timeout_at(
-                    asyncio.get_running_loop().time()
-                    + record.deadline_at
-                    - time.monotonic()
-                    + ANSWER_MARGIN_SECONDS
-                ):
-                    if not closed:
-                        answer = await sock.read_answer()
+            with contextlib.suppress(EOFError, OSError):
+                if not closed:
+                    answer = await self._read_in_time(sock, record)
+                    gave_up = answer is None
+                    if answer is not None:
                         record.status = answer.status
                         record.signed = wire.SIGNATURE.lower() in answer.headers
                         closed = answer.closes
                         self._on_answer(record, answer)
             record.ended_at = time.monotonic()
+            if record.status is None and not gave_up:
+                record.ended_at = sock.ended_at or record.ended_at
+            record.gave_up = gave_up
             closed = closed or record.status is None
         return not closed
+
+    async def _read_in_time(
+        self, sock: CallerSocket, record: CallRecord
+    ) -> Answer | None:
+        """Return the answer, or None if it takes longer than the caller waits."""
+        until = record.deadline_at + ANSWER_MARGIN_SECONDS - time.monotonic()
+        try:
+            async with asyncio.timeout(until):
+                return await sock.read_answer()
+        except TimeoutError:
+            return None
--- a/tests/soak/connection_audit.py
+++ b/tests/soak/connection_audit.py
@@ -29,9 +29,9 @@
 def is_cut(call: CallRecord, endpoint: EndpointRecord) -> bool:
     """Return whether the instance ended a connection under a request it had read.
 
-    The caller has waited for the answer.
+    Its time had not ended.
     """
-    if call.ended_at is None or call.status is not None or endpoint.broken_off:
+    if not _is_unanswered(call, endpoint) or call.ended_at is None:
         return False
     if call.ended_at >= call.deadline_at:
         return False
@@ -40,6 +40,19 @@
     return not call.behind and call.ended_at > call.sent_at + LOSS_SLACK_SECONDS
 
 
+def is_closed_under(call: CallRecord, endpoint: EndpointRecord) -> bool:
+    """Return whether the instance closed a connection under a request passed on.
+
+    Also after its deadline, up to which only the caller of the request may give up.
+    """
+    return endpoint.arrived and _is_unanswered(call, endpoint)
+
+
+def _is_unanswered(call: CallRecord, endpoint: EndpointRecord) -> bool:
+    answered = call.ended_at is None or call.status is not None
+    return not answered and not call.gave_up and not endpoint.broken_off
+
+
 def is_cut_by_reload(
     call: CallRecord, endpoint: EndpointRecord, reloads: Iterable[float]
 ) -> bool:
--- a/tests/soak/disturbances.py
+++ b/tests/soak/disturbances.py
@@ -73,6 +73,20 @@
             for span in self._spans
         )
 
+    def endpoint_calm(
+        self, endpoint: str, since: float, arrived: float, until: float
+    ) -> bool:
+        """Whether an endpoint was undisturbed while it had a request.
+
+        A planned end excuses only requests that are there then.
+        """
+        since -= STABLE_WINDOW_SECONDS
+        return not any(
+            span.subject == endpoint
+            and span.overlaps(arrived if span.planned else since, until)
+            for span in self._spans
+        )
+
     def slowed(self, instance: str, since: float, until: float) -> bool:
         """Whether an instance was disturbed other than by planned work.
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -23,7 +23,7 @@
 from tests.soak.connection_audit import (
     MAX_CUT_REQUESTS,
     cut_by_configurations,
-    is_cut,
+    is_closed_under,
     is_cut_by_reload,
 )
 from tests.soak.disturbances import Disturbances
@@ -112,10 +112,12 @@
             return
         calm = not self._disturbances.unplanned(call.sent_at, ended, keyed=call.keyed)
         stops, reloads = self.stops[call.instance], self.reloads[call.instance]
-        if calm and any(at <= ended <= at + WINDOW_SECONDS for at in stops):
+        in_stop = any(at <= ended <= at + WINDOW_SECONDS for at in stops)
+        lost = calm and is_lost(call, record, self.stops)
+        if calm and (in_stop or lost):
             self.judged["LOST"] += 1
             self.judged["LOST late"] += self._is_late_in_stop(call)
-            if is_lost(call, record, self.stops):
+            if lost:
                 since = ended - max(at for at in stops if at <= ended)
                 text = f"{call.describe()} was cut off {since:.2f} s after SIGTERM"
                 self._report("LOST", text, call)
@@ -124,9 +126,9 @@
             text = f"{call.describe()} was cut off around SIGHUP"
             self._report("LOST", text, call)
             return
-        if calm and not any(at <= ended <= at + WINDOW_SECONDS for at in stops):
+        if calm and not in_stop:
             self._calm.append((call, record))
-        if self._in_touch(call) and record.arrived and is_cut(call, record):
+        if self._in_touch(call) and is_closed_under(call, record):
             self._cut.append(call)
             if len(self._cut) == MAX_CUT_REQUESTS + 1:
                 text = f"{len(self._cut)} connections were closed without an answer"
@@ -151,7 +153,9 @@
         self, record: RequestRecord, since: float, until: float
     ) -> bool:
         return record.broken_off or any(
-            not self._disturbances.calm(arrival.endpoint, since, until)
+            not self._disturbances.endpoint_calm(
+                arrival.endpoint, since, arrival.at, until
+            )
             for arrival in record.arrivals
         )
 
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -265,7 +265,7 @@
                     return False, [(call, 0.0)] if call.idempotent else []
                 calls = calls[:number]
                 break
-        keep, closed_by_answer = True, False
+        keep, closed_by_answer, gave_up = True, False, False
         again: list[tuple[PlayedCall, float]] = []
         for call in calls:
             answer = None
@@ -274,6 +274,8 @@
                 await asyncio.sleep(self._rng.uniform(0.0, LATE_READ_SECONDS))
             if keep:
                 answer = await self._read(sock, call, leaves_after)
+                gave_up = call.gave_up
+            call.gave_up = gave_up  # Also on requests behind.
             self._book.end(call, answer)
             if call.left_at is not None:
                 return False, []
@@ -325,6 +327,8 @@
             if leaves:
                 sock.close()
                 call.left_at = time.monotonic()
+            else:
+                call.gave_up = True
         except (EOFError, OSError):
             pass  # The record of the request shows that its connection ended.
         return None
--- a/tests/soak/lost_audit.py
+++ b/tests/soak/lost_audit.py
@@ -3,7 +3,8 @@
 A request that an instance has read gets a complete answer although the instance is
 stopped. Its caller sees otherwise if its connection ends without one, after the request
 has reached an endpoint or later than `LOSS_SLACK_SECONDS` after its last byte was sent,
-or if the instance answers in place of an endpoint that is still at work.
+or if the instance answers in place of an endpoint that is still at work. The window of
+a stop takes in the process that is started next.
 
 Not counted: requests that had reached their deadline; requests behind another one that
 reached no endpoint; requests sent early in the stop whose endpoint is at work in the
@@ -47,15 +48,18 @@
 ) -> bool:
     """Return whether a planned stop of its instance has cut the request off.
 
-    `stops` holds the times at which each instance got SIGTERM.
+    `stops` holds the times at which each instance got SIGTERM; their windows overlap.
     """
-    ended = call.ended_at
-    if ended is None or call.signed:
+    if call.signed or call.gave_up or endpoint.broken_off:
         return False
-    stop = max((t for t in stops.get(call.instance, ()) if t <= ended), default=None)
-    if stop is None or ended > stop + WINDOW_SECONDS:
-        return False
-    if endpoint.broken_off:
+    return any(
+        _is_lost_by(call, endpoint, stop) for stop in stops.get(call.instance, ())
+    )
+
+
+def _is_lost_by(call: CallRecord, endpoint: EndpointRecord, stop: float) -> bool:
+    ended, until = call.ended_at, stop + WINDOW_SECONDS
+    if ended is None:
         return False
     end_of_grace = stop + GRACE_SECONDS
     excused = call.sent_at <= stop + EARLY_SECONDS and endpoint.at_work(
@@ -65,8 +69,11 @@
         return False
     if call.status is not None:
         # However late its caller reads the answer that came in place of the endpoint's.
-        return any(stop <= at < call.deadline_at for at in endpoint.cut_at)
-    if ended >= call.deadline_at:
+        replaced = [*endpoint.cut_at]
+        if endpoint.at_work(ended, ended):
+            replaced.append(ended)
+        return any(stop <= at <= until and at < call.deadline_at for at in replaced)
+    if not stop <= ended <= until or ended >= call.deadline_at:
         return False
     if call.behind and not endpoint.arrived:
         return False
--- a/tests/soak/stop_report.py
+++ b/tests/soak/stop_report.py
@@ -13,7 +13,7 @@
 from tests.soak.connection_audit import (
     MAX_CUT_REQUESTS,
     cut_by_configurations,
-    is_cut,
+    is_closed_under,
     is_cut_by_reload,
 )
 from tests.soak.lost_audit import WINDOW_SECONDS, is_lost
@@ -82,8 +82,10 @@
         world: SoakWorld,
         stops: dict[str, list[float]],
         reloads: dict[str, list[float]],
+        ends: dict[str, list[float]],
     ) -> None:
         self._world = world
+        self._ends = ends  # Of the processes of each instance.
         self._reloads = reloads
         self._stops = stops
         self.lost: list[str] = []
@@ -104,18 +106,30 @@
             self.lost += [f"in touch: {text}" for text in self._cut]
 
     def _limited(self, call: CallRecord) -> CallRecord:
-        """Return a request with the end of its route's time-out, if that is earlier."""
+        """Return a request as it is judged.
+
+        It ends with its route's time-out and with the process of its connection.
+        """
         timeout = self._world.history.shortest_timeout(
             call.target, call.began_at - APPLY_SECONDS - 1.0, call.sent_at
         )
         deadline = min(call.deadline_at, call.began_at + timeout)
-        return dataclasses.replace(call, deadline_at=deadline)
+        ended = call.ended_at
+        if ended is not None and call.status is None and not call.gave_up:
+            # A slow caller goes on reading what the kernel has, without the process.
+            ends = self._ends.get(call.instance, ())
+            ended = min((*(at for at in ends if at >= call.sent_at), ended))
+        return dataclasses.replace(call, deadline_at=deadline, ended_at=ended)
 
     def _judge(self, call: CallRecord) -> None:
         record, ended = self._world.audit.seen[call.request_id], call.ended_at or 0.0
         name, calm = call.instance, self._world.disturbances.calm
         times = call.began_at, ended
-        if not all(calm(arrival.endpoint, *times) for arrival in record.arrivals):
+        endpoint_calm = self._world.disturbances.endpoint_calm
+        if not all(
+            endpoint_calm(arrival.endpoint, call.began_at, arrival.at, ended)
+            for arrival in record.arrivals
+        ):
             return
         if not calm(FREEZE + name, *times):
             self.judged["beside a freeze, not judged"] += 1
@@ -125,10 +139,12 @@
             return
         self.judged["store silent, no key"] += silent
         self._judge_in_touch(call, record, silent=silent)
-        if any(at <= ended <= at + WINDOW_SECONDS for at in self._stops.get(name, ())):
+        stops = self._stops.get(name, ())
+        lost = is_lost(call, record, self._stops)
+        if lost:
+            self.lost.append(self.describe(call))
+        if lost or any(at <= ended <= at + WINDOW_SECONDS for at in stops):
             self.judged["stop"] += 1
-            if is_lost(call, record, self._stops):
-                self.lost.append(self.describe(call))
         else:
             self._outside_stops.append((call, record))
             self.judged["outside stops"] += 1
@@ -146,7 +162,7 @@
         if silent or not disturbances.in_touch(call.instance, call.began_at, ended):
             return
         self.judged["in touch"] += 1
-        if record.arrived and is_cut(call, record):
+        if is_closed_under(call, record):
             self._cut.append(self.describe(call))
 
     def describe(self, call: CallRecord) -> str:
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -35,6 +35,7 @@
         self._rng = world.rng
         self._stopping: set[str] = set()
         self._stops: dict[str, list[float]] = {}
+        self._ends: dict[str, list[float]] = {}  # Of the processes that were stopped.
         self._troubles = Troubles(world, scenario)
         self._calls: list[CallRecord] = []
         self._stop_seconds: list[float] = []
@@ -64,7 +65,7 @@
         while world.tasks and time.monotonic() < until:
             await asyncio.sleep(0.1)
         world.audit.check_refusals()
-        judge = StopJudge(world, self._stops, self._troubles.reloads)
+        judge = StopJudge(world, self._stops, self._troubles.reloads, self._ends)
         judge.judge(self._calls)
         return StopReport(
             self._calls,
@@ -149,7 +150,9 @@
         self._stops.setdefault(gateway.name, []).append(start)
         self._troubles.beside_stop(gateway)
         await gateway.end(signal.SIGTERM)
-        self._stop_seconds.append(time.monotonic() - start)
+        ended = time.monotonic()
+        self._ends.setdefault(gateway.name, []).append(ended)
+        self._stop_seconds.append(ended - start)
         gateway.write_settings(gateway.settings)  # A half-written file ends a start.
         await asyncio.sleep(self._rng.uniform(0.0, 0.5))
 
@@ -168,7 +171,8 @@
             gateway = self._choose_instance(insists=insists)
             try:
                 slow = rng.random() < habits.slow_reads
-                sock = await CallerSocket.open(gateway.address, slow=slow)
+                rate = rng.uniform(*habits.slow_rates) if slow else None
+                sock = await CallerSocket.open(gateway.address, rate)
             except (OSError, TimeoutError):
                 await asyncio.sleep(0.05)
                 continue
