--- a/tests/soak/audit.py
+++ b/tests/soak/audit.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import random
+import re
 import time
 from typing import Any
 
@@ -28,6 +29,7 @@
 SLOW_WORK_SECONDS = (0.8, 2.0)  # Of requests whose path ends with "/slow".
 LARGE = b"/large"  # Ends the path of a request with a large answer.
 LARGE_BYTES = 3_000_000
+SIZED = re.compile(rb"/bytes-(\d+)$")  # Ends a path whose answer has this size.
 MAX_ORDER_LINES = 20_000
 
 
@@ -296,9 +298,8 @@
                 raise
             finally:
                 seen.runs[number] = (start, time.monotonic())
-        if req.target.endswith(LARGE):
-            large = expected_body(req.method, req.target, req.body)
-            reply = dataclasses.replace(reply, body=large)
+        whole = expected_body(req.method, req.target, req.body)
+        reply = dataclasses.replace(reply, body=whole)
         if self.rng.random() < self.failed_share:
             reply = dataclasses.replace(reply, status=self.rng.choice(FAILURES))
         self._audit.record_event(request_id, f"{self.name} answers {reply.status}")
@@ -308,6 +309,9 @@
 def expected_body(method: bytes, target: bytes, body: bytes) -> bytes:
     """Return the body with which an endpoint answers a request."""
     answer = method + b" " + target + body
+    sized = SIZED.search(target)
+    if sized is not None:
+        return answer + b"." * int(sized[1])
     return answer + b"." * LARGE_BYTES if target.endswith(LARGE) else answer
 
 
--- a/tests/soak/configurations.py
+++ b/tests/soak/configurations.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 import random
 from typing import Any
 
@@ -15,6 +16,7 @@
 NO_TIMEOUT_SECONDS = 60.0  # Longer than any caller waits.
 SLOW_TIMEOUT_SECONDS = 4.0
 MAX_ADDED_ROUTES = 4  # Older ones are removed.
+ROUTES_A_HOST = 50  # Of the hosts that no caller uses.
 SERVICES = ("keyed", "plain", "spare")
 MOVED_PREFIX = b"/m/"
 # Which services the moved route may name; two share its requests.
@@ -66,6 +68,7 @@
     sent_at: float  # Seconds on the clock of the run.
     routes: tuple[Route, ...]
     idle_seconds: float | None = None  # Limit for callers, if it is not the usual one.
+    other_routes: int = 0  # Of other hosts, which no caller uses.
 
     def route_for(self, path: bytes) -> Route | None:
         """Return the route of a path."""
@@ -97,10 +100,28 @@
             "limits": limits,
             "version": self.number,
             "services": services,
-            "hosts": [{"host": HOST, "paths": paths}],
+            "hosts": [
+                {"host": HOST, "paths": paths},
+                *_other_hosts(self.other_routes),
+            ],
         }
 
 
+@functools.cache
+def _other_hosts(count: int) -> list[dict[str, object]]:
+    """Return entries of hosts that have so many routes together."""
+    return [
+        {
+            "host": f"other{first}.example",
+            "paths": [
+                Route(f"o{i}", b"/o%d/" % i, "safe", ("plain",)).document()
+                for i in range(first, min(first + ROUTES_A_HOST, count))
+            ],
+        }
+        for first in range(0, count, ROUTES_A_HOST)
+    ]
+
+
 class ConfigurationHistory:
     """The versions that the operator has sent, in order."""
 
@@ -110,6 +131,7 @@
         # Shortest and longest time-out of all routes but uploads, if they are set.
         self.timeout_range: tuple[float, float] | None = None
         self.idle_choices: tuple[float, ...] = ()  # Of the limit for callers.
+        self.other_routes = 0  # Of each version.
 
     def add(self, now: float) -> Version:
         """Draw, record and return the next version."""
@@ -135,8 +157,9 @@
                 for route in routes
             )
         idle = self._rng.choice(self.idle_choices) if self.idle_choices else None
-        self.versions.append(Version(number, now, routes, idle))
-        return self.versions[-1]
+        version = Version(number, now, routes, idle, self.other_routes)
+        self.versions.append(version)
+        return version
 
     def newest_index(self, until: float) -> int:
         """Return the index of the last version sent until then, or -1."""
--- a/tests/soak/gateway_process.py
+++ b/tests/soak/gateway_process.py
@@ -102,10 +102,10 @@
         process = self.process
         if process is None:
             return
-        for _ in range(70):
+        for _ in range(350):
             if process.poll() is not None:
                 return
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.02)
         process.kill()
         process.wait()
 
--- a/tests/soak/stop_scenarios.py
+++ b/tests/soak/stop_scenarios.py
@@ -22,8 +22,12 @@
     tail_share: float = 0.0
     tail_factor: float = 5.0
     running_limit: int | None = None  # Of each endpoint; the others wait there.
+    # Shares of the requests that endpoints reject, and that they fail after the run.
+    rejected_share: float = 0.0
+    failed_share: float = 0.0
     timeout_range: tuple[float, float] = (LONG_TIMEOUT_SECONDS, LONG_TIMEOUT_SECONDS)
     idle_choices: tuple[float, ...] = ()  # Of the idle limit; each version draws one.
+    other_routes: int = 0  # Of each version, which no caller uses.
     at_once: int = 2  # Most instances that are stopped together.
     one_zone: bool = False  # Whether these are instances of one availability zone.
     gap_range: tuple[float, float] = (0.5, 2.0)  # From the start of one to the next.
@@ -31,10 +35,12 @@
     # start or as soon as the instance is ready.
     again_share: float = 0.0
     again_seconds: tuple[float, float] = (0.3, 1.5)
+    off_seconds: float = 0.5  # Longest time from the end of a process to the next.
     # Shares of the stops beside which each of these is done.
     second_signals: float = 0.0
     silent_stores: float = 0.0
     freezes: float = 0.0
+    configurations_before: float = 0.0  # And SIGHUP, so that both meet the stop.
     # Mean number of each of these in a second, over the whole run.
     reloads: float = 0.0
     configurations: float = 0.0
@@ -152,6 +158,59 @@
         reloads=0.1,
         again_share=0.2,
     ),
+    "rows": _uneven(
+        insistent=0.34,
+        habits=_habits(ahead=0.7, behind=(3, 9), order_first=0.2, idle=0.2),
+        at_once=3,
+        again_share=0.2,
+    ),
+    "full-bodies": _uneven(
+        callers=40,
+        habits=_habits(uploads=0.7, ahead=0.2, deadline_seconds=(2.5, 8.5)),
+        work_range=(0.3, 1.5),
+        running_limit=3,
+        rejected_share=0.15,
+        failed_share=0.1,
+    ),
+    "slow-reads": _uneven(
+        callers=36,
+        insistent=0.34,
+        habits=_habits(
+            ahead=0.3,
+            behind=(1, 4),
+            uploads=0.3,
+            slow_reads=0.7,
+            slow_rates=(150_000, 1_500_000),
+            large_answers=0.7,
+            reads_late=0.05,
+            deadline_seconds=(4.0, 12.0),
+        ),
+        timeout_range=(14.0, 14.0),
+        again_share=0.2,
+    ),
+    # At the same address at once, while callers hold connections to the one before.
+    "replaced": _uneven(
+        habits=_habits(ahead=0.2, behind=(1, 3), idle=0.5, uploads=0.2, reads_late=0.1),
+        at_once=3,
+        off_seconds=0.0,
+        again_share=0.7,
+        again_seconds=(0.0, 2.5),
+        gap_range=(0.2, 1.0),
+    ),
+    "large-configurations": _uneven(
+        callers=36,
+        timeout_range=(1.0, 9.0),
+        idle_choices=(3.0, 5.0, 15.0),
+        other_routes=2000,
+        at_once=3,
+        off_seconds=0.1,
+        again_share=0.5,
+        again_seconds=(0.3, 2.0),
+        configurations=0.7,
+        configurations_before=1.0,
+        reloads=1.0,
+        endpoint_changes=0.4,
+    ),
     # Not planned: this only shows what happens.
     "freezes": _uneven(freezes=0.7),
     # The callers leave room for what the restarts move elsewhere.
--- a/tests/soak/stop_troubles.py
+++ b/tests/soak/stop_troubles.py
@@ -21,6 +21,7 @@
 INTERPRETER_SECONDS = 0.3  # After a start; then a process handles SIGHUP.
 START_SECONDS = 10.0  # Then it has read its settings, also on a loaded host.
 HALF_WRITTEN_SECONDS = (0.0, 0.5)  # Until the rest of the settings is written.
+DECODING_SECONDS = 0.4  # Longest time from a configuration to a stop that meets it.
 BURST = 4  # Most configurations in one series.
 BURST_GAP_SECONDS = 0.15
 
@@ -78,6 +79,15 @@
         self.reloads[gateway.name].append(time.monotonic())
         gateway.signal(signal.SIGHUP)
 
+    async def before_stop(self, gateway: GatewayProcess) -> None:
+        """Let a stop find its instance at a configuration that it decodes."""
+        if self._rng.random() >= self._scenario.configurations_before:
+            return
+        if time.monotonic() - gateway.started_at > START_SECONDS:
+            self._signal_reload(gateway)
+        self._world.write_configuration()
+        await asyncio.sleep(self._rng.uniform(0.0, DECODING_SECONDS))
+
     def beside_stop(self, gateway: GatewayProcess) -> None:
         """Start what is drawn beside a stop of this instance, which begins now."""
         scenario = self._scenario
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -146,6 +146,7 @@
 
     async def _end(self, gateway: GatewayProcess) -> None:
         """Stop an instance as planned, and wait until it can be started again."""
+        await self._troubles.before_stop(gateway)
         start = time.monotonic()
         self._stops.setdefault(gateway.name, []).append(start)
         self._troubles.beside_stop(gateway)
@@ -154,7 +155,7 @@
         self._ends.setdefault(gateway.name, []).append(ended)
         self._stop_seconds.append(ended - start)
         gateway.write_settings(gateway.settings)  # A half-written file ends a start.
-        await asyncio.sleep(self._rng.uniform(0.0, 0.5))
+        await asyncio.sleep(self._rng.uniform(0.0, self._scenario.off_seconds))
 
     def _choose_instance(self, *, insists: bool) -> GatewayProcess:
         gateways = self._world.gateways
@@ -198,11 +199,14 @@
     world = SoakWorld(seed, directory, scenario.instances, product)
     world.history.timeout_range = scenario.timeout_range
     world.history.idle_choices = scenario.idle_choices
+    world.history.other_routes = scenario.other_routes
 
     def set_work(endpoint: AuditedEndpoint) -> None:
         endpoint.work_range = scenario.work_range
         endpoint.tail_share = scenario.tail_share
         endpoint.tail_factor = scenario.tail_factor
+        endpoint.rejected_share = scenario.rejected_share
+        endpoint.failed_share = scenario.failed_share
         if scenario.running_limit is not None:
             endpoint.running_limit = asyncio.Semaphore(scenario.running_limit)
 
