Give the kernel what callers have not taken when an instance ends

Cause: the response of an endpoint waits in the memory of the process while its caller reads slowly or reads an earlier response first. When the process ends, 0.4 s before SIGKILL, the kernel delivers what it has, and the connection ends within the answer.

Change: with the final answers the send buffer of each connection grows by what is not yet in it (SO_SNDBUFFORCE, or SO_SNDBUF within the limit of the system if the process isn't privileged), so that the kernel takes it and delivers it after the process ended. What a system doesn't allow is still cut and logged.

Before: 4 of 4 cases of test_the_kernel_has_all_answers_when_the_process_ends fail: AssertionError: assert ['response_unsent'] == [] After: they pass, also with the privileged option replaced by an unknown one.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -14,7 +14,12 @@
 import httptools
 
 from arbutusflow.domain.body_budget import BodyBudget
-from arbutusflow.gateway.closing import TwoStepClose, unread_bytes, unsent_bytes
+from arbutusflow.gateway.closing import (
+    TwoStepClose,
+    hand_over,
+    unread_bytes,
+    unsent_bytes,
+)
 from arbutusflow.gateway.listener import Listener
 from arbutusflow.gateway.model import CallerLimits
 
@@ -412,7 +417,12 @@
         self._release_body()
 
     def finish(self) -> None:
-        """Cancel the handlers, which respond, and close the connection after that."""
+        """Cancel the handlers, which respond, and close the connection after that.
+
+        The kernel gets what its caller has not taken.
+        """
+        if self._transport is not None:
+            hand_over(self._transport)
         if self.is_closing:
             return
         if self._request_started:
@@ -494,6 +504,8 @@
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
+            if self._server.finished:
+                hand_over(self._transport)
 
     def _close_idle(self) -> None:
         """Close the connection, in two steps if its caller still reads a response.
--- a/arbutusflow/gateway/closing.py
+++ b/arbutusflow/gateway/closing.py
@@ -4,18 +4,27 @@
 delivered. A connection is therefore closed in two steps: this side ends, and what still
 arrives is read and discarded by the owner of the transport; then the socket is closed.
 
+The kernel delivers what it has been given, also when the process has ended. What is
+then left in the memory of the process is lost, so `hand_over` gives it to the kernel.
+
 Invariants: nothing is written after `begin`; a caller that goes on reading gets all
 that was written; one that reads nothing for the stall time is reset.
 """
 
 import asyncio
+import contextlib
 import fcntl
+import pathlib
+import socket
 import struct
 import termios
 
 # For how long input is discarded after all that was written has been delivered, and how
 # often this is checked.
 LINGER_SECONDS = 0.5
+# Option of Linux: a send buffer beyond the system's limit, for privileged processes.
+SO_SNDBUFFORCE = 32
+SEND_BUFFER_LIMIT_PATH = pathlib.Path("/proc/sys/net/core/wmem_max")
 _INT = struct.Struct("i")
 
 
@@ -31,6 +40,38 @@
     return _kernel_bytes(transport, termios.FIONREAD)
 
 
+def hand_over(transport: asyncio.Transport) -> None:
+    """Let the kernel take what is written, as far as the system allows.
+
+    It takes the bytes in the next iterations of the event loop.
+    """
+    waiting = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    if not waiting or sock is None or sock.fileno() < 0:
+        return
+    size = sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+    wanted = (
+        size + waiting
+    )  # The kernel doubles it, for what it keeps beside the bytes.
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, SO_SNDBUFFORCE, wanted)
+    except OSError:
+        # Not privileged. A value beyond the limit is cut to it, which may be less than
+        # the kernel had chosen by itself.
+        allowed = min(wanted, _send_buffer_limit())
+        if 2 * allowed > size:
+            with contextlib.suppress(OSError):  # The caller has reset the connection.
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, allowed)
+
+
+def _send_buffer_limit() -> int:
+    """Return the largest send buffer that may be set, 0 if the system does not tell."""
+    try:
+        return int(SEND_BUFFER_LIMIT_PATH.read_text())
+    except (OSError, ValueError):
+        return 0
+
+
 def _kernel_bytes(transport: asyncio.Transport, queue: int) -> int:
     sock = transport.get_extra_info("socket")
     if sock is None or sock.fileno() < 0:
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -14,6 +14,7 @@
     CallerServer,
 )
 from arbutusflow.gateway.closing import LINGER_SECONDS
+from arbutusflow.gateway.lifecycle import FINAL_ANSWER_SECONDS
 
 HOST = "127.0.0.1"
 QUEUED_CONNECTIONS = 20
@@ -21,6 +22,7 @@
 BODY = b"x" * (4 * MIB)  # More than the buffers of both sockets hold.
 CHUNK_BYTES = 1 << 18
 SMALL_BUFFER_BYTES = 16 * 1024
+UNREAD_BYTES = 200_000  # More than small buffers hold, and less than systems allow.
 GET = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 KEPT_GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 WAIT_SECONDS = 30.0
@@ -189,6 +191,41 @@
     assert _run(scenario) == [(b"/", "response_unsent")]
 
 
+@pytest.mark.parametrize("request_head", [GET, KEPT_GET], ids=["closing", "kept"])
+@pytest.mark.parametrize("answered", [True, False], ids=["written", "final"])
+def test_the_kernel_has_all_answers_when_the_process_ends(request_head, answered):
+    """Guards against answers that the end of the process cuts, because their callers
+    read slowly: the kernel delivers what it has been given."""
+    body = b"x" * UNREAD_BYTES
+
+    async def respond(req):
+        if not answered:
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.sleep(WAIT_SECONDS)
+        return CallerResponse(200, body=body)
+
+    async def scenario(server, sock):
+        cut, loop = [], asyncio.get_running_loop()
+        server.handler = respond
+        server.on_cut = lambda req, cause: cut.append(cause)
+        while not server.connections:
+            await asyncio.sleep(0.01)
+        (conn,) = server.connections
+        buffers = (socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+        conn._transport.get_extra_info("socket").setsockopt(*buffers)
+        await loop.sock_sendall(sock, request_head)
+        await asyncio.sleep(0.1)
+        assert bool(conn._transport.get_write_buffer_size()) is answered
+        server.finish()
+        await asyncio.sleep(FINAL_ANSWER_SECONDS)
+        server.report_cut()
+        return cut, await _read_all(sock)
+
+    cut, received = _run(scenario)
+    assert cut == []
+    assert received.endswith(b"\r\n\r\n" + body)
+
+
 def test_a_caller_that_never_stops_sending_is_closed_after_the_linger_time():
     """Guards against a connection that a caller holds open without end."""
 
