Judge late readers of the ordinary soak by the end of their connection

The judge passed over each unanswered request of a caller that looked late for its answer, as the end of the connection was not known. It is known now: callers watch for it while they wait, and it counts from its arrival. A reset counts from when it is noticed, since the system tells only when the last segment before it came.

test_a_late_reader_does_not_show_when_its_connection_ended asserted that such a request is not judged; its replacement judges it on both sides of the slack (4 cases for 3), and test_callers.py guards against resets that count from an earlier segment.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -91,7 +91,7 @@
         self._bytes_a_second = bytes_a_second
         self._received = b""
         # When the instance has closed its side, as far as it is known; an end that is
-        # noticed late counts from its arrival.
+        # noticed late counts from its arrival, a reset from when it is noticed.
         self.ended_at: float | None = None
         self._poll = select.poll()
         self._poll.register(sock, select.POLLRDHUP)
@@ -128,11 +128,15 @@
 
     def note_end(self) -> None:
         """Note whether the instance has closed its side, also while nothing is read."""
-        if self.ended_at is None and self._poll.poll(0):
-            self.ended_at = time.monotonic() - self._silent_seconds()
+        if self.ended_at is not None:
+            return
+        for _, events in self._poll.poll(0):
+            self.ended_at = time.monotonic()
+            if not events & (select.POLLERR | select.POLLHUP):
+                self.ended_at -= self._silent_seconds()
 
     def _silent_seconds(self) -> float:
-        """Return how long ago the last segment arrived."""
+        """Return how long ago the last segment arrived. A reset does not count."""
         info = self._sock.getsockopt(
             socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_SEGMENT.size
         )
@@ -142,8 +146,8 @@
         """Wait without reading."""
         until = time.monotonic() + seconds
         while time.monotonic() < until:
-            self.note_end()
             await asyncio.sleep(WATCH_SECONDS)
+            self.note_end()
 
     async def read_answer(self) -> Answer:
         """Read one answer. Raises EOFError or OSError if the connection ends before."""
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -106,8 +106,6 @@
 
     def _judge_connection(self, call: PlayedCall, record: RequestRecord) -> None:
         ended = call.ended_at or call.sent_at
-        if call.reads_late and call.status is None and not record.arrived:
-            return  # It may have been sent when the connection was already closed.
         if self._endpoint_disturbed(record, call.sent_at, ended):
             return
         calm = not self._disturbances.unplanned(call.sent_at, ended, keyed=call.keyed)
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -96,9 +96,16 @@
         """Return the identifier of a new request."""
         return b"r%d" % next(self._numbers)
 
-    def end(self, call: PlayedCall, answer: Answer | None) -> None:
-        """Record the end of a request."""
+    def end(
+        self,
+        call: PlayedCall,
+        answer: Answer | None,
+        connection_ended_at: float | None = None,
+    ) -> None:
+        """Record the end of a request, without an answer that of its connection."""
         call.ended_at = time.monotonic()
+        if answer is None and connection_ended_at is not None and not call.gave_up:
+            call.ended_at = connection_ended_at
         if answer is not None:
             call.status = answer.status
             call.signed = wire.SIGNATURE.lower() in answer.headers
@@ -255,8 +262,7 @@
             leaves_after = self._rng.uniform(0.0, longest)
         for number, call in enumerate(calls):
             if number and self._chance(SPACED_SHARE):
-                calls[0].reads_late = True
-                await asyncio.sleep(self._rng.uniform(0.0, LONGEST_SPACE_SECONDS))
+                await sock.wait(self._rng.uniform(0.0, LONGEST_SPACE_SECONDS))
             try:
                 await self._send(sock, call)
             except OSError:
@@ -270,13 +276,12 @@
         for call in calls:
             answer = None
             if keep and leaves_after is None and call.target.endswith(LARGE):
-                call.reads_late = True
-                await asyncio.sleep(self._rng.uniform(0.0, LATE_READ_SECONDS))
+                await sock.wait(self._rng.uniform(0.0, LATE_READ_SECONDS))
             if keep:
                 answer = await self._read(sock, call, leaves_after)
                 gave_up = call.gave_up
             call.gave_up = gave_up  # Also on requests behind.
-            self._book.end(call, answer)
+            self._book.end(call, answer, sock.ended_at)
             if call.left_at is not None:
                 return False, []
             if not keep and call.behind and closed_by_answer:
@@ -300,6 +305,7 @@
             call.key,
             len(call.body),
         )
+        sock.note_end()
         call.began_at = call.sent_at = time.monotonic()
         self._book.on_sent(call)
         try:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -14,10 +14,6 @@
     # When its caller closed the connection without waiting for the answer.
     left_at: float | None = None
 
-    # Whether its caller looked for the answer only some time after it was sent, so that
-    # it is not known when the connection ended.
-    reads_late: bool = False
-
     @property
     def path(self) -> bytes:
         """The target without its query."""
--- a/tests/soak/test_callers.py
+++ b/tests/soak/test_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import socket
+import struct
 import threading
 import time
 
@@ -18,7 +19,7 @@
 HABITS = CallerHabits(reads_late=1.0, late_seconds=LATE_SECONDS)
 
 
-def _serve(listener, answers, seconds):
+def _serve(listener, answers, seconds, resets):
     """Answer so many requests, read one more if it comes, and close after a time."""
     conn, _ = listener.accept()
     with conn:
@@ -28,13 +29,16 @@
         if not answers:
             conn.recv(65536)
         time.sleep(seconds)
+        if resets:
+            linger = struct.pack("ii", 1, 0)
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
 @pytest.fixture
 def play():
     """Return a function that plays requests with a peer in a thread of its own."""
 
-    def run(habits, answers, seconds, still_seconds):
+    def run(habits, answers, seconds, still_seconds, *, resets=False):
         records = []
 
         async def call(address):
@@ -52,7 +56,8 @@
             sock.close()
 
         with socket.create_server((own_host(), 0)) as listener:
-            peer = threading.Thread(target=_serve, args=(listener, answers, seconds))
+            args = listener, answers, seconds, resets
+            peer = threading.Thread(target=_serve, args=args)
             peer.start()
             asyncio.run(call(Address(*listener.getsockname())))
             peer.join()
@@ -88,3 +93,14 @@
     assert record.status is None
     assert (record.ended_at - record.sent_at > LOSS_SLACK_SECONDS) is lost
     assert _is_lost(record) is lost
+
+
+@pytest.mark.parametrize("habits", [HABITS, CallerHabits()], ids=["late", "at-once"])
+@pytest.mark.parametrize("still_seconds", [0.0, 0.5])
+def test_a_reset_does_not_count_from_an_earlier_segment(play, habits, still_seconds):
+    """Guards against lost requests whose reset counts from when they were received."""
+    record = play(
+        habits, answers=0, seconds=0.35, still_seconds=still_seconds, resets=True
+    )
+    assert record.status is None
+    assert _is_lost(record)
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -285,17 +285,17 @@
 
 
 @pytest.mark.parametrize(
-    "reads_late, arrived, rules",
+    "ended_at, arrived, rules",
     [
-        pytest.param(True, False, [], id="end-not-seen"),
-        pytest.param(True, True, ["LOST"], id="passed-on"),
-        pytest.param(False, False, ["LOST"], id="end-seen"),
+        pytest.param(99.9, False, [], id="ended-before"),
+        pytest.param(100.1, False, [], id="crosses-the-close"),
+        pytest.param(99.9, True, ["LOST"], id="passed-on"),
+        pytest.param(100.7, False, ["LOST"], id="cut"),
     ],
 )
-def test_a_late_reader_does_not_show_when_its_connection_ended(
-    reads_late, arrived, rules
-):
-    """Guards against requests on closed connections that are counted as lost."""
+def test_a_request_is_judged_by_the_end_of_its_connection(ended_at, arrived, rules):
+    """Guards against requests on closed connections that are counted as lost, and lost
+    requests of late readers that are not."""
     run = Run()
     run.judge.stops["n0"].append(99.0)
     call = PlayedCall(
@@ -306,9 +306,8 @@
         deadline_at=110.0,
         sent_at=100.0,
         began_at=100.0,
-        ended_at=100.7,
+        ended_at=ended_at,
         target=b"/p/large",
-        reads_late=reads_late,
     )
     run.audit.seen[b"r0"] = RequestRecord(arrived)
     run.judge.judge_run([call])
