Count a request sent in pieces from its first byte to its last one

The pause is between the pieces now. The test fails with a pause before the first piece (0.6 s from the first to the last byte) and with one after the last.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -283,8 +283,9 @@
             if upload:
                 seconds = self._rng.uniform(*habits.upload_seconds)
             pause = seconds / len(parts)
-            for part in parts:
-                await asyncio.sleep(pause)
+            for number, part in enumerate(parts):
+                if number:
+                    await asyncio.sleep(pause)
                 await sock.send(part)
         else:
             await sock.send(b"".join(parts))
--- a/tests/soak/test_callers.py
+++ b/tests/soak/test_callers.py
@@ -104,3 +104,12 @@
     )
     assert record.status is None
     assert _is_lost(record)
+
+
+def test_a_request_in_pieces_counts_from_its_first_to_its_last_byte(play):
+    """Guards against a pause that counts to the time of the request, or to the slack
+    after its last byte."""
+    habits = CallerHabits(in_pieces=1.0, piece_seconds=0.6)
+    record = play(habits, answers=0, seconds=1.0, still_seconds=0.0)
+    assert record.method == b"POST"  # Head and body.
+    assert 0.25 < record.sent_at - record.began_at < 0.45
