--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -35,6 +35,7 @@
         self._rng = world.rng
         self._stopping: set[str] = set()
         self._stops: dict[str, list[float]] = {}
+        self._ends: dict[str, list[float]] = {}  # Of the processes that were stopped.
         self._troubles = Troubles(world, scenario)
         self._calls: list[CallRecord] = []
         self._stop_seconds: list[float] = []
@@ -64,7 +65,7 @@
         while world.tasks and time.monotonic() < until:
             await asyncio.sleep(0.1)
         world.audit.check_refusals()
-        judge = StopJudge(world, self._stops, self._troubles.reloads)
+        judge = StopJudge(world, self._stops, self._troubles.reloads, self._ends)
         judge.judge(self._calls)
         return StopReport(
             self._calls,
@@ -145,13 +146,16 @@
 
     async def _end(self, gateway: GatewayProcess) -> None:
         """Stop an instance as planned, and wait until it can be started again."""
+        await self._troubles.before_stop(gateway)
         start = time.monotonic()
         self._stops.setdefault(gateway.name, []).append(start)
         self._troubles.beside_stop(gateway)
         await gateway.end(signal.SIGTERM)
-        self._stop_seconds.append(time.monotonic() - start)
+        ended = time.monotonic()
+        self._ends.setdefault(gateway.name, []).append(ended)
+        self._stop_seconds.append(ended - start)
         gateway.write_settings(gateway.settings)  # A half-written file ends a start.
-        await asyncio.sleep(self._rng.uniform(0.0, 0.5))
+        await asyncio.sleep(self._rng.uniform(0.0, self._scenario.off_seconds))
 
     def _choose_instance(self, *, insists: bool) -> GatewayProcess:
         gateways = self._world.gateways
@@ -168,7 +172,8 @@
             gateway = self._choose_instance(insists=insists)
             try:
                 slow = rng.random() < habits.slow_reads
-                sock = await CallerSocket.open(gateway.address, slow=slow)
+                rate = rng.uniform(*habits.slow_rates) if slow else None
+                sock = await CallerSocket.open(gateway.address, rate)
             except (OSError, TimeoutError):
                 await asyncio.sleep(0.05)
                 continue
@@ -194,11 +199,14 @@
     world = SoakWorld(seed, directory, scenario.instances, product)
     world.history.timeout_range = scenario.timeout_range
     world.history.idle_choices = scenario.idle_choices
+    world.history.other_routes = scenario.other_routes
 
     def set_work(endpoint: AuditedEndpoint) -> None:
         endpoint.work_range = scenario.work_range
         endpoint.tail_share = scenario.tail_share
         endpoint.tail_factor = scenario.tail_factor
+        endpoint.rejected_share = scenario.rejected_share
+        endpoint.failed_share = scenario.failed_share
         if scenario.running_limit is not None:
             endpoint.running_limit = asyncio.Semaphore(scenario.running_limit)
 
