Keep errors in one part of an instance from holding up its stop

Cause: `Gateway._tick` ran the directory, the loads, the fleet and, last, the stop in one callback, so an error in an earlier part skipped the stop in each tick. The same held for readiness, and in `FleetTask.tick` for the renewal of leases. A stop did not begin if reading the settings failed with an error that `load_settings` did not expect (the TOML parser raises RecursionError for deep nesting). An error in `leave`, in ending the listening or at one connection left the others without their final answer, and a response that could not be encoded left its caller waiting without end.

Change: the stop has a timer of its own from SIGTERM on. `run_each` calls the parts of periodic work in order and reports the error of each. Reading the settings, deregistering and each connection are guarded singly, and errors of tasks are logged. A response that cannot be encoded is replaced by status 500, as an error of the handler is.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -135,8 +135,7 @@
 
     def close_idle(self) -> None:
         """Close connections without pending requests, except new ones."""
-        for conn in list(self.connections):
-            conn.close_if_idle()
+        self._call_each(lambda conn: conn.close_if_idle())
 
     def finish(self) -> None:
         """Process no further input, and cancel all handlers.
@@ -145,8 +144,15 @@
         that are not complete, or that are read after this, get status 503.
         """
         self.finished = True
+        self._call_each(lambda conn: conn.finish())
+
+    def _call_each(self, method: "Callable[[CallerConnection], None]") -> None:
+        """Call a method for each open connection, also after an error at one."""
         for conn in list(self.connections):
-            conn.finish()
+            try:
+                method(conn)
+            except Exception as exc:
+                self.on_error("a connection of a caller", exc)
 
     def report_cut(self) -> None:
         """Report all complete requests whose response the end of the process cuts."""
@@ -458,7 +464,7 @@
                     and pipelined.request.method == b"HEAD"
                 )
                 self._latest_request = pipelined.request
-                self._write(_encode(pipelined.reply, keep, head_only))
+                self._write(self._encode(pipelined.reply, keep, head_only))
             if not keep:
                 # Only behind a request that itself asked for the close.
                 self._cancel_pipeline()
@@ -472,6 +478,14 @@
                 self._start_timer(self._server.limits.header_seconds)
         self._resume()
 
+    def _encode(self, reply: CallerResponse, keep: bool, head_only: bool) -> bytes:
+        try:
+            return _encode(reply, keep, head_only)
+        except (TypeError, ValueError) as exc:
+            # A bug in this program, as in `_serve`.
+            self._server.on_error("encoding a response", exc)
+            return _encode(CallerResponse(500), keep, head_only)
+
     def report_unanswered(self, cause: str) -> None:
         """Report the complete requests that have no response."""
         for pipelined in self._pipeline:
--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Protocol
 
 import msgspec
@@ -54,6 +54,7 @@
 from arbutusflow.gateway.store_probes import StoreProbes
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform.store import StoreClient
+from arbutusflow.runtime.timers import run_each
 
 # Each watch is priced as one call, however long it waits. TCP keep-alive detects broken
 # connections, so the wait only bounds the delay that a lost answer causes.
@@ -225,16 +226,25 @@
             self._log.write("stalled", seconds=round(now - self._last_tick, 3))
             self.fleet.reset_contact(now)
         self._last_tick = now
-        self._maintain_records(now)
-        if self.fleet.registered:
-            self._mark_queue(now)
-            self.followers.expire(now)
-            self.fleet.exclude_unresponsive(now)
-            self._log_right_to_grant(now)
-        self._check_store(now)
-        self.relay.tick(now)
-        self._update_watch_modes(now)
-        self._tick_keys(now)
+        parts = (
+            self._maintain_records,
+            *(self._granter_parts if self.fleet.registered else ()),
+            self._check_store,
+            self.relay.tick,
+            self._update_watch_modes,
+            self._tick_leases,
+            self._tick_moves,
+        )
+        run_each(parts, now, self._log.write_exception)
+
+    @property
+    def _granter_parts(self) -> tuple[Callable[[float], None], ...]:
+        return (
+            self._mark_queue,
+            self.followers.expire,
+            self.fleet.exclude_unresponsive,
+            self._log_right_to_grant,
+        )
 
     def _mark_queue(self, now: float) -> None:
         if now - self._queue_marked_at >= QUEUE_MARKER_SECONDS:
@@ -313,7 +323,13 @@
         return not copy.was_read and now - self._started < RELAY_WAIT_SECONDS
 
     def _tick_keys(self, now: float) -> None:
+        self._tick_leases(now)
+        self._tick_moves(now)
+
+    def _tick_leases(self, now: float) -> None:
         self.leases.tick(self._partitioned_services, now)
+
+    def _tick_moves(self, now: float) -> None:
         self.moves.tick(self._partitioned_services, now)
 
     def set_partitioned_services(self, services: list[str]) -> None:
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -64,7 +64,7 @@
     ENDPOINTS_KIND,
     StoreClient,
 )
-from arbutusflow.runtime.timers import TimerService
+from arbutusflow.runtime.timers import TimerService, run_each
 
 TICK_INTERVAL_SECONDS = 0.05
 # Largest part of the grace period that a signal counts as noticed late.
@@ -120,6 +120,7 @@
         self._configuration: Configuration | None = None
         self._configuration_since = 0.0  # When it came into force.
         self.log = EventLog(cfg.instance)
+        self._timers = TimerService(self._loop, self.log.write_exception)
         self.metrics = GatewayMetrics()
         self._create_components()
 
@@ -215,9 +216,8 @@
         self.log.write(
             "started", zone=cfg.zone, life=self.fleet_task.fleet.own_record.life
         )
-        timers = TimerService(self._loop, self.log.write_exception)
         for period, callback in self._periodic_callbacks():
-            timers.subscribe(period, callback)
+            self._timers.subscribe(period, callback)
         for copy in (self.config_copy, self.endpoint_copy, self.fleet_task.copy):
             self._start_task(copy.run())
         await self._stopped.wait()
@@ -248,20 +248,36 @@
     def _start_task(self, coroutine: Coroutine[None, None, None]) -> None:
         task = self._loop.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._finish_task)
+
+    def _finish_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        exc = None if task.cancelled() else task.exception()
+        if exc is not None:
+            self.log.write_exception("a task of the process", exc)
 
     def _tick(self) -> None:
         now = self._loop.time()
         self._ticked_at = now
+        run_each(
+            (
+                self._expire_endpoints,
+                self.endpoints.remove_departed,
+                self.endpoints.expire_peer_reports,
+                self.fleet_task.tick,
+                self._check_ready,
+            ),
+            now,
+            self.log.write_exception,
+        )
+
+    def _expire_endpoints(self, now: float) -> None:
         if self.directory.expire(now):
             self._use_endpoints(now)
-        self.endpoints.remove_departed(now)
-        self.endpoints.expire_peer_reports(now)
-        self.fleet_task.tick(now)
+
+    def _check_ready(self, now: float) -> None:
         if self._configuration is not None and self.endpoint_copy.was_read:
             self.lifecycle.become_ready(now)
-        if self.lifecycle.stopping:
-            self._continue_stop(now)
 
     def _prune_connections(self) -> None:
         """Close stale connections and update the limits on idle ones."""
@@ -564,13 +580,18 @@
             self._stop_signal_after = self._ticked_at
 
     def _stop(self) -> None:
-        self._reload()  # The grace period may have changed without a signal.
+        try:
+            self._reload()  # The grace period may have changed without a signal.
+        except Exception as exc:
+            self.log.write_exception("reading the settings before a stop", exc)
         now, grace_seconds = self._loop.time(), self._cfg.stop_seconds
         began = now if self._stop_signal_after is None else self._stop_signal_after
         lag = min(now - began, MAX_LAG_FRACTION * grace_seconds)
         if not self.lifecycle.stop(now - lag, grace_seconds):
             self.log.write("stop_repeated", phase=self.lifecycle.phase.name)
             return
+        # A timer of its own, so that errors in other periodic work can't hold it up.
+        self._timers.subscribe(TICK_INTERVAL_SECONDS, self._continue_stop)
         self.fleet_task.leases.stopping = True
         self.caller_server.close_after_responses()
         self.log.write("stopping", active=self.caller_server.pending_requests)
@@ -601,8 +622,9 @@
             dropped_lines=self.log.dropped,
         )
 
-    def _continue_stop(self, now: float) -> None:
+    def _continue_stop(self) -> None:
         """Carry out what the phases require that have come since the last call."""
+        now = self._loop.time()
         server, phase = self.caller_server, self.lifecycle.phase
         while True:
             deregistered = self._leave_task is not None and self._leave_task.done()
@@ -618,18 +640,23 @@
 
     def _enter_phase(self, phase: Phase) -> None:
         if phase is Phase.CLOSING:
+            self._leave_task = self._loop.create_task(self._leave())
             self.caller_server.stop_accepting()
-            leave = self.fleet_task.leave(LEAVE_TIMEOUT_SECONDS)
-            self._leave_task = self._loop.create_task(leave)
         elif phase is Phase.ENDING:
             self.caller_server.finish()
         elif phase is Phase.ENDED:
             self._start_task(self._end())
 
+    async def _leave(self) -> None:
+        try:
+            await self.fleet_task.leave(LEAVE_TIMEOUT_SECONDS)
+        except Exception as exc:
+            self.log.write_exception("deregistering this instance", exc)
+
     async def _end(self) -> None:
-        assert self._leave_task is not None
         try:
-            await self._leave_task
+            if self._leave_task is not None:
+                await self._leave_task
         finally:
             self._stopped.set()
 
--- a/arbutusflow/platform/settings.py
+++ b/arbutusflow/platform/settings.py
@@ -28,6 +28,8 @@
         return _decode(document)
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
         raise SettingsError(f"{path} cannot be read: {exc}") from exc
+    except RecursionError as exc:
+        raise SettingsError(f"{path} is nested too deeply") from exc
     except (KeyError, TypeError, ValueError, AttributeError, IndexError) as exc:
         raise SettingsError(f"{path}: a field is missing or invalid: {exc!r}") from exc
 
--- a/arbutusflow/runtime/timers.py
+++ b/arbutusflow/runtime/timers.py
@@ -5,12 +5,23 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 ErrorHandler = Callable[[str, BaseException], None]
 
 
+def run_each(
+    parts: Iterable[Callable[[float], None]], now: float, on_error: ErrorHandler
+) -> None:
+    """Call all parts of one piece of periodic work in order, also after an error."""
+    for part in parts:
+        try:
+            part(now)
+        except Exception as exc:
+            on_error("part of a timer callback failed", exc)
+
+
 class Timers(Protocol):
     """Interface for periodic callbacks."""
 
