Play planned stops with few descriptors, little memory or little processor time

The soak killed a process 7 s after SIGTERM although its grace period is 6 s, so an answer that came in between counted as given; now it kills after 6 s and counts the kills. New scenarios: starved (all instances on one core beside 8 busy processes), many and descriptors (1,200 callers, 150 descriptors), memory.

--- a/tests/soak/gateway_process.py
+++ b/tests/soak/gateway_process.py
@@ -4,8 +4,10 @@
 """
 
 import asyncio
+import dataclasses
 import os
 import pathlib
+import resource
 import signal
 import subprocess
 import sys
@@ -18,6 +20,24 @@
 from tests.loopback import free_ports, own_host
 
 ZONES = ("z0", "z1")
+GRACE_SECONDS = 6.0  # `graceS` of the settings; SIGKILL follows then.
+
+
+@dataclasses.dataclass(frozen=True)
+class ProcessLimits:
+    """What the processes of a run may use; None for no limit."""
+
+    max_fds: int | None = None
+    core: int | None = None  # The only core on which they run.
+    memory_mb: int | None = None  # `memoryMb` of the settings.
+
+    def apply(self) -> None:
+        """Limit the calling process, which has just been started."""
+        if self.max_fds is not None:
+            limits = (self.max_fds, self.max_fds)
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        if self.core is not None:
+            os.sched_setaffinity(0, {self.core})
 
 
 class GatewayProcess:
@@ -31,9 +51,11 @@
         product: pathlib.Path,
         on_signal: Callable[[str, int], None],
         first_zone: int | None = None,
+        limits: ProcessLimits | None = None,
     ) -> None:
         """Write the settings; `first_zone` is how many instances are in that zone."""
         self._product = product
+        self._limits = limits = limits or ProcessLimits()
         self._on_signal = on_signal
         self.name = f"n{number}"
         self.zone = ZONES[number % len(ZONES)]
@@ -55,7 +77,12 @@
             store_host=own_host(),
             store=store_port,
         )
+        if limits.memory_mb is not None:
+            self.settings = self.settings.replace(
+                "memoryMb = 300", f"memoryMb = {limits.memory_mb}"
+            )
         self.write_settings(self.settings)
+        self.kills = 0  # How often `end` had to kill the process.
         self.process: subprocess.Popen[bytes] | None = None
         self.started_at = 0.0  # On the clock of the run.
 
@@ -76,6 +103,7 @@
                 stderr=log,
                 # An interrupt of the terminal goes to the run only, which ends it.
                 start_new_session=True,
+                preexec_fn=self._limits.apply,
             )
 
     @property
@@ -96,18 +124,24 @@
             self.process.wait()
 
     async def end(self, number: int) -> None:
-        """Send a signal and wait until the process has ended; kill it after 7 s."""
+        """Send a signal and wait until the process has ended.
+
+        It is killed after the grace period, as the platform does.
+        """
         self.signal(signal.SIGCONT)
         self.signal(number)
         process = self.process
         if process is None:
             return
-        for _ in range(70):
-            if process.poll() is not None:
+        until = time.monotonic() + GRACE_SECONDS
+        while process.poll() is None:
+            remaining = until - time.monotonic()
+            if remaining <= 0.0:
+                self.kills += 1
+                process.kill()
+                process.wait()
                 return
-            await asyncio.sleep(0.1)
-        process.kill()
-        process.wait()
+            await asyncio.sleep(min(remaining, 0.1))
 
     @property
     def address(self) -> Address:
--- a/tests/soak/lost_audit.py
+++ b/tests/soak/lost_audit.py
@@ -13,8 +13,8 @@
 import dataclasses
 
 from tests.soak.callers import CallRecord
+from tests.soak.gateway_process import GRACE_SECONDS
 
-GRACE_SECONDS = 6.0  # `graceS` of the settings of the soak.
 WINDOW_SECONDS = GRACE_SECONDS + 1.0  # After SIGTERM.
 LOSS_SLACK_SECONDS = 0.2
 # A request sent later than this after SIGTERM is answered before the end in any case.
--- a/tests/soak/stop_report.py
+++ b/tests/soak/stop_report.py
@@ -32,6 +32,9 @@
     judged: dict[str, int]  # Number of requests by line of the rule.
     violations: list[str]
     stop_seconds: list[float]  # How long each stop took.
+    kills: int  # Stops that SIGKILL ended.
+    # When instances answered in place of endpoints, in seconds after SIGTERM.
+    final_answers: list[float]
     # How late this process, with its callers and endpoints, was at most. What was seen
     # has that much uncertainty.
     longest_lag: float
@@ -53,9 +56,13 @@
         """Return the figures of the run in one line."""
         statuses = dict(collections.Counter(call.status for call in self.calls))
         stops = sorted(self.stop_seconds) or [0.0]
+        finals = sorted(self.final_answers) or [0.0]
         return (
             f"{len(self.calls)} requests, {len(self.stop_seconds)} stops, median"
-            f" {stops[len(stops) // 2]:.2f} s, the longest {stops[-1]:.2f} s; answers"
+            f" {stops[len(stops) // 2]:.2f} s, the longest {stops[-1]:.2f} s,"
+            f" {self.kills} killed;"
+            f" {len(self.final_answers)} final answers of {finals[0]:.2f} to"
+            f" {finals[-1]:.2f} s after SIGTERM; answers"
             f" by status: {statuses}; lost: {len(self.lost)}; judged: {self.judged};"
             f" latency {self.latencies()}; {self.grants} grants, {self.moved_keys}"
             f" keys change hands, {self.store_calls} calls to the store;"
@@ -87,6 +94,7 @@
         self._reloads = reloads
         self._stops = stops
         self.lost: list[str] = []
+        self.final_answers: list[float] = []
         self.judged: collections.Counter[str] = collections.Counter()
         self._outside_stops: list[tuple[CallRecord, RequestRecord]] = []
         self._cut: list[str] = []  # By instances in touch.
@@ -127,6 +135,10 @@
         self._judge_in_touch(call, record, silent=silent)
         if any(at <= ended <= at + WINDOW_SECONDS for at in self._stops.get(name, ())):
             self.judged["stop"] += 1
+            if call.status == 502:
+                self.final_answers.append(
+                    ended - max(at for at in self._stops[name] if at <= ended)
+                )
             if is_lost(call, record, self._stops):
                 self.lost.append(self.describe(call))
         else:
--- a/tests/soak/stop_scenarios.py
+++ b/tests/soak/stop_scenarios.py
@@ -1,10 +1,13 @@
 """What runs of planned stops play: instances, callers, work, and troubles beside."""
 
 import dataclasses
+import os
 from typing import Any
 
 from tests.soak.callers import CallerHabits
+from tests.soak.gateway_process import ProcessLimits
 
+LAST_CORE = max(os.sched_getaffinity(0))
 LONG_TIMEOUT_SECONDS = 9.0  # Longer than any caller waits.
 
 
@@ -24,6 +27,9 @@
     running_limit: int | None = None  # Of each endpoint; the others wait there.
     timeout_range: tuple[float, float] = (LONG_TIMEOUT_SECONDS, LONG_TIMEOUT_SECONDS)
     idle_choices: tuple[float, ...] = ()  # Of the idle limit; each version draws one.
+    limits: ProcessLimits = ProcessLimits()  # Of each instance.
+    # Processes that spend all time they get, on the core of the instances.
+    busy_processes: int = 0
     at_once: int = 2  # Most instances that are stopped together.
     one_zone: bool = False  # Whether these are instances of one availability zone.
     gap_range: tuple[float, float] = (0.5, 2.0)  # From the start of one to the next.
@@ -129,6 +135,35 @@
         tail_share=0.2,
         tail_factor=2.0,
     ),
+    # The instances get little processor time.
+    "starved": _uneven(
+        work_range=(0.5, 4.0),
+        tail_share=0.2,
+        tail_factor=2.0,
+        limits=ProcessLimits(core=LAST_CORE),
+        busy_processes=8,
+    ),
+    # 200 connections at each instance, most of them idle.
+    "many": StopScenario(
+        callers=1200,
+        insistent=0.02,
+        habits=_habits(idle=0.95, idle_seconds=(2.0, 11.0)),
+        at_once=3,
+    ),
+    # The same, with fewer descriptors than connections.
+    "descriptors": StopScenario(
+        callers=1200,
+        insistent=0.02,
+        habits=_habits(idle=0.95, idle_seconds=(2.0, 11.0)),
+        limits=ProcessLimits(max_fds=150),
+        at_once=3,
+    ),
+    # The memory for bodies is full.
+    "memory": _uneven(
+        callers=60,
+        habits=_habits(uploads=0.8, upload_seconds=(0.2, 1.0)),
+        limits=ProcessLimits(memory_mb=8),
+    ),
     "timeouts": _uneven(timeout_range=(1.0, 1.5), configurations=0.5),
     "tessere": StopScenario(
         callers=60,
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -10,6 +10,8 @@
 import pathlib
 import random
 import signal
+import subprocess
+import sys
 import tempfile
 import time
 
@@ -17,7 +19,7 @@
 
 from tests.soak.audit import AuditedEndpoint
 from tests.soak.callers import Answer, Caller, CallerSocket, CallRecord
-from tests.soak.gateway_process import ZONES, GatewayProcess
+from tests.soak.gateway_process import ZONES, GatewayProcess, ProcessLimits
 from tests.soak.stop_report import StopJudge, StopReport, count_moved_keys
 from tests.soak.stop_scenarios import SCENARIOS, StopScenario
 from tests.soak.stop_troubles import Troubles
@@ -73,6 +75,8 @@
             dict(judge.judged),
             world.audit.violations,
             self._stop_seconds,
+            sum(gateway.kills for gateway in world.gateways),
+            judge.final_answers,
             world.lateness.longest_seconds,
             grants,
             moved,
@@ -184,6 +188,12 @@
                 sock.close()
 
 
+def _start_busy(limits: ProcessLimits) -> subprocess.Popen[bytes]:
+    """Start a process that spends all processor time that it gets."""
+    code = "while True: pass"
+    return subprocess.Popen([sys.executable, "-c", code], preexec_fn=limits.apply)
+
+
 async def play_stops(
     seed: int,
     directory: pathlib.Path,
@@ -194,6 +204,8 @@
     world = SoakWorld(seed, directory, scenario.instances, product)
     world.history.timeout_range = scenario.timeout_range
     world.history.idle_choices = scenario.idle_choices
+    world.limits = scenario.limits
+    busy = [_start_busy(scenario.limits) for _ in range(scenario.busy_processes)]
 
     def set_work(endpoint: AuditedEndpoint) -> None:
         endpoint.work_range = scenario.work_range
@@ -209,6 +221,9 @@
             set_work(endpoint)
         return await StopPlayer(world, scenario).run()
     finally:
+        for process in busy:
+            process.kill()
+            process.wait()
         await world.close()
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -19,7 +19,7 @@
 from tests.soak.callers import Answer
 from tests.soak.configurations import LASTING_ROUTES, MOVED_PREFIX, ConfigurationHistory
 from tests.soak.disturbances import Disturbances
-from tests.soak.gateway_process import ZONES, GatewayProcess
+from tests.soak.gateway_process import ZONES, GatewayProcess, ProcessLimits
 from tests.soak.judge import Judge
 from tests.soak.lateness import Lateness
 from tests.soak.load import KEYS, CallBook, LoadCaller, ProbeCaller
@@ -53,6 +53,7 @@
         self.store = ObjectStore()
         self.disturbances = Disturbances()
         self.lateness = Lateness()  # Of this process.
+        self.limits = ProcessLimits()  # Of each instance. Set before the start.
         self.timeout_seconds: float | None = None  # Of all routes, if one is set.
         self.history = ConfigurationHistory(self.rng)
         self.workload = Workload()  # Set before the start.
@@ -99,6 +100,7 @@
                 self._product,
                 self._record_signal,
                 self.workload.first_zone,
+                self.limits,
             )
             gateway.start()
             self.gateways.append(gateway)
