Serve the callers that the kernel has accepted when descriptors are short

Cause: with no free descriptor, asyncio logs an error for each of up to 1,024 attempts to accept, then pauses for 1 s; the instance stalls. When listening ended in such a time, the connections that the kernel held were reset, although their requests had been sent up to 0.75 s before. Idle connections of callers took the descriptors for connections to endpoints, and a local lack of them counted against the endpoint.

Callers' connections are limited to 0.6 of the descriptors (of `maxFds` less 200, and of the process); above that those that are idle for longest are closed. A lack of descriptors for an endpoint's connection ends the request with 503 and says nothing of the endpoint.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import functools
+import heapq
 from collections.abc import Awaitable, Callable
 
 import httptools
@@ -21,6 +22,8 @@
 # Reading pauses at this number of unanswered requests on a connection; the requests of
 # one received chunk may exceed it.
 MAX_PIPELINED_REQUESTS = 16
+# Idle connections that are closed at a time to make room for new ones.
+CLOSED_FOR_ROOM = 16
 # How long after its start a connection is not closed as idle by a planned stop.
 NEW_CONNECTION_SECONDS = 0.25
 # For a request whose body takes longer than any caller waits.
@@ -108,7 +111,10 @@
         self.stopping = False
         self.finished = False  # Whether `finish` was called.
         self.connections: set[CallerConnection] = set()
-        self._listener = Listener(lambda: CallerConnection(self), self._report_error)
+        self.max_connections: float = float("inf")
+        self._listener = Listener(
+            lambda: CallerConnection(self), self._report_error, self._has_room
+        )
 
     def _report_error(self, activity: str, exc: BaseException) -> None:
         self.on_error(activity, exc)
@@ -126,6 +132,19 @@
         """End listening soon, and keep the connections accepted until then."""
         self._listener.stop()
 
+    def _has_room(self) -> bool:
+        """Whether another connection may be accepted; else make room for the next."""
+        if len(self.connections) + self._listener.accepting < self.max_connections:
+            return True
+        longest_idle = heapq.nsmallest(
+            CLOSED_FOR_ROOM,
+            (conn for conn in self.connections if conn.is_idle),
+            key=lambda conn: conn.idle_since,
+        )
+        for conn in longest_idle:
+            conn.close_if_idle()
+        return False
+
     def close_after_responses(self) -> None:
         """Read no further requests on a connection after its next response.
 
@@ -193,7 +212,7 @@
         self._pipeline: collections.deque[_PipelinedRequest] = collections.deque()
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._opened_at = self._loop.time()
+        self._opened_at = self.idle_since = self._loop.time()
         self._input_closed = False  # No further input is processed.
         self._closing: TwoStepClose | None = None  # Set when the responses have ended.
         self._latest_request: CallerRequest | None = None  # That has a response.
@@ -239,6 +258,11 @@
         waiting = bool(self.pending_requests or unsent) or self._has_unread_input()
         return waiting or self._is_new or self.is_closing
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection may be closed without loss."""
+        return not (self.pending_requests or self._is_new or self.is_closing)
+
     def _has_unread_input(self) -> bool:
         """Whether bytes of the caller are read in the next iteration of the loop."""
         return (
@@ -471,6 +495,7 @@
                 self._close_after_response()
                 return
         if not self._pipeline:
+            self.idle_since = self._loop.time()
             if not self._request_started:
                 self._start_timer(self._server.limits.idle_seconds)
             elif not self._in_body:
@@ -535,7 +560,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless it is new or has a pending request."""
-        if not self.pending_requests and not self._is_new and not self.is_closing:
+        if self.is_idle:
             self._close_idle()
 
     # Timers and flow control.
--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import errno
 import socket
 import struct
 from collections.abc import Callable
@@ -31,6 +32,10 @@
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
+# Errors of connecting that tell that this process or its host lacks something.
+LOCAL_SHORTAGES = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
+)
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER on, with a timeout of 0 s.
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
@@ -106,7 +111,8 @@
                 )
         except (OSError, TimeoutError) as exc:
             detail = f"cannot connect to {address.host}:{address.port}: {exc!r}"
-            raise ExchangeError(detail, sent=False) from exc
+            local = isinstance(exc, OSError) and exc.errno in LOCAL_SHORTAGES
+            raise ExchangeError(detail, sent=False, local=local) from exc
         return conn
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -613,6 +613,8 @@
     ) -> None:
         now = self._loop.time()
         self._log_failed_attempt(ctx, state, exc.detail)
+        if exc.local:
+            raise self._final_error(ctx, "no_descriptors")
         state.record_outcome(True)
         if not exc.sent:
             state.mark_unreachable(now)
@@ -638,7 +640,9 @@
                 state.endpoint.address, at_most_once=False, timeout=1.0
             ):
                 self._broken_exchanges.pop(state.endpoint.process, None)
-        except ExchangeError:
+        except ExchangeError as exc:
+            if exc.local:
+                return
             now = self._loop.time()
             state.mark_unreachable(now)
             self._strike_recent_requests(state.endpoint.process, now)
--- a/arbutusflow/gateway/model.py
+++ b/arbutusflow/gateway/model.py
@@ -48,6 +48,8 @@
     retry_ratio: float
     retry_window_seconds: float
     retry_slack: float
+    # Of which some are for files; None if there is no limit but the system's.
+    max_descriptors: int | None = None
 
 
 class Repeatability(enum.Enum):
@@ -150,10 +152,13 @@
 class ExchangeError(Exception):
     """An exchange on a connection ended without a usable response.
 
-    `sent` is whether any byte of the request may have reached the other side.
+    `sent` is whether any byte of the request may have reached the other side, and
+    `local` whether this process lacked what the exchange needs, so that it says nothing
+    of the other side.
     """
 
-    def __init__(self, detail: str, *, sent: bool) -> None:
+    def __init__(self, detail: str, *, sent: bool, local: bool = False) -> None:
         super().__init__(detail)
         self.detail = detail
         self.sent = sent
+        self.local = local
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -4,6 +4,7 @@
 import collections
 import pathlib
 import random
+import resource
 import signal
 import types
 from collections.abc import Callable, Coroutine
@@ -81,6 +82,12 @@
 ENDPOINT_BATCH_SECONDS = 0.25
 BODY_MEMORY_FRACTION = 0.3  # Share of the memory limit available for request bodies.
 RESPONSE_MEMORY_FRACTION = 0.2  # The same for the bodies of responses.
+FILE_DESCRIPTORS = 200  # Of the limit on descriptors; not available to sockets.
+MAX_SOCKETS = 65_536  # If no limit is known.
+OWN_DESCRIPTORS = 20  # Listening sockets, connections to the store, and others.
+# Share of the rest for connections of callers; each request in progress needs another
+# one to an endpoint, and some of these stay open for reuse.
+CALLER_CONNECTIONS_FRACTION = 0.6
 LEAVE_TIMEOUT_SECONDS = 0.2  # For the write that deregisters this instance.
 # Strikes are repeated in all reports of this period, because datagrams can be lost.
 STRIKE_REPORT_SECONDS = 3.0
@@ -189,6 +196,7 @@
         self.caller_server = CallerServer(
             self.dispatcher.handle, BodyBudget(lambda: body_bytes), log.write_exception
         )
+        self.caller_server.max_connections = _max_connections(cfg)
         self.caller_server.read_seconds = _read_seconds
         self.caller_server.on_cut = self._log_cut
         self.readiness_server = CallerServer(
@@ -214,7 +222,10 @@
             )
             await metrics.start(cfg.peer_host, cfg.metrics_port)
         self.log.write(
-            "started", zone=cfg.zone, life=self.fleet_task.fleet.own_record.life
+            "started",
+            zone=cfg.zone,
+            life=self.fleet_task.fleet.own_record.life,
+            max_connections=self.caller_server.max_connections,
         )
         for period, callback in self._periodic_callbacks():
             self._timers.subscribe(period, callback)
@@ -661,6 +672,16 @@
             self._stopped.set()
 
 
+def _max_connections(cfg: GatewaySettings) -> int:
+    """Return how many connections of callers leave enough for those to endpoints."""
+    soft, _hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    known = [] if soft == resource.RLIM_INFINITY else [soft]
+    if cfg.max_descriptors is not None:
+        known.append(cfg.max_descriptors - FILE_DESCRIPTORS)
+    sockets = min(known, default=MAX_SOCKETS)
+    return max(1, int(CALLER_CONNECTIONS_FRACTION * (sockets - OWN_DESCRIPTORS)))
+
+
 def _read_seconds(headers: Headers) -> float:
     """Return within how many seconds a request has to be read: its deadline."""
     text = next((value for name, value in headers if name == wire.DEADLINE), b"")
--- a/arbutusflow/platform/settings.py
+++ b/arbutusflow/platform/settings.py
@@ -42,6 +42,10 @@
     return seconds
 
 
+def _count(value: Any) -> int | None:
+    return None if value is None else int(value)
+
+
 def _decode(document: dict[str, Any]) -> GatewaySettings:
     listen, bounds = document["listen"], document["bounds"]
     return GatewaySettings(
@@ -55,6 +59,7 @@
         store_address=Address.parse(document["provider"]["address"]),
         seeds=tuple(Address.parse(seed) for seed in document.get("seeds", ())),
         memory_bytes=int(float(document["limits"]["memoryMb"]) * 1_000_000),
+        max_descriptors=_count(document["limits"].get("maxFds")),
         stop_seconds=_period(bounds["graceS"]),
         drain_seconds=float(bounds["drainS"]),
         max_lease_seconds=float(bounds["maxHoldS"]),
--- /dev/null
+++ b/tests/gateway/test_descriptor_limits.py
@@ -0,0 +1,188 @@
+"""Connections while this process has few file descriptors, over real sockets."""
+
+import asyncio
+import contextlib
+import os
+import resource
+import socket
+
+import pytest
+
+from arbutusflow.domain.body_budget import BodyBudget
+from arbutusflow.gateway.caller_server import (
+    NEW_CONNECTION_SECONDS,
+    CallerResponse,
+    CallerServer,
+)
+from arbutusflow.gateway.client_connection import ClientConnection
+from arbutusflow.gateway.listener import REPORT_INTERVAL_SECONDS, RETRY_SECONDS
+from arbutusflow.gateway.model import Address, ExchangeError
+
+HOST = "127.0.0.1"
+GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+QUEUED_CONNECTIONS = 20
+WAIT_SECONDS = 20.0
+
+
+@contextlib.contextmanager
+def _no_descriptors():
+    """Let this process open no file or socket."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    unused = os.open(os.devnull, os.O_RDONLY)
+    os.close(unused)
+    # A descriptor below the highest one may be free.
+    fillers = []
+    highest = max(int(name) for name in os.listdir("/proc/self/fd"))
+    while unused < highest:
+        fillers.append(os.open(os.devnull, os.O_RDONLY))
+        unused = fillers[-1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (unused, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        for fd in fillers:
+            os.close(fd)
+
+
+async def _respond(req):
+    await asyncio.sleep(float(req.target[1:] or b"0"))
+    return CallerResponse(200, body=b"served")
+
+
+@contextlib.asynccontextmanager
+async def _serving(max_connections=None):
+    errors = []
+    server = CallerServer(
+        _respond, BodyBudget(lambda: 10**6), lambda during, exc: errors.append(exc)
+    )
+    if max_connections is not None:
+        server.max_connections = max_connections
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: errors.append(context["exception"]))
+    await server.start(HOST, 0)
+    try:
+        async with asyncio.timeout(WAIT_SECONDS):
+            yield server, errors
+    finally:
+        server.stop_accepting()
+
+
+def _new_sockets(count):
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.setblocking(False)
+    return socks
+
+
+async def _read(sock):
+    with contextlib.suppress(OSError):
+        return await asyncio.get_running_loop().sock_recv(sock, 65536)
+    return b"reset"
+
+
+@pytest.mark.parametrize("stops", [False, True], ids=["runs", "stops"])
+def test_connections_that_wait_for_a_descriptor_are_served(stops):
+    """Guards against resets of callers that the kernel has accepted.
+
+    They sent their requests long before this process had a descriptor for them.
+    """
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        async with _serving() as (server, errors):
+            early = _new_sockets(QUEUED_CONNECTIONS)
+            with _no_descriptors():
+                for sock in early:
+                    await loop.sock_connect(sock, (HOST, server.port))
+                    await loop.sock_sendall(sock, GET)
+                await asyncio.sleep(0.1)
+                if stops:
+                    server.close_after_responses()
+                    server.stop_accepting()
+                    await asyncio.sleep(0.1)
+                    assert server.is_busy
+                await asyncio.sleep(REPORT_INTERVAL_SECONDS / 2)
+            began = loop.time()
+            answers = await asyncio.gather(*(_read(sock) for sock in early))
+            seconds = loop.time() - began
+            for sock in early:
+                sock.close()
+        return answers, seconds, errors
+
+    answers, seconds, errors = asyncio.run(main())
+    assert all(answer.endswith(b"served") for answer in answers)
+    assert seconds < 0.5
+    # Reports take time of the event loop, and so keep callers waiting.
+    assert 1 <= len(errors) <= 2
+
+
+def test_a_lack_of_descriptors_is_no_fault_of_an_endpoint():
+    """Guards against endpoints that are taken for unreachable."""
+
+    async def main():
+        async with _serving() as (server, _errors):
+            address = Address(HOST, server.port)
+            with _no_descriptors(), pytest.raises(ExchangeError) as caught:
+                await ClientConnection.open(address, 1.0)
+            return caught.value
+
+    exc = asyncio.run(main())
+    assert (exc.sent, exc.local) == (False, True)
+
+
+def test_idle_connections_make_room_for_new_ones():
+    """Guards against callers that are never accepted, because idle ones hold all room.
+
+    The connection that has been idle for longest is closed first, a busy one never.
+    """
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        async with _serving(max_connections=3) as (server, _errors):
+            socks = _new_sockets(5)
+            busy, first, second, *late = socks
+            for sock, seconds in ((busy, 1.5), (first, 0), (second, 0)):
+                await loop.sock_connect(sock, (HOST, server.port))
+                await loop.sock_sendall(sock, GET.replace(b"/", b"/%.1f" % seconds, 1))
+                if sock is not busy:
+                    await _read(sock)
+            await asyncio.sleep(1.5 * NEW_CONNECTION_SECONDS)
+            for sock in late:
+                await loop.sock_connect(sock, (HOST, server.port))
+                await loop.sock_sendall(sock, GET)
+                assert (await _read(sock)).endswith(b"served")
+            closed = [await _read(first), await _read(second)]
+            answer = await _read(busy)
+            count = len(server.connections)
+            for sock in socks:
+                sock.close()
+        return closed, answer, count
+
+    closed, answer, count = asyncio.run(main())
+    assert closed == [b"", b""]
+    assert answer.endswith(b"served")
+    assert count <= 3
+
+
+def test_a_connection_waits_while_all_others_are_busy():
+    """Guards against busy connections that are closed for new ones."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        async with _serving(max_connections=1) as (server, _errors):
+            busy, late = socks = _new_sockets(2)
+            for sock in socks:
+                await loop.sock_connect(sock, (HOST, server.port))
+                head = GET.replace(b"/", b"/0.5", 1) if sock is busy else GET
+                await loop.sock_sendall(sock, head)
+            await asyncio.sleep(4 * RETRY_SECONDS)
+            waiting = len(server.connections)
+            answers = [await _read(sock) for sock in socks]
+            for sock in socks:
+                sock.close()
+        return waiting, answers
+
+    waiting, answers = asyncio.run(main())
+    assert waiting == 1
+    assert all(answer.endswith(b"served") for answer in answers)
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -45,6 +45,7 @@
 SERVER_ERROR = response(500, SIGNATURE_HEADER)
 CONNECTION_RESET = ExchangeError("reset", sent=True)
 NOT_CONNECTED = ExchangeError("no connection", sent=False)
+NO_DESCRIPTORS = ExchangeError("no descriptors", sent=False, local=True)
 NO_RESPONSE = None
 ARRIVES_AT_THE_END = object()  # Has arrived when the exchange is cancelled.
 
@@ -96,8 +97,8 @@
             outcome = (
                 self.outcomes.pop(0) if len(self.outcomes) > 1 else self.outcomes[0]
             )
-            if outcome is NOT_CONNECTED:
-                raise NOT_CONNECTED
+            if outcome in (NOT_CONNECTED, NO_DESCRIPTORS):
+                raise outcome
             self.sent.append(address.host)
             self.request_ids.append(request_id)
             yield _FakeConnection(outcome)
@@ -530,3 +531,15 @@
 def test_a_disconnect_still_cancels_the_request_of_a_running_instance(outcome):
     with pytest.raises(asyncio.CancelledError):
         handle(outcome, cancel_after=0.2)
+
+
+@pytest.mark.parametrize("partitioned", [False, True], ids=["any", "keyed"])
+def test_a_request_is_refused_while_this_process_has_no_descriptors(partitioned):
+    """Guards against a loop of attempts that all fail at once, until the deadline.
+
+    It says nothing of the endpoint, which must not count as unreachable.
+    """
+    reply, sent, seconds = handle(NO_DESCRIPTORS, partitioned=partitioned)
+    assert (reply.status, reply.body) == (503, b"no_descriptors\n")
+    assert sent == []
+    assert seconds < 0.1
