--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -4,6 +4,7 @@
 import collections
 import pathlib
 import random
+import resource
 import signal
 import types
 from collections.abc import Callable, Coroutine
@@ -64,7 +65,7 @@
     ENDPOINTS_KIND,
     StoreClient,
 )
-from arbutusflow.runtime.timers import TimerService
+from arbutusflow.runtime.timers import TimerService, run_each
 
 TICK_INTERVAL_SECONDS = 0.05
 # Largest part of the grace period that a signal counts as noticed late.
@@ -81,6 +82,12 @@
 ENDPOINT_BATCH_SECONDS = 0.25
 BODY_MEMORY_FRACTION = 0.3  # Share of the memory limit available for request bodies.
 RESPONSE_MEMORY_FRACTION = 0.2  # The same for the bodies of responses.
+FILE_DESCRIPTORS = 200  # Of the limit on descriptors; not available to sockets.
+MAX_SOCKETS = 65_536  # If no limit is known.
+OWN_DESCRIPTORS = 20  # Listening sockets, connections to the store, and others.
+# Share of the rest for connections of callers; each request in progress needs another
+# one to an endpoint, and some of these stay open for reuse.
+CALLER_CONNECTIONS_FRACTION = 0.6
 LEAVE_TIMEOUT_SECONDS = 0.2  # For the write that deregisters this instance.
 # Strikes are repeated in all reports of this period, because datagrams can be lost.
 STRIKE_REPORT_SECONDS = 3.0
@@ -120,6 +127,7 @@
         self._configuration: Configuration | None = None
         self._configuration_since = 0.0  # When it came into force.
         self.log = EventLog(cfg.instance)
+        self._timers = TimerService(self._loop, self.log.write_exception)
         self.metrics = GatewayMetrics()
         self._create_components()
 
@@ -188,6 +196,7 @@
         self.caller_server = CallerServer(
             self.dispatcher.handle, BodyBudget(lambda: body_bytes), log.write_exception
         )
+        self.caller_server.max_connections = _max_connections(cfg)
         self.caller_server.read_seconds = _read_seconds
         self.caller_server.on_cut = self._log_cut
         self.readiness_server = CallerServer(
@@ -213,11 +222,13 @@
             )
             await metrics.start(cfg.peer_host, cfg.metrics_port)
         self.log.write(
-            "started", zone=cfg.zone, life=self.fleet_task.fleet.own_record.life
+            "started",
+            zone=cfg.zone,
+            life=self.fleet_task.fleet.own_record.life,
+            max_connections=self.caller_server.max_connections,
         )
-        timers = TimerService(self._loop, self.log.write_exception)
         for period, callback in self._periodic_callbacks():
-            timers.subscribe(period, callback)
+            self._timers.subscribe(period, callback)
         for copy in (self.config_copy, self.endpoint_copy, self.fleet_task.copy):
             self._start_task(copy.run())
         await self._stopped.wait()
@@ -248,20 +259,36 @@
     def _start_task(self, coroutine: Coroutine[None, None, None]) -> None:
         task = self._loop.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._finish_task)
+
+    def _finish_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        exc = None if task.cancelled() else task.exception()
+        if exc is not None:
+            self.log.write_exception("a task of the process", exc)
 
     def _tick(self) -> None:
         now = self._loop.time()
         self._ticked_at = now
+        run_each(
+            (
+                self._expire_endpoints,
+                self.endpoints.remove_departed,
+                self.endpoints.expire_peer_reports,
+                self.fleet_task.tick,
+                self._check_ready,
+            ),
+            now,
+            self.log.write_exception,
+        )
+
+    def _expire_endpoints(self, now: float) -> None:
         if self.directory.expire(now):
             self._use_endpoints(now)
-        self.endpoints.remove_departed(now)
-        self.endpoints.expire_peer_reports(now)
-        self.fleet_task.tick(now)
+
+    def _check_ready(self, now: float) -> None:
         if self._configuration is not None and self.endpoint_copy.was_read:
             self.lifecycle.become_ready(now)
-        if self.lifecycle.stopping:
-            self._continue_stop(now)
 
     def _prune_connections(self) -> None:
         """Close stale connections and update the limits on idle ones."""
@@ -564,13 +591,18 @@
             self._stop_signal_after = self._ticked_at
 
     def _stop(self) -> None:
-        self._reload()  # The grace period may have changed without a signal.
+        try:
+            self._reload()  # The grace period may have changed without a signal.
+        except Exception as exc:
+            self.log.write_exception("reading the settings before a stop", exc)
         now, grace_seconds = self._loop.time(), self._cfg.stop_seconds
         began = now if self._stop_signal_after is None else self._stop_signal_after
         lag = min(now - began, MAX_LAG_FRACTION * grace_seconds)
         if not self.lifecycle.stop(now - lag, grace_seconds):
             self.log.write("stop_repeated", phase=self.lifecycle.phase.name)
             return
+        # A timer of its own, so that errors in other periodic work can't hold it up.
+        self._timers.subscribe(TICK_INTERVAL_SECONDS, self._continue_stop)
         self.fleet_task.leases.stopping = True
         self.caller_server.close_after_responses()
         self.log.write("stopping", active=self.caller_server.pending_requests)
@@ -601,8 +633,9 @@
             dropped_lines=self.log.dropped,
         )
 
-    def _continue_stop(self, now: float) -> None:
+    def _continue_stop(self) -> None:
         """Carry out what the phases require that have come since the last call."""
+        now = self._loop.time()
         server, phase = self.caller_server, self.lifecycle.phase
         while True:
             deregistered = self._leave_task is not None and self._leave_task.done()
@@ -618,22 +651,37 @@
 
     def _enter_phase(self, phase: Phase) -> None:
         if phase is Phase.CLOSING:
+            self._leave_task = self._loop.create_task(self._leave())
             self.caller_server.stop_accepting()
-            leave = self.fleet_task.leave(LEAVE_TIMEOUT_SECONDS)
-            self._leave_task = self._loop.create_task(leave)
         elif phase is Phase.ENDING:
             self.caller_server.finish()
         elif phase is Phase.ENDED:
             self._start_task(self._end())
 
+    async def _leave(self) -> None:
+        try:
+            await self.fleet_task.leave(LEAVE_TIMEOUT_SECONDS)
+        except Exception as exc:
+            self.log.write_exception("deregistering this instance", exc)
+
     async def _end(self) -> None:
-        assert self._leave_task is not None
         try:
-            await self._leave_task
+            if self._leave_task is not None:
+                await self._leave_task
         finally:
             self._stopped.set()
 
 
+def _max_connections(cfg: GatewaySettings) -> int:
+    """Return how many connections of callers leave enough for those to endpoints."""
+    soft, _hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    known = [] if soft == resource.RLIM_INFINITY else [soft]
+    if cfg.max_descriptors is not None:
+        known.append(cfg.max_descriptors - FILE_DESCRIPTORS)
+    sockets = min(known, default=MAX_SOCKETS)
+    return max(1, int(CALLER_CONNECTIONS_FRACTION * (sockets - OWN_DESCRIPTORS)))
+
+
 def _read_seconds(headers: Headers) -> float:
     """Return within how many seconds a request has to be read: its deadline."""
     text = next((value for name, value in headers if name == wire.DEADLINE), b"")
