Move errors, body budget and timers out of the earlier path

Cause: of domain/ and runtime/ the gateway and its adapter need three modules only: the exceptions, the budget for bodies and the timer service (import graph over all modules; adapters/, measure/ and the stand-ins of the earlier path are not reached from gateway/, platform/, the demo or the soak). Change: domain/errors.py becomes arbutusflow/errors.py, since every package raises or reports them; body_budget and timers become modules of gateway/. Import lines only.

--- a/arbutusflow/adapters/admin_client.py
+++ b/arbutusflow/adapters/admin_client.py
@@ -13,7 +13,7 @@
 
 from arbutusflow.adapters.admin_messages import ErrorResponse
 from arbutusflow.adapters.settings import Address
-from arbutusflow.domain.errors import (
+from arbutusflow.errors import (
     AdminUnreachableError,
     OutcomeUnknownError,
     RefusedError,
--- a/arbutusflow/adapters/caller_http.py
+++ b/arbutusflow/adapters/caller_http.py
@@ -19,9 +19,9 @@
 from arbutusflow.adapters.logs import log_exception
 from arbutusflow.adapters.metrics import refusal_reason
 from arbutusflow.adapters.peer_messages import ForwardReply, ForwardRequest
-from arbutusflow.domain.body_budget import SMALL_BODY_BYTES, BodyBudget
 from arbutusflow.domain.configuration import Configuration, Kind, Service
 from arbutusflow.domain.reasons import RefusalReason
+from arbutusflow.gateway.body_budget import SMALL_BODY_BYTES, BodyBudget
 from arbutusflow.request_ids import new_request_id
 
 MAX_DEADLINE_MS = 600_000
--- a/arbutusflow/adapters/documents.py
+++ b/arbutusflow/adapters/documents.py
@@ -12,7 +12,7 @@
 import msgspec.inspect as inspection
 import yaml
 
-from arbutusflow.domain.errors import SettingsError
+from arbutusflow.errors import SettingsError
 
 Document = TypeVar("Document")
 
--- a/arbutusflow/adapters/endpoint.py
+++ b/arbutusflow/adapters/endpoint.py
@@ -16,8 +16,8 @@
 import msgspec
 
 from arbutusflow.domain.configuration import Endpoint
-from arbutusflow.domain.errors import EndpointError
 from arbutusflow.domain.records import LeaseRenewal, LeaseReply, Token
+from arbutusflow.errors import EndpointError
 from arbutusflow.runtime.curl_loop import (
     CurlError,
     CurlLoop,
--- a/arbutusflow/adapters/peer.py
+++ b/arbutusflow/adapters/peer.py
@@ -33,7 +33,7 @@
     encode_frame,
 )
 from arbutusflow.adapters.settings import Address
-from arbutusflow.domain.errors import PeerError
+from arbutusflow.errors import PeerError
 
 STREAM_METHOD = "/arbutusflow.Peer/Stream"
 CONNECT_TIMEOUT_SECONDS = 0.5
--- a/arbutusflow/adapters/platform.py
+++ b/arbutusflow/adapters/platform.py
@@ -15,7 +15,7 @@
 import msgspec
 import pycurl
 
-from arbutusflow.domain.errors import PlatformUnavailableError
+from arbutusflow.errors import PlatformUnavailableError
 from arbutusflow.runtime.curl_loop import set_body
 
 CALL_TIMEOUT_MS = 2_000
--- a/arbutusflow/adapters/settings.py
+++ b/arbutusflow/adapters/settings.py
@@ -25,7 +25,7 @@
     Port,
     check_configuration,
 )
-from arbutusflow.domain.errors import SettingsError
+from arbutusflow.errors import SettingsError
 
 # Settings that a running process applies on SIGHUP.
 RELOADABLE_FIELDS = frozenset({"log_level", "statsd"})
--- a/arbutusflow/cli/changes.py
+++ b/arbutusflow/cli/changes.py
@@ -7,7 +7,7 @@
 import typer
 
 from arbutusflow.cli.options import print_json
-from arbutusflow.domain.errors import (
+from arbutusflow.errors import (
     OutcomeUnknownError,
     RefusedError,
     SettingsError,
--- a/arbutusflow/cli/exit_status.py
+++ b/arbutusflow/cli/exit_status.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from arbutusflow.domain.errors import (
+from arbutusflow.errors import (
     AdminUnreachableError,
     ArbutusflowError,
     OutcomeUnknownError,
--- a/arbutusflow/cli/explain.py
+++ b/arbutusflow/cli/explain.py
@@ -90,7 +90,7 @@
     ],
 ) -> None:
     """Print the events of a request in the logs of several instances, in order."""
-    from arbutusflow.domain.errors import RefusedError
+    from arbutusflow.errors import RefusedError
     from arbutusflow.gateway.trail import find_request_events, parse
 
     lines: list[str] = []
--- a/arbutusflow/cli/gateway.py
+++ b/arbutusflow/cli/gateway.py
@@ -3,7 +3,7 @@
 import typer
 
 from arbutusflow.cli.exit_status import exit_status_for
-from arbutusflow.domain.errors import ArbutusflowError
+from arbutusflow.errors import ArbutusflowError
 
 
 def gateway() -> None:
--- a/arbutusflow/cli/instances.py
+++ b/arbutusflow/cli/instances.py
@@ -6,7 +6,7 @@
 
 from arbutusflow.cli.exit_status import ExitStatus
 from arbutusflow.cli.options import JsonOption, print_json
-from arbutusflow.domain.errors import AdminUnreachableError
+from arbutusflow.errors import AdminUnreachableError
 
 if TYPE_CHECKING:
     from arbutusflow.gateway.instance_state import InstanceState
--- a/arbutusflow/cli/main.py
+++ b/arbutusflow/cli/main.py
@@ -23,7 +23,7 @@
 from arbutusflow.cli.exit_status import exit_status_for
 from arbutusflow.cli.instances import instances
 from arbutusflow.cli.status import status
-from arbutusflow.domain.errors import ArbutusflowError
+from arbutusflow.errors import ArbutusflowError
 
 EPILOG = (
     "Exit status: 0 success, 1 refused or failed (`config diff`: the documents "
--- a/arbutusflow/cli/zone.py
+++ b/arbutusflow/cli/zone.py
@@ -33,7 +33,7 @@
     """
     from arbutusflow.cli.changes import send_operations
     from arbutusflow.domain.configuration import DeclareZoneLost
-    from arbutusflow.domain.errors import SettingsError
+    from arbutusflow.errors import SettingsError
 
     if not all_stopped:
         raise SettingsError(
--- a/arbutusflow/domain/configuration.py
+++ b/arbutusflow/domain/configuration.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from arbutusflow.domain.errors import ConfigurationError
+from arbutusflow.errors import ConfigurationError
 
 # Operators look up the result of a patch within minutes after a lost answer.
 MAX_APPLIED_PATCHES = 256
--- a/arbutusflow/domain/membership.py
+++ b/arbutusflow/domain/membership.py
@@ -17,7 +17,6 @@
 import msgspec
 import xxhash
 
-from arbutusflow.domain.errors import SettingsError
 from arbutusflow.domain.membership_messages import (
     GONE_PROOFS,
     MAX_DATAGRAM_BYTES,
@@ -49,6 +48,7 @@
 )
 from arbutusflow.domain.placement import rendezvous_score
 from arbutusflow.domain.records import Proof
+from arbutusflow.errors import SettingsError
 
 TICK_SECONDS = 0.1
 PROBE_PERIOD_SECONDS = 0.5
--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from arbutusflow.domain.body_budget import BodyBudget
+from arbutusflow.gateway.body_budget import BodyBudget
 from arbutusflow.gateway.closing import TwoStepClose, unread_bytes, unsent_bytes
 from arbutusflow.gateway.listener import Listener
 from arbutusflow.gateway.model import CallerLimits
--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -14,7 +14,7 @@
 
 import httptools
 
-from arbutusflow.domain.body_budget import SMALL_BODY_BYTES, BodyBudget
+from arbutusflow.gateway.body_budget import SMALL_BODY_BYTES, BodyBudget
 from arbutusflow.gateway.model import Address, ExchangeError, HttpResponse
 
 # Responses are buffered completely; see docs/platform.md.
--- a/arbutusflow/gateway/configuration_updates.py
+++ b/arbutusflow/gateway/configuration_updates.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Generator
 from typing import Any
 
-from arbutusflow.domain.errors import ConfigurationError
+from arbutusflow.errors import ConfigurationError
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.model import Configuration
 
--- a/arbutusflow/gateway/connection_pool.py
+++ b/arbutusflow/gateway/connection_pool.py
@@ -8,7 +8,7 @@
 import contextlib
 from collections.abc import AsyncIterator
 
-from arbutusflow.domain.body_budget import BodyBudget
+from arbutusflow.gateway.body_budget import BodyBudget
 from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.model import Address, ExchangeError
 
--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from arbutusflow.domain.errors import ConflictError, PlatformError
+from arbutusflow.errors import ConflictError, PlatformError
 from arbutusflow.gateway import key_demand
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.event_log import EventLog
--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from arbutusflow.domain.errors import ConflictError, PlatformError
+from arbutusflow.errors import ConflictError, PlatformError
 from arbutusflow.gateway import key_planner
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.fleet import FLEET_KIND, TABLE_PREFIX, Fleet
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -10,12 +10,12 @@
 
 import msgspec
 
-from arbutusflow.domain.body_budget import BodyBudget
-from arbutusflow.domain.errors import (
+from arbutusflow.errors import (
     SettingsError,
 )
 from arbutusflow.gateway import key_demand
 from arbutusflow.gateway.admission import Admission
+from arbutusflow.gateway.body_budget import BodyBudget
 from arbutusflow.gateway.caller_server import (
     MAX_READ_SECONDS,
     CallerRequest,
@@ -56,6 +56,7 @@
 )
 from arbutusflow.gateway.retry_budget import RetryBudget
 from arbutusflow.gateway.store_watch import ObjectCopy
+from arbutusflow.gateway.timers import TimerService
 from arbutusflow.platform import wire
 from arbutusflow.platform.documents import decode_configuration_in_steps
 from arbutusflow.platform.store import (
@@ -64,7 +65,6 @@
     ENDPOINTS_KIND,
     StoreClient,
 )
-from arbutusflow.runtime.timers import TimerService
 
 TICK_INTERVAL_SECONDS = 0.05
 # Largest part of the grace period that a signal counts as noticed late.
--- a/arbutusflow/gateway/store_probes.py
+++ b/arbutusflow/gateway/store_probes.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
-from arbutusflow.domain.errors import PlatformError
+from arbutusflow.errors import PlatformError
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform.store import StoreClient
 
--- a/arbutusflow/gateway/store_watch.py
+++ b/arbutusflow/gateway/store_watch.py
@@ -14,7 +14,7 @@
 import random
 from collections.abc import Callable, Iterable
 
-from arbutusflow.domain.errors import HistoryGoneError, PlatformError
+from arbutusflow.errors import HistoryGoneError, PlatformError
 from arbutusflow.gateway.client_connection import ResponseProgress
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.platform.store import (
--- a/arbutusflow/measure/results.py
+++ b/arbutusflow/measure/results.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from arbutusflow.domain.errors import ArbutusflowError
+from arbutusflow.errors import ArbutusflowError
 
 DECIMAL_PLACES = 9  # Hides rounding errors of sums of clock steps.
 TOLERANCE = 10.0**-DECIMAL_PLACES
--- a/arbutusflow/platform/documents.py
+++ b/arbutusflow/platform/documents.py
@@ -4,7 +4,7 @@
 from collections.abc import Generator
 from typing import Any
 
-from arbutusflow.domain.errors import ConfigurationError
+from arbutusflow.errors import ConfigurationError
 from arbutusflow.gateway.model import (
     Address,
     CallerLimits,
--- a/arbutusflow/platform/entries.py
+++ b/arbutusflow/platform/entries.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from arbutusflow.domain.errors import PlatformError
+from arbutusflow.errors import PlatformError
 
 _STRING = rb'"[^"\\]*(?:\\.[^"\\]*)*"'
 _TOKEN = re.compile(rb"%b|[\[{]+|[\]}]+|," % _STRING, re.DOTALL)
--- a/arbutusflow/platform/settings.py
+++ b/arbutusflow/platform/settings.py
@@ -5,7 +5,7 @@
 import tomllib
 from typing import Any
 
-from arbutusflow.domain.errors import SettingsError
+from arbutusflow.errors import SettingsError
 from arbutusflow.gateway.model import Address, GatewaySettings
 
 SETTINGS_VARIABLE = "ARBUTUSFLOW_CONFIG"
--- a/arbutusflow/platform/store.py
+++ b/arbutusflow/platform/store.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from arbutusflow.domain.errors import (
+from arbutusflow.errors import (
     ConflictError,
     HistoryGoneError,
     PlatformError,
--- a/arbutusflow/runtime/control.py
+++ b/arbutusflow/runtime/control.py
@@ -38,7 +38,6 @@
     PatchResult,
     apply_patch,
 )
-from arbutusflow.domain.errors import EndpointError, PlatformUnavailableError
 from arbutusflow.domain.ownership import OwnershipCore
 from arbutusflow.domain.ownership_messages import (
     Action,
@@ -67,8 +66,9 @@
 from arbutusflow.domain.ownership_state import RECORD_PREFIX, TABLE_PREFIX
 from arbutusflow.domain.partitions import EncodedTable
 from arbutusflow.domain.records import Decision, EndpointRecord
+from arbutusflow.errors import EndpointError, PlatformUnavailableError
+from arbutusflow.gateway.timers import Timers
 from arbutusflow.runtime.curl_loop import CurlError
-from arbutusflow.runtime.timers import Timers
 
 TICK_SECONDS = 0.1
 ANTI_ENTROPY_INTERVAL_SECONDS = 1.0
--- a/arbutusflow/runtime/curl_loop.py
+++ b/arbutusflow/runtime/curl_loop.py
@@ -23,7 +23,7 @@
 
 import pycurl
 
-from arbutusflow.domain.errors import EndpointError
+from arbutusflow.errors import EndpointError
 
 CONNECT_TIMEOUT_MS = 300  # Connecting to an endpoint takes about 1 ms.
 # A middlebox may silently drop connections that were idle for longer.
--- a/arbutusflow/runtime/entry.py
+++ b/arbutusflow/runtime/entry.py
@@ -42,7 +42,6 @@
     EntrySettings,
 )
 from arbutusflow.domain.configuration import Configuration
-from arbutusflow.domain.errors import SettingsError
 from arbutusflow.domain.membership import MembershipCore
 from arbutusflow.domain.membership_messages import (
     Address as MemberAddress,
@@ -58,13 +57,14 @@
     UnitDrained,
 )
 from arbutusflow.domain.records import Proof
+from arbutusflow.errors import SettingsError
+from arbutusflow.gateway.timers import TimerService
 from arbutusflow.runtime.control import ControlTask
 from arbutusflow.runtime.curl_loop import CurlLoop
 from arbutusflow.runtime.membership_task import MembershipTask
 from arbutusflow.runtime.observer import COORDINATOR_ROLE, ENTRY_ROLE, Observer
 from arbutusflow.runtime.peers import PeerDirectory
 from arbutusflow.runtime.request_log import RequestLog
-from arbutusflow.runtime.timers import TimerService
 from arbutusflow.runtime.traffic import TrafficTask
 
 # Lets the load balancer notice the failed readiness check before connections close.
--- a/arbutusflow/runtime/observer.py
+++ b/arbutusflow/runtime/observer.py
@@ -17,9 +17,9 @@
 from arbutusflow.adapters.peer_messages import ForwardReply, ForwardRequest
 from arbutusflow.domain.partitions import unit_of_key
 from arbutusflow.domain.reasons import RefusalReason, RetryReason
+from arbutusflow.gateway.timers import Timers
 from arbutusflow.runtime.control import ControlTask
 from arbutusflow.runtime.request_log import RequestLog, RequestOutcome
-from arbutusflow.runtime.timers import Timers
 
 RequestHandler = Callable[[ForwardRequest], Awaitable[ForwardReply]]
 
--- a/arbutusflow/runtime/traffic.py
+++ b/arbutusflow/runtime/traffic.py
@@ -25,7 +25,6 @@
     HistoryTransfer,
 )
 from arbutusflow.domain.admission import Drained, EndpointQueue
-from arbutusflow.domain.body_budget import SMALL_BODY_BYTES, BodyBudget
 from arbutusflow.domain.configuration import Configuration, Endpoint, Kind, Service
 from arbutusflow.domain.delivery import Delivery
 from arbutusflow.domain.delivery_messages import (
@@ -57,8 +56,9 @@
 from arbutusflow.domain.partitions import unit_of_key
 from arbutusflow.domain.reasons import Outcome, Refusal, RefusalReason, RetryReason
 from arbutusflow.domain.records import Token
+from arbutusflow.gateway.body_budget import SMALL_BODY_BYTES, BodyBudget
+from arbutusflow.gateway.timers import Timers
 from arbutusflow.runtime.curl_loop import CurlError, CurlResponse
-from arbutusflow.runtime.timers import Timers
 from arbutusflow.runtime.unit_histories import UnitHistories
 
 ROUTE_RETRY_SECONDS = 0.02
--- a/tests/gateway/object_platform.py
+++ b/tests/gateway/object_platform.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from arbutusflow.domain.body_budget import BodyBudget
+from arbutusflow.gateway.body_budget import BodyBudget
 from arbutusflow.gateway.caller_server import (
     CallerRequest,
     CallerResponse,
--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -20,7 +20,7 @@
 
 import msgspec
 
-from arbutusflow.domain.errors import (
+from arbutusflow.errors import (
     ConflictError,
     HistoryGoneError,
     PlatformUnavailableError,
--- a/tests/gateway/test_boundary.py
+++ b/tests/gateway/test_boundary.py
@@ -29,7 +29,7 @@
         imported = re.findall(
             r"^from arbutusflow\.(\S+) import", path.read_text(), re.M
         )
-        allowed = {"domain.errors", "gateway.model", "gateway.client_connection"}
+        allowed = {"errors", "gateway.model", "gateway.client_connection"}
         # Its own modules are all checked here, so they bring in nothing else.
         others = {name for name in imported if name.split(".")[0] != "platform"}
         assert others <= allowed, path.name
--- a/tests/gateway/test_caller_server.py
+++ b/tests/gateway/test_caller_server.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from arbutusflow.domain.body_budget import BodyBudget
+from arbutusflow.gateway.body_budget import BodyBudget
 from arbutusflow.gateway.caller_server import (
     CallerConnection,
     CallerResponse,
--- a/tests/gateway/test_documents.py
+++ b/tests/gateway/test_documents.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from arbutusflow.domain.errors import ConfigurationError, SettingsError
+from arbutusflow.errors import ConfigurationError, SettingsError
 from arbutusflow.gateway.model import Address, Repeatability
 from arbutusflow.platform import wire
 from arbutusflow.platform.documents import decode_configuration, decode_endpoint
--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from arbutusflow.domain.body_budget import BodyBudget
+from arbutusflow.gateway.body_budget import BodyBudget
 from arbutusflow.gateway.caller_server import (
     CallerConnection,
     CallerResponse,
--- a/tests/gateway/test_fuzzing.py
+++ b/tests/gateway/test_fuzzing.py
@@ -11,8 +11,8 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from arbutusflow.domain.body_budget import BodyBudget
-from arbutusflow.domain.errors import ConfigurationError
+from arbutusflow.errors import ConfigurationError
+from arbutusflow.gateway.body_budget import BodyBudget
 from arbutusflow.gateway.caller_server import (
     CallerConnection,
     CallerResponse,
--- a/tests/gateway/test_statements_over_connections.py
+++ b/tests/gateway/test_statements_over_connections.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from arbutusflow.domain.body_budget import BodyBudget
+from arbutusflow.gateway.body_budget import BodyBudget
 from arbutusflow.gateway.caller_server import CallerResponse, CallerServer
 from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.endpoint_load import MAX_WAIT_SPREAD_SECONDS
--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from arbutusflow.domain.errors import PlatformUnavailableError
+from arbutusflow.errors import PlatformUnavailableError
 from arbutusflow.gateway.store_watch import ObjectCopy
 from tests.gateway.fakes import FakeLog
 from tests.gateway.sim_fleet import SimStore, SimStoreClient
--- a/tests/gateway/test_unreadable_entries.py
+++ b/tests/gateway/test_unreadable_entries.py
@@ -12,7 +12,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from arbutusflow.domain.errors import PlatformError
+from arbutusflow.errors import PlatformError
 from arbutusflow.gateway.client_connection import ResponseProgress
 from arbutusflow.gateway.endpoint_directory import EndpointDirectory
 from arbutusflow.gateway.model import Address, HttpResponse
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -28,7 +28,6 @@
     Rank,
     Service,
 )
-from arbutusflow.domain.errors import SettingsError
 from arbutusflow.domain.membership_messages import ZoneDeclaredLost
 from arbutusflow.domain.ownership import OwnershipCore
 from arbutusflow.domain.ownership_messages import (
@@ -38,6 +37,7 @@
 )
 from arbutusflow.domain.reasons import RetryReason
 from arbutusflow.domain.records import Proof
+from arbutusflow.errors import SettingsError
 from arbutusflow.runtime import entry
 from arbutusflow.runtime.entry import EntryProcess
 from arbutusflow.runtime.observer import COORDINATOR_ROLE, ENTRY_ROLE, Observer
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,7 +7,6 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from arbutusflow.domain.errors import SettingsError
 from arbutusflow.domain.membership import (
     MAX_TOMBSTONES,
     PLATFORM_LIST_LAG_SECONDS,
@@ -41,6 +40,7 @@
     ZoneDeclaredLost,
 )
 from arbutusflow.domain.records import Proof
+from arbutusflow.errors import SettingsError
 from arbutusflow.measure.membership import (
     SimulatedNetwork,
     build_network,
--- a/tests/test_object_store.py
+++ b/tests/test_object_store.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from arbutusflow.domain.errors import ConflictError
+from arbutusflow.errors import ConflictError
 from arbutusflow.gateway.client_connection import ResponseProgress
 from arbutusflow.gateway.model import Address
 from arbutusflow.platform.documents import decode_configuration, decode_endpoint
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -27,7 +27,7 @@
     Service,
     apply_patch,
 )
-from arbutusflow.domain.errors import SettingsError
+from arbutusflow.errors import SettingsError
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 SETTINGS = """\
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -22,7 +22,7 @@
 from arbutusflow.adapters.peer_messages import VersionsReply, VersionsRequest
 from arbutusflow.adapters.platform import PlatformClient
 from arbutusflow.adapters.settings import Address
-from arbutusflow.domain.errors import PlatformUnavailableError
+from arbutusflow.errors import PlatformUnavailableError
 from arbutusflow.runtime.curl_loop import (
     AVOID_POOL_SECONDS,
     CurlError,
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -13,8 +13,8 @@
 from arbutusflow.adapters.peer import PeerLink, peer_server
 from arbutusflow.adapters.peer_messages import ForwardReply
 from arbutusflow.adapters.settings import Address
-from arbutusflow.domain.body_budget import SMALL_BODY_BYTES
 from arbutusflow.domain.configuration import Configuration, Limits
+from arbutusflow.gateway.body_budget import SMALL_BODY_BYTES
 from arbutusflow.runtime.traffic import TrafficTask
 from tests.loopback import free_ports, own_host
 from tests.test_cancellation import CFG, SCOPE, request
