Name the addresses when the gateway cannot listen

Cause: a gateway whose address was in use ended with a traceback and status 1; only the entry process of the earlier path ended with one sentence, and its test guarded only that (test_address_in_use_is_named, 3 cases). Change: the command turns an address that is in use or not of this host into one sentence and status 2, with the addresses of the settings; the error of a datagram socket does not name its own. Other errors stay as they are.

--- a/arbutusflow/cli/gateway.py
+++ b/arbutusflow/cli/gateway.py
@@ -1,9 +1,15 @@
 """Command that runs an entry instance on the platform."""
 
+import errno
+from typing import TYPE_CHECKING
+
 import typer
 
 from arbutusflow.cli.exit_status import exit_status_for
-from arbutusflow.errors import ArbutusflowError
+from arbutusflow.errors import ArbutusflowError, SettingsError
+
+if TYPE_CHECKING:
+    from arbutusflow.gateway.model import GatewaySettings
 
 
 def gateway() -> None:
@@ -18,4 +24,30 @@
         raise typer.Exit(exit_status_for(exc)) from exc
     from arbutusflow.gateway.process import run_gateway
 
-    run_gateway(cfg, path)
+    try:
+        run_gateway(cfg, path)
+    except OSError as exc:
+        if exc.errno not in (errno.EADDRINUSE, errno.EADDRNOTAVAIL):
+            raise
+        raise _listen_error(cfg, exc) from exc
+
+
+def _listen_error(cfg: "GatewaySettings", exc: OSError) -> SettingsError:
+    """Return the error for addresses of which one cannot be bound.
+
+    The error of a datagram socket does not say which one, so all are named.
+    """
+    addresses = [
+        f"{address.host}:{address.port}"
+        for address in (cfg.caller_address, cfg.readiness_address)
+    ]
+    addresses += [
+        f"{cfg.peer_host}:{port}"
+        for port in (cfg.metrics_port, cfg.peer_port)
+        if port is not None
+    ]
+    return SettingsError(
+        f"cannot listen on {', '.join(addresses[:-1])} and {addresses[-1]} (datagrams):"
+        f" {exc.strerror}; stop the process that uses the address, or name another one "
+        "in the settings file"
+    )
