Read the state of instances without the earlier path's client

Cause: `arbutusflow instances` used the admin client of the earlier path, whose changes, queries and patches no instance of the platform takes. Change: cli/state_client reads the state, nothing else; the error of an instance that does not respond is named after it. A malformed address stays a usage error.

--- a/arbutusflow/adapters/admin_client.py
+++ b/arbutusflow/adapters/admin_client.py
@@ -14,7 +14,7 @@
 from arbutusflow.adapters.admin_messages import ErrorResponse
 from arbutusflow.adapters.settings import Address
 from arbutusflow.errors import (
-    AdminUnreachableError,
+    InstanceUnreachableError,
     OutcomeUnknownError,
     RefusedError,
 )
@@ -81,7 +81,7 @@
         try:
             conn.connect()
         except (OSError, UnicodeError) as exc:
-            raise AdminUnreachableError(
+            raise InstanceUnreachableError(
                 f"no entry instance is reachable at {self._label} ({exc}); pass the "
                 "admin address of a running instance with --admin or ARBUTUSFLOW_ADMIN"
             ) from exc
@@ -93,7 +93,7 @@
             return response.status, response.read()
         except (OSError, http.client.HTTPException) as exc:
             if method == "GET":
-                raise AdminUnreachableError(
+                raise InstanceUnreachableError(
                     f"{self._label} did not respond ({exc}); try another instance"
                 ) from exc
             raise OutcomeUnknownError(
--- a/arbutusflow/cli/exit_status.py
+++ b/arbutusflow/cli/exit_status.py
@@ -3,8 +3,8 @@
 import enum
 
 from arbutusflow.errors import (
-    AdminUnreachableError,
     ArbutusflowError,
+    InstanceUnreachableError,
     OutcomeUnknownError,
     SettingsError,
 )
@@ -25,7 +25,7 @@
     match exc:
         case SettingsError():
             return ExitStatus.INVALID_INPUT
-        case AdminUnreachableError():
+        case InstanceUnreachableError():
             return ExitStatus.UNREACHABLE
         case OutcomeUnknownError():
             return ExitStatus.UNKNOWN
--- a/arbutusflow/cli/instances.py
+++ b/arbutusflow/cli/instances.py
@@ -6,7 +6,7 @@
 
 from arbutusflow.cli.exit_status import ExitStatus
 from arbutusflow.cli.options import JsonOption, print_json
-from arbutusflow.errors import AdminUnreachableError
+from arbutusflow.errors import InstanceUnreachableError
 
 if TYPE_CHECKING:
     from arbutusflow.gateway.instance_state import InstanceState
@@ -25,17 +25,14 @@
 
     Exit status 3 if one of them does not respond.
     """
-    from arbutusflow.adapters.admin_client import AdminClient
-    from arbutusflow.gateway.instance_state import STATE_PATH, InstanceState
+    from arbutusflow.cli.state_client import read_state
 
     states: dict[str, InstanceState | None] = {}
     for address in addresses:
-        client = AdminClient.from_text(address)
         try:
-            states[address] = client.get(STATE_PATH, InstanceState)
-        except AdminUnreachableError as exc:
-            cause = f" ({exc.__cause__})" if exc.__cause__ else ""
-            typer.echo(f"arbutusflow: {address} does not respond{cause}", err=True)
+            states[address] = read_state(address)
+        except InstanceUnreachableError as exc:
+            typer.echo(f"arbutusflow: {address} does not respond ({exc})", err=True)
             states[address] = None
     if as_json:
         print_json(states)
--- a/arbutusflow/errors.py
+++ b/arbutusflow/errors.py
@@ -20,8 +20,8 @@
     """An entry instance rejected an operator's request; nothing changed."""
 
 
-class AdminUnreachableError(ArbutusflowError):
-    """An entry instance could not be reached; nothing changed."""
+class InstanceUnreachableError(ArbutusflowError):
+    """An instance did not respond; nothing changed."""
 
 
 class OutcomeUnknownError(ArbutusflowError):
--- a/tests/gateway/test_instance_state.py
+++ b/tests/gateway/test_instance_state.py
@@ -1,6 +1,7 @@
 """What operators see of an instance, from its state to the command line."""
 
 import json
+import socket
 import threading
 from http.server import BaseHTTPRequestHandler, HTTPServer
 
@@ -73,6 +74,65 @@
     assert "127.0.0.1:1 does not respond" in result.stderr
 
 
+@pytest.fixture
+def respond():
+    """Return a function that starts a server for one request with a fixed response."""
+    threads = []
+
+    def start(response):
+        server = socket.create_server(("127.0.0.1", 0))
+
+        def serve():
+            conn, _ = server.accept()
+            with server, conn:
+                conn.recv(65_536)
+                conn.sendall(response)
+
+        threads.append(threading.Thread(target=serve))
+        threads[-1].start()
+        return f"127.0.0.1:{server.getsockname()[1]}"
+
+    yield start
+    for thread in threads:
+        thread.join()
+
+
+@pytest.mark.parametrize(
+    ("response", "status"),
+    [
+        (b"", 3),
+        (b"HTTP/1.1 200 OK\r\nContent-Le", 1),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}", 3),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", 1),
+        (b"HTTP/1.1 404 No\r\nContent-Length: 2\r\n\r\nno", 1),
+    ],
+)
+def test_malformed_responses(respond, response, status):
+    """Guards against a traceback, and against a state that was not read whole."""
+    result = run(respond(response))
+    assert result.exit_code == status
+    assert result.stderr.startswith("arbutusflow: 127.0.0.1:")
+    assert len(result.stderr.splitlines()) == 1
+
+
+def test_a_refused_connection_has_exit_status_3():
+    """Guards against a traceback for an instance that does not run."""
+    # A bound port that does not listen refuses, and no other process can take it.
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        result = run(f"127.0.0.1:{sock.getsockname()[1]}")
+    assert result.exit_code == 3
+    assert "does not respond ([Errno 111] Connection refused)" in result.stderr
+
+
+@pytest.mark.parametrize("text", ["", "host", "host:", ":1", "h:0", "h:65536", "h:x"])
+def test_a_malformed_address_is_a_usage_error(text):
+    """Guards against a traceback for a mistyped address."""
+    result = run(text)
+    assert result.exit_code == 2
+    assert "write host:port" in result.stderr
+
+
 def test_a_stop_shows_in_the_state_of_the_instance(tmp_path):
     """Guards against a state that goes on saying ready after SIGTERM."""
 
