Remove the measurements of the earlier path

Cause: `arbutusflow measure` and the probes on real processes measured the earlier path only; what the platform runs is measured by its bench, by tests/soak and by `make demo`.

--- a/arbutusflow/cli/main.py
+++ b/arbutusflow/cli/main.py
@@ -15,7 +15,6 @@
     entry,
     explain,
     gateway,
-    measure,
     reference,
     standin,
     zone,
@@ -63,7 +62,6 @@
 app.add_typer(zone.app, name="zone")
 app.add_typer(reference.app, name="reference")
 app.add_typer(standin.app, name="standin")
-app.add_typer(measure.app, name="measure")
 
 
 @app.command()
