Remove the entry process of the earlier path

Cause: two products lay in one repository; `arbutusflow entry` with its commands spoke to a platform that nobody runs. The import graph shows that gateway/, platform/, the demo and the soak reach nothing of it. Change: runtime/, adapters/, their stand-ins (endpoint_server, silent_relay), examples/ and the commands entry, config, status, explain key, explain request, drain, zone and standin go; `--help` shows gateway, instances, explain trail, reference and version; exit status 4 is gone with the changes that could end so. The binary test starts and stops a gateway and reads its state, as it did with an entry process. test_documented_commands now also requires that each command is on a page, instead of more than 20 quotations.

Removed tests: what they guarded, and what guards it now ("none": the rule or its code does not exist in the gateway, so nothing can fail there). test_caller_http: invalid requests -> test_bad_input_gets_one_response_..., test_damaged_requests_are_answered_the_same_way_in_any_pieces, the refusals of test_dispatch; forwarded with its content, large body unchanged -> test_whole_path; spellings of an identifier -> none, identifiers are passed on unread; header that never ends -> test_a_head_or_trailer_of_a_caller_is_ cut_off_at_its_limit; upload size and receive timeout -> test_caller_limits; not in time -> test_an_incomplete_request_times_out; connection without a request -> test_an_idle_connection_is_closed_...; connections over a limit -> none; refusal before an earlier response -> test_responses_are_sent_in_ request_order, test_a_body_that_is_late_behind_a_pending_request_...; disconnect -> test_a_request_is_cancelled_on_disconnect_only_if_cancellable; Retry-After -> test_a_request_refused_by_all_attempts_gets_503_with_retry_ after; internal error -> test_a_handler_exception_is_logged_...; response in one call -> none (a cost, no rule). test_cancellation (5): caller leaves, stays -> the same test of test_caller_server, test_a_disconnect_still_cancels_the_request_of_a_ running_instance; coordinator, stand-in, forwarding -> none, one hop. test_cli: config get/diff/check/patch/history, refused patch, unknown outcome, drain endpoint, drain entry, zone, explain key, explain request, status, bounded request log -> none; malformed responses and refused connection -> test_instance_state. test_crash_strikes (1) -> test_suspect_requests, test_statement_reports. test_curl_loop (4): no resend by the library, recent connection for work that runs once, reused handles, timers -> none (no libcurl); of the gateway's connections: test_client_connection, test_answer_matching. test_drain_notices (2) -> test_any_answer_can_say_that_its_endpoint_leaves, test_keys_move_from_an_endpoint_that_says_that_it_leaves. test_entry_process: reload (2), log without content and identifiers (2) -> test_reload; address in use -> test_addresses_in_use; TCP_NODELAY -> none, asyncio sets it on all its connections; request of a caller that left, retry counts, identifiers ahead of the clock, log levels, lost zone, cancel at the peer -> none. test_relay (1) -> test_a_granter_tells_its_followers_of_a_change_at_once. test_silent_connections (8): pool, progress, idle -> test_client_connection, test_a_request_at_an_endpoint_that_is_silent_for_a_while_goes_on, test_a_ connection_is_closed_after_a_number_of_exchanges; platform calls -> test_a_ dropped_call_times_out_early; peer streams (3) -> none, datagrams. test_unit_histories (10) -> none: no history, each attempt has its own identifier; that work in flight delays a move is guarded by test_keys_are_ not_reassigned_before_release_or_expiry. test_uploads (3): budget -> test_a_body_over_the_memory_budget_..., test_ caller_limits; coordinator's budget, frames -> none. test_settings: YAML errors, defaults, examples, log level, addresses -> test_documents, test_reload, test_a_malformed_address_is_a_usage_error; its two tests of lost zones moved to test_configuration. test_reference: example YAML files -> test_the_settings_file_of_an_instance_ is_valid; statsd (3) -> test_every_value_of_the_process_is_listed. test_membership: two of its task -> test_damaged_datagrams_end_no_handler.

--- a/arbutusflow/adapters/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""I/O adapters around the domain logic: sockets, codecs and files."""
--- a/arbutusflow/cli/exit_status.py
+++ b/arbutusflow/cli/exit_status.py
@@ -5,7 +5,6 @@
 from arbutusflow.errors import (
     ArbutusflowError,
     InstanceUnreachableError,
-    OutcomeUnknownError,
     SettingsError,
 )
 
@@ -16,8 +15,7 @@
     DONE = 0
     FAILED = 1  # Refused, or an error without a status of its own.
     INVALID_INPUT = 2  # An invalid file or argument.
-    UNREACHABLE = 3  # No response from the admin address.
-    UNKNOWN = 4  # A change was sent and may have taken effect.
+    UNREACHABLE = 3  # No response from an instance.
 
 
 def exit_status_for(exc: ArbutusflowError) -> ExitStatus:
@@ -27,7 +25,5 @@
             return ExitStatus.INVALID_INPUT
         case InstanceUnreachableError():
             return ExitStatus.UNREACHABLE
-        case OutcomeUnknownError():
-            return ExitStatus.UNKNOWN
         case _:
             return ExitStatus.FAILED
--- a/arbutusflow/cli/main.py
+++ b/arbutusflow/cli/main.py
@@ -9,25 +9,14 @@
 from typer.core import TyperGroup
 
 from arbutusflow import __version__
-from arbutusflow.cli import (
-    config,
-    drain,
-    entry,
-    explain,
-    gateway,
-    reference,
-    standin,
-    zone,
-)
+from arbutusflow.cli import explain, gateway, reference
 from arbutusflow.cli.exit_status import exit_status_for
 from arbutusflow.cli.instances import instances
-from arbutusflow.cli.status import status
 from arbutusflow.errors import ArbutusflowError
 
 EPILOG = (
-    "Exit status: 0 success, 1 refused or failed (`config diff`: the documents "
-    "differ), 2 usage error or invalid file, "
-    "3 instance unreachable, 4 outcome unknown."
+    "Exit status: 0 success, 1 refused or failed, 2 usage error or invalid file, "
+    "3 instance unreachable."
 )
 
 
@@ -52,16 +41,10 @@
     help="Router for endpoints that own keys exclusively.",
     epilog=EPILOG,
 )
-app.command("entry")(entry.entry)
 app.command("gateway")(gateway.gateway)
-app.add_typer(config.app, name="config")
-app.command("status")(status)
 app.command("instances")(instances)
 app.add_typer(explain.app, name="explain")
-app.add_typer(drain.app, name="drain")
-app.add_typer(zone.app, name="zone")
 app.add_typer(reference.app, name="reference")
-app.add_typer(standin.app, name="standin")
 
 
 @app.command()
--- a/arbutusflow/errors.py
+++ b/arbutusflow/errors.py
@@ -9,25 +9,21 @@
 
 
 class SettingsError(ArbutusflowError):
-    """A settings or configuration file is invalid."""
+    """A settings file or an argument of a command is invalid."""
 
 
 class ConfigurationError(ArbutusflowError):
-    """A configuration document or patch violates a validation rule."""
+    """A configuration document violates a validation rule."""
 
 
 class RefusedError(ArbutusflowError):
-    """An entry instance rejected an operator's request; nothing changed."""
+    """A command of an operator was refused; nothing changed."""
 
 
 class InstanceUnreachableError(ArbutusflowError):
     """An instance did not respond; nothing changed."""
 
 
-class OutcomeUnknownError(ArbutusflowError):
-    """An operator's request may or may not have taken effect."""
-
-
 class PlatformError(ArbutusflowError):
     """A platform call failed or returned an invalid response."""
 
@@ -52,11 +48,3 @@
     def __init__(self, current: object = None) -> None:
         super().__init__("conditional write failed: the object is at another revision")
         self.current = current
-
-
-class EndpointError(ArbutusflowError):
-    """A call to an endpoint failed or returned an invalid response."""
-
-
-class PeerError(ArbutusflowError):
-    """A call to another entry instance failed or returned an invalid response."""
--- a/arbutusflow/runtime/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tasks, timers and wiring of one entry process."""
--- a/arbutusflow/standins/platform_server.py
+++ b/arbutusflow/standins/platform_server.py
@@ -9,7 +9,6 @@
 
 import msgspec
 
-from arbutusflow.adapters.platform import Changes, PlatformInstance, StoredObject
 from arbutusflow.standins.http_server import (
     Receive,
     Scope,
@@ -19,6 +18,11 @@
     respond,
     serve,
 )
+from arbutusflow.standins.platform_objects import (
+    Changes,
+    PlatformInstance,
+    StoredObject,
+)
 
 MAX_VALUE_BYTES = 1_000_000
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,6 +7,7 @@
 from arbutusflow.domain.configuration import (
     Accepted,
     Configuration,
+    DeclareZoneLost,
     Endpoint,
     EndpointState,
     Invalid,
@@ -16,6 +17,7 @@
     PutService,
     Rank,
     RemoveEndpoint,
+    RestoreZone,
     Service,
     SetEndpointState,
     Stale,
@@ -101,3 +103,22 @@
     assert isinstance(result, Invalid)
     assert expected_text in result.problems[0]
     assert cfg == Configuration()
+
+
+def test_zone_stays_declared_lost_until_it_is_restored():
+    endpoint = Endpoint("issuance-1", "zone-a", "127.0.0.1", 9001)
+    kinds = (Kind("issue", Rank.URGENT, repeatable=False),)
+    create = PutService(Service("issuance", kinds, (endpoint,)))
+    patch = Patch("patch-0001", 0, (create, DeclareZoneLost("zone-a")))
+    result, cfg = apply_patch(Configuration(), patch)
+    assert (result, cfg.lost_zones) == (Accepted(1), ("zone-a",))
+    result, cfg = apply_patch(cfg, Patch("patch-0002", 1, (RestoreZone("zone-a"),)))
+    assert (result, cfg.lost_zones) == (Accepted(2), ())
+
+
+@pytest.mark.parametrize("operation", [DeclareZoneLost("zone-z"), RestoreZone("a")])
+def test_unknown_zone_is_refused(operation):
+    """Guards against storing a mistyped zone that matches nothing."""
+    result, cfg = apply_patch(Configuration(), Patch("patch-0001", 0, (operation,)))
+    assert isinstance(result, Invalid)
+    assert cfg == Configuration()
