Remove the decision core of the earlier path

Cause: domain/ decided for the entry process, which is gone; measure/ held only the two models that its tests used. Change: domain/, the rest of measure/, the stand-in of an endpoint's leases, the fakes and tests of the core, and its scenarios of requests and patches go. The contract that the decision core does no I/O now holds for the gateway's modules that decide without clock and network; the contracts of the demo and of the serving path have nothing of the earlier path to name.

Removed tests: what they guarded, and what guards it now ("none": the rule or its code does not exist in the gateway). test_admission (11): shares of ranks, reserved capacity, shedding -> the ranks in test_requests_that_cannot_be_served_in_time_are_refused; a deadline that is too short -> test_a_request_that_cannot_complete_in_time_is_refused_ immediately; expired, cancelled -> test_a_request_ends_at_the_timeout_of_ the_route, test_a_request_is_cancelled_on_disconnect_...; queues, callers in turn, held units, tickets -> none, nothing waits in an instance. test_configuration (7), features/configuration (4 scenarios): patches, lost zones -> none; an old configuration after a newer one -> test_what_is_in_ force_is_always_a_version_of_the_store_and_never_an_earlier_one, test_ configurations_are_applied_in_order_...; an invalid one -> test_a_malformed_ configuration_is_logged_and_the_next_one_applied. test_delivery (25), features/requests (11 scenarios): at most one run, true refusals, whole and own answers under random faults -> tests/soak (judged by test_audit, test_judge), test_fuzzing, test_answer_matching; a failed attempt, refusal after one that may have run -> test_a_non_idempotent_ request_that_may_have_run_..., test_an_idempotent_request_that_may_have_run_ gets_502_...; silent connection, deadlines -> test_a_silent_endpoint_is_ waited_for_..., test_a_request_ends_at_the_timeout_...; limits of repeats -> test_retries_of_all_instances_stay_within_the_common_budget; crashes -> test_suspect_requests; reasons -> test_every_outcome_is_listed; identifiers, histories, resends that share a run, handovers of them -> none. test_hotkeys (9) -> test_hot_sets, test_key_planner. test_limits (9): adaptive limit, reports -> test_load_reported_by_other_ instances_is_considered, test_delayed_loads; cold starts -> test_a_new_ endpoint_gets_a_request_after_its_cold_start; repeats -> as above; spread of waits -> test_retry_after_is_spread_around_the_expected_wait. test_membership (27): gossip, suspicion, incarnations, proofs, watchers -> none; that views recover and cost stays bounded -> test_fleet_reports, test_ followers, test_instances_that_excluded_each_other_are_readmitted, test_ damaged_datagrams_end_no_handler, test_a_message_that_fits_into_no_datagram_ is_not_sent. test_ownership (26), test_ownership_machine, test_planted_faults -> test_ownership_under_faults (random faults, broken rules) and the scenarios of features/; terms, successors, endpoints without tokens, declared losses -> none. test_placement (5): spread, few moves, limits -> test_initial_keys_are_ spread_over_all_endpoints, test_steady_demand_moves_few_keys, test_a_table_ covers_all_keys_and_limits_concurrent_moves; weights -> none.

--- a/arbutusflow/domain/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Decision core: deterministic state machines that do no I/O."""
--- a/features/environment.py
+++ b/features/environment.py
@@ -3,8 +3,7 @@
 import pathlib
 import sys
 
-ROOT = pathlib.Path(__file__).parents[1]
-sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
+sys.path.insert(0, str(pathlib.Path(__file__).parents[1]))
 
 
 def after_scenario(context, scenario):
