--- a/arbutusflow/cli/gateway.py
+++ b/arbutusflow/cli/gateway.py
@@ -1,4 +1,4 @@
-"""Command that runs an entry instance on the platform."""
+"""Command that runs an instance on the platform."""
 
 import errno
 from typing import TYPE_CHECKING
@@ -13,7 +13,7 @@
 
 
 def gateway() -> None:
-    """Run one entry instance on the platform, with settings from the platform."""
+    """Run one instance on the platform, with settings from the platform."""
     from arbutusflow.platform.settings import load_settings, settings_path
 
     try:
--- a/arbutusflow/cli/instances.py
+++ b/arbutusflow/cli/instances.py
@@ -1,4 +1,4 @@
-"""Command that prints what entry instances are doing."""
+"""Command that prints what instances are doing."""
 
 from typing import TYPE_CHECKING, Annotated
 
@@ -15,13 +15,11 @@
 def instances(
     addresses: Annotated[
         list[str],
-        typer.Argument(
-            metavar="HOST:PORT...", help="Metrics addresses of entry instances."
-        ),
+        typer.Argument(metavar="HOST:PORT...", help="Metrics addresses of instances."),
     ],
     as_json: JsonOption = False,
 ) -> None:
-    """Print the phase, the pending work and the configuration of entry instances.
+    """Print the phase, the pending work and the configuration of instances.
 
     Exit status 3 if one of them does not respond.
     """
