--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -14,7 +14,7 @@
 
 import httptools
 
-from arbutusflow.domain.body_budget import BodyBudget
+from arbutusflow.gateway.body_budget import BodyBudget
 from arbutusflow.gateway.closing import (
     TwoStepClose,
     hand_over,
--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from arbutusflow.domain.errors import ConflictError, PlatformError
+from arbutusflow.errors import ConflictError, PlatformError
 from arbutusflow.gateway import key_demand
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.event_log import EventLog
@@ -53,8 +53,8 @@
 from arbutusflow.gateway.state_relay import READ_SPREAD_SECONDS, StateRelay
 from arbutusflow.gateway.store_probes import StoreProbes
 from arbutusflow.gateway.store_watch import ObjectCopy
+from arbutusflow.gateway.timers import run_each
 from arbutusflow.platform.store import StoreClient
-from arbutusflow.runtime.timers import run_each
 
 # Each watch is priced as one call, however long it waits. TCP keep-alive detects broken
 # connections, so the wait only bounds the delay that a lost answer causes.
--- a/arbutusflow/gateway/store_probes.py
+++ b/arbutusflow/gateway/store_probes.py
@@ -9,7 +9,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
-from arbutusflow.domain.errors import PlatformError
+from arbutusflow.errors import PlatformError
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform.store import StoreClient
 
