Let the stand-in stores go back to a copy in a new era

The platform's store may come back from a copy some seconds old, with revisions that are given out again; no stand-in could do so. After it went back, a watch from a revision that it lacks gets 410, every answer bears the era, and the operator and the endpoints write again. Without an era switched on, answers tell none.

--- a/arbutusflow/platform/wire.py
+++ b/arbutusflow/platform/wire.py
@@ -17,6 +17,7 @@
 HANDOVER = b"handover"
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+STORE_ERA = b"store-era"
 
 READINESS_PATH = b"/arbutusflow/ready"
 GRANT_PATH = b"/arbutusflow/grant"
--- a/tests/gateway/object_platform.py
+++ b/tests/gateway/object_platform.py
@@ -20,6 +20,7 @@
     CallerServer,
 )
 from arbutusflow.platform import wire
+from arbutusflow.standins.store_state import StoreState
 
 _BASE = "/arbutusflow/objects/"
 _JSON = ((b"Content-Type", b"application/json"),)
@@ -66,54 +67,44 @@
     """Object store with one revision counter, lists and watches."""
 
     def __init__(self) -> None:
-        self.revision = 1
-        self.down = False  # Simulates an outage: each call is refused.
+        self.state = StoreState()
         self.calls = 0
         self.lose_answers = False  # Applies writes without responding.
-        self._compacted_revision = 0  # History up to this revision is compacted.
-        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
-        self._events: list[tuple[int, str, dict[str, Any]]] = []
-        self._changed = asyncio.Event()
         self.server = _server(self._handle)
 
+    @property
+    def down(self) -> bool:
+        """Whether each call is refused, as in an outage."""
+        return self.state.down
+
+    @down.setter
+    def down(self, value: bool) -> None:
+        self.state.down = value
+
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Write an object unconditionally, as operators and endpoints do."""
-        self._store(kind, name, spec)
+        self.state.put_outside(kind, name, spec)
 
     def compact(self) -> None:
         """Discard the history of changes."""
-        self._compacted_revision = self.revision
-        self._events.clear()
+        self.state.compact()
 
     def remove(self, kind: str, name: str) -> None:
-        """Remove an object."""
-        item = self._objects.pop((kind, name), None)
-        if item is not None:
-            self._record_event(kind, {"removed": True, "object": item})
+        """Remove an object, as operators and endpoints do."""
+        self.state.remove_outside(kind, name)
 
     def spec(self, kind: str, name: str) -> Any:
         """Return the content of an object, or None if it does not exist."""
-        item = self._objects.get((kind, name))
+        item = self.state.objects.get((kind, name))
         return item["spec"] if item else None
 
-    def _store(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
-        item = {
-            "metadata": {"name": name, "revision": self.revision + 1},
-            "spec": spec,
-            "status": None,
-        }
-        self._objects[kind, name] = item
-        self._record_event(kind, {"removed": False, "object": item})
-        return item
-
-    def _record_event(self, kind: str, event: dict[str, Any]) -> None:
-        self.revision += 1
-        self._events.append((self.revision, kind, event))
-        self._changed.set()
-        self._changed = asyncio.Event()
-
     async def _handle(self, req: CallerRequest) -> CallerResponse:
         self.calls += 1
+        reply = await self._answer(req)
+        headers = (*reply.headers, *self.state.era_headers)
+        return dataclasses.replace(reply, headers=headers)
+
+    async def _answer(self, req: CallerRequest) -> CallerResponse:
         if self.down:
             return CallerResponse(503)
         url = urlsplit(req.target.decode())
@@ -133,35 +124,42 @@
     async def _read(
         self, kind: str, name: str, query: dict[str, str]
     ) -> CallerResponse:
+        state = self.state
         if name:
-            item = self._objects.get((kind, name))
+            item = state.objects.get((kind, name))
             return _json(200, item) if item else CallerResponse(404)
         if "watch" in query:
             return await self._watch(kind, int(query["watch"]), query)
-        items = [item for (k, _), item in self._objects.items() if k == kind]
-        return _json(200, {"items": items, "hasMore": False, "asOf": self.revision})
+        items = [item for (k, _), item in state.objects.items() if k == kind]
+        return _json(200, {"items": items, "hasMore": False, "asOf": state.revision})
 
     async def _watch(
         self, kind: str, since: int, query: dict[str, str]
     ) -> CallerResponse:
         until = time.monotonic() + int(query.get("waitMs", "0")) / 1000
-        if since < self._compacted_revision:
+        state, era = self.state, self.state.era
+        if not state.has_history(since):
             return CallerResponse(410)
         while True:
-            events = [e for rev, k, e in self._events if k == kind and rev > since]
+            if state.era != era:
+                return CallerResponse(503 if state.down else 410)
+            events = [
+                {"removed": change.removed, "object": change.item}
+                for change in state.changes_since(kind, since)
+            ]
             remaining = until - time.monotonic()
             if events or remaining <= 0:
-                return _json(200, {"events": events, "asOf": self.revision})
+                return _json(200, {"events": events, "asOf": state.revision})
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(remaining):
-                    await self._changed.wait()
+                    await state.changed.wait()
 
     def _create(self, kind: str, document: dict[str, Any]) -> CallerResponse:
         name = document["metadata"]["name"]
-        known = self._objects.get((kind, name))
+        known = self.state.objects.get((kind, name))
         if known is not None:
             return _json(409, known)
-        return _json(200, self._store(kind, name, document["spec"]))
+        return _json(200, self.state.put(kind, name, document["spec"]))
 
     def _change(
         self,
@@ -171,16 +169,16 @@
         document: dict[str, Any],
         query: dict[str, str],
     ) -> CallerResponse:
-        known = self._objects.get((kind, name))
+        known = self.state.objects.get((kind, name))
         if known is None:
             return CallerResponse(404)
         condition = document.get("metadata", query).get("revision")
         if condition is not None and int(condition) != known["metadata"]["revision"]:
             return _json(409, known)
         if method == b"DELETE":
-            self.remove(kind, name)
+            self.state.remove(kind, name)
             return _json(200, known)
-        return _json(200, self._store(kind, name, document["spec"]))
+        return _json(200, self.state.put(kind, name, document["spec"]))
 
 
 class FakeEndpoint:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -28,6 +28,7 @@
 )
 from tests.soak.proxy import FaultInjectingProxy, ResponseFaults
 from tests.soak.recover_audit import FinalKill
+from tests.soak.store_faults import store_goes_back
 from tests.soak.workload import TAIL_FACTORS
 from tests.soak.world import SoakWorld
 
@@ -296,6 +297,8 @@
             faults = draw_phase(world.rng)
             if planned_only:
                 faults = [*PLANNED, instances_stopped]
+            if world.workload.eras:
+                faults.append(store_goes_back)
             phase_end = now + PHASE_SECONDS
         fault = world.rng.choice(faults)
         injected.append(f"{now - world.audit.started:.1f} {fault.__name__}")
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -42,6 +42,7 @@
     seconds: float = 15.0  # In which faults begin.
     product: pathlib.Path = ROOT  # Repository whose gateway the instances run.
     stop_early: bool = False  # End a seed once a violation is found.
+    eras: bool = False  # The store goes back to copies, in new eras.
 
 
 @dataclasses.dataclass(frozen=True)
@@ -108,7 +109,8 @@
 ) -> SeedResult:
     """Run one seed; a failed one leaves a folder below `failures`."""
     world = SoakWorld(seed, directory, plan.instances, plan.product)
-    world.workload = draw_workload(seed, plan.instances, FINAL_KILL_SHARE)
+    workload = draw_workload(seed, plan.instances, FINAL_KILL_SHARE)
+    world.workload = dataclasses.replace(workload, eras=plan.eras)
     injected: list[str] = []
     with _processes_end(world):
         play = asyncio.ensure_future(_play(world, plan, injected))
@@ -192,13 +194,16 @@
     stop_early: Annotated[
         bool, typer.Option("--stop-early", help="End a seed at its first violation.")
     ] = False,
+    eras: Annotated[
+        bool, typer.Option("--eras", help="Let the store go back to older copies.")
+    ] = False,
 ) -> None:
     """Run seeds one after the other; a failed one leaves a folder."""
     numbers = list(range(first, first + count)) if seeds is None else _read_seeds(seeds)
     if not (product / "arbutusflow" / "__main__.py").is_file():
         raise _fail(f"{product} holds no build of arbutusflow")
     _check_folder(out)
-    plan = RunPlan(instances, seconds, product.resolve(), stop_early)
+    plan = RunPlan(instances, seconds, product.resolve(), stop_early, eras)
     failed = []
     # Ends a run in the same way as an interrupt of the terminal.
     signal.signal(signal.SIGINT, signal.default_int_handler)
@@ -206,7 +211,7 @@
     for seed in numbers:
         command = shlex.join(
             f"python -m tests.soak.runner --first {seed} --count 1 --seconds {seconds}"
-            f" --instances {instances} --product {product}".split()
+            f" --instances {instances} --product {product}{' --eras' * eras}".split()
         )
         with tempfile.TemporaryDirectory(prefix=f"soak-{seed}-") as name:
             run = run_seed(seed, pathlib.Path(name), plan, out, command)
--- a/tests/soak/workload.py
+++ b/tests/soak/workload.py
@@ -59,6 +59,7 @@
     fault_gap: tuple[float, float] = FAULT_GAP_SECONDS
     planned_only: bool = False  # Nothing but planned work is played.
     final_kill: bool = False  # All instances are killed at the end.
+    eras: bool = False  # The store tells its era, and goes back to copies.
 
 
 def draw_workload(seed: int, instances: int, final_kill_share: float) -> Workload:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -79,6 +79,8 @@
 
     async def start(self) -> None:
         """Start all parts, and wait until each instance serves all keys."""
+        if self.workload.eras:
+            self.store.state.era = 1
         await self.store.server.start(own_host(), 0)
         store_port = self.store.server.port
         timeout = self.timeout_seconds or self.workload.timeout_seconds
--- a/tests/test_object_store.py
+++ b/tests/test_object_store.py
@@ -3,10 +3,11 @@
 import asyncio
 import dataclasses
 import random
+import time
 
 import pytest
 
-from arbutusflow.domain.errors import ConflictError
+from arbutusflow.domain.errors import ConflictError, HistoryGoneError
 from arbutusflow.gateway.client_connection import ResponseProgress
 from arbutusflow.gateway.model import Address
 from arbutusflow.platform.documents import decode_configuration, decode_endpoint
@@ -31,6 +32,7 @@
         errors = []
         store = ObjectStore(errors.append)
         await store.server.start(host, port)
+        store.address = host, port
         try:
             await scenario(store, StoreClient(Address(host, port)))
         finally:
@@ -103,3 +105,32 @@
     path = tmp_path / "settings.toml"
     path.write_text(encode_settings(instance.settings))
     assert load_settings(path) == instance.settings
+
+
+def test_a_store_that_goes_back_ends_watches_and_tells_its_era_in_each_answer():
+    """Guards against a stand-in that hides a drill from what reads its answers."""
+
+    async def scenario(store, client):
+        store.state.era = 1
+        went_back_at = time.monotonic()
+        item = await client.create("k", "a", 1)
+        progress = ResponseProgress(6.0)
+        watch = asyncio.create_task(
+            client.watch("k", item.revision, 5.0, progress, may_lag=False)
+        )
+        await asyncio.sleep(0.05)
+        store.state.go_back(went_back_at)
+        with pytest.raises(HistoryGoneError):
+            await watch
+        with pytest.raises(HistoryGoneError):
+            await client.watch("k", item.revision, 5.0, progress, may_lag=False)
+        assert (await client.create("k", "b", 1)).revision == item.revision
+        store.state.leave()
+        reader, writer = await asyncio.open_connection(*store.address)
+        writer.write(b"GET /arbutusflow/objects/k HTTP/1.1\r\nHost: h\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        assert head.startswith(b"HTTP/1.1 503 ")
+        assert b"\r\nstore-era: 2\r\n" in head
+
+    run_with_store(scenario)
