--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -4,7 +4,12 @@
 late. Links can have a bandwidth: bytes wait for those before them. A datagram that is
 larger than a packet is lost if any of its fragments is. Endpoints reject grants with a
 token lower than an earlier one. Every grant that an endpoint applies is checked: no
-other endpoint may hold one of its keys.
+other endpoint may hold one of its keys, or have had one with the same or a higher
+token.
+
+The store can go back to an earlier copy, in a new era. Revisions are given out again
+then, so a number alone names no state. Every table that an instance puts in force is
+checked: it must not be from an era before that of the table in force.
 """
 
 import asyncio
@@ -29,6 +34,7 @@
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.fleet import InstanceRecord
 from arbutusflow.gateway.fleet_task import WATCH_SECONDS, FleetTask
+from arbutusflow.gateway.key_table import KeyTable, StoredTable
 from arbutusflow.gateway.model import Address, Endpoint, ExchangeError, HttpResponse
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform.store import Change, Changes, Snapshot, StoredObject
@@ -44,6 +50,7 @@
 SAMPLED_KEYS = tuple(range(0, 65536, 512))
 OTHER_KIND = "config"  # Objects that no instance writes.
 OTHER_NAME = "main"
+TABLE_NAME = "keys"  # Start of the names of key tables.
 
 
 class SimStore:
@@ -63,6 +70,13 @@
         # Seconds until an answer of some bytes has reached an instance.
         self.transfer_seconds: Callable[[str, int], float] = lambda name, size: 0.0
         self._sizes: dict[tuple[str, int], int] = {}
+        self.era = 1
+        # By instance: seconds that answers are on their way after they were made.
+        self.answer_seconds: dict[str, float] = {}
+        # Time, revision and objects after each change, in order.
+        self._copies: list[tuple[float, int, dict[str, StoredObject]]] = []
+        # First and last era in which the store held a key table, by its content.
+        self.table_eras: dict[bytes, tuple[int, int]] = {}
 
     def size_of(self, items: Iterable[StoredObject]) -> int:
         """Return the bytes of an answer with these objects."""
@@ -84,6 +98,39 @@
             if _is_of_kind(change.object, kind)
         )
 
+    def go_back(self, taken_at: float) -> None:
+        """Return to the state of a time, in a new era; see `StoreState.go_back`."""
+        while len(self._copies) > 1 and self._copies[-1][0] > taken_at:
+            self._copies.pop()
+        if not self._copies:
+            return  # Nothing was written yet.
+        _, self.revision, objects = self._copies[-1]
+        other = self.objects.get(OTHER_NAME)
+        self.objects = dict(objects)
+        self.history = [h for h in self.history if h[0] <= self.revision]
+        self.compacted_revision = min(self.compacted_revision, self.revision)
+        self.era += 1
+        for item in objects.values():
+            self._note_table(item)
+        self._keep_copy()
+        if other is not None and self.objects.get(OTHER_NAME) is not other:
+            self.write_other(other.spec["value"])  # Its writer does so at once.
+        self._notify()
+
+    def _keep_copy(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self._copies.append((now, self.revision, dict(self.objects)))
+
+    def _note_table(self, item: StoredObject) -> None:
+        if item.name.startswith(TABLE_NAME):
+            content = encode_content(item.spec)
+            first, _ = self.table_eras.get(content, (self.era, self.era))
+            self.table_eras[content] = first, self.era
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def write_other(self, value: Any) -> None:
         """Write the object that all instances have to learn."""
         self.revision += 1
@@ -97,8 +144,14 @@
         else:
             self.objects[item.name] = item
         self.history.append((self.revision, Change(item, removed)))
-        self.changed.set()
-        self.changed = asyncio.Event()
+        self._note_table(item)
+        self._keep_copy()
+        self._notify()
+
+
+def encode_content(table: Any) -> bytes:
+    """Return bytes that are equal for equal key tables, decoded or not."""
+    return msgspec.json.encode(msgspec.to_builtins(table), order="deterministic")
 
 
 def _is_of_kind(item: StoredObject, kind: str) -> bool:
@@ -136,8 +189,15 @@
         items = tuple(i for i in objects if _is_of_kind(i, kind))
         revision = self._store.revision
         await self._receive(items)
+        await self._wait_late()
         return Snapshot(items, revision)
 
+    async def _wait_late(self) -> None:
+        """Let an answer be late that the store has made."""
+        seconds = self._store.answer_seconds.get(self._name, 0.0)
+        if seconds:
+            await asyncio.sleep(seconds)
+
     async def _receive(self, items: Iterable[StoredObject]) -> None:
         size = self._store.size_of(items)
         await asyncio.sleep(self._store.transfer_seconds(self._name, size))
@@ -155,15 +215,21 @@
         store = self._store
         if may_lag:
             await asyncio.sleep(min(store.lag_seconds, wait_seconds))
-        if revision < store.compacted_revision:
+        era = store.era
+        if not store.compacted_revision <= revision <= store.revision:
             raise HistoryGoneError("gone")
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_seconds):
-                while not store.changes_since(revision, kind):
+                while store.era == era and not store.changes_since(revision, kind):
                     await store.changed.wait()
+        if store.era != era:
+            raise HistoryGoneError("the store went back")
         await self._reach_store()
+        if store.era != era:
+            raise HistoryGoneError("the store went back")
         result = Changes(store.changes_since(revision, kind), store.revision)
         await self._receive(change.object for change in result.changes)
+        await self._wait_late()
         return result
 
     async def probe(self, timeout: float) -> None:
@@ -198,6 +264,7 @@
         if self._store.lose_answers:
             await asyncio.sleep(0.3)
             raise PlatformUnavailableError("the answer was lost")
+        await self._wait_late()
         return item
 
     async def delete(self, kind: str, name: str, revision: int) -> None:
@@ -260,6 +327,8 @@
             self.highest_tokens[key] = token
             if until > now:
                 self.sim.check_grant(self, key, token)
+                if arrived == now:
+                    self.sim.check_token(self, key, token)
         return _response(200)
 
     def release(self, order: dict[str, Any]) -> HttpResponse:
@@ -444,6 +513,7 @@
             rng=random.Random(life),
         )
         self.task.peers.connection_made(_DatagramTransport(sim, name))  # type: ignore[arg-type]
+        self._check_tables()
         self.task.set_partitioned_services([SERVICE])
         self._background_tasks = [
             asyncio.create_task(self.task.copy.run()),
@@ -451,6 +521,20 @@
             *(asyncio.create_task(copy.run()) for copy in copies.values()),
         ]
 
+    def _check_tables(self) -> None:
+        """Check each table that this instance puts in force."""
+        in_force: dict[str, KeyTable] = {}
+        leases = self.task.leases
+        note = leases.on_table_change
+
+        def check(stored: StoredTable) -> None:
+            service = stored.table.service
+            self.sim.check_table(self.name, in_force.get(service), stored.table)
+            in_force[service] = stored.table
+            note(stored)
+
+        leases.on_table_change = check
+
     def _note_other(self) -> None:
         item = self.other_copy.objects.get(OTHER_NAME)
         if item is not None:
@@ -539,7 +623,8 @@
         self.unlisted: set[str] = set()
         # Entries that an instance still sees, by instance and endpoint.
         self.outdated_entries: dict[tuple[str, str], Endpoint] = {}
-        self.highest_tokens: dict[int, int] = {}
+        # By key and endpoint: highest token with which the endpoint had the key.
+        self.taken_tokens: dict[int, dict[str, int]] = {}
         self.violations: list[str] = []
         for number in range(4):
             self.add_endpoint(f"e{number}", f"z{number % 2}")
@@ -655,6 +740,40 @@
                     f" and {other.endpoint.id} (token {other.token_for(key, self.now)})"
                 )
 
+    def check_token(self, holder: SimEndpoint, key: int, token: int) -> None:
+        """Record a violation if another endpoint had the key with as high a token."""
+        taken = self.taken_tokens.setdefault(key, {})
+        for name, other in taken.items():
+            if name != holder.endpoint.id and other >= token:
+                self.violations.append(
+                    f"{self.now:.3f}: key {key} goes to {holder.endpoint.id} with token"
+                    f" {token}, although {name} had it with token {other}"
+                )
+        name = holder.endpoint.id
+        taken[name] = max(token, taken.get(name, 0))
+
+    def check_table(
+        self, instance: str, before: KeyTable | None, after: KeyTable
+    ) -> None:
+        """Record a violation if an instance returns to a table of an older era."""
+        if before is None:
+            return
+        eras = self.store.table_eras
+        known = eras.get(encode_content(before)), eras.get(encode_content(after))
+        if known[0] is not None and known[1] is not None and known[1][1] < known[0][0]:
+            self.violations.append(
+                f"{self.now:.3f}: {instance} returns from a table of era {known[0][0]}"
+                f" to one of era {known[1][1]}"
+            )
+
+    async def store_goes_back(self, age: float, away: float) -> None:
+        """Cut the store off; it comes back in the state of `age` seconds before."""
+        taken_at, cut = self.now - age, set(self.instances)
+        self.store.unreachable_for |= cut
+        await asyncio.sleep(away)
+        self.store.go_back(taken_at)
+        self.store.unreachable_for -= cut
+
     def restart(self, name: str) -> None:
         """Kill an instance and start its next incarnation."""
         zone = self.instances[name].zone
