Let a response wait for memory instead of throwing it away

Cause: a response that did not fit into the memory for bodies was dropped, and its caller got 502 in place of the answer of an endpoint that had done the work (for safe requests after a second run).

Change: the memory of a response is reserved when its length is known; if there is not enough, reading pauses until other responses have been passed on, at most until the deadline. Memory that is released goes to the waiting ones in order. One that could never fit still fails at once.

--- a/arbutusflow/domain/body_budget.py
+++ b/arbutusflow/domain/body_budget.py
@@ -1,9 +1,12 @@
-"""Limit on the total size of request bodies in the memory of an instance.
+"""Limit on the total size of bodies in the memory of an instance.
 
-Invariant: the reserved bytes never exceed the limit. Reservations do not wait: a
-request whose body does not fit is refused. Small bodies are not counted.
+Invariant: the reserved bytes never exceed the limit. Requests do not wait: one whose
+body does not fit is refused. Responses may wait, and get memory that is released in the
+order in which they asked for it. Small bodies are not counted.
 """
 
+import collections
+import dataclasses
 from collections.abc import Callable
 
 # Bodies up to this size are not counted, so that large uploads cannot displace urgent
@@ -11,12 +14,21 @@
 SMALL_BODY_BYTES = 16_384
 
 
+@dataclasses.dataclass(eq=False, slots=True)
+class MemoryWait:
+    """Bytes that are waited for; `on_reserved` is called when they are reserved."""
+
+    size: int
+    on_reserved: Callable[[int], None]
+
+
 class BodyBudget:
     """Tracks the bytes reserved for the bodies of requests in progress."""
 
     def __init__(self, limit_bytes: Callable[[], int]) -> None:
         self._limit_bytes = limit_bytes
         self.held_bytes = 0
+        self._waits: collections.deque[MemoryWait] = collections.deque()
 
     def take(self, size: int) -> bool:
         """Reserve `size` bytes; return False without reserving if they do not fit."""
@@ -25,6 +37,25 @@
         self.held_bytes += size
         return True
 
+    def fits(self, size: int) -> bool:
+        """Return whether so many bytes could be reserved if nothing else were."""
+        return size <= self._limit_bytes()
+
+    def wait(self, wait: MemoryWait) -> None:
+        """Reserve the bytes as soon as there is memory for them, not at once."""
+        self._waits.append(wait)
+
+    def end_wait(self, wait: MemoryWait) -> None:
+        """Wait no longer."""
+        self._waits.remove(wait)
+        self._serve_waits()
+
     def release(self, size: int) -> None:
         """Release reserved bytes."""
         self.held_bytes -= size
+        self._serve_waits()
+
+    def _serve_waits(self) -> None:
+        while self._waits and self.take(self._waits[0].size):
+            wait = self._waits.popleft()
+            wait.on_reserved(wait.size)
--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -15,7 +15,7 @@
 
 import httptools
 
-from arbutusflow.domain.body_budget import SMALL_BODY_BYTES, BodyBudget
+from arbutusflow.domain.body_budget import SMALL_BODY_BYTES, BodyBudget, MemoryWait
 from arbutusflow.gateway.model import Address, ExchangeError, HttpResponse
 
 # Responses are buffered completely; see docs/platform.md.
@@ -82,6 +82,8 @@
         self._received_bytes = 0  # In this exchange.
         self._head_bytes = 0  # Received since the latest part of a body.
         self._reserved_bytes = 0  # Body bytes reserved from the budget.
+        # Reading is paused until these bytes are reserved.
+        self._memory_wait: MemoryWait | None = None
         # Response to an exchange that was cancelled in the moment in which it arrived.
         self.completed: HttpResponse | None = None
         self.closed = False
@@ -309,6 +311,16 @@
         )
         if self._head_only and status >= 200:
             self._complete_response(reusable=False)
+        elif status >= 200 and status not in _STATUSES_WITHOUT_BODY:
+            # All of it at once: responses that each wait for their last part would
+            # wait for each other.
+            self._reserve(self._announced_bytes())
+
+    def _announced_bytes(self) -> int:
+        for name, value in self._headers:
+            if name.lower() == b"content-length" and value.isdigit():
+                return min(int(value), MAX_RESPONSE_BYTES)
+        return 0
 
     def on_body(self, body: bytes) -> None:
         """Append to the body, up to the maximum size and within the memory budget."""
@@ -317,25 +329,51 @@
         if self._body_size > MAX_RESPONSE_BYTES:
             self._set_must_close()
             self._fail("the response exceeds the maximum size")
-        elif not self._reserve(len(body)):
-            self._set_must_close()
-            self._fail("not enough memory for the response")
         else:
             self._body.append(body)
+            self._reserve(self._body_size)
 
-    def _reserve(self, size: int) -> bool:
-        """Reserve memory for a part of a body; small bodies are not counted."""
-        if self._budget is None or self._body_size <= SMALL_BODY_BYTES:
-            return True
-        if not self._budget.take(size):
-            return False
+    def _reserve(self, total: int) -> None:
+        """Reserve memory for a body of `total` bytes or more, and wait if it is full.
+
+        Small bodies are not counted.
+        """
+        if self._budget is None or total <= SMALL_BODY_BYTES:
+            return
+        if not self._budget.fits(total):
+            self._set_must_close()
+            self._fail("not enough memory for the response")
+            return
+        missing = total - self._reserved_bytes
+        if self._memory_wait is not None:
+            self._memory_wait.size = max(missing, self._memory_wait.size)
+        elif missing > 0 and self._budget.take(missing):
+            self._reserved_bytes += missing
+        elif missing > 0:
+            self._memory_wait = MemoryWait(missing, self._use_memory)
+            self._budget.wait(self._memory_wait)
+            assert self._transport is not None
+            self._transport.pause_reading()
+
+    def _use_memory(self, size: int) -> None:
+        """Read on: so many bytes have been reserved."""
         self._reserved_bytes += size
-        return True
+        self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        self._memory_wait = None
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
 
     def _release_body(self) -> None:
-        if self._budget is not None and self._reserved_bytes:
-            self._budget.release(self._reserved_bytes)
-            self._reserved_bytes = 0
+        if self._budget is None:
+            return
+        if self._memory_wait is not None:
+            self._budget.end_wait(self._memory_wait)
+            self._resume_reading()
+        reserved, self._reserved_bytes = self._reserved_bytes, 0
+        if reserved:
+            self._budget.release(reserved)
 
     def on_message_complete(self) -> None:
         """Complete the response unless it is informational (1xx)."""
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -24,6 +24,7 @@
 SLOW_PAUSE_SECONDS = 0.02
 KEYED_TARGET = b"/x/1"
 SAFE_TARGETS = (KEYED_TARGET, b"/p/1")
+LARGE_TARGET = b"/p/large"  # Its answer is large.
 ORDER_TARGET = b"/y/1"
 UPLOAD_TARGET = b"/u/1"
 BODY_PIECES = 12  # In which a body is sent slowly.
@@ -151,6 +152,7 @@
     piece_seconds: float = 0.3
     late_seconds: float = 1.5
     uploads: float = 0.0  # Of the requests that are not safe: with a large body.
+    large: float = 0.0  # Share of the safe requests whose answer is large.
     upload_bytes: tuple[int, int] = (60_000, 360_000)
     # How long a large body takes, as at a slow link; its deadline counts from the first
     # byte.
@@ -191,6 +193,8 @@
         seconds = self._rng.uniform(*self._habits.deadline_seconds)
         upload = not safe and self._chance(self._habits.uploads)
         target, body = self._rng.choice(SAFE_TARGETS), b""
+        if safe and self._chance(self._habits.large):
+            target = LARGE_TARGET
         if not safe:
             target = UPLOAD_TARGET if upload else ORDER_TARGET
             body = request_id * 20
--- a/tests/soak/stop_scenarios.py
+++ b/tests/soak/stop_scenarios.py
@@ -161,8 +161,8 @@
     # The memory for bodies is full.
     "memory": _uneven(
         callers=60,
-        habits=_habits(uploads=0.8, upload_seconds=(0.2, 1.0)),
-        limits=ProcessLimits(memory_mb=8),
+        habits=_habits(uploads=0.8, large=0.5, upload_seconds=(0.2, 1.0)),
+        limits=ProcessLimits(memory_mb=32),
     ),
     "timeouts": _uneven(timeout_range=(1.0, 1.5), configurations=0.5),
     "tessere": StopScenario(
