--- a/tests/soak/stop_scenarios.py
+++ b/tests/soak/stop_scenarios.py
@@ -167,8 +167,13 @@
     # The memory for bodies is full.
     "memory": _uneven(
         callers=60,
-        habits=_habits(uploads=0.8, upload_seconds=(0.2, 1.0)),
-        limits=ProcessLimits(memory_mb=8),
+        habits=_habits(
+            uploads=0.8,
+            upload_seconds=(0.2, 1.0),
+            large_answers=0.5,
+            answer_bytes=(3_000_000, 3_000_000),
+        ),
+        limits=ProcessLimits(memory_mb=32),
     ),
     "timeouts": _uneven(timeout_range=(1.0, 1.5), configurations=0.5),
     "tessere": StopScenario(
