Show answers that an overflow of the send buffer's size leaves behind

Cause: hand_over doubles the size of the send buffer with each response written after the final answers; setsockopt raises TypeError beyond 2,147,483,647, which ends _write_ready_responses. The answers of endpoints behind stay in the memory of the process and nothing is reported. Only with the privileged option. Before: the test fails with 6 of 16 answers cut. Not mended here.

--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -302,3 +302,31 @@
         return await loop.sock_recv(sock, CHUNK_BYTES)
 
     assert _run(scenario).startswith(b"HTTP/1.1 200")
+
+
+def test_answers_behind_a_final_one_are_written_when_the_process_ends():
+    """Guards against answers of endpoints that an error while an earlier one is
+    written leaves in the memory of the process."""
+    count = 16
+
+    async def respond(req):
+        if req.target == b"/0":
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.sleep(WAIT_SECONDS)
+            return CallerResponse(502, body=BODY)
+        return CallerResponse(200, body=b"x" * UNREAD_BYTES)
+
+    async def scenario(server, sock):
+        cut, loop = [], asyncio.get_running_loop()
+        loop.set_exception_handler(lambda *_: None)  # They are not what is tested.
+        server.handler = respond
+        server.on_cut = lambda req, cause: cut.append((req.target, cause))
+        heads = [KEPT_GET.replace(b"/", b"/%d" % n, 1) for n in range(count)]
+        await loop.sock_sendall(sock, b"".join(heads))
+        await asyncio.sleep(0.1)
+        server.finish()
+        await asyncio.sleep(FINAL_ANSWER_SECONDS)
+        server.report_cut()
+        return [target for target, cause in cut if cause == "process_ended"]
+
+    assert _run(scenario) == []
