Show that a caller that never reads is read from without end

Cause: pause_writing pauses reading, but the end of _write_ready_responses resumes it, and asyncio reports a full buffer only once.

--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -330,3 +330,23 @@
         return [target for target, cause in cut if cause == "process_ended"]
 
     assert _run(scenario) == []
+
+
+def test_a_caller_that_never_reads_is_not_read_from_either():
+    """Guards against answers without end in the memory of the process."""
+    count = 100
+
+    async def respond(req):
+        await asyncio.sleep(0.001)
+        return CallerResponse(200, body=b"x" * MIB)
+
+    async def scenario(server, sock):
+        server.handler = respond
+        loop = asyncio.get_running_loop()
+        for _ in range(count):
+            await loop.sock_sendall(sock, KEPT_GET)
+            await asyncio.sleep(0.005)
+        (conn,) = server.connections
+        return conn._transport.get_write_buffer_size()
+
+    assert _run(scenario) < 16 * MIB
