Show checks of watches that starve, and watches that are restarted without need

Cause: a copy that may lag is chosen for each check, since checked_at is set only for copies that are checked; and check_watch compares the revision of the store, which objects of other kinds move, instead of the revisions of the missed changes. Not mended here.

--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -1,6 +1,7 @@
 """Copies of the store's objects when calls are lost or get no answer."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -8,7 +9,7 @@
 from arbutusflow.gateway.store_probes import StoreProbes
 from arbutusflow.gateway.store_watch import ObjectCopy
 from tests.gateway.fakes import FakeLog
-from tests.gateway.sim_fleet import SimStore, SimStoreClient
+from tests.gateway.sim_fleet import OTHER_KIND, SimStore, SimStoreClient
 from tests.gateway.virtual_time import run
 
 
@@ -120,6 +121,60 @@
     assert run_scenario(scenario)
 
 
+def test_a_silent_watch_is_noticed_beside_a_copy_that_may_lag():
+    """Guards against checks that always go to a copy that cannot be checked."""
+
+    async def scenario(store, writer, copy):
+        other = ObjectCopy(copy._store, OTHER_KIND, 15.0, lambda: None, FakeLog())
+        other.set_watch_mode(15.0, may_lag=True)
+        task = asyncio.create_task(other.run())
+        copies = {"kind": copy, OTHER_KIND: other}
+        probes = StoreProbes(copy._store, copies, lambda: None)
+        loop = asyncio.get_running_loop()
+
+        async def check(seconds):
+            for _ in range(round(seconds / 0.05)):
+                probes.check_as_granter(loop.time())
+                await asyncio.sleep(0.05)
+
+        await check(1.0)
+        store.changed = asyncio.Event()  # The watches under way see no more changes.
+        await writer.create("kind", "a", 1)
+        await check(5.0)
+        task.cancel()
+        return "a" in copy.objects
+
+    assert run_scenario(scenario)
+
+
+def test_a_watch_that_has_delivered_all_changes_is_not_restarted():
+    """Guards against further calls because objects of other kinds have changed."""
+
+    async def scenario(store, writer, copy):
+        peek, watch = copy._store.peek, copy._store.watch
+        watches = 0
+
+        async def count(*args, **options):
+            nonlocal watches
+            watches += 1
+            return await watch(*args, **options)
+
+        async def peek_later(*args):
+            await writer.create("kind", "a", 1)
+            missed = await peek(*args)
+            # Objects of other kinds have changed between the watch and this.
+            return dataclasses.replace(missed, revision=missed.revision + 3)
+
+        await asyncio.sleep(1.0)
+        copy._store.peek, copy._store.watch = peek_later, count
+        await copy.check_watch(1.0)
+        await asyncio.sleep(0.2)
+        return watches
+
+    # The one that follows the answer with the change.
+    assert run_scenario(scenario) == 1
+
+
 def test_the_time_of_the_last_current_copy_is_a_lower_bound():
     """The right to grant keys depends on this time."""
 
