Show that an error while a response is written is not reported

Cause: _serve writes outside of its guard, and nobody looks at the result of its task. The test fails: no error is reported, and the connection stays open with its requests. Not mended here; the overflow of hand_over is one such error.

--- a/tests/gateway/test_errors_beside_stops.py
+++ b/tests/gateway/test_errors_beside_stops.py
@@ -201,3 +201,31 @@
         return renewed
 
     assert asyncio.run(main()) == [1.0]
+
+
+def test_an_error_while_a_response_is_written_is_reported_and_strands_no_other():
+    """Guards against callers that wait without end, and errors that nobody learns of.
+
+    A later response is written or the connection is closed.
+    """
+
+    async def main():
+        errors = []
+
+        async def respond(req):
+            return CallerResponse(200, body=req.target)
+
+        server = CallerServer(
+            respond, BodyBudget(lambda: 10**6), lambda during, exc: errors.append(exc)
+        )
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        conn, transport = CallerConnection(server), FakeTransport()
+        conn.connection_made(transport)
+        transport.write = _fail
+        conn.data_received(GET * 3)
+        await asyncio.sleep(0.1)
+        return errors, conn.pending_requests, transport.closed
+
+    errors, pending, closed = run(main())
+    assert [type(exc) for exc in errors][:1] == [RuntimeError]
+    assert closed or not pending
