Read no further requests of a caller that doesn't take its responses

What waits there is lost when the process ends. Change: reading resumes when the buffer has been drained and few requests are pending. Before: test_a_caller_that_never_reads_is_not_read_from_either failed.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -222,6 +222,7 @@
         self._closing: TwoStepClose | None = None  # Set when the responses have ended.
         self._latest_request: CallerRequest | None = None  # That has a response.
         self._reading_paused = False
+        self._writing_paused = False
         self._reserved_bytes = 0  # Body bytes reserved from the budget.
         self._reset_request()
 
@@ -317,11 +318,14 @@
 
     def pause_writing(self) -> None:
         """Pause reading until writing resumes or the ready responses are written."""
+        self._writing_paused = True
         self._pause()
 
     def resume_writing(self) -> None:
         """Resume reading after the write buffer was drained."""
-        self._resume()
+        self._writing_paused = False
+        if len(self._pipeline) < MAX_PIPELINED_REQUESTS:
+            self._resume()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
@@ -519,7 +523,8 @@
             elif not self._in_body:
                 # A head that began to arrive behind an earlier request has no timer.
                 self._start_timer(self._server.limits.header_seconds)
-        self._resume()
+        if not self._writing_paused:
+            self._resume()
 
     def _encode(self, reply: CallerResponse, keep: bool, head_only: bool) -> bytes:
         try:
