Enlarge send buffers once when a stop begins, within the limit of the system

Change: each connection's buffer is set to the limit at SIGTERM, or when it is made after that. The option for privileged processes, which went beyond the limit, is gone. Tests: test_answers_behind_a_final_one_are_written_when_the_process_ends failed before and passes; test_the_kernel_has_all_answers_when_the_process_ends begins the stop first, as the process does. What does not fit is still cut and logged.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -17,7 +17,7 @@
 from arbutusflow.gateway.body_budget import BodyBudget
 from arbutusflow.gateway.closing import (
     TwoStepClose,
-    hand_over,
+    enlarge_send_buffer,
     unread_bytes,
     unsent_bytes,
 )
@@ -156,6 +156,7 @@
         Requests that were read before are answered; then the connection is closed.
         """
         self.stopping = True
+        self._call_each(lambda conn: conn.prepare_end())
 
     def close_idle(self) -> None:
         """Close connections without pending requests, except new ones."""
@@ -287,6 +288,13 @@
         self._transport = transport
         self._server.connections.add(self)
         self._start_timer(self._server.limits.idle_seconds)
+        if self._server.stopping:
+            self.prepare_end()
+
+    def prepare_end(self) -> None:
+        """Let the kernel take what the caller may not read before the process ends."""
+        if self._transport is not None:
+            enlarge_send_buffer(self._transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the cancellable requests of a caller that disconnected."""
@@ -459,12 +467,7 @@
         self._release_body()
 
     def finish(self) -> None:
-        """Cancel the handlers, which respond, and close the connection after that.
-
-        The kernel gets what its caller has not taken.
-        """
-        if self._transport is not None:
-            hand_over(self._transport)
+        """Cancel the handlers, which respond, and close the connection after that."""
         if self.is_closing:
             return
         if self._request_started:
@@ -556,8 +559,6 @@
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
-            if self._server.finished:
-                hand_over(self._transport)
 
     def _close_idle(self) -> None:
         """Close the connection, in two steps if its caller still reads a response.
--- a/arbutusflow/gateway/closing.py
+++ b/arbutusflow/gateway/closing.py
@@ -4,8 +4,9 @@
 delivered. A connection is therefore closed in two steps: this side ends, and what still
 arrives is read and discarded by the owner of the transport; then the socket is closed.
 
-The kernel delivers what it has been given, also when the process has ended. What is
-then left in the memory of the process is lost, so `hand_over` gives it to the kernel.
+The kernel delivers what it has been given, also when the process has ended, unless the
+caller sends more: that is answered by a reset. What is then left in the memory of the
+process is lost, so the send buffers are enlarged when a stop begins.
 
 Invariants: nothing is written after `begin`; a caller that goes on reading gets all
 that was written; one that reads nothing for the stall time is reset.
@@ -14,6 +15,7 @@
 import asyncio
 import contextlib
 import fcntl
+import functools
 import pathlib
 import socket
 import struct
@@ -22,8 +24,6 @@
 # For how long input is discarded after all that was written has been delivered, and how
 # often this is checked.
 LINGER_SECONDS = 0.5
-# Option of Linux: a send buffer beyond the system's limit, for privileged processes.
-SO_SNDBUFFORCE = 32
 SEND_BUFFER_LIMIT_PATH = pathlib.Path("/proc/sys/net/core/wmem_max")
 _INT = struct.Struct("i")
 
@@ -40,30 +40,23 @@
     return _kernel_bytes(transport, termios.FIONREAD)
 
 
-def hand_over(transport: asyncio.Transport) -> None:
-    """Let the kernel take what is written, as far as the system allows.
+def enlarge_send_buffer(transport: asyncio.Transport) -> None:
+    """Let the kernel take as much of what is written as the system allows.
 
-    It takes the bytes in the next iterations of the event loop.
+    To be called before the buffer is full: the kernel reports room only when a third of
+    the buffer is free.
     """
-    waiting = transport.get_write_buffer_size()
     sock = transport.get_extra_info("socket")
-    if not waiting or sock is None or sock.fileno() < 0:
+    if sock is None or sock.fileno() < 0:
         return
-    size = sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
-    wanted = (
-        size + waiting
-    )  # The kernel doubles it, for what it keeps beside the bytes.
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, SO_SNDBUFFORCE, wanted)
-    except OSError:
-        # Not privileged. A value beyond the limit is cut to it, which may be less than
-        # the kernel had chosen by itself.
-        allowed = min(wanted, _send_buffer_limit())
-        if 2 * allowed > size:
-            with contextlib.suppress(OSError):  # The caller has reset the connection.
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, allowed)
+    allowed = _send_buffer_limit()
+    with contextlib.suppress(OSError):  # The caller has reset the connection.
+        # The kernel doubles it, for what it keeps beside the bytes.
+        if 2 * allowed > sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, allowed)
 
 
+@functools.cache
 def _send_buffer_limit() -> int:
     """Return the largest send buffer that may be set, 0 if the system does not tell."""
     try:
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -216,6 +216,7 @@
         await loop.sock_sendall(sock, request_head)
         await asyncio.sleep(0.1)
         assert bool(conn._transport.get_write_buffer_size()) is answered
+        server.close_after_responses()
         server.finish()
         await asyncio.sleep(FINAL_ANSWER_SECONDS)
         server.report_cut()
