Report errors while a response is written, and at connections that make room

Cause: writing stood outside of the guard of a request, and nobody read the result of its task: an error left the requests behind it without an answer on an open connection. Change: an error while writing is reported and the connection reset, its requests named as cut; connections that make room are closed each on its own.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -10,7 +10,7 @@
 import dataclasses
 import functools
 import heapq
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import httptools
 
@@ -146,8 +146,7 @@
             (conn for conn in self.connections if conn.is_idle),
             key=lambda conn: conn.idle_since,
         )
-        for conn in longest_idle:
-            conn.close_if_idle()
+        self._call_each(lambda conn: conn.close_if_idle(), longest_idle)
         return False
 
     def close_after_responses(self) -> None:
@@ -171,9 +170,16 @@
         self.finished = True
         self._call_each(lambda conn: conn.finish())
 
-    def _call_each(self, method: "Callable[[CallerConnection], None]") -> None:
-        """Call a method for each open connection, also after an error at one."""
-        for conn in list(self.connections):
+    def _call_each(
+        self,
+        method: "Callable[[CallerConnection], None]",
+        connections: "Iterable[CallerConnection] | None" = None,
+    ) -> None:
+        """Call a method for each connection, also after an error at one.
+
+        The default is all open connections.
+        """
+        for conn in list(self.connections if connections is None else connections):
             try:
                 method(conn)
             except Exception as exc:
@@ -499,6 +505,16 @@
             self._reserved_bytes = 0
 
     def _write_ready_responses(self) -> None:
+        try:
+            self._write_next_responses()
+        except Exception as exc:
+            # A bug in this program. The responses behind it would never be written.
+            self._server.on_error("writing a response", exc)
+            self._cancel_pipeline("error")
+            if self._transport is not None:
+                self._transport.abort()
+
+    def _write_next_responses(self) -> None:
         while self._pipeline and self._pipeline[0].reply is not None:
             pipelined = self._pipeline.popleft()
             if self._server.stopping:
@@ -516,7 +532,7 @@
                 self._write(self._encode(pipelined.reply, keep, head_only))
             if not keep:
                 # Only behind a request that itself asked for the close.
-                self._cancel_pipeline()
+                self._cancel_pipeline("behind_closing_response")
                 self._close_after_response()
                 return
         if not self._pipeline:
@@ -549,8 +565,8 @@
         if unsent and self._latest_request is not None:
             self._server.on_cut(self._latest_request, cause)
 
-    def _cancel_pipeline(self) -> None:
-        self.report_unanswered("behind_closing_response")
+    def _cancel_pipeline(self, cause: str) -> None:
+        self.report_unanswered(cause)
         for pipelined in self._pipeline:
             if pipelined.task is not None:
                 pipelined.task.cancel()
--- a/tests/gateway/test_descriptor_limits.py
+++ b/tests/gateway/test_descriptor_limits.py
@@ -10,6 +10,7 @@
 
 from arbutusflow.gateway.body_budget import BodyBudget
 from arbutusflow.gateway.caller_server import (
+    DEFAULT_LIMITS,
     NEW_CONNECTION_SECONDS,
     CallerResponse,
     CallerServer,
@@ -165,6 +166,34 @@
     assert count <= 3
 
 
+def test_an_error_at_an_idle_connection_does_not_end_accepting():
+    """Guards against callers that are never accepted while one connection fails."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        async with _serving(max_connections=2) as (server, errors):
+            idle, other, late = socks = _new_sockets(3)
+            for sock in (idle, other):
+                await loop.sock_connect(sock, (HOST, server.port))
+                await loop.sock_sendall(sock, GET)
+                await _read(sock)
+            failing = min(server.connections, key=lambda conn: conn.idle_since)
+            failing._close_idle = lambda: 1 / 0
+            await asyncio.sleep(1.5 * NEW_CONNECTION_SECONDS)
+            await loop.sock_connect(late, (HOST, server.port))
+            await loop.sock_sendall(late, GET)
+            # Long before idle connections end by themselves.
+            async with asyncio.timeout(DEFAULT_LIMITS.idle_seconds / 2):
+                answer = await _read(late)
+            for sock in socks:
+                sock.close()
+        return answer, errors
+
+    answer, errors = asyncio.run(main())
+    assert answer.endswith(b"served")
+    assert ZeroDivisionError in map(type, errors)
+
+
 def test_a_connection_waits_while_all_others_are_busy():
     """Guards against busy connections that are closed for new ones."""
 
