Check only watches that return changes at once, by the revisions of what they missed

A watch that had delivered everything was made anew when other kinds had changed. Change: only close watches take turns, and the revisions of the missed changes are compared.

--- a/arbutusflow/gateway/store_probes.py
+++ b/arbutusflow/gateway/store_probes.py
@@ -56,10 +56,10 @@
             self._task = self._loop.create_task(self._probe_as_granter(copies))
 
     async def _probe_as_granter(self, copies: list[ObjectCopy]) -> None:
-        # The one that has not been heard of for longest.
-        checked = min(copies, key=lambda c: max(c.checked_at, c.answered_at))
+        watching = [copy for copy in copies if copy.watches_closely]
         try:
-            if checked.watches_closely:
+            if watching:
+                checked = min(watching, key=lambda copy: copy.checked_at)
                 await checked.check_watch(PROBE_TIMEOUT_SECONDS)
             else:
                 await self._store.probe(PROBE_TIMEOUT_SECONDS)
--- a/arbutusflow/gateway/store_watch.py
+++ b/arbutusflow/gateway/store_watch.py
@@ -457,12 +457,14 @@
         except HistoryGoneError:
             self.list_now()
             return
-        if not any(c.object.revision > self.revision for c in missed.changes):
+        # Objects of other kinds change the revision of the store as well.
+        latest = max((c.object.revision for c in missed.changes), default=None)
+        if latest is None:
             return
         # The watch under way may be about to deliver them.
         await asyncio.sleep(BEHIND_TOLERANCE_SECONDS)
         now = asyncio.get_running_loop().time()
-        if self.revision >= missed.revision or self._is_receiving(now):
+        if self.revision >= latest or self._is_receiving(now):
             return
         self._log.write_rate_limited("store_watch_silent", kind=self._kind)
         self._cancel_call()
