Listen at changed addresses of the settings without losing a connection

Change: the addresses for callers and readiness follow the file. The new one is listened at first; the old one ends when its queue is empty, and its connections are served on. Nothing moves once a stop has ended listening.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -17,7 +17,7 @@
 from arbutusflow.domain.body_budget import BodyBudget
 from arbutusflow.gateway.closing import TwoStepClose, unread_bytes, unsent_bytes
 from arbutusflow.gateway.listener import Listener
-from arbutusflow.gateway.model import CallerLimits
+from arbutusflow.gateway.model import Address, CallerLimits
 
 # Reading pauses at this number of unanswered requests on a connection; the requests of
 # one received chunk may exceed it.
@@ -112,29 +112,55 @@
         self.finished = False  # Whether `finish` was called.
         self.connections: set[CallerConnection] = set()
         self.max_connections: float = float("inf")
-        self._listener = Listener(
-            lambda: CallerConnection(self), self._report_error, self._has_room
-        )
+        self.address: Address | None = None  # At which it listens, as configured.
+        # The latest one, and earlier ones with connections that wait to be set up.
+        self._listeners: list[Listener] = []
+        self._accepting_ended = False
 
     def _report_error(self, activity: str, exc: BaseException) -> None:
         self.on_error(activity, exc)
 
     async def start(self, host: str, port: int) -> None:
         """Start listening. Raises OSError."""
-        await self._listener.start(host, port)
+        self._listen(Address(host, port))
+
+    def move(self, address: Address) -> None:
+        """Listen at another address, and end listening at the one before.
+
+        What was accepted there is served. Raises OSError; nothing changes then. Without
+        effect before the start and after accepting was stopped.
+        """
+        if self.address in (None, address) or self._accepting_ended:
+            return
+        previous = self._listeners
+        self._listen(address)
+        for listener in previous:
+            listener.stop()
+
+    def _listen(self, address: Address) -> None:
+        listener = Listener(
+            lambda: CallerConnection(self), self._report_error, self._has_room
+        )
+        listener.start(address.host, address.port)
+        waiting = [earlier for earlier in self._listeners if earlier.is_open]
+        self._listeners = [*waiting, listener]
+        self.address = address
 
     @property
     def port(self) -> int:
         """The listening port; port 0 lets the operating system choose it."""
-        return self._listener.port
+        return self._listeners[-1].port
 
     def stop_accepting(self) -> None:
         """End listening soon, and keep the connections accepted until then."""
-        self._listener.stop()
+        self._accepting_ended = True
+        for listener in self._listeners:
+            listener.stop()
 
     def _has_room(self) -> bool:
         """Whether another connection may be accepted; else make room for the next."""
-        if len(self.connections) + self._listener.accepting < self.max_connections:
+        accepting = sum(listener.accepting for listener in self._listeners)
+        if len(self.connections) + accepting < self.max_connections:
             return True
         longest_idle = heapq.nsmallest(
             CLOSED_FOR_ROOM,
@@ -187,7 +213,9 @@
     @property
     def is_busy(self) -> bool:
         """Whether a connection has or may soon have a request, or unsent bytes."""
-        return self._listener.is_busy or any(conn.is_busy for conn in self.connections)
+        return any(listener.is_busy for listener in self._listeners) or any(
+            conn.is_busy for conn in self.connections
+        )
 
 
 class _PipelinedRequest:
--- a/arbutusflow/gateway/listener.py
+++ b/arbutusflow/gateway/listener.py
@@ -38,7 +38,7 @@
         self._accepts_left = BACKLOG  # After `stop`.
         self._reported_at = float("-inf")
 
-    async def start(self, host: str, port: int) -> None:
+    def start(self, host: str, port: int) -> None:
         """Start listening. Raises OSError."""
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._sock = socket.create_server((host, port), family=family, backlog=BACKLOG)
@@ -59,15 +59,16 @@
     @property
     def is_busy(self) -> bool:
         """Whether connections that were accepted in time have no protocol yet."""
-        return bool(self._accepting) or (self._stopping and self._is_open)
+        return bool(self._accepting) or (self._stopping and self.is_open)
 
     @property
-    def _is_open(self) -> bool:
+    def is_open(self) -> bool:
+        """Whether the kernel holds connections for this process."""
         return self._sock is not None and self._sock.fileno() >= 0
 
     def stop(self) -> None:
         """End listening when the connections that the kernel has accepted are taken."""
-        if self._stopping or not self._is_open:
+        if self._stopping or not self.is_open:
             return
         self._stopping = True
         self._pause()
@@ -75,7 +76,7 @@
 
     def _accept(self) -> None:
         """Take connections from the kernel, or pause if that is not possible now."""
-        if not self._is_open:
+        if not self.is_open:
             return
         assert self._sock is not None
         for _ in range(MAX_ACCEPTS):
@@ -132,7 +133,7 @@
     def _resume(self) -> None:
         if self._stopping:
             self._accept()
-        elif self._is_open:
+        elif self.is_open:
             assert self._sock is not None
             asyncio.get_running_loop().add_reader(self._sock, self._accept)
 
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -45,6 +45,7 @@
 from arbutusflow.gateway.lifecycle import Lifecycle, Phase, Work
 from arbutusflow.gateway.metrics import GatewayMetrics
 from arbutusflow.gateway.model import (
+    Address,
     Configuration,
     EndpointProcess,
     GatewaySettings,
@@ -123,6 +124,7 @@
         self._stop_signal_after: float | None = None  # A time before SIGTERM arrived.
         # Outcomes of requests since the stop began.
         self._outcomes_while_stopping: collections.Counter[str] = collections.Counter()
+        self._unusable_addresses: set[Address] = set()  # That were logged.
         self._tasks: set[asyncio.Task[None]] = set()
         self._configuration: Configuration | None = None
         self._configuration_since = 0.0  # When it came into force.
@@ -212,10 +214,9 @@
         await self._loop.create_datagram_endpoint(
             lambda: self.fleet_task.peers, local_addr=(cfg.peer_host, cfg.peer_port)
         )
-        await self.caller_server.start(cfg.caller_address.host, cfg.caller_address.port)
-        await self.readiness_server.start(
-            cfg.readiness_address.host, cfg.readiness_address.port
-        )
+        # They may have changed meanwhile.
+        for server, address in self._listening_addresses():
+            await server.start(address.host, address.port)
         if cfg.metrics_port is not None:
             metrics = CallerServer(
                 self._metrics, BodyBudget(lambda: 0), self.log.write_exception
@@ -563,6 +564,10 @@
     # Settings and shutdown.
 
     def _reload(self) -> None:
+        self._read_settings()
+        self._move_listening()
+
+    def _read_settings(self) -> None:
         text = _read(self._path)
         if text == self._settings_text:
             return
@@ -580,6 +585,33 @@
         )
         self.log.write("settings_reloaded")
 
+    def _listening_addresses(self) -> tuple[tuple[CallerServer, Address], ...]:
+        return (
+            (self.caller_server, self._cfg.caller_address),
+            (self.readiness_server, self._cfg.readiness_address),
+        )
+
+    def _move_listening(self) -> None:
+        """Listen at the addresses of the settings.
+
+        One that can't be used is tried again at each check of the settings; until then
+        its server listens where it did.
+        """
+        for server, address in self._listening_addresses():
+            if server.address == address:
+                continue
+            try:
+                server.move(address)
+            except OSError as exc:
+                if address not in self._unusable_addresses:
+                    self._unusable_addresses.add(address)
+                    detail = f"{address.host}:{address.port}"
+                    self.log.write(
+                        "listening_not_moved", address=detail, error=str(exc)
+                    )
+            else:
+                self._unusable_addresses.discard(address)
+
     def _note_stop_signal(self, number: int, frame: types.FrameType | None) -> None:
         """Note when SIGTERM can't have arrived yet.
 
