Close many idle connections in several turns of the event loop

Cause: a planned stop closed all idle connections in one call; with 3,800 of them the event loop was held for 414 ms, with 2,000 for 81 ms (load 20), in which no answer was passed on.

Change: one call closes 200; the stop calls it each 50 ms. The final step still ends what is left at once.

Before: the new test failed (501 closed in one call).

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -10,7 +10,8 @@
 import dataclasses
 import functools
 import heapq
-from collections.abc import Awaitable, Callable
+import itertools
+from collections.abc import Awaitable, Callable, Iterable
 
 import httptools
 
@@ -24,6 +25,7 @@
 MAX_PIPELINED_REQUESTS = 16
 # Idle connections that are closed at a time to make room for new ones.
 CLOSED_FOR_ROOM = 16
+CLOSED_AT_ONCE = 200  # Idle connections that one call of `close_idle` closes.
 # How long after its start a connection is not closed as idle by a planned stop.
 NEW_CONNECTION_SECONDS = 0.25
 # For a request whose body takes longer than any caller waits.
@@ -179,8 +181,13 @@
         self.stopping = True
 
     def close_idle(self) -> None:
-        """Close connections without pending requests, except new ones."""
-        self._call_each(lambda conn: conn.close_if_idle())
+        """Close connections without pending requests, except new ones.
+
+        One call closes `CLOSED_AT_ONCE` of them, as the event loop has other work.
+        """
+        idle = (conn for conn in list(self.connections) if conn.is_idle)
+        chosen = itertools.islice(idle, CLOSED_AT_ONCE)
+        self._call_each(lambda conn: conn.close_if_idle(), chosen)
 
     def finish(self) -> None:
         """Process no further input, and cancel all handlers.
@@ -189,11 +196,15 @@
         that are not complete, or that are read after this, get status 503.
         """
         self.finished = True
-        self._call_each(lambda conn: conn.finish())
+        self._call_each(lambda conn: conn.finish(), list(self.connections))
 
-    def _call_each(self, method: "Callable[[CallerConnection], None]") -> None:
-        """Call a method for each open connection, also after an error at one."""
-        for conn in list(self.connections):
+    def _call_each(
+        self,
+        method: "Callable[[CallerConnection], None]",
+        connections: "Iterable[CallerConnection]",
+    ) -> None:
+        """Call a method for each of the connections, also after an error at one."""
+        for conn in connections:
             try:
                 method(conn)
             except Exception as exc:
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import socket
 
 import pytest
 
 from arbutusflow.domain.body_budget import BodyBudget
 from arbutusflow.gateway.caller_server import (
+    CLOSED_AT_ONCE,
     NEW_CONNECTION_SECONDS,
     CallerResponse,
     CallerServer,
@@ -265,3 +267,27 @@
         return await loop.sock_recv(sock, CHUNK_BYTES)
 
     assert _run(scenario).startswith(b"HTTP/1.1 200")
+
+
+def test_many_idle_connections_are_closed_in_several_turns():
+    """Guards against answers that wait while thousands of connections are closed."""
+    count = int(2.5 * CLOSED_AT_ONCE)
+
+    async def scenario(server, sock):
+        socks = [socket.create_connection((HOST, server.port)) for _ in range(count)]
+        while len(server.connections) <= count:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(2 * NEW_CONNECTION_SECONDS)
+        left = [len(server.connections)]
+        while server.connections:
+            server.close_idle()
+            await asyncio.sleep(0.05)
+            left.append(len(server.connections))
+        for client in socks:
+            client.close()
+        return left
+
+    left = _run(scenario)
+    closed = [before - after for before, after in itertools.pairwise(left)]
+    assert max(closed) <= CLOSED_AT_ONCE
+    assert len(closed) == 3
