--- a/arbutusflow/gateway/listener.py
+++ b/arbutusflow/gateway/listener.py
@@ -107,7 +107,6 @@
             self._sock.close()
 
     def _set_up(self, sock: socket.socket) -> None:
-        sock.setblocking(False)
         setup = asyncio.get_running_loop().connect_accepted_socket(
             self._make_protocol, sock
         )
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -77,6 +77,7 @@
             self._stop_seconds,
             sum(gateway.kills for gateway in world.gateways),
             judge.final_answers,
+            judge.late_answers,
             world.lateness.longest_seconds,
             grants,
             moved,
