--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -10,6 +10,7 @@
 import dataclasses
 import functools
 import heapq
+import itertools
 from collections.abc import Awaitable, Callable, Iterable
 
 import httptools
@@ -22,13 +23,14 @@
     unsent_bytes,
 )
 from arbutusflow.gateway.listener import Listener
-from arbutusflow.gateway.model import CallerLimits
+from arbutusflow.gateway.model import Address, CallerLimits
 
 # Reading pauses at this number of unanswered requests on a connection; the requests of
 # one received chunk may exceed it.
 MAX_PIPELINED_REQUESTS = 16
 # Idle connections that are closed at a time to make room for new ones.
 CLOSED_FOR_ROOM = 16
+CLOSED_AT_ONCE = 200  # Idle connections that one call of `close_idle` closes.
 # How long after its start a connection is not closed as idle by a planned stop.
 NEW_CONNECTION_SECONDS = 0.25
 # For a request whose body takes longer than any caller waits.
@@ -117,29 +119,55 @@
         self.finished = False  # Whether `finish` was called.
         self.connections: set[CallerConnection] = set()
         self.max_connections: float = float("inf")
-        self._listener = Listener(
-            lambda: CallerConnection(self), self._report_error, self._has_room
-        )
+        self.address: Address | None = None  # At which it listens, as configured.
+        # The latest one, and earlier ones with connections that wait to be set up.
+        self._listeners: list[Listener] = []
+        self._accepting_ended = False
 
     def _report_error(self, activity: str, exc: BaseException) -> None:
         self.on_error(activity, exc)
 
     async def start(self, host: str, port: int) -> None:
         """Start listening. Raises OSError."""
-        await self._listener.start(host, port)
+        self._listen(Address(host, port))
+
+    def move(self, address: Address) -> None:
+        """Listen at another address, and end listening at the one before.
+
+        What was accepted there is served. Raises OSError; nothing changes then. Without
+        effect before the start and after accepting was stopped.
+        """
+        if self.address in (None, address) or self._accepting_ended:
+            return
+        previous = self._listeners
+        self._listen(address)
+        for listener in previous:
+            listener.stop()
+
+    def _listen(self, address: Address) -> None:
+        listener = Listener(
+            lambda: CallerConnection(self), self._report_error, self._has_room
+        )
+        listener.start(address.host, address.port)
+        waiting = [earlier for earlier in self._listeners if earlier.is_open]
+        self._listeners = [*waiting, listener]
+        self.address = address
 
     @property
     def port(self) -> int:
         """The listening port; port 0 lets the operating system choose it."""
-        return self._listener.port
+        return self._listeners[-1].port
 
     def stop_accepting(self) -> None:
         """End listening soon, and keep the connections accepted until then."""
-        self._listener.stop()
+        self._accepting_ended = True
+        for listener in self._listeners:
+            listener.stop()
 
     def _has_room(self) -> bool:
         """Whether another connection may be accepted; else make room for the next."""
-        if len(self.connections) + self._listener.accepting < self.max_connections:
+        accepting = sum(listener.accepting for listener in self._listeners)
+        if len(self.connections) + accepting < self.max_connections:
             return True
         longest_idle = heapq.nsmallest(
             CLOSED_FOR_ROOM,
@@ -155,11 +183,16 @@
         Requests that were read before are answered; then the connection is closed.
         """
         self.stopping = True
-        self._call_each(lambda conn: conn.prepare_end())
+        self._call_each(lambda conn: conn.prepare_end(), list(self.connections))
 
     def close_idle(self) -> None:
-        """Close connections without pending requests, except new ones."""
-        self._call_each(lambda conn: conn.close_if_idle())
+        """Close connections without pending requests, except new ones.
+
+        One call closes `CLOSED_AT_ONCE` of them, as the event loop has other work.
+        """
+        idle = (conn for conn in list(self.connections) if conn.is_idle)
+        chosen = itertools.islice(idle, CLOSED_AT_ONCE)
+        self._call_each(lambda conn: conn.close_if_idle(), chosen)
 
     def finish(self) -> None:
         """Process no further input, and cancel all handlers.
@@ -168,18 +201,15 @@
         that are not complete, or that are read after this, get status 503.
         """
         self.finished = True
-        self._call_each(lambda conn: conn.finish())
+        self._call_each(lambda conn: conn.finish(), list(self.connections))
 
     def _call_each(
         self,
         method: "Callable[[CallerConnection], None]",
-        connections: "Iterable[CallerConnection] | None" = None,
+        connections: "Iterable[CallerConnection]",
     ) -> None:
-        """Call a method for each connection, also after an error at one.
-
-        The default is all open connections.
-        """
-        for conn in list(self.connections if connections is None else connections):
+        """Call a method for each of the connections, also after an error at one."""
+        for conn in connections:
             try:
                 method(conn)
             except Exception as exc:
@@ -199,7 +229,9 @@
     @property
     def is_busy(self) -> bool:
         """Whether a connection has or may soon have a request, or unsent bytes."""
-        return self._listener.is_busy or any(conn.is_busy for conn in self.connections)
+        return any(listener.is_busy for listener in self._listeners) or any(
+            conn.is_busy for conn in self.connections
+        )
 
 
 class _PipelinedRequest:
