--- a/arbutusflow/gateway/endpoint_directory.py
+++ b/arbutusflow/gateway/endpoint_directory.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from arbutusflow.gateway.event_log import EventLog
-from arbutusflow.gateway.model import Endpoint, EndpointProcess
+from arbutusflow.gateway.model import Endpoint, EndpointProcess, StorePoint
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform.documents import decode_endpoint
 from arbutusflow.platform.store import StoredObject
@@ -38,7 +38,7 @@
         self._store_available_seconds = store_available_seconds
         self._log = log
         self._retained: dict[str, Endpoint] = {}
-        self._unreadable_revisions: dict[str, int] = {}
+        self._unreadable_revisions: dict[str, StorePoint] = {}
         # Decoded entries: one change must not cost the decoding of thousands.
         self._decoded: dict[str, tuple[StoredObject, Endpoint]] = {}
         # The latest known process of each identifier, also after it has left.
@@ -102,7 +102,7 @@
         current = {**self._retained, **listed}
         for name in self.endpoints.keys() - current.keys():
             self._log.write(
-                "endpoint_gone", endpoint=name, revision=self._copy.revision
+                "endpoint_gone", endpoint=name, revision=self._copy.revision.number
             )
         for name, endpoint in current.items():
             known = self.endpoints.get(name)
@@ -119,7 +119,7 @@
                     service=endpoint.service,
                     zone=endpoint.zone,
                     draining=endpoint.draining,
-                    revision=self._copy.revision,
+                    revision=self._copy.revision.number,
                 )
         self.endpoints = current
 
@@ -154,7 +154,7 @@
                 endpoint=entry.id,
                 started_ms=entry.started_ms,
                 known_started_ms=known.started_ms,
-                revision=self._copy.revision,
+                revision=self._copy.revision.number,
             )
         if now - since < OUTDATED_ENTRY_SECONDS:
             return True
--- a/arbutusflow/gateway/fleet.py
+++ b/arbutusflow/gateway/fleet.py
@@ -9,6 +9,10 @@
   leaving, or has lost the right to grant. The planner stops vouching for an instance
   that does not report the table, which then loses that right after
   `CONTACT_TIMEOUT_SECONDS`.
+
+Both hold within an era of the store. Evidence of an era counts only for tables of that
+era. When an instance learns of a later era, the end of its right by earlier tables is
+fixed; see `docs/decisions/store-eras.md`.
 """
 
 import dataclasses
@@ -18,14 +22,18 @@
 import msgspec
 import xxhash
 
+from arbutusflow.gateway.key_orders import GRANT_TIMEOUT_SECONDS
 from arbutusflow.gateway.key_table import lease_expiry
-from arbutusflow.gateway.model import Address, Endpoint
+from arbutusflow.gateway.model import BEFORE_ALL, Address, Endpoint, StorePoint
 from arbutusflow.gateway.peers import ALIVE_SECONDS, PeerReports, PeerState
 from arbutusflow.gateway.store_watch import ObjectCopy
 
 FLEET_KIND = "arbutusflow"
 INSTANCE_PREFIX = "instance-"
 TABLE_PREFIX = "keys-"
+# Of tables of later eras, followed by the era and the service: no late write of an
+# earlier era reaches them, and no restored table is taken for one of this era.
+ERA_TABLE_PREFIX = "keys."
 # Bounds how long an isolated instance continues to grant keys, and so how long it
 # delays a move. Ten consecutive reports across zones may be lost without effect.
 CONTACT_TIMEOUT_SECONDS = 3.0
@@ -63,6 +71,21 @@
     zone: str
 
 
+def table_name(service: str, era: int) -> str:
+    """Return the name under which the table of a service is stored in an era."""
+    return f"{ERA_TABLE_PREFIX}{era}-{service}" if era else TABLE_PREFIX + service
+
+
+def parse_table_name(name: str) -> tuple[str, int] | None:
+    """Return the service and the era of a stored table; None for other objects."""
+    if name.startswith(TABLE_PREFIX):
+        return name.removeprefix(TABLE_PREFIX), 0
+    era, separator, service = name.removeprefix(ERA_TABLE_PREFIX).partition("-")
+    if not name.startswith(ERA_TABLE_PREFIX) or not separator or not era.isdecimal():
+        return None
+    return service, int(era)
+
+
 @functools.lru_cache(maxsize=MAX_CACHED_HASHES)
 def rank_hash(*parts: str) -> int:
     """Return a hash that ranks instances the same way on every instance."""
@@ -100,7 +123,7 @@
     since: float
     # By service: revision of the table that keys moved by on the assumption that the
     # instance had lost the right to grant. It must apply it before it is readmitted.
-    required_revisions: dict[str, int] = dataclasses.field(default_factory=dict)
+    required_revisions: dict[str, StorePoint] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,7 +168,7 @@
         self._contact_reset_at = -1e9
         # By service: a revision that others have applied and this instance has not, and
         # when it was first reported.
-        self._missing_revisions: dict[str, tuple[int, float]] = {}
+        self._missing_revisions: dict[str, tuple[StorePoint, float]] = {}
         self._removed: list[_RemovedIncarnation] = []
         self._records_known_since: float | None = None
         self.records: dict[str, InstanceRecord] = {}
@@ -156,7 +179,16 @@
         self._ranks: dict[GranterGroup, int] = {}
         self._alive_at = -1e9
         self._alive: list[InstanceRecord] = []
-        self.applied: dict[str, int] = {}  # Revisions of the tables in force.
+        # Revisions of the tables in force.
+        self.applied: dict[str, StorePoint] = {}
+        self.era = copy.era.current
+        # When this instance learned of the era, and whether it knew an earlier one.
+        self.era_since = now
+        self._knew_earlier_era = False
+        # Whether it could grant in the era just before until it learned of this one.
+        self.held_right = False
+        # By era: until when it may grant by tables of that earlier era.
+        self._earlier_right_until: dict[int, float] = {}
 
     def update(self, now: float) -> None:
         """Update the records from this instance's copy of the store."""
@@ -204,7 +236,7 @@
         )
         for removed in self._removed:
             latest = max(latest, removed.latest_grant(endpoint))
-        return latest
+        return max(latest, self.earlier_grants_until(now))
 
     @property
     def registered(self) -> bool:
@@ -297,14 +329,90 @@
         """Discard all evidence of contact, after the process was suspended."""
         self._contact_reset_at = now
         self._copy.current_at = -1e9
+        self._earlier_right_until.clear()
 
-    def may_grant(self, now: float) -> bool:
-        """Return whether this instance may grant keys by the tables that it has."""
-        return self.grant_evidence(now) != "none"
+    def may_grant(self, now: float, era: int | None = None) -> bool:
+        """Return whether this instance may grant keys by its tables of an era.
+
+        The default is the current era.
+        """
+        if era is None or era == self.era:
+            return self.grant_evidence(now) != "none"
+        return now < self._earlier_right_until.get(era, -1e9)
+
+    def enter_era(self, era: int, now: float) -> None:
+        """Note a later era, and until when tables of earlier ones may be granted by."""
+        if self._copy.was_read:
+            until = self._right_until(now)
+            self._copy.current_at = -1e9
+            self.held_right = now < until and era == self.era + 1
+            self._earlier_right_until[self.era] = until
+            self._knew_earlier_era = True
+        self.era, self.era_since = era, now
+        self._ranks_at = self._alive_at = -1e9
+
+    def _right_until(self, now: float) -> float:
+        """Return how long the right to grant lasts without new evidence."""
+        if not self.may_grant(now):
+            return -1e9
+        until = self._copy.current_at + CONTACT_TIMEOUT_SECONDS
+        if self.is_vouched_for(now):
+            vouched = (
+                self._peers.peers[record.name].vouched_at(self.era)
+                for record in self.others()
+            )
+            until = max(until, min(vouched, default=now) + CONTACT_TIMEOUT_SECONDS)
+        return until
+
+    def knows_of_later_era(self, now: float) -> bool:
+        """Return whether a live instance has reported a later era than known here."""
+        return any(peer.report.era > self.era for peer in self._peers.alive(now))
+
+    def earlier_grants_until(self, now: float) -> float:
+        """Return until when grants by tables of earlier eras may arrive at endpoints.
+
+        Very early if there was no earlier era since the fleet was started.
+        """
+        if self.era == 0:
+            return -1e9
+        ages = [
+            now - peer.received_at + peer.report.era_age
+            for peer in self._peers.alive(now)
+            if peer.report.era == self.era and peer.report.era_age >= 0
+        ]
+        tables = map(parse_table_name, self._copy.objects)
+        if not (
+            self._knew_earlier_era
+            or ages
+            or any(self.last_report_at(record) is None for record in self.others())
+            or any(table is not None and table[1] != self.era for table in tables)
+        ):
+            return -1e9
+        since = now - max(ages, default=0.0)
+        return (
+            min(since, self.era_since)
+            + CONTACT_TIMEOUT_SECONDS
+            + CONTACT_SLACK_SECONDS
+            + GRANT_TIMEOUT_SECONDS
+        )
+
+    def era_age(self, now: float) -> float:
+        """Return for how long this era is known; negative if no earlier one was."""
+        return now - self.era_since if self._knew_earlier_era else -1.0
+
+    def holder_of_right_is_known(self, now: float) -> bool:
+        """Return whether a live instance held the right to grant until this era.
+
+        It was the era just before, so that instance had agreed to all its moves.
+        """
+        return self.held_right or any(
+            peer.report.era == self.era and peer.report.held_right
+            for peer in self._peers.alive(now)
+        )
 
     def grant_evidence(self, now: float) -> str:
         """Return what the right to grant rests on: "store", "vouched" or "none"."""
-        if not self.registered:
+        if not self.registered or self._copy.revision.era != self.era:
             return "none"
         if now - self._copy.current_at < CONTACT_TIMEOUT_SECONDS:
             return "store"
@@ -316,10 +424,12 @@
         Returns False if another instance has applied a later revision for some time:
         an instance that joined since then may rely on this one having stopped.
         """
+        if self._copy.revision.era != self.era:
+            return False
         for record in self.others():
             if self.last_report_at(record) is None:
                 return False
-            vouched = self._peers.peers[record.name].vouched_at
+            vouched = self._peers.peers[record.name].vouched_at(self.era)
             if (
                 vouched < self._contact_reset_at
                 or now - vouched >= CONTACT_TIMEOUT_SECONDS
@@ -335,11 +445,11 @@
         """
         for peer in self._peers.alive(now):
             for service, revision in peer.report.tables.items():
-                if revision > self.applied.get(service, 0):
+                if revision > self.applied.get(service, BEFORE_ALL):
                     self._missing_revisions.setdefault(service, (revision, now))
         behind = False
         for service, (revision, since) in list(self._missing_revisions.items()):
-            if self.applied.get(service, 0) >= revision:
+            if self.applied.get(service, BEFORE_ALL) >= revision:
                 del self._missing_revisions[service]
             elif now - since >= EXCLUDE_AFTER_SECONDS:
                 behind = True
@@ -347,18 +457,20 @@
 
     # Agreement on a revision.
 
-    def has_applied(self, record: InstanceRecord, service: str, revision: int) -> bool:
+    def has_applied(
+        self, record: InstanceRecord, service: str, revision: StorePoint
+    ) -> bool:
         """Return whether an instance has applied a table of at least `revision`."""
         if self.last_report_at(record) is None:
             return False
         report = self._peers.peers[record.name].report
-        return report.tables.get(service, 0) >= revision
+        return report.tables.get(service, BEFORE_ALL) >= revision
 
     def grants_stopped_at(
         self,
         record: InstanceRecord,
         service: str,
-        revision: int,
+        revision: StorePoint,
         since: float,
         now: float,
     ) -> float | None:
@@ -376,7 +488,7 @@
         if right_lost_at is not None:
             required_revisions = self._excluded[record.name].required_revisions
             required_revisions[service] = max(
-                revision, required_revisions.get(service, 0)
+                revision, required_revisions.get(service, BEFORE_ALL)
             )
         return right_lost_at
 
@@ -401,7 +513,8 @@
         Returns False while a lease may be valid that was granted by an unresponsive
         instance or by a previous incarnation that did not shut down gracefully.
         """
-        if now < lease_expiry(self.previous_incarnation_until):
+        earlier = max(self.previous_incarnation_until, self.earlier_grants_until(now))
+        if now < lease_expiry(earlier):
             return False
         for record in self.others():
             last_report = self.last_report_at(record)
--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -35,7 +35,7 @@
 from arbutusflow.gateway.key_moves import KeyMoves
 from arbutusflow.gateway.key_orders import KeyOrders
 from arbutusflow.gateway.key_table import StoredTable
-from arbutusflow.gateway.model import Address
+from arbutusflow.gateway.model import BEFORE_ALL, Address, StorePoint
 from arbutusflow.gateway.peers import (
     CopyRequest,
     CopyTransfer,
@@ -81,6 +81,7 @@
 # Less than all: in a large fleet some report is always late or lost.
 MIN_RECENT_DEMAND_SHARE = 0.8
 NO_PREVIOUS_INCARNATION_SECONDS = 1e6  # Longer ago than any lease lasts.
+ERA_CHECK_SECONDS = 1.0  # Between checks because of reports of a later era.
 REGAIN_SECONDS = 2.0  # Within which all granters regain the store after an outage.
 # After its start, an instance waits this long for a granter that sends it the objects
 # of the store, before it reads them itself.
@@ -98,7 +99,7 @@
         """Return for how long the store has answered; negative if it does not."""
         ...
 
-    def known_revisions(self) -> tuple[int, int]:
+    def known_revisions(self) -> tuple[StorePoint, StorePoint]:
         """Return the latest revisions of the configuration and of the endpoints."""
         ...
 
@@ -160,11 +161,11 @@
         self._queue_marked_at = -1e9
         self._grant_evidence = "none"  # As last logged.
         self._report_number = 0
-        self._last_zone_state: tuple[dict[str, int], tuple[int, ...]] = ({}, ())
+        self._last_zone_state: tuple[dict[str, int], tuple[StorePoint, ...]] = ({}, ())
         self._zone_reported_at = self._fleet_reported_at = self._digest_at = -1e9
         self._started = self._loop.time()
         # By kind: revisions when a report or a digest was last due.
-        self._told_revisions: dict[str, int] = {}
+        self._told_revisions: dict[str, StorePoint] = {}
         self._reported_in_flight: dict[str, int] = {}  # In the latest follower report.
         self._demand_due = False
         self._lost_contact: set[str] = set()  # Instances that cannot read the store.
@@ -172,7 +173,7 @@
         self._registered_once = False
         # By service: table revision in force, and when a later one was first reported
         # or last requested.
-        self._behind_since: dict[str, tuple[int, float]] = {}
+        self._behind_since: dict[str, tuple[StorePoint, float]] = {}
         self._partitioned_services: list[str] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self.demand = key_demand.KeyDemand()
@@ -200,6 +201,8 @@
         self._read_delay = READ_SPREAD_SECONDS * share  # As a follower.
         self.probes = StoreProbes(store, self.relay.copies, self.report_to_fleet)
         self.fleet = Fleet(own_record, self.copy, self.peers, self._loop.time())
+        self._era_checked_at = -1e9
+        store.era.subscribers.append(self._on_era)
         self.followers = Followers()
         self.following = Following(own_record, self.fleet, self._loop.time(), rng)
         self.orders = KeyOrders(pool, log, max_lease_seconds)
@@ -331,6 +334,24 @@
         self.leases.update_tables(now)
         self._tick_keys(now)
 
+    # Eras of the store.
+
+    def _on_era(self, before: int, learnt_by: str) -> None:
+        now = self._loop.time()
+        self.following.reclaims = self.fleet.registered or self.following.reclaims
+        self.fleet.enter_era(self._store.era.current, now)
+        self._digest_at = self._fleet_reported_at = -1e9  # The others check the store.
+
+    def _check_reported_era(self, era: int, now: float) -> None:
+        """Check the store if another instance reports a later era of it.
+
+        What a report says of an era gives no right, and takes none.
+        """
+        if era <= self.fleet.era or now - self._era_checked_at < ERA_CHECK_SECONDS:
+            return
+        self._era_checked_at = now
+        self.probes.check_now()
+
     # Records in the store.
 
     def _maintain_records(self, now: float) -> None:
@@ -363,7 +384,7 @@
             self.copy.adopt(item)
             self.fleet.note_registered(self._loop.time())
             self.fleet.update(self._loop.time())
-            self._registered_once = True
+            self._registered_once, self.following.reclaims = True, False
             self._log.write("registered", life=self.fleet.own_record.life)
         except ConflictError:
             self.copy.relist()
@@ -421,6 +442,9 @@
             instances=1 + len(self.followers.alive(now)),
             copies=self.relay.revisions(),
             leaving_endpoints=self._workload.leaving_endpoints(),
+            era=self.fleet.era,
+            era_age=round(self.fleet.era_age(now), 3),
+            held_right=self.fleet.held_right,
         )
 
     def _touch_age(self, now: float) -> float:
@@ -487,7 +511,7 @@
         if now - self._zone_reported_at >= max(ZONE_REPORT_SECONDS, period):
             self.report_to_zone()
 
-    def _relayed_revisions(self) -> dict[str, int]:
+    def _relayed_revisions(self) -> dict[str, StorePoint]:
         """Return by kind the revisions of objects that others learn from reports only.
 
         Key tables are sent to others when they change.
@@ -738,18 +762,18 @@
         return [Address(r.host, r.port) for r in records]
 
     def _request_tables(
-        self, tables: dict[str, int], source: Address, delay: float, now: float
+        self, tables: dict[str, StorePoint], source: Address, delay: float, now: float
     ) -> None:
         """Request later tables from an instance that has had them for some time.
 
         `delay` in seconds is how long the store has to send them first.
         """
         for service, revision in tables.items():
-            applied = self.fleet.applied.get(service, 0)
+            applied = self.fleet.applied.get(service, BEFORE_ALL)
             if revision <= applied:
                 continue
             # Reports of instances that are behind as well must not delay the request.
-            known, since = self._behind_since.get(service, (-1, now))
+            known, since = self._behind_since.get(service, (None, now))
             if known != applied:
                 since = now
             if now - since >= delay:
@@ -759,6 +783,7 @@
 
     def _on_report(self, report: PeerReport, source: Address) -> None:
         now = self._loop.time()
+        self._check_reported_era(report.era, now)
         if report.touch_age >= 0:
             self._lost_contact.discard(report.instance)
         elif report.instance not in self._lost_contact:
@@ -795,7 +820,7 @@
             delay = OTHER_ZONE_EXTRA_DELAY_SECONDS
             if is_same_zone or copy is self.copy:
                 delay = 0.0
-            revisions = {kind: report.copies.get(kind, 0)}
+            revisions = {kind: report.copies.get(kind, BEFORE_ALL)}
             self.relay.request_changes(revisions, source, now, delay)
 
     async def leave(self, timeout: float) -> None:
--- a/arbutusflow/gateway/followers.py
+++ b/arbutusflow/gateway/followers.py
@@ -137,6 +137,8 @@
         self._digest_at = -1e9
         self._last_contact = now
         self.digest: FleetDigest | None = None
+        # Whether this instance had a record that the store may have lost.
+        self.reclaims = False
         # When this instance may claim a place as granter; None if none is vacant.
         self._claim_at: float | None = None
         self._claim_read_started = False  # A current list was requested for the claim.
@@ -261,6 +263,8 @@
         """Return for how long a place has to stay vacant; None if none is vacant."""
         if self.granters_lost_store(now):
             return None  # No claim could be recorded.
+        if self.reclaims:
+            return 0.0
         if self._fleet.zone_size < MIN_GRANTERS_PER_ZONE:
             return 0.0
         if now - self._last_contact >= NO_GRANTER_SECONDS:
--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -14,14 +14,14 @@
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.fleet import (
     MAX_STANDBY_RANK,
-    TABLE_PREFIX,
     Fleet,
     GranterGroup,
     granter_group,
+    parse_table_name,
 )
 from arbutusflow.gateway.key_orders import KeyOrders
 from arbutusflow.gateway.key_table import GrantId, KeyRange, KeyTable, StoredTable
-from arbutusflow.gateway.model import Endpoint, HttpResponse
+from arbutusflow.gateway.model import Endpoint, HttpResponse, StorePoint
 from arbutusflow.gateway.peers import (
     PeerReport,
     TableChanged,
@@ -85,9 +85,11 @@
     def update_tables(self, now: float) -> None:
         """Adopt the tables in this instance's copy of the store."""
         for name, item in self._copy.objects.items():
-            if not name.startswith(TABLE_PREFIX):
+            parsed = parse_table_name(name)
+            # A restored table of an earlier era may have been overtaken by a lost one.
+            if parsed is None or parsed[1] != item.revision.era:
                 continue
-            service = name.removeprefix(TABLE_PREFIX)
+            service = parsed[0]
             previous = self.tables.get(service)
             if previous is not None and previous.revision >= item.revision:
                 continue
@@ -107,6 +109,7 @@
         previous = self.tables.get(service)
         if previous is not None and previous.revision >= stored.revision:
             return
+        self._copy.era.advance(stored.revision.era, "table")
         self._track_changes(previous, stored.table, stored.revision, now)
         self.tables[service] = stored
         self._owned.pop(service, None)
@@ -157,7 +160,7 @@
         self,
         previous: StoredTable | None,
         table: KeyTable,
-        revision: int,
+        revision: StorePoint,
         now: float,
     ) -> None:
         before = (
@@ -181,7 +184,8 @@
         self._log.write(
             "key_table",
             service=table.service,
-            revision=revision,
+            era=revision.era,
+            revision=revision.number,
             ranges=len(table.ranges),
             leaving=sum(key_range.leaving for key_range in table.ranges),
         )
@@ -251,8 +255,11 @@
 
     def tick(self, partitioned_services: list[str], now: float) -> None:
         """Renew the leases that are due; called periodically."""
-        if not self.stopping and self._fleet.may_grant(now):
-            for service in partitioned_services:
+        if self.stopping:
+            return
+        for service in partitioned_services:
+            stored = self.tables.get(service)
+            if stored and self._fleet.may_grant(now, stored.revision.era):
                 self._renew_due(service, now)
 
     def _renew_due(self, service: str, now: float) -> None:
@@ -352,7 +359,9 @@
         stored = next(
             (s for s in self.tables.values() if key_range in s.table.ranges), None
         )
-        return stored is not None and self._fleet.may_grant(now)
+        if stored is None:
+            return False
+        return self._fleet.may_grant(now, stored.revision.era)
 
     def _handle_grant_reply(
         self, endpoint: Endpoint, key_range: KeyRange, response: HttpResponse
--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -21,7 +21,7 @@
 from arbutusflow.domain.errors import ConflictError, PlatformError
 from arbutusflow.gateway import key_planner
 from arbutusflow.gateway.event_log import EventLog
-from arbutusflow.gateway.fleet import FLEET_KIND, TABLE_PREFIX, Fleet
+from arbutusflow.gateway.fleet import FLEET_KIND, Fleet, table_name
 from arbutusflow.gateway.key_leases import KeyLeases
 from arbutusflow.gateway.key_orders import (
     GRANT_TIMEOUT_SECONDS,
@@ -35,7 +35,7 @@
     StoredTable,
     lease_expiry,
 )
-from arbutusflow.gateway.model import Endpoint
+from arbutusflow.gateway.model import BEFORE_ALL, Endpoint, StorePoint
 from arbutusflow.gateway.peers import PeerReports
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform.store import StoreClient, StoredObject
@@ -56,13 +56,19 @@
 # Each write of a table costs every instance a call to the store, and demand is
 # reported only once a second.
 BALANCE_INTERVAL_SECONDS = 1.0
+# After learning of a new era of the store: all live instances have reported by then
+# which tables they have, unless reports were lost.
+ERA_REPORT_SECONDS = 1.0
+# Then the planner no longer waits for a later table that another instance has reported,
+# or for one that held the right to grant.
+MAX_ERA_REPORT_SECONDS = 2.5
 
 
 @dataclasses.dataclass(slots=True)
 class _Revocation:
     """Progress of taking a leaving range from its owner."""
 
-    revision: int  # Of the table that marks the range as leaving.
+    revision: StorePoint  # Of the table that marks the range as leaving.
     first_seen_at: float
     key_range: KeyRange  # As the table marks it.
     # When this instance first saw the range leaving, and whether another one was to
@@ -148,6 +154,12 @@
         """Plan the services whose planner this instance is, and finish its moves."""
         if not self._fleet.has_store_contact(now) or not self._fleet.registered:
             return
+        # Tables of an earlier era cannot be written any more, so a move by them would
+        # only take keys from their owner.
+        if self._copy.revision.era != self._fleet.era or self._fleet.knows_of_later_era(
+            now
+        ):
+            return
         for service in partitioned_services:
             if service not in self._writing and (
                 self._fleet.is_planner(service, now) or self._has_own_moves(service)
@@ -172,9 +184,14 @@
             if e.service == service
         }
         stored = self._leases.tables.get(service)
+        if stored is not None and stored.revision.era != self._fleet.era:
+            if self._fleet.is_planner(service, now):
+                self._begin_era(service, stored, now)
+            return
         if stored is None and not self._is_endpoint_set_stable(service, endpoints, now):
             return
-        table = stored.table if stored else KeyTable.empty(service)
+        era = self._fleet.era
+        table = stored.table if stored else KeyTable.empty(service, era)
         if stored is not None:
             self._advance_revocations(service, stored, now)
         balance = (
@@ -200,7 +217,41 @@
             self._balanced_at[service] = now
         if planned != table and any(key_range.endpoint for key_range in planned.ranges):
             self._writing.add(service)
-            self._spawn(self._write(service, planned, stored))
+            self._spawn(self._write(service, era, planned, stored))
+
+    def _begin_era(self, service: str, earlier: StoredTable, now: float) -> None:
+        """Write the first table of the era, once the latest earlier one is known."""
+        fleet = self._fleet
+        known_seconds = now - fleet.era_since
+        if known_seconds < ERA_REPORT_SECONDS:
+            return
+        is_latest = all(
+            peer.report.tables.get(service, BEFORE_ALL) <= earlier.revision
+            for peer in self._peers.alive(now)
+        )
+        proved = (
+            is_latest
+            and fleet.holder_of_right_is_known(now)
+            and earlier.revision.era == fleet.era - 1
+        )
+        if not proved and known_seconds < MAX_ERA_REPORT_SECONDS:
+            return
+        first = key_planner.first_table_of_era(earlier.table, fleet.era, proved=proved)
+        self._log.write(
+            "key_table_reconciled",
+            service=service,
+            era=fleet.era,
+            earlier_era=earlier.revision.era,
+            earlier_revision=earlier.revision.number,
+            proved=proved,
+            kept=sum(bool(key_range.endpoint) for key_range in first.ranges),
+            waiting=sum(not key_range.endpoint for key_range in first.ranges),
+            wait_seconds=round(
+                max(0.0, lease_expiry(fleet.earlier_grants_until(now)) - now), 3
+            ),
+        )
+        self._writing.add(service)
+        self._spawn(self._write(service, fleet.era, first, None))
 
     def _is_endpoint_set_stable(
         self, service: str, endpoints: dict[str, Endpoint], now: float
@@ -213,10 +264,10 @@
         return bool(names) and now - known[1] >= INITIAL_SETTLE_SECONDS
 
     async def _write(
-        self, service: str, planned: KeyTable, stored: StoredTable | None
+        self, service: str, era: int, planned: KeyTable, stored: StoredTable | None
     ) -> None:
         loop = asyncio.get_running_loop()
-        name = TABLE_PREFIX + service
+        name = table_name(service, era)
         spec = msgspec.to_builtins(planned)
         try:
             if stored is None:
@@ -311,7 +362,7 @@
             self._log.write_rate_limited(
                 "keys_wait_for_instance",
                 name=instance,
-                revision=revocation.revision,
+                revision=revocation.revision.number,
                 waited_seconds=round(now - revocation.first_seen_at, 3),
             )
 
@@ -507,5 +558,10 @@
     def handover_if_cancelled(self, key_range: KeyRange) -> str | None:
         return self._moves._handover_if_cancelled(self._service, key_range, self._now)
 
+    def may_assign_unowned(self) -> bool:
+        return self._now >= lease_expiry(
+            self._moves._fleet.earlier_grants_until(self._now)
+        )
+
     def must_take_over(self, key_range: KeyRange) -> bool:
         return self._moves._must_take_over(self._service, key_range, self, self._now)
--- a/arbutusflow/gateway/key_planner.py
+++ b/arbutusflow/gateway/key_planner.py
@@ -22,7 +22,7 @@
     RATE_DEVIATION,
     group_entry,
 )
-from arbutusflow.gateway.key_table import KeyRange, KeyTable
+from arbutusflow.gateway.key_table import TOKENS_PER_ERA, KeyRange, KeyTable
 from arbutusflow.gateway.model import KEY_SPACE, Endpoint
 
 # Requests per second added to the measured load of each key, so that the keys of an
@@ -66,6 +66,9 @@
         Returns None unless it goes back because it cannot move now.
         """
 
+    def may_assign_unowned(self) -> bool:
+        """Return whether no endpoint can hold a range that has no owner."""
+
     def must_take_over(self, key_range: KeyRange) -> bool:
         """Return whether the planner closes a range in place of another instance."""
 
@@ -226,6 +229,23 @@
     return KeyTable(table.service, draft.next_token, _merge_unowned(draft.ranges))
 
 
+def first_table_of_era(earlier: KeyTable, era: int, *, proved: bool) -> KeyTable:
+    """Return the first table of an era, from the latest known one of the era before.
+
+    `proved` says that no range of it can have moved since, unless it is leaving. Such
+    ranges keep owner and token, so that renewals go on. All others have no owner: any
+    endpoint may hold them.
+    """
+    ranges = [
+        key_range
+        if proved and key_range.endpoint and not key_range.leaving
+        else KeyRange(key_range.first, key_range.last)
+        for key_range in earlier.ranges
+    ]
+    next_token = max(earlier.next_token, era * TOKENS_PER_ERA)
+    return KeyTable(earlier.service, next_token, _merge_unowned(ranges))
+
+
 def needs_change(
     table: KeyTable,
     endpoints: Mapping[str, Endpoint],
@@ -238,7 +258,9 @@
     """
     for key_range in table.ranges:
         if not key_range.endpoint:
-            return True
+            if leaving.may_assign_unowned():
+                return True
+            continue
         endpoint = endpoints.get(key_range.endpoint)
         if key_range.leaving:
             if (
@@ -311,8 +333,9 @@
     leaving: LeavingState,
 ) -> None:
     result: list[KeyRange] = []
+    may_assign = leaving.may_assign_unowned()
     for key_range in draft.ranges:
-        handover = "" if not key_range.endpoint else None
+        handover = "" if not key_range.endpoint and may_assign else None
         if key_range.leaving:
             handover = leaving.handover_if_transferable(key_range)
         if handover is None:
--- a/arbutusflow/gateway/key_table.py
+++ b/arbutusflow/gateway/key_table.py
@@ -3,7 +3,8 @@
 Invariants: the ranges of a table cover the key space without gaps or overlap. Each
 fencing token is used for one owner of one range only and is greater than all earlier
 tokens, because a conditional write stores the table that contains a token before the
-token is granted.
+token is granted. A later era of the store, which may have lost tables, has tokens that
+no earlier era gives out.
 """
 
 import bisect
@@ -11,7 +12,7 @@
 
 import msgspec
 
-from arbutusflow.gateway.model import KEY_SPACE
+from arbutusflow.gateway.model import KEY_SPACE, StorePoint
 
 # Short enough that the keys of a lost endpoint are reassigned soon, and long enough
 # that the instance that renews a lease can restart before it expires.
@@ -20,6 +21,9 @@
 # network delay.
 LEASE_EXPIRY_FACTOR = 1.03
 LEASE_EXPIRY_SLACK_SECONDS = 0.1
+# Tables of an era of the store give out tokens from this number times the era on. No
+# table gives out as many.
+TOKENS_PER_ERA = 2**32
 
 
 # Identifies a grant: owner, first key, last key and fencing token.
@@ -71,9 +75,10 @@
     ranges: tuple[KeyRange, ...]
 
     @classmethod
-    def empty(cls, service: str) -> "KeyTable":
-        """Return a table in which no key has an owner."""
-        return cls(service, 1, (KeyRange(0, KEY_SPACE - 1),))
+    def empty(cls, service: str, era: int = 0) -> "KeyTable":
+        """Return the first table of an era, in which no key has an owner."""
+        next_token = max(1, era * TOKENS_PER_ERA)
+        return cls(service, next_token, (KeyRange(0, KEY_SPACE - 1),))
 
     def find(self, key: int) -> KeyRange:
         """Return the range that contains a key."""
@@ -123,7 +128,7 @@
     """A key table with its revision in the store."""
 
     table: KeyTable
-    revision: int
+    revision: StorePoint
 
 
 def lease_expiry(granted_at: float, lease_seconds: float = KEY_LEASE_SECONDS) -> float:
--- a/arbutusflow/gateway/model.py
+++ b/arbutusflow/gateway/model.py
@@ -6,8 +6,32 @@
 import dataclasses
 import enum
 
+import msgspec
+
 KEY_SPACE = 65536  # Keys of a partitioned service are integers from 0 to 65535.
 
+
+class StorePoint(msgspec.Struct, array_like=True, frozen=True, order=True):
+    """Point in time of the store: points of a later era come after all earlier ones.
+
+    The store starts a new era when it comes back from an older copy, and gives out
+    revisions again. Within an era they rise.
+    """
+
+    era: int
+    number: int  # The revision within the era.
+
+    def __add__(self, changes: int) -> "StorePoint":
+        """Return the point some changes later."""
+        return StorePoint(self.era, self.number + changes)
+
+    def __sub__(self, changes: int) -> "StorePoint":
+        """Return the point some changes earlier."""
+        return StorePoint(self.era, self.number - changes)
+
+
+BEFORE_ALL = StorePoint(0, 0)  # Revisions start above 0.
+
 # Identifier and start time of a process of an endpoint.
 EndpointProcess = tuple[str, int]
 
--- a/arbutusflow/gateway/peers.py
+++ b/arbutusflow/gateway/peers.py
@@ -16,7 +16,7 @@
 
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.key_table import KeyRange, KeyTable
-from arbutusflow.gateway.model import Address
+from arbutusflow.gateway.model import Address, StorePoint
 from arbutusflow.gateway.pieces import PieceRequest, TransferPiece
 
 ALIVE_SECONDS = 2.0  # Even in a large fleet, one report may be lost within this time.
@@ -24,6 +24,7 @@
 MIN_COMPRESSED_BYTES = 512
 COMPRESSION_LEVEL = 1  # Sufficient, because tables and objects repeat the same names.
 COMPRESSED_MARK = b"\xc1"  # No encoded message begins with this byte.
+MAX_VOUCHED_ERAS = 2  # The current one and, for a moment, the one before.
 MAX_DATAGRAM_BYTES = 65_507
 MAX_MESSAGE_BYTES = 8_000_000  # Bounds the memory that a datagram can take.
 
@@ -57,13 +58,13 @@
     number: int  # Increases with each report of the incarnation.
     # Seconds since a previous incarnation may have sent its last grant.
     earlier_life_age: float
-    tables: dict[str, int]  # Revisions of the key tables in force, by service.
+    tables: dict[str, StorePoint]  # Revisions of the key tables in force, by service.
     # Seconds for which the store has answered without interruption; negative if it
     # does not answer.
     touch_age: float
     # Latest known revisions of the configuration and of the endpoints.
-    configuration: int
-    endpoints: int
+    configuration: StorePoint
+    endpoints: StorePoint
     in_flight: dict[str, int]  # Requests by endpoint.
     leases: dict[str, LeaseReport]  # By endpoint.
     # Whether this report counts towards the receiver's right to grant keys.
@@ -77,9 +78,15 @@
     # The sender and its followers, whose load and demand the report includes.
     instances: int = 1
     # By kind: revision at which the sender's objects last changed.
-    copies: dict[str, int] = {}
+    copies: dict[str, StorePoint] = {}
     # Start times, by identifier, of endpoint processes that said that they leave.
     leaving_endpoints: dict[str, int] = {}
+    era: int = 0  # Of the store, as the sender knows it.
+    # Seconds since the sender learned of the era; negative if it knew no earlier one.
+    era_age: float = -1.0
+    # Whether the sender had the right to grant in the era just before, when it learned
+    # of this one.
+    held_right: bool = False
 
 
 class FollowerReport(msgspec.Struct, array_like=True, frozen=True, tag="follow"):
@@ -103,8 +110,8 @@
     life: int
     number: int  # Increases with each digest of the incarnation.
     # By kind: revision at which the objects last changed.
-    copies: dict[str, int]
-    tables: dict[str, int]  # As in `PeerReport`.
+    copies: dict[str, StorePoint]
+    tables: dict[str, StorePoint]  # As in `PeerReport`.
     touch_age: float  # As in `PeerReport`.
     in_flight: dict[str, int]  # Requests of the whole fleet, by endpoint.
     followers: int  # Of the sender.
@@ -118,29 +125,29 @@
 
 
 # Name, revision, and the whole document of an object; None if it was removed.
-PackedChange = tuple[str, int, Any]
+PackedChange = tuple[str, StorePoint, Any]
 
 
 class TableRequest(msgspec.Struct, array_like=True, frozen=True, tag="ask"):
     """Request for the key table of a service, from an instance that is behind."""
 
     service: str
-    revision: int  # Of the sender's table in force; 0 if it has none.
+    revision: StorePoint  # Of the sender's table in force; `BEFORE_ALL` if none.
 
 
 class TableTransfer(msgspec.Struct, array_like=True, frozen=True, tag="told"):
     """Whole key table that the sender has in force."""
 
     table: KeyTable
-    revision: int
+    revision: StorePoint
 
 
 class TableChanged(msgspec.Struct, array_like=True, frozen=True, tag="change"):
     """Changes of a key table since revision `base`."""
 
     service: str
-    base: int
-    revision: int
+    base: StorePoint
+    revision: StorePoint
     next_token: int
     ranges: tuple[KeyRange, ...]
 
@@ -149,7 +156,7 @@
     """Request for the objects of a kind; see `state_relay`."""
 
     kind: str
-    revision: int  # That the sender's copy has; 0 if it has none.
+    revision: StorePoint  # That the sender's copy has; `BEFORE_ALL` if none.
 
 
 class QueueMarker(msgspec.Struct, array_like=True, frozen=True, tag="mark"):
@@ -163,8 +170,8 @@
     """Changes of the objects of a kind, or all objects."""
 
     kind: str
-    base: int  # Revision that the changes follow; 0 if all objects are sent.
-    revision: int  # At which the sender's objects last changed.
+    base: StorePoint  # That the changes follow; `BEFORE_ALL` if all objects are sent.
+    revision: StorePoint  # At which the sender's objects last changed.
     changes: list[PackedChange]
 
 
@@ -192,20 +199,30 @@
         "loads_at",
         "report",
         "service_times",
-        "vouched_at",
+        "vouched",
     )
 
     def __init__(self, report: PeerReport, received_at: float) -> None:
         self.report = report
         self.received_at = received_at  # When the latest report was read.
         self.arrived_after = -1e9  # Lower bound of when the latest report arrived.
-        # Lower bound of when a report that vouches for this instance arrived, unless a
-        # later one does not vouch.
-        self.vouched_at = -1e9
+        # By era of the store: lower bound of when a report of that era that vouches for
+        # this instance arrived, unless a later one does not vouch.
+        self.vouched: dict[int, float] = {}
         self.loads: dict[str, dict[int, int]] = {}
         self.loads_at = -1e9
         self.service_times: dict[str, tuple[float, int]] = {}
 
+    def vouched_at(self, era: int) -> float:
+        """Return when a report that vouches for this instance in an era arrived."""
+        return self.vouched.get(era, -1e9)
+
+    def note_vouching(self, report: PeerReport, arrived_after: float) -> None:
+        """Note whether a report vouches for this instance, in the era of its sender."""
+        self.vouched[report.era] = arrived_after if report.vouches else -1e9
+        while len(self.vouched) > MAX_VOUCHED_ERAS:
+            del self.vouched[min(self.vouched)]
+
     def last_grant_times(self, endpoint: str) -> tuple[float, float]:
         """Return upper bounds of the times of its latest grants to an endpoint.
 
@@ -290,7 +307,7 @@
             return
         state.report, state.received_at = report, now
         state.arrived_after = self._arrived_after
-        state.vouched_at = self._arrived_after if report.vouches else -1e9
+        state.note_vouching(report, self._arrived_after)
         if report.key_loads:
             state.loads, state.loads_at = report.key_loads, now
             state.service_times = report.service_times
--- a/arbutusflow/gateway/piece_receipt.py
+++ b/arbutusflow/gateway/piece_receipt.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 
-from arbutusflow.gateway.model import Address
+from arbutusflow.gateway.model import Address, StorePoint
 from arbutusflow.gateway.pieces import (
     WINDOW_PIECES,
     PieceRequest,
@@ -128,7 +128,7 @@
         for number in list(self._requested):
             self._lose(number)
 
-    def request(self, have: int, now: float) -> PieceRequest | None:
+    def request(self, have: StorePoint, now: float) -> PieceRequest | None:
         """Return the request that is due now, if any.
 
         `have` is the revision of the receiver's copy.
--- a/arbutusflow/gateway/pieces.py
+++ b/arbutusflow/gateway/pieces.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from arbutusflow.gateway.model import StorePoint
+
 # With its header of at most 100 bytes and those of UDP and IP, a piece stays below an
 # MTU of 1,400 bytes, which tunnels leave of 1,500.
 PIECE_BYTES = 1200
@@ -35,8 +37,8 @@
     """One piece of a transfer; `size` and `digest` are of all its bytes."""
 
     kind: str
-    base: int  # As in `CopyTransfer`.
-    revision: int
+    base: StorePoint  # As in `CopyTransfer`.
+    revision: StorePoint
     digest: bytes
     size: int
     number: int
@@ -57,10 +59,10 @@
     """Request for pieces of a transfer."""
 
     kind: str
-    base: int
-    revision: int
+    base: StorePoint
+    revision: StorePoint
     digest: bytes
-    have: int  # Revision of the receiver's copy; 0 if it has none.
+    have: StorePoint  # Revision of the receiver's copy; `BEFORE_ALL` if it has none.
     numbers: tuple[int, ...]
 
 
@@ -79,14 +81,14 @@
     """Encoded changes from revision `base` to `revision`, ready to be cut."""
 
     kind: str
-    base: int
-    revision: int
+    base: StorePoint
+    revision: StorePoint
     digest: bytes
     data: bytes
 
     @classmethod
     def from_data(
-        cls, kind: str, base: int, revision: int, data: bytes
+        cls, kind: str, base: StorePoint, revision: StorePoint, data: bytes
     ) -> "OutgoingTransfer":
         """Return the transfer of some bytes."""
         return cls(kind, base, revision, digest_of(data), data)
@@ -115,11 +117,13 @@
     def __init__(self) -> None:
         # By kind, base and revision; least recently used first.
         self._transfers: collections.OrderedDict[
-            tuple[str, int, int], OutgoingTransfer
+            tuple[str, StorePoint, StorePoint], OutgoingTransfer
         ] = collections.OrderedDict()
         self._bytes = 0
 
-    def get(self, kind: str, base: int, revision: int) -> OutgoingTransfer | None:
+    def get(
+        self, kind: str, base: StorePoint, revision: StorePoint
+    ) -> OutgoingTransfer | None:
         """Return a transfer, or None if it is not kept."""
         key = kind, base, revision
         if key in self._transfers:
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -47,6 +47,7 @@
     Configuration,
     EndpointProcess,
     GatewaySettings,
+    StorePoint,
 )
 from arbutusflow.gateway.peers import (
     FleetDigest,
@@ -126,6 +127,8 @@
     def _create_components(self) -> None:
         cfg, log = self._cfg, self.log
         self.store = StoreClient(cfg.store_address)
+        self.store.era.subscribers.append(self._log_era)
+        self.store.era.on_rejected = self._log_rejected_era
         self.configuration_updates = ConfigurationUpdates(
             decode_configuration_in_steps, log
         )
@@ -286,6 +289,15 @@
 
     # Updates from the store.
 
+    def _log_era(self, before: int, learnt_by: str) -> None:
+        era = self.store.era.current
+        self.log.write("store_era", old=before, new=era, learnt_by=learnt_by)
+
+    def _log_rejected_era(self, header: str) -> None:
+        self.log.write_rate_limited(
+            "store_era_rejected", header=header, known=self.store.era.current
+        )
+
     def _on_configuration(self) -> None:
         item = self.config_copy.objects.get(CONFIGURATION_NAME)
         if item is None:
@@ -304,13 +316,21 @@
     def _apply_configuration(
         self,
         cfg: Configuration,
-        revision: int,
+        revision: StorePoint,
         updated_by: str,
         behind_seconds: float,
         started: float,
     ) -> None:
         known = self._configuration
         if known is not None and cfg.version <= known.version:
+            if cfg.version < known.version:
+                self.log.write(
+                    "configuration_kept",
+                    version=known.version,
+                    restored=cfg.version,
+                    era=revision.era,
+                    revision=revision.number,
+                )
             return
         self._configuration, self._configuration_since = cfg, self._loop.time()
         self.caller_server.limits = cfg.limits
@@ -322,7 +342,7 @@
             "configuration",
             version=cfg.version,
             routes=len(cfg.routes),
-            revision=revision,
+            revision=revision.number,
             updated_by=updated_by,
             behind_seconds=round(behind_seconds, 3),
             apply_seconds=round(self._loop.time() - started, 4),
@@ -354,7 +374,7 @@
         """
         return self.endpoint_copy.connected_seconds(now)
 
-    def known_revisions(self) -> tuple[int, int]:
+    def known_revisions(self) -> tuple[StorePoint, StorePoint]:
         """Return the latest known revisions of the configuration and the endpoints."""
         return self.config_copy.latest_revision, self.endpoint_copy.latest_revision
 
@@ -523,6 +543,7 @@
         self.metrics.set_gauge("phase", float(self.lifecycle.phase))
         self.metrics.set_gauge("requests_pending", self.caller_server.pending_requests)
         self.metrics.set_gauge("store_calls", self.store.calls)
+        self.metrics.set_gauge("store_era", self.store.era.current)
         self.metrics.set_gauge("connections_opened", self.pool.opened)
         self.metrics.set_gauge("stray_responses", self.pool.strays)
         self.metrics.set_gauge("log_lines_dropped", self.log.dropped)
--- a/arbutusflow/gateway/state_relay.py
+++ b/arbutusflow/gateway/state_relay.py
@@ -21,7 +21,7 @@
 import msgspec
 
 from arbutusflow.gateway.event_log import EventLog
-from arbutusflow.gateway.model import Address
+from arbutusflow.gateway.model import BEFORE_ALL, Address, StorePoint
 from arbutusflow.gateway.peers import (
     CopyRequest,
     CopyTransfer,
@@ -91,12 +91,12 @@
         self._tries: collections.Counter[str] = collections.Counter()
         self._told_late: set[str] = set()  # Kinds of which it was logged.
         # By receiver and kind: base and revision of the latest transfer.
-        self._latest_sent: dict[tuple[Address, str], tuple[int, int]] = {}
+        self._latest_sent: dict[tuple[Address, str], tuple[StorePoint, StorePoint]] = {}
         self._requested_at: dict[str, float] = {}
         # By kind: a later revision that another instance has, and since when.
-        self._behind: dict[str, tuple[int, float]] = {}
+        self._behind: dict[str, tuple[StorePoint, float]] = {}
 
-    def revisions(self) -> dict[str, int]:
+    def revisions(self) -> dict[str, StorePoint]:
         """Return by kind the revision at which the objects last changed."""
         return {kind: copy.relayed_revision for kind, copy in self.copies.items()}
 
@@ -108,7 +108,7 @@
 
     def request_changes(
         self,
-        revisions: dict[str, int],
+        revisions: dict[str, StorePoint],
         source: Address,
         now: float,
         delay: float = 0.0,
@@ -121,7 +121,7 @@
             copy = self.copies.get(kind)
             if copy is None:
                 continue
-            known, since = self._behind.get(kind, (0, now))
+            known, since = self._behind.get(kind, (BEFORE_ALL, now))
             if copy.revision >= max(known, revision):
                 self._note_caught_up(kind)
             elif copy.revision < revision:
@@ -184,8 +184,8 @@
                 self._log.write_rate_limited(
                     "changes_late",
                     kind=kind,
-                    revision=self._behind[kind][0],
-                    have=self.copies[kind].revision,
+                    revision=self._behind[kind][0].number,
+                    have=self.copies[kind].revision.number,
                     requests=self._tries[kind],
                 )
 
@@ -217,7 +217,7 @@
             return
         transfer = self._outgoing(request.kind, request.revision, revision)
         if transfer is None:
-            transfer = self._outgoing(request.kind, 0, revision)
+            transfer = self._outgoing(request.kind, BEFORE_ALL, revision)
         if transfer is not None:
             sent = self._send_pieces(transfer, range(WINDOW_PIECES), source, now)
             self._count_sent(transfer, sent, source)
@@ -234,10 +234,12 @@
         elif copy.relayed_revision > request.have:
             self.send_changes(CopyRequest(request.kind, request.have), source, now)
 
-    def _outgoing(self, kind: str, base: int, revision: int) -> OutgoingTransfer | None:
+    def _outgoing(
+        self, kind: str, base: StorePoint, revision: StorePoint
+    ) -> OutgoingTransfer | None:
         """Return the changes between two revisions, if known and not too large.
 
-        From base 0, they are all objects.
+        From `BEFORE_ALL`, they are all objects.
         """
         if base >= revision:
             return None
@@ -246,7 +248,8 @@
             return known
         copy = self.copies[kind]
         changes = copy.changes_between(base, revision)
-        if changes is None and not base and revision == copy.relayed_revision:
+        whole = base == BEFORE_ALL and revision == copy.relayed_revision
+        if changes is None and whole:
             objects = sorted(copy.relayed_objects(), key=lambda item: item.name)
             changes = [Change(item, removed=False) for item in objects]
         if changes is None:
@@ -300,8 +303,8 @@
             self._log.write_rate_limited(
                 "changes_sent",
                 kind=kind,
-                base=transfer.base,
-                revision=transfer.revision,
+                base=transfer.base.number,
+                revision=transfer.revision.number,
                 bytes=len(transfer.data),
                 target=target.host,
                 repeated=repeated,
@@ -386,7 +389,7 @@
             self._log.write_rate_limited(
                 "receipt_given_up",
                 kind=receipt.kind,
-                revision=receipt.revision,
+                revision=receipt.revision.number,
                 reason=reason,
                 source=receipt.source.host,
             )
@@ -422,7 +425,7 @@
         before = copy.revision
         behind_seconds = self.behind_seconds(message.kind, now)
         changes = [_unpack(change) for change in message.changes]
-        if message.base:
+        if message.base != BEFORE_ALL:
             copy.apply_relayed_changes(message.base, message.revision, changes)
         else:
             copy.use_relayed_objects(message.revision, [c.object for c in changes])
@@ -448,7 +451,7 @@
             self._log.write_rate_limited(
                 "changes_received",
                 kind=kind,
-                revision=message.revision,
+                revision=message.revision.number,
                 source=source.host,
                 requests=self._tries[kind],
                 behind_seconds=round(behind_seconds, 3),
--- a/arbutusflow/gateway/store_probes.py
+++ b/arbutusflow/gateway/store_probes.py
@@ -65,6 +65,21 @@
             self._task = None
             self._probed_at = self._loop.time()
 
+    def check_now(self) -> None:
+        """Make one call unless the store is known not to answer; it shows the era."""
+        copies = self._copies.values()
+        if self._task is None and all(c.unreachable_since is None for c in copies):
+            self._task = self._loop.create_task(self._probe_once())
+
+    async def _probe_once(self) -> None:
+        try:
+            await self._store.probe(PROBE_TIMEOUT_SECONDS)
+        except PlatformError:
+            pass  # Copies that are not parked show whether the store answers.
+        finally:
+            self._task = None
+            self._probed_at = self._loop.time()
+
     def check_as_follower(self, now: float, *, granters_lost_store: bool) -> None:
         """Check whether the store answers this instance but none of the granters."""
         if not granters_lost_store:
--- a/arbutusflow/gateway/store_watch.py
+++ b/arbutusflow/gateway/store_watch.py
@@ -3,6 +3,10 @@
 Other instances can be sent the changes of a copy. A copy that is `parked` makes no
 calls, because another instance sends it the changes (see `state_relay`).
 
+When the store enters another era, the objects are listed anew, and replace the copy
+whole: revisions of two eras have nothing in common, so no changes lead from one to the
+other.
+
 Invariants: the copy never returns to an older revision. `current_at` is a lower bound:
 the copy was current then, and possibly later. Changes from another instance do not
 affect it.
@@ -17,10 +21,12 @@
 from arbutusflow.domain.errors import HistoryGoneError, PlatformError
 from arbutusflow.gateway.client_connection import ResponseProgress
 from arbutusflow.gateway.event_log import EventLog
+from arbutusflow.gateway.model import BEFORE_ALL, StorePoint
 from arbutusflow.platform.store import (
     Change,
     StoreClient,
     StoredObject,
+    StoreEra,
 )
 
 INITIAL_RETRY_SECONDS = 0.2  # After a failed call; grows up to `MAX_RETRY_SECONDS`.
@@ -36,6 +42,8 @@
 BEHIND_RESET_SECONDS = 2.5
 # Even over a link of 5 Mbit/s, an answer arrives without gaps of this length.
 RECEIVE_STALL_SECONDS = 0.7
+# Within which all copies are listed that are read from a store in a new era.
+ERA_SPREAD_SECONDS = 0.3
 # Recent changes that are kept, so that other instances need not be sent all objects.
 MAX_KEPT_BATCHES = 64
 
@@ -44,8 +52,8 @@
 class ChangeBatch:
     """All changes of the relayed objects from one revision of the store to another."""
 
-    base: int
-    revision: int
+    base: StorePoint
+    revision: StorePoint
     changes: tuple[Change, ...]
 
 
@@ -70,6 +78,7 @@
         self._list_needed = True
         self._call: asyncio.Future[None] | None = None
         self._call_cancelled = False
+        self._watching = False  # Whether the call under way is a watch.
         self._call_timeout = INITIAL_CALL_TIMEOUT_SECONDS
         self._behind_since: float | None = None
         self._progress = ResponseProgress(RECEIVE_STALL_SECONDS)
@@ -81,10 +90,10 @@
         self.coalesce_seconds = 0.0
         self._next_watch_current = False  # Overrides `may_lag` for the next watch.
         self.objects: dict[str, StoredObject] = {}
-        self._latest: int | None = 0  # None if it has to be recomputed.
+        self._latest: StorePoint | None = BEFORE_ALL  # None if to be recomputed.
         # The copy that retries an unreachable store on behalf of this one.
         self.retry_leader: ObjectCopy | None = None
-        self.revision = 0
+        self.revision = BEFORE_ALL
         self._relayed_prefix = relayed_prefix  # Of the objects that are sent to others.
         self._batches: collections.deque[ChangeBatch] = collections.deque(
             maxlen=MAX_KEPT_BATCHES
@@ -102,12 +111,43 @@
         self.updated_by = ""
         # Since when the store answers; initially the creation of the copy.
         self.reachable_since = asyncio.get_running_loop().time()
+        # When the objects were replaced by those of a later era; very early if never.
+        self.era_entered_at = -1e9
         self._rng = rng or random.Random()  # Jitter of retries.
+        store.era.subscribers.append(self._on_era)
 
     @property
     def was_read(self) -> bool:
         """Whether the objects were ever read from the store."""
-        return self.revision > 0
+        return self.revision > BEFORE_ALL
+
+    @property
+    def era(self) -> StoreEra:
+        """The era of the store, of which the copy may still have an earlier one."""
+        return self._store.era
+
+    def _on_era(self, before: int, learnt_by: str) -> None:
+        """List the objects anew, some time within `ERA_SPREAD_SECONDS`."""
+        self._list_needed = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            self._rng.uniform(0.0, ERA_SPREAD_SECONDS), self._cancel_outdated
+        )
+
+    def _cancel_outdated(self) -> None:
+        if self._watching and self.revision.era < self.era.current:
+            self._cancel_call()
+
+    def _enter_era(self, revision: StorePoint) -> bool:
+        """Forget the changes of an earlier era if a revision is of a later one.
+
+        Returns whether it is. Raises nothing; the caller replaces all objects.
+        """
+        if not self.was_read or revision.era == self.revision.era:
+            return False
+        self._batches.clear()
+        self.era_entered_at = asyncio.get_running_loop().time()
+        return True
 
     # Changes from and for other instances.
 
@@ -129,9 +169,12 @@
             self._unparked.set()
 
     @property
-    def relayed_revision(self) -> int:
-        """Revision up to which the relayed objects have changed; 0 if never read."""
-        return self._batches[-1].revision if self._batches else 0
+    def relayed_revision(self) -> StorePoint:
+        """Revision up to which the relayed objects have changed.
+
+        `BEFORE_ALL` if they were never read.
+        """
+        return self._batches[-1].revision if self._batches else BEFORE_ALL
 
     def relayed_objects(self) -> list[StoredObject]:
         """Return the objects that other instances are sent."""
@@ -141,13 +184,15 @@
             if name.startswith(self._relayed_prefix)
         ]
 
-    def changes_between(self, base: int, revision: int) -> list[Change] | None:
+    def changes_between(
+        self, base: StorePoint, revision: StorePoint
+    ) -> list[Change] | None:
         """Return the changes from one revision to another, or None if not known.
 
         All copies that know them return the same: the latest change of each object,
         by name.
         """
-        if not self._batches or not self._batches[0].base <= base or not base:
+        if not self._batches or not self._batches[0].base <= base or base == BEFORE_ALL:
             return None
         if revision > self.revision:
             return None
@@ -164,7 +209,9 @@
             if change.removed or change.object.revision > base
         ]
 
-    def _keep_batch(self, base: int, revision: int, changes: Iterable[Change]) -> None:
+    def _keep_batch(
+        self, base: StorePoint, revision: StorePoint, changes: Iterable[Change]
+    ) -> None:
         relayed = tuple(
             c for c in changes if c.object.name.startswith(self._relayed_prefix)
         )
@@ -172,14 +219,17 @@
             self._batches.append(ChangeBatch(base, revision, relayed))
 
     def apply_relayed_changes(
-        self, base: int, revision: int, changes: Iterable[Change]
+        self, base: StorePoint, revision: StorePoint, changes: Iterable[Change]
     ) -> None:
         """Apply the changes from `base` to `revision` that another instance sent.
 
-        They are ignored if this copy is older than `base` or not older than `revision`.
+        They are ignored if this copy is older than `base` or not older than `revision`,
+        or of another era than either.
         """
         if not self._accepts_relayed or not base <= self.revision < revision:
             return
+        if not base.era == self.revision.era == revision.era:
+            return
         changes = tuple(changes)
         for change in changes:
             self._apply(change)
@@ -187,11 +237,15 @@
         self._end_relayed_update(revision, "changes")
 
     def use_relayed_objects(
-        self, revision: int, objects: Iterable[StoredObject]
+        self, revision: StorePoint, objects: Iterable[StoredObject]
     ) -> None:
         """Replace all objects by those that another instance had at `revision`."""
         if not self._accepts_relayed or revision <= self.revision:
             return
+        self.era.advance(revision.era, "objects")
+        if revision.era < self.era.current:
+            return  # The store has lost what came after these objects, or more.
+        self._enter_era(revision)
         self.objects = {item.name: item for item in objects}
         self._batches.clear()
         self._keep_batch(revision, revision, ())
@@ -204,7 +258,7 @@
         # if its own watch went on from the relayed revision.
         return self.parked or not self.was_read or not self._relayed_prefix
 
-    def _end_relayed_update(self, revision: int, updated_by: str) -> None:
+    def _end_relayed_update(self, revision: StorePoint, updated_by: str) -> None:
         self.revision = revision
         self.updated_by = updated_by
         self._latest = None
@@ -247,6 +301,8 @@
             except HistoryGoneError:
                 self._log.write("store_history_gone", kind=self._kind)
                 self._list_needed = True
+                if self.revision.era < self.era.current:
+                    await asyncio.sleep(self._rng.uniform(0.0, ERA_SPREAD_SECONDS))
             except PlatformError as exc:
                 self._mark_unreachable(str(exc))
                 self._list_needed = True
@@ -282,7 +338,9 @@
 
     async def _call_store(self) -> bool:
         """Make one list or watch call; return whether the store answered it."""
-        call = self._list() if self._list_needed else self._watch()
+        outdated = self.revision.era < self.era.current
+        self._watching = not (self._list_needed or outdated)
+        call = self._watch() if self._watching else self._list()
         self._call = asyncio.ensure_future(call)
         try:
             # Unlike awaiting the call itself, this distinguishes a cancellation of the
@@ -341,11 +399,15 @@
         for name, item in self.objects.items():
             listed = objects.get(name)
             if item.revision > max(
-                snapshot.revision, listed.revision if listed is not None else 0
+                snapshot.revision,
+                listed.revision if listed is not None else BEFORE_ALL,
             ):
                 objects[name] = item  # Adopted after a later write.
-        changes = _differences(self.objects, objects)
-        self._keep_batch(self.revision, snapshot.revision, changes)
+        if self._enter_era(snapshot.revision):
+            self._keep_batch(snapshot.revision, snapshot.revision, ())
+        else:
+            changes = _differences(self.objects, objects)
+            self._keep_batch(self.revision, snapshot.revision, changes)
         self.objects = objects
         self._latest = None
         self.revision, self.updated_by = snapshot.revision, "list"
@@ -399,7 +461,7 @@
                     "store_entry_unreadable",
                     kind=self._kind,
                     name=item.name,
-                    revision=item.revision,
+                    revision=item.revision.number,
                     detail=item.unreadable,
                 )
         for reason in left_out:
@@ -408,14 +470,14 @@
             )
 
     @property
-    def latest_revision(self) -> int:
+    def latest_revision(self) -> StorePoint:
         """Highest revision of any object."""
         if self._latest is None:
             revisions = (item.revision for item in self.objects.values())
-            self._latest = max(revisions, default=0)
+            self._latest = max(revisions, default=BEFORE_ALL)
         return self._latest
 
-    def note_peer_revision(self, revision: int, now: float) -> None:
+    def note_peer_revision(self, revision: StorePoint, now: float) -> None:
         """Restart the watch if a peer has known a later object for some time.
 
         The connection of a watch may be broken without notice, and a watch may lag.
@@ -431,7 +493,7 @@
             # Gives the next call time to complete before it is cancelled in turn.
             self._behind_since = now + MAX_CALL_TIMEOUT_SECONDS / 2
             self._log.write_rate_limited(
-                "store_copy_behind", kind=self._kind, other=revision
+                "store_copy_behind", kind=self._kind, other=revision.number
             )
             self._next_watch_current = True
             self._cancel_call()
@@ -475,7 +537,10 @@
         if self.unreachable_since is None:
             self.unreachable_since = asyncio.get_running_loop().time()
             self._log.write(
-                "store_lost", kind=self._kind, detail=detail, revision=self.revision
+                "store_lost",
+                kind=self._kind,
+                detail=detail,
+                revision=self.revision.number,
             )
 
 
--- a/arbutusflow/platform/store.py
+++ b/arbutusflow/platform/store.py
@@ -2,10 +2,12 @@
 
 Each call is one HTTP exchange. After an exception other than ConflictError, the outcome
 of a write is unknown: it may still take effect seconds later if its precondition holds.
+The same holds if its answer is of another era of the store than its call.
 """
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -17,8 +19,13 @@
     PlatformUnavailableError,
 )
 from arbutusflow.gateway.client_connection import ClientConnection, ResponseProgress
-from arbutusflow.gateway.model import Address, ExchangeError, HttpResponse
-from arbutusflow.platform import entries
+from arbutusflow.gateway.model import (
+    Address,
+    ExchangeError,
+    HttpResponse,
+    StorePoint,
+)
+from arbutusflow.platform import entries, wire
 
 # The store normally responds within milliseconds; a slow one takes up to 60 times as
 # long.
@@ -40,7 +47,7 @@
     """An object in the store; `raw` is the whole document, `spec` its content."""
 
     name: str
-    revision: int
+    revision: StorePoint
     spec: Any
     raw: dict[str, Any]
     unreadable: str = ""  # Why `spec` and `raw` lack the content, if they do.
@@ -51,7 +58,7 @@
     """All objects of one kind at one revision of the store, or some later ones."""
 
     objects: tuple[StoredObject, ...]
-    revision: int
+    revision: StorePoint
     left_out: tuple[str, ...] = ()  # Why entries without readable names are missing.
 
 
@@ -68,11 +75,48 @@
     """Result of a watch; the next watch continues from `revision`."""
 
     changes: tuple[Change, ...]
-    revision: int
+    revision: StorePoint
     left_out: tuple[str, ...] = ()  # As in `Snapshot`.
 
 
-def _decode_object(data: bytes) -> StoredObject:
+class StoreEra:
+    """The latest era of the store that any answer or another instance has shown.
+
+    Invariant: it never goes back.
+    """
+
+    def __init__(self) -> None:
+        self.current = 0
+        # Called with the era before and how the new one was learnt.
+        self.subscribers: list[Callable[[int, str], None]] = []
+        # Called with the header of an answer that is discarded because of it.
+        self.on_rejected: Callable[[str], None] = lambda header: None
+
+    def advance(self, era: int, learnt_by: str) -> None:
+        """Note an era; later ones are told to the subscribers."""
+        if era <= self.current:
+            return
+        before, self.current = self.current, era
+        for subscriber in self.subscribers:
+            subscriber(before, learnt_by)
+
+    def accept(self, header: bytes | None) -> int:
+        """Return the era of an answer. Raises PlatformError if it is to be discarded.
+
+        An answer of an earlier era may describe what the store has lost since.
+        """
+        era = wire.parse_era(header)
+        if era is None or era < self.current:
+            text = "missing" if header is None else header[:32].decode("latin-1")
+            self.on_rejected(text)
+            raise PlatformUnavailableError(
+                f"the store answered with era {text} in era {self.current}"
+            )
+        self.advance(era, "answer")
+        return era
+
+
+def _decode_object(data: bytes, era: int) -> StoredObject:
     """Decode one object; its content is left out if it cannot be read.
 
     Raises ValueError if not even its name can be read.
@@ -81,31 +125,36 @@
     if reason:
         name, revision = entries.decode_name(data)
         metadata = {"name": name, "revision": revision}
-        return StoredObject(name, revision, None, {"metadata": metadata}, reason)
+        point = StorePoint(era, revision)
+        return StoredObject(name, point, None, {"metadata": metadata}, reason)
     if not isinstance(raw, dict):
         raise ValueError("an object of the store must be a JSON object")
     name, revision = entries.checked_name(raw.get("metadata"))
-    return StoredObject(name, revision, raw.get("spec"), raw)
+    return StoredObject(name, StorePoint(era, revision), raw.get("spec"), raw)
 
 
-def _decode_objects(parts: list[bytes]) -> tuple[list[StoredObject], tuple[str, ...]]:
+def _decode_objects(
+    parts: list[bytes], era: int
+) -> tuple[list[StoredObject], tuple[str, ...]]:
     """Return the objects with readable names, and why the others were left out."""
     objects, left_out = [], []
     for part in parts:
         try:
-            objects.append(_decode_object(part))
+            objects.append(_decode_object(part, era))
         except ValueError as exc:
             left_out.append(str(exc))
     return objects, tuple(left_out)
 
 
-def _decode_changes(parts: list[bytes]) -> tuple[list[Change], tuple[str, ...]]:
+def _decode_changes(
+    parts: list[bytes], era: int
+) -> tuple[list[Change], tuple[str, ...]]:
     """Return the changes of objects with readable names, and why others are missing."""
     changes, left_out = [], []
     for part in parts:
         try:
             data, removed = entries.split_event(part)
-            changes.append(Change(_decode_object(data), removed))
+            changes.append(Change(_decode_object(data, era), removed))
         except ValueError as exc:
             left_out.append(str(exc))
     return changes, tuple(left_out)
@@ -118,6 +167,7 @@
         self._address = address
         self._idle: list[ClientConnection] = []
         self.calls = 0  # Number of calls made.
+        self.era = StoreEra()
 
     async def list(
         self,
@@ -138,19 +188,22 @@
         """
         objects: list[StoredObject] = []
         left_out: list[str] = []
-        first_revision: int | None = None
+        first_revision: StorePoint | None = None
         option = "serializable=1" if may_lag else ""
         query = f"?{option}" if option else ""
         while True:
             response = await self._call(
                 "GET", f"{kind}{query}", timeout=timeout, progress=progress
             )
+            era = _era_of(response)
             page = entries.split_page(response.body, "items")
-            found, missing = _decode_objects(page.entries)
+            found, missing = _decode_objects(page.entries, era)
             objects.extend(found)
             left_out.extend(missing)
             if first_revision is None:
-                first_revision = page.revision
+                first_revision = StorePoint(era, page.revision)
+            elif first_revision.era != era:
+                raise PlatformUnavailableError("the list spans two eras of the store")
             if not page.has_more:
                 return Snapshot(tuple(objects), first_revision, tuple(left_out))
             if not found:
@@ -166,7 +219,7 @@
     async def watch(
         self,
         kind: str,
-        revision: int,
+        revision: StorePoint,
         wait_seconds: float,
         progress: ResponseProgress,
         *,
@@ -177,18 +230,21 @@
         With `may_lag` the store may report changes seconds late. Such a watch is priced
         at a tenth of one that reports changes at once.
 
-        Raises HistoryGoneError if the store no longer has the changes after `revision`,
-        and PlatformError on other errors.
+        Raises HistoryGoneError if the store does not have the changes after `revision`,
+        also because it has entered another era, and PlatformError on other errors.
         """
-        path = f"{kind}?watch={revision}&waitMs={int(wait_seconds * 1000)}"
+        path = f"{kind}?watch={revision.number}&waitMs={int(wait_seconds * 1000)}"
         if may_lag:
             path += "&serializable=1"
         response = await self._call(
             "GET", path, timeout=wait_seconds + WATCH_SLACK_SECONDS, progress=progress
         )
+        era = _era_of(response)
+        if era != revision.era:
+            raise HistoryGoneError("the store has entered another era")
         page = entries.split_page(response.body, "events")
-        changes, left_out = _decode_changes(page.entries)
-        return Changes(tuple(changes), page.revision, left_out)
+        changes, left_out = _decode_changes(page.entries, era)
+        return Changes(tuple(changes), StorePoint(era, page.revision), left_out)
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or None if it does not exist. Raises PlatformError."""
@@ -218,24 +274,35 @@
         return _decode_answer(await self._call("POST", kind, document))
 
     async def replace(
-        self, kind: str, name: str, spec: Any, revision: int
+        self, kind: str, name: str, spec: Any, revision: StorePoint
     ) -> StoredObject:
         """Replace an object if its revision is still `revision`.
 
         Raises ConflictError if it is not, and PlatformError on other errors.
         """
-        document = {"metadata": {"name": name, "revision": revision}, "spec": spec}
+        self._check_condition(revision)
+        metadata = {"name": name, "revision": revision.number}
+        document = {"metadata": metadata, "spec": spec}
         return _decode_answer(await self._call("PUT", f"{kind}/{name}", document))
 
-    async def delete(self, kind: str, name: str, revision: int) -> None:
+    async def delete(self, kind: str, name: str, revision: StorePoint) -> None:
         """Delete an object if its revision is still `revision`.
 
         Succeeds if the object does not exist. Raises ConflictError if it has another
         revision, and PlatformError on other errors.
         """
-        path = f"{kind}/{name}?revision={revision}"
+        self._check_condition(revision)
+        path = f"{kind}/{name}?revision={revision.number}"
         await self._call("DELETE", path, accepted_statuses=(200, 204, 404))
 
+    def _check_condition(self, revision: StorePoint) -> None:
+        """Raise ConflictError if a revision is not of the current era.
+
+        The store may have given out its number again.
+        """
+        if revision.era != self.era.current:
+            raise ConflictError(None)
+
     async def _call(
         self,
         method: str,
@@ -245,6 +312,7 @@
         accepted_statuses: tuple[int, ...] = (200, 201),
         progress: ResponseProgress | None = None,
     ) -> HttpResponse:
+        """Return an answer of the current era. Raises PlatformError."""
         body = b"" if document is None else msgspec.json.encode(document)
         host = f"{self._address.host}:{self._address.port}"
         lines = [f"{method} {_OBJECTS_PATH}{path} HTTP/1.1", f"Host: {host}"]
@@ -252,7 +320,12 @@
             lines += ["Content-Type: application/json", f"Content-Length: {len(body)}"]
         head = ("\r\n".join(lines) + "\r\n\r\n").encode()
         self.calls += 1
+        called_in = self.era.current
         response = await self._exchange(head, body, timeout, progress)
+        era = self.era.accept(response.header(wire.STORE_ERA))
+        if method != "GET" and era != called_in:
+            # The condition of the write may have met a revision of another era.
+            raise PlatformUnavailableError("the store has entered another era")
         if response.status in accepted_statuses:
             return response
         if response.status == 409:
@@ -293,16 +366,21 @@
         return None
 
 
+def _era_of(response: HttpResponse) -> int:
+    """Return the era of an answer that was accepted."""
+    return wire.parse_era(response.header(wire.STORE_ERA)) or 0
+
+
 def _decode_answer(response: HttpResponse) -> StoredObject:
     """Decode an answer with one object. Raises PlatformError."""
     try:
-        return _decode_object(response.body)
+        return _decode_object(response.body, _era_of(response))
     except ValueError as exc:
         raise PlatformError(f"malformed response from the store: {exc}") from exc
 
 
 def _decode_conflict(response: HttpResponse) -> StoredObject | None:
     try:
-        return _decode_object(response.body)
+        return _decode_object(response.body, _era_of(response))
     except ValueError:
         return None  # The calling code reads the object again.
--- a/arbutusflow/platform/wire.py
+++ b/arbutusflow/platform/wire.py
@@ -17,6 +17,7 @@
 HANDOVER = b"handover"
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+STORE_ERA = b"store-era"
 
 READINESS_PATH = b"/arbutusflow/ready"
 GRANT_PATH = b"/arbutusflow/grant"
@@ -64,6 +65,23 @@
     return text is not None and text.strip() == b"1"
 
 
+# Fencing tokens of an era start at the era times 2**32 and fit 53 bits.
+MAX_ERA = 2**20
+_ERA = re.compile(rb"\d{1,7}")
+
+
+def parse_era(text: bytes | None) -> int | None:
+    """Return the era of an answer of the store; None if it is malformed.
+
+    A store without eras stays in era 0.
+    """
+    if text is None:
+        return 0
+    text = text.strip()
+    era = int(text) if _ERA.fullmatch(text) else MAX_ERA + 1
+    return era if era <= MAX_ERA else None
+
+
 def parse_wait(text: bytes | None, time_of_day: float) -> float | None:
     """Return for how many seconds an endpoint wants no requests.
 
--- a/tests/gateway/change_spread.py
+++ b/tests/gateway/change_spread.py
@@ -73,7 +73,7 @@
         calls, size, started = _calls(sim), sim.datagram_bytes, sim.now
         repeated = _repeated_pieces(sim)
         sim.store.write_other(make_routes(rng, changed) + routes[changed:])
-        revision = sim.store.revision
+        revision = sim.store.point
         for _ in range(int(LIMIT_SECONDS / 0.1)):
             await asyncio.sleep(0.1)
             if all(revision in i.in_force_at for i in sim.instances.values()):
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 from arbutusflow.gateway.key_table import KeyRange
+from arbutusflow.gateway.model import StorePoint
+from arbutusflow.platform.store import StoreEra
 
 
 class FakeSocket:
@@ -87,4 +89,17 @@
 
     handover_if_transferable: Callable[[KeyRange], str | None] = lambda key_range: None
     handover_if_cancelled: Callable[[KeyRange], str | None] = lambda key_range: None
+    may_assign_unowned: Callable[[], bool] = lambda: True
     must_take_over: Callable[[KeyRange], bool] = lambda key_range: False
+
+
+class FakeStore:
+    """Store client for copies that never call the store."""
+
+    def __init__(self) -> None:
+        self.era = StoreEra()
+
+
+def at(number: int, era: int = 0) -> StorePoint:
+    """Return a point in time of the store."""
+    return StorePoint(era, number)
--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -29,9 +29,21 @@
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.fleet import InstanceRecord
 from arbutusflow.gateway.fleet_task import WATCH_SECONDS, FleetTask
-from arbutusflow.gateway.model import Address, Endpoint, ExchangeError, HttpResponse
+from arbutusflow.gateway.model import (
+    Address,
+    Endpoint,
+    ExchangeError,
+    HttpResponse,
+    StorePoint,
+)
 from arbutusflow.gateway.store_watch import ObjectCopy
-from arbutusflow.platform.store import Change, Changes, Snapshot, StoredObject
+from arbutusflow.platform.store import (
+    Change,
+    Changes,
+    Snapshot,
+    StoredObject,
+    StoreEra,
+)
 from tests.gateway.virtual_time import run
 
 SLOW_CLOCK_FACTOR = 1.02  # The clock of an endpoint may run 2 % slow.
@@ -51,18 +63,55 @@
 
     def __init__(self) -> None:
         self.revision = 10
+        self.era = 0
+        # Copies that the store can go back to: time, revision, objects and history.
+        self.copies: list[
+            tuple[float, int, dict[str, StoredObject], list[tuple[int, Change]]]
+        ] = []
         self.objects: dict[str, StoredObject] = {}
         self.history: list[tuple[int, Change]] = []
         self.compacted_revision = 0  # Watches from below are rejected.
         self.unreachable_for: set[str] = set()  # Instances whose calls fail.
         self.unresponsive_to: set[str] = set()  # Instances whose calls get no answer.
         self.lose_answers = False
+        self.down = False  # Each call fails at once.
+        self.late_answers = 0  # Of an earlier era.
+        self.answer_seconds = 0.0  # Of a write, besides.
         self.transit_seconds = 0.004  # Per call, and again for the reply of a watch.
         self.lag_seconds = 0.0  # Delay of watches that may lag.
         self.changed = asyncio.Event()
         # Seconds until an answer of some bytes has reached an instance.
         self.transfer_seconds: Callable[[str, int], float] = lambda name, size: 0.0
-        self._sizes: dict[tuple[str, int], int] = {}
+        self._sizes: dict[tuple[str, StorePoint], int] = {}
+
+    @property
+    def point(self) -> StorePoint:
+        """The latest revision, with the era."""
+        return StorePoint(self.era, self.revision)
+
+    def keep_copy(self, now: float) -> None:
+        """Keep a copy to go back to."""
+        state = now, self.revision, dict(self.objects), list(self.history)
+        self.copies.append(state)
+
+    def go_back(self, until: float) -> None:
+        """Come back from the latest copy that is not later than a time."""
+        self.copies = [c for c in self.copies if c[0] <= until] or self.copies[:1]
+        _, self.revision, objects, history = self.copies[-1]
+        self.objects, self.history = dict(objects), list(history)
+        self.era += 1
+        # Reads show all objects as of this era.
+        self.objects = {n: self._in_era(item) for n, item in self.objects.items()}
+        self.history = [
+            (revision, Change(self._in_era(change.object), change.removed))
+            for revision, change in self.history
+        ]
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _in_era(self, item: StoredObject) -> StoredObject:
+        point = StorePoint(self.era, item.revision.number)
+        return dataclasses.replace(item, revision=point)
 
     def size_of(self, items: Iterable[StoredObject]) -> int:
         """Return the bytes of an answer with these objects."""
@@ -88,7 +137,7 @@
         """Write the object that all instances have to learn."""
         self.revision += 1
         spec = {"value": value}
-        item = StoredObject(OTHER_NAME, self.revision, spec, {"spec": spec})
+        item = StoredObject(OTHER_NAME, self.point, spec, {"spec": spec})
         self.record(item, removed=False)
 
     def record(self, item: StoredObject, removed: bool) -> None:
@@ -113,10 +162,19 @@
         self._name = name
         self.calls = 0
         self.probes = 0
+        self.era = StoreEra()
+
+    def _accept(self, era: int) -> None:
+        """Learn the era of an answer; one of an earlier era is discarded."""
+        if era != self._store.era:  # It was on its way when the store went back.
+            self._store.late_answers += 1
+        self.era.accept(b"%d" % era)
 
     async def _reach_store(self) -> None:
         self.calls += 1
         await asyncio.sleep(self._store.transit_seconds)
+        if self._store.down:
+            raise PlatformUnavailableError("down")
         if self._name in self._store.unresponsive_to:
             await asyncio.sleep(60.0)
         if self._name in self._store.unreachable_for:
@@ -134,8 +192,9 @@
         await self._reach_store()
         objects = self._store.objects.values()
         items = tuple(i for i in objects if _is_of_kind(i, kind))
-        revision = self._store.revision
+        revision = self._store.point
         await self._receive(items)
+        self._accept(revision.era)
         return Snapshot(items, revision)
 
     async def _receive(self, items: Iterable[StoredObject]) -> None:
@@ -145,7 +204,7 @@
     async def watch(
         self,
         kind: str,
-        revision: int,
+        revision: StorePoint,
         wait_seconds: float,
         progress: ResponseProgress,
         *,
@@ -155,15 +214,22 @@
         store = self._store
         if may_lag:
             await asyncio.sleep(min(store.lag_seconds, wait_seconds))
-        if revision < store.compacted_revision:
+        number, era = revision.number, store.era
+        if not store.compacted_revision <= number <= store.revision:
+            self._accept(era)
             raise HistoryGoneError("gone")
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_seconds):
-                while not store.changes_since(revision, kind):
+                while store.era == era and not store.changes_since(number, kind):
                     await store.changed.wait()
+        if store.era != era:
+            raise PlatformUnavailableError("cut off")
         await self._reach_store()
-        result = Changes(store.changes_since(revision, kind), store.revision)
+        result = Changes(store.changes_since(number, kind), store.point)
         await self._receive(change.object for change in result.changes)
+        self._accept(result.revision.era)
+        if result.revision.era != revision.era:
+            raise HistoryGoneError("another era")
         return result
 
     async def probe(self, timeout: float) -> None:
@@ -172,43 +238,62 @@
         try:
             async with asyncio.timeout(timeout):
                 await self._reach_store()
+                self._accept(self._store.era)
         except TimeoutError as exc:
             raise PlatformUnavailableError("no answer") from exc
 
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
+        called_in = self.era.current
         await self._reach_store()
         if name in self._store.objects:
+            self._accept_write(called_in, self._store.era)
             raise ConflictError(self._store.objects[name])
-        return await self._write(name, spec)
+        return await self._write(name, spec, called_in)
+
+    def _accept_write(self, called_in: int, era: int) -> None:
+        """Learn the era of an answer to a write, whose call was of an era as well."""
+        self._accept(era)
+        if era != called_in:
+            raise PlatformUnavailableError("another era")
+
+    def _check_condition(self, revision: StorePoint) -> None:
+        if revision.era != self.era.current:
+            raise ConflictError(None)
 
     async def replace(
-        self, kind: str, name: str, spec: Any, revision: int
+        self, kind: str, name: str, spec: Any, revision: StorePoint
     ) -> StoredObject:
+        self._check_condition(revision)
         await self._reach_store()
         known = self._store.objects.get(name)
-        if known is None or known.revision != revision:
+        if known is None or known.revision.number != revision.number:
+            self._accept_write(revision.era, self._store.era)
             raise ConflictError(known)
-        return await self._write(name, spec)
+        return await self._write(name, spec, revision.era)
 
-    async def _write(self, name: str, spec: Any) -> StoredObject:
+    async def _write(self, name: str, spec: Any, called_in: int) -> StoredObject:
         self._store.revision += 1
         spec = msgspec.json.decode(msgspec.json.encode(spec))
-        item = StoredObject(name, self._store.revision, spec, {"spec": spec})
+        item = StoredObject(name, self._store.point, spec, {"spec": spec})
         self._store.record(item, removed=False)
         if self._store.lose_answers:
             await asyncio.sleep(0.3)
             raise PlatformUnavailableError("the answer was lost")
+        await asyncio.sleep(self._store.answer_seconds)
+        self._accept_write(called_in, item.revision.era)
         return item
 
-    async def delete(self, kind: str, name: str, revision: int) -> None:
+    async def delete(self, kind: str, name: str, revision: StorePoint) -> None:
+        self._check_condition(revision)
         await self._reach_store()
         known = self._store.objects.get(name)
-        if known is None:
-            return
-        if known.revision != revision:
+        if known is not None and known.revision.number == revision.number:
+            self._store.revision += 1
+            self._store.record(known, removed=True)
+            known = None
+        self._accept_write(revision.era, self._store.era)
+        if known is not None:
             raise ConflictError(known)
-        self._store.revision += 1
-        self._store.record(known, removed=True)
 
 
 @dataclasses.dataclass
@@ -380,8 +465,8 @@
     def connected_seconds(self, now: float) -> float:
         return self._instance.task.copy.connected_seconds(now)
 
-    def known_revisions(self) -> tuple[int, int]:
-        return 0, 0
+    def known_revisions(self) -> tuple[StorePoint, StorePoint]:
+        return StorePoint(0, 0), StorePoint(0, 0)
 
     def strikes(self) -> tuple[()]:
         return ()
@@ -420,7 +505,7 @@
         self.unread: list[tuple[str, bytes]] = []
         self.stopped = False
         # By revision of `OTHER_KIND`: when it was in force here.
-        self.in_force_at: dict[int, float] = {}
+        self.in_force_at: dict[StorePoint, float] = {}
         life = sim.rng.getrandbits(40)
         log, client = EventLog(name, fd=sim.log_fd), SimStoreClient(sim.store, name)
         copies = {}
--- a/tests/gateway/statement_instance.py
+++ b/tests/gateway/statement_instance.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from arbutusflow.gateway.model import Address, GatewaySettings
+from arbutusflow.gateway.model import Address, GatewaySettings, StorePoint
 from arbutusflow.gateway.process import Gateway
 from arbutusflow.platform.store import CONFIGURATION_NAME, StoredObject
 from tests.gateway.test_documents import CONFIGURATION
@@ -58,7 +58,7 @@
             "born": self.started_ms,
         }
         raw = {"metadata": {"name": self.name, "revision": revision}, "spec": spec}
-        return StoredObject(self.name, revision, None, raw)
+        return StoredObject(self.name, StorePoint(0, revision), None, raw)
 
 
 class OwnedKeys:
@@ -117,7 +117,9 @@
     def configure(self, document: dict[str, Any]) -> None:
         """Let the instance read a configuration."""
         self._revision += 1
-        item = StoredObject(CONFIGURATION_NAME, self._revision, document, {})
+        item = StoredObject(
+            CONFIGURATION_NAME, StorePoint(0, self._revision), document, {}
+        )
         self.gateway.config_copy.objects = {CONFIGURATION_NAME: item}
         self.gateway._on_configuration()
 
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -23,7 +23,7 @@
 from arbutusflow.gateway.routing import RouteTable, WeightedRoundRobin
 from arbutusflow.platform.documents import decode_configuration, decode_endpoint
 from arbutusflow.platform.store import StoredObject
-from tests.gateway.fakes import FakeLog
+from tests.gateway.fakes import FakeLog, at
 from tests.gateway.test_documents import CONFIGURATION, ENTRY
 
 
@@ -32,11 +32,12 @@
 
     def __init__(self, *names):
         self.unreachable_since = None
-        self.revision = 1
+        self.revision = at(1)
+        self.era_entered_at = -1e9
         self.list(*names)
 
     def list(self, *names):
-        self.objects = {n: StoredObject(n, 1, None, entry(n)) for n in names}
+        self.objects = {n: StoredObject(n, at(1), None, entry(n)) for n in names}
 
 
 def entry(name):
@@ -76,7 +77,7 @@
     status = ENTRY["spec"]["status"] | {"state": state}
     spec = ENTRY["spec"] | {"status": status, "born": started_ms}
     raw = {"metadata": {"name": "a"}, "spec": spec}
-    copy.objects = {**copy.objects, "a": StoredObject("a", revision, None, raw)}
+    copy.objects = {**copy.objects, "a": StoredObject("a", at(revision), None, raw)}
 
 
 def test_an_entry_of_an_earlier_process_does_not_replace_a_later_one():
@@ -129,7 +130,7 @@
 
 def test_an_invalid_entry_does_not_affect_the_others():
     copy = FakeCopy("a", "b")
-    copy.objects["b"] = StoredObject("b", 1, None, {"metadata": {"name": "b"}})
+    copy.objects["b"] = StoredObject("b", at(1), None, {"metadata": {"name": "b"}})
     assert set(make_directory(copy).endpoints) == {"a"}
 
 
@@ -343,7 +344,7 @@
     copy = FakeCopy(*names)
     directory = make_directory(copy)
     changed = {**entry("e7"), "status": {"state": "draining", "coldLeftS": 0}}
-    copy.objects["e7"] = StoredObject("e7", 2, None, changed)
+    copy.objects["e7"] = StoredObject("e7", at(2), None, changed)
     decoded.clear()
     directory.update(1.0)
     assert decoded == ["e7"]
--- a/tests/gateway/test_large_changes.py
+++ b/tests/gateway/test_large_changes.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from arbutusflow.gateway.model import BEFORE_ALL
 from tests.gateway import change_spread
 from tests.gateway.change_spread import ROUTES, measure
 from tests.gateway.sim_fleet import OTHER_NAME, SimInstance, run_fleet
@@ -63,7 +64,7 @@
                 size = rng.choice([100, 3_000, 200_000])
                 value = rng.randbytes(size).hex()
                 sim.store.write_other(value)
-                versions[sim.store.revision] = value
+                versions[sim.store.point] = value
                 await asyncio.sleep(rng.choice([0.05, 0.4, 1.5]))
                 sim.restart(rng.choice(sorted(sim.instances)))
             await asyncio.sleep(8.0)
@@ -75,7 +76,7 @@
     latest = {}
     for instance, revision, value in seen:
         assert versions[revision] == value
-        assert revision >= latest.get(instance, 0)
+        assert revision >= latest.get(instance, BEFORE_ALL)
         latest[instance] = revision
     assert {latest[instance] for instance in last} == {max(versions)}
 
@@ -90,7 +91,7 @@
         waits = []
         for value in range(2, 6):
             sim.store.write_other(value)
-            revision = sim.store.revision
+            revision = sim.store.point
             await asyncio.sleep(2.0 + 0.13 * value)
             for instance in sim.instances.values():
                 if instance.task.fleet.registered:
--- a/tests/gateway/test_peer_messages.py
+++ b/tests/gateway/test_peer_messages.py
@@ -26,6 +26,7 @@
     QueueMarker,
     TableTransfer,
 )
+from tests.gateway.fakes import at
 from tests.gateway.virtual_time import run
 
 RANGES = 1200  # Of a service with 300 endpoints, after some hot sets.
@@ -82,7 +83,7 @@
 
 
 def test_a_table_of_hundreds_of_endpoints_fits_into_a_datagram(peers, received):
-    message = TableTransfer(_large_table(), 7)
+    message = TableTransfer(_large_table(), at(7))
     peers.send(message, [Address("n1", 1)])
     (data,) = peers._transport.sent
     assert len(data) <= MAX_DATAGRAM_BYTES
@@ -92,7 +93,9 @@
 
 def test_a_message_that_fits_into_no_datagram_is_not_sent(peers):
     noise = random.Random(1).randbytes(2 * MAX_DATAGRAM_BYTES).hex()
-    peers.send(CopyTransfer("k", 0, 1, [("n", 1, noise)]), [Address("n1", 1)])
+    peers.send(
+        CopyTransfer("k", at(0), at(1), [("n", at(1), noise)]), [Address("n1", 1)]
+    )
     assert peers._transport.sent == []
 
 
@@ -112,7 +115,7 @@
 
 
 def _report(number, *, vouches=True):
-    return PeerReport("n1", 9, number, 0.0, {}, 1.0, 1, 1, {}, {}, vouches)
+    return PeerReport("n1", 9, number, 0.0, {}, 1.0, at(1), at(1), {}, {}, vouches)
 
 
 def test_a_vouching_counts_from_before_it_arrived(peers):
@@ -127,12 +130,12 @@
         peers.mark_queue(Address("n0", 1))
         (marker,) = peers._transport.sent
         receive(_report(1))
-        assert peers.peers["n1"].vouched_at < marked_at - 1000
+        assert peers.peers["n1"].vouched_at(0) < marked_at - 1000
         await asyncio.sleep(5.0)
         receive(QueueMarker(LIFE + 1, loop.time()))  # Of an earlier incarnation.
         peers.datagram_received(marker, ("n0", 1))
         receive(_report(2))
-        assert peers.peers["n1"].vouched_at == marked_at
+        assert peers.peers["n1"].vouched_at(0) == marked_at
         assert peers.peers["n1"].received_at == marked_at + 5.0
 
     run(scenario())
@@ -147,7 +150,7 @@
         for number, vouches in ((1, True), (2, False)):
             message = _report(number, vouches=vouches)
             peers.datagram_received(msgspec.msgpack.encode(message), ("n1", 1))
-        return peers.peers["n1"].vouched_at, asyncio.get_running_loop().time()
+        return peers.peers["n1"].vouched_at(0), asyncio.get_running_loop().time()
 
     vouched_at, now = run(scenario())
     assert vouched_at < now - 1000
--- a/tests/gateway/test_pieces.py
+++ b/tests/gateway/test_pieces.py
@@ -14,7 +14,7 @@
 from hypothesis import given, settings, strategies as st
 
 from arbutusflow.gateway.event_log import EventLog
-from arbutusflow.gateway.model import Address
+from arbutusflow.gateway.model import Address, StorePoint
 from arbutusflow.gateway.peers import CopyRequest, CopyTransfer, PeerReports
 from arbutusflow.gateway.piece_receipt import Receipt
 from arbutusflow.gateway.pieces import (
@@ -36,7 +36,7 @@
 from arbutusflow.gateway.state_relay import SOURCE_SILENCE_SECONDS, StateRelay
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform.store import Change, StoredObject
-from tests.gateway.fakes import FakeLog
+from tests.gateway.fakes import FakeLog, FakeStore, at
 from tests.gateway.virtual_time import run
 
 KIND = "kind"
@@ -47,7 +47,7 @@
 
 def make_transfer(size, seed=1, base=10, revision=11):
     data = random.Random(seed).randbytes(size)
-    return OutgoingTransfer.from_data(KIND, base, revision, data)
+    return OutgoingTransfer.from_data(KIND, at(base), at(revision), data)
 
 
 def all_pieces(transfer):
@@ -56,7 +56,7 @@
 
 def make_item(name, revision, value):
     raw = {"metadata": {"name": name, "revision": revision}, "spec": value}
-    return StoredObject(name, revision, value, raw)
+    return StoredObject(name, at(revision), value, raw)
 
 
 class Node:
@@ -66,7 +66,7 @@
         self.address = Address(name, 1)
         self.in_force = []  # Revision and contents, each time they changed.
         log = EventLog(name, fd=os.open(os.devnull, os.O_WRONLY))
-        self.copy = ObjectCopy(None, KIND, 15.0, self._note, log)
+        self.copy = ObjectCopy(FakeStore(), KIND, 15.0, self._note, log)
         self.copy.set_parked(True)
         self.peers = PeerReports(name, life, lambda *_: None, self._handle, log)
         self.peers.connection_made(self)
@@ -147,9 +147,9 @@
     """Return a source with a later object of some bytes, and a receiver without it."""
     source, receiver = network.add("source"), network.add("receiver")
     for node in (source, receiver):
-        node.copy.use_relayed_objects(10, [make_item("a", 10, 0)])
+        node.copy.use_relayed_objects(at(10), [make_item("a", 10, 0)])
     item = make_item("a", 11, network.rng.randbytes(size // 2).hex())
-    source.copy.apply_relayed_changes(10, 11, [Change(item, False)])
+    source.copy.apply_relayed_changes(at(10), at(11), [Change(item, False)])
     return source, receiver
 
 
@@ -158,14 +158,14 @@
     async def scenario():
         network = Network()
         source, receiver = two_nodes(network, size)
-        receiver.relay.request_changes({KIND: 11}, source.address, receiver.now)
+        receiver.relay.request_changes({KIND: at(11)}, source.address, receiver.now)
         await network.run(6.0)
         assert receiver.copy.objects["a"].spec == source.copy.objects["a"].spec
         numbers = [number for _, number in network.pieces_to("receiver")]
         assert len(numbers) == len(set(numbers))
         return receiver.copy.revision
 
-    assert run(scenario()) == 11
+    assert run(scenario()) == at(11)
 
 
 @pytest.mark.parametrize("seed", range(1, 6))
@@ -177,11 +177,11 @@
         network = Network(seed, loss=loss)
         source, receiver = two_nodes(network, 400_000)
         for _ in range(400):
-            receiver.relay.request_changes({KIND: 11}, source.address, receiver.now)
+            receiver.relay.request_changes({KIND: at(11)}, source.address, receiver.now)
             await network.run(0.05)
-            if receiver.copy.revision == 11:
+            if receiver.copy.revision == at(11):
                 break
-        assert receiver.copy.revision == 11
+        assert receiver.copy.revision == at(11)
         numbers = [number for _, number in network.pieces_to("receiver")]
         return len(numbers) / len(set(numbers))
 
@@ -194,7 +194,7 @@
         network = Network()
         source, receiver = two_nodes(network, 400_000)
         for _ in range(20):
-            receiver.relay.request_changes({KIND: 11}, source.address, receiver.now)
+            receiver.relay.request_changes({KIND: at(11)}, source.address, receiver.now)
             await asyncio.sleep(0.001)
         await network.run(1.0)
         return sum(isinstance(m, CopyRequest) for _, _, m in network.sent)
@@ -209,13 +209,13 @@
         network = Network()
         source, receiver = two_nodes(network, 400_000)
         other = network.add("other")
-        other.copy.use_relayed_objects(10, [make_item("a", 10, 0)])
+        other.copy.use_relayed_objects(at(10), [make_item("a", 10, 0)])
         change = Change(source.copy.objects["a"], False)
         # It read the same change at a later revision of the store.
-        other.copy.apply_relayed_changes(10, 11, [change])
-        other.copy.apply_relayed_changes(11, 15, [])
+        other.copy.apply_relayed_changes(at(10), at(11), [change])
+        other.copy.apply_relayed_changes(at(11), at(15), [])
         receiver.relay.sources = lambda: [source.address, other.address]
-        receiver.relay.request_changes({KIND: 11}, source.address, receiver.now)
+        receiver.relay.request_changes({KIND: at(11)}, source.address, receiver.now)
         await asyncio.sleep(0.03)
         network.silent.add("source")
         await network.run(SOURCE_SILENCE_SECONDS + 1.0)
@@ -238,11 +238,11 @@
         source, receiver = two_nodes(network, 1000)
         receiver.relay.sources = lambda: [source.address]
         for _ in range(20):
-            receiver.relay.request_changes({KIND: 11}, OTHER_SOURCE, receiver.now)
+            receiver.relay.request_changes({KIND: at(11)}, OTHER_SOURCE, receiver.now)
             await network.run(0.1)
         return receiver.copy.revision
 
-    assert run(scenario()) == 11
+    assert run(scenario()) == at(11)
 
 
 def _receipt(transfer, now=0.0):
@@ -252,27 +252,29 @@
 @pytest.mark.parametrize(
     "piece",
     [
-        TransferPiece(KIND, 10, 11, bytes(DIGEST_BYTES), 5_000_000_000, 0, b"x"),
         TransferPiece(
-            KIND, 10, 11, bytes(DIGEST_BYTES), MAX_TRANSFER_BYTES + 1, 0, b""
+            KIND, at(10), at(11), bytes(DIGEST_BYTES), 5_000_000_000, 0, b"x"
         ),
-        TransferPiece(KIND, 10, 11, bytes(DIGEST_BYTES), 0, 0, b""),
-        TransferPiece(KIND, 10, 11, bytes(DIGEST_BYTES), -1, 0, b""),
-        TransferPiece(KIND, 10, 11, bytes(DIGEST_BYTES), 10, 1, b"x" * 10),
-        TransferPiece(KIND, 10, 11, bytes(DIGEST_BYTES), 10, -1, b"x" * 10),
-        TransferPiece(KIND, 10, 11, bytes(DIGEST_BYTES), 10, 0, b"x" * 11),
+        TransferPiece(
+            KIND, at(10), at(11), bytes(DIGEST_BYTES), MAX_TRANSFER_BYTES + 1, 0, b""
+        ),
+        TransferPiece(KIND, at(10), at(11), bytes(DIGEST_BYTES), 0, 0, b""),
+        TransferPiece(KIND, at(10), at(11), bytes(DIGEST_BYTES), -1, 0, b""),
+        TransferPiece(KIND, at(10), at(11), bytes(DIGEST_BYTES), 10, 1, b"x" * 10),
+        TransferPiece(KIND, at(10), at(11), bytes(DIGEST_BYTES), 10, -1, b"x" * 10),
+        TransferPiece(KIND, at(10), at(11), bytes(DIGEST_BYTES), 10, 0, b"x" * 11),
         # It would overlap the next piece.
         TransferPiece(
-            KIND, 10, 11, bytes(DIGEST_BYTES), 2 * PIECE_BYTES, 0, b"x" * 1201
+            KIND, at(10), at(11), bytes(DIGEST_BYTES), 2 * PIECE_BYTES, 0, b"x" * 1201
         ),
-        TransferPiece(KIND, 10, 11, b"short", 1, 0, b"x"),
+        TransferPiece(KIND, at(10), at(11), b"short", 1, 0, b"x"),
     ],
 )
 def test_a_piece_out_of_bounds_is_dropped_and_counted(piece):
     async def scenario():
         network = Network()
         _, receiver = two_nodes(network, 10)
-        receiver.relay.request_changes({KIND: 11}, SOURCE, receiver.now)
+        receiver.relay.request_changes({KIND: at(11)}, SOURCE, receiver.now)
         receiver.relay.accept_piece(piece, SOURCE, receiver.now)
         return receiver.relay.counts[KIND, "pieces_invalid"], receiver.relay._receipts
 
@@ -285,7 +287,7 @@
     async def scenario():
         network = Network()
         _, receiver = two_nodes(network, 10)
-        receiver.relay.request_changes({KIND: 11}, SOURCE, receiver.now)
+        receiver.relay.request_changes({KIND: at(11)}, SOURCE, receiver.now)
         for piece in all_pieces(make_transfer(100_000)):
             receiver.relay.accept_piece(piece, OTHER_SOURCE, receiver.now)
         return receiver.relay.counts[KIND, "pieces_unasked"], receiver.relay._receipts
@@ -300,7 +302,7 @@
         network = Network()
         _, receiver = two_nodes(network, 10)
         relay, now = receiver.relay, receiver.now
-        relay.request_changes({KIND: 11}, SOURCE, now)
+        relay.request_changes({KIND: at(11)}, SOURCE, now)
         for base, revision in ((5, 10), (11, 12), (0, 9)):
             transfer = make_transfer(5000, 1, base, revision)
             relay.accept_piece(all_pieces(transfer)[0], SOURCE, now)
@@ -313,24 +315,24 @@
             receiver.copy.revision,
         )
 
-    assert run(scenario()) == (3, 1, 10)
+    assert run(scenario()) == (3, 1, at(10))
 
 
 def test_a_source_that_has_only_later_changes_replaces_the_receipt():
     async def scenario():
         network = Network()
         source, receiver = two_nodes(network, 100_000)
-        receiver.relay.request_changes({KIND: 11}, source.address, receiver.now)
+        receiver.relay.request_changes({KIND: at(11)}, source.address, receiver.now)
         await asyncio.sleep(0.005)
         # Neither the earlier version nor changes since are known after a restart.
         del network.nodes["source"]
         source = network.add("source", life=2)
         item = make_item("a", 12, network.rng.randbytes(50_000).hex())
-        source.copy.use_relayed_objects(12, [item])
+        source.copy.use_relayed_objects(at(12), [item])
         await network.run(2.0)
         return receiver.copy.revision, receiver.copy.objects["a"].spec == item.spec
 
-    assert run(scenario()) == (12, True)
+    assert run(scenario()) == (at(12), True)
 
 
 def test_a_piece_that_differs_from_the_first_one_is_dropped():
@@ -353,18 +355,18 @@
     async def scenario():
         network = Network()
         source, receiver = two_nodes(network, 5000)
-        receiver.relay.request_changes({KIND: 11}, source.address, receiver.now)
+        receiver.relay.request_changes({KIND: at(11)}, source.address, receiver.now)
         await asyncio.sleep(0.003)  # The first window is on its way.
-        for piece in all_pieces(source.relay._outgoing(KIND, 10, 11)):
+        for piece in all_pieces(source.relay._outgoing(KIND, at(10), at(11))):
             damaged = msgspec.structs.replace(piece, data=bytes(len(piece.data)))
             receiver.relay.accept_piece(damaged, source.address, receiver.now)
-        assert receiver.copy.revision == 10
+        assert receiver.copy.revision == at(10)
         wrong = receiver.relay.counts[KIND, "receipts_bad_checksum"]
-        receiver.relay.request_changes({KIND: 11}, source.address, receiver.now)
+        receiver.relay.request_changes({KIND: at(11)}, source.address, receiver.now)
         await network.run(1.0)
         return wrong, receiver.copy.revision
 
-    assert run(scenario()) == (1, 11)
+    assert run(scenario()) == (1, at(11))
 
 
 def test_a_transfer_whose_contents_are_no_changes_is_not_used():
@@ -376,17 +378,17 @@
         for data in (
             b"no message",
             b"\xc1no compressed data",
-            encode(CopyRequest(KIND, 1)),
-            encode(CopyTransfer(KIND, 10, 13, [])),
-            encode(CopyTransfer("another", 10, 11, [])),
+            encode(CopyRequest(KIND, at(1))),
+            encode(CopyTransfer(KIND, at(10), at(13), [])),
+            encode(CopyTransfer("another", at(10), at(11), [])),
         ):
-            relay.request_changes({KIND: 11}, SOURCE, now)
-            transfer = OutgoingTransfer.from_data(KIND, 10, 11, data)
+            relay.request_changes({KIND: at(11)}, SOURCE, now)
+            transfer = OutgoingTransfer.from_data(KIND, at(10), at(11), data)
             for piece in all_pieces(transfer):
                 relay.accept_piece(piece, SOURCE, now)
         return relay.counts[KIND, "receipts_malformed"], receiver.copy.revision
 
-    assert run(scenario()) == (5, 10)
+    assert run(scenario()) == (5, at(10))
 
 
 def test_memory_grows_with_what_arrived_and_not_with_what_was_announced():
@@ -394,7 +396,7 @@
     receipt = _receipt(transfer)
     for number in (0, piece_count(MAX_TRANSFER_BYTES) - 1):
         receipt.accept(transfer._piece(number), 0.0)
-    request = receipt.request(10, 5.0)
+    request = receipt.request(at(10), 5.0)
     assert len(receipt._pieces) == 2
     assert request is None or len(request.numbers) <= WINDOW_PIECES
     assert len(receipt._requested) + len(receipt._lost) <= WINDOW_PIECES
@@ -404,11 +406,11 @@
     cache = TransferCache()
     for revision in range(200):
         cache.add(make_transfer(1_500_000, revision=revision))
-    kept = [cache.get(KIND, 10, revision) for revision in range(200)]
+    kept = [cache.get(KIND, at(10), at(revision)) for revision in range(200)]
     kept = [transfer for transfer in kept if transfer is not None]
     assert 1 <= len(kept) <= MAX_CACHED_TRANSFERS
     assert sum(len(t.data) for t in kept) == cache._bytes <= MAX_CACHED_BYTES
-    assert kept[-1].revision == 199
+    assert kept[-1].revision == at(199)
 
 
 def test_the_rate_of_a_sender_is_bounded():
@@ -423,11 +425,16 @@
     assert sent <= 2 * MAX_BYTES_PER_SECOND + BURST_BYTES
 
 
+POINTS = st.builds(
+    StorePoint,
+    st.integers(0, 1) | st.integers(),
+    st.integers(8, 14) | st.integers(),
+)
 PIECES = st.builds(
     TransferPiece,
     st.just(KIND),
-    st.integers(8, 12) | st.integers(),
-    st.integers(9, 14) | st.integers(),
+    POINTS,
+    POINTS,
     st.sampled_from([bytes(DIGEST_BYTES), b"1" * DIGEST_BYTES])
     | st.binary(max_size=20),
     st.integers(1, 3 * PIECE_BYTES) | st.integers(),
@@ -444,7 +451,7 @@
     async def scenario():
         network = Network()
         _, receiver = two_nodes(network, 10)
-        receiver.relay.request_changes({KIND: 11}, SOURCE, receiver.now)
+        receiver.relay.request_changes({KIND: at(11)}, SOURCE, receiver.now)
         for piece, source in pieces:
             receiver.relay.accept_piece(piece, source, receiver.now)
         receiver.relay.tick(receiver.now + 1.0)
@@ -455,7 +462,7 @@
         return receiver.copy.revision, receiver.in_force
 
     revision, in_force = run(scenario())
-    assert (revision, len(in_force)) == (10, 1)
+    assert (revision, len(in_force)) == (at(10), 1)
 
 
 @settings(deadline=None, max_examples=100)
@@ -464,10 +471,12 @@
     async def scenario():
         network = Network()
         source, _ = two_nodes(network, 100_000)
-        known = source.relay._outgoing(KIND, 10, 11).digest
+        known = source.relay._outgoing(KIND, at(10), at(11)).digest
         for asked in (digest, known):
             for b in (base, 10):
-                request = PieceRequest(KIND, b, 11, asked, 10, tuple(numbers))
+                request = PieceRequest(
+                    KIND, at(b), at(11), asked, at(10), tuple(numbers)
+                )
                 before = len(network.sent)
                 source.relay.send_pieces(request, SOURCE, source.now)
                 assert len(network.sent) - before <= WINDOW_PIECES
@@ -504,14 +513,15 @@
 
     def tell(self, copy):
         """Give a copy what the store's answer to its next watch holds."""
-        later = [c for c in self.changes if c[0] >= copy.revision]
-        if copy.revision not in self.contents:
+        number = copy.revision.number
+        later = [c for c in self.changes if c[0] >= number]
+        if number not in self.contents:
             items = [make_item(n, self.revision, v) for n, v in self.latest().items()]
-            copy.use_relayed_objects(self.revision, items)
+            copy.use_relayed_objects(at(self.revision), items)
         elif later:
             # Several changes arrive as one.
             changes = [change for _, _, batch in later for change in batch]
-            copy.apply_relayed_changes(copy.revision, self.revision, changes)
+            copy.apply_relayed_changes(copy.revision, at(self.revision), changes)
 
     def latest(self):
         return self.contents[self.revision]
@@ -557,6 +567,6 @@
         revisions = [revision for revision, _ in node.in_force]
         assert revisions == sorted(revisions)
         for revision, contents in node.in_force:
-            assert contents == store.contents[revision]
-    assert {node.copy.revision for node in last} == {store.revision}
+            assert contents == store.contents[revision.number]
+    assert {node.copy.revision for node in last} == {at(store.revision)}
     assert sum(node.relay.counts[KIND, "receipts_complete"] for node in everyone) > 20
--- a/tests/gateway/test_state_relay.py
+++ b/tests/gateway/test_state_relay.py
@@ -19,7 +19,7 @@
     RECEIPT_PROGRESS_SECONDS,
     StateRelay,
 )
-from tests.gateway.fakes import FakeLog
+from tests.gateway.fakes import FakeLog, at
 from tests.gateway.sim_fleet import run_fleet
 from tests.gateway.test_pieces import KIND, Network, two_nodes
 from tests.gateway.test_store_watch import run_scenario
@@ -59,7 +59,7 @@
         transfer = CopyTransfer("kind", copy.revision, item.revision + 1, packed)
         relay.use_transfer(transfer, SOURCE, 0.0)
         arrivals.append(copy.updated_by)
-        transfer = CopyTransfer("kind", 0, item.revision + 2, packed)
+        transfer = CopyTransfer("kind", at(0), item.revision + 2, packed)
         relay.use_transfer(transfer, SOURCE, 0.0)
         return [*arrivals, copy.updated_by]
 
@@ -160,7 +160,7 @@
         in_force = [copy.objects["a"].spec]
         await asyncio.sleep(1.0)  # The answer of the store is older.
         in_force.append(copy.objects["a"].spec)
-        return in_force, copy.revision - first
+        return in_force, copy.revision.number - first.number
 
     assert run_scenario(scenario) == ([2, 2], 10)
 
@@ -179,9 +179,9 @@
         later = dataclasses.replace(item, revision=first + 10, spec=2, raw={"spec": 2})
         transfer = CopyTransfer("kind", first, first + 10, [_packed(later)])
         make_relay(copy).use_transfer(transfer, SOURCE, 0.0)
-        store.revision = first + 10
+        store.revision = first.number + 10
         await asyncio.sleep(2.0)
-        return copy.objects["a"].spec, copy.revision - first, len(lists)
+        return copy.objects["a"].spec, copy.revision.number - first.number, len(lists)
 
     assert run_scenario(scenario) == (2, 10, 1)
 
@@ -212,7 +212,7 @@
         network = Network()
         source, receiver = two_nodes(network, 400_000)
         relay, started = receiver.relay, receiver.now
-        relay.request_changes({KIND: 11}, source.address, started)
+        relay.request_changes({KIND: at(11)}, source.address, started)
         await asyncio.sleep(0.01)
         (receipt,) = relay._receipts.values()
         late = started + MAX_BEHIND_SECONDS + 0.01
--- a/tests/gateway/test_store_client.py
+++ b/tests/gateway/test_store_client.py
@@ -12,7 +12,7 @@
 from arbutusflow.gateway.model import Address, HttpResponse
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform.store import StoreClient
-from tests.gateway.fakes import FakeLog
+from tests.gateway.fakes import FakeLog, at
 from tests.gateway.virtual_time import run
 
 
@@ -66,4 +66,4 @@
         snapshot = await store.list("servers", 1.0, ResponseProgress(1.0))
         return snapshot.revision, [item.revision for item in snapshot.objects]
 
-    assert run(main()) == (4, [3, 4, 6])
+    assert run(main()) == (at(4), [at(3), at(4), at(6)])
--- /dev/null
+++ b/tests/gateway/test_store_eras.py
@@ -0,0 +1,260 @@
+"""Ownership of keys when the store comes back from an older copy, in a new era.
+
+Guards against two owners of a key, tokens that are given out twice, and keys that stay
+without an owner because the tables of the lost part are gone.
+"""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from arbutusflow.gateway.fleet import CONTACT_SLACK_SECONDS, CONTACT_TIMEOUT_SECONDS
+from arbutusflow.gateway.key_orders import GRANT_TIMEOUT_SECONDS
+from arbutusflow.gateway.key_table import TOKENS_PER_ERA, lease_expiry
+from tests.gateway.sim_fleet import SAMPLED_KEYS, SERVICE, run_fleet
+from tests.gateway.test_ownership_under_faults import _inject_random_faults
+
+COPY_SECONDS = 0.25  # Between two copies of the store.
+# Bound of docs/decisions/store-eras.md, and the time of a plan and its grants.
+WAIT_SECONDS = lease_expiry(
+    CONTACT_TIMEOUT_SECONDS + CONTACT_SLACK_SECONDS + GRANT_TIMEOUT_SECONDS
+)
+PLAN_SECONDS = 1.0
+# Shares of keys that are held are measured this often.
+SAMPLE_SECONDS = 0.25
+
+
+@contextlib.contextmanager
+def copies_kept(sim):
+    """Keep copies of the store regularly."""
+
+    async def keep():
+        while True:
+            sim.store.keep_copy(sim.now)
+            await asyncio.sleep(COPY_SECONDS)
+
+    task = asyncio.create_task(keep())
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
+async def go_back(sim, age, away):
+    """Take the store away, and bring it back as it was `age` seconds before."""
+    until = sim.now - age
+    sim.store.down = True
+    await asyncio.sleep(away)
+    sim.store.go_back(until)
+    sim.store.down = False
+
+
+async def held_shares(sim, seconds):
+    """Return the shares of keys that were held, at regular times."""
+    shares = []
+    for _ in range(round(seconds / SAMPLE_SECONDS)):
+        await asyncio.sleep(SAMPLE_SECONDS)
+        shares.append(sim.held_key_share())
+    return shares
+
+
+def eras(sim):
+    return {i.task.fleet.era for i in sim.instances.values() if not i.stopped}
+
+
+def table(sim, name="n0"):
+    return sim.instances[name].task.leases.tables[SERVICE]
+
+
+@pytest.mark.parametrize("age", [0.5, 3.0])
+@pytest.mark.parametrize("away", [0.0, 2.5])
+def test_keys_that_do_not_move_stay_with_their_owners(age, away):
+    """Guards against an interruption for callers whose keys were not moving."""
+
+    async def scenario(sim):
+        with copies_kept(sim):
+            await asyncio.sleep(12.0)
+            before = table(sim).table.ranges
+            await go_back(sim, age, away)
+            shares = await held_shares(sim, 15.0)
+            kept = table(sim).table.ranges == before
+            return min(shares), kept, eras(sim), sim.violations
+
+    assert run_fleet(scenario) == (1.0, True, {1}, [])
+
+
+@pytest.mark.parametrize("endpoint", ["e0", "e1", "e2", "e3"])
+def test_keys_that_moved_in_the_lost_part_stay_with_their_new_owners(endpoint):
+    """Guards against the restored table, which gives them back to an endpoint that left
+    or names tokens that were given out."""
+
+    async def scenario(sim):
+        with copies_kept(sim):
+            await asyncio.sleep(12.0)
+            sim.unlisted.add(endpoint)
+            await asyncio.sleep(1.5)
+            before = table(sim).table.ranges
+            owners = {r.endpoint for r in before}
+            await go_back(sim, 3.0, 0.3)
+            shares = await held_shares(sim, 15.0)
+            kept = table(sim).table.ranges == before
+            return endpoint in owners, min(shares), kept, sim.violations
+
+    assert run_fleet(scenario) == (False, 1.0, True, [])
+
+
+@pytest.mark.parametrize("endpoint", ["e0", "e1", "e2", "e3"])
+def test_a_move_that_the_store_has_lost_is_not_done_twice(endpoint):
+    """The store goes back while keys move, at any step of the move.
+
+    Guards against an assignment of keys that another endpoint got in the lost part.
+    """
+
+    async def scenario(sim, delay):
+        with copies_kept(sim):
+            await asyncio.sleep(12.0)
+            sim.unlisted.add(endpoint)
+            await asyncio.sleep(delay)
+            await go_back(sim, 1.0, 0.1)
+            wait = WAIT_SECONDS + PLAN_SECONDS + 1.0
+            await asyncio.sleep(wait)
+            return sim.violations, sim.held_key_share()
+
+    for step in range(12):
+        delay = 0.03 * step
+        assert run_fleet(lambda sim, d=delay: scenario(sim, d)) == ([], 1.0), delay
+
+
+def test_tokens_rise_across_eras():
+    """Guards against a token that two owners get, one of them in the lost part."""
+
+    async def scenario(sim):
+        with copies_kept(sim):
+            await asyncio.sleep(12.0)
+            await go_back(sim, 1.0, 0.1)
+            await asyncio.sleep(WAIT_SECONDS + PLAN_SECONDS)
+            kept = {r.token for r in table(sim).table.ranges}
+            sim.unlisted.add("e1")
+            await asyncio.sleep(3.0)
+            later = {r.token for r in table(sim).table.ranges} - kept
+            return max(kept), min(later), table(sim).revision.era, sim.violations
+
+    highest, lowest, era, violations = run_fleet(scenario)
+    assert highest < TOKENS_PER_ERA <= lowest < 2 * TOKENS_PER_ERA
+    assert (era, violations) == (1, [])
+
+
+def test_nothing_is_granted_by_a_restored_table_if_no_instance_knows_a_later_one():
+    """All instances are replaced while the store is away, after keys have moved.
+
+    Guards against owners of the restored table while the new owners hold the keys.
+    """
+
+    async def scenario(sim):
+        with copies_kept(sim):
+            await asyncio.sleep(12.0)
+            sim.unlisted.add("e1")
+            await asyncio.sleep(1.0)
+            sim.unlisted.clear()
+            for name in list(sim.instances):
+                sim.restart(name)
+            await go_back(sim, 3.0, 0.1)
+            wait = WAIT_SECONDS + PLAN_SECONDS + 1.0
+            await asyncio.sleep(wait)
+            tokens = [r.token for r in table(sim).table.ranges]
+            return min(tokens) >= TOKENS_PER_ERA, sim.violations, sim.held_key_share()
+
+    assert run_fleet(scenario) == (True, [], 1.0)
+
+
+@pytest.mark.parametrize("second", [0.1, 0.7, 1.2, 3.0])
+def test_two_eras_in_a_row(second):
+    """Guards against proof of the first era that counts in the second."""
+
+    async def scenario(sim):
+        with copies_kept(sim):
+            await asyncio.sleep(12.0)
+            sim.unlisted.add("e1")
+            await asyncio.sleep(0.15)
+            await go_back(sim, 2.0, 0.1)
+            await asyncio.sleep(second)
+            await go_back(sim, 3.0, 0.1)
+            await asyncio.sleep(2 * WAIT_SECONDS)
+            return sim.violations, sim.held_key_share(), eras(sim)
+
+    assert run_fleet(scenario) == ([], 1.0, {2})
+
+
+def test_an_instance_that_does_not_reach_the_store_grants_for_three_seconds_only():
+    """It hears nothing of the era, and the others move the keys that it renews.
+
+    Guards against vouching for it across eras.
+    """
+
+    async def scenario(sim):
+        with copies_kept(sim):
+            await asyncio.sleep(12.0)
+            sim.store.unreachable_for.add("n0")
+            await go_back(sim, 1.0, 0.1)
+            await asyncio.sleep(3.5)
+            fleet = sim.instances["n0"].task.fleet
+            may_grant = [fleet.may_grant(sim.now, era) for era in (0, 1)]
+            sim.unlisted.add("e1")
+            await asyncio.sleep(12.0)
+            return may_grant, sim.violations, sim.held_key_share()
+
+    assert run_fleet(scenario) == ([False, False], [], 1.0)
+
+
+def test_instances_whose_records_are_lost_write_them_again():
+    """Guards against granters that no one waits for, or that are missing for good."""
+
+    async def scenario(sim):
+        with copies_kept(sim):
+            await asyncio.sleep(12.0)
+            sim.restart("n1")
+            sim.restart("n2")
+            await asyncio.sleep(2.0)
+            await go_back(sim, 2.5, 0.1)
+            shares = await held_shares(sim, 12.0)
+            lives = {
+                i.task.fleet.registered and i.task.fleet.may_grant(sim.now)
+                for i in sim.instances.values()
+            }
+            return lives, min(shares), sim.violations
+
+    assert run_fleet(scenario) == ({True}, 1.0, [])
+
+
+def test_a_store_that_begins_in_a_later_era_costs_no_wait():
+    async def scenario(sim):
+        sim.store.era = 1
+        await asyncio.sleep(4.0)
+        return sim.violations, sim.held_key_share(), eras(sim)
+
+    assert run_fleet(scenario) == ([], 1.0, {1})
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_key_has_one_owner_when_the_store_goes_back_among_random_faults(seed):
+    """Guards against two owners by any order of faults, drills and late answers."""
+
+    async def scenario(sim):
+        async def drills():
+            while True:
+                await asyncio.sleep(sim.rng.uniform(3.0, 9.0))
+                sim.store.answer_seconds = sim.rng.choice([0.0, 0.0, 0.2])
+                await go_back(sim, sim.rng.uniform(0.3, 6.0), sim.rng.uniform(0.1, 2.5))
+
+        with copies_kept(sim):
+            await asyncio.sleep(8.0)
+            task = asyncio.create_task(drills())
+            await _inject_random_faults(sim)
+            task.cancel()
+            sim.store.down, sim.store.answer_seconds = False, 0.0
+            sim.late_grant_share, sim.store.lose_answers = 0.0, False
+            await asyncio.sleep(30.0)
+            return sim.violations, sim.held_key_share(), len(SAMPLED_KEYS) > 0
+
+    assert run_fleet(scenario, seed) == ([], 1.0, True)
--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -6,7 +6,7 @@
 
 from arbutusflow.domain.errors import PlatformUnavailableError
 from arbutusflow.gateway.store_watch import ObjectCopy
-from tests.gateway.fakes import FakeLog
+from tests.gateway.fakes import FakeLog, at
 from tests.gateway.sim_fleet import SimStore, SimStoreClient
 from tests.gateway.virtual_time import run
 
@@ -176,7 +176,7 @@
         loop = asyncio.get_running_loop()
         for _ in range(10):
             copy._progress.received_at = loop.time()
-            copy.note_peer_revision(10**6, loop.time())
+            copy.note_peer_revision(at(10**6), loop.time())
             await asyncio.sleep(0.1)
         return copy.unreachable_since
 
--- a/tests/gateway/test_unreadable_entries.py
+++ b/tests/gateway/test_unreadable_entries.py
@@ -15,7 +15,7 @@
 from arbutusflow.domain.errors import PlatformError
 from arbutusflow.gateway.client_connection import ResponseProgress
 from arbutusflow.gateway.endpoint_directory import EndpointDirectory
-from arbutusflow.gateway.model import Address, HttpResponse
+from arbutusflow.gateway.model import Address, HttpResponse, StorePoint
 from arbutusflow.gateway.peers import CopyTransfer
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform import entries
@@ -191,7 +191,9 @@
 
     objects = run(main()).objects
     changes = [(item.name, item.revision, item.raw) for item in objects]
-    assert msgspec.msgpack.encode(CopyTransfer("servers", 0, 40, changes))
+    assert msgspec.msgpack.encode(
+        CopyTransfer("servers", StorePoint(0, 0), StorePoint(0, 40), changes)
+    )
 
 
 @pytest.mark.parametrize(
