Keep endpoints that left, and entries that the store lost, as known across eras

Cause: a restored entry lists an endpoint that has left, and entries that were registered in the lost part vanish for a moment although their endpoints serve. Change: the directory remembers the number of the latest entry of a process that left; an entry of it in a later era counts only if it was written again or stays for 3 s, which the store's own expiry does not allow for one that nobody writes. Entries missing in the first list of an era are kept for 2.5 s, as after an outage.

--- a/arbutusflow/gateway/endpoint_directory.py
+++ b/arbutusflow/gateway/endpoint_directory.py
@@ -3,7 +3,8 @@
 Invariants: an entry that disappears while the store is unreachable, or shortly after,
 is retained until running endpoints have had time to register again. An entry of an
 earlier process of an endpoint, or of before it began to drain, does not replace what is
-known of it: the store may execute a write seconds late.
+known of it: the store may execute a write seconds late. The same holds for an entry of
+a process that has left, when the store comes back from an older copy.
 """
 
 import dataclasses
@@ -12,7 +13,7 @@
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.model import Endpoint, EndpointProcess, StorePoint
 from arbutusflow.gateway.store_watch import ObjectCopy
-from arbutusflow.platform.documents import decode_endpoint
+from arbutusflow.platform.documents import decode_endpoint, entry_number
 from arbutusflow.platform.store import StoredObject
 
 # Running endpoints that can reach the store register again within about 2 s.
@@ -24,6 +25,15 @@
 MAX_REMEMBERED_PROCESSES = 4096  # Bounds the memory for endpoints that have left.
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Departure:
+    """A process whose entry was removed."""
+
+    era: int  # Of the store, when the removal was read.
+    started_ms: int
+    number: int | None  # Of its latest entry that was read; see `entry_number`.
+
+
 class EndpointDirectory:
     """Decodes the entries of endpoints; `endpoints` holds listed and retained ones."""
 
@@ -45,13 +55,22 @@
         self._latest: dict[str, Endpoint] = {}
         # Since when an entry shows an earlier process than the latest known one.
         self._outdated_since: dict[str, float] = {}
+        self._numbers: dict[str, int | None] = {}  # Of the latest entries.
+        # Processes that have left, by identifier; latest last.
+        self._departed: dict[str, _Departure] = {}
+        self._era = copy.revision.era
         self.endpoints: dict[str, Endpoint] = {}
 
     def update(self, now: float) -> None:
         """Apply the entries in this instance's copy of the store."""
+        # Entries that the store has lost are written again, as after an outage.
+        lost_entries = self._copy.revision.era != self._era
+        self._era = self._copy.revision.era
         listed = self._list(now)
         for name, endpoint in self.endpoints.items():
-            if name not in listed and self._awaiting_reregistration(now):
+            if name not in listed and (
+                lost_entries or self._awaiting_reregistration(now)
+            ):
                 self._retained.setdefault(name, endpoint)
         for name in listed:
             self._retained.pop(name, None)
@@ -81,11 +100,18 @@
         Also accepts entries that have shown an earlier process for too long to be
         outdated. Returns whether any endpoint changed.
         """
-        drops = bool(self._retained) and not self._awaiting_reregistration(now)
+        in_era_seconds = now - self._copy.era_entered_at
+        drops = (
+            bool(self._retained)
+            and not self._awaiting_reregistration(now)
+            and in_era_seconds >= REREGISTRATION_SECONDS
+        )
         accepts = any(
             now - since >= OUTDATED_ENTRY_SECONDS
             for since in self._outdated_since.values()
         )
+        if in_era_seconds >= OUTDATED_ENTRY_SECONDS:
+            accepts = accepts or self._has_restored_entries()
         if not drops and not accepts:
             return False
         if drops:
@@ -101,6 +127,7 @@
     def _set_listed(self, listed: dict[str, Endpoint]) -> None:
         current = {**self._retained, **listed}
         for name in self.endpoints.keys() - current.keys():
+            self._note_departure(self.endpoints[name])
             self._log.write(
                 "endpoint_gone", endpoint=name, revision=self._copy.revision.number
             )
@@ -125,7 +152,11 @@
 
     def _list(self, now: float) -> dict[str, Endpoint]:
         """Return the entries in the copy, and what is known for outdated ones."""
-        listed = self._decode()
+        listed = {
+            name: entry
+            for name, entry in self._decode().items()
+            if not self._is_restored(entry, now)
+        }
         for name in self._outdated_since.keys() - listed.keys():
             del self._outdated_since[name]
         for name, entry in listed.items():
@@ -138,6 +169,42 @@
                 listed[name] = known
         return listed
 
+    def _note_departure(self, endpoint: Endpoint) -> None:
+        self._departed.pop(endpoint.id, None)
+        self._departed[endpoint.id] = _Departure(
+            self._era, endpoint.started_ms, self._numbers.pop(endpoint.id, None)
+        )
+        while len(self._departed) > MAX_REMEMBERED_PROCESSES:
+            del self._departed[next(iter(self._departed))]
+
+    def _is_restored(self, entry: Endpoint, now: float) -> bool:
+        """Return whether an entry is of a process that left in an earlier era.
+
+        A process that is still there writes it again with a higher number. An entry
+        that nobody writes is removed by the store after three heartbeats.
+        """
+        departure = self._departed.get(entry.id)
+        if departure is None:
+            return False
+        number = self._numbers.get(entry.id)
+        if (
+            departure.era == self._era
+            or departure.started_ms != entry.started_ms
+            or number is None
+            or departure.number is None
+            or number > departure.number
+            or now - self._copy.era_entered_at >= OUTDATED_ENTRY_SECONDS
+        ):
+            del self._departed[entry.id]
+            return False
+        return True
+
+    def _has_restored_entries(self) -> bool:
+        return any(
+            name in self._decoded and departure.era != self._era
+            for name, departure in self._departed.items()
+        )
+
     def _is_outdated(self, entry: Endpoint, known: Endpoint, now: float) -> bool:
         """Return whether an entry is of before `known`, of the same endpoint."""
         if entry.started_ms >= known.started_ms:
@@ -176,6 +243,7 @@
                 continue
             try:
                 decoded[name] = item, decode_endpoint(item.raw)
+                self._numbers[name] = entry_number(item.raw)
             except ValueError as exc:
                 if self._unreadable_revisions.get(name) != item.revision:
                     self._unreadable_revisions[name] = item.revision
--- a/arbutusflow/platform/documents.py
+++ b/arbutusflow/platform/documents.py
@@ -117,6 +117,16 @@
     )
 
 
+def entry_number(item: Any) -> int | None:
+    """Return how often an endpoint has written its entry; None if it is unreadable."""
+    try:
+        status = item.get("status") or item["spec"]["status"]
+        number = status["seq"]
+    except (KeyError, TypeError, AttributeError):
+        return None
+    return number if type(number) is int else None
+
+
 def decode_endpoint(item: Any) -> Endpoint:
     """Decode the document of an endpoint. Raises ValueError.
 
--- a/tests/gateway/object_platform.py
+++ b/tests/gateway/object_platform.py
@@ -62,6 +62,15 @@
     return CallerServer(handler, BodyBudget(lambda: MAX_BODY_BYTES), _raise)
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """State of the store to go back to."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+    events: list[tuple[int, str, dict[str, Any]]]
+
+
 class ObjectStore:
     """Object store with one revision counter, lists and watches."""
 
@@ -70,6 +79,9 @@
         self.down = False  # Simulates an outage: each call is refused.
         self.calls = 0
         self.lose_answers = False  # Applies writes without responding.
+        self.era = 0
+        # Header with the era in all answers; None if it is missing.
+        self.era_header: bytes | None = None
         self._compacted_revision = 0  # History up to this revision is compacted.
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
         self._events: list[tuple[int, str, dict[str, Any]]] = []
@@ -85,6 +97,19 @@
         self._compacted_revision = self.revision
         self._events.clear()
 
+    def keep_copy(self) -> StoreCopy:
+        """Return the state now."""
+        return StoreCopy(self.revision, dict(self._objects), list(self._events))
+
+    def go_back(self, copy: StoreCopy) -> None:
+        """Come back from a copy; revisions are given out again."""
+        self.revision = copy.revision
+        self._objects, self._events = dict(copy.objects), list(copy.events)
+        self.era += 1
+        self.era_header = b"%d" % self.era
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         item = self._objects.pop((kind, name), None)
@@ -113,6 +138,13 @@
         self._changed = asyncio.Event()
 
     async def _handle(self, req: CallerRequest) -> CallerResponse:
+        reply = await self._answer(req)
+        if self.era_header is None:
+            return reply
+        headers = (*reply.headers, (wire.STORE_ERA, self.era_header))
+        return dataclasses.replace(reply, headers=headers)
+
+    async def _answer(self, req: CallerRequest) -> CallerResponse:
         self.calls += 1
         if self.down:
             return CallerResponse(503)
@@ -145,9 +177,11 @@
         self, kind: str, since: int, query: dict[str, str]
     ) -> CallerResponse:
         until = time.monotonic() + int(query.get("waitMs", "0")) / 1000
-        if since < self._compacted_revision:
-            return CallerResponse(410)
+        era = self.era
         while True:
+            gone = not self._compacted_revision <= since <= self.revision
+            if gone or self.era != era:
+                return CallerResponse(410)
             events = [e for rev, k, e in self._events if k == kind and rev > since]
             remaining = until - time.monotonic()
             if events or remaining <= 0:
