Give keys another token when their owner refuses the kept one in a new era

Cause: a move that was cancelled in the lost part gave its owner a higher token than the reconciled table names, so all renewals are refused (409) for good. Change: granters report grants that were refused for 1 s, and the planner marks them as leaving with a token of the era. The wait for grants by earlier tables counts from when the last live instance learned of the era, and only recorded instances prove the earlier table. Test: test_an_owner_that_has_seen_a_higher_token_gets_another_one (4 endpoints) passes.

--- a/arbutusflow/gateway/fleet.py
+++ b/arbutusflow/gateway/fleet.py
@@ -375,22 +375,23 @@
         """
         if self.era == 0:
             return -1e9
-        ages = [
-            now - peer.received_at + peer.report.era_age
+        learned_at = [
+            peer.received_at - peer.report.era_age
             for peer in self._peers.alive(now)
             if peer.report.era == self.era and peer.report.era_age >= 0
         ]
         tables = map(parse_table_name, self._copy.objects)
         if not (
             self._knew_earlier_era
-            or ages
+            or learned_at
             or any(self.last_report_at(record) is None for record in self.others())
             or any(table is not None and table[1] != self.era for table in tables)
         ):
             return -1e9
-        since = now - max(ages, default=0.0)
+        if self._knew_earlier_era or not learned_at:
+            learned_at.append(self.era_since)
         return (
-            min(since, self.era_since)
+            max(learned_at)
             + CONTACT_TIMEOUT_SECONDS
             + CONTACT_SLACK_SECONDS
             + GRANT_TIMEOUT_SECONDS
--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -444,7 +444,8 @@
             leaving_endpoints=self._workload.leaving_endpoints(),
             era=self.fleet.era,
             era_age=round(self.fleet.era_age(now), 3),
-            held_right=self.fleet.held_right,
+            held_right=self.fleet.held_right and self.fleet.registered,
+            refused=self.leases.refused_grants(now),
         )
 
     def _touch_age(self, now: float) -> float:
--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -41,6 +41,8 @@
 # Earlier tables kept per service, so that peers can be sent changes instead of whole
 # tables. A table of 65 endpoints has 8 kB in 78 ranges, a change some hundred bytes.
 TABLE_HISTORY_LENGTH = 12
+REFUSED_SECONDS = 1.0  # A later table arrives within this time, if there is one.
+MAX_REPORTED_REFUSALS = 8  # Bounds the size of a report.
 MAX_REMEMBERED_ENDPOINTS = 4096  # Bounds the memory for unlisted endpoints.
 
 
@@ -62,7 +64,7 @@
         self._renewed: dict[str, float] = {}
         self._grants_in_progress: set[str] = set()  # Endpoints.
         self._granted: set[GrantId] = set()  # Accepted at least once, and logged.
-        self._refused: set[GrantId] = set()
+        self._refused: dict[GrantId, float] = {}  # Since when.
         # When requests may be sent again to an owner that did not hold its range.
         self._not_held_until: dict[GrantId, float] = {}
         self._withdrawn: set[GrantId] = set()  # Ranges that get no more requests.
@@ -178,7 +180,7 @@
         current = {key_range.grant_id for key_range in table.ranges}
         for grant in before - current:
             self._granted.discard(grant)
-            self._refused.discard(grant)
+            self._refused.pop(grant, None)
             self._withdrawn.discard(grant)
             self._not_held_until.pop(grant, None)
         self._log.write(
@@ -353,6 +355,20 @@
     def _may_renew(self, key_range: KeyRange) -> bool:
         return not self.stopping and self.may_grant(key_range)
 
+    def refused_grants(self, now: float) -> tuple[GrantId, ...]:
+        """Return the grants that endpoints have refused for some time.
+
+        In the first era there is a later table then, but a table of a later era may
+        name tokens that are lower than what the store has lost.
+        """
+        if not self._fleet.era:
+            return ()
+        return tuple(
+            grant
+            for grant, since in self._refused.items()
+            if now - since >= REFUSED_SECONDS
+        )[:MAX_REPORTED_REFUSALS]
+
     def may_grant(self, key_range: KeyRange) -> bool:
         """Return whether a range is in force and this instance may grant it."""
         now = asyncio.get_running_loop().time()
@@ -388,7 +404,8 @@
         )
         if response.status == 409:
             # The endpoint has seen a higher token, so the store has a later table.
-            self._refused.add(key_range.grant_id)
+            now = asyncio.get_running_loop().time()
+            self._refused.setdefault(key_range.grant_id, now)
             self._owned.clear()
             self._copy.relist()
 
--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -563,5 +563,16 @@
             self._moves._fleet.earlier_grants_until(self._now)
         )
 
+    @functools.cached_property
+    def refused(self) -> set[GrantId]:
+        """Grants that endpoints refuse, as any live instance reports."""
+        result = set(self._moves._leases.refused_grants(self._now))
+        for peer in self._moves._peers.alive(self._now):
+            result.update(peer.report.refused)
+        return result
+
+    def is_refused(self, key_range: KeyRange) -> bool:
+        return key_range.grant_id in self.refused
+
     def must_take_over(self, key_range: KeyRange) -> bool:
         return self._moves._must_take_over(self._service, key_range, self, self._now)
--- a/arbutusflow/gateway/key_planner.py
+++ b/arbutusflow/gateway/key_planner.py
@@ -69,6 +69,9 @@
     def may_assign_unowned(self) -> bool:
         """Return whether no endpoint can hold a range that has no owner."""
 
+    def is_refused(self, key_range: KeyRange) -> bool:
+        """Return whether the owner refuses the token, so that it needs another one."""
+
     def must_take_over(self, key_range: KeyRange) -> bool:
         """Return whether the planner closes a range in place of another instance."""
 
@@ -212,7 +215,7 @@
         capacity={name: capacity[name] for name in ready},
         own_life=own_life,
     )
-    _mark_leaving(draft, endpoints)
+    _mark_leaving(draft, endpoints, leaving)
     for index, key_range in enumerate(draft.ranges):
         if leaving.must_take_over(key_range):
             draft.mark_leaving(index)
@@ -269,7 +272,7 @@
                 or leaving.must_take_over(key_range)
             ):
                 return True
-        elif _must_leave(key_range, endpoint):
+        elif _must_leave(key_range, endpoint) or leaving.is_refused(key_range):
             return True
     return False
 
@@ -289,11 +292,14 @@
     )
 
 
-def _mark_leaving(draft: _DraftTable, endpoints: Mapping[str, Endpoint]) -> None:
+def _mark_leaving(
+    draft: _DraftTable, endpoints: Mapping[str, Endpoint], leaving: LeavingState
+) -> None:
     for index, key_range in enumerate(draft.ranges):
         if not key_range.endpoint or key_range.leaving:
             continue
-        if _must_leave(key_range, endpoints.get(key_range.endpoint)):
+        endpoint = endpoints.get(key_range.endpoint)
+        if _must_leave(key_range, endpoint) or leaving.is_refused(key_range):
             draft.mark_leaving(index)
 
 
--- a/arbutusflow/gateway/peers.py
+++ b/arbutusflow/gateway/peers.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from arbutusflow.gateway.event_log import EventLog
-from arbutusflow.gateway.key_table import KeyRange, KeyTable
+from arbutusflow.gateway.key_table import GrantId, KeyRange, KeyTable
 from arbutusflow.gateway.model import Address, StorePoint
 from arbutusflow.gateway.pieces import PieceRequest, TransferPiece
 
@@ -87,6 +87,8 @@
     # Whether the sender had the right to grant in the era just before, when it learned
     # of this one.
     held_right: bool = False
+    # Grants by the tables of a later era of the store that endpoints have refused.
+    refused: tuple[GrantId, ...] = ()
 
 
 class FollowerReport(msgspec.Struct, array_like=True, frozen=True, tag="follow"):
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -258,3 +258,19 @@
             return sim.violations, sim.held_key_share(), len(SAMPLED_KEYS) > 0
 
     assert run_fleet(scenario, seed) == ([], 1.0, True)
+
+
+@pytest.mark.parametrize("endpoint", ["e0", "e1", "e2", "e3"])
+def test_an_owner_that_has_seen_a_higher_token_gets_another_one(endpoint):
+    """Guards against keys whose kept token is refused for good."""
+
+    async def scenario(sim):
+        with copies_kept(sim):
+            await asyncio.sleep(12.0)
+            await go_back(sim, 1.0, 0.1)
+            owner = sim.endpoints[endpoint]
+            owner.highest_tokens = dict.fromkeys(owner.highest_tokens, 1000)
+            await asyncio.sleep(WAIT_SECONDS + 3 * PLAN_SECONDS)
+            return sim.violations, sim.held_key_share()
+
+    assert run_fleet(scenario) == ([], 1.0)
