--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -426,12 +426,28 @@
                     continue
                 if state is not None and self._endpoints.may_serve_keys(state, now):
                     return state
+            else:
+                self._check_unowned(ctx, until)
             if self._loop.time() >= until:
                 leaving = owner in self._endpoints.states
                 reason = "owner_leaving" if leaving else "key_without_owner"
                 raise self._final_error(ctx, reason)
             await asyncio.sleep(KEY_POLL_INTERVAL_SECONDS)
 
+    def _check_unowned(self, ctx: _RequestContext, until: float) -> None:
+        """Raise RequestError if the key certainly gets no owner before `until`."""
+        assert ctx.key is not None
+        now = self._loop.time()
+        unowned = self._leases.unowned_seconds(ctx.service.name, ctx.key, now)
+        if not unowned or now + unowned < until:
+            return
+        error = self._final_error(ctx, "key_without_owner")
+        if error.retry_after is not None:
+            # Callers wait for a third of the time that they have left, at most.
+            wait = min(unowned, (ctx.caller_deadline - now) / 3)
+            error.retry_after = max(error.retry_after, wait)
+        raise error
+
     async def _send(
         self, ctx: _RequestContext, state: EndpointState
     ) -> CallerResponse | None:
--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -20,7 +20,13 @@
     parse_table_name,
 )
 from arbutusflow.gateway.key_orders import KeyOrders
-from arbutusflow.gateway.key_table import GrantId, KeyRange, KeyTable, StoredTable
+from arbutusflow.gateway.key_table import (
+    GrantId,
+    KeyRange,
+    KeyTable,
+    StoredTable,
+    lease_expiry,
+)
 from arbutusflow.gateway.model import Endpoint, HttpResponse, StorePoint
 from arbutusflow.gateway.peers import (
     PeerReport,
@@ -223,6 +229,16 @@
             return None
         return key_range.endpoint if self.find_owner(key_range) is not None else None
 
+    def unowned_seconds(self, service: str, key: int, now: float) -> float:
+        """Return how long a key certainly stays without an owner; 0 if not known.
+
+        In a new era of the store an endpoint may hold it that is not known.
+        """
+        key_range = self.find(service, key)
+        if key_range is None or key_range.endpoint or not self._fleet.era:
+            return 0.0
+        return max(0.0, lease_expiry(self._fleet.earlier_grants_until(now)) - now)
+
     def find_owner(self, key_range: KeyRange) -> Endpoint | None:
         """Return the owner of a range, even if it is no longer listed."""
         endpoint = self._remembered.get(key_range.endpoint)
--- a/tests/gateway/statement_instance.py
+++ b/tests/gateway/statement_instance.py
@@ -70,6 +70,9 @@
     def endpoint_for(self, service: str, key: int, now: float) -> str | None:
         return self.owner
 
+    def unowned_seconds(self, service: str, key: int, now: float) -> float:
+        return 0.0
+
     def mark_not_held(self, service: str, key: int) -> None:
         """The test decides who owns keys."""
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -113,12 +113,17 @@
 class _FakeLeases:
     """Fake leases in which each key gets an owner after a delay."""
 
+    unowned_for = 0.0  # How long a key certainly has no owner, in seconds.
+
     def __init__(self, owned_after=0.0):
         self.owned_after = owned_after
 
     def endpoint_for(self, service, key, now):
         return "e0" if now >= 1000.0 + self.owned_after else None
 
+    def unowned_seconds(self, service, key, now):
+        return self.unowned_for
+
     def mark_not_held(self, service, key):
         self.owned_after += 0.1
 
@@ -327,6 +332,17 @@
     assert seconds < 0.5
 
 
+def test_a_request_for_a_key_that_stays_without_owner_is_refused_immediately(
+    monkeypatch,
+):
+    """Guards against requests that wait in vain while the keys of a new era do."""
+    monkeypatch.setattr(_FakeLeases, "unowned_for", 5.0)
+    reply, sent, seconds = handle(OK, partitioned=True, owned_after=60.0)
+    assert (reply.status, sent, seconds) == (503, [], 0.0)
+    (retry_after,) = [v for name, v in reply.headers if name.lower() == b"retry-after"]
+    assert float(retry_after) == pytest.approx(0.5, abs=0.01)  # A third of 1.5 s.
+
+
 def test_a_request_that_cannot_complete_in_time_is_refused_immediately():
     reply, sent, seconds = handle(OK, deadline_ms=b"100")
     assert (reply.status, sent, seconds) == (503, [], 0.0)
