Test the return of an older copy with two gateways over HTTP

Two gateways, a store that goes back and endpoints on loopback: 60 requests for a key in 6 s are all served, the later configuration stays, both instances reach the era.

--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -277,3 +277,35 @@
         await wait_until(lambda: cluster.is_served("n2"))
 
     run_with_cluster(scenario, tmp_path)
+
+
+def test_callers_notice_nothing_when_the_store_comes_back_from_an_older_copy(tmp_path):
+    """Guards against keys without an owner, and against the restored configuration."""
+
+    async def scenario(cluster):
+        for name in ("n1", "n2"):
+            await wait_until(lambda name=name: cluster.is_key_served(name))
+        copy = cluster.store.keep_copy()
+        version = CONFIGURATION["version"] + 1
+        cluster.store.put("config", "main", CONFIGURATION | {"version": version})
+
+        async def has_version():
+            return all(
+                g.state().configuration == version for g in cluster.gateways.values()
+            )
+
+        await wait_until(has_version)
+        events = []
+        for gateway in cluster.gateways.values():
+            gateway.log.write = lambda event, /, **fields: events.append(event)
+        cluster.store.go_back(copy)
+        statuses = set()
+        for _ in range(60):
+            statuses.add((await cluster.send_request("n1")).status)
+            await asyncio.sleep(0.1)
+        eras = {g.store.era.current for g in cluster.gateways.values()}
+        return statuses, eras, await has_version(), set(events)
+
+    statuses, eras, has_version, events = run_with_cluster(scenario, tmp_path)
+    assert (statuses, eras, has_version) == ({200}, {1}, True)
+    assert events >= {"store_era", "configuration_kept", "key_table_reconciled"}
