--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -14,14 +14,20 @@
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.fleet import (
     MAX_STANDBY_RANK,
-    TABLE_PREFIX,
     Fleet,
     GranterGroup,
     granter_group,
+    parse_table_name,
 )
 from arbutusflow.gateway.key_orders import KeyOrders
-from arbutusflow.gateway.key_table import GrantId, KeyRange, KeyTable, StoredTable
-from arbutusflow.gateway.model import Endpoint, HttpResponse
+from arbutusflow.gateway.key_table import (
+    GrantId,
+    KeyRange,
+    KeyTable,
+    StoredTable,
+    lease_expiry,
+)
+from arbutusflow.gateway.model import Endpoint, HttpResponse, StorePoint
 from arbutusflow.gateway.peers import (
     PeerReport,
     TableChanged,
@@ -41,6 +47,8 @@
 # Earlier tables kept per service, so that peers can be sent changes instead of whole
 # tables. A table of 65 endpoints has 8 kB in 78 ranges, a change some hundred bytes.
 TABLE_HISTORY_LENGTH = 12
+REFUSED_SECONDS = 1.0  # A later table arrives within this time, if there is one.
+MAX_REPORTED_REFUSALS = 8  # Bounds the size of a report.
 MAX_REMEMBERED_ENDPOINTS = 4096  # Bounds the memory for unlisted endpoints.
 
 
@@ -62,7 +70,7 @@
         self._renewed: dict[str, float] = {}
         self._grants_in_progress: set[str] = set()  # Endpoints.
         self._granted: set[GrantId] = set()  # Accepted at least once, and logged.
-        self._refused: set[GrantId] = set()
+        self._refused: dict[GrantId, float] = {}  # Since when.
         # When requests may be sent again to an owner that did not hold its range.
         self._not_held_until: dict[GrantId, float] = {}
         self._withdrawn: set[GrantId] = set()  # Ranges that get no more requests.
@@ -85,9 +93,11 @@
     def update_tables(self, now: float) -> None:
         """Adopt the tables in this instance's copy of the store."""
         for name, item in self._copy.objects.items():
-            if not name.startswith(TABLE_PREFIX):
+            parsed = parse_table_name(name)
+            # A restored table of an earlier era may have been overtaken by a lost one.
+            if parsed is None or parsed[1] != item.revision.era:
                 continue
-            service = name.removeprefix(TABLE_PREFIX)
+            service = parsed[0]
             previous = self.tables.get(service)
             if previous is not None and previous.revision >= item.revision:
                 continue
@@ -107,6 +117,7 @@
         previous = self.tables.get(service)
         if previous is not None and previous.revision >= stored.revision:
             return
+        self._copy.era.advance(stored.revision.era, "table")
         self._track_changes(previous, stored.table, stored.revision, now)
         self.tables[service] = stored
         self._owned.pop(service, None)
@@ -157,7 +168,7 @@
         self,
         previous: StoredTable | None,
         table: KeyTable,
-        revision: int,
+        revision: StorePoint,
         now: float,
     ) -> None:
         before = (
@@ -175,13 +186,14 @@
         current = {key_range.grant_id for key_range in table.ranges}
         for grant in before - current:
             self._granted.discard(grant)
-            self._refused.discard(grant)
+            self._refused.pop(grant, None)
             self._withdrawn.discard(grant)
             self._not_held_until.pop(grant, None)
         self._log.write(
             "key_table",
             service=table.service,
-            revision=revision,
+            era=revision.era,
+            revision=revision.number,
             ranges=len(table.ranges),
             leaving=sum(key_range.leaving for key_range in table.ranges),
         )
@@ -217,6 +229,16 @@
             return None
         return key_range.endpoint if self.find_owner(key_range) is not None else None
 
+    def unowned_seconds(self, service: str, key: int, now: float) -> float:
+        """Return how long a key certainly stays without an owner; 0 if not known.
+
+        In a new era of the store an endpoint may hold it that is not known.
+        """
+        key_range = self.find(service, key)
+        if key_range is None or key_range.endpoint or not self._fleet.era:
+            return 0.0
+        return max(0.0, lease_expiry(self._fleet.earlier_grants_until(now)) - now)
+
     def find_owner(self, key_range: KeyRange) -> Endpoint | None:
         """Return the owner of a range, even if it is no longer listed."""
         endpoint = self._remembered.get(key_range.endpoint)
@@ -251,8 +273,11 @@
 
     def tick(self, partitioned_services: list[str], now: float) -> None:
         """Renew the leases that are due; called periodically."""
-        if not self.stopping and self._fleet.may_grant(now):
-            for service in partitioned_services:
+        if self.stopping:
+            return
+        for service in partitioned_services:
+            stored = self.tables.get(service)
+            if stored and self._fleet.may_grant(now, stored.revision.era):
                 self._renew_due(service, now)
 
     def _renew_due(self, service: str, now: float) -> None:
@@ -346,13 +371,29 @@
     def _may_renew(self, key_range: KeyRange) -> bool:
         return not self.stopping and self.may_grant(key_range)
 
+    def refused_grants(self, now: float) -> tuple[GrantId, ...]:
+        """Return the grants that endpoints have refused for some time.
+
+        In the first era there is a later table then, but a table of a later era may
+        name tokens that are lower than what the store has lost.
+        """
+        if not self._fleet.era:
+            return ()
+        return tuple(
+            grant
+            for grant, since in self._refused.items()
+            if now - since >= REFUSED_SECONDS
+        )[:MAX_REPORTED_REFUSALS]
+
     def may_grant(self, key_range: KeyRange) -> bool:
         """Return whether a range is in force and this instance may grant it."""
         now = asyncio.get_running_loop().time()
         stored = next(
             (s for s in self.tables.values() if key_range in s.table.ranges), None
         )
-        return stored is not None and self._fleet.may_grant(now)
+        if stored is None:
+            return False
+        return self._fleet.may_grant(now, stored.revision.era)
 
     def _handle_grant_reply(
         self, endpoint: Endpoint, key_range: KeyRange, response: HttpResponse
@@ -379,7 +420,8 @@
         )
         if response.status == 409:
             # The endpoint has seen a higher token, so the store has a later table.
-            self._refused.add(key_range.grant_id)
+            now = asyncio.get_running_loop().time()
+            self._refused.setdefault(key_range.grant_id, now)
             self._owned.clear()
             self._copy.relist()
 
--- a/tests/gateway/test_store_era_machine.py
+++ b/tests/gateway/test_store_era_machine.py
@@ -77,7 +77,7 @@
 
     @rule(instance=instances, seconds=st.sampled_from([0.0, 0.4, 1.5]))
     def answer_late(self, instance, seconds):
-        self.sim.store.answer_seconds[instance] = seconds
+        self.sim.store.late_seconds[instance] = seconds
 
     @rule(share=st.sampled_from([0.0, 0.3, 1.0]))
     def apply_grants_late(self, share):
@@ -166,7 +166,7 @@
             self.suspend(name, suspended=False)
         for name in ENDPOINTS:
             self.come_back(name)
-        self.sim.store.answer_seconds.clear()
+        self.sim.store.late_seconds.clear()
         self.sim.store.lose_answers = False
         self.sim.late_grant_share = 0.0
         self.sim.busy_keys = []
