--- a/arbutusflow/gateway/fleet.py
+++ b/arbutusflow/gateway/fleet.py
@@ -331,13 +331,14 @@
         self._copy.current_at = -1e9
         self._earlier_right_until.clear()
 
-    def may_grant(self, now: float, era: int | None = None) -> bool:
-        """Return whether this instance may grant keys by its tables of an era.
-
-        The default is the current era.
-        """
-        if era is None or era == self.era:
-            return self.grant_evidence(now) != "none"
+    def may_grant(self, now: float) -> bool:
+        """Return whether this instance may grant keys by its tables of this era."""
+        return self.grant_evidence(now) != "none"
+
+    def may_grant_by(self, era: int, now: float) -> bool:
+        """Return whether this instance may grant keys by its tables of some era."""
+        if era == self.era:
+            return self.may_grant(now)
         return now < self._earlier_right_until.get(era, -1e9)
 
     def enter_era(self, era: int, now: float) -> None:
--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -277,7 +277,7 @@
             return
         for service in partitioned_services:
             stored = self.tables.get(service)
-            if stored and self._fleet.may_grant(now, stored.revision.era):
+            if stored and self._fleet.may_grant_by(stored.revision.era, now):
                 self._renew_due(service, now)
 
     def _renew_due(self, service: str, now: float) -> None:
@@ -393,7 +393,7 @@
         )
         if stored is None:
             return False
-        return self._fleet.may_grant(now, stored.revision.era)
+        return self._fleet.may_grant_by(stored.revision.era, now)
 
     def _handle_grant_reply(
         self, endpoint: Endpoint, key_range: KeyRange, response: HttpResponse
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -199,7 +199,7 @@
             await go_back(sim, 1.0, 0.1)
             await asyncio.sleep(3.5)
             fleet = sim.instances["n0"].task.fleet
-            may_grant = [fleet.may_grant(sim.now, era) for era in (0, 1)]
+            may_grant = [fleet.may_grant_by(era, sim.now) for era in (0, 1)]
             sim.unlisted.add("e1")
             await asyncio.sleep(12.0)
             return may_grant, sim.violations, sim.held_key_share()
