--- a/tests/gateway/object_platform.py
+++ b/tests/gateway/object_platform.py
@@ -70,6 +70,8 @@
         self.state = StoreState()
         self.calls = 0
         self.lose_answers = False  # Applies writes without responding.
+        # Header of all answers in place of the one that tells the era, if set.
+        self.era_header: bytes | None = None
         self.server = _server(self._handle)
 
     @property
@@ -85,6 +87,20 @@
         """Write an object unconditionally, as operators and endpoints do."""
         self.state.put_outside(kind, name, spec)
 
+    @property
+    def revision(self) -> int:
+        """Revision of the latest change."""
+        return self.state.revision
+
+    def keep_copy(self) -> float:
+        """Return the time of the state, to go back to it."""
+        return time.monotonic()
+
+    def go_back(self, taken_at: float) -> None:
+        """Come back from the copy of a time; revisions are given out again."""
+        self.state.go_back(taken_at)
+        self.era_header = None
+
     def compact(self) -> None:
         """Discard the history of changes."""
         self.state.compact()
@@ -101,7 +117,10 @@
     async def _handle(self, req: CallerRequest) -> CallerResponse:
         self.calls += 1
         reply = await self._answer(req)
-        headers = (*reply.headers, *self.state.era_headers)
+        era_headers = self.state.era_headers
+        if self.era_header is not None:
+            era_headers = ((wire.STORE_ERA, self.era_header),)
+        headers = (*reply.headers, *era_headers)
         return dataclasses.replace(reply, headers=headers)
 
     async def _answer(self, req: CallerRequest) -> CallerResponse:
--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -6,9 +6,10 @@
 import pytest
 
 from arbutusflow.errors import PlatformUnavailableError
+from arbutusflow.gateway.model import StorePoint
 from arbutusflow.gateway.store_probes import StoreProbes
 from arbutusflow.gateway.store_watch import ObjectCopy
-from tests.gateway.fakes import FakeLog
+from tests.gateway.fakes import FakeLog, at
 from tests.gateway.sim_fleet import OTHER_KIND, SimStore, SimStoreClient
 from tests.gateway.virtual_time import run
 
@@ -163,7 +164,8 @@
             await writer.create("kind", "a", 1)
             missed = await peek(*args)
             # Objects of other kinds have changed between the watch and this.
-            return dataclasses.replace(missed, revision=missed.revision + 3)
+            later = StorePoint(missed.revision.era, missed.revision.number + 3)
+            return dataclasses.replace(missed, revision=later)
 
         await asyncio.sleep(1.0)
         copy._store.peek, copy._store.watch = peek_later, count
@@ -259,7 +261,7 @@
         loop = asyncio.get_running_loop()
         for _ in range(10):
             copy._progress.received_at = loop.time()
-            copy.note_peer_revision(10**6, loop.time())
+            copy.note_peer_revision(at(10**6), loop.time())
             await asyncio.sleep(0.1)
         return copy.unreachable_since
 
--- a/tests/test_object_store.py
+++ b/tests/test_object_store.py
@@ -9,7 +9,7 @@
 
 from arbutusflow.errors import ConflictError, HistoryGoneError
 from arbutusflow.gateway.client_connection import ResponseProgress
-from arbutusflow.gateway.model import Address
+from arbutusflow.gateway.model import Address, StorePoint
 from arbutusflow.platform.documents import decode_configuration, decode_endpoint
 from arbutusflow.platform.other_side import encode_settings
 from arbutusflow.platform.settings import load_settings
@@ -113,8 +113,9 @@
     async def scenario(store, client):
         store.state.era = 1
         went_back_at = time.monotonic()
-        item = await client.create("k", "a", 1)
         progress = ResponseProgress(6.0)
+        await client.list("k", 2.0, progress)  # It learns the era.
+        item = await client.create("k", "a", 1)
         watch = asyncio.create_task(
             client.watch("k", item.revision, 5.0, progress, may_lag=False)
         )
@@ -124,7 +125,8 @@
             await watch
         with pytest.raises(HistoryGoneError):
             await client.watch("k", item.revision, 5.0, progress, may_lag=False)
-        assert (await client.create("k", "b", 1)).revision == item.revision
+        created = await client.create("k", "b", 1)
+        assert created.revision == StorePoint(2, item.revision.number)
         store.state.leave()
         reader, writer = await asyncio.open_connection(*store.address)
         writer.write(b"GET /arbutusflow/objects/k HTTP/1.1\r\nHost: h\r\n\r\n")
