--- a/arbutusflow/gateway/reference.py
+++ b/arbutusflow/gateway/reference.py
@@ -36,6 +36,10 @@
     "key_without_owner": (NOT_RUN, "No endpoint owned the key within 0.4 s."),
     "no_answer_in_time": ("504", "The deadline passed while an endpoint had it."),
     "no_configuration": ("503", "The instance has not read a configuration yet."),
+    "no_descriptors": (
+        NOT_RUN,
+        "The instance has no descriptor, port or memory for another connection.",
+    ),
     "no_endpoint": (NOT_RUN, "No endpoint of the service is ready."),
     "no_key": ("400", "The service is divided by keys and the request has none."),
     "no_request_id": ("400", "No identifier, or several."),
@@ -80,6 +84,7 @@
     + ".",
     "requests_pending": "Requests that were read in part or whole and not answered.",
     "store_calls": "Calls to the store.",
+    "store_era": "Era of the store; it rises when it comes back from an older copy.",
     "stray_responses": "Responses that belong to no request.",
 }
 METRICS = (
