Test that tables nobody granted by prove nothing in a new era

With Fleet.holder_of_right_is_known always true the first new test fails with two owners of a key; without that it passes. The second one (an assignment that nobody knows) passes, but does not fail yet when leaving ranges keep their owner.

--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -274,3 +274,75 @@
             return sim.violations, sim.held_key_share()
 
     assert run_fleet(scenario) == ([], 1.0)
+
+
+def test_a_table_that_no_granter_had_in_force_proves_nothing():
+    """Only an instance that was cut off remembers a table, of before a move.
+
+    Guards against going on from it while the new owners hold the keys.
+    """
+
+    async def scenario(sim):
+        with copies_kept(sim):
+            await asyncio.sleep(12.0)
+            others = sim.instances.keys() - {"n0"}
+            cut = {("n0", b) for b in others} | {(b, "n0") for b in others}
+            sim.blocked_datagrams.update(cut)
+            sim.store.unreachable_for.add("n0")
+            sim.unlisted.add("e1")
+            await asyncio.sleep(12.0)
+            sim.unlisted.clear()
+            for name in others:
+                sim.restart(name)
+            sim.blocked_datagrams.clear()
+            sim.store.unreachable_for.clear()
+            await go_back(sim, 12.5, 0.1)
+            await asyncio.sleep(WAIT_SECONDS + 3 * PLAN_SECONDS)
+            return sim.violations, sim.held_key_share()
+
+    assert run_fleet(scenario) == ([], 1.0)
+
+
+def test_a_range_that_was_leaving_may_have_an_owner_that_nobody_knows():
+    """The planner assigns a range and exits; no other instance learns of it.
+
+    Guards against giving the range back to the owner that the tables of others name.
+    """
+
+    async def scenario(sim):
+        with copies_kept(sim):
+            await asyncio.sleep(12.0)
+            planner = next(
+                i
+                for i in sim.instances.values()
+                if i.task.fleet.is_planner(SERVICE, sim.now)
+            )
+            others = sim.instances.keys() - {planner.name}
+            moved = next(r for r in table(sim).table.ranges if r.endpoint == "e1")
+            sim.unlisted.add("e1")
+            while not all(
+                any(r.leaving for r in table(sim, name).table.ranges) for name in others
+            ):
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(0.02)  # They have reported it.
+            sim.blocked_datagrams.update((planner.name, b) for b in others)
+            sim.store.unresponsive_to.update(others)
+            while any(r.leaving for r in table(sim, planner.name).table.ranges):
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(0.1)  # It has granted the range.
+            planner.kill()
+            planner_table = planner.task.leases.tables[SERVICE].table
+            known = any(
+                not any(r.leaving for r in table(sim, name).table.ranges)
+                for name in others
+            )
+            del sim.instances[planner.name]
+            # The unknown owner holds the range until its lease ends.
+            sim.unlisted = {planner_table.find(moved.first).endpoint}
+            sim.blocked_datagrams.clear()
+            sim.store.unresponsive_to.clear()
+            await go_back(sim, 1.0, 0.1)
+            await asyncio.sleep(WAIT_SECONDS + 3 * PLAN_SECONDS)
+            return known, sim.violations, sim.held_key_share()
+
+    assert run_fleet(scenario) == (False, [], 1.0)
