Show that the model finds planted faults of the return of the store

Two more steps: an instance that outlives the lost part with an old table, and one that is cut off after it learnt of the era.

--- a/tests/gateway/test_store_era_machine.py
+++ b/tests/gateway/test_store_era_machine.py
@@ -18,7 +18,10 @@
 from hypothesis import Phase, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from tests.gateway.sim_fleet import SAMPLED_KEYS, SimFleet
+from arbutusflow.gateway import key_leases, key_planner, key_table
+from arbutusflow.gateway.fleet import Fleet
+from arbutusflow.gateway.model import StorePoint
+from tests.gateway.sim_fleet import SAMPLED_KEYS, SimFleet, SimStore, SimStoreClient
 from tests.gateway.virtual_time import VirtualTimeLoop
 
 INSTANCES = ("n0", "n1", "n2")
@@ -31,6 +34,7 @@
 LOST_PART_SECONDS = (0.5, 1.5, 5.8)
 WAYS_TO_LEAVE = ("drain", "crash", "restart")
 RESTARTED = ((), INSTANCES[:1], INSTANCES)  # Instances, right after the store is back.
+ISOLATED_SECONDS = 12.0  # Longer than any grant of an earlier era is waited for.
 instances = st.sampled_from(INSTANCES)
 
 
@@ -129,6 +133,37 @@
         self.come_back(endpoint)
         self.come_back(other)
 
+    @rule(instance=instances, endpoint=st.sampled_from(ENDPOINTS))
+    def outlive_lost_part(self, instance, endpoint):
+        """Move keys while an instance is suspended; all others end with the store."""
+        self.suspend(instance, suspended=True)
+        self.leave(endpoint, "drain")
+        self.run(6.0)
+        self.come_back(endpoint)
+        self.store_goes_back(6.5, AWAY_SECONDS[0])
+        for other in INSTANCES:
+            if other != instance:
+                self.restart(other)
+        self.suspend(instance, suspended=False)
+        self.run(2.0)
+
+    @rule(instance=instances, endpoint=st.sampled_from(ENDPOINTS))
+    def isolate_after_return(self, instance, endpoint):
+        """Cut an instance off that knows the era; the others move keys meanwhile."""
+        self.store_goes_back(COPY_AGES[0], AWAY_SECONDS[0])
+        self.run(0.3)
+        self.cut_off(instance)
+        entry = self.sim.endpoints[endpoint].endpoint
+
+        async def show():
+            self.sim.show_outdated_entry(instance, entry, ISOLATED_SECONDS)
+
+        self.runner.run(show())
+        self.leave(endpoint, "drain")
+        self.run(ISOLATED_SECONDS)
+        self.notice(instance)
+        self.come_back(endpoint)
+
     def leave(self, endpoint, way):
         """Let an endpoint leave; it releases its keys unless it crashes or starts."""
         if way == "crash":
@@ -240,6 +275,8 @@
             rng.choice(RESTARTED),
             rng.choice(WAYS_TO_LEAVE),
         ),
+        "outlive_lost_part": (instance, rng.choice(ENDPOINTS)),
+        "isolate_after_return": (instance, rng.choice(ENDPOINTS)),
         "close_port": (rng.choice(ENDPOINTS), rng.random() < 0.3),
         "press_keys": (rng.choice(SAMPLED_KEYS),),
     }
@@ -268,3 +305,77 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_keys_keep_one_owner_in_long_runs(seed):
     assert find_violations(seed) == []
+
+
+class _AnyEra:
+    """Equal to each era."""
+
+    def __eq__(self, other):
+        return True
+
+    def __hash__(self):
+        return 0
+
+
+def _order_by_revision_only(monkeypatch):
+    """Let the instances see a store without eras."""
+    monkeypatch.setattr(
+        SimStore, "point", property(lambda s: StorePoint(0, s.revision))
+    )
+    monkeypatch.setattr(SimStore, "_in_era", lambda self, item: item)
+    monkeypatch.setattr(SimStoreClient, "_accept", lambda self, era: None)
+    monkeypatch.setattr(SimStoreClient, "_accept_write", lambda self, *eras: None)
+
+
+def _keep_tokens(monkeypatch):
+    """Let a later era give out the tokens of the lost part again."""
+    for module in (key_planner, key_table):
+        monkeypatch.setattr(module, "TOKENS_PER_ERA", 0)
+
+
+def _use_restored_tables(monkeypatch):
+    """Put a table of an earlier era in force when it is read in a later one."""
+    parse = key_leases.parse_table_name
+
+    def parse_for_any_era(name):
+        parsed = parse(name)
+        return None if parsed is None else (parsed[0], _AnyEra())
+
+    monkeypatch.setattr(key_leases, "parse_table_name", parse_for_any_era)
+
+
+def _wait_for_no_grants(monkeypatch):
+    """Assign keys at once, while grants of the lost part may be valid."""
+    monkeypatch.setattr(Fleet, "earlier_grants_until", lambda self, now: -1e9)
+
+
+def _keep_owners_without_proof(monkeypatch):
+    """Keep the owners of a table that keys may have moved away from since."""
+    first_table = key_planner.first_table_of_era
+    monkeypatch.setattr(
+        key_planner,
+        "first_table_of_era",
+        lambda earlier, era, proved: first_table(earlier, era, proved=True),
+    )
+
+
+def _grant_on_by_earlier_tables(monkeypatch):
+    """Keep the right to grant by tables of an earlier era."""
+    monkeypatch.setattr(Fleet, "_right_until", lambda self, now: now + 60.0)
+
+
+@pytest.mark.parametrize(
+    "break_rule",
+    [
+        _order_by_revision_only,
+        _keep_tokens,
+        _use_restored_tables,
+        _wait_for_no_grants,
+        _keep_owners_without_proof,
+        _grant_on_by_earlier_tables,
+    ],
+)
+def test_a_broken_rule_is_detected(break_rule, monkeypatch):
+    """Shows that the long runs fail if one of the rules is broken."""
+    break_rule(monkeypatch)
+    assert any(find_violations(seed) for seed in range(20))
