Let the planner grant the range whose assignment nobody knows, in its test

The test waited 0.1 s, in which no instance granted the range, so it showed nothing. It waits until an endpoint holds it. Without the wait for earlier grants (Fleet.earlier_grants_until) it fails with two owners; with it, it passes.

--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -329,7 +329,10 @@
             sim.store.unresponsive_to.update(others)
             while any(r.leaving for r in table(sim, planner.name).table.ranges):
                 await asyncio.sleep(0.001)
-            await asyncio.sleep(0.1)  # It has granted the range.
+            # It grants the range itself when no other instance does.
+            key = next(k for k in SAMPLED_KEYS if k >= moved.first)
+            while not any(e.token_for(key, sim.now) for e in sim.endpoints.values()):
+                await asyncio.sleep(0.01)
             planner.kill()
             planner_table = planner.task.leases.tables[SERVICE].table
             known = any(
