--- a/arbutusflow/standins/era_measurement.py
+++ b/arbutusflow/standins/era_measurement.py
@@ -62,10 +62,14 @@
 
     age_seconds: float | None
     away_seconds: float
+    # Time from the drain of an endpoint until the store leaves, if it is chosen.
+    chosen_lead_seconds: float | None = None
 
     @property
     def lead_seconds(self) -> float:
         """Time from the drain of an endpoint until the store leaves."""
+        if self.chosen_lead_seconds is not None:
+            return self.chosen_lead_seconds
         age = COPY_AGES_SECONDS[0] if self.age_seconds is None else self.age_seconds
         return age - LOST_LEAD_SECONDS
 
@@ -294,6 +298,10 @@
 def main(
     instances: Annotated[int, typer.Option(min=1, max=90)] = 9,
     ages: Annotated[str, typer.Option(help="Of copies, in seconds.")] = "1,3,6",
+    lead: Annotated[
+        float | None,
+        typer.Option(help="Seconds from the drain until the store leaves."),
+    ] = None,
     network: str = "",
 ) -> None:
     """Measure each age of the copy and each time away; print a table."""
@@ -305,7 +313,7 @@
     typer.echo(TABLE_HEAD)
     for copy_age in (*chosen, None):
         for away in AWAY_SECONDS:
-            case = Case(copy_age, away)
+            case = Case(copy_age, away, lead)
             with tempfile.TemporaryDirectory(prefix="eras-") as name:
                 run = _measure(case, zones, addresses, pathlib.Path(name))
                 typer.echo(table_row(case, asyncio.run(run)))
