--- a/tests/gateway/test_errors_beside_stops.py
+++ b/tests/gateway/test_errors_beside_stops.py
@@ -166,7 +166,7 @@
     async def main():
         instance = StatementInstance("a")
         gateway = instance.gateway
-        gateway.endpoint_copy.revision = 1
+        gateway.endpoint_copy.revision = at(1)
         for component, part in (("directory", "expire"), ("fleet_task", "tick")):
             setattr(getattr(gateway, component), part, _fail)
         while gateway._configuration is None:
