--- a/tests/gateway/test_errors_beside_stops.py
+++ b/tests/gateway/test_errors_beside_stops.py
@@ -13,7 +13,7 @@
 )
 from arbutusflow.gateway.lifecycle import Phase
 from arbutusflow.platform import settings as platform_settings
-from tests.gateway.fakes import FakeLog, FakeTransport
+from tests.gateway.fakes import FakeLog, FakeTransport, at
 from tests.gateway.statement_instance import StatementInstance
 from tests.gateway.test_whole_path import (
     WAIT_TIMEOUT_SECONDS,
