--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -42,7 +42,7 @@
     seconds: float = 15.0  # In which faults begin.
     product: pathlib.Path = ROOT  # Repository whose gateway the instances run.
     stop_early: bool = False  # End a seed once a violation is found.
-    eras: bool = False  # The store goes back to copies, in new eras.
+    eras: bool = False  # The store goes back in each seed, not only where drawn.
 
 
 @dataclasses.dataclass(frozen=True)
@@ -110,7 +110,9 @@
     """Run one seed; a failed one leaves a folder below `failures`."""
     world = SoakWorld(seed, directory, plan.instances, plan.product)
     workload = draw_workload(seed, plan.instances, FINAL_KILL_SHARE)
-    world.workload = dataclasses.replace(workload, eras=plan.eras)
+    if plan.eras:
+        workload = dataclasses.replace(workload, eras=True)
+    world.workload = workload
     injected: list[str] = []
     with _processes_end(world):
         play = asyncio.ensure_future(_play(world, plan, injected))
@@ -195,7 +197,7 @@
         bool, typer.Option("--stop-early", help="End a seed at its first violation.")
     ] = False,
     eras: Annotated[
-        bool, typer.Option("--eras", help="Let the store go back to older copies.")
+        bool, typer.Option("--eras", help="Let the store go back in each seed.")
     ] = False,
 ) -> None:
     """Run seeds one after the other; a failed one leaves a folder."""
--- a/tests/soak/workload.py
+++ b/tests/soak/workload.py
@@ -22,6 +22,7 @@
 QUEUES_SHARE = 0.5
 DENSE_SHARE = 0.4  # Of those in which more than planned work is played.
 STEADY_SHARE = 0.4
+ERAS_SHARE = 0.4
 SLOW_PATHS_SHARE = 0.8
 PLANNED_SHARE = 0.35
 TAIL_FACTORS = (5.0, 8.0)
@@ -91,4 +92,5 @@
         fault_gap=DENSE_GAP_SECONDS if dense else FAULT_GAP_SECONDS,
         planned_only=planned_only,
         final_kill=rng.random() < final_kill_share,
+        eras=rng.random() < ERAS_SHARE,
     )
