Share the loop of the tests of silent watches

Cause: two tests repeat the loop that lets probes go on. Change: one function. Conclusion: behaviour is unchanged.

--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -45,6 +45,14 @@
     return run(main())
 
 
+async def _check(probes, seconds):
+    """Let the probes of a granter go on for some time."""
+    loop = asyncio.get_running_loop()
+    for _ in range(round(seconds / 0.05)):
+        probes.check_as_granter(loop.time())
+        await asyncio.sleep(0.05)
+
+
 def test_changes_arrive():
     async def scenario(store, writer, copy):
         await asyncio.sleep(1.0)
@@ -105,18 +113,11 @@
 
     async def scenario(store, writer, copy):
         probes = StoreProbes(copy._store, {"kind": copy}, lambda: None)
-        loop = asyncio.get_running_loop()
-
-        async def check(seconds):
-            for _ in range(round(seconds / 0.05)):
-                probes.check_as_granter(loop.time())
-                await asyncio.sleep(0.05)
-
-        await check(1.0)
+        await _check(probes, 1.0)
         store.changed = asyncio.Event()  # The watch under way sees no more changes.
-        await check(silent_seconds)
+        await _check(probes, silent_seconds)
         await writer.create("kind", "a", 1)
-        await check(1.5)
+        await _check(probes, 1.5)
         return "a" in copy.objects
 
     assert run_scenario(scenario)
@@ -131,17 +132,10 @@
         task = asyncio.create_task(other.run())
         copies = {"kind": copy, OTHER_KIND: other}
         probes = StoreProbes(copy._store, copies, lambda: None)
-        loop = asyncio.get_running_loop()
-
-        async def check(seconds):
-            for _ in range(round(seconds / 0.05)):
-                probes.check_as_granter(loop.time())
-                await asyncio.sleep(0.05)
-
-        await check(1.0)
+        await _check(probes, 1.0)
         store.changed = asyncio.Event()  # The watches under way see no more changes.
         await writer.create("kind", "a", 1)
-        await check(5.0)
+        await _check(probes, 5.0)
         task.cancel()
         return "a" in copy.objects
 
