Let SIGTERM end the demo between two callbacks, not in the start of a process

Cause: test_an_interrupt_leaves_no_process[15] failed once at a load of 24: one instance ran on. SIGTERM raised KeyboardInterrupt at any instruction, so also in Popen before its handle was kept. Change: SIGTERM and SIGHUP are passed on as SIGINT, which the event loop takes between two callbacks. Before: the new test, which interrupts the start of the second instance, failed for SIGTERM and passed for SIGINT. After: both pass, and the two of the interrupt. Traced: that this was the case seen is supposed, as nothing else in the start can lose a handle.

--- a/arbutusflow/standins/demo_run.py
+++ b/arbutusflow/standins/demo_run.py
@@ -13,6 +13,7 @@
 import signal
 import sys
 import tempfile
+import types
 from collections.abc import Iterator
 
 import typer
@@ -60,9 +61,17 @@
 
 @contextlib.contextmanager
 def _other_signals_interrupt() -> Iterator[None]:
-    """Let SIGTERM and SIGHUP do the same as Ctrl-C, which ends all processes."""
+    """Let SIGTERM and SIGHUP do the same as Ctrl-C, which ends all processes.
+
+    While the event loop runs, it takes SIGINT between two callbacks, so that the start
+    of a process is not interrupted before it is noted.
+    """
+
+    def interrupt(number: int, frame: types.FrameType | None) -> None:
+        signal.raise_signal(signal.SIGINT)
+
     numbers = (signal.SIGTERM, signal.SIGHUP)
-    former = [signal.signal(n, signal.default_int_handler) for n in numbers]
+    former = [signal.signal(number, interrupt) for number in numbers]
     try:
         yield
     finally:
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -139,6 +139,35 @@
     assert left == []
 
 
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_an_interrupt_while_an_instance_is_started_leaves_no_process(
+    tmp_path, monkeypatch, number
+):
+    """Guards against an instance that runs on because its start was interrupted."""
+    started = []
+
+    class InterruptedPopen(subprocess.Popen):
+        def __init__(self, *args, **options):
+            super().__init__(*args, **options)
+            started.append(self)
+            if len(started) == 2:
+                signal.raise_signal(number)
+
+    monkeypatch.setattr(subprocess, "Popen", InterruptedPopen)
+    former = signal.signal(signal.SIGINT, signal.default_int_handler)
+    try:
+        status, _ = play(tmp_path)
+        running = [process for process in started if process.poll() is None]
+    finally:
+        signal.signal(signal.SIGINT, former)
+        for process in started:
+            process.kill()
+            process.wait()
+    assert status == 130
+    assert started
+    assert running == []
+
+
 def wait_for(condition):
     until = time.monotonic() + WAIT_SECONDS
     while not condition():
