Log and count connections of callers that end with unanswered requests

What it does: one line `connection_ended` for each such connection, within the bound on request lines, with the cause, the number of unanswered requests, of those that were sent to an endpoint, and their identifiers; a counter by the same cause. `explain trail` finds the line by each of the identifiers.

Conclusion: no behaviour towards callers changes.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -81,6 +81,7 @@
     # before it sends a request that is not idempotent, so that a disconnect does not
     # cut short its execution.
     cancellable: bool = True
+    passed_on: bool = False  # Whether it was sent to an endpoint; set by the handler.
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with this name."""
@@ -100,6 +101,9 @@
 # Called for a request that this instance ends without a response; the second argument
 # names the cause.
 CutHandler = Callable[[CallerRequest, str], None]
+# Called when a connection ends with unanswered requests; the first argument names the
+# cause.
+EndHandler = Callable[[str, list[CallerRequest]], None]
 
 
 class CallerServer:
@@ -112,6 +116,7 @@
         self.budget = budget
         self.on_error = on_error
         self.on_cut: CutHandler = lambda req, cause: None
+        self.on_end: EndHandler = lambda cause, requests: None
         self.limits = DEFAULT_LIMITS
         # Returns by its headers within how many seconds a request has to be complete.
         self.read_seconds: Callable[[Headers], float] = lambda headers: MAX_READ_SECONDS
@@ -260,6 +265,7 @@
         self._input_closed = False  # No further input is processed.
         self._closing: TwoStepClose | None = None  # Set when the responses have ended.
         self._latest_request: CallerRequest | None = None  # That has a response.
+        self._end_cause: str | None = None  # Why this instance ends the connection.
         self._reading_paused = False
         self._writing_paused = False
         self._reserved_bytes = 0  # Body bytes reserved from the budget.
@@ -342,6 +348,7 @@
         if self._closing is not None:
             self._closing.stop()
         self._release_body()
+        self._report_end(self._end_cause or _end_cause(exc))
         for pipelined in self._pipeline:
             if (
                 pipelined.task is not None
@@ -358,6 +365,7 @@
         """
         waits = [pipelined.request for pipelined in self._pipeline]
         if not waits or any(req is not None and req.cancellable for req in waits):
+            self._end_cause = "caller_ended"
             return False
         self._close_input()
         return True
@@ -587,9 +595,15 @@
 
     def report_unanswered(self, cause: str) -> None:
         """Report the complete requests that have no response."""
-        for pipelined in self._pipeline:
-            if pipelined.request is not None:
-                self._server.on_cut(pipelined.request, cause)
+        for req in self._report_end(cause):
+            self._server.on_cut(req, cause)
+
+    def _report_end(self, cause: str) -> list[CallerRequest]:
+        """Report the end of the connection; return the requests without a response."""
+        requests = [item.request for item in self._pipeline if item.request is not None]
+        if requests:
+            self._server.on_end(cause, requests)
+        return requests
 
     def report_unsent(self, cause: str) -> None:
         """Report the latest response if its caller has not taken all of it."""
@@ -682,6 +696,13 @@
             self._transport.resume_reading()
 
 
+def _end_cause(exc: Exception | None) -> str:
+    """Return why a connection ended that this instance did not mean to end."""
+    if exc is None:
+        return "closed"
+    return "caller_reset" if isinstance(exc, OSError) else "error"
+
+
 def _encode(reply: CallerResponse, keep_alive: bool, head_only: bool) -> bytes:
     reason = reply.reason or _REASON_PHRASES.get(reply.status, b"")
     lines = [b"HTTP/1.1 %d %s" % (reply.status, reason)]
--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -477,7 +477,7 @@
                 if ctx.sends:
                     self._retry_budget.count_retry(ctx.service.name, self._loop.time())
                 ctx.sends += 1
-                ctx.req.cancellable = ctx.idempotent
+                ctx.req.cancellable, ctx.req.passed_on = ctx.idempotent, True
                 started = self._loop.time()
                 number = self._response_times.begin(endpoint.service, started)
                 has_run = False
--- a/arbutusflow/gateway/metrics.py
+++ b/arbutusflow/gateway/metrics.py
@@ -19,6 +19,12 @@
             ["outcome"],
             registry=self.registry,
         )
+        self._connection_ends = prometheus_client.Counter(
+            "arbutusflow_connections_ended",
+            "Connections of callers that ended with unanswered requests, by cause",
+            ["cause"],
+            registry=self.registry,
+        )
         self._latency = prometheus_client.Histogram(
             "arbutusflow_request_seconds",
             "Time from the first byte of a request to its answer",
@@ -43,6 +49,10 @@
         """Count a request or an attempt by its outcome."""
         self._outcomes.labels(outcome).inc()
 
+    def count_connection_end(self, cause: str) -> None:
+        """Count a connection that ended with unanswered requests, by the cause."""
+        self._connection_ends.labels(cause).inc()
+
     def observe_latency(self, seconds: float) -> None:
         """Record the latency of a request."""
         self._latency.observe(seconds)
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -97,6 +97,7 @@
 # Endpoints that say that they leave are named in all reports of this period.
 LEAVING_REPORT_SECONDS = 5.0
 MAX_KNOWN_STRIKES = 1024  # Bounds the memory for strikes that were counted.
+MAX_LOGGED_IDS = 8  # Of the requests of one connection; bounds the size of a line.
 FLEET_LOAD = "fleet"  # Names the load of the fleet among the loads of instances.
 
 
@@ -204,6 +205,7 @@
         self.caller_server.max_connections = _max_connections(cfg)
         self.caller_server.read_seconds = _read_seconds
         self.caller_server.on_cut = self._log_cut
+        self.caller_server.on_end = self._log_connection_end
         self.readiness_server = CallerServer(
             self._readiness, BodyBudget(lambda: 0), log.write_exception
         )
@@ -676,6 +678,19 @@
             held_seconds=round(self._loop.time() - req.received_at, 4),
         )
 
+    def _log_connection_end(self, cause: str, requests: list[CallerRequest]) -> None:
+        """Log the end of a connection of a caller with unanswered requests."""
+        self.metrics.count_connection_end(cause)
+        passed_on = [req for req in requests if req.passed_on]
+        ids = [req.header(wire.REQUEST_ID) or b"" for req in passed_on[:MAX_LOGGED_IDS]]
+        self.log.write_rate_limited(
+            "connection_ended",
+            cause=cause,
+            unanswered=len(requests),
+            passed_on=len(passed_on),
+            request_ids=[request_id.decode("latin-1") for request_id in ids],
+        )
+
     def _log_stopped(self) -> None:
         plan = self.lifecycle.plan
         assert plan is not None
--- a/arbutusflow/gateway/reference.py
+++ b/arbutusflow/gateway/reference.py
@@ -74,6 +74,17 @@
     "attempt_failed": "An attempt, not a request: it did not end in an answer.",
     "cut": "The instance had read the request and ended it without an answer.",
 }
+# Why connections of callers ended with unanswered requests.
+CONNECTION_ENDS = {
+    "behind_closing_response": "A response to a request that asked for the close came "
+    "in front of them.",
+    "caller_ended": "The caller had ended its sending side; this instance gave the "
+    "requests up.",
+    "caller_reset": "The caller reset the connection, or the network broke it.",
+    "closed": "The connection was closed on this side, for no cause that is known.",
+    "error": "This instance met an error of its own, which is logged, too.",
+    "process_ended": "The process ended.",
+}
 STATES = {
     "choices_past_leaving": "Choices of an endpoint that went past one that leaves.",
     "choices_past_waiting": "Choices that went past one that asked to wait.",
@@ -89,6 +100,12 @@
 }
 METRICS = (
     ("arbutusflow_requests_total", "counter", "`outcome`", "Requests by outcome."),
+    (
+        "arbutusflow_connections_ended_total",
+        "counter",
+        "`cause`",
+        "Connections of callers that ended with unanswered requests.",
+    ),
     (
         "arbutusflow_request_seconds",
         "histogram, seconds",
@@ -139,6 +156,12 @@
         "Requests that cannot be read are refused before they have an outcome: 400",
         "(malformed), 408 (not there in time), 413 and 431 (larger than the limits).",
         "",
+        "## Ends of connections",
+        "",
+        "The label `cause` and the log line `connection_ended` name why a connection",
+        "ended with unanswered requests.",
+        "",
+        *markdown_table(("cause", "meaning"), CONNECTION_ENDS.items()),
         "## Values of the process",
         "",
         "The label `name` of `arbutusflow_state` is one of these.",
--- a/arbutusflow/gateway/trail.py
+++ b/arbutusflow/gateway/trail.py
@@ -75,7 +75,10 @@
     or, for events without an endpoint, if they occurred at an instance that handled it.
     """
     request_events = [
-        event for event in events if event.fields.get("request_id") == request_id
+        event
+        for event in events
+        if event.fields.get("request_id") == request_id
+        or request_id in event.fields.get("request_ids", ())
     ]
     if not request_events:
         return []
--- a/tests/gateway/test_trail.py
+++ b/tests/gateway/test_trail.py
@@ -12,6 +12,7 @@
 {"time":102.1,"instance":"n1","event":"request_refused","request_id":"a","status":503}
 {"time":102.1,"instance":"n1","event":"request_refused","request_id":"b","status":503}
 {"time":50.0,"instance":"n1","event":"configuration","version":1}
+{"time":103.0,"instance":"n1","event":"connection_ended","request_ids":["c","d"]}
 not an event
 {"broken
 """
@@ -38,3 +39,8 @@
     result = run(tmp_path, "zz")
     assert result.exit_code == 1
     assert "zz" in result.stderr
+
+
+def test_the_end_of_a_connection_belongs_to_each_of_its_requests(tmp_path):
+    """Guards against a trail without the line that tells why there was no answer."""
+    assert "connection_ended" in run(tmp_path, "d").stdout
