Play callers that end their sending side in the runs of stops

Why: the callers of all earlier runs kept both sides open until they had read their answers, so that no run could show what happens to one that ends its sending side.

What it does: the habit `ends_sending`, and the scenario `half-closed` without stops, in which a fifth of the exchanges end so.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -122,6 +122,10 @@
         """Close the connection."""
         self._sock.close()
 
+    def end_sending(self) -> None:
+        """End the sending side; answers can still be read. Raises OSError."""
+        self._sock.shutdown(socket.SHUT_WR)
+
     async def send(self, data: bytes) -> None:
         """Send all bytes. Raises OSError."""
         await asyncio.get_running_loop().sock_sendall(self._sock, data)
@@ -198,6 +202,8 @@
     slow_rates: tuple[float, float] = (400_000, 400_000)  # Bytes a second.
     large_answers: float = 0.0  # Of the safe requests: with a large answer.
     answer_bytes: tuple[int, int] = (100_000, 2_000_000)
+    # Ends its sending side behind the requests, and then reads their answers.
+    ends_sending: float = 0.0
     idle: float = 0.0  # Leaves its connection idle for `idle_seconds`.
     idle_seconds: tuple[float, float] = (0.5, 2.4)
     deadline_seconds: tuple[float, float] = (2.5, 5.0)
@@ -306,6 +312,11 @@
             await sock.wait(habits.late_seconds)
             await self._read_answers(sock, pending)
             return False
+        if self._chance(habits.ends_sending):
+            with contextlib.suppress(OSError):  # The connection has ended.
+                sock.end_sending()
+            await self._read_answers(sock, pending)
+            return False
         return await self._read_answers(sock, pending)
 
     async def _read_answers(
--- a/tests/soak/stop_scenarios.py
+++ b/tests/soak/stop_scenarios.py
@@ -255,4 +255,10 @@
     # The callers leave room for what the restarts move elsewhere.
     "rolling": StopScenario(callers=24, work_range=(0.05, 0.3), rolling=True),
     "late-readers": StopScenario(habits=CallerHabits(reads_late=0.5)),
+    # No stops: what instances in touch do to connections with requests in progress.
+    "half-closed": StopScenario(
+        habits=_habits(ahead=0.3, behind=(1, 3), order_first=0.3, ends_sending=0.2),
+        rolling=True,
+        at_once=0,
+    ),
 }
