Answer a request whose handler is cancelled from within

If something that a handler waits for is cancelled, not the handler's task, its request has no response: the connection hangs, and the responses behind it are never written.

Cause: `_serve` takes each CancelledError for the end of the connection or of the process. Evidence: test_a_handler_that_is_cancelled_from_within_gets_a_response fails without the change (nothing is written). By reading, no code of the gateway cancels what a handler waits for; so it guards against later faults.

Why it works: a task that was cancelled itself has `cancelling()` above 0 until it ends; only then may the request be left to what cancelled it. Otherwise the error is logged and the request gets 500, which does not tell whether it has run.

Conclusion: a handler ends with a response, or somebody has ended its connection.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -483,8 +483,13 @@
         assert pipelined.request is not None
         try:
             pipelined.reply = await self._server.handler(pipelined.request)
-        except asyncio.CancelledError:
-            return
+        except asyncio.CancelledError as exc:
+            task = asyncio.current_task()
+            if task is None or task.cancelling():
+                return
+            # Not this task was cancelled, but something that its handler waited for.
+            self._server.on_error("request", exc)
+            pipelined.reply = CallerResponse(500)
         except Exception as exc:
             # A bug in this program. Status 500 does not tell whether the request has
             # run.
--- a/tests/gateway/test_connection_ends.py
+++ b/tests/gateway/test_connection_ends.py
@@ -123,6 +123,23 @@
     assert _play(scenario).ends == []
 
 
+def test_a_handler_that_is_cancelled_from_within_gets_a_response():
+    """Guards against a connection that hangs, because what its handler waits for was
+    cancelled by another part of the process."""
+
+    async def scenario(played):
+        await played.receive(GET % b"a", GET % b"b")
+        played.replies[b"/a"].cancel()
+        await asyncio.sleep(0.01)
+        await played.reply(b"/b", body=b"second")
+
+    played = _play(scenario)
+    assert played.transport.written.startswith(b"HTTP/1.1 500 ")
+    assert played.transport.written.endswith(b"second")
+    assert [during for during, _ in played.errors] == ["request"]
+    assert played.ends == []
+
+
 def test_the_log_and_the_metrics_name_what_was_passed_on(tmp_path):
     """Guards against lines that do not tell which requests endpoints were running."""
 
