Keep one copy of the body of a request in memory

Cause: a body was held in pieces and joined, hashed behind its head in another copy, and given whole to the transport, which keeps copies of what it can't send. Change: the body grows in one buffer, is hashed in place and given to the transport in parts of 256 kB as the endpoint takes them.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -75,7 +75,7 @@
     method: bytes
     target: bytes
     headers: list[tuple[bytes, bytes]]
-    body: bytes
+    body: bytes | bytearray
     received_at: float  # Event loop time at the first byte.
     # Whether a disconnect of the caller cancels the request. The handler clears it
     # before it sends a request that is not idempotent, so that a disconnect does not
@@ -274,8 +274,7 @@
     def _reset_request(self) -> None:
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_size = 0
+        self._body = bytearray()
         self._head_size = 0  # Bytes received since the latest part of the body.
         self._read_until = float("inf")  # When the request has to be complete.
         self._request_started = False
@@ -448,15 +447,14 @@
         """Append to the body, within the size limit and the memory budget."""
         if self._input_closed:
             return
-        self._body_size += len(body)
         self._head_size = 0
-        if self._body_size > self._server.limits.body_bytes:
+        if len(self._body) + len(body) > self._server.limits.body_bytes:
             self._reject(413)
         elif not self._server.budget.take(len(body)):
             self._reject(503, ((b"Retry-After", b"0.5"),))
         else:
             self._reserved_bytes += len(body)
-            self._body.append(body)
+            self._body += body
             self._start_body_timer()
 
     def on_message_complete(self) -> None:
@@ -468,7 +466,7 @@
             method=self._parser.get_method(),
             target=self._target,
             headers=self._headers,
-            body=b"".join(self._body),
+            body=self._body,
             received_at=self._received_at,
         )
         reserved_bytes, self._reserved_bytes = self._reserved_bytes, 0
--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -36,6 +36,9 @@
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
+# The transport keeps copies of what it can't send at once, so a large body is given to
+# it in parts.
+SEND_CHUNK_BYTES = 256 * 1024
 # Errors of connecting that tell that this process or its host lacks something.
 LOCAL_SHORTAGES = frozenset(
     {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
@@ -84,6 +87,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._must_close = False
         self._received_bytes = 0  # In this exchange.
+        self._unwritten = memoryview(b"")  # Rest of the body of the request.
+        self._writing_paused = False
         self._head_bytes = 0  # Received since the latest part of a body.
         self._reserved_bytes = 0  # Body bytes reserved from the budget.
         # Reading is paused until these bytes are reserved.
@@ -180,7 +185,7 @@
     async def exchange(
         self,
         head: bytes,
-        body: bytes,
+        body: bytes | bytearray,
         timeout: float,
         expected_id: bytes | None = None,
         head_only: bool = False,
@@ -207,9 +212,12 @@
         self._expected_id = expected_id
         self._head_only, self._stray_count = head_only, 0
         self._received_bytes = self._head_bytes = 0
-        self._transport.write(head + body if len(body) < 65536 else head)
-        if len(body) >= 65536:
-            self._transport.write(body)
+        if len(body) <= SEND_CHUNK_BYTES:
+            self._transport.write(head + body)
+        else:
+            self._transport.write(head)
+            self._unwritten = memoryview(body)
+            self._write_body()
         self._progress = progress
         self._timeout_handle = loop.call_later(timeout, self._time_out)
         try:
@@ -224,11 +232,31 @@
             self._timeout_handle.cancel()
             self._progress = None
             self._response_future = None
+            self._unwritten = memoryview(b"")
             self._release_body()
             self.idle_since = loop.time()
             if self._must_close:
                 self.abort()
 
+    def _write_body(self) -> None:
+        assert self._transport is not None
+        while (
+            self._unwritten
+            and not self._writing_paused
+            and not self._transport.is_closing()
+        ):
+            self._transport.write(self._unwritten[:SEND_CHUNK_BYTES])
+            self._unwritten = self._unwritten[SEND_CHUNK_BYTES:]
+
+    def pause_writing(self) -> None:
+        """Write the rest of a body when the peer has taken what is written."""
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Write on."""
+        self._writing_paused = False
+        self._write_body()
+
     def _time_out(self) -> None:
         self._fail("no response within the time limit")
         self.abort()
@@ -407,7 +435,8 @@
             return
         assert self._transport is not None
         self._in_body = False
-        if not reusable or self._transport.get_write_buffer_size() > 0:
+        unwritten = len(self._unwritten) + self._transport.get_write_buffer_size()
+        if not reusable or unwritten:
             # An endpoint may respond before it has read a long request body.
             self._must_close = True
         self._update_keep_alive(response)
--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -259,7 +259,8 @@
         key = wire.parse_key(req.header(wire.KEY)) if service.partitioned else None
         if service.partitioned and key is None:
             raise RequestError(400, "no_key")
-        digest = xxhash.xxh3_128(req.method + b" " + req.target + b"\0" + req.body)
+        digest = xxhash.xxh3_128(req.method + b" " + req.target + b"\0")
+        digest.update(req.body)  # In place, because a body may be large.
         return _RequestContext(
             req=req,
             route=route,
