Count responses that callers have not taken towards the memory limit

Cause: the budget of 20 % of the memory for bodies of responses was released when a response was complete, not when its caller had taken it; behind a caller that reads nothing they piled up in the pipeline and in the transport. A pooled connection also kept the pieces of its latest response. Whether the users saw it is not known.

--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -405,7 +405,8 @@
             self._resume_reading()
         reserved, self._reserved_bytes = self._reserved_bytes, 0
         if reserved:
-            self._budget.release(reserved)
+            # Later, so that the receiver of the response reserves them before others.
+            asyncio.get_running_loop().call_soon(self._budget.release, reserved)
 
     def on_message_complete(self) -> None:
         """Complete the response unless it is informational (1xx)."""
@@ -435,6 +436,7 @@
             return
         assert self._transport is not None
         self._in_body = False
+        self._body = []
         unwritten = len(self._unwritten) + self._transport.get_write_buffer_size()
         if not reusable or unwritten:
             # An endpoint may respond before it has read a long request body.
--- a/tests/soak/test_process_memory.py
+++ b/tests/soak/test_process_memory.py
@@ -11,6 +11,9 @@
 
 MEMORY_MB = 100  # `memoryMb` of the instance.
 UPLOAD_BYTES = 28_000_000  # Fits the budget for bodies of requests.
+ANSWER_BYTES = 1_000_000
+CALLERS = 24
+ROW = 6  # Requests that a caller sends at once.
 WATCH_SECONDS = 4.0
 
 
@@ -69,3 +72,15 @@
     """Guards against a process that is killed for the copies of one body."""
     upload = _request(b"POST /u/1", 1, bytes(UPLOAD_BYTES))
     assert _play(tmp_path, [upload]) < MEMORY_MB
+
+
+def test_answers_that_no_caller_reads_fit_the_memory_limit(tmp_path):
+    """Guards against a process that is killed for answers that wait for callers."""
+    rows = [
+        b"".join(
+            _request(b"GET /p/bytes-%d" % ANSWER_BYTES, ROW * caller + number)
+            for number in range(ROW)
+        )
+        for caller in range(CALLERS)
+    ]
+    assert _play(tmp_path, rows) < MEMORY_MB
