Complete an early response without length only once the request is acknowledged

Callers got a part of a response as a complete 200: an endpoint answered a long upload at once, without a length, ended its side and reset the connection. Cause: the end of the endpoint's side alone completed a response without a length, also while bytes of the request were on their way. After that end the kernel reports a reset neither to a reader nor to the event loop, which has stopped reading. Why it works: if bytes of the request were unacknowledged when the head of the response came, the connection stays open after the end until all is acknowledged and no reset came for 0.1 s. A failing write, the socket's error or the time limit end the exchange with an error instead. Other responses complete at their end as before, after a look at the socket's error; only responses without a length to requests with a body cost a look at the send queue.

--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -20,6 +20,8 @@
     BodyBudget,
     MemoryWait,
 )
+from arbutusflow.gateway.closing import unsent_bytes
+from arbutusflow.gateway.early_end import EarlyEnd, socket_error
 from arbutusflow.gateway.model import Address, ExchangeError, HttpResponse
 
 # Responses are buffered completely; see docs/platform.md.
@@ -83,6 +85,9 @@
         self._timeout_handle: asyncio.TimerHandle | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._must_close = False
+        self._has_body = False  # Whether the request has a body.
+        # Check of the end of an early response, while there is one.
+        self._early_end: EarlyEnd | None = None
         self._received_bytes = 0  # In this exchange.
         self._head_bytes = 0  # Received since the latest part of a body.
         self._reserved_bytes = 0  # Body bytes reserved from the budget.
@@ -140,15 +145,40 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the current exchange."""
         self.closed = True
+        self._stop_early_end()
         self._fail(f"connection lost: {exc!r}" if exc else "connection closed")
 
     def eof_received(self) -> bool:
-        """Complete a response delimited by connection close; any other is truncated."""
-        if self._body_until_close and self._in_body:
-            self._complete_response(reusable=False)
+        """Complete a response delimited by connection close; any other is truncated.
+
+        Returns whether the connection stays open, to send the rest of the request.
+        """
         self.closed = True
+        waiting = self._response_future is not None and not self._response_future.done()
+        if not (waiting and self._body_until_close and self._in_body):
+            return False
+        assert self._transport is not None
+        # After the peer's end, a reset does not show when the connection is read.
+        error = socket_error(self._transport)
+        if self._early and not error:
+            self._early_end = EarlyEnd(self._transport, self._settle)
+            return True
+        self._settle(error)
         return False
 
+    def _settle(self, error: str) -> None:
+        """End a response delimited by connection close."""
+        if error:
+            self._set_must_close()
+            self._fail(f"connection lost after the end of the response: {error}")
+        else:
+            self._complete_response(reusable=False)
+
+    def _stop_early_end(self) -> None:
+        if self._early_end is not None:
+            self._early_end.stop()
+            self._early_end = None
+
     def close(self) -> None:
         """Close the connection."""
         self.closed = True
@@ -207,6 +237,7 @@
         self._expected_id = expected_id
         self._head_only, self._stray_count = head_only, 0
         self._received_bytes = self._head_bytes = 0
+        self._has_body = bool(body)
         self._transport.write(head + body if len(body) < 65536 else head)
         if len(body) >= 65536:
             self._transport.write(body)
@@ -222,6 +253,7 @@
             raise
         finally:
             self._timeout_handle.cancel()
+            self._stop_early_end()
             self._progress = None
             self._response_future = None
             self._release_body()
@@ -289,6 +321,7 @@
         self._body_size = 0
         self._in_body = False
         self._body_until_close = False
+        self._early = False  # Whether it came before the request was acknowledged.
 
     def on_message_begin(self) -> None:
         """Start a response."""
@@ -313,6 +346,9 @@
         self._body_until_close = (
             not has_framing and status >= 200 and status not in _STATUSES_WITHOUT_BODY
         )
+        if self._body_until_close and self._has_body:
+            assert self._transport is not None
+            self._early = unsent_bytes(self._transport) > 0
         if self._head_only and status >= 200:
             self._complete_response(reusable=False)
         elif status >= 200 and status not in _STATUSES_WITHOUT_BODY:
