Take a response with an invalid status for an error at once

Callers whose endpoint answered with status 000 on a kept connection got 504 at their deadline, and the endpoint's place stayed taken as long; 600 to 999 reached the caller. Cause: a status below 200 counted as an interim response, after which another one was waited for, also 000 to 099 and ones with a body. Nothing looked at statuses above 599. Evidence: 43 of the 164 tests of test_response_statuses.py failed before, in virtual time; 000, 001, 099 and 1xx with a length or chunks had no outcome for the 5 s of the time limit. All pass after, without any wait. Why it works: the status is checked when the head is complete. What is not 100 to 599, an interim response with a Content-Length or Transfer-Encoding, and more than 16 interim responses end the exchange with an error ("may have run"); the connection is reset. Status lines that differ in their form (no reason, spaces, two or four digits, a sign, letters, a tab) were an answer or an error at once before, too, and are in the table.

--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -34,6 +34,8 @@
 MAX_EXCHANGES = 256
 # Maximum number of late responses to earlier requests before an exchange fails.
 MAX_STRAY_RESPONSES = 4
+# Maximum number of interim responses (1xx) before an exchange fails.
+MAX_INTERIM_RESPONSES = 16
 # TCP keep-alive detects within about 3 s that the network path has lost the connection.
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
@@ -80,7 +82,7 @@
         self._expected_id: bytes | None = None
         self._sent_ids: set[bytes] = set()
         self._head_only = False
-        self._stray_count = 0
+        self._stray_count = self._interim_count = 0
         self._progress: ResponseProgress | None = None
         self._timeout_handle: asyncio.TimerHandle | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -235,7 +237,8 @@
         loop = asyncio.get_running_loop()
         self._response_future = response_future = loop.create_future()
         self._expected_id = expected_id
-        self._head_only, self._stray_count = head_only, 0
+        self._head_only = head_only
+        self._stray_count = self._interim_count = 0
         self._received_bytes = self._head_bytes = 0
         self._has_body = bool(body)
         self._transport.write(head + body if len(body) < 65536 else head)
@@ -342,6 +345,11 @@
         status = self._parser.get_status_code()
         names = {name.lower() for name, _ in self._headers}
         has_framing = b"content-length" in names or b"transfer-encoding" in names
+        error = self._status_error(status, has_framing)
+        if error:
+            self._set_must_close()
+            self._fail(error)
+            return
         self._in_body = True
         self._body_until_close = (
             not has_framing and status >= 200 and status not in _STATUSES_WITHOUT_BODY
@@ -356,6 +364,17 @@
             # wait for each other.
             self._reserve(self._announced_bytes())
 
+    def _status_error(self, status: int, has_framing: bool) -> str:
+        """Return why the status makes the response malformed, empty if it does not."""
+        if not 100 <= status < 600:
+            return f"the response has the invalid status {status:03d}"
+        if status >= 200:
+            return ""
+        self._interim_count += 1
+        if self._interim_count > MAX_INTERIM_RESPONSES:
+            return "too many interim responses"
+        return f"interim response {status} with a body" if has_framing else ""
+
     def _announced_bytes(self) -> int:
         for name, value in self._headers:
             if name.lower() == b"content-length" and value.isdigit():
