Reuse no connection while its kernel holds bytes of a long request body

An endpoint may respond with a length before it has read a long body, keep the connection and read on later. The next request on this connection then waited until the endpoint had read the rest of the body, possibly to its time limit. Cause: only the event loop's buffer was looked at. An upload of 1 MB fits into the send buffer of the kernel, so that nothing seemed to be left. Why it works: for bodies of 64 kB or more the unacknowledged bytes in the kernel count, too. A response of an endpoint that has read the body acknowledges it, so ordinary responses keep their connection; smaller bodies cost no look at the kernel's queue.

--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -36,6 +36,9 @@
 MAX_STRAY_RESPONSES = 4
 # Maximum number of interim responses (1xx) before an exchange fails.
 MAX_INTERIM_RESPONSES = 16
+# Request bodies of this size are written without copying them behind the head, and may
+# not fit into the buffers of the peer's kernel.
+LONG_BODY_BYTES = 64 * 1024
 # TCP keep-alive detects within about 3 s that the network path has lost the connection.
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
@@ -87,7 +90,7 @@
         self._timeout_handle: asyncio.TimerHandle | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._must_close = False
-        self._has_body = False  # Whether the request has a body.
+        self._has_body = self._has_long_body = False  # Of the request.
         # Check of the end of an early response, while there is one.
         self._early_end: EarlyEnd | None = None
         self._received_bytes = 0  # In this exchange.
@@ -241,8 +244,9 @@
         self._stray_count = self._interim_count = 0
         self._received_bytes = self._head_bytes = 0
         self._has_body = bool(body)
-        self._transport.write(head + body if len(body) < 65536 else head)
-        if len(body) >= 65536:
+        self._has_long_body = len(body) >= LONG_BODY_BYTES
+        self._transport.write(head if self._has_long_body else head + body)
+        if self._has_long_body:
             self._transport.write(body)
         self._progress = progress
         self._timeout_handle = loop.call_later(timeout, self._time_out)
@@ -462,12 +466,17 @@
             return
         assert self._transport is not None
         self._in_body = False
-        if not reusable or self._transport.get_write_buffer_size() > 0:
+        if not reusable or self._has_unsent_bytes(self._transport):
             # An endpoint may respond before it has read a long request body.
             self._must_close = True
         self._update_keep_alive(response)
         self._response_future.set_result(response)
 
+    def _has_unsent_bytes(self, transport: asyncio.Transport) -> bool:
+        if self._has_long_body:
+            return unsent_bytes(transport) > 0
+        return transport.get_write_buffer_size() > 0
+
     def _is_stray(self, response: HttpResponse) -> bool:
         if self._id_header is None or self._expected_id is None:
             return False
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -1,4 +1,4 @@
-"""Responses without a length that end before the endpoint has taken the request."""
+"""Responses that come before the endpoint has taken the request."""
 
 import asyncio
 import socket
@@ -13,6 +13,7 @@
 from tests.loopback import own_host
 
 NO_LENGTH = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\npart"
+LENGTH = NO_LENGTH.replace(b"a\r\n", b"a\r\nContent-Length: 4\r\n")
 UPLOAD = bytes(20_000_000)  # More than the buffers of two sockets hold.
 HEAD = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(UPLOAD)
 
@@ -33,7 +34,7 @@
     return count
 
 
-async def _upload(endpoint, body=UPLOAD, timeout=5.0):
+async def _upload(endpoint, body=UPLOAD, timeout=5.0, on_result=lambda: None):
     """Return the response to an upload, or the error.
 
     `endpoint` gets the socket after it has read the head of the request.
@@ -56,8 +57,9 @@
             result = await conn.exchange(HEAD, body, timeout, b"a")
         except ExchangeError as exc:
             result = exc
-        await asyncio.wait_for(task, 5.0)
         assert not conn.usable
+        on_result()
+        await asyncio.wait_for(task, 5.0)
         conn.abort()
         return result
 
@@ -176,3 +178,26 @@
     result, seconds = _exchange_without_io(1000, arrivals)
     assert isinstance(result, ExchangeError)
     assert seconds == pytest.approx(arrivals[-1][0])
+
+
+@pytest.mark.parametrize("size", [1_000_000, len(UPLOAD)])
+def test_a_connection_is_reset_if_its_endpoint_responds_before_it_reads_the_body(size):
+    """Guards against other bytes where the endpoint reads the rest of the body later.
+
+    The kernel holds all of the smaller body that the endpoint's kernel does not take.
+    The next request would wait behind it until the endpoint reads on.
+    """
+    responded, received = asyncio.Event(), []
+
+    async def endpoint(sock):
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(sock, LENGTH)
+        await responded.wait()
+        with pytest.raises(ConnectionResetError):
+            while data := await loop.sock_recv(sock, 1_000_000):
+                received.append(data)
+
+    result = asyncio.run(_upload(endpoint, bytes(size), on_result=responded.set))
+    assert result.body == b"part"
+    assert len(b"".join(received)) < size
+    assert not b"".join(received).strip(b"\0")
