Test what dispatch, orders and the store's client make of answers that are none

Dispatch: an idempotent request goes to the next endpoint, any other gets 502 after one attempt, without a wait. Orders: a grant counts as unanswered (its lease may be valid), a closing grant and a release as not confirmed. Store: a write has no known outcome, and is no conflict. Conclusion: none of the three needed a change of its own. Checks of leaving endpoints take the error for no answer, as they do with a lost connection (read, not run).

--- a/tests/gateway/test_answer_matching.py
+++ b/tests/gateway/test_answer_matching.py
@@ -12,6 +12,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from arbutusflow.errors import PlatformUnavailableError
 from arbutusflow.gateway.client_connection import MAX_EXCHANGES, ClientConnection
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.key_orders import KeyOrders
@@ -21,7 +22,8 @@
     Endpoint as ListedEndpoint,
     ExchangeError,
 )
-from tests.gateway.fakes import FakeLog, FakeTransport
+from arbutusflow.platform.store import StoreClient
+from tests.gateway.fakes import FakeLog, FakeTransport, at
 from tests.gateway.virtual_time import run
 
 TIMEOUT_SECONDS = 0.5
@@ -37,6 +39,7 @@
     answered: bool = True
     cut: bool = False  # The answer breaks off and the connection ends.
     echoes_id: bool = True
+    status: bytes = b"200"
 
 
 class Endpoint:
@@ -62,7 +65,7 @@
             return
         head, _, _ = data.partition(b"\r\n\r\n")
         ids = [x for x in head.split(b"\r\n") if x.startswith(b"Request-Id")]
-        lines = [b"HTTP/1.1 200 OK", *(ids if how.echoes_id else [])]
+        lines = [b"HTTP/1.1 %b X" % how.status, *(ids if how.echoes_id else [])]
         body = b"%d" % self.sends
         lines += [b"Content-Length: %d" % len(body), b"", body]
         answer = b"\r\n".join(lines)
@@ -245,6 +248,43 @@
     assert endpoint.connections == 5
 
 
+@pytest.mark.parametrize("status", [b"000", b"099", b"199", b"700"])
+def test_an_order_with_an_invalid_status_counts_neither_as_applied_nor_as_refused(
+    connect_to, status
+):
+    """Guards against an answer from an endpoint in trouble on which a move depends."""
+    endpoint = Endpoint([Answering(0.001, status=status)] * 3)
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        orders, started_at = make_orders(connect_to(endpoint)), loop.time()
+        answer = await orders.grant(ENDPOINT, KEY_RANGE)
+        unconfirmed = orders.may_have_unconfirmed_lease(loop.time())
+        closed = await orders.close_grants(ENDPOINT, LEAVING, lambda: True)
+        released = await orders.release(ENDPOINT, LEAVING)
+        assert loop.time() - started_at < 0.1
+        return answer, unconfirmed, closed, released
+
+    assert run(scenario()) == (None, True, False, None)
+
+
+@pytest.mark.parametrize("status", [b"000", b"099", b"199", b"700"])
+def test_a_write_that_the_store_answers_with_an_invalid_status_has_no_known_outcome(
+    connect_to, status
+):
+    endpoint = Endpoint([Answering(0.001, status=status)])
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        connect_to(endpoint)
+        store, started_at = StoreClient(Address("h", 1)), loop.time()
+        with pytest.raises(PlatformUnavailableError, match="store call failed"):
+            await store.replace("servers", "e1", {}, at(1))
+        return loop.time() - started_at
+
+    assert run(scenario()) < 0.1
+
+
 def test_a_leaving_range_is_closed_and_released_with_a_higher_token(connect_to):
     endpoint = Endpoint([])
     bodies = []
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -9,6 +9,7 @@
 
 from arbutusflow.gateway.admission import Admission
 from arbutusflow.gateway.caller_server import CallerRequest
+from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.crash_strikes import CrashStrikes
 from arbutusflow.gateway.dispatch import Dispatcher
 from arbutusflow.gateway.endpoint_load import EndpointTable
@@ -27,7 +28,7 @@
     WeightedService,
 )
 from arbutusflow.gateway.retry_budget import RetryBudget
-from tests.gateway.fakes import FakeLog
+from tests.gateway.fakes import FakeLog, FakeTransport
 from tests.gateway.virtual_time import run
 
 SIGNATURE_HEADER = (b"Response-Seal", b"s")  # The endpoint signed its response.
@@ -50,6 +51,23 @@
 ARRIVES_AT_THE_END = object()  # Has arrived when the exchange is cancelled.
 
 
+def arrives(data):
+    """Return an outcome: these bytes arrive, and the connection stays open."""
+    return lambda conn, transport: conn.data_received(data)
+
+
+def ends_early(conn, transport):
+    """Outcome: a part of a response, then a reset before all was acknowledged."""
+    transport.unsent = 1000
+    conn.data_received(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Seal: s\r\n\r\npart"
+    )
+    conn.eof_received()
+    asyncio.get_running_loop().call_later(
+        0.03, conn.connection_lost, ConnectionResetError()
+    )
+
+
 class _FakeConnection:
     heads: list[bytes] = []
 
@@ -68,6 +86,12 @@
             raise ExchangeError("no response within the time limit", sent=True)
         if isinstance(self.outcome, ExchangeError):
             raise self.outcome
+        if callable(self.outcome):
+            conn, transport = ClientConnection(b"request-id"), FakeTransport()
+            conn.connection_made(transport)
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.outcome, conn, transport)
+            return await conn.exchange(head, body, timeout, *_)
         return self.outcome
 
 
@@ -151,6 +175,7 @@
     cancel_after=None,
     pause=10.0,
     stop_after=None,
+    body=b"",
 ):
     """Return the reply, the hosts that were sent the request, and the seconds taken.
 
@@ -224,7 +249,7 @@
             loop.call_later(stop_after, lambda: lifecycle.stop(loop.time() - 0.42, 2.0))
         for _ in range(repetitions):
             started = loop.time()
-            req = CallerRequest(b"GET", b"/x", headers, b"", started)
+            req = CallerRequest(b"GET", b"/x", headers, body, started)
             task = loop.create_task(dispatcher.handle(req))
             if cancel_after is not None:
                 loop.call_later(cancel_after, task.cancel)
@@ -260,6 +285,25 @@
     assert handle(outcome, OK)[0].status == 200
 
 
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        arrives(b"HTTP/1.1 %b X\r\nRequest-Id: a\r\nContent-Length: 0\r\n\r\n" % status)
+        for status in (b"000", b"099", b"199", b"700", b"20")
+    ]
+    + [ends_early],
+)
+@pytest.mark.parametrize("idempotent, status, sends", [(True, 200, 2), (False, 502, 1)])
+def test_what_is_no_complete_answer_of_http_is_a_failed_attempt(
+    outcome, idempotent, status, sends
+):
+    """Guards against status 000 and parts of answers that callers get as answers, and
+    against an endpoint that is waited for although its answer has come."""
+    reply, sent, seconds = handle(outcome, OK, idempotent=idempotent, body=b"upload")
+    assert (reply.status, len(sent)) == (status, sends)
+    assert seconds < 0.1
+
+
 @pytest.mark.parametrize("idempotent", [True, False])
 @pytest.mark.parametrize("partitioned", [True, False])
 def test_a_request_at_an_endpoint_that_is_silent_for_a_while_goes_on(
