Draw statuses and early ends in the fuzz tests of responses

The fuzz tests drew damaged bytes of two responses with a length or chunks; neither statuses nor responses that end with their connection were drawn. The new test draws a status (0 to 1200, or other characters), interim responses, the framing, and an end with or without unacknowledged bytes, an acknowledgement and a reset. A response is accepted exactly if its status is 200 to 599 and its end is proven.

--- a/tests/gateway/test_fuzzing.py
+++ b/tests/gateway/test_fuzzing.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import copy
+import dataclasses
 import random
 
 import pytest
@@ -19,6 +20,7 @@
     CallerServer,
 )
 from arbutusflow.gateway.client_connection import ClientConnection
+from arbutusflow.gateway.early_end import CHECK_SECONDS, SETTLING_SECONDS
 from arbutusflow.gateway.model import CallerLimits, ExchangeError
 from arbutusflow.gateway.routing import RouteTable, WeightedRoundRobin
 from arbutusflow.platform.documents import decode_configuration, decode_endpoint
@@ -179,6 +181,84 @@
     assert whole is None or in_pieces == whole
 
 
+@dataclasses.dataclass(frozen=True)
+class _End:
+    """How a response without a length ends. Times are seconds after the end."""
+
+    early: bool  # Bytes of the request are unacknowledged when its head arrives.
+    acknowledged_after: float | None
+    reset_after: float | None
+
+    @property
+    def proves_the_response(self) -> bool:
+        if not self.early:
+            return True
+        if self.acknowledged_after is None:
+            return False
+        settled_after = self.acknowledged_after + SETTLING_SECONDS + 3 * CHECK_SECONDS
+        return self.reset_after is None or self.reset_after > settled_after
+
+
+ENDS = st.builds(
+    _End,
+    st.booleans(),
+    st.sampled_from([None, 0.0, 0.02, 1.0]),
+    st.sampled_from([None, 0.01, 0.05, 0.5, 2.0]),
+)
+
+
+@settings(max_examples=400, deadline=None)
+@given(
+    status=st.one_of(
+        st.integers(0, 1200).map("{:03d}".format),
+        st.from_regex(r"[-+ 0-9a-z]{0,5}", fullmatch=True),
+    ),
+    interim=st.integers(0, 3),
+    framing=st.sampled_from(["Content-Length: 2", "Transfer-Encoding: chunked", ""]),
+    end=ENDS,
+)
+def test_only_answers_of_http_with_a_proven_end_are_accepted(
+    status, interim, framing, end
+):
+    head = "HTTP/1.1 102 Wait\r\n\r\n" * interim
+    head += f"HTTP/1.1 {status} X\r\nRequest-Id: a\r\n"
+    head += f"{framing}\r\n\r\n" if framing else "\r\n"
+    body = "2\r\nhi\r\n0\r\n\r\n" if "chunked" in framing else "hi"
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        errors = []
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        conn, transport = ClientConnection(b"request-id"), FakeTransport()
+        conn.connection_made(transport)
+        exchange = asyncio.create_task(conn.exchange(b"x", b"body", 5.0, b"a"))
+        await asyncio.sleep(0)
+        transport.unsent = 1000 if end.early else 0
+        conn.data_received((head + body).encode())
+        if not conn.eof_received():
+            conn.connection_lost(None)
+        if end.acknowledged_after is not None:
+            loop.call_later(end.acknowledged_after, setattr, transport, "unsent", 0)
+        if end.reset_after is not None:
+            loop.call_later(end.reset_after, conn.connection_lost, OSError())
+        try:
+            response = await exchange
+        except ExchangeError:
+            response = None
+        assert errors == []
+        return response
+
+    response = run(main())
+    accepted = None if response is None else (str(response.status), response.body)
+    if status in ("204", "304"):
+        # Bytes after the head are no part of the response, and may spoil it.
+        assert accepted in (None, (status, b""))
+        return
+    of_http = len(status) == 3 and status.isdigit() and 200 <= int(status) <= 599
+    proven = bool(framing) or end.proves_the_response
+    assert accepted == ((status, b"hi") if of_http and proven else None)
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_damaged_datagrams_end_no_handler(seed):
     """Any process can send to the port, and versions of the program differ."""
