--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -20,6 +20,8 @@
     BodyBudget,
     MemoryWait,
 )
+from arbutusflow.gateway.closing import unsent_bytes
+from arbutusflow.gateway.early_end import EarlyEnd, socket_error
 from arbutusflow.gateway.model import Address, ExchangeError, HttpResponse
 
 # Responses are buffered completely; see docs/platform.md.
@@ -32,6 +34,11 @@
 MAX_EXCHANGES = 256
 # Maximum number of late responses to earlier requests before an exchange fails.
 MAX_STRAY_RESPONSES = 4
+# Maximum number of interim responses (1xx) before an exchange fails.
+MAX_INTERIM_RESPONSES = 16
+# Request bodies of this size are written without copying them behind the head, and may
+# not fit into the buffers of the peer's kernel.
+LONG_BODY_BYTES = 64 * 1024
 # TCP keep-alive detects within about 3 s that the network path has lost the connection.
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
@@ -81,11 +88,14 @@
         self._expected_id: bytes | None = None
         self._sent_ids: set[bytes] = set()
         self._head_only = False
-        self._stray_count = 0
+        self._stray_count = self._interim_count = 0
         self._progress: ResponseProgress | None = None
         self._timeout_handle: asyncio.TimerHandle | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._must_close = False
+        self._has_body = self._has_long_body = False  # Of the request.
+        # Check of the end of an early response, while there is one.
+        self._early_end: EarlyEnd | None = None
         self._received_bytes = 0  # In this exchange.
         self._unwritten = memoryview(b"")  # Rest of the body of the request.
         self._writing_paused = False
@@ -145,15 +155,40 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the current exchange."""
         self.closed = True
+        self._stop_early_end()
         self._fail(f"connection lost: {exc!r}" if exc else "connection closed")
 
     def eof_received(self) -> bool:
-        """Complete a response delimited by connection close; any other is truncated."""
-        if self._body_until_close and self._in_body:
-            self._complete_response(reusable=False)
+        """Complete a response delimited by connection close; any other is truncated.
+
+        Returns whether the connection stays open, to send the rest of the request.
+        """
         self.closed = True
+        waiting = self._response_future is not None and not self._response_future.done()
+        if not (waiting and self._body_until_close and self._in_body):
+            return False
+        assert self._transport is not None
+        # After the peer's end, a reset does not show when the connection is read.
+        error = socket_error(self._transport)
+        if self._early and not error:
+            self._early_end = EarlyEnd(self._transport, self._settle)
+            return True
+        self._settle(error)
         return False
 
+    def _settle(self, error: str) -> None:
+        """End a response delimited by connection close."""
+        if error:
+            self._set_must_close()
+            self._fail(f"connection lost after the end of the response: {error}")
+        else:
+            self._complete_response(reusable=False)
+
+    def _stop_early_end(self) -> None:
+        if self._early_end is not None:
+            self._early_end.stop()
+            self._early_end = None
+
     def close(self) -> None:
         """Close the connection."""
         self.closed = True
@@ -210,14 +245,17 @@
         loop = asyncio.get_running_loop()
         self._response_future = response_future = loop.create_future()
         self._expected_id = expected_id
-        self._head_only, self._stray_count = head_only, 0
+        self._head_only = head_only
+        self._stray_count = self._interim_count = 0
         self._received_bytes = self._head_bytes = 0
-        if len(body) <= SEND_CHUNK_BYTES:
-            self._transport.write(head + body)
-        else:
+        self._has_body = bool(body)
+        self._has_long_body = len(body) >= LONG_BODY_BYTES
+        if self._has_long_body:
             self._transport.write(head)
             self._unwritten = memoryview(body)
             self._write_body()
+        else:
+            self._transport.write(head + body)
         self._progress = progress
         self._timeout_handle = loop.call_later(timeout, self._time_out)
         try:
@@ -230,6 +268,7 @@
             raise
         finally:
             self._timeout_handle.cancel()
+            self._stop_early_end()
             self._progress = None
             self._response_future = None
             self._unwritten = memoryview(b"")
@@ -317,6 +356,7 @@
         self._body_size = 0
         self._in_body = False
         self._body_until_close = False
+        self._early = False  # Whether it came before the request was acknowledged.
 
     def on_message_begin(self) -> None:
         """Start a response."""
@@ -337,10 +377,18 @@
         status = self._parser.get_status_code()
         names = {name.lower() for name, _ in self._headers}
         has_framing = b"content-length" in names or b"transfer-encoding" in names
+        error = self._status_error(status, has_framing)
+        if error:
+            self._set_must_close()
+            self._fail(error)
+            return
         self._in_body = True
         self._body_until_close = (
             not has_framing and status >= 200 and status not in _STATUSES_WITHOUT_BODY
         )
+        if self._body_until_close and self._has_body:
+            assert self._transport is not None
+            self._early = unsent_bytes(self._transport) > 0
         if self._head_only and status >= 200:
             self._complete_response(reusable=False)
         elif status >= 200 and status not in _STATUSES_WITHOUT_BODY:
@@ -348,6 +396,17 @@
             # wait for each other.
             self._reserve(self._announced_bytes())
 
+    def _status_error(self, status: int, has_framing: bool) -> str:
+        """Return why the status makes the response malformed, empty if it does not."""
+        if not 100 <= status < 600:
+            return f"the response has the invalid status {status:03d}"
+        if status >= 200:
+            return ""
+        self._interim_count += 1
+        if self._interim_count > MAX_INTERIM_RESPONSES:
+            return "too many interim responses"
+        return f"interim response {status} with a body" if has_framing else ""
+
     def _announced_bytes(self) -> int:
         for name, value in self._headers:
             if name.lower() == b"content-length" and value.isdigit():
@@ -437,13 +496,17 @@
         assert self._transport is not None
         self._in_body = False
         self._body = []
-        unwritten = len(self._unwritten) + self._transport.get_write_buffer_size()
-        if not reusable or unwritten:
+        if not reusable or self._has_unsent_bytes(self._transport):
             # An endpoint may respond before it has read a long request body.
             self._must_close = True
         self._update_keep_alive(response)
         self._response_future.set_result(response)
 
+    def _has_unsent_bytes(self, transport: asyncio.Transport) -> bool:
+        if self._has_long_body:
+            return unsent_bytes(transport) > 0
+        return transport.get_write_buffer_size() > 0
+
     def _is_stray(self, response: HttpResponse) -> bool:
         if self._id_header is None or self._expected_id is None:
             return False
