Answer callers that have ended their sending side, unless a reset shows that they left

What callers saw: a caller that ends its sending side behind its requests and goes on reading got no answer as soon as one pending request could be cancelled.

Why it works: the instance begins the response that is due, with bytes that each response begins with. A connection that was closed answers with a reset, which is asked for on a timer, because asyncio watches no connection whose input has ended; then the transport is aborted and the work ends, as after any reset.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -22,6 +22,7 @@
     unread_bytes,
     unsent_bytes,
 )
+from arbutusflow.gateway.half_closed import RESPONSE_START, HalfClosedWatch
 from arbutusflow.gateway.listener import Listener
 from arbutusflow.gateway.model import Address, CallerLimits
 
@@ -264,6 +265,9 @@
         self._opened_at = self.idle_since = self._loop.time()
         self._input_closed = False  # No further input is processed.
         self._closing: TwoStepClose | None = None  # Set when the responses have ended.
+        self._half_closed: HalfClosedWatch | None = (
+            None  # Set when the caller's side is.
+        )
         self._latest_request: CallerRequest | None = None  # That has a response.
         self._end_cause: str | None = None  # Why this instance ends the connection.
         self._reading_paused = False
@@ -347,6 +351,8 @@
         self._stop_timer()
         if self._closing is not None:
             self._closing.stop()
+        if self._half_closed is not None:
+            self._half_closed.stop()
         self._release_body()
         self._report_end(self._end_cause or _end_cause(exc))
         for pipelined in self._pipeline:
@@ -358,16 +364,13 @@
                 pipelined.task.cancel()
 
     def eof_received(self) -> bool:
-        """Close the connection unless all it waits for runs on in any case.
-
-        A caller that closes and one that only ends its side look alike until something
-        is written. What may be cancelled ends; other answers are written.
-        """
-        waits = [pipelined.request for pipelined in self._pipeline]
-        if not waits or any(req is not None and req.cancellable for req in waits):
-            self._end_cause = "caller_ended"
+        """Answer what is complete, unless the caller turns out to be gone."""
+        if not self._pipeline or self._transport is None:
             return False
         self._close_input()
+        if self._half_closed is None:
+            self._end_cause = "caller_closed"
+            self._half_closed = HalfClosedWatch(self._transport, self._transport.abort)
         return True
 
     def pause_writing(self) -> None:
@@ -574,7 +577,10 @@
                     and pipelined.request.method == b"HEAD"
                 )
                 self._latest_request = pipelined.request
-                self._write(self._encode(pipelined.reply, keep, head_only))
+                data = self._encode(pipelined.reply, keep, head_only)
+                if self._half_closed is not None:
+                    data = data[self._half_closed.take_written() :]
+                self._write(data)
             if not keep:
                 # Only behind a request that itself asked for the close.
                 self._cancel_pipeline("behind_closing_response")
@@ -646,6 +652,8 @@
         self._close_input()
         if self._transport is None or self._transport.is_closing() or self._closing:
             return
+        if self._half_closed is not None:
+            self._half_closed.stop()
         self._resume()
         idle_seconds = self._server.limits.idle_seconds
         self._closing = TwoStepClose(self._transport, idle_seconds)
@@ -710,7 +718,7 @@
 
 def _encode(reply: CallerResponse, keep_alive: bool, head_only: bool) -> bytes:
     reason = reply.reason or _REASON_PHRASES.get(reply.status, b"")
-    lines = [b"HTTP/1.1 %d %s" % (reply.status, reason)]
+    lines = [RESPONSE_START + b"%d %s" % (reply.status, reason)]
     lines += [name + b": " + value for name, value in reply.headers]
     if head_only:
         if reply.length is not None:
--- a/arbutusflow/gateway/reference.py
+++ b/arbutusflow/gateway/reference.py
@@ -78,8 +78,8 @@
 CONNECTION_ENDS = {
     "behind_closing_response": "A response to a request that asked for the close came "
     "in front of them.",
-    "caller_ended": "The caller had ended its sending side; this instance gave the "
-    "requests up.",
+    "caller_closed": "The caller had ended its sending side, and did not take what was "
+    "written after that.",
     "caller_reset": "The caller reset the connection, or the network broke it.",
     "closed": "The connection was closed on this side, for no cause that is known.",
     "error": "This instance met an error of its own, which is logged, too.",
--- a/tests/gateway/test_half_closed_connections.py
+++ b/tests/gateway/test_half_closed_connections.py
@@ -1,91 +1,275 @@
-"""Callers that end their side of a connection while a request is pending."""
+"""Callers that end their side of a connection while requests are pending."""
 
 import asyncio
 import contextlib
 import socket
 
+import pytest
+
 from arbutusflow.gateway.body_budget import BodyBudget
 from arbutusflow.gateway.caller_server import CallerResponse, CallerServer
+from arbutusflow.gateway.half_closed import BYTE_SECONDS, RESPONSE_START
 
 HOST = "127.0.0.1"
-POST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
-GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+POST = b"POST /order HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+GET = b"GET /get HTTP/1.1\r\nHost: h\r\n\r\n"
+QUICK = b"GET /quick HTTP/1.1\r\nHost: h\r\n\r\n"
 WORK_SECONDS = 0.5
+QUICK_SECONDS = 0.1
 STOP_SECONDS = 0.2  # By then the work for a caller that is gone has to have ended.
+LARGE_BYTES = 4_000_000
+
+
+class _Connection:
+    """A connection to a server whose requests take `work_seconds`."""
+
+    def __init__(self, sock, server, work_seconds):
+        self.sock, self.server, self.work_seconds = sock, server, work_seconds
+        self.loop = asyncio.get_running_loop()
+        self.ended = []  # Target and end of the work of each request.
+        self.ends = []  # Causes of ends with unanswered requests.
+        self.errors = []
+        server.on_end = lambda cause, requests: self.ends.append(cause)
+
+    async def work(self, req):
+        # As the dispatcher does when it sends the request.
+        req.cancellable = req.method != b"POST"
+        quick = req.target in (b"/quick", b"/bad")
+        try:
+            await asyncio.sleep(QUICK_SECONDS if quick else self.work_seconds)
+        except asyncio.CancelledError:
+            if self.server.finished:
+                return CallerResponse(503, body=req.target)
+            raise
+        finally:
+            self.ended.append((req.target, self.loop.time()))
+        if req.target == b"/bad":
+            return CallerResponse(None)
+        large = b"." * LARGE_BYTES if req.target == b"/large" else b""
+        return CallerResponse(200, body=req.target + large)
+
+    async def send(self, data):
+        await self.loop.sock_sendall(self.sock, data)
+        await asyncio.sleep(0.05)
+
+    def end_sending(self):
+        self.sock.shutdown(socket.SHUT_WR)
+
+    async def read(self):
+        """Return all that arrives until the end of the connection."""
+        parts = []
+        async with asyncio.timeout(10.0):
+            while part := await self.loop.sock_recv(self.sock, 65536):
+                parts.append(part)
+        return b"".join(parts)
+
+    async def answers_after_end(self, data):
+        """Send `data` and end the sending side; return the answers."""
+        await self.send(data)
+        self.end_sending()
+        return answers(await self.read())
 
 
-def _play(data, end):
-    """Send `data`, then call `end`; return the answer and the seconds of each run."""
+def _play(scenario, work_seconds=WORK_SECONDS):
+    """Return what the scenario returns, its connection, and the connections left."""
 
     async def main():
-        loop, runs = asyncio.get_running_loop(), []
+        played = None
 
         async def work(req):
-            # As the dispatcher does when it sends the request.
-            req.cancellable = req.method == b"GET"
-            began = loop.time()
-            try:
-                await asyncio.sleep(WORK_SECONDS)
-            finally:
-                runs.append(loop.time() - began)
-            return CallerResponse(200, body=b"done")
-
-        server = CallerServer(work, BodyBudget(lambda: 10**6), lambda *_: None)
+            return await played.work(req)
+
+        server = CallerServer(
+            work,
+            BodyBudget(lambda: 10**6),
+            lambda during, exc: played.errors.append(during),
+        )
         await server.start(HOST, 0)
-        sock = socket.socket()
-        sock.setblocking(False)
-        with contextlib.closing(sock):
-            await loop.sock_connect(sock, (HOST, server.port))
-            await loop.sock_sendall(sock, data)
-            await asyncio.sleep(0.05)
-            end(sock)
-            answer = b""
-            if sock.fileno() >= 0:
-                while part := await loop.sock_recv(sock, 65536):
-                    answer += part
-            await asyncio.sleep(WORK_SECONDS + 0.2)
+        with contextlib.closing(socket.socket()) as sock:
+            sock.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(sock, (HOST, server.port))
+            played = _Connection(sock, server, work_seconds)
+            result = await scenario(played)
+            await asyncio.sleep(work_seconds + 0.2)
+            left = len(server.connections)
         server.stop_accepting()
-        return answer, runs, len(server.connections)
+        return result, played, left
 
     return asyncio.run(main())
 
 
-def _end_sending(sock):
-    sock.shutdown(socket.SHUT_WR)
+def answers(data):
+    """Return status and body of each answer; nothing else may be in `data`."""
+    found = []
+    while data:
+        assert data.startswith(RESPONSE_START)
+        head, _, data = data.partition(b"\r\n\r\n")
+        lines = head.split(b"\r\n")
+        headers = dict(line.split(b": ") for line in lines[1:])
+        length = int(headers[b"Content-Length"])
+        assert length <= len(data)
+        found.append((int(lines[0].split()[1]), data[:length]))
+        data = data[length:]
+        assert (headers.get(b"Connection") == b"close") == (not data)
+    return found
 
 
-def test_the_answer_to_a_request_that_runs_on_anyway_is_written():
-    """Guards against an answer that is dropped, although its caller still reads."""
-    answer, runs, _ = _play(POST, _end_sending)
-    assert answer.startswith(b"HTTP/1.1 200 ")
-    assert b"Connection: close" in answer
-    assert answer.endswith(b"done")
-    assert len(runs) == 1
+@pytest.mark.parametrize(
+    ("data", "targets"),
+    [
+        (POST, [b"/order"]),
+        (GET, [b"/get"]),
+        (GET + POST, [b"/get", b"/order"]),
+        (POST + GET, [b"/order", b"/get"]),
+        (QUICK + GET, [b"/quick", b"/get"]),
+        (GET + QUICK, [b"/get", b"/quick"]),
+        (GET + b"GET /part HTTP/1.1\r\nHo", [b"/get"]),
+        (GET.replace(b"1.1", b"1.0"), [b"/get"]),
+        ((GET + QUICK) * 20, [b"/get", b"/quick"] * 20),
+    ],
+    ids=[
+        "order",
+        "get",
+        "get-order",
+        "order-get",
+        "quick-get",
+        "get-quick",
+        "partial",
+        "1.0",
+        "row",
+    ],
+)
+def test_a_caller_that_ends_its_side_gets_all_answers(data, targets):
+    """Guards against connections that an instance in touch closes under requests that
+    it has passed on, although their caller reads."""
+    found, played, left = _play(lambda conn: conn.answers_after_end(data))
+    assert found == [(200, target) for target in targets]
+    assert len(played.ended) == len(targets)
+    assert played.ends == []
+    assert left == 0
 
 
-def test_a_caller_that_ends_its_side_gives_up_what_may_be_cancelled():
-    """Guards against work for a caller that is gone.
+def test_the_answer_to_a_head_request_has_no_body():
+    """Guards against a response that is begun in another way than it goes on."""
 
-    A caller that closes and one that only ends its side look alike until something is
-    written, and the work for the first has to stop within half a second.
-    """
-    answer, runs, count = _play(GET, _end_sending)
-    assert answer == b""
-    assert len(runs) == 1
-    assert runs[0] < STOP_SECONDS
-    assert count == 0
+    async def scenario(conn):
+        await conn.send(GET.replace(b"GET", b"HEAD"))
+        conn.end_sending()
+        return await conn.read()
+
+    received, _, _ = _play(scenario)
+    assert received == b"HTTP/1.1 200 \r\nConnection: close\r\n\r\n"
+
+
+def test_large_answers_that_are_read_late_are_complete():
+    """Guards against answers out of order while nothing can be written."""
+
+    async def scenario(conn):
+        large = QUICK.replace(b"/quick", b"/large")
+        await conn.send(large + GET + large)
+        conn.end_sending()
+        await asyncio.sleep(3 * QUICK_SECONDS + WORK_SECONDS)
+        return answers(await conn.read())
+
+    found, played, _ = _play(scenario)
+    assert [status for status, _ in found] == [200, 200, 200]
+    large = len(b"/large") + LARGE_BYTES
+    assert [len(body) for _, body in found] == [large, len(b"/get"), large]
+    assert played.ends == []
+
+
+def test_a_response_that_cannot_be_written_is_replaced_by_a_whole_one():
+    """Guards against the start of a response that another start follows."""
+    bad = QUICK.replace(b"/quick", b"/bad")
+    found, played, _ = _play(lambda conn: conn.answers_after_end(bad + GET))
+    assert [status for status, _ in found] == [500, 200]
+    assert played.errors == ["encoding a response"]
+
+
+def test_the_end_of_the_process_gives_a_whole_response():
+    """Guards against the start of a response without its rest after a planned stop."""
+
+    async def scenario(conn):
+        await conn.send(GET + POST)
+        conn.end_sending()
+        await asyncio.sleep(0.1)
+        conn.server.close_after_responses()
+        conn.server.close_idle()
+        assert conn.server.is_busy
+        conn.server.finish()
+        return answers(await conn.read())
+
+    found, _, left = _play(scenario)
+    assert found == [(503, b"/get"), (503, b"/order")]
+    assert left == 0
+
+
+@pytest.mark.parametrize("data", [GET, GET + POST, POST + GET, (GET + QUICK) * 4])
+def test_work_for_a_caller_that_closes_ends(data):
+    """Guards against work for a caller that is gone, which looks like one that ends
+    its side until something is written."""
+
+    async def scenario(conn):
+        await conn.send(data)
+        conn.sock.close()
+        return conn.loop.time()
+
+    closed_at, played, left = _play(scenario)
+    cancellable = [at for target, at in played.ended if target != b"/order"]
+    assert len(cancellable) == data.count(b"GET")
+    assert max(cancellable) < closed_at + STOP_SECONDS
+    assert played.ends == ["caller_closed"]
+    assert left == 0
+
+
+@pytest.mark.parametrize("reads", [True, False])
+@pytest.mark.parametrize("seconds", [0.1, 1.0, 1.7])
+def test_work_ends_for_a_caller_that_ends_its_side_and_closes_later(seconds, reads):
+    """Guards against work for a caller that has given up after it ended its side."""
+
+    async def scenario(conn):
+        await conn.send(GET)
+        conn.end_sending()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                while reads:
+                    part = await conn.loop.sock_recv(conn.sock, 100)
+                    assert part
+                    assert part in RESPONSE_START
+                await asyncio.sleep(seconds)
+        conn.sock.close()
+        return conn.loop.time()
+
+    closed_at, played, left = _play(scenario, work_seconds=3.0)
+    assert played.ended[0][1] < closed_at + BYTE_SECONDS + STOP_SECONDS
+    assert played.ends == ["caller_closed"]
+    assert left == 0
 
 
 def test_a_caller_that_closes_leaves_no_connection_behind():
     """Guards against connections that stay open for an answer that nobody reads."""
-    _, runs, count = _play(POST, lambda sock: sock.close())
-    assert len(runs) == 1
-    assert count == 0
 
+    async def scenario(conn):
+        await conn.send(POST)
+        conn.sock.close()
 
-def test_a_request_behind_one_that_is_given_up_ends_with_the_connection():
-    """Guards against answers out of order."""
-    answer, runs, count = _play(GET + POST, _end_sending)
-    assert answer == b""
-    assert len(runs) == 2
+    _, played, count = _play(scenario)
+    assert len(played.ended) == 1
     assert count == 0
+
+
+def test_an_idle_connection_ends_with_its_caller_s_side():
+    """Guards against connections that stay open though no request can follow."""
+
+    async def scenario(conn):
+        await conn.send(QUICK)
+        await asyncio.sleep(2 * QUICK_SECONDS)
+        conn.end_sending()
+        received = await conn.read()
+        await asyncio.sleep(0.01)
+        return received, len(conn.server.connections)
+
+    (received, left), played, _ = _play(scenario)
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert left == 0
+    assert played.ends == []
