Answer an error of this program while a request is read with 500, and log it

Cause: httptools raises a subclass of its error for bad input when a callback fails. Evidence: test_an_error_while_a_request_is_read_cuts_no_other_off fails without the change: 400 instead of 500, no error logged. The request in front of it was answered before, too: such an error does not reach asyncio, which would end the connection.

Why it works: the subclass is handled first, as an error of a handler is. Status 500 does not tell whether the request has run.

Two tests show that nothing ends under a request that was passed on behind a request for an upgrade and behind one that asks for the close; both pass without a change.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -398,6 +398,10 @@
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._input_closed = True
+        except httptools.HttpParserCallbackError as exc:
+            # A bug in this program, as in `_serve`.
+            self._server.on_error("reading a request", exc.__context__ or exc)
+            self._reject(500)
         except httptools.HttpParserError:
             self._reject(400)
         if self._input_closed:
--- a/tests/gateway/test_caller_server.py
+++ b/tests/gateway/test_caller_server.py
@@ -156,6 +156,64 @@
     assert statuses(transport) == [200]
 
 
+async def _answer_empty(req):
+    return CallerResponse(200)
+
+
+def test_an_error_while_a_request_is_read_cuts_no_other_off():
+    """Guards against a fault of this program that is answered as the caller's, or that
+    ends the connection under a request that was passed on."""
+
+    async def main():
+        async def handle(req):
+            await asyncio.sleep(0.1)
+            return CallerResponse(200)
+
+        def read_seconds(headers):
+            if (b"x", b"bad") in headers:
+                raise KeyError("a bug")
+            return 1.0
+
+        errors = []
+        server = CallerServer(
+            handle, BodyBudget(lambda: 0), lambda during, exc: errors.append(exc)
+        )
+        server.read_seconds = read_seconds
+        conn, transport = CallerConnection(server), FakeTransport()
+        conn.connection_made(transport)
+        conn.data_received(GET % b"a" + b"GET /b HTTP/1.1\r\nHost: h\r\nX: bad\r\n\r\n")
+        await asyncio.sleep(0.2)
+        return statuses(transport), [type(exc) for exc in errors], transport.eof_written
+
+    assert run(main()) == ([200, 500], [KeyError], True)
+
+
+def test_a_request_for_an_upgrade_is_answered_and_ends_the_connection():
+    """Guards against a connection that ends under a request that was passed on, and
+    against bytes of another protocol that are read as a request."""
+    upgrade = b"GET /a HTTP/1.1\r\nHost: h\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"
+    transport, seen = serve(
+        GET % b"first" + upgrade + GET % b"b", GET % b"c", handler=_answer_empty
+    )
+    assert statuses(transport) == [200, 200]
+    assert [req.target for req in seen] == [b"/first", b"/a"]
+    assert transport.written.count(b"Connection: close") == 1
+    assert transport.closed
+
+
+def test_a_request_behind_one_that_asks_for_the_close_is_not_passed_on():
+    """Guards against a connection that ends under a request that was passed on."""
+    closes = b"GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    for chunks in (
+        (GET % b"a" + closes + GET % b"c",),
+        (GET % b"a", closes, GET % b"c"),
+    ):
+        transport, seen = serve(*chunks, handler=_answer_empty)
+        assert statuses(transport) == [200, 200]
+        assert [req.target for req in seen] == [b"/a", b"/b"]
+        assert transport.written.count(b"Connection: close") == 1
+
+
 def test_a_body_over_the_memory_budget_is_refused_before_it_runs():
     transport, seen = serve(
         b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\n" + b"a" * 50,
