Treat line ends between requests as no part of a request

What callers saw: a caller that sends an empty line behind its request, as some do, got an unasked 408 and the end of its kept connection after the header timeout (3 s) instead of the idle timeout (15 s).

Cause: the bytes counted as the start of a head. Evidence: test_line_ends_between_requests_leave_a_connection_idle fails without the change; no run of real processes has shown it.

Why it works: the parser tells when a request begins, and the timer of the head starts then. A head behind line ends still has to be complete in time (test), and line ends without end still meet the limit on the size of a head (test_endless_bytes).

Conclusion: only a request that has begun is answered with 408.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -392,8 +392,6 @@
             self._reject(503, RETRY_SOON)
             return
         self._head_size += len(data)
-        if not self._request_started and not self._pipeline:
-            self._start_timer(self._server.limits.header_seconds)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -421,6 +419,8 @@
         self._reset_request()
         self._request_started = True
         self._received_at = self._loop.time()
+        if not self._pipeline:
+            self._start_timer(self._server.limits.header_seconds)
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
@@ -689,7 +689,7 @@
             if self._request_started:
                 self._start_body_timer()
             return
-        if self._request_started or self._head_size:
+        if self._request_started:
             self._reject(408)
         else:
             self._close_idle()
--- a/tests/gateway/test_caller_server.py
+++ b/tests/gateway/test_caller_server.py
@@ -160,6 +160,30 @@
     return CallerResponse(200)
 
 
+def test_line_ends_between_requests_leave_a_connection_idle():
+    """Guards against an answer that no request waits for, and a connection that ends
+    before the idle timeout."""
+    assert not serve(
+        GET % b"a", handler=_answer_empty, seconds=14.0, later=[(1.0, b"\r\n")]
+    )[0].closed
+    transport, _ = serve(
+        GET % b"a", handler=_answer_empty, seconds=17.0, later=[(1.0, b"\r\n")]
+    )
+    assert transport.closed
+    assert statuses(transport) == [200]
+
+
+def test_a_request_behind_line_ends_has_to_be_complete_in_time():
+    """Guards against a head without a timer."""
+    later = [(1.0, b"\r\n"), (2.0, b"\r\nGET / HT")]
+    assert statuses(
+        serve(GET % b"a", handler=_answer_empty, seconds=4.9, later=later)[0]
+    ) == [200]
+    assert statuses(
+        serve(GET % b"a", handler=_answer_empty, seconds=5.1, later=later)[0]
+    ) == [200, 408]
+
+
 def test_an_error_while_a_request_is_read_cuts_no_other_off():
     """Guards against a fault of this program that is answered as the caller's, or that
     ends the connection under a request that was passed on."""
