--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -20,8 +20,8 @@
     BodyBudget,
     MemoryWait,
 )
-from arbutusflow.gateway.closing import unsent_bytes
-from arbutusflow.gateway.early_end import EarlyEnd, socket_error
+from arbutusflow.gateway.closing import socket_error, unsent_bytes
+from arbutusflow.gateway.early_end import EarlyEnd
 from arbutusflow.gateway.model import Address, ExchangeError, HttpResponse
 
 # Responses are buffered completely; see docs/platform.md.
--- a/arbutusflow/gateway/closing.py
+++ b/arbutusflow/gateway/closing.py
@@ -16,6 +16,7 @@
 import contextlib
 import fcntl
 import functools
+import os
 import pathlib
 import socket
 import struct
@@ -40,6 +41,15 @@
     return _kernel_bytes(transport, termios.FIONREAD)
 
 
+def socket_error(transport: asyncio.Transport) -> str:
+    """Return the pending error of a connection, empty if there is none."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return ""
+    number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return os.strerror(number) if number else ""
+
+
 def enlarge_send_buffer(transport: asyncio.Transport) -> None:
     """Let the kernel take as much of what is written as the system allows.
 
--- a/arbutusflow/gateway/early_end.py
+++ b/arbutusflow/gateway/early_end.py
@@ -11,25 +11,14 @@
 """
 
 import asyncio
-import os
-import socket
 from collections.abc import Callable
 
-from arbutusflow.gateway.closing import unsent_bytes
+from arbutusflow.gateway.closing import socket_error, unsent_bytes
 
 CHECK_SECONDS = 0.01
 SETTLING_SECONDS = 0.1
 
 
-def socket_error(transport: asyncio.Transport) -> str:
-    """Return the pending error of a connection, empty if there is none."""
-    sock = transport.get_extra_info("socket")
-    if sock is None or sock.fileno() < 0:
-        return ""
-    number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-    return os.strerror(number) if number else ""
-
-
 class EarlyEnd:
     """Check of one connection whose peer has ended its side.
 
--- a/tests/gateway/test_caller_server.py
+++ b/tests/gateway/test_caller_server.py
@@ -156,6 +156,88 @@
     assert statuses(transport) == [200]
 
 
+async def _answer_empty(req):
+    return CallerResponse(200)
+
+
+def test_line_ends_between_requests_leave_a_connection_idle():
+    """Guards against an answer that no request waits for, and a connection that ends
+    before the idle timeout."""
+    assert not serve(
+        GET % b"a", handler=_answer_empty, seconds=14.0, later=[(1.0, b"\r\n")]
+    )[0].closed
+    transport, _ = serve(
+        GET % b"a", handler=_answer_empty, seconds=17.0, later=[(1.0, b"\r\n")]
+    )
+    assert transport.closed
+    assert statuses(transport) == [200]
+
+
+def test_a_request_behind_line_ends_has_to_be_complete_in_time():
+    """Guards against a head without a timer."""
+    later = [(1.0, b"\r\n"), (2.0, b"\r\nGET / HT")]
+    assert statuses(
+        serve(GET % b"a", handler=_answer_empty, seconds=4.9, later=later)[0]
+    ) == [200]
+    assert statuses(
+        serve(GET % b"a", handler=_answer_empty, seconds=5.1, later=later)[0]
+    ) == [200, 408]
+
+
+def test_an_error_while_a_request_is_read_cuts_no_other_off():
+    """Guards against a fault of this program that is answered as the caller's, or that
+    ends the connection under a request that was passed on."""
+
+    async def main():
+        async def handle(req):
+            await asyncio.sleep(0.1)
+            return CallerResponse(200)
+
+        def read_seconds(headers):
+            if (b"x", b"bad") in headers:
+                raise KeyError("a bug")
+            return 1.0
+
+        errors = []
+        server = CallerServer(
+            handle, BodyBudget(lambda: 0), lambda during, exc: errors.append(exc)
+        )
+        server.read_seconds = read_seconds
+        conn, transport = CallerConnection(server), FakeTransport()
+        conn.connection_made(transport)
+        conn.data_received(GET % b"a" + b"GET /b HTTP/1.1\r\nHost: h\r\nX: bad\r\n\r\n")
+        await asyncio.sleep(0.2)
+        return statuses(transport), [type(exc) for exc in errors], transport.eof_written
+
+    assert run(main()) == ([200, 500], [KeyError], True)
+
+
+def test_a_request_for_an_upgrade_is_answered_and_ends_the_connection():
+    """Guards against a connection that ends under a request that was passed on, and
+    against bytes of another protocol that are read as a request."""
+    upgrade = b"GET /a HTTP/1.1\r\nHost: h\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"
+    transport, seen = serve(
+        GET % b"first" + upgrade + GET % b"b", GET % b"c", handler=_answer_empty
+    )
+    assert statuses(transport) == [200, 200]
+    assert [req.target for req in seen] == [b"/first", b"/a"]
+    assert transport.written.count(b"Connection: close") == 1
+    assert transport.closed
+
+
+def test_a_request_behind_one_that_asks_for_the_close_is_not_passed_on():
+    """Guards against a connection that ends under a request that was passed on."""
+    closes = b"GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    for chunks in (
+        (GET % b"a" + closes + GET % b"c",),
+        (GET % b"a", closes, GET % b"c"),
+    ):
+        transport, seen = serve(*chunks, handler=_answer_empty)
+        assert statuses(transport) == [200, 200]
+        assert [req.target for req in seen] == [b"/a", b"/b"]
+        assert transport.written.count(b"Connection: close") == 1
+
+
 def test_a_body_over_the_memory_budget_is_refused_before_it_runs():
     transport, seen = serve(
         b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\n" + b"a" * 50,
