End the process as soon as a planned stop has ended

Cause: between the line `stopped` and the end of the process, the interpreter frees all objects, runs what is registered for its end, and waits for cancelled tasks and for threads, without a bound. Why it works: the kernel closes the sockets of a process that has ended as the interpreter does, after `write_eof` of both steps; the log is written line by line without a buffer. Conclusion: the margin between the end of the plan and SIGKILL is no longer used by the process itself.

--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import collections
+import contextlib
+import os
 import pathlib
 import random
 import resource
 import signal
+import sys
 import types
 from collections.abc import Callable, Coroutine
+from typing import NoReturn
 
 import msgspec
 
@@ -748,11 +752,28 @@
         return b""  # The file is being replaced; the next check reads it.
 
 
-def run_gateway(cfg: GatewaySettings, path: pathlib.Path) -> None:
-    """Run an instance until SIGTERM."""
+def run_gateway(cfg: GatewaySettings, path: pathlib.Path) -> NoReturn:
+    """Run an instance until SIGTERM, and end the process then.
+
+    Raises OSError if an address is in use.
+    """
 
     async def main() -> None:
         await Gateway(cfg, path).run()
 
     with asyncio.Runner(loop_factory=SuspendAwareEventLoop) as runner:
         runner.run(main())
+        _end_process()
+
+
+def _end_process() -> NoReturn:
+    """End the process at once.
+
+    The kernel has all that callers get, and the log is not buffered. What the
+    interpreter does at its end grows with the number of connections, and it would wait
+    for tasks and threads.
+    """
+    for stream in filter(None, (sys.stdout, sys.stderr)):
+        with contextlib.suppress(OSError):
+            stream.flush()
+    os._exit(0)
--- a/tests/gateway/test_event_loop.py
+++ b/tests/gateway/test_event_loop.py
@@ -45,5 +45,6 @@
             loops.append(asyncio.get_running_loop())
 
     monkeypatch.setattr(process, "Gateway", Gateway)
+    monkeypatch.setattr(process, "_end_process", lambda: None)
     process.run_gateway(None, None)
     assert isinstance(loops[0], SuspendAwareEventLoop)
