Read the limit on send buffers when the server is created

Seen by reading: the limit was read at the first stop and kept. Without a free descriptor then it was 0, no buffer grew, and answers that callers had not read stayed in the memory of the process, which its end discards. Evidence: test_send_buffers_grow_at_a_stop_while_no_descriptor_is_free fails before (16,384 bytes before and after), run by itself; an earlier test of the same process would have kept the limit for it. Why it works: the file is read when the process has few descriptors open. Conclusion: a stop needs no descriptor for it.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -19,6 +19,7 @@
 from arbutusflow.gateway.closing import (
     TwoStepClose,
     enlarge_send_buffer,
+    read_send_buffer_limit,
     unread_bytes,
     unsent_bytes,
 )
@@ -119,6 +120,7 @@
         self.finished = False  # Whether `finish` was called.
         self.connections: set[CallerConnection] = set()
         self.max_connections: float = float("inf")
+        self.send_buffer_limit = read_send_buffer_limit()
         self.address: Address | None = None  # At which it listens, as configured.
         # The latest one, and earlier ones with connections that wait to be set up.
         self._listeners: list[Listener] = []
@@ -332,7 +334,7 @@
     def prepare_end(self) -> None:
         """Let the kernel take what the caller may not read before the process ends."""
         if self._transport is not None:
-            enlarge_send_buffer(self._transport)
+            enlarge_send_buffer(self._transport, self._server.send_buffer_limit)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the cancellable requests of a caller that disconnected."""
--- a/arbutusflow/gateway/closing.py
+++ b/arbutusflow/gateway/closing.py
@@ -15,7 +15,6 @@
 import asyncio
 import contextlib
 import fcntl
-import functools
 import pathlib
 import socket
 import struct
@@ -40,8 +39,8 @@
     return _kernel_bytes(transport, termios.FIONREAD)
 
 
-def enlarge_send_buffer(transport: asyncio.Transport) -> None:
-    """Let the kernel take as much of what is written as the system allows.
+def enlarge_send_buffer(transport: asyncio.Transport, allowed: int) -> None:
+    """Let the kernel take `allowed` bytes of what is written.
 
     To be called before the buffer is full: the kernel reports room only when a third of
     the buffer is free.
@@ -49,16 +48,17 @@
     sock = transport.get_extra_info("socket")
     if sock is None or sock.fileno() < 0:
         return
-    allowed = _send_buffer_limit()
     with contextlib.suppress(OSError):  # The caller has reset the connection.
         # The kernel doubles it, for what it keeps beside the bytes.
         if 2 * allowed > sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, allowed)
 
 
-@functools.cache
-def _send_buffer_limit() -> int:
-    """Return the largest send buffer that may be set, 0 if the system does not tell."""
+def read_send_buffer_limit() -> int:
+    """Return the largest send buffer that may be set, 0 if the system does not tell.
+
+    To be read at the start, as it takes a descriptor.
+    """
     try:
         return int(SEND_BUFFER_LIMIT_PATH.read_text())
     except (OSError, ValueError):
--- a/tests/gateway/test_descriptor_limits.py
+++ b/tests/gateway/test_descriptor_limits.py
@@ -22,6 +22,7 @@
 HOST = "127.0.0.1"
 GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 QUEUED_CONNECTIONS = 20
+SMALL_BUFFER_BYTES = 8192
 WAIT_SECONDS = 20.0
 
 
@@ -118,6 +119,32 @@
     assert 1 <= len(errors) <= 2
 
 
+def test_send_buffers_grow_at_a_stop_while_no_descriptor_is_free():
+    """Guards against answers that the end of the process cuts: their callers read
+    slowly, and the system's limit can't be read from a file any more."""
+
+    async def main():
+        async with _serving() as (server, _errors):
+            (sock,) = _new_sockets(1)
+            address = HOST, server.port
+            await asyncio.get_running_loop().sock_connect(sock, address)
+            while not server.connections:
+                await asyncio.sleep(0.01)
+            (conn,) = server.connections
+            accepted = conn._transport.get_extra_info("socket")
+            buffer = socket.SOL_SOCKET, socket.SO_SNDBUF
+            accepted.setsockopt(*buffer, SMALL_BUFFER_BYTES)
+            before = accepted.getsockopt(*buffer)
+            with _no_descriptors():
+                server.close_after_responses()
+            after = accepted.getsockopt(*buffer)
+            sock.close()
+        return before, after
+
+    before, after = asyncio.run(main())
+    assert after > before
+
+
 def test_a_lack_of_descriptors_is_no_fault_of_an_endpoint():
     """Guards against endpoints that are taken for unreachable."""
 
