Write plainly how accepting connections ends

What: `_accept` had three ways to end one loop, and subtracted a boolean from the number of connections left. Change: one method takes one connection and says whether the next may be taken; behaviour is unchanged. Evidence: test_descriptor_limits, test_closing_connections, test_listening_addresses, test_caller_limits and test_caller_server pass before and after. Conclusion: no caller sees a difference.

--- a/arbutusflow/gateway/listener.py
+++ b/arbutusflow/gateway/listener.py
@@ -78,32 +78,43 @@
         """Take connections from the kernel, or pause if that is not possible now."""
         if not self.is_open:
             return
-        assert self._sock is not None
         for _ in range(MAX_ACCEPTS):
-            if self._stopping and not self._accepts_left:
-                break
-            if not self._has_room():
-                self._retry_later()
+            if not self._accept_one():
                 return
-            try:
-                sock, _address = self._sock.accept()
-            except ConnectionAbortedError:
-                continue  # The caller has reset it.
-            except (BlockingIOError, InterruptedError):
-                break
-            except OSError as exc:
-                self._report(exc)
-                if exc.errno in _SHORTAGES:
-                    self._retry_later()
-                    return
-                break
-            self._accepts_left -= self._stopping
-            self._set_up(sock)
-        else:
-            if self._stopping:
-                asyncio.get_running_loop().call_soon(self._accept)
-            return
         if self._stopping:
+            asyncio.get_running_loop().call_soon(self._accept)
+
+    def _accept_one(self) -> bool:
+        """Take one connection; return whether the next may be taken at once."""
+        assert self._sock is not None
+        if self._stopping and self._accepts_left <= 0:
+            self._end_if_stopping()
+            return False
+        if not self._has_room():
+            self._retry_later()
+            return False
+        try:
+            sock, _address = self._sock.accept()
+        except ConnectionAbortedError:
+            return True  # The caller has reset it.
+        except (BlockingIOError, InterruptedError):
+            self._end_if_stopping()
+            return False
+        except OSError as exc:
+            self._report(exc)
+            if exc.errno in _SHORTAGES:
+                self._retry_later()
+            else:
+                self._end_if_stopping()
+            return False
+        if self._stopping:
+            self._accepts_left -= 1
+        self._set_up(sock)
+        return True
+
+    def _end_if_stopping(self) -> None:
+        """End listening after `stop`, as no connection is left to be taken."""
+        if self._stopping and self._sock is not None:
             self._sock.close()
 
     def _set_up(self, sock: socket.socket) -> None:
