Test that callers leave descriptors for connections to endpoints

What: no test failed without the limit on connections of callers that an instance sets by its descriptors. Change: four cases with limits of the process and of the settings; they state the documented fraction of 0.6. Evidence: all four fail when the line that sets the limit is removed. Conclusion: the limit can't be lost unnoticed.

--- a/tests/gateway/test_descriptor_limits.py
+++ b/tests/gateway/test_descriptor_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import os
 import resource
 import socket
@@ -18,6 +19,8 @@
 from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.listener import REPORT_INTERVAL_SECONDS, RETRY_SECONDS
 from arbutusflow.gateway.model import Address, ExchangeError
+from arbutusflow.gateway.process import Gateway
+from tests.gateway.statement_instance import StatementInstance
 
 HOST = "127.0.0.1"
 GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -242,3 +245,32 @@
     waiting, answers = asyncio.run(main())
     assert waiting == 1
     assert all(answer.endswith(b"served") for answer in answers)
+
+
+@pytest.mark.parametrize(
+    "soft, max_descriptors, expected",
+    [
+        pytest.param(1000, None, 588, id="limit-of-the-process"),
+        pytest.param(1000, 4100, 588, id="process-below-settings"),
+        pytest.param(1000, 600, 228, id="settings-below-process"),
+        pytest.param(1000, 100, 1, id="settings-too-low"),
+    ],
+)
+def test_an_instance_leaves_descriptors_for_endpoints(
+    tmp_path, soft, max_descriptors, expected
+):
+    """Guards against callers that take all descriptors, so that no request can be
+    passed on: an instance accepts connections for 0.6 of what sockets may use."""
+
+    async def main():
+        cfg = dataclasses.replace(
+            StatementInstance("a").gateway._cfg, max_descriptors=max_descriptors
+        )
+        return Gateway(cfg, tmp_path / "a.toml").caller_server.max_connections
+
+    former = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, former[1]))
+    try:
+        assert asyncio.run(main()) == expected
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, former)
