Play signals in series, long runs and callers that go on sending beside stops

`signals` sends SIGTERM and SIGHUP again within 80 ms and changes `graceS` with the SIGHUP just before and after SIGTERM; `first-second` stops instances that have just started; `long-runs` has runs of 4.5 to 5.5 s; `keeps-sending` has callers that send further requests while they wait; `third` stops a third of the instances at once.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -187,6 +187,10 @@
     chunked: float = 0.0  # Sends its body in chunks.
     in_pieces: float = 0.0  # Sends the request in pieces, over `piece_seconds`.
     reads_late: float = 0.0  # Sends the next request before it reads the answer.
+    # Sends a safe request each `further_seconds` until it has all answers or the
+    # connection ends.
+    keeps_sending: float = 0.0
+    further_seconds: tuple[float, float] = (0.05, 0.4)
     piece_seconds: float = 0.3
     late_seconds: float = 1.5
     uploads: float = 0.0  # Of the requests that are not safe: with a large body.
@@ -306,14 +310,33 @@
             await sock.wait(habits.late_seconds)
             await self._read_answers(sock, pending)
             return False
+        elif self._chance(habits.keeps_sending):
+            sending = asyncio.create_task(self._send_on(sock, instance, pending))
+            try:
+                return await self._read_answers(sock, pending)
+            finally:
+                sending.cancel()
         return await self._read_answers(sock, pending)
 
+    async def _send_on(
+        self, sock: CallerSocket, instance: str, pending: list[CallRecord]
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                await asyncio.sleep(self._rng.uniform(*self._habits.further_seconds))
+                further, parts = self._new_request(instance, safe=True, behind=True)
+                await sock.send(b"".join(parts))
+                further.sent_at = time.monotonic()
+                pending.append(further)
+                self._records.append(further)
+
     async def _read_answers(
         self, sock: CallerSocket, pending: list[CallRecord]
     ) -> bool:
         """Read the answers in order; return whether the connection can be kept."""
         self._records += pending
         closed = gave_up = False
+        # More may be appended meanwhile.
         for record in pending:
             with contextlib.suppress(EOFError, OSError):
                 if not closed:
--- a/tests/soak/stop_scenarios.py
+++ b/tests/soak/stop_scenarios.py
@@ -44,6 +44,10 @@
     off_seconds: float = 0.5  # Longest time from the end of a process to the next.
     # Shares of the stops beside which each of these is done.
     second_signals: float = 0.0
+    signal_series: float = 0.0  # SIGTERM and SIGHUP again at once.
+    # The grace period of the settings is another one until SIGHUP just before SIGTERM,
+    # and again during the stop.
+    changed_graces: float = 0.0
     silent_stores: float = 0.0
     freezes: float = 0.0
     configurations_before: float = 0.0  # And SIGHUP, so that both meet the stop.
@@ -104,6 +108,22 @@
     "uneven": _UNEVEN,
     # The same instance again and again, also while it starts.
     "series": _uneven(again_share=0.6, second_signals=0.5, gap_range=(0.2, 1.0)),
+    "signals": _uneven(signal_series=1.0, changed_graces=0.5, reloads=1.0),
+    "first-second": _uneven(
+        again_share=0.7, again_seconds=(0.0, 1.0), off_seconds=0.1, gap_range=(0.2, 1.0)
+    ),
+    # Each run takes longer than an instance has once it has left rotation.
+    "long-runs": _uneven(
+        habits=_habits(deadline_seconds=(5.5, 12.0)),
+        work_range=(4.5, 5.5),
+        tail_share=0.0,
+        timeout_range=(14.0, 14.0),
+    ),
+    "keeps-sending": _uneven(
+        habits=_habits(keeps_sending=0.6, slow_reads=0.3, large_answers=0.2)
+    ),
+    # All of a group get SIGTERM at once.
+    "third": _uneven(rolling=True, at_once=2),
     "zone": _uneven(at_once=3, one_zone=True, again_share=0.2),
     "reloads": _uneven(reloads=3.0, again_share=0.2, gap_range=(1.5, 3.0)),
     "configurations": _uneven(
--- a/tests/soak/stop_troubles.py
+++ b/tests/soak/stop_troubles.py
@@ -11,7 +11,7 @@
 from collections.abc import Awaitable, Callable
 
 from tests.soak.faults import endpoint_crashes, endpoint_drains, endpoint_restarts
-from tests.soak.gateway_process import GatewayProcess
+from tests.soak.gateway_process import GRACE_SECONDS, GatewayProcess
 from tests.soak.planned_work import handles_reload
 from tests.soak.stop_scenarios import StopScenario
 from tests.soak.world import SoakWorld
@@ -22,6 +22,8 @@
 START_SECONDS = 10.0  # Then it has read its settings, also on a loaded host.
 HALF_WRITTEN_SECONDS = (0.0, 0.5)  # Until the rest of the settings is written.
 DECODING_SECONDS = 0.4  # Longest time from a configuration to a stop that meets it.
+SERIES_SECONDS = 0.02  # Longest time between two signals of a series.
+OTHER_GRACES = (3, 9)  # Seconds.
 BURST = 4  # Most configurations in one series.
 BURST_GAP_SECONDS = 0.15
 
@@ -80,7 +82,12 @@
         gateway.signal(signal.SIGHUP)
 
     async def before_stop(self, gateway: GatewayProcess) -> None:
-        """Let a stop find its instance at a configuration that it decodes."""
+        """Let a stop meet a reload, or a configuration that its instance decodes."""
+        if self._rng.random() < self._scenario.changed_graces:
+            self._set_grace(gateway, self._rng.choice(OTHER_GRACES))
+            await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+            self._set_grace(gateway)
+            self._world.spawn(self._change_grace_later(gateway))
         if self._rng.random() >= self._scenario.configurations_before:
             return
         if gateway.process is not None and handles_reload(gateway.process.pid):
@@ -93,6 +100,7 @@
         scenario = self._scenario
         for share, action in (
             (scenario.second_signals, self._signal_again),
+            (scenario.signal_series, self._signal_in_series),
             (scenario.silent_stores, self._silence_store),
             (scenario.freezes, self._freeze),
         ):
@@ -106,6 +114,33 @@
             if gateway.process is process:
                 gateway.signal(signal.SIGTERM)
 
+    async def _signal_in_series(self, gateway: GatewayProcess) -> None:
+        process, numbers = gateway.process, [signal.SIGTERM, signal.SIGHUP] * 2
+        self._rng.shuffle(numbers)
+        for number in numbers:
+            await asyncio.sleep(self._rng.uniform(0.0, SERIES_SECONDS))
+            if process is None or gateway.process is not process:
+                return
+            if number == signal.SIGTERM:
+                gateway.signal(number)
+            elif handles_reload(process.pid):
+                self._signal_reload(gateway)
+
+    async def _change_grace_later(self, gateway: GatewayProcess) -> None:
+        process = gateway.process
+        await asyncio.sleep(self._rng.uniform(0.0, 4.0))
+        if gateway.process is process:
+            self._set_grace(gateway, self._rng.choice(OTHER_GRACES))
+
+    def _set_grace(self, gateway: GatewayProcess, seconds: int | None = None) -> None:
+        """Write the settings, with another grace period if one is given."""
+        text = gateway.settings
+        if seconds is not None:
+            text = text.replace(f"graceS = {GRACE_SECONDS:.0f}", f"graceS = {seconds}")
+        gateway.write_settings(text)
+        if gateway.process is not None and handles_reload(gateway.process.pid):
+            self._signal_reload(gateway)
+
     async def _silence_store(self, gateway: GatewayProcess) -> None:
         proxy = self._world.store_proxies[self._world.gateways.index(gateway)]
         seconds = self._rng.uniform(1.0, 6.0)
