--- a/tests/gateway/test_descriptor_limits.py
+++ b/tests/gateway/test_descriptor_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import os
 import resource
 import socket
@@ -18,10 +19,13 @@
 from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.listener import REPORT_INTERVAL_SECONDS, RETRY_SECONDS
 from arbutusflow.gateway.model import Address, ExchangeError
+from arbutusflow.gateway.process import Gateway
+from tests.gateway.statement_instance import StatementInstance
 
 HOST = "127.0.0.1"
 GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 QUEUED_CONNECTIONS = 20
+SMALL_BUFFER_BYTES = 8192
 WAIT_SECONDS = 20.0
 
 
@@ -118,6 +122,32 @@
     assert 1 <= len(errors) <= 2
 
 
+def test_send_buffers_grow_at_a_stop_while_no_descriptor_is_free():
+    """Guards against answers that the end of the process cuts: their callers read
+    slowly, and the system's limit can't be read from a file any more."""
+
+    async def main():
+        async with _serving() as (server, _errors):
+            (sock,) = _new_sockets(1)
+            address = HOST, server.port
+            await asyncio.get_running_loop().sock_connect(sock, address)
+            while not server.connections:
+                await asyncio.sleep(0.01)
+            (conn,) = server.connections
+            accepted = conn._transport.get_extra_info("socket")
+            buffer = socket.SOL_SOCKET, socket.SO_SNDBUF
+            accepted.setsockopt(*buffer, SMALL_BUFFER_BYTES)
+            before = accepted.getsockopt(*buffer)
+            with _no_descriptors():
+                server.close_after_responses()
+            after = accepted.getsockopt(*buffer)
+            sock.close()
+        return before, after
+
+    before, after = asyncio.run(main())
+    assert after > before
+
+
 def test_a_lack_of_descriptors_is_no_fault_of_an_endpoint():
     """Guards against endpoints that are taken for unreachable."""
 
@@ -215,3 +245,32 @@
     waiting, answers = asyncio.run(main())
     assert waiting == 1
     assert all(answer.endswith(b"served") for answer in answers)
+
+
+@pytest.mark.parametrize(
+    "soft, max_descriptors, expected",
+    [
+        pytest.param(1000, None, 588, id="limit-of-the-process"),
+        pytest.param(1000, 4100, 588, id="process-below-settings"),
+        pytest.param(1000, 600, 228, id="settings-below-process"),
+        pytest.param(1000, 100, 1, id="settings-too-low"),
+    ],
+)
+def test_an_instance_leaves_descriptors_for_endpoints(
+    tmp_path, soft, max_descriptors, expected
+):
+    """Guards against callers that take all descriptors, so that no request can be
+    passed on: an instance accepts connections for 0.6 of what sockets may use."""
+
+    async def main():
+        cfg = dataclasses.replace(
+            StatementInstance("a").gateway._cfg, max_descriptors=max_descriptors
+        )
+        return Gateway(cfg, tmp_path / "a.toml").caller_server.max_connections
+
+    former = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, former[1]))
+    try:
+        assert asyncio.run(main()) == expected
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, former)
