--- a/arbutusflow/gateway/body_budget.py
+++ b/arbutusflow/gateway/body_budget.py
@@ -1,9 +1,8 @@
 """Limit on the total size of bodies in the memory of an instance.
 
-Invariant: no bytes are reserved beyond the limit, except with `hold` for a body that is
-in memory already. Requests do not wait: one whose body does not fit is refused.
-Responses may wait, and get memory that is released in the order in which they asked for
-it. Small bodies are not counted.
+Invariant: the reserved bytes never exceed the limit. Requests do not wait: one whose
+body does not fit is refused. Responses may wait, and get memory that is released in the
+order in which they asked for it. Small bodies are not counted.
 """
 
 import collections
@@ -38,13 +37,6 @@
         self.held_bytes += size
         return True
 
-    def hold(self, size: int) -> int:
-        """Reserve memory for a body that is there; return the size to release later."""
-        if size <= SMALL_BODY_BYTES:
-            return 0
-        self.held_bytes += size
-        return size
-
     def fits(self, size: int) -> bool:
         """Return whether so many bytes could be reserved if nothing else were."""
         return size <= self._limit_bytes()
--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -116,8 +116,6 @@
     ) -> None:
         self.handler = handler
         self.budget = budget
-        # Memory for the bodies of responses, until callers have taken them.
-        self.response_budget: BodyBudget | None = None
         self.on_error = on_error
         self.on_cut: CutHandler = lambda req, cause: None
         self.on_end: EndHandler = lambda cause, requests: None
@@ -247,14 +245,13 @@
 class _PipelinedRequest:
     """One request in the pipeline of a connection, and its response."""
 
-    __slots__ = ("held_bytes", "keep_alive", "reply", "request", "task")
+    __slots__ = ("keep_alive", "reply", "request", "task")
 
     def __init__(self, request: CallerRequest | None, keep_alive: bool) -> None:
         self.request = request
         self.keep_alive = keep_alive
         self.reply: CallerResponse | None = None
         self.task: asyncio.Task[None] | None = None
-        self.held_bytes = 0  # Reserved for the body of the response.
 
 
 class CallerConnection(asyncio.Protocol):
@@ -278,7 +275,6 @@
         self._reading_paused = False
         self._writing_paused = False
         self._reserved_bytes = 0  # Body bytes reserved from the budget.
-        self._unsent_bytes = 0  # Reserved for bodies that the transport has not sent.
         self._reset_request()
 
     def _reset_request(self) -> None:
@@ -359,7 +355,6 @@
         if self._half_closed is not None:
             self._half_closed.stop()
         self._release_body()
-        self._release_responses()
         self._report_end(self._end_cause or _end_cause(exc))
         for pipelined in self._pipeline:
             if (
@@ -387,7 +382,6 @@
     def resume_writing(self) -> None:
         """Resume reading after the write buffer was drained."""
         self._writing_paused = False
-        self._release_unsent()
         if len(self._pipeline) < MAX_PIPELINED_REQUESTS:
             self._resume()
 
@@ -511,7 +505,6 @@
         finally:
             if reserved_bytes:
                 self._server.budget.release(reserved_bytes)
-        self._hold_response(pipelined)
         self._write_ready_responses()
 
     def _reject(
@@ -563,25 +556,6 @@
             self._server.budget.release(self._reserved_bytes)
             self._reserved_bytes = 0
 
-    def _hold_response(self, pipelined: _PipelinedRequest) -> None:
-        """Reserve the memory for a response until its caller has taken it."""
-        budget, reply = self._server.response_budget, pipelined.reply
-        if budget is None or reply is None or self not in self._server.connections:
-            return
-        pipelined.held_bytes = budget.hold(len(reply.body))
-
-    def _release_unsent(self) -> None:
-        released, self._unsent_bytes = self._unsent_bytes, 0
-        if self._server.response_budget is not None and released:
-            self._server.response_budget.release(released)
-
-    def _release_responses(self) -> None:
-        """Release the memory for responses that are not sent any more."""
-        for pipelined in self._pipeline:
-            self._unsent_bytes += pipelined.held_bytes
-            pipelined.held_bytes = 0
-        self._release_unsent()
-
     def _write_ready_responses(self) -> None:
         try:
             self._write_next_responses()
@@ -611,9 +585,6 @@
                 if self._half_closed is not None:
                     data = data[self._half_closed.take_written() :]
                 self._write(data)
-            self._unsent_bytes += pipelined.held_bytes
-            if not self._writing_paused:
-                self._release_unsent()
             if not keep:
                 # Only behind a request that itself asked for the close.
                 self._cancel_pipeline("behind_closing_response")
@@ -660,7 +631,6 @@
         for pipelined in self._pipeline:
             if pipelined.task is not None:
                 pipelined.task.cancel()
-            self._unsent_bytes += pipelined.held_bytes
         self._pipeline.clear()
 
     def _write(self, data: bytes) -> None:
