Log why a process ends by itself, and how close it came to its memory limit

Its log would not have told: an error that nothing catches and everything that asyncio reports (errors in callbacks, tasks whose error nobody retrieved) went to standard error only, a signal left nothing, and a process that is killed for its memory gave no sign before.

The event log now has `ended` (reason, connections, requests pending and sent, peak size), `memory_peak` at five parts of the limit, `earlier_life_unended` at the next start if the record of the process before is still in the store, and `error` or `library_message` for what the event loop, the libraries and the interpreter report. SIGUSR1 and SIGUSR2 have no meaning for an instance: they ended it and are now logged.

The fake instance of test_event_loop.py gets a log, as run_gateway uses it.

What remains unseen: SIGKILL, also the one over the limit, leaves no line of its own; the store is the only memory across lives, as machines have no disk.

--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -54,7 +54,7 @@
 from arbutusflow.gateway.store_probes import StoreProbes
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.gateway.timers import run_each
-from arbutusflow.platform.store import StoreClient
+from arbutusflow.platform.store import StoreClient, StoredObject
 
 # Each watch is priced as one call, however long it waits. TCP keep-alive detects broken
 # connections, so the wait only bounds the delay that a lost answer causes.
@@ -384,6 +384,12 @@
                 self._spawn(self._remove_record(record))
                 return
 
+    def _log_earlier_life(self, known: StoredObject) -> None:
+        """Log that an earlier process of this instance has not deregistered."""
+        life = known.spec.get("life") if isinstance(known.spec, dict) else None
+        if not self._registered_once and life != self.fleet.own_record.life:
+            self._log.write("earlier_life_unended", life=life)
+
     async def _register(self) -> None:
         name = INSTANCE_PREFIX + self.fleet.own_record.name
         spec = msgspec.to_builtins(self.fleet.own_record)
@@ -397,6 +403,7 @@
                     )
             else:
                 item = await self._store.replace(FLEET_KIND, name, spec, known.revision)
+                self._log_earlier_life(known)
             self.copy.adopt(item)
             self.fleet.note_registered(self._loop.time())
             self.fleet.update(self._loop.time())
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -14,7 +14,7 @@
 from arbutusflow.errors import (
     SettingsError,
 )
-from arbutusflow.gateway import key_demand
+from arbutusflow.gateway import error_reports, key_demand
 from arbutusflow.gateway.admission import Admission
 from arbutusflow.gateway.body_budget import BodyBudget
 from arbutusflow.gateway.caller_server import (
@@ -43,6 +43,7 @@
 from arbutusflow.gateway.instance_state import STATE_PATH, InstanceState
 from arbutusflow.gateway.leaving_checks import LeavingChecks
 from arbutusflow.gateway.lifecycle import Lifecycle, Phase, Work
+from arbutusflow.gateway.memory_watch import MemoryWatch, peak_bytes
 from arbutusflow.gateway.metrics import GatewayMetrics
 from arbutusflow.gateway.model import (
     Address,
@@ -73,6 +74,7 @@
 # Largest part of the grace period that a signal counts as noticed late.
 MAX_LAG_FRACTION = 1 / 6
 PRUNE_INTERVAL_SECONDS = 1.0
+MEMORY_CHECK_SECONDS = 0.5
 # Fraction of an endpoint's connection limit that all instances together may keep idle.
 # The rest is for connections in use, and for those of a restarted fleet while the
 # endpoint still counts the old ones.
@@ -132,6 +134,7 @@
         self.log = EventLog(cfg.instance)
         self._timers = TimerService(self._loop, self.log.write_exception)
         self.metrics = GatewayMetrics()
+        self.memory_watch = MemoryWatch(cfg.memory_bytes, self.describe_work, self.log)
         self._create_components()
 
     def _create_components(self) -> None:
@@ -250,6 +253,7 @@
         # The event loop may act on the signal late.
         signal.signal(signal.SIGTERM, self._note_stop_signal)
         signal.siginterrupt(signal.SIGTERM, False)
+        error_reports.handle_signals(self.log, self.describe_work)
 
     def _periodic_callbacks(self) -> list[tuple[float, Callable[[], None]]]:
         return [
@@ -257,6 +261,7 @@
             (ZONE_REPORT_SECONDS, self.fleet_task.report_if_due),
             (key_demand.DECAY_PERIOD_SECONDS, self.fleet_task.decay_demand),
             (PRUNE_INTERVAL_SECONDS, self._prune_connections),
+            (MEMORY_CHECK_SECONDS, self.memory_watch.check),
             (SETTINGS_CHECK_INTERVAL_SECONDS, self._reload),
         ]
 
@@ -575,6 +580,7 @@
         self.metrics.set_gauge("connections_opened", self.pool.opened)
         self.metrics.set_gauge("stray_responses", self.pool.strays)
         self.metrics.set_gauge("log_lines_dropped", self.log.dropped)
+        self.metrics.set_gauge("peak_bytes", peak_bytes())
         for name in ("choices_past_leaving", "choices_past_waiting"):
             self.metrics.set_gauge(name, getattr(self.endpoints, name))
         self.metrics.set_transfers(self.fleet_task.relay.counts)
@@ -660,6 +666,16 @@
         self.caller_server.close_after_responses()
         self.log.write("stopping", active=self.caller_server.pending_requests)
 
+    def describe_work(self) -> dict[str, int | str]:
+        """Return what the process has in hand, for lines about its end or memory."""
+        return {
+            "phase": self.lifecycle.phase.name.lower(),
+            "connections": len(self.caller_server.connections),
+            "pending": self.caller_server.pending_requests,
+            "sent": sum(self.in_flight().values()),
+            "peak_bytes": peak_bytes(),
+        }
+
     def _count_outcome(self, outcome: str) -> None:
         self.metrics.count_outcome(outcome)
         if self.lifecycle.stopping:
@@ -749,10 +765,21 @@
 
 
 def run_gateway(cfg: GatewaySettings, path: pathlib.Path) -> None:
-    """Run an instance until SIGTERM."""
+    """Run an instance until SIGTERM. Any error is logged and raised again."""
+    gateway: Gateway | None = None
 
     async def main() -> None:
-        await Gateway(cfg, path).run()
+        nonlocal gateway
+        gateway = Gateway(cfg, path)
+        error_reports.install(asyncio.get_running_loop(), gateway.log)
+        await gateway.run()
 
     with asyncio.Runner(loop_factory=SuspendAwareEventLoop) as runner:
-        runner.run(main())
+        try:
+            runner.run(main())
+        except BaseException as exc:
+            # Before the runner cancels what was under way.
+            if gateway is not None:
+                name = type(exc).__name__
+                error_reports.log_end(gateway.log, gateway.describe_work, name, exc)
+            raise
--- a/arbutusflow/gateway/reference.py
+++ b/arbutusflow/gateway/reference.py
@@ -79,6 +79,7 @@
     "choices_past_waiting": "Choices that went past one that asked to wait.",
     "connections_opened": "Connections to endpoints that were opened.",
     "log_lines_dropped": "Lines of the log that were lost.",
+    "peak_bytes": "Largest size of the process in memory so far.",
     "phase": "Number of the phase: "
     + ", ".join(f"{item.value} {item.name.lower()}" for item in Phase)
     + ".",
--- a/tests/gateway/test_event_loop.py
+++ b/tests/gateway/test_event_loop.py
@@ -39,11 +39,13 @@
 
     class Gateway:
         def __init__(self, cfg, path):
-            pass
+            self.log = None
 
         async def run(self):
             loops.append(asyncio.get_running_loop())
 
     monkeypatch.setattr(process, "Gateway", Gateway)
+    # It would change the error handling of the process of the tests.
+    monkeypatch.setattr(process.error_reports, "install", lambda loop, log: None)
     process.run_gateway(None, None)
     assert isinstance(loops[0], SuspendAwareEventLoop)
