--- a/tests/soak/gateway_process.py
+++ b/tests/soak/gateway_process.py
@@ -82,6 +82,9 @@
                 "memoryMb = 300", f"memoryMb = {limits.memory_mb}"
             )
         self.write_settings(self.settings)
+        # Where they go instead of the log, if set.
+        self.stdout_fd: int | None = None
+        self.stderr_fd: int | None = None
         self.kills = 0  # How often `end` had to kill the process.
         self.process: subprocess.Popen[bytes] | None = None
         self.started_at = 0.0  # On the clock of the run.
@@ -99,8 +102,8 @@
                 [sys.executable, "-m", "arbutusflow", "gateway"],
                 cwd=self._product,
                 env={**os.environ, SETTINGS_VARIABLE: str(self._settings_path)},
-                stdout=log,
-                stderr=log,
+                stdout=log if self.stdout_fd is None else self.stdout_fd,
+                stderr=log if self.stderr_fd is None else self.stderr_fd,
                 # An interrupt of the terminal goes to the run only, which ends it.
                 start_new_session=True,
                 preexec_fn=self._limits.apply,
