Count responses that callers have not taken as memory for responses

Responses were counted only while they were read from the endpoint; what a caller did not read then lay in the memory of the process, in any number: 40 callers that do not read an answer of 10 MB were enough.

Each connection now counts what its transport holds while writing is paused, and responses that wait behind one that is not there. The count is in the same budget, so further large responses wait at their endpoints until callers have read, as they did while others were being read. It ends with the connection.

Conclusion: what is counted stays below twice the budget.

--- a/arbutusflow/gateway/body_budget.py
+++ b/arbutusflow/gateway/body_budget.py
@@ -1,8 +1,10 @@
 """Limit on the total size of bodies in the memory of an instance.
 
-Invariant: the reserved bytes never exceed the limit. Requests do not wait: one whose
-body does not fit is refused. Responses may wait, and get memory that is released in the
-order in which they asked for it. Small bodies are not counted.
+Invariant: the bytes that are reserved ahead never exceed the limit. Requests do not
+wait: one whose body does not fit is refused. Responses may wait, and get memory that is
+released in the order in which they asked for it. Small bodies are not counted. What
+callers have not taken is counted on top, so that nothing is reserved beside too much of
+it; all together stays below twice the limit.
 """
 
 import collections
@@ -55,6 +57,11 @@
         self.held_bytes -= size
         self._serve_waits()
 
+    def count(self, change: int) -> None:
+        """Count bytes that are in memory already, or that have left it."""
+        self.held_bytes += change
+        self._serve_waits()
+
     def _serve_waits(self) -> None:
         while self._waits and self.take(self._waits[0].size):
             wait = self._waits.popleft()
--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -110,6 +110,8 @@
     ) -> None:
         self.handler = handler
         self.budget = budget
+        # For responses that callers have not taken yet.
+        self.unsent_budget = BodyBudget(lambda: 0)
         self.on_error = on_error
         self.on_cut: CutHandler = lambda req, cause: None
         self.limits = DEFAULT_LIMITS
@@ -263,6 +265,8 @@
         self._reading_paused = False
         self._writing_paused = False
         self._reserved_bytes = 0  # Body bytes reserved from the budget.
+        self._ready_bytes = 0  # Of responses behind one that is not there yet.
+        self._unsent_bytes = 0  # As counted by the budget for them.
         self._reset_request()
 
     def _reset_request(self) -> None:
@@ -342,6 +346,7 @@
         if self._closing is not None:
             self._closing.stop()
         self._release_body()
+        self._count_unsent()
         for pipelined in self._pipeline:
             if (
                 pipelined.task is not None
@@ -365,11 +370,13 @@
     def pause_writing(self) -> None:
         """Pause reading until writing resumes or the ready responses are written."""
         self._writing_paused = True
+        self._count_unsent()
         self._pause()
 
     def resume_writing(self) -> None:
         """Resume reading after the write buffer was drained."""
         self._writing_paused = False
+        self._count_unsent()
         if len(self._pipeline) < MAX_PIPELINED_REQUESTS:
             self._resume()
 
@@ -485,6 +492,8 @@
         finally:
             if reserved_bytes:
                 self._server.budget.release(reserved_bytes)
+        if self._pipeline:  # Else the response was dropped.
+            self._count_unsent(len(pipelined.reply.body))
         self._write_ready_responses()
 
     def _reject(
@@ -562,6 +571,7 @@
                 )
                 self._latest_request = pipelined.request
                 self._write(self._encode(pipelined.reply, keep, head_only))
+                self._count_unsent(-len(pipelined.reply.body))
             if not keep:
                 # Only behind a request that itself asked for the close.
                 self._cancel_pipeline("behind_closing_response")
@@ -603,11 +613,27 @@
             if pipelined.task is not None:
                 pipelined.task.cancel()
         self._pipeline.clear()
+        self._count_unsent(-self._ready_bytes)
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
+    def _count_unsent(self, ready_bytes: int = 0) -> None:
+        """Count the responses in memory; less than pauses writing is not counted.
+
+        `ready_bytes` is how many more of them wait for those before them.
+        """
+        self._ready_bytes += ready_bytes
+        size = 0
+        if self._transport is not None and not self._transport.is_closing():
+            size = self._ready_bytes
+            if self._writing_paused:
+                size += self._transport.get_write_buffer_size()
+        change, self._unsent_bytes = size - self._unsent_bytes, size
+        if change:
+            self._server.unsent_budget.count(change)
+
     def _close_idle(self) -> None:
         """Close the connection, in two steps if its caller still reads a response.
 
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -173,7 +173,8 @@
             self.endpoint_copy, self.fleet_task.fleet.store_available_seconds, log
         )
         response_bytes = int(cfg.memory_bytes * RESPONSE_MEMORY_FRACTION)
-        self.pool = ConnectionPool(wire.REQUEST_ID, BodyBudget(lambda: response_bytes))
+        responses = BodyBudget(lambda: response_bytes)
+        self.pool = ConnectionPool(wire.REQUEST_ID, responses)
         self.leaving_checks = LeavingChecks(
             self.endpoints, self.pool, self._health_path, self._on_leaving, log
         )
@@ -204,6 +205,7 @@
         self.caller_server = CallerServer(
             self.dispatcher.handle, BodyBudget(lambda: body_bytes), log.write_exception
         )
+        self.caller_server.unsent_budget = responses
         self.caller_server.max_connections = _max_connections(cfg)
         self.caller_server.read_seconds = _read_seconds
         self.caller_server.on_cut = self._log_cut
