Reject a memory limit that is infinite with the sentence for invalid settings

At SIGHUP the running instance went on, but the error was neither logged as `settings_rejected` nor new only once: it was raised in a callback of the event loop.

Cause: OverflowError was not among the errors of decoding the file.

Evidence: two of five cases (`inf`, `1e400`) of the new test failed before.

--- a/arbutusflow/platform/settings.py
+++ b/arbutusflow/platform/settings.py
@@ -30,7 +30,14 @@
         raise SettingsError(f"{path} cannot be read: {exc}") from exc
     except RecursionError as exc:
         raise SettingsError(f"{path} is nested too deeply") from exc
-    except (KeyError, TypeError, ValueError, AttributeError, IndexError) as exc:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        IndexError,
+        OverflowError,
+    ) as exc:
         raise SettingsError(f"{path}: a field is missing or invalid: {exc!r}") from exc
 
 
--- a/tests/gateway/test_documents.py
+++ b/tests/gateway/test_documents.py
@@ -173,3 +173,15 @@
     else:
         with pytest.raises(SettingsError, match=str(path)):
             load_settings(path)
+
+
+@pytest.mark.parametrize("memory", ["inf", "nan", "1e400", '"x"', "[]"])
+def test_a_memory_limit_that_is_no_size_is_rejected(memory, tmp_path):
+    """Guards against a traceback in place of the sentence that names the file."""
+    ports = {"front": 1, "ready": 2, "peer": 3, "store": 4}
+    hosts = {"host": "127.0.0.1", "store_host": "127.0.0.1"}
+    text = SETTINGS.format(name="n", zone="z", **hosts, **ports)
+    path = tmp_path / "node.toml"
+    path.write_text(text.replace("memoryMb = 300", f"memoryMb = {memory}"))
+    with pytest.raises(SettingsError, match=str(path)):
+        load_settings(path)
