Forget the requests of the retry budget as they leave its window

The budget for retries kept the time of each request until a retry was considered. An instance whose endpoints don't fail considers none, so it kept all of them: 32 MB for each million requests, with 1,000 requests a second the limit of 300 MB within three hours. The first retry after that then removed them at once, which held the event loop up.

Each request now removes those that have left the window, one on average.

--- a/arbutusflow/gateway/retry_budget.py
+++ b/arbutusflow/gateway/retry_budget.py
@@ -28,7 +28,7 @@
 
     def count_request(self, service: str, now: float) -> None:
         """Record a caller's request."""
-        self._requests.setdefault(service, collections.deque()).append(now)
+        self._record(self._requests, service, now)
 
     def allows(self, service: str, instances: int, now: float) -> bool:
         """Return whether another retry is within the limit."""
@@ -39,7 +39,16 @@
 
     def count_retry(self, service: str, now: float) -> None:
         """Record a retry."""
-        self._retries.setdefault(service, collections.deque()).append(now)
+        self._record(self._retries, service, now)
+
+    def _record(
+        self,
+        timestamps_by_service: dict[str, collections.deque[float]],
+        service: str,
+        now: float,
+    ) -> None:
+        timestamps_by_service.setdefault(service, collections.deque()).append(now)
+        self._count_in_window(timestamps_by_service, service, now)
 
     def _count_in_window(
         self,
