Forget routes and addresses that are gone

The shares of a route with several services were kept by its name and the number of exchanges by the address of an endpoint, both for ever; names change with configurations, addresses with endpoints.

The shares are now kept for the routes of the configuration in force, and a count of zero is removed. Shares of a route that stays are as exact as before.

Evidence: two tests of test_bounded_memory.py fail before. The growth in bytes was not measured; it is one small entry for each name or address.

--- a/arbutusflow/gateway/connection_pool.py
+++ b/arbutusflow/gateway/connection_pool.py
@@ -76,6 +76,8 @@
             yield conn
         finally:
             self._in_use[address] -= 1
+            if not self._in_use[address]:
+                del self._in_use[address]
             idle = self._idle.setdefault(address, collections.deque())
             if conn.usable:
                 idle.append(conn)
--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -178,6 +178,7 @@
         """Replace the current configuration."""
         self._cfg = cfg
         self._routes = RouteTable(cfg)
+        self._service_selector.keep(cfg.routes)
 
     async def handle(self, req: CallerRequest) -> CallerResponse:
         """Serve one request."""
--- a/arbutusflow/gateway/routing.py
+++ b/arbutusflow/gateway/routing.py
@@ -1,5 +1,7 @@
 """Matches requests to routes and selects the service of a route."""
 
+from collections.abc import Iterable
+
 from arbutusflow.gateway.model import Configuration, Route
 
 
@@ -38,6 +40,12 @@
     def __init__(self) -> None:
         self._current_weights: dict[str, dict[str, float]] = {}
 
+    def keep(self, routes: Iterable[Route]) -> None:
+        """Forget all other routes."""
+        names = {route.name for route in routes}
+        for name in self._current_weights.keys() - names:
+            del self._current_weights[name]
+
     def choose(self, route: Route) -> str:
         """Return the service for the next request."""
         if len(route.targets) == 1:
--- a/tests/gateway/test_bounded_memory.py
+++ b/tests/gateway/test_bounded_memory.py
@@ -4,7 +4,19 @@
 that it was passing on.
 """
 
+import asyncio
+
+from arbutusflow.gateway.connection_pool import ConnectionPool
+from arbutusflow.gateway.model import (
+    Address,
+    ExchangeError,
+    Repeatability,
+    Route,
+    WeightedService,
+)
 from arbutusflow.gateway.retry_budget import RetryBudget
+from arbutusflow.gateway.routing import WeightedRoundRobin
+from tests.gateway.virtual_time import run
 
 WINDOW_SECONDS = 10.0
 
@@ -18,3 +30,65 @@
     most = 100 * WINDOW_SECONDS + 1
     assert len(budget._requests["a"]) <= most
     assert len(budget._retries["a"]) <= most
+
+
+def _route(name):
+    return Route(
+        name=name,
+        host="shop.example",
+        prefix=f"/{name}/",
+        repeatability=Repeatability.IDEMPOTENT,
+        targets=(WeightedService("a", 1.0), WeightedService("b", 3.0)),
+        timeout_seconds=1.0,
+        objective_seconds=1.0,
+        rank=0,
+        max_attempts=2,
+    )
+
+
+def test_the_shares_of_routes_are_forgotten_with_the_routes():
+    """The names of routes change with configurations."""
+    selector = WeightedRoundRobin()
+    kept = _route("kept")
+    chosen = []
+    for number in range(400):
+        routes = (kept, _route(f"r{number}"))
+        selector.keep(routes)
+        chosen += [selector.choose(route) for route in routes][:1]
+    assert len(selector._current_weights) == 2
+    # The shares of a route that stays are exact over all configurations.
+    assert (chosen.count("a"), chosen.count("b")) == (100, 300)
+
+
+def test_addresses_without_exchanges_are_forgotten():
+    """Endpoints come and go at new addresses."""
+
+    async def scenario():
+        pool = ConnectionPool(b"request-id")
+
+        class Connection:
+            usable = False
+
+            def close(self):
+                pass
+
+        async def connect(*arguments):
+            return Connection()
+
+        pool._connect = connect
+        for number in range(100):
+            address = Address("127.0.0.1", number)
+            try:
+                async with (
+                    pool.connection(address, at_most_once=False, timeout=1.0),
+                    pool.connection(address, at_most_once=False, timeout=1.0),
+                ):
+                    assert pool.in_use(address) == 2
+                    raise ExchangeError("played", sent=True)
+            except ExchangeError:
+                assert pool.in_use(address) == 0
+        await asyncio.sleep(0)
+        pool.prune()
+        return len(pool._in_use), len(pool._idle)
+
+    assert run(scenario()) == (0, 0)
