Play idle limits, closes in rows, interim responses and large answers without stops

Why: what else could make an instance in touch end a connection under a request that it has passed on had been read in the code, not played.

What it does: four scenarios of tests.soak.stops, with callers that ask for the close in the middle of a row, endpoints that do, and interim responses from the proxy.

--- a/tests/soak/audit.py
+++ b/tests/soak/audit.py
@@ -196,6 +196,8 @@
         # it runs and then answers with a failure.
         self.rejected_share = 0.0
         self.failed_share = 0.0
+        # Share of the answers that ask for the close of their connection.
+        self.closing_share = 0.0
         self.rng = random.Random(name)
         # Shortest and longest work of a request; None for `work_seconds` each time.
         self.work_range: tuple[float, float] | None = None
@@ -302,6 +304,9 @@
         reply = dataclasses.replace(reply, body=whole)
         if self.rng.random() < self.failed_share:
             reply = dataclasses.replace(reply, status=self.rng.choice(FAILURES))
+        if self.rng.random() < self.closing_share:
+            headers = (*reply.headers, (b"Connection", b"close"))
+            reply = dataclasses.replace(reply, headers=headers)
         self._audit.record_event(request_id, f"{self.name} answers {reply.status}")
         return reply
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -188,6 +188,8 @@
     ahead: float = 0.0  # Sends further safe requests behind the first.
     behind: tuple[int, int] = (1, 1)  # Number of these.
     order_first: float = 0.0  # Of these: the first request is not safe.
+    # Of these, but for the first: asks for the close; further ones follow nevertheless.
+    closes_in_row: float = 0.0
     chunked: float = 0.0  # Sends its body in chunks.
     in_pieces: float = 0.0  # Sends the request in pieces, over `piece_seconds`.
     reads_late: float = 0.0  # Sends the next request before it reads the answer.
@@ -265,6 +267,8 @@
             wire.DEADLINE + b": %d" % (seconds * 1000),
             wire.KEY + b": %d" % self._rng.choice((1, 20_000, 50_000)),
         ]
+        if behind and self._chance(self._habits.closes_in_row):
+            lines.append(b"Connection: close")
         if not safe and self._chance(self._habits.chunked):
             lines.append(b"Transfer-Encoding: chunked")
             pieces = _split(body, BODY_PIECES if upload else 2)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -18,6 +18,8 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+# Stands in front of a response.
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n"
 # How long after a response its second copy is sent.
 MIN_COPY_DELAY_SECONDS = 0.005
 MAX_COPY_DELAY_SECONDS = 0.1
@@ -35,6 +37,7 @@
     repeated: float = 0.0  # Sent once more, late.
     cut: float = 0.0  # Only the first half is sent, then the connection is reset.
     lost: float = 0.0  # Not sent; the connection is reset.
+    interim: float = 0.0  # Of the others: with an interim response in front.
 
 
 class FaultInjectingProxy:
@@ -186,6 +189,8 @@
         elif drawn < faults.repeated + faults.cut + faults.lost:
             self._proxy.on_fault("lost", data)
             raise ConnectionResetError
+        elif faults.interim and faults.rng.random() < faults.interim:
+            return INTERIM + data
         return data
 
     def _send_copy(self, data: bytes) -> None:
--- a/tests/soak/stop_scenarios.py
+++ b/tests/soak/stop_scenarios.py
@@ -28,6 +28,8 @@
     # Shares of the requests that endpoints reject, and that they fail after the run.
     rejected_share: float = 0.0
     failed_share: float = 0.0
+    closing_share: float = 0.0  # Of their answers: these ask for the close.
+    interim_share: float = 0.0  # Of their small answers: an interim one in front.
     timeout_range: tuple[float, float] = (LONG_TIMEOUT_SECONDS, LONG_TIMEOUT_SECONDS)
     idle_choices: tuple[float, ...] = ()  # Of the idle limit; each version draws one.
     other_routes: int = 0  # Of each version, which no caller uses.
@@ -78,6 +80,10 @@
     return dataclasses.replace(_UNEVEN, **changes)
 
 
+def _in_touch(**changes: Any) -> StopScenario:
+    return StopScenario(habits=_habits(**changes), rolling=True, at_once=0)
+
+
 SCENARIOS = {
     "steady": StopScenario(),
     "ahead": StopScenario(habits=CallerHabits(ahead=0.6)),
@@ -256,9 +262,29 @@
     "rolling": StopScenario(callers=24, work_range=(0.05, 0.3), rolling=True),
     "late-readers": StopScenario(habits=CallerHabits(reads_late=0.5)),
     # No stops: what instances in touch do to connections with requests in progress.
-    "half-closed": StopScenario(
-        habits=_habits(ahead=0.3, behind=(1, 3), order_first=0.3, ends_sending=0.2),
-        rolling=True,
-        at_once=0,
+    "half-closed": _in_touch(
+        ahead=0.3, behind=(1, 3), order_first=0.3, ends_sending=0.2
+    ),
+    "near-idle-limit": dataclasses.replace(
+        _in_touch(idle=0.9, idle_seconds=(1.8, 2.05), ahead=0.2, ends_sending=0.1),
+        callers=80,
+        idle_choices=(2.0,),
+    ),
+    "closes-in-rows": dataclasses.replace(
+        _in_touch(ahead=0.8, behind=(2, 9), order_first=0.3, closes_in_row=0.15),
+        closing_share=0.2,
+    ),
+    "interim": dataclasses.replace(
+        _in_touch(ahead=0.3, behind=(1, 3), ends_sending=0.1), interim_share=0.5
+    ),
+    "large-answers": dataclasses.replace(
+        _in_touch(
+            large_answers=0.3,
+            answer_bytes=(9_000_000, 10_000_000),
+            ends_sending=0.2,
+            slow_reads=0.2,
+            slow_rates=(4_000_000, 20_000_000),
+        ),
+        callers=12,
     ),
 }
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -20,6 +20,7 @@
 from tests.soak.audit import AuditedEndpoint
 from tests.soak.callers import Answer, Caller, CallerSocket, CallRecord
 from tests.soak.gateway_process import ZONES, GatewayProcess, ProcessLimits
+from tests.soak.proxy import ResponseFaults
 from tests.soak.stop_report import StopJudge, StopReport, count_moved_keys
 from tests.soak.stop_scenarios import SCENARIOS, StopScenario
 from tests.soak.stop_troubles import Troubles
@@ -220,6 +221,7 @@
         endpoint.tail_factor = scenario.tail_factor
         endpoint.rejected_share = scenario.rejected_share
         endpoint.failed_share = scenario.failed_share
+        endpoint.closing_share = scenario.closing_share
         if scenario.running_limit is not None:
             endpoint.running_limit = asyncio.Semaphore(scenario.running_limit)
 
@@ -228,6 +230,10 @@
         world.on_endpoint = set_work
         for endpoint in world.endpoints.values():
             set_work(endpoint)
+        if scenario.interim_share:
+            faults = ResponseFaults(world.rng, interim=scenario.interim_share)
+            for proxy in world.proxies.values():
+                proxy.response_faults = faults
         return await StopPlayer(world, scenario).run()
     finally:
         for process in busy:
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -10,6 +10,7 @@
 
 from tests.soak.proxy import (
     CHUNK_BYTES,
+    INTERIM,
     MAX_COPY_DELAY_SECONDS,
     FaultInjectingProxy,
     ResponseFaults,
@@ -68,6 +69,11 @@
         assert received in (b"", RESPONSE[: len(RESPONSE) // 2])
 
 
+def test_an_interim_response_stands_in_front_and_is_no_fault():
+    faults = ResponseFaults(random.Random(1), interim=1.0)
+    assert asyncio.run(_send_request(faults)) == (INTERIM + RESPONSE, False, [])
+
+
 def test_without_faults_a_response_arrives_once():
     assert asyncio.run(_send_request(None)) == (RESPONSE, False, [])
 
--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -40,3 +40,19 @@
     assert report.violations == []
     assert report.lost == [], report.summary()
     assert len(report.stop_seconds) > 1
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        pytest.param("half-closed", id="callers-end-their-sending-side"),
+        pytest.param("interim", id="endpoints-send-interim-responses"),
+    ],
+)
+def test_an_instance_in_touch_leaves_no_request_without_its_answer(name, tmp_path):
+    """Guards against connections that end under requests while nothing is stopped."""
+    report = _play(name, tmp_path)
+    assert report.violations == []
+    assert report.unanswered == [], report.summary()
+    assert report.lost == []
+    assert report.judged["in touch"] > 0
