End work for callers that leave while reading from them is paused

A row of 16 requests pauses reading, and a close or reset of its caller was noticed only when a response was written, as the event loop watches no such connection.

Cause: asyncio removes the socket from its selector while reading is paused. The six cases of test_work_ends_for_a_caller_that_leaves_while_reading_is_paused fail without the change: the work lasts its whole 2 s.

Why it works: the watch of half-closed connections also runs while reading is paused, and asks the kernel for the end of the caller's side. Then the response that is due is begun, as before; requests that wait to be read are read and answered. The module is named after what it does now.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -16,13 +16,13 @@
 import httptools
 
 from arbutusflow.gateway.body_budget import BodyBudget
+from arbutusflow.gateway.caller_watch import RESPONSE_START, CallerWatch
 from arbutusflow.gateway.closing import (
     TwoStepClose,
     enlarge_send_buffer,
     unread_bytes,
     unsent_bytes,
 )
-from arbutusflow.gateway.half_closed import RESPONSE_START, HalfClosedWatch
 from arbutusflow.gateway.listener import Listener
 from arbutusflow.gateway.model import Address, CallerLimits
 
@@ -265,9 +265,7 @@
         self._opened_at = self.idle_since = self._loop.time()
         self._input_closed = False  # No further input is processed.
         self._closing: TwoStepClose | None = None  # Set when the responses have ended.
-        self._half_closed: HalfClosedWatch | None = (
-            None  # Set when the caller's side is.
-        )
+        self._watch: CallerWatch | None = None  # Set while there is a transport.
         self._latest_request: CallerRequest | None = None  # That has a response.
         self._end_cause: str | None = None  # Why this instance ends the connection.
         self._reading_paused = False
@@ -334,6 +332,9 @@
         """Start the idle timeout."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._watch = CallerWatch(
+            transport, lambda: bool(self._pipeline), self._end_for_caller
+        )
         self._server.connections.add(self)
         self._start_timer(self._server.limits.idle_seconds)
         if self._server.stopping:
@@ -351,8 +352,8 @@
         self._stop_timer()
         if self._closing is not None:
             self._closing.stop()
-        if self._half_closed is not None:
-            self._half_closed.stop()
+        if self._watch is not None:
+            self._watch.stop()
         self._release_body()
         self._report_end(self._end_cause or _end_cause(exc))
         for pipelined in self._pipeline:
@@ -365,14 +366,19 @@
 
     def eof_received(self) -> bool:
         """Answer what is complete, unless the caller turns out to be gone."""
-        if not self._pipeline or self._transport is None:
+        if not self._pipeline or self._watch is None:
             return False
         self._close_input()
-        if self._half_closed is None:
-            self._end_cause = "caller_closed"
-            self._half_closed = HalfClosedWatch(self._transport, self._transport.abort)
+        self._end_cause = "caller_closed"
+        self._watch.end_side()
         return True
 
+    def _end_for_caller(self) -> None:
+        """End the connection of a caller that is gone."""
+        self._end_cause = "caller_closed"
+        if self._transport is not None:
+            self._transport.abort()
+
     def pause_writing(self) -> None:
         """Pause reading until writing resumes or the ready responses are written."""
         self._writing_paused = True
@@ -582,8 +588,8 @@
                 )
                 self._latest_request = pipelined.request
                 data = self._encode(pipelined.reply, keep, head_only)
-                if self._half_closed is not None:
-                    data = data[self._half_closed.take_written() :]
+                if self._watch is not None:
+                    data = data[self._watch.take_written() :]
                 self._write(data)
             if not keep:
                 # Only behind a request that itself asked for the close.
@@ -656,8 +662,8 @@
         self._close_input()
         if self._transport is None or self._transport.is_closing() or self._closing:
             return
-        if self._half_closed is not None:
-            self._half_closed.stop()
+        if self._watch is not None:
+            self._watch.stop()
         self._resume()
         idle_seconds = self._server.limits.idle_seconds
         self._closing = TwoStepClose(self._transport, idle_seconds)
@@ -702,6 +708,8 @@
         ):
             self._reading_paused = True
             self._transport.pause_reading()
+            if self._watch is not None:
+                self._watch.pause()
 
     def _resume(self) -> None:
         if (
@@ -711,6 +719,8 @@
         ):
             self._reading_paused = False
             self._transport.resume_reading()
+            if self._watch is not None:
+                self._watch.resume()
 
 
 def _end_cause(exc: Exception | None) -> str:
--- a/tests/gateway/test_half_closed_connections.py
+++ b/tests/gateway/test_half_closed_connections.py
@@ -3,12 +3,17 @@
 import asyncio
 import contextlib
 import socket
+import struct
 
 import pytest
 
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_server import CallerResponse, CallerServer
-from arbutusflow.gateway.half_closed import BYTE_SECONDS, RESPONSE_START
+from arbutusflow.gateway.caller_server import (
+    MAX_PIPELINED_REQUESTS,
+    CallerResponse,
+    CallerServer,
+)
+from arbutusflow.gateway.caller_watch import BYTE_SECONDS, RESPONSE_START
 
 HOST = "127.0.0.1"
 POST = b"POST /order HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
@@ -246,6 +251,58 @@
     assert left == 0
 
 
+@pytest.mark.parametrize("resets", [False, True])
+@pytest.mark.parametrize("behind", [b"", GET, b"GET /part HTTP/1.1\r\nHo"])
+def test_work_ends_for_a_caller_that_leaves_while_reading_is_paused(behind, resets):
+    """Guards against work for a caller that is gone, whose leaving nobody reads,
+    because it has sent as many requests as the instance takes at a time."""
+
+    async def scenario(conn):
+        await conn.send(GET * MAX_PIPELINED_REQUESTS)
+        await conn.send(behind)
+        if resets:
+            linger = struct.pack("ii", 1, 0)
+            conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        conn.sock.close()
+        return conn.loop.time()
+
+    closed_at, played, left = _play(scenario, work_seconds=2.0)
+    assert len(played.ended) == MAX_PIPELINED_REQUESTS
+    assert max(at for _, at in played.ended) < closed_at + STOP_SECONDS
+    assert played.ends == ["caller_closed"]
+    assert left == 0
+
+
+def test_requests_that_wait_to_be_read_are_answered():
+    """Guards against requests behind a row that is as long as the instance takes, and
+    against bytes between two answers of which none is due."""
+
+    async def scenario(conn):
+        await conn.send(QUICK * MAX_PIPELINED_REQUESTS)
+        await conn.send(GET + QUICK)
+        conn.end_sending()
+        return answers(await conn.read())
+
+    found, played, left = _play(scenario)
+    row = [b"/quick"] * MAX_PIPELINED_REQUESTS
+    assert found == [(200, target) for target in [*row, b"/get", b"/quick"]]
+    assert played.ends == []
+    assert left == 0
+
+
+def test_nothing_is_written_for_a_caller_that_only_waits_while_reading_is_paused():
+    """Guards against bytes in front of an answer that keeps its connection."""
+
+    async def scenario(conn):
+        await conn.send(GET * MAX_PIPELINED_REQUESTS)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(WORK_SECONDS / 2):
+                return await conn.loop.sock_recv(conn.sock, 100)
+        return b""
+
+    assert _play(scenario)[0] == b""
+
+
 def test_a_caller_that_closes_leaves_no_connection_behind():
     """Guards against connections that stay open for an answer that nobody reads."""
 
