Leave work its time when SIGTERM is noticed after a pause of the process

Seen by reading: a stop counts from when the process last ran before the signal, as it may have come right then. If it came at the end of a pause of 0.4 s, final answers (502) were given 4.9 s after it, and after a pause of 0.6 s 4.7 s, while endpoints were at work and `graceS` left them until 5.0 s at least. Cause: one time stood for both ends of the interval in which the signal may have come. Test: test_a_signal_after_a_pause_leaves_work_at_endpoints_its_time fails before for 0.4 and 0.6 s. Why it works: final answers wait for the last sixth counted from the end of the interval, and the process still ends 0.1 s before SIGKILL counted from its begin; since the process ends at once after its stop, that is enough. Below 0.3 s nothing changes. Conclusion: after a pause of up to 0.6 s both bounds hold; beyond, the one of SIGKILL.

--- a/arbutusflow/gateway/lifecycle.py
+++ b/arbutusflow/gateway/lifecycle.py
@@ -17,12 +17,16 @@
 # once a second. Connections opened until then are served.
 ROTATION_SECONDS = 2.6
 END_MARGIN_SECONDS = 0.4  # Between the end of the process and SIGKILL.
+# The same if SIGTERM was noticed late: it may have arrived after that, too.
+MIN_END_MARGIN_SECONDS = 0.1
 # Between the final answers and the end: they are written, and connections are closed.
 FINAL_ANSWER_SECONDS = 0.3
-# Largest parts of a short grace period for each of these. Work at endpoints goes on
-# into the last sixth of the grace period.
+# Work at endpoints goes on into this last part of the grace period.
+LAST_PART_FRACTION = 1 / 6
+# Largest parts of a short grace period for each of these.
 MAX_ROTATION_FRACTION = 0.5
 MAX_END_MARGIN_FRACTION = 0.08
+MAX_MIN_END_MARGIN_FRACTION = 0.02
 MAX_FINAL_ANSWER_FRACTION = 0.06
 # Requests that arrive later than this before the final answers are not worth accepting.
 ACCEPT_MARGIN_SECONDS = 1.0
@@ -68,17 +72,21 @@
     ends_at: float
 
     @classmethod
-    def from_grace(cls, began: float, grace_seconds: float) -> "StopPlan":
+    def from_grace(
+        cls, began: float, grace_seconds: float, lag: float = 0.0
+    ) -> "StopPlan":
         """Return the times of a stop that may last `grace_seconds`.
 
-        The order of the times holds for any grace period, also for one that is too
-        short for all of them.
+        The signal arrived at `began` or up to `lag` seconds later. The order of the
+        times holds for any grace period, also for one that is too short for all.
         """
         margin = min(END_MARGIN_SECONDS, MAX_END_MARGIN_FRACTION * grace_seconds)
-        ends_at = began + grace_seconds - margin
-        answers_until = ends_at - min(
-            FINAL_ANSWER_SECONDS, MAX_FINAL_ANSWER_FRACTION * grace_seconds
-        )
+        final = min(FINAL_ANSWER_SECONDS, MAX_FINAL_ANSWER_FRACTION * grace_seconds)
+        least = min(MIN_END_MARGIN_SECONDS, MAX_MIN_END_MARGIN_FRACTION * grace_seconds)
+        last_part = began + lag + (1 - LAST_PART_FRACTION) * grace_seconds
+        until = began + grace_seconds - final
+        answers_until = max(until - margin, min(last_part, until - least))
+        ends_at = answers_until + final
         rotation_until = began + min(
             ROTATION_SECONDS, MAX_ROTATION_FRACTION * grace_seconds
         )
@@ -109,11 +117,14 @@
         if self.phase is Phase.STARTING:
             self._enter(Phase.READY, now)
 
-    def stop(self, now: float, grace_seconds: float) -> bool:
-        """Begin a planned stop; return False if one has begun before."""
+    def stop(self, now: float, grace_seconds: float, lag: float = 0.0) -> bool:
+        """Begin a planned stop; return False if one has begun before.
+
+        Its signal arrived up to `lag` seconds ago.
+        """
         if self.plan is not None:
             return False
-        self.plan = StopPlan.from_grace(now, grace_seconds)
+        self.plan = StopPlan.from_grace(now - lag, grace_seconds, lag)
         self._enter(Phase.LEAVING_ROTATION, now)
         return True
 
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -655,7 +655,7 @@
         now, grace_seconds = self._loop.time(), self._cfg.stop_seconds
         began = now if self._stop_signal_after is None else self._stop_signal_after
         lag = min(now - began, MAX_LAG_FRACTION * grace_seconds)
-        if not self.lifecycle.stop(now - lag, grace_seconds):
+        if not self.lifecycle.stop(now, grace_seconds, lag):
             self.log.write("stop_repeated", phase=self.lifecycle.phase.name)
             return
         # A timer of its own, so that errors in other periodic work can't hold it up.
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -128,9 +128,9 @@
     assert all(b == a + 1 for a, b in itertools.pairwise(phases))
 
 
-@given(st.floats(0.0, 60.0))
-def test_the_times_of_a_stop_are_in_order_for_any_grace_period(grace_seconds):
-    plan = StopPlan.from_grace(10.0, grace_seconds)
+@given(st.floats(0.0, 60.0), st.floats(0.0, 1 / 6))
+def test_the_times_of_a_stop_are_in_order_for_any_grace_period(grace_seconds, lag):
+    plan = StopPlan.from_grace(10.0, grace_seconds, lag * grace_seconds)
     times = [plan.began, plan.rotation_until, plan.accepts_until]
     times += [plan.answers_until, plan.ends_at]
     assert times == sorted(times)
@@ -199,3 +199,19 @@
     times.begin("s", 1.0)
     times.begin("s", 3.0)
     assert times.longest("s", 4.0) == 3.0
+
+
+@pytest.mark.parametrize("lag", [0.0, 0.2, 0.3, 0.5, 0.6, 0.8, 1.0])
+def test_a_signal_that_is_noticed_late_cuts_no_work_before_the_last_part(lag):
+    """Guards against final answers while work at endpoints still has its time.
+
+    The signal may have arrived at any moment of the lag, so SIGKILL may come early, and
+    the last sixth of the grace period, in which work may be ended, may begin late.
+    """
+    plan = StopPlan.from_grace(-lag, GRACE_SECONDS, lag)
+    assert plan.ends_at <= GRACE_SECONDS - lag - 0.1 + 1e-9
+    assert plan.ends_at - plan.answers_until >= 0.3 - 1e-9
+    if lag <= 0.6:
+        assert plan.answers_until >= GRACE_SECONDS * 5 / 6 - 1e-9
+    else:
+        assert plan.ends_at == pytest.approx(GRACE_SECONDS - lag - 0.1)
--- a/tests/gateway/test_signals_at_start.py
+++ b/tests/gateway/test_signals_at_start.py
@@ -12,6 +12,11 @@
 
 import pytest
 
+from arbutusflow.gateway.lifecycle import (
+    FINAL_ANSWER_SECONDS,
+    LAST_PART_FRACTION,
+    MIN_END_MARGIN_SECONDS,
+)
 from arbutusflow.gateway.process import MAX_LAG_FRACTION, TICK_INTERVAL_SECONDS
 from tests.gateway.statement_instance import StatementInstance
 
@@ -76,3 +81,23 @@
         assert early == pytest.approx(GRACE_SECONDS * MAX_LAG_FRACTION - 2.0, abs=0.1)
     else:
         assert 0.0 <= early < 5 * TICK_INTERVAL_SECONDS
+
+
+@pytest.mark.parametrize("held_seconds", [0.0, 0.4, 0.6])
+def test_a_signal_after_a_pause_leaves_work_at_endpoints_its_time(held_seconds):
+    """Guards against final answers before the last part of the grace period, because
+    the signal counts as sent when the process last ran before it."""
+
+    async def stop():
+        gateway = StatementInstance("a").gateway
+        now = asyncio.get_running_loop().time()
+        gateway._ticked_at = now - held_seconds
+        gateway._note_stop_signal(signal.SIGTERM, None)
+        gateway._stop()
+        return now, gateway.lifecycle.plan
+
+    now, plan = asyncio.run(stop())
+    last_part = now + GRACE_SECONDS * (1 - LAST_PART_FRACTION)
+    latest = plan.began + GRACE_SECONDS - MIN_END_MARGIN_SECONDS - FINAL_ANSWER_SECONDS
+    assert plan.answers_until >= min(last_part, latest)
+    assert plan.ends_at <= plan.began + GRACE_SECONDS - MIN_END_MARGIN_SECONDS
