--- a/tests/gateway/test_signals_at_start.py
+++ b/tests/gateway/test_signals_at_start.py
@@ -12,6 +12,11 @@
 
 import pytest
 
+from arbutusflow.gateway.lifecycle import (
+    FINAL_ANSWER_SECONDS,
+    LAST_PART_FRACTION,
+    MIN_END_MARGIN_SECONDS,
+)
 from arbutusflow.gateway.process import MAX_LAG_FRACTION, TICK_INTERVAL_SECONDS
 from tests.gateway.statement_instance import StatementInstance
 
@@ -98,3 +103,23 @@
 
     assert asyncio.run(stop())
     assert "wakeup fd" not in capfd.readouterr().err
+
+
+@pytest.mark.parametrize("held_seconds", [0.0, 0.4, 0.6])
+def test_a_signal_after_a_pause_leaves_work_at_endpoints_its_time(held_seconds):
+    """Guards against final answers before the last part of the grace period, because
+    the signal counts as sent when the process last ran before it."""
+
+    async def stop():
+        gateway = StatementInstance("a").gateway
+        now = asyncio.get_running_loop().time()
+        gateway._ticked_at = now - held_seconds
+        gateway._note_stop_signal(signal.SIGTERM, None)
+        gateway._stop()
+        return now, gateway.lifecycle.plan
+
+    now, plan = asyncio.run(stop())
+    last_part = now + GRACE_SECONDS * (1 - LAST_PART_FRACTION)
+    latest = plan.began + GRACE_SECONDS - MIN_END_MARGIN_SECONDS - FINAL_ANSWER_SECONDS
+    assert plan.answers_until >= min(last_part, latest)
+    assert plan.ends_at <= plan.began + GRACE_SECONDS - MIN_END_MARGIN_SECONDS
