Wait for a reset also when the peer's kernel has taken a long upload

Callers still got a part of a response as a complete 200 if the kernel of the endpoint had taken the whole upload: the response did not count as early then. Cause: an acknowledgement comes from the endpoint's kernel. Its receive buffer grows while the endpoint reads, and took uploads of 300 to 600 kB, more so before an instance that is late saw the head of the response. The new test failed before it: an upload of 64 kB that was acknowledged before the response, with a reset 0.03 s after its end. Why it works: the end of a response without a length to a body of 64 kB or more always waits for the settling time. The cost: 0.1 s for such a response also if the endpoint had read everything. Shorter bodies wait only if bytes are unacknowledged.

--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -328,7 +328,7 @@
         self._body_size = 0
         self._in_body = False
         self._body_until_close = False
-        self._early = False  # Whether it came before the request was acknowledged.
+        self._early = False  # Whether it may have come before the request was read.
 
     def on_message_begin(self) -> None:
         """Start a response."""
@@ -360,7 +360,8 @@
         )
         if self._body_until_close and self._has_body:
             assert self._transport is not None
-            self._early = unsent_bytes(self._transport) > 0
+            # The peer's kernel may have taken a long body that the peer has not read.
+            self._early = self._has_long_body or unsent_bytes(self._transport) > 0
         if self._head_only and status >= 200:
             self._complete_response(reusable=False)
         elif status >= 200 and status not in _STATUSES_WITHOUT_BODY:
--- a/arbutusflow/gateway/early_end.py
+++ b/arbutusflow/gateway/early_end.py
@@ -1,6 +1,6 @@
 """Tells whether an early response that ends with its connection is complete.
 
-A peer may respond before it has taken the whole request. If its response has no length,
+A peer may respond before it has read the whole request. If its response has no length,
 the end of its side completes the response, but a peer that is about to reset the
 connection ends its side in the same way. After the end the event loop does not read the
 connection any more, so a reset shows only as an error of the socket or of a write.
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -5,7 +5,11 @@
 
 import pytest
 
-from arbutusflow.gateway.client_connection import RESET_ON_CLOSE, ClientConnection
+from arbutusflow.gateway.client_connection import (
+    LONG_BODY_BYTES,
+    RESET_ON_CLOSE,
+    ClientConnection,
+)
 from arbutusflow.gateway.early_end import SETTLING_SECONDS
 from arbutusflow.gateway.model import Address, ExchangeError
 from tests.gateway.fakes import FakeTransport
@@ -34,13 +38,17 @@
     return count
 
 
-async def _upload(endpoint, body=UPLOAD, timeout=5.0, on_result=lambda: None):
+async def _upload(
+    endpoint, body=UPLOAD, timeout=5.0, on_result=lambda: None, receive_buffer=None
+):
     """Return the response to an upload, or the error.
 
     `endpoint` gets the socket after it has read the head of the request.
     """
     loop = asyncio.get_running_loop()
     with socket.create_server((own_host(), 0)) as listener:
+        if receive_buffer is not None:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         listener.setblocking(False)
         host, port = listener.getsockname()
 
@@ -99,6 +107,23 @@
     assert result.sent
 
 
+def test_a_long_upload_that_the_kernel_of_its_endpoint_has_taken_proves_nothing():
+    """Guards against a part of a response that callers get as the complete one.
+
+    The endpoint read nothing of an upload that its kernel had acknowledged, ended its
+    side and reset the connection.
+    """
+
+    async def endpoint(sock):
+        await asyncio.sleep(0.05)  # All is acknowledged before the response.
+        await _end_and_reset(sock, 0.03)
+
+    upload = _upload(endpoint, bytes(LONG_BODY_BYTES), receive_buffer=1_000_000)
+    result = asyncio.run(upload)
+    assert isinstance(result, ExchangeError)
+    assert result.sent
+
+
 def test_an_early_response_without_length_is_complete_if_the_upload_is_read():
     async def endpoint(sock):
         await asyncio.get_running_loop().sock_sendall(sock, NO_LENGTH)
