Play early responses to uploads and status 000 in the soak

The proxies before endpoints give some responses status 000, and respond to some uploads of 300 to 600 kB before they forward them: a part of a response without a length, the end of their side, a reset 0.03 s later. MIXED judges both: a 200 whose body is not the whole one, as before, and a status outside 200 to 599.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -193,12 +193,14 @@
 
 
 async def responses_disturbed(world: SoakWorld) -> None:
-    """Repeat, cut or lose responses of some endpoints."""
+    """Repeat, cut or lose responses of some endpoints, or make them invalid."""
     faults = ResponseFaults(
         world.rng,
         repeated=world.rng.choice((0.0, world.rng.uniform(0.02, 0.3))),
         cut=world.rng.choice((0.0, world.rng.uniform(0.01, 0.1))),
         lost=world.rng.choice((0.0, world.rng.uniform(0.01, 0.1))),
+        invalid=world.rng.choice((0.0, world.rng.uniform(0.01, 0.1))),
+        early=world.rng.choice((0.0, world.rng.uniform(0.2, 1.0))),
     )
     names = [e.name for e in _some_endpoints(world) if e.name in world.proxies]
     proxies = [world.proxies[name] for name in names]
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -37,6 +37,9 @@
 LONGEST_PAUSES_SECONDS = (0.4, 2.5)  # Between two parts of a body.
 LEFT_WORK_SHARE = 0.5  # Of the requests that are left: those whose work takes long.
 LONGEST_STAY_SECONDS = 0.6  # Of a caller that leaves while work takes long.
+MAX_UPLOAD_SHARE = 0.05  # Records keep the bodies.
+# More than the buffers of an endpoint that does not read take.
+UPLOAD_BYTES = (300_000, 600_000)
 PROBE_PERIOD_SECONDS = 0.15  # Of the requests for routes that come and go.
 
 
@@ -55,6 +58,7 @@
     large: float  # Lookups whose answer is large.
     deadline_seconds: float = DEADLINE_SECONDS
     slow_deadline_seconds: float = SLOW_DEADLINE_SECONDS
+    uploads: float = 0.0  # Of the requests with a body: with a large one.
 
     @classmethod
     def from_rng(cls, rng: random.Random, workload: Workload) -> "LoadHabits":
@@ -80,6 +84,7 @@
             draw(0.5),
             draw(0.3),
             *deadlines,
+            draw(MAX_UPLOAD_SHARE),
         )
 
 
@@ -229,6 +234,9 @@
             slow, habits = target.endswith(SLOW), self._habits
             seconds = habits.slow_deadline_seconds if slow else habits.deadline_seconds
         request_id = self._book.next_id()
+        body = request_id if method == b"POST" else b""
+        if body and self._chance(self._habits.uploads):
+            body *= self._rng.randint(*UPLOAD_BYTES) // len(body)
         return PlayedCall(
             request_id,
             instance,
@@ -237,7 +245,7 @@
             deadline_at=time.monotonic() + seconds,
             method=method,
             target=target,
-            body=request_id if method == b"POST" else b"",
+            body=body,
             keyed=keyed,
             key=self._choose_key(),
         )
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,6 +1,7 @@
 """Loopback proxy that injects faults into TCP connections.
 
-It can delay, block, silence, refuse or reset them, and repeat, cut or lose responses.
+It can delay, block, silence, refuse or reset them, repeat, cut or lose responses, give
+them an invalid status, and respond to an upload before it has been read.
 """
 
 import asyncio
@@ -15,12 +16,15 @@
 CHUNK_BYTES = 65536
 # SO_LINGER with a timeout of zero: closing the socket sends a reset.
 _LENGTH = re.compile(rb"^content-length: *(\d+)", re.IGNORECASE | re.MULTILINE)
+_REQUEST_ID = re.compile(rb"^request-id: *(\w+)", re.IGNORECASE | re.MULTILINE)
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 # How long after a response its second copy is sent.
 MIN_COPY_DELAY_SECONDS = 0.005
 MAX_COPY_DELAY_SECONDS = 0.1
+EARLY_RESET_SECONDS = 0.03  # From the end of an early response to the reset.
+EARLY_RESPONSE = b"HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nResponse-Seal: s\r\n\r\npart"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,6 +39,10 @@
     repeated: float = 0.0  # Sent once more, late.
     cut: float = 0.0  # Only the first half is sent, then the connection is reset.
     lost: float = 0.0  # Not sent; the connection is reset.
+    invalid: float = 0.0  # Sent with status 000.
+    # Share of the uploads that are not forwarded: a part of a response without a length
+    # is sent before they are read, this side ends, and the connection is reset.
+    early: float = 0.0
 
 
 class FaultInjectingProxy:
@@ -138,6 +146,15 @@
     return length is None or len(body) >= int(length[1])
 
 
+def _is_partial_upload(data: bytes) -> bool:
+    """Whether a chunk holds the head of an upload, but not its whole body."""
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = _LENGTH.search(head)
+    return (
+        data.startswith(b"POST ") and length is not None and len(body) < int(length[1])
+    )
+
+
 class _ProxiedConnection:
     """Connection of a client, and the connection to the target that belongs to it."""
 
@@ -169,6 +186,8 @@
             faults = self._proxy.response_faults
             if faults is not None and writer is self._writer and _is_whole(data):
                 data = self._disturb(faults, data)
+            elif faults is not None and _is_partial_upload(data):
+                await self._respond_early(faults, data)
             writer.write(data)
             await writer.drain()
 
@@ -186,8 +205,23 @@
         elif drawn < faults.repeated + faults.cut + faults.lost:
             self._proxy.on_fault("lost", data)
             raise ConnectionResetError
+        elif drawn < faults.repeated + faults.cut + faults.lost + faults.invalid:
+            self._proxy.on_fault("invalid", data)
+            return data[:9] + b"000" + data[12:]
         return data
 
+    async def _respond_early(self, faults: ResponseFaults, data: bytes) -> None:
+        """Disturb some uploads. Raises ConnectionResetError to reset."""
+        request_id = _REQUEST_ID.search(data)
+        if request_id is None or faults.rng.random() >= faults.early:
+            return
+        response = EARLY_RESPONSE % request_id[1]
+        self._proxy.on_fault("early", response)
+        self._writer.write(response)
+        self._writer.write_eof()
+        await asyncio.sleep(EARLY_RESET_SECONDS)
+        raise ConnectionResetError
+
     def _send_copy(self, data: bytes) -> None:
         if not self._writer.is_closing():
             self._writer.write(data)
--- a/tests/soak/test_audit.py
+++ b/tests/soak/test_audit.py
@@ -34,6 +34,11 @@
     assert _check_answer(tmp_path, status, b"POST", ran=True) == []
 
 
+@pytest.mark.parametrize("status", [0, 99, 199, 600])
+def test_a_status_that_http_does_not_have_is_a_violation(tmp_path, status):
+    assert len(_check_answer(tmp_path, status, b"POST", ran=True)) == 1
+
+
 def test_a_lookup_may_run_although_it_was_refused(tmp_path):
     assert _check_answer(tmp_path, 503, b"GET", ran=True) == []
 
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -10,6 +10,7 @@
 
 from tests.soak.proxy import (
     CHUNK_BYTES,
+    EARLY_RESPONSE,
     MAX_COPY_DELAY_SECONDS,
     FaultInjectingProxy,
     ResponseFaults,
@@ -18,7 +19,7 @@
 RESPONSE = b"HTTP/1.1 200 OK\r\n\r\n"
 
 
-async def _send_request(faults, response=RESPONSE):
+async def _send_request(faults, response=RESPONSE, request=b"request"):
     """Return the received bytes, whether the connection broke, and the reports."""
 
     async def _answer(reader, writer):
@@ -35,7 +36,7 @@
     await proxy.start()
     proxy.response_faults = faults
     reader, writer = await asyncio.open_connection("127.0.0.1", proxy.port)
-    writer.write(b"request")
+    writer.write(request)
     received, broken = b"", False
     try:
         async with asyncio.timeout(3 * MAX_COPY_DELAY_SECONDS):
@@ -54,7 +55,12 @@
 
 @pytest.mark.parametrize(
     ("fault", "expected", "broken"),
-    [("repeated", RESPONSE * 2, False), ("lost", b"", True), ("cut", None, True)],
+    [
+        ("repeated", RESPONSE * 2, False),
+        ("lost", b"", True),
+        ("cut", None, True),
+        ("invalid", RESPONSE.replace(b"200", b"000"), False),
+    ],
 )
 def test_a_response_is_disturbed(fault, expected, broken):
     faults = ResponseFaults(random.Random(1), **{fault: 1.0})
@@ -68,6 +74,16 @@
         assert received in (b"", RESPONSE[: len(RESPONSE) // 2])
 
 
+@pytest.mark.parametrize("body, early", [(b"hi", False), (b"h", True), (b"", True)])
+def test_an_upload_gets_a_response_before_it_is_read(body, early):
+    head = b"POST / HTTP/1.1\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\n"
+    faults = ResponseFaults(random.Random(1), early=1.0)
+    received, _, reports = asyncio.run(_send_request(faults, request=head + body))
+    response = EARLY_RESPONSE % b"r1"
+    assert received == (response if early else RESPONSE)
+    assert reports == ([("early", response)] if early else [])
+
+
 def test_without_faults_a_response_arrives_once():
     assert asyncio.run(_send_request(None)) == (RESPONSE, False, [])
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -374,6 +374,10 @@
         self.answer_counts[status] = self.answer_counts.get(status, 0) + 1
         self.audit.record_event(request_id, f"its caller gets {status}")
         ids = (request_id,)
+        if not 200 <= status <= 599:
+            self.audit.record_violation(
+                f"request {request_id.decode()} got status {status}", "MIXED", ids
+            )
         if status == 200 and answer != expected_body(method, target, body):
             self.audit.record_violation(
                 f"request {request_id.decode()} got the answer of another request",
