Reset no connection that the event loop has already given up

Cause: a transport that closes with bytes left to send, and then sends them, forgets its event loop, but does not refuse a reset. The connection resets it when an exchange ends or is cancelled. Why it works: after `connection_lost` the transport is not used for a reset.

--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -101,6 +101,7 @@
         # Response to an exchange that was cancelled in the moment in which it arrived.
         self.completed: HttpResponse | None = None
         self.closed = False
+        self._lost = False  # The transport then may not be used any more.
         self.idle_since = 0.0
         self.keep_alive_seconds = float("inf")  # Idle timeout announced by the peer.
         self._reset_message()
@@ -149,7 +150,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the current exchange."""
-        self.closed = True
+        self.closed = self._lost = True
         self._stop_early_end()
         self._fail(f"connection lost: {exc!r}" if exc else "connection closed")
 
@@ -193,7 +194,7 @@
     def abort(self) -> None:
         """Reset the connection, so that the peer stops processing the request."""
         self.closed = True
-        if self._transport is not None:
+        if self._transport is not None and not self._lost:
             self._transport.abort()
 
     @property
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -1,6 +1,7 @@
 """Responses that come before the endpoint has taken the request."""
 
 import asyncio
+import contextlib
 import socket
 
 import pytest
@@ -226,3 +227,21 @@
     assert result.body == b"part"
     assert len(b"".join(received)) < size
     assert not b"".join(received).strip(b"\0")
+
+
+def test_a_connection_that_ended_after_the_upload_was_sent_can_be_reset():
+    """Guards against an AttributeError in place of the response or error.
+
+    The event loop's transport allows no reset after it has closed with bytes left to
+    send, and has sent them. A cancelled exchange resets its connection.
+    """
+    response = LENGTH[:-1]
+
+    async def endpoint(sock):
+        await asyncio.get_running_loop().sock_sendall(sock, response)
+        sock.shutdown(socket.SHUT_WR)
+        # The connection may be reset before the last bytes are read.
+        with contextlib.suppress(ConnectionResetError):
+            await _read_on(sock, len(UPLOAD))
+
+    assert isinstance(asyncio.run(_upload(endpoint)), ExchangeError)
