Refuse requests behind others while an instance stops

Seen: keep-alive callers that send further requests while they read slowly. The log has no line, as the kernel had all bytes. Test: test_a_request_behind_another_is_refused_while_the_instance_stops fails before. Why it works: a request that is read behind another one during a stop is answered 503 and not passed on, so there is no answer to lose, and its connection ends after the answers before it.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -457,6 +457,11 @@
         """Start the handler for the complete request."""
         if self._input_closed:
             return
+        if self._server.stopping and self._pipeline:
+            # A caller that sends on resets its connection when the process ends, also
+            # under an answer that the kernel still delivers.
+            self._reject(503, RETRY_SOON)
+            return
         self._stop_timer()
         request = CallerRequest(
             method=self._parser.get_method(),
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -377,3 +377,31 @@
     closed = [before - after for before, after in itertools.pairwise(left)]
     assert max(closed) <= CLOSED_AT_ONCE
     assert len(closed) == 3
+
+
+def test_a_request_behind_another_is_refused_while_the_instance_stops():
+    """Guards against answers of endpoints that are lost when the process ends.
+
+    A caller that sends on resets its connection then, under all that it has not read.
+    """
+    seen = []
+
+    async def respond(req):
+        seen.append(req.target)
+        await asyncio.sleep(0.2)
+        return CallerResponse(200, body=b"served")
+
+    async def scenario(server, sock):
+        loop = asyncio.get_running_loop()
+        server.handler = respond
+        await loop.sock_sendall(sock, KEPT_GET + KEPT_GET.replace(b"/", b"/read", 1))
+        await asyncio.sleep(0.1)
+        server.close_after_responses()
+        await loop.sock_sendall(sock, KEPT_GET.replace(b"/", b"/behind", 1))
+        return await _read_all(sock)
+
+    received = _run(scenario)
+    assert seen == [b"/", b"/read"]
+    first, second, refused = received.split(b"HTTP/1.1 ")[1:]
+    assert first.startswith(b"200") and second.startswith(b"200")
+    assert refused.startswith(b"503") and b"Retry-After" in refused
