--- a/tests/soak/stop_scenarios.py
+++ b/tests/soak/stop_scenarios.py
@@ -265,6 +265,12 @@
     "half-closed": _in_touch(
         ahead=0.3, behind=(1, 3), order_first=0.3, ends_sending=0.2
     ),
+    "half-closed-stops": _uneven(
+        insistent=0.34,
+        habits=_habits(ahead=0.3, behind=(1, 3), order_first=0.3, ends_sending=0.3),
+        at_once=3,
+        again_share=0.2,
+    ),
     "near-idle-limit": dataclasses.replace(
         _in_touch(idle=0.9, idle_seconds=(1.8, 2.05), ahead=0.2, ends_sending=0.1),
         callers=80,
