Begin a stop also if the event loop was not told of SIGTERM

The event loop learns of signals through a pipe. If it is held by a callback and some hundred other signals arrive meanwhile, the pipe is full and the byte of SIGTERM is lost: the stop never began, and SIGKILL ended the process with all that it had passed on.

The handler that notes when SIGTERM arrived is called by the interpreter in any case, so the next tick begins the stop if the event loop has not. A full pipe is not reported as an error any more, which wrote one traceback for each signal.

The new test fails before.

--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -252,7 +252,10 @@
             (signal.SIGHUP, self._reload),
         ):
             self._loop.add_signal_handler(number, action)
-        # The event loop may act on the signal late.
+        # A full pipe is no error: the event loop wakes up in any case.
+        wakeup_fd = signal.set_wakeup_fd(-1)
+        signal.set_wakeup_fd(wakeup_fd, warn_on_full_buffer=False)
+        # The event loop may act on the signal late, or not at all behind many others.
         signal.signal(signal.SIGTERM, self._note_stop_signal)
         signal.siginterrupt(signal.SIGTERM, False)
         error_reports.handle_signals(self.log, self.describe_work)
@@ -283,6 +286,7 @@
         self._ticked_at = now
         run_each(
             (
+                self._stop_if_asked,
                 self._expire_endpoints,
                 self.endpoints.remove_departed,
                 self.endpoints.expire_peer_reports,
@@ -651,6 +655,11 @@
         if self._stop_signal_after is None:
             self._stop_signal_after = self._ticked_at
 
+    def _stop_if_asked(self, now: float) -> None:
+        """Stop if SIGTERM has arrived and the event loop was not told of it."""
+        if self._stop_signal_after is not None and not self.lifecycle.stopping:
+            self._stop()
+
     def _stop(self) -> None:
         try:
             self._reload()  # The grace period may have changed without a signal.
--- a/tests/gateway/test_signals_at_start.py
+++ b/tests/gateway/test_signals_at_start.py
@@ -76,3 +76,25 @@
         assert early == pytest.approx(GRACE_SECONDS * MAX_LAG_FRACTION - 2.0, abs=0.1)
     else:
         assert 0.0 <= early < 5 * TICK_INTERVAL_SECONDS
+
+
+def test_a_stop_signal_behind_many_others_is_not_lost(capfd):
+    """Guards against a stop that never begins, and is ended by SIGKILL.
+
+    While a callback holds the event loop, other signals may fill the pipe that tells it
+    of signals.
+    """
+
+    async def stop():
+        gateway = StatementInstance("a").gateway
+        gateway.handle_signals()
+        for _ in range(3000):
+            os.kill(os.getpid(), signal.SIGHUP)
+        os.kill(os.getpid(), signal.SIGTERM)
+        for _ in range(3):
+            await asyncio.sleep(TICK_INTERVAL_SECONDS)
+            gateway._tick()
+        return gateway.lifecycle.stopping
+
+    assert asyncio.run(stop())
+    assert "wakeup fd" not in capfd.readouterr().err
