Play bodies that are not read, kept connections and minutes of change

`kept_uploads`: 900 connections that stay open after a body of 360 kB. `full_memory`: bodies of 9 MB at endpoints that read nothing, beside callers that read nothing. `long_run`: names, addresses, connections and settings that change for four minutes.

--- a/tests/soak/process_ends.py
+++ b/tests/soak/process_ends.py
@@ -35,6 +35,7 @@
 CALLERS = 30
 ENDPOINTS = 4
 ANSWER_SECONDS = 12.0  # For the longest answer of a kept connection.
+LONG_SECONDS = 240.0
 SERVED_SECONDS = 2.0  # After a case, callers get answers within this time.
 
 
@@ -508,6 +509,96 @@
     await _slow_readers(world, 60, 600_000, 8, 3.0)
 
 
+async def kept_uploads(world: World) -> None:
+    """Connections that are kept after a body of 360 kB, and an answer of 100 kB."""
+    writers = []
+
+    async def upload() -> None:
+        with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+            async with asyncio.timeout(15.0):
+                reader, writer = await world.connect()
+                writers.append(writer)
+                writer.write(request(b"POST", 100_000, 10, 360_000))
+                await read_response(reader)
+
+    for _ in range(60):
+        await asyncio.gather(*(upload() for _ in range(15)))
+    for writer in writers:
+        writer.close()
+
+
+class _SilentEndpoint(asyncio.Protocol):
+    """Reads nothing and answers nothing."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        transport.pause_reading()
+
+
+async def full_memory(world: World) -> None:
+    """Bodies that endpoints don't read, beside answers that callers don't read.
+
+    The kernel takes little, as on links with small windows.
+    """
+    host, silent = own_host(), []
+    for number in range(4):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.bind((host, 0))
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(_SilentEndpoint, sock=sock, backlog=1000)
+        silent.append(server)
+        spec = dict(world.store.spec("servers", "i-0"))
+        spec["address"] = f"{host}:{sock.getsockname()[1]}"
+        world.store.put("servers", f"silent-{number}", spec)
+    await asyncio.sleep(1.0)
+
+    async def upload() -> None:
+        with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+            async with asyncio.timeout(8.0):
+                reader, writer = await world.connect()
+                writer.write(request(b"POST", 300, 3000, 9_000_000))
+                await read_response(reader)
+                writer.close()
+
+    await asyncio.gather(
+        _slow_readers(world, 40, 10_000_000, 1, 4.0), *(upload() for _ in range(60))
+    )
+    for number in range(4):
+        world.store.remove("servers", f"silent-{number}")
+        silent[number].close()
+
+
+async def long_run(world: World) -> None:
+    """Names, addresses and connections that change all the time, for minutes."""
+    process = world.gateway.process
+    assert process is not None
+    host, began, number, sizes = own_host(), time.monotonic(), 0, []
+    while time.monotonic() - began < LONG_SECONDS:
+        number += 1
+        spec = world.next_configuration(20)
+        for path in spec["hosts"][0]["paths"][3:]:
+            path["name"] += f"-{number}"
+        world.put_configuration(spec)
+        entry = dict(world.store.spec("servers", "i-0"))
+        entry["address"] = f"{host}:{1 + number % 60_000}"
+        entry["status"] = {**entry["status"], "state": "draining"}
+        world.store.put("servers", f"gone-{number}", entry)
+        world.store.remove("servers", f"gone-{number - 5}")
+        text = world.gateway.settings.replace("Slack = 60", f"Slack = {number}")
+        world.gateway.write_settings(text)
+        world.gateway.signal(signal.SIGHUP)
+        for _ in range(20):
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                reader, writer = await world.connect()
+                writer.write(request(b"GET", 5000, 10))
+                await read_response(reader)
+                writer.close()
+        if time.monotonic() - began > 30 * len(sizes):
+            sizes.append(_memory_mb(process.pid, "VmRSS"))
+    typer.echo(f"sizes each 30 s, MB: {sizes}; {number} rounds")
+
+
 CASES: tuple[Callable[[World], Awaitable[None]], ...] = (
     calm,
     signals,
@@ -525,6 +616,9 @@
     uploads,
     slow_readers,
     slow_pipelines,
+    kept_uploads,
+    full_memory,
+    long_run,
 )
 # What standard output and standard error are in a case of the same load as `resets`.
 OUTPUTS = ("stdout_closed", "stdout_full", "stderr_closed", "stderr_full")
@@ -553,9 +647,9 @@
             os.close(reader)
 
 
-def _peak_mb(pid: int) -> float:
+def _memory_mb(pid: int, name: str) -> float:
     text = pathlib.Path(f"/proc/{pid}/status").read_text()
-    return int(text.split("VmHWM:")[1].split()[0]) / 1000
+    return int(text.split(f"{name}:")[1].split()[0]) / 1000
 
 
 async def play(case: str, product: pathlib.Path) -> dict[str, Any]:
@@ -575,7 +669,7 @@
             assert process is not None
             serves = await world.wait_served(SERVED_SECONDS + 4.0)
             status = process.poll()
-            peak = _peak_mb(process.pid) if status is None else None
+            peak = _memory_mb(process.pid, "VmHWM") if status is None else None
             counts = world.counts
             seen = {
                 "case": case,
