Keep no body of a request that is answered

A connection keeps its latest request, to report it if the process ends before its response is sent. With it, it kept the body, for as long as the connection stayed open, and nothing counted that memory: 900 kept connections after bodies of 360 kB were enough.

The request is now kept without its body.

The new test fails before.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -569,7 +569,7 @@
                     pipelined.request is not None
                     and pipelined.request.method == b"HEAD"
                 )
-                self._latest_request = pipelined.request
+                self._latest_request = _without_body(pipelined.request)
                 self._write(self._encode(pipelined.reply, keep, head_only))
                 self._count_unsent(-len(pipelined.reply.body))
             if not keep:
@@ -708,6 +708,13 @@
             self._transport.resume_reading()
 
 
+def _without_body(req: CallerRequest | None) -> CallerRequest | None:
+    """Return a request that is kept only to be reported."""
+    if req is None or not req.body:
+        return req
+    return dataclasses.replace(req, body=b"")
+
+
 def _encode(reply: CallerResponse, keep_alive: bool, head_only: bool) -> bytes:
     reason = reply.reason or _REASON_PHRASES.get(reply.status, b"")
     lines = [b"HTTP/1.1 %d %s" % (reply.status, reason)]
--- a/tests/gateway/test_unsent_responses.py
+++ b/tests/gateway/test_unsent_responses.py
@@ -166,3 +166,22 @@
         return gateway.caller_server.unsent_budget is gateway.pool._budget
 
     assert asyncio.run(build())
+
+
+def test_a_kept_connection_does_not_keep_the_body_of_its_latest_request():
+    """Guards against memory for bodies that nothing counts."""
+
+    async def scenario(world):
+        head = b"POST /0 HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n"
+        world.conn._server.budget = BodyBudget(lambda: SIZE)
+        cut = []
+        world.conn._server.on_cut = lambda req, cause: cut.append(req)
+        world.conn.data_received(head + b"Content-Length: 5\r\n\r\nabcde")
+        await world.answer(0)
+        kept = world.conn._latest_request
+        world.conn._server.report_cut()
+        return kept.body, [req.header(b"request-id") for req in cut]
+
+    (body, reported), _ = _play(scenario)
+    assert body == b""
+    assert reported == [b"r"]
