Drop the received part of a body that is rejected

When a body does not fit into the memory for bodies or is too long, the request gets a response at once and the reserved bytes are released, but the connection kept what had arrived until its caller closed it, up to twice the idle timeout later. Callers that go on sending to an instance whose memory is full made it exceed its limit.

The received part is now dropped with the reservation.

The new test fails before.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -541,6 +541,7 @@
             self._write_ready_responses()
 
     def _release_body(self) -> None:
+        self._body = []
         if self._reserved_bytes:
             self._server.budget.release(self._reserved_bytes)
             self._reserved_bytes = 0
--- a/tests/gateway/test_unsent_responses.py
+++ b/tests/gateway/test_unsent_responses.py
@@ -185,3 +185,19 @@
     (body, reported), _ = _play(scenario)
     assert body == b""
     assert reported == [b"r"]
+
+
+def test_a_rejected_request_does_not_keep_its_body():
+    """Guards against memory for bodies that nothing counts until the caller closes."""
+
+    async def scenario(world):
+        budget = world.conn._server.budget = BodyBudget(lambda: SIZE)
+        head = b"POST /0 HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n"
+        world.conn.data_received(head + b"x" * SIZE)
+        held = budget.held_bytes
+        world.conn.data_received(b"x")
+        return held, world.conn.is_closing, budget.held_bytes, world.conn._body
+
+    (held, closing, left, body), _ = _play(scenario)
+    assert (held, closing, left) == (SIZE, True, 0)
+    assert body == []
