Keep no body of a response after its exchange

A connection to an endpoint kept the parts of its latest response until the next one began, while it was idle in the pool. The memory for responses was released at the end of the exchange, so nothing counted them: 150 answers of 2 MB at once, read by their callers, were enough.

The parts are now dropped when the exchange ends, also if it fails.

Both cases of the new test fail before.

--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -224,6 +224,7 @@
             self._timeout_handle.cancel()
             self._progress = None
             self._response_future = None
+            self._body.clear()
             self._release_body()
             self.idle_since = loop.time()
             if self._must_close:
--- a/tests/gateway/test_response_memory.py
+++ b/tests/gateway/test_response_memory.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from arbutusflow.gateway.body_budget import SMALL_BODY_BYTES, BodyBudget
 from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.model import ExchangeError
@@ -136,3 +138,21 @@
     detail, held = _play(scenario, limit=SIZE - 1)
     assert detail == "not enough memory for the response"
     assert held == 0
+
+
+@pytest.mark.parametrize("complete", [True, False])
+def test_a_connection_keeps_no_body_after_its_exchange(complete):
+    """Guards against memory of idle connections that nothing counts."""
+
+    async def scenario(budget):
+        exchange = _Exchange(budget, timeout=0.5)
+        await asyncio.sleep(0)
+        await exchange.send(HEAD, BODY[:-1])
+        if complete:
+            await exchange.send(BODY[-1:])
+        return await exchange.body(), exchange.conn.usable, exchange.conn._body
+
+    (body, usable, kept), held = _play(scenario)
+    assert usable == complete
+    assert body == (BODY if complete else "no response within the time limit")
+    assert (kept, held) == ([], 0)
