--- a/tests/soak/process_ends.py
+++ b/tests/soak/process_ends.py
@@ -36,6 +36,7 @@
 ENDPOINTS = 4
 ANSWER_SECONDS = 12.0  # For the longest answer of a kept connection.
 LONG_SECONDS = 240.0
+SILENT_ENDPOINTS = 16
 SERVED_SECONDS = 2.0  # After a case, callers get answers within this time.
 
 
@@ -527,6 +528,21 @@
         writer.close()
 
 
+async def large_answers(world: World) -> None:
+    """Answers of 2 MB, which callers read at once."""
+
+    async def fetch() -> None:
+        with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+            async with asyncio.timeout(15.0):
+                reader, writer = await world.connect()
+                writer.write(request(b"GET", 2_000_000, 200))
+                await read_response(reader)
+                writer.close()
+
+    for _ in range(4):
+        await asyncio.gather(*(fetch() for _ in range(150)))
+
+
 class _SilentEndpoint(asyncio.Protocol):
     """Reads nothing and answers nothing."""
 
@@ -541,7 +557,7 @@
     The kernel takes little, as on links with small windows.
     """
     host, silent = own_host(), []
-    for number in range(4):
+    for number in range(SILENT_ENDPOINTS):
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         sock.bind((host, 0))
@@ -564,7 +580,7 @@
     await asyncio.gather(
         _slow_readers(world, 40, 10_000_000, 1, 4.0), *(upload() for _ in range(60))
     )
-    for number in range(4):
+    for number in range(SILENT_ENDPOINTS):
         world.store.remove("servers", f"silent-{number}")
         silent[number].close()
 
@@ -617,6 +633,7 @@
     slow_readers,
     slow_pipelines,
     kept_uploads,
+    large_answers,
     full_memory,
     long_run,
 )
