--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -572,6 +572,7 @@
             self._write_ready_responses()
 
     def _release_body(self) -> None:
+        self._body = bytearray()
         if self._reserved_bytes:
             self._server.budget.release(self._reserved_bytes)
             self._reserved_bytes = 0
@@ -600,7 +601,7 @@
                     pipelined.request is not None
                     and pipelined.request.method == b"HEAD"
                 )
-                self._latest_request = pipelined.request
+                self._latest_request = _without_body(pipelined.request)
                 data = self._encode(pipelined.reply, keep, head_only)
                 if self._watch is not None:
                     data = data[self._watch.take_written() :]
@@ -761,6 +762,13 @@
     return "caller_reset" if isinstance(exc, OSError) else "error"
 
 
+def _without_body(req: CallerRequest | None) -> CallerRequest | None:
+    """Return a request that is kept only to be reported."""
+    if req is None or not req.body:
+        return req
+    return dataclasses.replace(req, body=b"")
+
+
 def _encode(reply: CallerResponse, keep_alive: bool, head_only: bool) -> bytes:
     reason = reply.reason or _REASON_PHRASES.get(reply.status, b"")
     lines = [RESPONSE_START + b"%d %s" % (reply.status, reason)]
