Go on from owners over several eras of the store in a row

Callers saw keys without an owner for as long as the store kept coming back from older copies every few seconds (15 returns, 0.9 to 8 s apart). The wait of 8.32 s began anew with each era, and an era without a table left all ranges without an owner.

A range without an owner is now marked before it is assigned, like one that moves. So an instance that held the right to grant at the end of each of several eras proves that no range outside the marks of its table changed hands in them, also where the tables of these eras are lost. A range that no table of the eras in a row gives an owner waits once, from the first of them.

Changed tests: two planted faults and one unit test follow the new signatures; the unit test checks more (ranges without an owner, marked ones, skipped eras).

--- a/arbutusflow/gateway/fleet.py
+++ b/arbutusflow/gateway/fleet.py
@@ -17,6 +17,7 @@
 
 import dataclasses
 import functools
+import itertools
 from collections.abc import Iterable
 
 import msgspec
@@ -57,6 +58,7 @@
 # Instances that see all changes of the store at once; in two zones, if possible, so
 # that the loss of one delays no change.
 READER_COUNT = 2
+ERA_MEMORY_SECONDS = 12.0  # No grant by a table of an earlier era lasts so long.
 MAX_CACHED_HASHES = 4096  # More than instances times partitioned services.
 MAX_CACHED_GROUPS = 16_384  # More than endpoints of partitioned services.
 
@@ -145,6 +147,45 @@
         return self.peer.last_grant_times(endpoint)[0]
 
 
+def first_age(era_ages: dict[int, float], era: int) -> float:
+    """Return the age of the first known era from `era` on; negative if not known.
+
+    It is also negative if no era before it was known: nothing was granted by one then.
+    """
+    later = [known for known in era_ages if known >= era]
+    return era_ages[min(later)] if later else -1.0
+
+
+class EraHistory:
+    """When an instance learned of each era of the store, as long as this matters."""
+
+    def __init__(self) -> None:
+        self._learned_at: dict[int, float] = {}
+        # The first known era, unless the instance knows the fleet since era 0.
+        self._first: int | None = None
+        self.knew_earlier = False  # Than the current era.
+        self.known_since = -1e9  # When the first known era was learned of.
+
+    def note(self, era: int, now: float, *, knew_earlier: bool) -> None:
+        """Note that the instance learned of an era."""
+        if not knew_earlier:
+            self._learned_at.clear()
+            self._first, self.known_since = era, now
+        self.knew_earlier = knew_earlier
+        self._learned_at[era] = now
+        eras = list(self._learned_at)
+        for known, following in itertools.pairwise(eras):
+            if now - self._learned_at[following] >= ERA_MEMORY_SECONDS:
+                del self._learned_at[known]
+
+    def ages(self, now: float) -> dict[int, float]:
+        """Return the ages for `PeerReport.era_ages`."""
+        return {
+            era: -1.0 if era == self._first else round(now - at, 3)
+            for era, at in self._learned_at.items()
+        }
+
+
 class Fleet:
     """Recorded instances, their liveness, and which of them are not vouched for."""
 
@@ -182,11 +223,10 @@
         # Revisions of the tables in force.
         self.applied: dict[str, StorePoint] = {}
         self.era = copy.era.current
-        # When this instance learned of the era, and whether it knew an earlier one.
-        self.era_since = now
-        self._knew_earlier_era = False
-        # Whether it could grant in the era just before until it learned of this one.
-        self.held_right = False
+        self.era_since = now  # When this instance learned of the era.
+        self.eras = EraHistory()
+        # See `PeerReport.right_since`.
+        self.right_since = self.era
         # By era: until when it may grant by tables of that earlier era.
         self._earlier_right_until: dict[int, float] = {}
 
@@ -343,12 +383,14 @@
 
     def enter_era(self, era: int, now: float) -> None:
         """Note a later era, and until when tables of earlier ones may be granted by."""
+        until = -1e9
         if self._copy.was_read:
             until = self._right_until(now)
             self._copy.current_at = -1e9
-            self.held_right = now < until and era == self.era + 1
             self._earlier_right_until[self.era] = until
-            self._knew_earlier_era = True
+        if now >= until or era != self.era + 1:
+            self.right_since = era
+        self.eras.note(era, now, knew_earlier=self._copy.was_read)
         self.era, self.era_since = era, now
         self._ranks_at = self._alive_at = -1e9
 
@@ -369,28 +411,41 @@
         """Return whether a live instance has reported a later era than known here."""
         return any(peer.report.era > self.era for peer in self._peers.alive(now))
 
-    def earlier_grants_until(self, now: float) -> float:
-        """Return until when grants by tables of earlier eras may arrive at endpoints.
-
-        Very early if there was no earlier era since the fleet was started.
-        """
+    def has_earlier_era(self, now: float) -> bool:
+        """Return whether the fleet may be older than the era."""
         if self.era == 0:
-            return -1e9
-        learned_at = [
-            peer.received_at - peer.report.era_age
-            for peer in self._peers.alive(now)
-            if peer.report.era == self.era and peer.report.era_age >= 0
-        ]
+            return False
         tables = map(parse_table_name, self._copy.objects)
-        if not (
-            self._knew_earlier_era
-            or learned_at
+        return (
+            self.eras.knew_earlier
+            or bool(self._learned_at(self.era, now))
             or any(self.last_report_at(record) is None for record in self.others())
             or any(table is not None and table[1] != self.era for table in tables)
-        ):
+        )
+
+    def _learned_at(self, era: int, now: float) -> list[float]:
+        """Return when live peers that knew an era before `era` learned of it."""
+        ages = (
+            (peer.received_at, first_age(peer.report.era_ages, era))
+            for peer in self._peers.alive(now)
+        )
+        return [received_at - age for received_at, age in ages if age >= 0]
+
+    def earlier_grants_until(self, now: float, era: int = 0) -> float:
+        """Return until when grants by tables before an era may arrive at endpoints.
+
+        The era is the current one if none is given. Very early if there was no earlier
+        one since the fleet was started.
+        """
+        if not self.has_earlier_era(now):
             return -1e9
-        if self._knew_earlier_era or not learned_at:
-            learned_at.append(self.era_since)
+        era = era or self.era
+        learned_at = self._learned_at(era, now)
+        own_age = first_age(self.eras.ages(now), era)
+        if own_age >= 0:
+            learned_at.append(now - own_age)
+        elif not learned_at:
+            learned_at.append(self.eras.known_since)
         return (
             max(learned_at)
             + CONTACT_TIMEOUT_SECONDS
@@ -398,17 +453,14 @@
             + GRANT_TIMEOUT_SECONDS
         )
 
-    def era_age(self, now: float) -> float:
-        """Return for how long this era is known; negative if no earlier one was."""
-        return now - self.era_since if self._knew_earlier_era else -1.0
-
-    def holder_of_right_is_known(self, now: float) -> bool:
-        """Return whether a live instance held the right to grant until this era.
+    def holder_of_right_is_known(self, era: int, now: float) -> bool:
+        """Return whether a live instance could grant at the end of each era from `era`.
 
-        It was the era just before, so that instance had agreed to all its moves.
+        It had agreed to all changes of owners in these eras, as far as it has their
+        tables in force.
         """
-        return self.held_right or any(
-            peer.report.era == self.era and peer.report.held_right
+        return self.right_since <= era or any(
+            peer.report.era == self.era and peer.report.right_since <= era
             for peer in self._peers.alive(now)
         )
 
--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -459,8 +459,8 @@
             copies=self.relay.revisions(),
             leaving_endpoints=self._workload.leaving_endpoints(),
             era=self.fleet.era,
-            era_age=round(self.fleet.era_age(now), 3),
-            held_right=self.fleet.held_right and self.fleet.registered,
+            era_ages=self.fleet.eras.ages(now),
+            right_since=self.fleet.right_since,
             refused=self.leases.refused_grants(now),
         )
 
--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -237,7 +237,8 @@
         key_range = self.find(service, key)
         if key_range is None or key_range.endpoint or not self._fleet.era:
             return 0.0
-        return max(0.0, lease_expiry(self._fleet.earlier_grants_until(now)) - now)
+        until = self._fleet.earlier_grants_until(now, key_range.unowned_since)
+        return max(0.0, lease_expiry(until) - now)
 
     def find_owner(self, key_range: KeyRange) -> Endpoint | None:
         """Return the owner of a range, even if it is no longer listed."""
--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -215,7 +215,7 @@
         )
         if balance:
             self._balanced_at[service] = now
-        if planned != table and any(key_range.endpoint for key_range in planned.ranges):
+        if planned != table and any(r.endpoint or r.leaving for r in planned.ranges):
             self._writing.add(service)
             self._spawn(self._write(service, era, planned, stored))
 
@@ -229,14 +229,17 @@
             peer.report.tables.get(service, BEFORE_ALL) <= earlier.revision
             for peer in self._peers.alive(now)
         )
-        proved = (
-            is_latest
-            and fleet.holder_of_right_is_known(now)
-            and earlier.revision.era == fleet.era - 1
-        )
+        proved = is_latest and fleet.holder_of_right_is_known(earlier.revision.era, now)
         if not proved and known_seconds < MAX_ERA_REPORT_SECONDS:
             return
-        first = key_planner.first_table_of_era(earlier.table, fleet.era, proved=proved)
+        first = key_planner.first_table_of_era(
+            earlier.table, earlier.revision.era, fleet.era, proved=proved
+        )
+        waits = [
+            lease_expiry(fleet.earlier_grants_until(now, r.unowned_since)) - now
+            for r in first.ranges
+            if not r.endpoint
+        ]
         self._log.write(
             "key_table_reconciled",
             service=service,
@@ -246,9 +249,7 @@
             proved=proved,
             kept=sum(bool(key_range.endpoint) for key_range in first.ranges),
             waiting=sum(not key_range.endpoint for key_range in first.ranges),
-            wait_seconds=round(
-                max(0.0, lease_expiry(fleet.earlier_grants_until(now)) - now), 3
-            ),
+            wait_seconds=round(max([0.0, *waits]), 3),
         )
         self._writing.add(service)
         self._spawn(self._write(service, fleet.era, first, None))
@@ -444,6 +445,8 @@
             return None
         if not self._is_own_move(key_range):
             return None
+        if not key_range.endpoint:
+            return "" if self._may_assign_unowned(key_range, now) else None
         if revocation.release_in_progress or now < revocation.closed_until:
             return None
         sent, unanswered = self._latest_grant_times(
@@ -455,6 +458,11 @@
             return ""
         return None
 
+    def _may_assign_unowned(self, key_range: KeyRange, now: float) -> bool:
+        """Return whether no endpoint can hold a range that has no owner."""
+        until = self._fleet.earlier_grants_until(now, key_range.unowned_since)
+        return now >= lease_expiry(until)
+
     def _handover_if_cancelled(
         self, service: str, key_range: KeyRange, now: float
     ) -> str | None:
@@ -558,10 +566,11 @@
     def handover_if_cancelled(self, key_range: KeyRange) -> str | None:
         return self._moves._handover_if_cancelled(self._service, key_range, self._now)
 
-    def may_assign_unowned(self) -> bool:
-        return self._now >= lease_expiry(
-            self._moves._fleet.earlier_grants_until(self._now)
-        )
+    def may_assign_unowned(self, key_range: KeyRange) -> bool:
+        return self._moves._may_assign_unowned(key_range, self._now)
+
+    def must_agree_on_unowned(self) -> bool:
+        return self._moves._fleet.has_earlier_era(self._now)
 
     @functools.cached_property
     def refused(self) -> set[GrantId]:
--- a/arbutusflow/gateway/key_planner.py
+++ b/arbutusflow/gateway/key_planner.py
@@ -22,7 +22,7 @@
     RATE_DEVIATION,
     group_entry,
 )
-from arbutusflow.gateway.key_table import TOKENS_PER_ERA, KeyRange, KeyTable
+from arbutusflow.gateway.key_table import KeyRange, KeyTable, first_token
 from arbutusflow.gateway.model import KEY_SPACE, Endpoint
 
 # Requests per second added to the measured load of each key, so that the keys of an
@@ -66,9 +66,12 @@
         Returns None unless it goes back because it cannot move now.
         """
 
-    def may_assign_unowned(self) -> bool:
+    def may_assign_unowned(self, key_range: KeyRange) -> bool:
         """Return whether no endpoint can hold a range that has no owner."""
 
+    def must_agree_on_unowned(self) -> bool:
+        """Return whether instances apply a mark before an unowned range is assigned."""
+
     def is_refused(self, key_range: KeyRange) -> bool:
         """Return whether the owner refuses the token, so that it needs another one."""
 
@@ -232,20 +235,25 @@
     return KeyTable(table.service, draft.next_token, _merge_unowned(draft.ranges))
 
 
-def first_table_of_era(earlier: KeyTable, era: int, *, proved: bool) -> KeyTable:
-    """Return the first table of an era, from the latest known one of the era before.
+def first_table_of_era(
+    earlier: KeyTable, earlier_era: int, era: int, *, proved: bool
+) -> KeyTable:
+    """Return the first table of an era, from the latest known one of an earlier era.
 
     `proved` says that no range of it can have moved since, unless it is leaving. Such
     ranges keep owner and token, so that renewals go on. All others have no owner: any
-    endpoint may hold them.
+    endpoint may hold them. In the era just before, all tables name a range that had no
+    owner; in one whose tables nobody has, it may have been given back to an owner.
     """
     ranges = [
         key_range
-        if proved and key_range.endpoint and not key_range.leaving
-        else KeyRange(key_range.first, key_range.last)
+        if proved
+        and not key_range.leaving
+        and (key_range.endpoint or earlier_era == era - 1)
+        else KeyRange.unowned(key_range.first, key_range.last, era)
         for key_range in earlier.ranges
     ]
-    next_token = max(earlier.next_token, era * TOKENS_PER_ERA)
+    next_token = max(earlier.next_token, first_token(era))
     return KeyTable(earlier.service, next_token, _merge_unowned(ranges))
 
 
@@ -261,7 +269,12 @@
     """
     for key_range in table.ranges:
         if not key_range.endpoint:
-            if leaving.may_assign_unowned():
+            if key_range.leaving:
+                if leaving.handover_if_transferable(key_range) is not None:
+                    return True
+                if leaving.must_take_over(key_range):
+                    return True
+            elif leaving.may_assign_unowned(key_range):
                 return True
             continue
         endpoint = endpoints.get(key_range.endpoint)
@@ -339,11 +352,16 @@
     leaving: LeavingState,
 ) -> None:
     result: list[KeyRange] = []
-    may_assign = leaving.may_assign_unowned()
     for key_range in draft.ranges:
-        handover = "" if not key_range.endpoint and may_assign else None
+        handover = None
         if key_range.leaving:
             handover = leaving.handover_if_transferable(key_range)
+        elif not key_range.endpoint and leaving.may_assign_unowned(key_range):
+            if leaving.must_agree_on_unowned():
+                result.append(key_range.as_leaving(draft.next_token, draft.own_life))
+                draft.next_token += 1
+                continue
+            handover = ""
         if handover is None:
             result.append(key_range)
             continue
@@ -526,11 +544,13 @@
 
 
 def _merge_unowned(ranges: Sequence[KeyRange]) -> tuple[KeyRange, ...]:
-    """Join adjacent ranges without an owner."""
+    """Join adjacent ranges without an owner that differ in nothing else."""
     result: list[KeyRange] = []
     for key_range in ranges:
-        if result and not key_range.endpoint and not result[-1].endpoint:
-            result[-1] = KeyRange(result[-1].first, key_range.last)
-        else:
-            result.append(key_range)
+        if result and not key_range.endpoint:
+            joined = msgspec.structs.replace(result[-1], last=key_range.last)
+            if joined == msgspec.structs.replace(key_range, first=joined.first):
+                result[-1] = joined
+                continue
+        result.append(key_range)
     return tuple(result)
--- a/arbutusflow/gateway/key_table.py
+++ b/arbutusflow/gateway/key_table.py
@@ -4,7 +4,8 @@
 fencing token is used for one owner of one range only and is greater than all earlier
 tokens, because a conditional write stores the table that contains a token before the
 token is granted. A later era of the store, which may have lost tables, has tokens that
-no earlier era gives out.
+no earlier era gives out. A range without an owner names the highest token that a valid
+grant of it can have.
 """
 
 import bisect
@@ -37,10 +38,13 @@
     last: int
     endpoint: str = ""  # Identifier of the owner; empty if there is none.
     started_ms: int = 0  # Start time of the owner's process, which identifies it.
-    token: int = 0  # Fencing token of the grant.
+    # Fencing token of the grant. Without an owner: no valid grant has a higher one.
+    token: int = 0
     # Returned by the previous owner when it released all of these keys, or empty.
     handover: str = ""
-    leaving: bool = False  # Being moved to another owner: the lease is not renewed.
+    # Being moved to another owner: the lease is not renewed. Without an owner: about to
+    # be assigned.
+    leaving: bool = False
     # While leaving: token with which the owner is made to refuse all earlier grants,
     # and the incarnation of the only instance that may use it.
     closing_token: int = 0
@@ -51,6 +55,16 @@
         """Number of keys."""
         return self.last - self.first + 1
 
+    @classmethod
+    def unowned(cls, first: int, last: int, era: int) -> "KeyRange":
+        """Return a range that has had no owner in any table since an era began."""
+        return cls(first, last, token=max(0, first_token(era) - 1))
+
+    @property
+    def unowned_since(self) -> int:
+        """The era since which the range has no owner in any table; 0 if not known."""
+        return (self.token + 1) // TOKENS_PER_ERA
+
     def as_leaving(self, closing_token: int, closer_life: int) -> "KeyRange":
         """Return the range marked as leaving, to be closed by one instance."""
         return msgspec.structs.replace(
@@ -63,6 +77,11 @@
         return (self.endpoint, self.first, self.last, self.token)
 
 
+def first_token(era: int) -> int:
+    """Return a token that is above all tokens of earlier eras."""
+    return era * TOKENS_PER_ERA
+
+
 def _first_key(key_range: KeyRange) -> int:
     return key_range.first
 
@@ -77,8 +96,8 @@
     @classmethod
     def empty(cls, service: str, era: int = 0) -> "KeyTable":
         """Return the first table of an era, in which no key has an owner."""
-        next_token = max(1, era * TOKENS_PER_ERA)
-        return cls(service, next_token, (KeyRange(0, KEY_SPACE - 1),))
+        unowned = KeyRange.unowned(0, KEY_SPACE - 1, era)
+        return cls(service, max(1, first_token(era)), (unowned,))
 
     def find(self, key: int) -> KeyRange:
         """Return the range that contains a key."""
--- a/arbutusflow/gateway/peers.py
+++ b/arbutusflow/gateway/peers.py
@@ -82,11 +82,12 @@
     # Start times, by identifier, of endpoint processes that said that they leave.
     leaving_endpoints: dict[str, int] = {}
     era: int = 0  # Of the store, as the sender knows it.
-    # Seconds since the sender learned of the era; negative if it knew no earlier one.
-    era_age: float = -1.0
-    # Whether the sender had the right to grant in the era just before, when it learned
-    # of this one.
-    held_right: bool = False
+    # By era: seconds since the sender learned of it; negative if it knew no earlier
+    # one. Long known eras are left out.
+    era_ages: dict[int, float] = {}
+    # The earliest era such that the sender learned of each later one directly after the
+    # one before, in which it then had the right to grant.
+    right_since: int = 0
     # Grants by the tables of a later era of the store that endpoints have refused.
     refused: tuple[GrantId, ...] = ()
 
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -89,7 +89,8 @@
 
     handover_if_transferable: Callable[[KeyRange], str | None] = lambda key_range: None
     handover_if_cancelled: Callable[[KeyRange], str | None] = lambda key_range: None
-    may_assign_unowned: Callable[[], bool] = lambda: True
+    may_assign_unowned: Callable[[KeyRange], bool] = lambda key_range: True
+    must_agree_on_unowned: Callable[[], bool] = lambda: False
     is_refused: Callable[[KeyRange], bool] = lambda key_range: False
     must_take_over: Callable[[KeyRange], bool] = lambda key_range: False
 
--- a/tests/gateway/test_era_answers.py
+++ b/tests/gateway/test_era_answers.py
@@ -233,15 +233,23 @@
     ranges = (
         KeyRange(0, 99, "e0", 1, 3),
         KeyRange(100, 199, "e1", 1, 4).as_leaving(6, 9),
-        KeyRange(200, KEY_SPACE - 1),
+        KeyRange.unowned(200, 299, 1),
+        KeyRange.unowned(300, KEY_SPACE - 1, 1).as_leaving(5, 9),
     )
-    earlier = KeyTable("s", 7, ranges)
-    first = first_table_of_era(earlier, 2, proved=True)
+    earlier = KeyTable("s", TOKENS_PER_ERA + 7, ranges)
+    first = first_table_of_era(earlier, 1, 2, proved=True)
     first.check()
-    assert first.ranges == (ranges[0], KeyRange(100, KEY_SPACE - 1))
+    assert first.ranges == (
+        ranges[0],
+        KeyRange.unowned(100, 199, 2),
+        ranges[2],
+        KeyRange.unowned(300, KEY_SPACE - 1, 2),
+    )
     assert first.next_token == 2 * TOKENS_PER_ERA
-    unproved = first_table_of_era(earlier, 2, proved=False)
-    assert unproved.ranges == (KeyRange(0, KEY_SPACE - 1),)
+    skipped = first_table_of_era(earlier, 1, 3, proved=True)
+    assert skipped.ranges == (ranges[0], KeyRange.unowned(100, KEY_SPACE - 1, 3))
+    unproved = first_table_of_era(earlier, 1, 2, proved=False)
+    assert unproved.ranges == (KeyRange.unowned(0, KEY_SPACE - 1, 2),)
 
 
 # Entries of endpoints.
--- a/tests/gateway/test_store_era_machine.py
+++ b/tests/gateway/test_store_era_machine.py
@@ -330,7 +330,7 @@
 def _keep_tokens(monkeypatch):
     """Let a later era give out the tokens of the lost part again."""
     for module in (key_planner, key_table):
-        monkeypatch.setattr(module, "TOKENS_PER_ERA", 0)
+        monkeypatch.setattr(module, "first_token", lambda era: 0)
 
 
 def _use_restored_tables(monkeypatch):
@@ -346,7 +346,7 @@
 
 def _wait_for_no_grants(monkeypatch):
     """Assign keys at once, while grants of the lost part may be valid."""
-    monkeypatch.setattr(Fleet, "earlier_grants_until", lambda self, now: -1e9)
+    monkeypatch.setattr(Fleet, "earlier_grants_until", lambda *args: -1e9)
 
 
 def _keep_owners_without_proof(monkeypatch):
@@ -355,7 +355,9 @@
     monkeypatch.setattr(
         key_planner,
         "first_table_of_era",
-        lambda earlier, era, proved: first_table(earlier, era, proved=True),
+        lambda earlier, before, era, proved: first_table(
+            earlier, before, era, proved=True
+        ),
     )
 
 
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import random
 
 import pytest
 
@@ -21,6 +22,10 @@
     CONTACT_TIMEOUT_SECONDS + CONTACT_SLACK_SECONDS + GRANT_TIMEOUT_SECONDS
 )
 PLAN_SECONDS = 1.0
+LONGEST_ERA_SECONDS = (
+    6.0  # Of drills in a row, with the time for which the store is away.
+)
+DRILLS_SECONDS = 40.0  # Of drills in a row.
 # Shares of keys that are held are measured this often.
 SAMPLE_SECONDS = 0.25
 
@@ -349,3 +354,32 @@
             return known, sim.violations, sim.held_key_share()
 
     assert run_fleet(scenario) == (False, [], 1.0)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_keys_are_served_again_although_the_store_goes_back_every_few_seconds(seed):
+    """Guards against a wait that begins anew with each era, and against owners that
+    lose their keys because an era was short."""
+
+    async def scenario(sim):
+        rng = random.Random(seed)
+
+        async def drills():
+            while True:
+                await go_back(sim, rng.uniform(0.3, 6.0), rng.uniform(0.1, 1.0))
+                await asyncio.sleep(rng.uniform(2.0, 5.0))
+
+        with copies_kept(sim):
+            await asyncio.sleep(12.0)
+            sim.closed_ports.add("e1")
+            sim.unlisted.add("e1")
+            await asyncio.sleep(0.3)  # Its keys have no owner in the first new era.
+            task = asyncio.create_task(drills())
+            # The era in which the wait ends may be too short to assign keys in.
+            bound = WAIT_SECONDS + LONGEST_ERA_SECONDS + PLAN_SECONDS
+            await asyncio.sleep(bound)
+            shares = await held_shares(sim, DRILLS_SECONDS - bound)
+            task.cancel()
+            return min(shares), sim.violations
+
+    assert run_fleet(scenario, seed) == (1.0, [])
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -236,7 +236,12 @@
     if world.rng.random() < 0.2:
         await all_instances_killed(world)
     else:
-        await _kill(world, [world.rng.choice(world.gateways)])
+        await one_instance_killed(world)
+
+
+async def one_instance_killed(world: SoakWorld) -> None:
+    """Kill the process of an instance, and start it again."""
+    await _kill(world, [world.rng.choice(world.gateways)])
 
 
 async def all_instances_killed(world: SoakWorld) -> None:
--- a/tests/soak/store_faults.py
+++ b/tests/soak/store_faults.py
@@ -21,16 +21,16 @@
     age = rng.uniform(*COPY_AGE_SECONDS)
     twice = rng.random() < TWICE_SHARE
     between, second_age = rng.uniform(*BETWEEN_SECONDS), rng.uniform(0.2, 3.0)
-    taken_at = await _go_back(world, age, rng.uniform(*AWAY_SECONDS))
+    taken_at = await go_back(world, age, rng.uniform(*AWAY_SECONDS))
     if twice:
         await asyncio.sleep(between)
         # An older copy than the first one.
         age = asyncio.get_running_loop().time() - taken_at + second_age
-        await _go_back(world, age, rng.uniform(*AWAY_SECONDS))
+        await go_back(world, age, rng.uniform(*AWAY_SECONDS))
 
 
-async def _go_back(world: SoakWorld, age: float, away: float) -> float:
-    """Let the store go back; return the time of its copy on the clock of the loop."""
+async def go_back(world: SoakWorld, age: float, away: float) -> float:
+    """Let the store go back once; return the time of its copy on the loop's clock."""
     state, rng = world.store.state, world.rng
     taken_at = asyncio.get_running_loop().time() - age
     kind = rng.randrange(3)
