Let the state machine play several eras of the store in a row

The machine returned the store at most twice within seconds, and no instance missed an era while the others moved keys and then ended.

A new step lets the store go back 3 to 6 times, 0.5 to 9 s apart, while an endpoint leaves. An instance misses every other era, and all others end with the last one; grants may be late.

The planted faults of the file are still found.

--- a/tests/gateway/test_store_era_machine.py
+++ b/tests/gateway/test_store_era_machine.py
@@ -34,6 +34,8 @@
 LOST_PART_SECONDS = (0.5, 1.5, 5.8)
 WAYS_TO_LEAVE = ("drain", "crash", "restart")
 RESTARTED = ((), INSTANCES[:1], INSTANCES)  # Instances, right after the store is back.
+# Between returns in a row: without a first table, with one, and with moves.
+ERA_SECONDS = (0.3, 0.9, 1.4, 3.0, 9.0)
 ISOLATED_SECONDS = 12.0  # Longer than any grant of an earlier era is waited for.
 instances = st.sampled_from(INSTANCES)
 
@@ -164,6 +166,38 @@
         self.notice(instance)
         self.come_back(endpoint)
 
+    @rule(
+        instance=instances,
+        endpoint=st.sampled_from(ENDPOINTS),
+        seconds=st.lists(st.sampled_from(ERA_SECONDS), min_size=2, max_size=5),
+        missed=st.sampled_from((0, 1, 2)),
+        way=st.sampled_from(WAYS_TO_LEAVE),
+        late=st.booleans(),
+    )
+    def eras_in_a_row(self, instance, endpoint, seconds, missed, way, late):
+        """Let the store go back several times, while an endpoint leaves.
+
+        An instance is cut off in every other era, from an odd or an even one on, or in
+        none. The others end with the last era.
+        """
+        self.apply_grants_late(0.3 if late else 0.0)
+        self.leave(endpoint, way)
+        for number, lasted in enumerate(seconds):
+            self.store_goes_back(COPY_AGES[0], AWAY_SECONDS[0])
+            self.run(0.2)  # It may learn of the era, and hold the right in it.
+            if missed and (number + missed) % 2:
+                self.cut_off(instance)
+            self.run(lasted)
+            if missed and not (number + missed) % 2:
+                self.notice(instance)
+        self.store_goes_back(COPY_AGES[0], AWAY_SECONDS[0])
+        for other in INSTANCES:
+            if other != instance:
+                self.restart(other)
+        self.notice(instance)
+        self.run(1.0)
+        self.come_back(endpoint)
+
     def leave(self, endpoint, way):
         """Let an endpoint leave; it releases its keys unless it crashes or starts."""
         if way == "crash":
@@ -277,10 +311,24 @@
         ),
         "outlive_lost_part": (instance, rng.choice(ENDPOINTS)),
         "isolate_after_return": (instance, rng.choice(ENDPOINTS)),
+        "eras_in_a_row": (
+            instance,
+            rng.choice(ENDPOINTS),
+            rng.choices(ERA_SECONDS, k=rng.randint(2, 5)),
+            rng.choice((0, 1, 2)),
+            rng.choice(WAYS_TO_LEAVE),
+            rng.random() < 0.3,
+        ),
         "close_port": (rng.choice(ENDPOINTS), rng.random() < 0.3),
         "press_keys": (rng.choice(SAMPLED_KEYS),),
     }
-    weights = {"run": 5, "store_goes_back": 3, "notice": 4, "lose_move": 3}
+    weights = {
+        "run": 5,
+        "store_goes_back": 3,
+        "notice": 4,
+        "lose_move": 3,
+        "eras_in_a_row": 3,
+    }
     names = list(arguments)
     name = rng.choices(names, [weights.get(name, 1) for name in names])[0]
     getattr(machine, name)(*arguments[name])
