Watch the records more often soon after a new era of the store

Callers saw all keys refused for 8.32 s after the second of two returns, if an instance had ended shortly before and the store was away for 2 s.

While an instance that has ended has a record, no instance is vouched for, and the right to grant rests on the store. The watch that shows it waits for 1.8 s, so the right (3 s) could end while the store was away, at all instances. Nobody then proves that no key moved. The watch now waits 0.6 s for 12 s after a new era: the right lasts until the store has been away for about 2.4 s. Nothing that safety rests on has changed.

Evidence: test_owners_are_proved_although_an_instance_has_just_ended (the end of an instance, then the store away for 2 s) failed in 3 of 6 phases of the watch before (no key held 4 s after the return) and passes in all six now.

--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -61,6 +61,10 @@
 WATCH_SECONDS = 15.0
 # Used for the fleet's objects while the right to grant keys depends on this watch.
 FLEET_WATCH_SECONDS = 1.8
+# The same soon after a new era. The right to grant then lasts until the next one if the
+# store is away for up to two seconds, and keys keep their owners.
+YOUNG_ERA_WATCH_SECONDS = 0.6
+YOUNG_ERA_SECONDS = 12.0
 REGISTER_RETRY_SECONDS = 0.3
 # The store announces a change within milliseconds.
 TABLE_REQUEST_DELAY_SECONDS = 0.1
@@ -282,7 +286,7 @@
             wait_seconds, may_lag = WATCH_SECONDS, not self.fleet.is_reader(now)
             if copy is self.copy:
                 if self._needs_current_records(now):
-                    wait_seconds, may_lag = FLEET_WATCH_SECONDS, False
+                    wait_seconds, may_lag = self._fleet_watch_seconds(now), False
                 elif self._is_any_planner(now):
                     may_lag = False
             copy.set_watch_mode(wait_seconds, may_lag=may_lag)
@@ -294,6 +298,12 @@
             now
         )
 
+    def _fleet_watch_seconds(self, now: float) -> float:
+        """Return how long a watch waits while the right to grant depends on it."""
+        if self.fleet.era and now - self.fleet.era_since < YOUNG_ERA_SECONDS:
+            return YOUNG_ERA_WATCH_SECONDS
+        return FLEET_WATCH_SECONDS
+
     def _is_any_planner(self, now: float) -> bool:
         return any(
             self.fleet.is_planner(service, now) for service in self.leases.tables
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -383,3 +383,23 @@
             return min(shares), sim.violations
 
     assert run_fleet(scenario, seed) == (1.0, [])
+
+
+@pytest.mark.parametrize("phase", [0.0, 0.3, 0.6, 0.9, 1.2, 1.5])
+def test_owners_are_proved_although_an_instance_has_just_ended(phase):
+    """Guards against all instances losing the right to grant while the store is away,
+    and so the proof, because an instance that ended cannot vouch for them."""
+
+    async def scenario(sim):
+        with copies_kept(sim):
+            await asyncio.sleep(12.0)
+            before = table(sim).table.ranges
+            await go_back(sim, 0.3, 0.1)
+            sim.instances.pop("n4").kill()
+            await asyncio.sleep(3.5 + phase)
+            await go_back(sim, 0.3, 2.0)
+            await asyncio.sleep(4.0)
+            kept = table(sim).table.ranges == before
+            return kept, sim.held_key_share(), sim.violations
+
+    assert run_fleet(scenario) == (True, 1.0, [])
