Write the settings of an instance of the soak in one step

The soak had rewritten the file for `settings_reloaded` while the process started: the file is empty between opening and writing it. It is now written beside and put in its place.

The product is not changed.

--- a/tests/soak/gateway_process.py
+++ b/tests/soak/gateway_process.py
@@ -88,7 +88,10 @@
 
     def write_settings(self, text: str) -> None:
         """Write the settings file."""
-        self._settings_path.write_text(text)
+        # A process that starts meanwhile must not read a part of it.
+        written = self._settings_path.with_suffix(".new")
+        written.write_text(text)
+        written.replace(self._settings_path)
 
     def start(self) -> None:
         """Start the process."""
