--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -18,7 +18,11 @@
 
 import msgspec
 
-from arbutusflow.errors import ConflictError, PlatformError
+from arbutusflow.errors import (
+    ConflictError,
+    PlatformError,
+    PlatformUnavailableError,
+)
 from arbutusflow.gateway import key_planner
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.fleet import FLEET_KIND, Fleet, table_name
@@ -116,6 +120,8 @@
         # Of the leaving ranges of all tables, by service.
         self._revocations: dict[str, dict[GrantId, _Revocation]] = {}
         self._writing: set[str] = set()
+        # By service: era of the latest write whose outcome is not known.
+        self._unknown_writes: dict[str, int] = {}
         self._balanced_at: dict[str, float] = {}
         # Listed endpoints of a service without a table, and since when they are listed.
         self._listed_since: dict[str, tuple[frozenset[str], float]] = {}
@@ -215,7 +221,7 @@
         )
         if balance:
             self._balanced_at[service] = now
-        if planned != table and any(key_range.endpoint for key_range in planned.ranges):
+        if planned != table and any(r.endpoint or r.leaving for r in planned.ranges):
             self._writing.add(service)
             self._spawn(self._write(service, era, planned, stored))
 
@@ -229,14 +235,24 @@
             peer.report.tables.get(service, BEFORE_ALL) <= earlier.revision
             for peer in self._peers.alive(now)
         )
-        proved = (
-            is_latest
-            and fleet.holder_of_right_is_known(now)
-            and earlier.revision.era == fleet.era - 1
-        )
+        proved = is_latest and fleet.holder_of_right_is_known(earlier.revision.era, now)
         if not proved and known_seconds < MAX_ERA_REPORT_SECONDS:
             return
-        first = key_planner.first_table_of_era(earlier.table, fleet.era, proved=proved)
+        first = key_planner.first_table_of_era(
+            earlier.table,
+            earlier.revision.era,
+            fleet.era,
+            proved=proved,
+            settled_lives=fleet.settled_lives(
+                now, own_write_unknown=self.has_unknown_write()
+            ),
+            listed=self._leases.endpoints,
+        )
+        waits = [
+            lease_expiry(fleet.earlier_grants_until(now, r.unowned_since)) - now
+            for r in first.ranges
+            if not r.endpoint
+        ]
         self._log.write(
             "key_table_reconciled",
             service=service,
@@ -246,9 +262,7 @@
             proved=proved,
             kept=sum(bool(key_range.endpoint) for key_range in first.ranges),
             waiting=sum(not key_range.endpoint for key_range in first.ranges),
-            wait_seconds=round(
-                max(0.0, lease_expiry(fleet.earlier_grants_until(now)) - now), 3
-            ),
+            wait_seconds=round(max([0.0, *waits]), 3),
         )
         self._writing.add(service)
         self._spawn(self._write(service, fleet.era, first, None))
@@ -267,6 +281,8 @@
         self, service: str, era: int, planned: KeyTable, stored: StoredTable | None
     ) -> None:
         loop = asyncio.get_running_loop()
+        unknown_before = self._unknown_writes.get(service)
+        self._unknown_writes[service] = era
         name = table_name(service, era)
         spec = msgspec.to_builtins(planned)
         try:
@@ -276,11 +292,13 @@
                 item = await self._store.replace(
                     FLEET_KIND, name, spec, stored.revision
                 )
+            self._note_known_write(service, era, item.revision)
             self._copy.adopt(item)
             self._leases.update_tables(loop.time())
         except ConflictError as exc:
             self._log.write("key_table_conflict", service=service)
             if isinstance(exc.current, StoredObject):
+                self._note_known_write(service, era, exc.current.revision)
                 self._copy.adopt(exc.current)
                 self._leases.update_tables(loop.time())
             else:
@@ -288,12 +306,30 @@
         except PlatformError as exc:
             # The write may still take effect; reading the store again shows whether
             # it did.
+            if (
+                isinstance(exc, PlatformUnavailableError)
+                and not exc.sent
+                and unknown_before is None
+            ):
+                del self._unknown_writes[service]
             self._log.write("key_table_unwritten", service=service, detail=str(exc))
             self._copy.report_call_failure(str(exc))
             await asyncio.sleep(self._rng.uniform(0.1, 0.3))
         finally:
             self._writing.discard(service)
 
+    def _note_known_write(self, service: str, era: int, latest: StorePoint) -> None:
+        """Note that the store answered a write in its era with the latest revision.
+
+        No earlier write of this instance can still take effect then.
+        """
+        if latest.era == era:
+            self._unknown_writes.pop(service, None)
+
+    def has_unknown_write(self) -> bool:
+        """Return whether the outcome of a write in the era before is not known."""
+        return self._fleet.era - 1 in self._unknown_writes.values()
+
     # Revocation of leaving ranges.
 
     def _advance_revocations(
@@ -444,6 +480,8 @@
             return None
         if not self._is_own_move(key_range):
             return None
+        if not key_range.endpoint:
+            return "" if self._may_assign_unowned(key_range, now) else None
         if revocation.release_in_progress or now < revocation.closed_until:
             return None
         sent, unanswered = self._latest_grant_times(
@@ -455,6 +493,11 @@
             return ""
         return None
 
+    def _may_assign_unowned(self, key_range: KeyRange, now: float) -> bool:
+        """Return whether no endpoint can hold a range that has no owner."""
+        until = self._fleet.earlier_grants_until(now, key_range.unowned_since)
+        return now >= lease_expiry(until)
+
     def _handover_if_cancelled(
         self, service: str, key_range: KeyRange, now: float
     ) -> str | None:
@@ -558,10 +601,11 @@
     def handover_if_cancelled(self, key_range: KeyRange) -> str | None:
         return self._moves._handover_if_cancelled(self._service, key_range, self._now)
 
-    def may_assign_unowned(self) -> bool:
-        return self._now >= lease_expiry(
-            self._moves._fleet.earlier_grants_until(self._now)
-        )
+    def may_assign_unowned(self, key_range: KeyRange) -> bool:
+        return self._moves._may_assign_unowned(key_range, self._now)
+
+    def must_agree_on_unowned(self) -> bool:
+        return self._moves._fleet.has_earlier_era(self._now)
 
     @functools.cached_property
     def refused(self) -> set[GrantId]:
--- a/tests/gateway/test_era_answers.py
+++ b/tests/gateway/test_era_answers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -59,6 +60,23 @@
     return asyncio.run(main())
 
 
+def test_a_write_that_was_not_sent_is_known_to_have_no_effect():
+    """Guards against a wait for the effect of a write that the store refused to take,
+    and against a lost answer that counts as one that was not sent."""
+
+    async def scenario(store, client):
+        store.lose_answers = True
+        with pytest.raises(PlatformUnavailableError) as lost:
+            await client.create("k", "a", 1)
+        with socket.create_server((HOST, 0)) as unused:
+            port = unused.getsockname()[1]
+        with pytest.raises(PlatformUnavailableError) as refused:
+            await StoreClient(Address(HOST, port)).create("k", "b", 1)
+        return lost.value.sent, refused.value.sent
+
+    assert _run_with_store(scenario) == (True, False)
+
+
 def test_points_of_a_later_era_come_after_all_earlier_ones():
     """Guards against an order by number alone, and against plain numbers."""
     assert at(70, era=0) < at(3, era=1) < at(4, era=1)
@@ -233,15 +251,23 @@
     ranges = (
         KeyRange(0, 99, "e0", 1, 3),
         KeyRange(100, 199, "e1", 1, 4).as_leaving(6, 9),
-        KeyRange(200, KEY_SPACE - 1),
+        KeyRange.unowned(200, 299, 1),
+        KeyRange.unowned(300, KEY_SPACE - 1, 1).as_leaving(5, 9),
     )
-    earlier = KeyTable("s", 7, ranges)
-    first = first_table_of_era(earlier, 2, proved=True)
+    earlier = KeyTable("s", TOKENS_PER_ERA + 7, ranges)
+    first = first_table_of_era(earlier, 1, 2, proved=True)
     first.check()
-    assert first.ranges == (ranges[0], KeyRange(100, KEY_SPACE - 1))
+    assert first.ranges == (
+        ranges[0],
+        KeyRange.unowned(100, 199, 2),
+        ranges[2],
+        KeyRange.unowned(300, KEY_SPACE - 1, 2),
+    )
     assert first.next_token == 2 * TOKENS_PER_ERA
-    unproved = first_table_of_era(earlier, 2, proved=False)
-    assert unproved.ranges == (KeyRange(0, KEY_SPACE - 1),)
+    skipped = first_table_of_era(earlier, 1, 3, proved=True)
+    assert skipped.ranges == (ranges[0], KeyRange.unowned(100, KEY_SPACE - 1, 3))
+    unproved = first_table_of_era(earlier, 1, 2, proved=False)
+    assert unproved.ranges == (KeyRange.unowned(0, KEY_SPACE - 1, 2),)
 
 
 # Entries of endpoints.
