Watch slow readers only while an answer is due to them

While a caller read slowly, its connection was looked at each 0.05 s, also if nothing ran for it whose end could matter; many slow readers would spend the time of the instance.

Cause: watches each connection whose reading is paused. Evidence: test_a_slow_reader_is_watched_only_while_an_answer_is_due fails without the change, 100 checks in 5 s instead of none, and of 21 while an answer is due for 1 s.

Why it works: without a request in progress there is no work to end, and while reading is paused none can be added.

--- a/arbutusflow/gateway/caller_watch.py
+++ b/arbutusflow/gateway/caller_watch.py
@@ -43,8 +43,8 @@
         self._socket = transport.get_extra_info("socket")
 
     def pause(self) -> None:
-        """Watch the connection while reading is paused."""
-        if self._timer is None:
+        """Watch the connection while reading is paused and a response is due."""
+        if self._timer is None and self._is_due():
             self._schedule(CHECK_SECONDS)
 
     def resume(self) -> None:
@@ -87,7 +87,8 @@
         else:
             if self._side_ended and self._loop.time() - self._wrote_at >= BYTE_SECONDS:
                 self._write_byte()
-            self._schedule(CHECK_SECONDS)
+            if self._side_ended or self._is_due():
+                self._schedule(CHECK_SECONDS)
 
     def _events(self) -> int:
         if self._socket is None or self._socket.fileno() < 0:
--- a/tests/gateway/test_half_closed_connections.py
+++ b/tests/gateway/test_half_closed_connections.py
@@ -10,10 +10,13 @@
 from arbutusflow.gateway.body_budget import BodyBudget
 from arbutusflow.gateway.caller_server import (
     MAX_PIPELINED_REQUESTS,
+    CallerConnection,
     CallerResponse,
     CallerServer,
 )
-from arbutusflow.gateway.caller_watch import BYTE_SECONDS, RESPONSE_START
+from arbutusflow.gateway.caller_watch import BYTE_SECONDS, RESPONSE_START, CallerWatch
+from tests.gateway.fakes import FakeTransport
+from tests.gateway.virtual_time import run
 
 HOST = "127.0.0.1"
 POST = b"POST /order HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
@@ -343,3 +346,27 @@
     assert received.startswith(b"HTTP/1.1 200 ")
     assert left == 0
     assert played.ends == []
+
+
+@pytest.mark.parametrize(("data", "checks"), [(b"", 0), (GET, 21)])
+def test_a_slow_reader_is_watched_only_while_an_answer_is_due(
+    data, checks, monkeypatch
+):
+    """Guards against timers for each of many callers that only read slowly."""
+    made = []
+    monkeypatch.setattr(CallerWatch, "_events", lambda self: made.append(self) or 0)
+
+    async def main():
+        async def work(req):
+            await asyncio.sleep(1.01)  # 20 checks; the next one finds nothing due.
+            return CallerResponse(200)
+
+        server = CallerServer(work, BodyBudget(lambda: 0), lambda *_: None)
+        conn = CallerConnection(server)
+        conn.connection_made(FakeTransport())
+        conn.data_received(data)
+        conn.pause_writing()
+        await asyncio.sleep(5.0)
+
+    run(main())
+    assert len(made) == checks
