Add a test of a granter that reads the store but hears nothing of the others

No caller has reported it: found while the proof of eras in a row was checked. A simulated instance loses its links to the others for 6 s, then the store, at the moment when an endpoint leaves that only it reaches. It renews the keys for up to 3 s, and the others assign them meanwhile: two owners, in all three cases and without any era.

Cause: the planner counts the right to grant of an excluded instance as ended 3.3 s after the exclusion. The instance may have read the store since, up to the table that begins the move, and so grants for 3 s after that table.

--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -484,7 +484,8 @@
     @contextlib.asynccontextmanager
     async def connection(self, address: Address, **options: Any) -> Any:
         target = self.sim.by_address[address]
-        if target.endpoint.id in self.sim.closed_ports:
+        pair = (self.sender, target.endpoint.id)
+        if pair in self.sim.refused_orders or pair[1] in self.sim.closed_ports:
             raise ExchangeError("refused", sent=False)
         fresh = options.get("fresh", False)
         yield _OrderConnection(self.sim, self.sender, target, fresh)
@@ -672,6 +673,8 @@
         self.store = SimStore()
         self.blocked_orders: set[tuple[str, str]] = set()
         self.closed_ports: set[str] = set()  # Endpoints that refuse connections.
+        # The same for single senders.
+        self.refused_orders: set[tuple[str, str]] = set()
         self.blocked_datagrams: set[tuple[str, str]] = set()
         self.datagram_loss = 0.01  # Share of datagrams that are lost.
         self.packet_loss = 0.0  # Share of the packets of datagrams that are lost.
--- a/tests/gateway/test_ownership_under_faults.py
+++ b/tests/gateway/test_ownership_under_faults.py
@@ -566,6 +566,31 @@
     assert broken or share == 1.0
 
 
+@pytest.mark.parametrize("seconds", [6.0, 6.3, 6.6])
+def test_keys_wait_for_a_granter_that_reached_the_store_until_just_now(seconds):
+    """An instance hears nothing of the others for some time, and then loses the store.
+
+    Guards against a move that counts its right to grant as ended since the others have
+    excluded it: it had read the store until the move began.
+    """
+
+    async def scenario(sim):
+        await asyncio.sleep(12.0)
+        others = sim.instances.keys() - {"n1"}
+        sim.blocked_datagrams.update(("n1", other) for other in others)
+        sim.blocked_datagrams.update((other, "n1") for other in others)
+        await asyncio.sleep(seconds)
+        had_right = sim.instances["n1"].task.fleet.may_grant(sim.now)
+        sim.store.unreachable_for.add("n1")
+        sim.instances["n1"].task.leases.update_endpoints = lambda endpoints: None
+        sim.refused_orders.update((other, "e1") for other in others)
+        sim.unlisted.add("e1")
+        await asyncio.sleep(RECOVERY_SECONDS)
+        return had_right, sim.violations, sim.held_key_share()
+
+    assert run_fleet(scenario, instances=3) == (True, [], 1.0)
+
+
 @pytest.mark.parametrize(
     "break_rule",
     [
