--- a/tests/soak/process_ends.py
+++ b/tests/soak/process_ends.py
@@ -669,7 +669,7 @@
     return int(text.split(f"{name}:")[1].split()[0]) / 1000
 
 
-async def play(case: str, product: pathlib.Path) -> dict[str, Any]:
+async def play(case: str, product: pathlib.Path, max_fds: int) -> dict[str, Any]:
     """Play one case; return what was seen."""
     functions = {function.__name__: function for function in CASES}
     with contextlib.ExitStack() as stack:
@@ -677,7 +677,7 @@
         outputs: dict[str, int | None] = {"stdout": None, "stderr": None}
         if case in OUTPUTS:
             outputs[case.partition("_")[0]] = stack.enter_context(_pipe(case))
-        world = World(directory, product, 3900)
+        world = World(directory, product, max_fds)
         try:
             await world.start(outputs["stdout"], outputs["stderr"])
             before = dataclasses.replace(world.counts)
@@ -724,12 +724,13 @@
 def main(
     cases: list[str] = typer.Argument(default=None),  # noqa: B008
     product: pathlib.Path = ROOT,
+    max_fds: int = 3900,
 ) -> None:
     """Play the cases, all of them if none is named."""
     resource.setrlimit(resource.RLIMIT_NOFILE, (16384, 16384))
     failed = False
     for case in cases or [*(c.__name__ for c in CASES), *OUTPUTS]:
-        seen = asyncio.run(play(case, product))
+        seen = asyncio.run(play(case, product, max_fds))
         typer.echo(json.dumps(seen))
         failed = failed or seen["exit"] is not None or bool(seen["lost"])
     sys.exit(int(failed))
