Close callers that end their side and take nothing, and begin no interim response there

Seen in trials: behind 8 MB that a caller read late, '100 Continue' stood within a response that had begun ('HTTPHTTP/1.1 100 Continue'), so the answer could not be read. A caller that ended its side and took the last 1 to 64 kB never was kept for ever, without a timer; 17 such connections of 20 left a new caller without an answer for 6 s. Cause: an interim response was written whatever stood before it; eof_received left the close to asyncio, which waits without end for its buffer, and such connections counted as idle ones that can be closed for room. Change: no '100 Continue' behind another request; the close in two steps, with its time limit, where bytes are unsent; a connection that asyncio closes is not idle. A reset is looked for 0.02 s after each byte of a begun response, not only after the first.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -319,6 +319,8 @@
     @property
     def is_idle(self) -> bool:
         """Whether the connection may be closed without loss."""
+        if self._transport is not None and self._transport.is_closing():
+            return False
         return not (self.pending_requests or self._is_new or self.is_closing)
 
     def _has_unread_input(self) -> bool:
@@ -372,8 +374,13 @@
 
     def eof_received(self) -> bool:
         """Answer what is complete, unless the caller turns out to be gone."""
-        if not self._pipeline or self._watch is None:
+        if self._transport is None or self._watch is None:
             return False
+        if not self._pipeline:
+            if not self._closing and unsent_bytes(self._transport):
+                # Asyncio would wait without end for a caller that takes nothing.
+                self._close_after_response()
+            return self._closing is not None
         self._close_input()
         self._end_cause = "caller_closed"
         self._watch.end_side()
@@ -456,12 +463,15 @@
             return
         self._read_until = self._received_at + self._server.read_seconds(self._headers)
         self._start_body_timer()
-        content_length = 0
+        content_length, expects_continue = 0, False
         for name, value in self._headers:
             if name == b"content-length" and value.isdigit():
                 content_length = int(value)
             elif name == b"expect" and value.lower() == b"100-continue":
-                self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                expects_continue = True
+        if expects_continue and not self._pipeline:
+            # Behind another request it would stand before or within its response.
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if content_length > self._server.limits.body_bytes:
             self._reject(413)
 
--- a/arbutusflow/gateway/caller_watch.py
+++ b/arbutusflow/gateway/caller_watch.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 
 RESPONSE_START = b"HTTP/1.1 "  # Of every response.
-# When the first byte that was written is looked after, and how often from then on.
+# How soon a reset is looked for after a byte was written, and how often from then on.
 FIRST_CHECK_SECONDS = 0.02
 CHECK_SECONDS = 0.05
 BYTE_SECONDS = 0.25  # From one byte to the next.
@@ -85,10 +85,12 @@
         elif events & select.POLLRDHUP and not self._side_ended:
             self.end_side()
         else:
+            pause = CHECK_SECONDS
             if self._side_ended and self._loop.time() - self._wrote_at >= BYTE_SECONDS:
                 self._write_byte()
+                pause = FIRST_CHECK_SECONDS
             if self._side_ended or self._is_due():
-                self._schedule(CHECK_SECONDS)
+                self._schedule(pause)
 
     def _events(self) -> int:
         if self._socket is None or self._socket.fileno() < 0:
--- a/tests/gateway/test_half_closed_connections.py
+++ b/tests/gateway/test_half_closed_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 import struct
 
@@ -370,3 +371,43 @@
 
     run(main())
     assert len(made) == checks
+
+
+def test_no_interim_response_stands_within_a_response_that_has_begun():
+    """Guards against an answer that cannot be read, because a request that was still
+    unread when its caller ended its side asks for `100 Continue`."""
+
+    async def scenario(conn):
+        await conn.send(b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n" + GET)
+        await conn.send(
+            b"POST /order HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+            b"Content-Length: 2\r\n\r\nok"
+        )
+        conn.end_sending()
+        await asyncio.sleep(0.3)
+        return answers(await conn.read())
+
+    found, _, _ = _play(scenario, work_seconds=1.0)
+    assert [status for status, _ in found] == [200, 200, 200]
+
+
+@pytest.mark.parametrize("size", [20_000, 60_000])
+def test_a_caller_that_ends_its_side_and_takes_nothing_is_closed(size):
+    """Guards against connections that stay for ever and take the room of others."""
+
+    async def main():
+        async def work(req):
+            return CallerResponse(200, body=bytes(size))
+
+        server = CallerServer(work, BodyBudget(lambda: 10**6), lambda *_: None)
+        server.limits = dataclasses.replace(server.limits, idle_seconds=2.0)
+        conn, transport = CallerConnection(server), FakeTransport()
+        conn.connection_made(transport)
+        conn.data_received(GET)
+        await asyncio.sleep(0.1)
+        transport.unsent = size
+        stays = conn.eof_received()
+        await asyncio.sleep(10.0)
+        return stays, transport.aborted
+
+    assert run(main()) == (True, True)
