Write no line of the log within another one

Found by an independent review: handlers of signals write lines between two instructions, so one could begin while another was being written; its rest was then written twice or cut. Test: test_a_line_from_within_another_one_keeps_both_complete failed before with a line that cannot be parsed. Change: a line that begins within another one is dropped and counted, as others are. Conclusion: no line is written in part; the signal's own line may be missing then.

--- a/arbutusflow/gateway/event_log.py
+++ b/arbutusflow/gateway/event_log.py
@@ -1,7 +1,8 @@
 """Logs events as JSON lines on standard output, without blocking.
 
 Invariants: a line is written completely or not at all; a reader that does not keep up
-causes dropped lines, never delays. Dropped lines are counted and reported when writing
+causes dropped lines, never delays. So does a line that a handler of a signal writes
+while another one is being written. Dropped lines are counted and reported when writing
 resumes.
 """
 
@@ -27,6 +28,7 @@
         self._current_second = 0
         self._lines_this_second = 0
         self._unwritten = b""
+        self._is_writing = False
         self.dropped = 0
         # If standard output is closed, all lines are dropped and counted in `dropped`.
         with contextlib.suppress(OSError):
@@ -62,12 +64,17 @@
 
     def _emit(self, fields: dict[str, Any]) -> bool:
         """Write a line; return whether it is written or will be completed later."""
-        line = {"time": round(time.time(), 4), "instance": self._instance, **fields}
-        data = self._unwritten + self._encoder.encode(line) + b"\n"
+        if self._is_writing:
+            return False
+        self._is_writing = True
         try:
+            line = {"time": round(time.time(), 4), "instance": self._instance, **fields}
+            data = self._unwritten + self._encoder.encode(line) + b"\n"
             written = os.write(self._fd, data)
+            self._unwritten = data[written:]
         except OSError:
             # The pipe is full or closed. The rest of a partly written line is kept.
             return False
-        self._unwritten = data[written:]
+        finally:
+            self._is_writing = False
         return True
--- a/tests/gateway/test_event_log.py
+++ b/tests/gateway/test_event_log.py
@@ -54,3 +54,26 @@
     log = EventLog("n1", fd=writer)
     log.write("event")
     assert log.dropped == 1
+
+
+def test_a_line_from_within_another_one_keeps_both_complete(monkeypatch):
+    """Guards against lines that are written twice or in part, because a handler of a
+    signal writes one while another is being written."""
+    reader, writer = os.pipe()
+    log = EventLog("n1", fd=writer)
+    write = os.write
+
+    def interrupted(fd, data):
+        monkeypatch.setattr(os, "write", write)
+        written = write(fd, data[:10])
+        log.write("inner")
+        return written
+
+    monkeypatch.setattr(os, "write", interrupted)
+    log.write("outer")
+    log.write("last")
+    assert [e["event"] for e in lines(reader)] == [
+        "outer",
+        "log_lines_dropped",
+        "last",
+    ]
