--- a/arbutusflow/gateway/fleet.py
+++ b/arbutusflow/gateway/fleet.py
@@ -8,7 +8,7 @@
 - Keys move only after every recorded instance has applied the table that marks them as
   leaving, or has lost the right to grant. The planner stops vouching for an instance
   that does not report the table, which then loses that right after
-  `CONTACT_TIMEOUT_SECONDS`, counted from the table if the planner stopped earlier.
+  `CONTACT_TIMEOUT_SECONDS`.
 
 Both hold within an era of the store. Evidence of an era counts only for tables of that
 era. When an instance learns of a later era, the end of its right by earlier tables is
@@ -555,7 +555,7 @@
             return since
         if record.name not in self._excluded and now - since >= EXCLUDE_AFTER_SECONDS:
             self._excluded[record.name] = _Exclusion(record.life, now)
-        right_lost_at = self._grant_right_lost_at(record, now, since)
+        right_lost_at = self._grant_right_lost_at(record, now)
         if right_lost_at is not None:
             required_revisions = self._excluded[record.name].required_revisions
             required_revisions[service] = max(
@@ -563,32 +563,19 @@
             )
         return right_lost_at
 
-    def _grant_right_lost_at(
-        self, record: InstanceRecord, now: float, since: float
-    ) -> float | None:
-        """Return when an excluded instance lost the right to grant; None before.
-
-        `since` is when a table was first seen that it must not have read.
-        """
+    def _grant_right_lost_at(self, record: InstanceRecord, now: float) -> float | None:
+        """Return when an excluded instance lost the right to grant; None before."""
         exclusion = self._excluded.get(record.name)
         if exclusion is None:
             return None
-        # It may have read the store until then, although no reports reach it.
         right_lost_at = (
-            max(exclusion.since, since)
-            + CONTACT_TIMEOUT_SECONDS
-            + CONTACT_SLACK_SECONDS
+            exclusion.since + CONTACT_TIMEOUT_SECONDS + CONTACT_SLACK_SECONDS
         )
         return right_lost_at if now >= right_lost_at else None
 
-    def latest_possible_grant(
-        self, record: InstanceRecord, now: float, since: float = -1e9
-    ) -> float:
-        """Return when an instance that sends no reports may last have granted keys.
-
-        `since` is when a table was first seen that ends its right to do so.
-        """
-        right_lost_at = self._grant_right_lost_at(record, now, since)
+    def latest_possible_grant(self, record: InstanceRecord, now: float) -> float:
+        """Return when an instance that sends no reports may last have granted keys."""
+        right_lost_at = self._grant_right_lost_at(record, now)
         return now if right_lost_at is None else right_lost_at
 
     def can_move_without_wait(self, now: float) -> bool:
--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -563,9 +563,7 @@
                 peer = self._peers.peers[record.name]
                 last_sent, last_unanswered = peer.last_grant_times(endpoint)
             else:
-                last_sent = self._fleet.latest_possible_grant(
-                    record, now, revocation.first_seen_at
-                )
+                last_sent = self._fleet.latest_possible_grant(record, now)
                 last_unanswered = last_sent
             sent = max(sent, last_sent)
             unanswered = max(unanswered, last_unanswered)
--- a/tests/gateway/test_ownership_under_faults.py
+++ b/tests/gateway/test_ownership_under_faults.py
@@ -493,9 +493,7 @@
     _skip_closing(monkeypatch)
     monkeypatch.setattr(Fleet, "may_grant", lambda self, now: True)
     monkeypatch.setattr(Fleet, "grants_stopped_at", lambda self, *a: a[-1])
-    monkeypatch.setattr(
-        Fleet, "latest_possible_grant", lambda self, r, now, since=0.0: 0.0
-    )
+    monkeypatch.setattr(Fleet, "latest_possible_grant", lambda self, r, now: 0.0)
 
 
 def _skip_agreement(monkeypatch):
@@ -517,7 +515,7 @@
 def _keep_right_of_unresponsive_instances(monkeypatch):
     monkeypatch.setattr(fleet_module, "CONTACT_TIMEOUT_SECONDS", 60.0)
     monkeypatch.setattr(
-        Fleet, "_grant_right_lost_at", lambda self, record, now, since: now - 60.0
+        Fleet, "_grant_right_lost_at", lambda self, record, now: now - 60.0
     )
 
 
