Move requests and responses of callers out of caller_server

The client connection dropped the parts of a response twice; once is enough. Behaviour is unchanged.

--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/caller_server.py
@@ -16,7 +16,13 @@
 import httptools
 
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_watch import RESPONSE_START, CallerWatch
+from arbutusflow.gateway.caller_messages import (
+    CallerRequest,
+    CallerResponse,
+    Headers,
+    encode_response,
+)
+from arbutusflow.gateway.caller_watch import CallerWatch
 from arbutusflow.gateway.closing import (
     TwoStepClose,
     enlarge_send_buffer,
@@ -42,61 +48,6 @@
 # Used until a configuration is available.
 DEFAULT_LIMITS = CallerLimits(16384, 64 * 1024 * 1024, 3.0, 15.0)
 
-_REASON_PHRASES = {
-    400: b"Bad Request",
-    404: b"Not Found",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error",
-    501: b"Not Implemented",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
-_STATUSES_WITHOUT_BODY = frozenset({204, 304})
-
-Headers = list[tuple[bytes, bytes]]  # Names are in lower case.
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerResponse:
-    """Response to a caller."""
-
-    status: int
-    headers: tuple[tuple[bytes, bytes], ...] = ()
-    body: bytes = b""
-    reason: bytes = b""
-    length: bytes | None = None  # Content-Length of a response to HEAD.
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class CallerRequest:
-    """A complete request; header names are in lower case."""
-
-    method: bytes
-    target: bytes
-    headers: list[tuple[bytes, bytes]]
-    body: bytes | bytearray
-    received_at: float  # Event loop time at the first byte.
-    # Whether a disconnect of the caller cancels the request. The handler clears it
-    # before it sends a request that is not idempotent, so that a disconnect does not
-    # cut short its execution.
-    cancellable: bool = True
-    passed_on: bool = False  # Whether it was sent to an endpoint; set by the handler.
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the value of the first header with this name."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-    def count(self, name: bytes) -> int:
-        """Return the number of headers with this name."""
-        return sum(key == name for key, _ in self.headers)
-
-
 Handler = Callable[[CallerRequest], Awaitable[CallerResponse]]
 # Logs an exception raised by a handler; the first argument names the activity.
 ErrorHandler = Callable[[str, BaseException], None]
@@ -634,11 +585,11 @@
 
     def _encode(self, reply: CallerResponse, keep: bool, head_only: bool) -> bytes:
         try:
-            return _encode(reply, keep, head_only)
+            return encode_response(reply, keep, head_only)
         except (TypeError, ValueError) as exc:
             # A bug in this program, as in `_serve`.
             self._server.on_error("encoding a response", exc)
-            return _encode(CallerResponse(500), keep, head_only)
+            return encode_response(CallerResponse(500), keep, head_only)
 
     def report_unanswered(self, cause: str) -> None:
         """Report the complete requests that have no response."""
@@ -777,22 +728,3 @@
     if req is None or not req.body:
         return req
     return dataclasses.replace(req, body=b"")
-
-
-def _encode(reply: CallerResponse, keep_alive: bool, head_only: bool) -> bytes:
-    reason = reply.reason or _REASON_PHRASES.get(reply.status, b"")
-    lines = [RESPONSE_START + b"%d %s" % (reply.status, reason)]
-    lines += [name + b": " + value for name, value in reply.headers]
-    if head_only:
-        if reply.length is not None:
-            lines.append(b"Content-Length: " + reply.length)
-    elif reply.status not in _STATUSES_WITHOUT_BODY:
-        lines.append(b"Content-Length: %d" % len(reply.body))
-    if not keep_alive:
-        lines.append(b"Connection: close")
-    head = b"\r\n".join(lines) + b"\r\n\r\n"
-    return (
-        head
-        if head_only or reply.status in _STATUSES_WITHOUT_BODY
-        else head + reply.body
-    )
--- a/arbutusflow/gateway/caller_watch.py
+++ b/arbutusflow/gateway/caller_watch.py
@@ -13,7 +13,8 @@
 import select
 from collections.abc import Callable
 
-RESPONSE_START = b"HTTP/1.1 "  # Of every response.
+from arbutusflow.gateway.caller_messages import RESPONSE_START
+
 # How soon a reset is looked for after a byte was written, and how often from then on.
 FIRST_CHECK_SECONDS = 0.02
 CHECK_SECONDS = 0.05
--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -498,7 +498,6 @@
             return
         assert self._transport is not None
         self._in_body = False
-        self._body = []
         if not reusable or self._has_unsent_bytes(self._transport):
             # An endpoint may respond before it has read a long request body.
             self._must_close = True
--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -15,7 +15,7 @@
 import xxhash
 
 from arbutusflow.gateway.admission import MIN_RETRY_AFTER_SECONDS, Admission
-from arbutusflow.gateway.caller_server import CallerRequest, CallerResponse
+from arbutusflow.gateway.caller_messages import CallerRequest, CallerResponse
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.crash_strikes import CrashStrikes
 from arbutusflow.gateway.endpoint_load import (
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -21,13 +21,8 @@
 from arbutusflow.gateway import error_reports, key_demand
 from arbutusflow.gateway.admission import Admission
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_server import (
-    MAX_READ_SECONDS,
-    CallerRequest,
-    CallerResponse,
-    CallerServer,
-    Headers,
-)
+from arbutusflow.gateway.caller_messages import CallerRequest, CallerResponse, Headers
+from arbutusflow.gateway.caller_server import MAX_READ_SECONDS, CallerServer
 from arbutusflow.gateway.configuration_updates import ConfigurationUpdates
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.crash_strikes import CrashStrikes
--- a/tests/gateway/test_caller_server.py
+++ b/tests/gateway/test_caller_server.py
@@ -6,11 +6,8 @@
 import pytest
 
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_server import (
-    CallerConnection,
-    CallerResponse,
-    CallerServer,
-)
+from arbutusflow.gateway.caller_messages import CallerResponse
+from arbutusflow.gateway.caller_server import CallerConnection, CallerServer
 from arbutusflow.gateway.closing import LINGER_SECONDS
 from arbutusflow.gateway.model import CallerLimits
 from tests.gateway.fakes import FakeTransport
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -9,10 +9,10 @@
 import pytest
 
 from arbutusflow.gateway.body_budget import BodyBudget
+from arbutusflow.gateway.caller_messages import CallerResponse
 from arbutusflow.gateway.caller_server import (
     CLOSED_AT_ONCE,
     NEW_CONNECTION_SECONDS,
-    CallerResponse,
     CallerServer,
 )
 from arbutusflow.gateway.closing import LINGER_SECONDS
--- a/tests/gateway/test_descriptor_limits.py
+++ b/tests/gateway/test_descriptor_limits.py
@@ -10,10 +10,10 @@
 import pytest
 
 from arbutusflow.gateway.body_budget import BodyBudget
+from arbutusflow.gateway.caller_messages import CallerResponse
 from arbutusflow.gateway.caller_server import (
     DEFAULT_LIMITS,
     NEW_CONNECTION_SECONDS,
-    CallerResponse,
     CallerServer,
 )
 from arbutusflow.gateway.client_connection import ClientConnection
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -8,7 +8,7 @@
 import pytest
 
 from arbutusflow.gateway.admission import Admission
-from arbutusflow.gateway.caller_server import CallerRequest
+from arbutusflow.gateway.caller_messages import CallerRequest
 from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.crash_strikes import CrashStrikes
 from arbutusflow.gateway.dispatch import Dispatcher
--- a/tests/gateway/test_errors_beside_stops.py
+++ b/tests/gateway/test_errors_beside_stops.py
@@ -6,11 +6,8 @@
 import pytest
 
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_server import (
-    CallerConnection,
-    CallerResponse,
-    CallerServer,
-)
+from arbutusflow.gateway.caller_messages import CallerResponse
+from arbutusflow.gateway.caller_server import CallerConnection, CallerServer
 from arbutusflow.gateway.lifecycle import Phase
 from arbutusflow.platform import settings as platform_settings
 from tests.gateway.fakes import FakeLog, FakeTransport, at
--- a/tests/gateway/test_half_closed_connections.py
+++ b/tests/gateway/test_half_closed_connections.py
@@ -9,13 +9,13 @@
 import pytest
 
 from arbutusflow.gateway.body_budget import BodyBudget
+from arbutusflow.gateway.caller_messages import RESPONSE_START, CallerResponse
 from arbutusflow.gateway.caller_server import (
     MAX_PIPELINED_REQUESTS,
     CallerConnection,
-    CallerResponse,
     CallerServer,
 )
-from arbutusflow.gateway.caller_watch import BYTE_SECONDS, RESPONSE_START, CallerWatch
+from arbutusflow.gateway.caller_watch import BYTE_SECONDS, CallerWatch
 from tests.gateway.fakes import FakeTransport
 from tests.gateway.virtual_time import run
 
--- a/tests/gateway/test_statements_over_connections.py
+++ b/tests/gateway/test_statements_over_connections.py
@@ -13,7 +13,8 @@
 import pytest
 
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_server import CallerResponse, CallerServer
+from arbutusflow.gateway.caller_messages import CallerResponse
+from arbutusflow.gateway.caller_server import CallerServer
 from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.endpoint_load import MAX_WAIT_SPREAD_SECONDS
 from arbutusflow.gateway.key_table import KeyRange
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -12,7 +12,7 @@
 from arbutusflow.cli.main import app
 from arbutusflow.errors import ConfigurationError
 from arbutusflow.gateway import admission, dispatch, process
-from arbutusflow.gateway.caller_server import CallerRequest
+from arbutusflow.gateway.caller_messages import CallerRequest
 from arbutusflow.gateway.reference import (
     OTHER_OUTCOMES,
     REASONS,
