Skip an interim response that states the length 0

Callers would have got 502, or a repeat, where an endpoint states 'Content-Length: 0' in an interim response, as some servers do; returned the response after it. Cause: took any length in an interim response for a body. Change: only a length above 0 or chunks are an error.

--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -379,7 +379,7 @@
         status = self._parser.get_status_code()
         names = {name.lower() for name, _ in self._headers}
         has_framing = b"content-length" in names or b"transfer-encoding" in names
-        error = self._status_error(status, has_framing)
+        error = self._status_error(status)
         if error:
             self._set_must_close()
             self._fail(error)
@@ -399,7 +399,7 @@
             # wait for each other.
             self._reserve(self._announced_bytes())
 
-    def _status_error(self, status: int, has_framing: bool) -> str:
+    def _status_error(self, status: int) -> str:
         """Return why the status makes the response malformed, empty if it does not."""
         if not 100 <= status < 600:
             return f"the response has the invalid status {status:03d}"
@@ -408,7 +408,10 @@
         self._interim_count += 1
         if self._interim_count > MAX_INTERIM_RESPONSES:
             return "too many interim responses"
-        return f"interim response {status} with a body" if has_framing else ""
+        chunked = any(name.lower() == b"transfer-encoding" for name, _ in self._headers)
+        if chunked or self._announced_bytes():
+            return f"interim response {status} with a body"
+        return ""
 
     def _announced_bytes(self) -> int:
         for name, value in self._headers:
