--- /dev/null
+++ b/arbutusflow/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 towards callers: reading requests and writing responses."""
--- a/arbutusflow/gateway/caller_server.py
+++ b/arbutusflow/gateway/callers/connection.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 server for callers.
+"""One connection from a caller: reads its requests and writes the responses in order.
 
 Invariants: responses are sent in the order of the requests; every complete request gets
 a response unless its caller disconnects or an earlier response closes the connection;
@@ -9,190 +9,33 @@
 import collections
 import dataclasses
 import functools
-import heapq
-import itertools
-from collections.abc import Awaitable, Callable, Iterable
+from typing import TYPE_CHECKING
 
 import httptools
 
-from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_messages import (
+from arbutusflow.gateway.callers.messages import (
     CallerRequest,
     CallerResponse,
-    Headers,
     encode_response,
 )
-from arbutusflow.gateway.caller_watch import CallerWatch
+from arbutusflow.gateway.callers.watch import CallerWatch
 from arbutusflow.gateway.closing import (
     TwoStepClose,
     enlarge_send_buffer,
-    read_send_buffer_limit,
     unread_bytes,
     unsent_bytes,
 )
-from arbutusflow.gateway.listener import Listener
-from arbutusflow.gateway.model import Address, CallerLimits
+
+if TYPE_CHECKING:
+    from arbutusflow.gateway.callers.server import CallerServer
 
 # Reading pauses at this number of unanswered requests on a connection; the requests of
 # one received chunk may exceed it.
 MAX_PIPELINED_REQUESTS = 16
-# Idle connections that are closed at a time to make room for new ones.
-CLOSED_FOR_ROOM = 16
-CLOSED_AT_ONCE = 200  # Idle connections that one call of `close_idle` closes.
 # How long after its start a connection is not closed as idle by a planned stop.
 NEW_CONNECTION_SECONDS = 0.25
-# For a request whose body takes longer than any caller waits.
-MAX_READ_SECONDS = 60.0
 # For requests that another instance can serve at once.
 RETRY_SOON = ((b"Retry-After", b"0.1"),)
-# Used until a configuration is available.
-DEFAULT_LIMITS = CallerLimits(16384, 64 * 1024 * 1024, 3.0, 15.0)
-
-Handler = Callable[[CallerRequest], Awaitable[CallerResponse]]
-# Logs an exception raised by a handler; the first argument names the activity.
-ErrorHandler = Callable[[str, BaseException], None]
-# Called for a request that this instance ends without a response; the second argument
-# names the cause.
-CutHandler = Callable[[CallerRequest, str], None]
-# Called when a connection ends with unanswered requests; the first argument names the
-# cause.
-EndHandler = Callable[[str, list[CallerRequest]], None]
-
-
-class CallerServer:
-    """Accepts connections from callers and tracks the open ones."""
-
-    def __init__(
-        self, handler: Handler, budget: BodyBudget, on_error: ErrorHandler
-    ) -> None:
-        self.handler = handler
-        self.budget = budget
-        # For responses that callers have not taken yet.
-        self.unsent_budget = BodyBudget(lambda: 0)
-        self.on_error = on_error
-        self.on_cut: CutHandler = lambda req, cause: None
-        self.on_end: EndHandler = lambda cause, requests: None
-        self.limits = DEFAULT_LIMITS
-        # Returns by its headers within how many seconds a request has to be complete.
-        self.read_seconds: Callable[[Headers], float] = lambda headers: MAX_READ_SECONDS
-        self.stopping = False
-        self.finished = False  # Whether `finish` was called.
-        self.connections: set[CallerConnection] = set()
-        self.max_connections: float = float("inf")
-        self.send_buffer_limit = read_send_buffer_limit()
-        self.address: Address | None = None  # At which it listens, as configured.
-        # The latest one, and earlier ones with connections that wait to be set up.
-        self._listeners: list[Listener] = []
-        self._accepting_ended = False
-
-    def _report_error(self, activity: str, exc: BaseException) -> None:
-        self.on_error(activity, exc)
-
-    async def start(self, host: str, port: int) -> None:
-        """Start listening. Raises OSError."""
-        self._listen(Address(host, port))
-
-    def move(self, address: Address) -> None:
-        """Listen at another address, and end listening at the one before.
-
-        What was accepted there is served. Raises OSError; nothing changes then. Without
-        effect before the start and after accepting was stopped.
-        """
-        if self.address in (None, address) or self._accepting_ended:
-            return
-        previous = self._listeners
-        self._listen(address)
-        for listener in previous:
-            listener.stop()
-
-    def _listen(self, address: Address) -> None:
-        listener = Listener(
-            lambda: CallerConnection(self), self._report_error, self._has_room
-        )
-        listener.start(address.host, address.port)
-        waiting = [earlier for earlier in self._listeners if earlier.is_open]
-        self._listeners = [*waiting, listener]
-        self.address = address
-
-    @property
-    def port(self) -> int:
-        """The listening port; port 0 lets the operating system choose it."""
-        return self._listeners[-1].port
-
-    def stop_accepting(self) -> None:
-        """End listening soon, and keep the connections accepted until then."""
-        self._accepting_ended = True
-        for listener in self._listeners:
-            listener.stop()
-
-    def _has_room(self) -> bool:
-        """Whether another connection may be accepted; else make room for the next."""
-        accepting = sum(listener.accepting for listener in self._listeners)
-        if len(self.connections) + accepting < self.max_connections:
-            return True
-        longest_idle = heapq.nsmallest(
-            CLOSED_FOR_ROOM,
-            (conn for conn in self.connections if conn.is_idle),
-            key=lambda conn: conn.idle_since,
-        )
-        self._call_each(lambda conn: conn.close_if_idle(), longest_idle)
-        return False
-
-    def close_after_responses(self) -> None:
-        """Read no further requests on a connection after its next response.
-
-        Requests that were read before are answered; then the connection is closed.
-        """
-        self.stopping = True
-        self._call_each(lambda conn: conn.prepare_end(), list(self.connections))
-
-    def close_idle(self) -> None:
-        """Close connections without pending requests, except new ones.
-
-        One call closes `CLOSED_AT_ONCE` of them, as the event loop has other work.
-        """
-        idle = (conn for conn in list(self.connections) if conn.is_idle)
-        chosen = itertools.islice(idle, CLOSED_AT_ONCE)
-        self._call_each(lambda conn: conn.close_if_idle(), chosen)
-
-    def finish(self) -> None:
-        """Process no further input, and cancel all handlers.
-
-        A handler that is cancelled returns the final response to its request. Requests
-        that are not complete, or that are read after this, get status 503.
-        """
-        self.finished = True
-        self._call_each(lambda conn: conn.finish(), list(self.connections))
-
-    def _call_each(
-        self,
-        method: "Callable[[CallerConnection], None]",
-        connections: "Iterable[CallerConnection]",
-    ) -> None:
-        """Call a method for each of the connections, also after an error at one."""
-        for conn in connections:
-            try:
-                method(conn)
-            except Exception as exc:
-                self.on_error("a connection of a caller", exc)
-
-    def report_cut(self) -> None:
-        """Report all complete requests whose response the end of the process cuts."""
-        for conn in self.connections:
-            conn.report_unanswered("process_ended")
-            conn.report_unsent("response_unsent")
-
-    @property
-    def pending_requests(self) -> int:
-        """Number of requests without a response."""
-        return sum(conn.pending_requests for conn in self.connections)
-
-    @property
-    def is_busy(self) -> bool:
-        """Whether a connection has or may soon have a request, or unsent bytes."""
-        return any(listener.is_busy for listener in self._listeners) or any(
-            conn.is_busy for conn in self.connections
-        )
 
 
 class _PipelinedRequest:
@@ -210,7 +53,7 @@
 class CallerConnection(asyncio.Protocol):
     """One connection from a caller."""
 
-    def __init__(self, server: CallerServer) -> None:
+    def __init__(self, server: "CallerServer") -> None:
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
--- a/arbutusflow/gateway/caller_watch.py
+++ b/arbutusflow/gateway/callers/watch.py
@@ -13,7 +13,7 @@
 import select
 from collections.abc import Callable
 
-from arbutusflow.gateway.caller_messages import RESPONSE_START
+from arbutusflow.gateway.callers.messages import RESPONSE_START
 
 # How soon a reset is looked for after a byte was written, and how often from then on.
 FIRST_CHECK_SECONDS = 0.02
--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -14,19 +14,20 @@
 
 import xxhash
 
-from arbutusflow.gateway.admission import MIN_RETRY_AFTER_SECONDS, Admission
-from arbutusflow.gateway.caller_messages import CallerRequest, CallerResponse
+from arbutusflow.gateway.callers.messages import CallerRequest, CallerResponse
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.crash_strikes import CrashStrikes
-from arbutusflow.gateway.endpoint_load import (
-    CHECK_SECONDS,
-    EndpointState,
-    EndpointTable,
-)
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.key_demand import KeyDemand
 from arbutusflow.gateway.key_leases import KeyLeases
 from arbutusflow.gateway.lifecycle import Lifecycle, Phase
+from arbutusflow.gateway.load.admission import MIN_RETRY_AFTER_SECONDS, Admission
+from arbutusflow.gateway.load.endpoint_load import (
+    CHECK_SECONDS,
+    EndpointState,
+    EndpointTable,
+)
+from arbutusflow.gateway.load.retry_budget import RetryBudget
 from arbutusflow.gateway.model import (
     Configuration,
     EndpointProcess,
@@ -37,7 +38,6 @@
     Service,
 )
 from arbutusflow.gateway.response_times import LongestResponseTimes
-from arbutusflow.gateway.retry_budget import RetryBudget
 from arbutusflow.gateway.routing import RouteTable, WeightedRoundRobin
 from arbutusflow.platform import wire
 
--- a/arbutusflow/gateway/key_demand.py
+++ b/arbutusflow/gateway/key_demand.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Iterable, Mapping, Sequence
 
-from arbutusflow.gateway.endpoint_load import INITIAL_SERVICE_SECONDS
+from arbutusflow.gateway.load.endpoint_load import INITIAL_SERVICE_SECONDS
 from arbutusflow.gateway.model import KEY_SPACE, Endpoint
 
 DECAY_PERIOD_SECONDS = 0.5
--- a/arbutusflow/gateway/leaving_checks.py
+++ b/arbutusflow/gateway/leaving_checks.py
@@ -17,8 +17,8 @@
 from collections.abc import Callable
 
 from arbutusflow.gateway.connection_pool import ConnectionPool
-from arbutusflow.gateway.endpoint_load import EndpointState, EndpointTable
 from arbutusflow.gateway.event_log import EventLog
+from arbutusflow.gateway.load.endpoint_load import EndpointState, EndpointTable
 from arbutusflow.gateway.model import Endpoint, EndpointProcess, ExchangeError
 from arbutusflow.platform import wire
 
--- a/arbutusflow/gateway/admission.py
+++ b/arbutusflow/gateway/load/admission.py
@@ -7,7 +7,7 @@
 
 import random
 
-from arbutusflow.gateway.endpoint_load import EndpointState, EndpointTable
+from arbutusflow.gateway.load.endpoint_load import EndpointState, EndpointTable
 from arbutusflow.gateway.model import Route
 
 # Maximum ratio of the expected response time to the time remaining before the deadline.
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -19,16 +19,14 @@
     SettingsError,
 )
 from arbutusflow.gateway import error_reports, key_demand
-from arbutusflow.gateway.admission import Admission
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_messages import CallerRequest, CallerResponse, Headers
-from arbutusflow.gateway.caller_server import MAX_READ_SECONDS, CallerServer
+from arbutusflow.gateway.callers.messages import CallerRequest, CallerResponse, Headers
+from arbutusflow.gateway.callers.server import MAX_READ_SECONDS, CallerServer
 from arbutusflow.gateway.configuration_updates import ConfigurationUpdates
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.crash_strikes import CrashStrikes
 from arbutusflow.gateway.dispatch import Dispatcher
 from arbutusflow.gateway.endpoint_directory import EndpointDirectory
-from arbutusflow.gateway.endpoint_load import EndpointTable
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.event_loop import SuspendAwareEventLoop
 from arbutusflow.gateway.fleet import (
@@ -42,6 +40,9 @@
 from arbutusflow.gateway.instance_state import STATE_PATH, InstanceState
 from arbutusflow.gateway.leaving_checks import LeavingChecks
 from arbutusflow.gateway.lifecycle import Lifecycle, Phase, Work
+from arbutusflow.gateway.load.admission import Admission
+from arbutusflow.gateway.load.endpoint_load import EndpointTable
+from arbutusflow.gateway.load.retry_budget import RetryBudget
 from arbutusflow.gateway.memory_watch import MemoryWatch, peak_bytes
 from arbutusflow.gateway.metrics import GatewayMetrics
 from arbutusflow.gateway.model import (
@@ -57,7 +58,6 @@
     PeerReport,
     StrikeReport,
 )
-from arbutusflow.gateway.retry_budget import RetryBudget
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.gateway.timers import TimerService, run_each
 from arbutusflow.platform import wire
--- a/tests/gateway/object_platform.py
+++ b/tests/gateway/object_platform.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_messages import CallerRequest, CallerResponse
-from arbutusflow.gateway.caller_server import CallerServer
+from arbutusflow.gateway.callers.messages import CallerRequest, CallerResponse
+from arbutusflow.gateway.callers.server import CallerServer
 from arbutusflow.platform import wire
 from arbutusflow.standins.store_state import StoreState
 
--- a/tests/gateway/statement_world.py
+++ b/tests/gateway/statement_world.py
@@ -8,7 +8,7 @@
 import contextlib
 import dataclasses
 
-from arbutusflow.gateway.caller_messages import CallerRequest
+from arbutusflow.gateway.callers.messages import CallerRequest
 from arbutusflow.gateway.model import Address, ExchangeError, HttpResponse
 from arbutusflow.platform import wire
 from tests.gateway.statement_instance import Entry, StatementInstance, configuration
--- a/tests/gateway/test_bounded_memory.py
+++ b/tests/gateway/test_bounded_memory.py
@@ -7,6 +7,7 @@
 import asyncio
 
 from arbutusflow.gateway.connection_pool import ConnectionPool
+from arbutusflow.gateway.load.retry_budget import RetryBudget
 from arbutusflow.gateway.model import (
     Address,
     ExchangeError,
@@ -14,7 +15,6 @@
     Route,
     WeightedService,
 )
-from arbutusflow.gateway.retry_budget import RetryBudget
 from arbutusflow.gateway.routing import WeightedRoundRobin
 from tests.gateway.virtual_time import run
 
--- a/tests/gateway/test_caller_limits.py
+++ b/tests/gateway/test_caller_limits.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from arbutusflow.gateway.caller_messages import CallerResponse
+from arbutusflow.gateway.callers.messages import CallerResponse
 from tests.gateway.test_caller_server import GET, LIMITS, serve, statuses
 
 POST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%b"
--- a/tests/gateway/test_caller_server.py
+++ b/tests/gateway/test_caller_server.py
@@ -6,8 +6,9 @@
 import pytest
 
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_messages import CallerResponse
-from arbutusflow.gateway.caller_server import CallerConnection, CallerServer
+from arbutusflow.gateway.callers.connection import CallerConnection
+from arbutusflow.gateway.callers.messages import CallerResponse
+from arbutusflow.gateway.callers.server import CallerServer
 from arbutusflow.gateway.closing import LINGER_SECONDS
 from arbutusflow.gateway.model import CallerLimits
 from tests.gateway.fakes import FakeTransport
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -9,12 +9,9 @@
 import pytest
 
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_messages import CallerResponse
-from arbutusflow.gateway.caller_server import (
-    CLOSED_AT_ONCE,
-    NEW_CONNECTION_SECONDS,
-    CallerServer,
-)
+from arbutusflow.gateway.callers.connection import NEW_CONNECTION_SECONDS
+from arbutusflow.gateway.callers.messages import CallerResponse
+from arbutusflow.gateway.callers.server import CLOSED_AT_ONCE, CallerServer
 from arbutusflow.gateway.closing import LINGER_SECONDS
 from arbutusflow.gateway.lifecycle import FINAL_ANSWER_SECONDS
 
--- a/tests/gateway/test_connection_ends.py
+++ b/tests/gateway/test_connection_ends.py
@@ -5,8 +5,9 @@
 import pytest
 
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_messages import CallerRequest, CallerResponse
-from arbutusflow.gateway.caller_server import CallerConnection, CallerServer
+from arbutusflow.gateway.callers.connection import CallerConnection
+from arbutusflow.gateway.callers.messages import CallerRequest, CallerResponse
+from arbutusflow.gateway.callers.server import CallerServer
 from arbutusflow.gateway.reference import CONNECTION_ENDS
 from arbutusflow.platform import wire
 from tests.gateway.fakes import FakeLog, FakeTransport
--- a/tests/gateway/test_descriptor_limits.py
+++ b/tests/gateway/test_descriptor_limits.py
@@ -10,14 +10,11 @@
 import pytest
 
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_messages import CallerResponse
-from arbutusflow.gateway.caller_server import (
-    DEFAULT_LIMITS,
-    NEW_CONNECTION_SECONDS,
-    CallerServer,
-)
+from arbutusflow.gateway.callers.connection import NEW_CONNECTION_SECONDS
+from arbutusflow.gateway.callers.listener import REPORT_INTERVAL_SECONDS, RETRY_SECONDS
+from arbutusflow.gateway.callers.messages import CallerResponse
+from arbutusflow.gateway.callers.server import DEFAULT_LIMITS, CallerServer
 from arbutusflow.gateway.client_connection import ClientConnection
-from arbutusflow.gateway.listener import REPORT_INTERVAL_SECONDS, RETRY_SECONDS
 from arbutusflow.gateway.model import Address, ExchangeError
 from arbutusflow.gateway.process import Gateway
 from tests.gateway.statement_instance import StatementInstance
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -7,14 +7,15 @@
 
 import pytest
 
-from arbutusflow.gateway.admission import Admission
-from arbutusflow.gateway.caller_messages import CallerRequest
+from arbutusflow.gateway.callers.messages import CallerRequest
 from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.crash_strikes import CrashStrikes
 from arbutusflow.gateway.dispatch import Dispatcher
-from arbutusflow.gateway.endpoint_load import EndpointTable
 from arbutusflow.gateway.key_demand import KeyDemand
 from arbutusflow.gateway.lifecycle import Lifecycle, Phase
+from arbutusflow.gateway.load.admission import Admission
+from arbutusflow.gateway.load.endpoint_load import EndpointTable
+from arbutusflow.gateway.load.retry_budget import RetryBudget
 from arbutusflow.gateway.model import (
     Address,
     CallerLimits,
@@ -27,7 +28,6 @@
     Service,
     WeightedService,
 )
-from arbutusflow.gateway.retry_budget import RetryBudget
 from tests.gateway.fakes import FakeLog, FakeTransport
 from tests.gateway.virtual_time import run
 
--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -9,8 +9,9 @@
 import pytest
 
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_messages import CallerResponse
-from arbutusflow.gateway.caller_server import CallerConnection, CallerServer
+from arbutusflow.gateway.callers.connection import CallerConnection
+from arbutusflow.gateway.callers.messages import CallerResponse
+from arbutusflow.gateway.callers.server import CallerServer
 from arbutusflow.gateway.client_connection import (
     MAX_HEAD_BYTES,
     MAX_RESPONSE_BYTES,
--- a/tests/gateway/test_endpoint_statements.py
+++ b/tests/gateway/test_endpoint_statements.py
@@ -11,14 +11,17 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from arbutusflow.gateway.admission import Admission
 from arbutusflow.gateway.endpoint_directory import (
     OUTDATED_ENTRY_SECONDS,
     EndpointDirectory,
 )
-from arbutusflow.gateway.endpoint_load import MAX_WAIT_SPREAD_SECONDS, EndpointTable
 from arbutusflow.gateway.key_orders import KeyOrders
 from arbutusflow.gateway.key_table import KeyRange
+from arbutusflow.gateway.load.admission import Admission
+from arbutusflow.gateway.load.endpoint_load import (
+    MAX_WAIT_SPREAD_SECONDS,
+    EndpointTable,
+)
 from arbutusflow.gateway.model import Address, Endpoint, HttpResponse
 from arbutusflow.platform.wire import MAX_WAIT_SECONDS, parse_leaving, parse_wait
 from tests.gateway.fakes import FakeLog
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -5,13 +5,14 @@
 import pytest
 
 from arbutusflow.gateway import endpoint_directory
-from arbutusflow.gateway.admission import Admission
 from arbutusflow.gateway.endpoint_directory import (
     OUTDATED_ENTRY_SECONDS,
     REREGISTRATION_SECONDS,
     EndpointDirectory,
 )
-from arbutusflow.gateway.endpoint_load import EndpointTable
+from arbutusflow.gateway.load.admission import Admission
+from arbutusflow.gateway.load.endpoint_load import EndpointTable
+from arbutusflow.gateway.load.retry_budget import RetryBudget
 from arbutusflow.gateway.model import (
     Address,
     Endpoint,
@@ -19,7 +20,6 @@
     Route,
     WeightedService,
 )
-from arbutusflow.gateway.retry_budget import RetryBudget
 from arbutusflow.gateway.routing import RouteTable, WeightedRoundRobin
 from arbutusflow.platform.documents import decode_configuration, decode_endpoint
 from arbutusflow.platform.store import StoredObject
--- a/tests/gateway/test_errors_beside_stops.py
+++ b/tests/gateway/test_errors_beside_stops.py
@@ -6,8 +6,9 @@
 import pytest
 
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_messages import CallerResponse
-from arbutusflow.gateway.caller_server import CallerConnection, CallerServer
+from arbutusflow.gateway.callers.connection import CallerConnection
+from arbutusflow.gateway.callers.messages import CallerResponse
+from arbutusflow.gateway.callers.server import CallerServer
 from arbutusflow.gateway.lifecycle import Phase
 from arbutusflow.platform import settings as platform_settings
 from tests.gateway.fakes import FakeLog, FakeTransport, at
--- a/tests/gateway/test_false_statements.py
+++ b/tests/gateway/test_false_statements.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from arbutusflow.gateway.caller_messages import CallerRequest
+from arbutusflow.gateway.callers.messages import CallerRequest
 from arbutusflow.gateway.model import Address
 from tests.gateway.statement_world import StatementWorld
 from tests.gateway.virtual_time import run
--- a/tests/gateway/test_fuzzing.py
+++ b/tests/gateway/test_fuzzing.py
@@ -14,8 +14,9 @@
 
 from arbutusflow.errors import ConfigurationError
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_messages import CallerResponse
-from arbutusflow.gateway.caller_server import CallerConnection, CallerServer
+from arbutusflow.gateway.callers.connection import CallerConnection
+from arbutusflow.gateway.callers.messages import CallerResponse
+from arbutusflow.gateway.callers.server import CallerServer
 from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.early_end import CHECK_SECONDS, SETTLING_SECONDS
 from arbutusflow.gateway.model import CallerLimits, ExchangeError
--- a/tests/gateway/test_half_closed_connections.py
+++ b/tests/gateway/test_half_closed_connections.py
@@ -9,13 +9,13 @@
 import pytest
 
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_messages import RESPONSE_START, CallerResponse
-from arbutusflow.gateway.caller_server import (
+from arbutusflow.gateway.callers.connection import (
     MAX_PIPELINED_REQUESTS,
     CallerConnection,
-    CallerServer,
 )
-from arbutusflow.gateway.caller_watch import BYTE_SECONDS, CallerWatch
+from arbutusflow.gateway.callers.messages import RESPONSE_START, CallerResponse
+from arbutusflow.gateway.callers.server import CallerServer
+from arbutusflow.gateway.callers.watch import BYTE_SECONDS, CallerWatch
 from tests.gateway.fakes import FakeTransport
 from tests.gateway.virtual_time import run
 
--- a/tests/gateway/test_instance_state.py
+++ b/tests/gateway/test_instance_state.py
@@ -10,7 +10,7 @@
 from typer.testing import CliRunner
 
 from arbutusflow.cli.main import app
-from arbutusflow.gateway.caller_messages import CallerRequest
+from arbutusflow.gateway.callers.messages import CallerRequest
 from arbutusflow.gateway.instance_state import STATE_PATH, InstanceState
 from tests.gateway.test_whole_path import run_with_cluster
 
--- a/tests/gateway/test_statement_machine.py
+++ b/tests/gateway/test_statement_machine.py
@@ -16,8 +16,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from arbutusflow.gateway.endpoint_directory import EndpointDirectory
-from arbutusflow.gateway.endpoint_load import EndpointState, EndpointTable
 from arbutusflow.gateway.leaving_checks import LeavingChecks
+from arbutusflow.gateway.load.endpoint_load import EndpointState, EndpointTable
 from arbutusflow.gateway.model import Address
 from arbutusflow.gateway.process import Gateway
 from tests.gateway.statement_world import StatementWorld
--- a/tests/gateway/test_statements_over_connections.py
+++ b/tests/gateway/test_statements_over_connections.py
@@ -13,11 +13,11 @@
 import pytest
 
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.caller_messages import CallerResponse
-from arbutusflow.gateway.caller_server import CallerServer
+from arbutusflow.gateway.callers.messages import CallerResponse
+from arbutusflow.gateway.callers.server import CallerServer
 from arbutusflow.gateway.client_connection import ClientConnection
-from arbutusflow.gateway.endpoint_load import MAX_WAIT_SPREAD_SECONDS
 from arbutusflow.gateway.key_table import KeyRange
+from arbutusflow.gateway.load.endpoint_load import MAX_WAIT_SPREAD_SECONDS
 from arbutusflow.gateway.model import Address, Endpoint
 from arbutusflow.platform import wire
 from tests.gateway.object_platform import MAX_BODY_BYTES, FakeEndpoint
--- a/tests/gateway/test_unsent_responses.py
+++ b/tests/gateway/test_unsent_responses.py
@@ -10,8 +10,9 @@
 import pytest
 
 from arbutusflow.gateway.body_budget import SMALL_BODY_BYTES, BodyBudget, MemoryWait
-from arbutusflow.gateway.caller_messages import CallerResponse
-from arbutusflow.gateway.caller_server import CallerConnection, CallerServer
+from arbutusflow.gateway.callers.connection import CallerConnection
+from arbutusflow.gateway.callers.messages import CallerResponse
+from arbutusflow.gateway.callers.server import CallerServer
 from tests.gateway.fakes import FakeTransport
 from tests.gateway.statement_instance import StatementInstance
 from tests.gateway.virtual_time import run
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -12,7 +12,10 @@
 
 import pytest
 
-from arbutusflow.gateway.caller_server import NEW_CONNECTION_SECONDS, CallerConnection
+from arbutusflow.gateway.callers.connection import (
+    NEW_CONNECTION_SECONDS,
+    CallerConnection,
+)
 from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.model import Address
 from arbutusflow.gateway.process import Gateway
--- a/tests/gateway/zone_load_model.py
+++ b/tests/gateway/zone_load_model.py
@@ -11,7 +11,7 @@
 import random
 from collections.abc import Iterator
 
-from arbutusflow.gateway.endpoint_load import EndpointTable
+from arbutusflow.gateway.load.endpoint_load import EndpointTable
 from arbutusflow.gateway.model import Address, Endpoint
 
 SERVICE = "gallery"
--- a/tests/soak/audit.py
+++ b/tests/soak/audit.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from arbutusflow.gateway.caller_messages import CallerRequest, CallerResponse
+from arbutusflow.gateway.callers.messages import CallerRequest, CallerResponse
 from arbutusflow.platform import wire
 from tests.gateway.object_platform import FakeEndpoint
 from tests.soak.records import Arrival, RequestRecord
--- a/tests/soak/process_ends.py
+++ b/tests/soak/process_ends.py
@@ -24,7 +24,7 @@
 
 import typer
 
-from arbutusflow.gateway.caller_messages import CallerRequest, CallerResponse
+from arbutusflow.gateway.callers.messages import CallerRequest, CallerResponse
 from tests.gateway.object_platform import FakeEndpoint, ObjectStore
 from tests.gateway.statement_instance import configuration
 from tests.loopback import own_host
--- a/tests/soak/test_audit.py
+++ b/tests/soak/test_audit.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from arbutusflow.gateway.caller_messages import CallerRequest
+from arbutusflow.gateway.callers.messages import CallerRequest
 from arbutusflow.platform import wire
 from tests.soak.audit import PROMISES, Audit, AuditedEndpoint
 from tests.soak.world import SoakWorld
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -11,8 +11,9 @@
 
 from arbutusflow.cli.main import app
 from arbutusflow.errors import ConfigurationError
-from arbutusflow.gateway import admission, dispatch, process
-from arbutusflow.gateway.caller_messages import CallerRequest
+from arbutusflow.gateway import dispatch, process
+from arbutusflow.gateway.callers.messages import CallerRequest
+from arbutusflow.gateway.load import admission
 from arbutusflow.gateway.reference import (
     OTHER_OUTCOMES,
     REASONS,
