Read load headers with a fourth figure, and repeat downloads

Cause: `ReportedLoad.parse` dropped a header of four figures whole, so on a deployment whose endpoints send one every load report was lost. Routes of kind `download` counted as work that may run once, so a download was not repeated after a failure.

Change: the fourth figure is read as a slowdown; a header that cannot be a load counts as missing and is logged (`load_report_malformed`). `download` is idempotent, as `safe` is.

Result: the cases of test_documents fail before (three figures only, one kind) and pass now; test_dispatch and test_reference pass.

--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -545,7 +545,12 @@
         ahead: int,
         now: float,
     ) -> None:
-        load = wire.ReportedLoad.parse(response.header(wire.ENDPOINT_LOAD))
+        header = response.header(wire.ENDPOINT_LOAD)
+        load = wire.ReportedLoad.parse(header)
+        if header is not None and load is None:
+            self._log.write_rate_limited(
+                "load_report_malformed", endpoint=state.endpoint.id, header=repr(header)
+            )
         if load is not None:
             state.record_load_report(load.running, load.waiting, now)
         refused = _is_refusal(response)
--- a/arbutusflow/platform/documents.py
+++ b/arbutusflow/platform/documents.py
@@ -16,6 +16,8 @@
     WeightedService,
 )
 
+# Of routes; any other kind may run at most once.
+_IDEMPOTENT_KINDS = ("safe", "download")
 _MALFORMED_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
@@ -92,7 +94,7 @@
         raise ValueError(f"route {item['name']!r} has no service")
     repeatability = (
         Repeatability.IDEMPOTENT
-        if item["routeType"] == "safe"
+        if item["routeType"] in _IDEMPOTENT_KINDS
         else Repeatability.AT_MOST_ONCE
     )
     return Route(
--- a/arbutusflow/platform/reference.py
+++ b/arbutusflow/platform/reference.py
@@ -74,7 +74,7 @@
     Field(
         "hosts[].paths[].routeType",
         "text",
-        "`safe`: idempotent; any other: work that runs at most once.",
+        "`safe`, `download`: idempotent; any other: work that runs at most once.",
     ),
     Field("hosts[].paths[].timeoutS", SECONDS, "Longest time until the answer."),
     Field(
--- a/arbutusflow/platform/wire.py
+++ b/arbutusflow/platform/wire.py
@@ -24,6 +24,11 @@
 RELEASE_PATH = b"/arbutusflow/release"
 
 
+MAX_REPORTED_REQUESTS = 100_000  # No endpoint has so many; a larger figure is no load.
+# Percent of the usual time that work may take; a larger figure is no measurement.
+MAX_REPORTED_PERCENT = 10_000
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedLoad:
     """Load of an endpoint, as it reports it in a response."""
@@ -31,6 +36,9 @@
     running: int
     waiting: int
     slots: int
+    # How long work takes on the host of the endpoint at this moment, as a multiple of
+    # the usual time.
+    slowdown: float = 1.0
 
     @classmethod
     def parse(cls, text: bytes | None) -> "ReportedLoad | None":
@@ -38,13 +46,20 @@
         if text is None:
             return None
         parts = text.split(b",")
-        if len(parts) != 3:
+        if len(parts) not in (3, 4):
             return None
         try:
-            running, waiting, slots = (int(part) for part in parts)
+            running, waiting, slots = (int(part) for part in parts[:3])
+            percent = float(parts[3]) if len(parts) == 4 else 100.0
         except ValueError:
             return None
-        return cls(running, waiting, slots)
+        if min(running, waiting, slots) < 0:
+            return None
+        if max(running, waiting, slots) > MAX_REPORTED_REQUESTS:
+            return None
+        if not 1 <= percent <= MAX_REPORTED_PERCENT:
+            return None
+        return cls(running, waiting, slots, percent / 100)
 
 
 def parse_deadline(text: bytes) -> float | None:
--- a/tests/gateway/test_documents.py
+++ b/tests/gateway/test_documents.py
@@ -132,15 +132,42 @@
     "text, load",
     [
         (b"3,0,8", wire.ReportedLoad(3, 0, 8)),
+        (b"3,0,8,250", wire.ReportedLoad(3, 0, 8, slowdown=2.5)),
+        (b"3, 0, 8, 62.5", wire.ReportedLoad(3, 0, 8, slowdown=0.625)),
+        (b"3,0,8,nan", None),
+        (b"3,0,8,0", None),
+        (b"3,0,8,1000000000", None),
+        (b"3,0,8,100,1", None),
+        (b"-3,0,8", None),
+        (b"1000000000,0,8", None),
         (b"3,0", None),
         (b"a,b,c", None),
+        (b"3,0,8,\xff", None),
         (None, None),
     ],
 )
 def test_a_malformed_load_report_is_ignored(text, load):
+    """Guards against a lost report in a longer form, and a load that cannot be."""
     assert wire.ReportedLoad.parse(text) == load
 
 
+@pytest.mark.parametrize(
+    ("kind", "repeatability"),
+    [
+        ("safe", Repeatability.IDEMPOTENT),
+        ("download", Repeatability.IDEMPOTENT),
+        ("unsafe", Repeatability.AT_MOST_ONCE),
+        ("upload", Repeatability.AT_MOST_ONCE),
+        ("another", Repeatability.AT_MOST_ONCE),
+    ],
+)
+def test_only_kinds_that_are_known_to_be_idempotent_may_run_twice(kind, repeatability):
+    """Guards against repeats of work of a new kind, and downloads without repeats."""
+    spec = copy.deepcopy(CONFIGURATION)
+    spec["hosts"][0]["paths"][0]["routeType"] = kind
+    assert decode_configuration(spec).routes[0].repeatability is repeatability
+
+
 @pytest.mark.parametrize(
     "text, key",
     [(b"0", 0), (b"65535", 65535), (b"65536", None), (b"-1", None), (b"", None)],
