--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 STAMP := $(VENV)/.installed
 SOURCES := $(shell find arbutusflow -name '*.py')
 
-.PHONY: demo test check format lint types layers unit features binary binary-check
+.PHONY: demo test check format lint types layers unit hostile features binary
+.PHONY: binary-check
 .PHONY: reference lock clean
 
 $(STAMP): pyproject.toml requirements.lock
@@ -25,11 +26,12 @@
 # own, whose deadlines need free cores.
 MAX_WORKERS ?= 4
 
-# The checks run side by side, each with its output in one piece. The unit tests run last,
-# so that the output ends with the summary of pytest.
+# The checks run side by side, each with its output in one piece. The tests run last, so
+# that the output ends with the summary of pytest.
 test: $(STAMP)
 	$(MAKE) --no-print-directory --jobs=4 --output-sync=target check features binary-check
 	$(MAKE) --no-print-directory unit
+	$(MAKE) --no-print-directory hostile
 
 check: format lint types layers
 
@@ -46,7 +48,12 @@
 	$(BIN)/lint-imports
 
 unit: $(STAMP)
-	$(BIN)/python -m pytest --numprocesses auto --maxprocesses $(MAX_WORKERS) --dist worksteal
+	$(BIN)/python -m pytest -m "not hostile" --numprocesses auto \
+		--maxprocesses $(MAX_WORKERS) --dist worksteal
+
+# One at a time and apart from other load: each test measures one process.
+hostile: $(STAMP)
+	$(BIN)/python -m pytest -m hostile tests/hostile
 
 features: $(STAMP)
 	@if ls features/*.feature >/dev/null 2>&1; then \
