Add the decision for sends to cold endpoints, and follow cold times

Cause: each instance sent to a new endpoint on its own, and only the first entry of a process set its cold time, so endpoints that turn cold later were taken for warm.

`EndpointState.mark_cold` and `use_cold_seconds` set the cold time again; the latter only for services with `coldPerS`. `EndpointTable.choose` leaves out cold endpoints that may not be sent to. The fields of the configuration and the settings are decoded; nothing uses the limit in the process yet.

--- a/arbutusflow/gateway/load/endpoint_load.py
+++ b/arbutusflow/gateway/load/endpoint_load.py
@@ -15,6 +15,7 @@
 import random
 from collections.abc import Mapping
 
+from arbutusflow.gateway.load.cold_rate import ColdSends
 from arbutusflow.gateway.model import Endpoint
 
 # Estimate of the service time until responses have been measured.
@@ -59,6 +60,8 @@
 
     endpoint: Endpoint
     cold_until: float
+    # Until when it is cold by other evidence than its entries. `mark_cold` sets it.
+    marked_cold_until: float = -1e9
     own_in_flight: int = 0  # In-flight requests of this instance.
     service_seconds: float = INITIAL_SERVICE_SECONDS
     # Mean service time over the first responses, then a moving average; reported to the
@@ -138,6 +141,33 @@
         )
         self.reported_at = now
 
+    def mark_cold(self, seconds: float, now: float) -> None:
+        """Count the endpoint as cold for at least some seconds from now.
+
+        No entry that is read meanwhile shortens this: it may have been written before.
+        """
+        self.marked_cold_until = max(self.marked_cold_until, now + seconds)
+        self.cold_until = max(self.cold_until, self.marked_cold_until)
+
+    def use_cold_seconds(self, endpoint: Endpoint, now: float) -> None:
+        """Set the cold time again from an entry that may be later than the known one.
+
+        A later entry of the process replaces what the earlier ones said. One that may
+        have been written before them can only extend the cold time.
+        """
+        number, known = endpoint.entry_number, self.endpoint.entry_number
+        if number is not None and known is not None:
+            if number > known:
+                self.cold_until = self.marked_cold_until
+            elif (
+                number == known and endpoint.cold_seconds == self.endpoint.cold_seconds
+            ):
+                return
+        elif endpoint is self.endpoint:
+            return
+        if endpoint.cold_seconds > 0:
+            self.cold_until = max(self.cold_until, now + endpoint.cold_seconds)
+
     def record_wait(self, seconds: float, now: float) -> None:
         """Send no requests for some time, and then one at a time until one has run."""
         self.wait_until = max(self.wait_until, now + seconds)
@@ -184,8 +214,15 @@
 class EndpointTable:
     """Known endpoints by service, and the choice among them."""
 
-    def __init__(self, zone: str, drain_seconds: float, rng: random.Random) -> None:
+    def __init__(
+        self,
+        zone: str,
+        drain_seconds: float,
+        rng: random.Random,
+        cold_sends: ColdSends | None = None,
+    ) -> None:
         self._zone = zone
+        self._cold_sends = ColdSends("") if cold_sends is None else cold_sends
         self._rng = rng
         self._drain_seconds = drain_seconds
         self._listed: set[str] = set()
@@ -198,9 +235,10 @@
         self._services: dict[str, list[EndpointState]] = {}
         self._peer_reports: dict[str, _PeerLoadReport] = {}
         # How often an endpoint was chosen while others of its service were left out
-        # because they leave or asked to wait.
+        # because they leave, asked to wait, or are cold.
         self.choices_past_leaving = 0
         self.choices_past_waiting = 0
+        self.choices_past_cold = 0
 
     def update_peer_report(
         self, instance: str, in_flight: Mapping[str, int], now: float
@@ -251,6 +289,8 @@
                 state.peer_in_flight = self._peer_in_flight(name)
                 # This process may be the one that asked, before its entry was read.
                 state.on_trial = now < self._wait_until.get(name, -1e9)
+            elif self._cold_sends.limits(endpoint.service):
+                state.use_cold_seconds(endpoint, now)
             state.endpoint = endpoint
             if not endpoint.draining:
                 state.leaving_since = None
@@ -322,6 +362,53 @@
         """Return a random addition to a wait, which instances must not end at once."""
         return self._rng.uniform(0.0, min(MAX_WAIT_SPREAD_SECONDS, seconds / 2))
 
+    # Cold endpoints of services with a limit for them.
+
+    def set_cold_rates(self, rates: Mapping[str, float], now: float) -> None:
+        """Set the requests per second that a cold endpoint takes, by service."""
+        added = [name for name in rates if not self._cold_sends.limits(name)]
+        self._cold_sends.set_rates(rates)
+        for service in added:
+            # The cold time of their entries was not followed until now.
+            for state in self.for_service(service):
+                if state.endpoint.cold_seconds > 0:
+                    state.mark_cold(state.endpoint.cold_seconds, now)
+
+    def is_limited(self, state: EndpointState, now: float) -> bool:
+        """Return whether an endpoint is cold and its service has a limit for that."""
+        return now < state.cold_until and self._cold_sends.limits(
+            state.endpoint.service
+        )
+
+    def may_send(self, state: EndpointState, now: float) -> bool:
+        """Return whether the limit for cold endpoints allows a request now."""
+        return not self.is_limited(state, now) or self._cold_sends.may_send(
+            state.endpoint.service, state.endpoint.id, now
+        )
+
+    def note_send(self, state: EndpointState, now: float) -> None:
+        """Count a request that is sent now towards the limit for cold endpoints."""
+        endpoint = state.endpoint
+        cold = now < state.cold_until
+        self._cold_sends.note_send(endpoint.service, endpoint.id, now, cold=cold)
+
+    def limited_endpoints(self, now: float) -> dict[str, EndpointState]:
+        """Return the cold endpoints of services with a limit, by name."""
+        return {
+            state.endpoint.id: state
+            for service, states in self._services.items()
+            if self._cold_sends.limits(service)
+            for state in states
+            if now < state.cold_until
+        }
+
+    def limited_names(self, service: str, now: float) -> set[str]:
+        """Return the cold endpoints of a service that has a limit for them."""
+        if not self._cold_sends.limits(service):
+            return set()
+        states = self.for_service(service)
+        return {s.endpoint.id for s in states if now < s.cold_until}
+
     def for_service(self, service: str) -> list[EndpointState]:
         """Return the endpoints of a service."""
         return self._services.get(service, [])
@@ -332,6 +419,8 @@
         for state in self.for_service(service):
             if state.leaving_since is not None or state.replaced:
                 continue
+            if not self.may_send(state, now):
+                continue
             if not state.wait_seconds(now):
                 return None
             pending = pending or state.pending_check
@@ -360,17 +449,24 @@
         time is at most `local_seconds`. `compare_all` compares all endpoints instead of
         a few, which a request that would be refused otherwise needs.
         """
-        candidates, some_leave, some_wait = [], False, False
+        candidates, some_leave, some_wait, some_cold = [], False, False, False
         for state in self.for_service(service):
             if state.leaving_since is not None:
                 some_leave = True
             elif state.wait_seconds(now):
                 some_wait = True
+            elif self.is_limited(state, now) and (
+                # One request at a time: of several that were chosen for it, all but
+                # one would open a connection in vain.
+                state.own_in_flight or not self.may_send(state, now)
+            ):
+                some_cold = True
             elif not state.replaced and state.endpoint.id not in tried:
                 candidates.append(state)
         if candidates and not compare_all:
             self.choices_past_leaving += some_leave
             self.choices_past_waiting += some_wait
+            self.choices_past_cold += some_cold
         # If all endpoints are in backoff, try them rather than refuse every request.
         usable = [s for s in candidates if now >= s.backoff_until] or candidates
         for state in usable:
--- a/arbutusflow/gateway/model.py
+++ b/arbutusflow/gateway/model.py
@@ -72,6 +72,9 @@
     retry_ratio: float
     retry_window_seconds: float
     retry_slack: float
+    # A cold endpoint gets at most its rate times the first plus the second per second.
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
     # Of which some are for files; None if there is no limit but the system's.
     max_descriptors: int | None = None
 
@@ -114,6 +117,9 @@
     health_path: str
     max_connections: int  # Per endpoint, over all of its clients.
     partitioned: bool  # Whether each key is owned by one of the endpoints.
+    # Requests per second that a cold endpoint takes; None if there is no limit, and 0
+    # if the configuration has one that is no positive number: it then gets none.
+    cold_rate: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -148,6 +154,8 @@
     draining: bool
     cold_seconds: float  # Remaining duration of the cold start, while it is slow.
     started_ms: int  # Start time of the process; identifies the process.
+    # How often the process has written its entry; None if it does not say.
+    entry_number: int | None = None
 
     @property
     def process(self) -> EndpointProcess:
--- a/arbutusflow/platform/documents.py
+++ b/arbutusflow/platform/documents.py
@@ -73,12 +73,27 @@
     return number
 
 
+def _cold_rate(item: dict[str, Any]) -> float | None:
+    """Return the rate of a service; 0 if it has one that is no positive number."""
+    if "coldPerS" not in item:
+        return None
+    value = item["coldPerS"]
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return 0.0
+    try:
+        rate = float(value)
+    except OverflowError:
+        return 0.0
+    return rate if 0.0 < rate < math.inf else 0.0
+
+
 def _service(item: dict[str, Any]) -> Service:
     return Service(
         name=_text(item["name"]),
         health_path=item["healthPath"],
         max_connections=int(_number(item["maxConns"])),
         partitioned=bool(item.get("sharded", False)),
+        cold_rate=_cold_rate(item),
     )
 
 
@@ -165,6 +180,7 @@
             draining=state == "draining",
             cold_seconds=_number(max(0, cold_seconds)),
             started_ms=started_ms,
+            entry_number=entry_number(item),
         )
     except _MALFORMED_ERRORS as exc:
         raise ValueError(f"malformed endpoint document: {exc!r}") from exc
--- a/arbutusflow/platform/reference.py
+++ b/arbutusflow/platform/reference.py
@@ -43,6 +43,13 @@
     Field("bounds.retryBudgetRatio", "a number", "Repeats for each request; reload."),
     Field("bounds.budgetWindowS", "seconds", "Time over which they count; reload."),
     Field("bounds.retryBudgetSlack", "a number", "Repeats on top of that; reload."),
+    Field(
+        "bounds.coldOvershoot",
+        NUMBER,
+        "A cold endpoint gets at most its `coldPerS` times this; reload.",
+        "1.0",
+    ),
+    Field("bounds.coldSlack", NUMBER, "Requests on top of that; reload.", "0.0"),
     Field("provider.address", ADDRESS, "The object store."),
     Field(
         "seeds", f"list of {ADDRESS}", "Other instances; checked, not used.", "empty"
@@ -64,6 +71,13 @@
         "Whether each key is owned by one endpoint.",
         "false",
     ),
+    Field(
+        "services[].coldPerS",
+        "a number above 0",
+        "Requests per second that a cold endpoint takes. Any other value is logged, "
+        "and cold endpoints of the service get no requests.",
+        "no limit",
+    ),
     Field("limits.maxHeaderBytes", NUMBER, "Size of a caller's headers."),
     Field("limits.maxBodyBytes", NUMBER, "Size of a caller's body."),
     Field("limits.headerTimeoutS", SECONDS, "Until a request's headers are there."),
--- a/arbutusflow/platform/settings.py
+++ b/arbutusflow/platform/settings.py
@@ -49,6 +49,16 @@
     return seconds
 
 
+def _amount(value: Any) -> float:
+    """Return a number. Raises ValueError if it is negative, not finite or no number."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"{value!r} is not a number")
+    amount = float(value)
+    if not 0.0 <= amount < float("inf"):
+        raise ValueError(f"{value} is not a finite number of at least 0")
+    return amount
+
+
 def _count(value: Any) -> int | None:
     return None if value is None else int(value)
 
@@ -73,4 +83,6 @@
         retry_ratio=float(bounds["retryBudgetRatio"]),
         retry_window_seconds=float(bounds["budgetWindowS"]),
         retry_slack=float(bounds["retryBudgetSlack"]),
+        cold_overshoot=_amount(bounds.get("coldOvershoot", 1.0)),
+        cold_slack=_amount(bounds.get("coldSlack", 0.0)),
     )
--- a/arbutusflow/platform/wire.py
+++ b/arbutusflow/platform/wire.py
@@ -17,6 +17,7 @@
 HANDOVER = b"handover"
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+COLD_LEFT = b"cold-ms"
 STORE_ERA = b"store-era"
 
 READINESS_PATH = b"/arbutusflow/ready"
@@ -116,6 +117,13 @@
         return None
 
 
+def parse_cold_left(text: bytes | None) -> float | None:
+    """Return for how many seconds an endpoint is cold; None if it does not say."""
+    if text is None or not _SECONDS.fullmatch(text.strip()):
+        return None
+    return min(float(text) / 1000, MAX_WAIT_SECONDS)
+
+
 def format_deadline(seconds: float) -> bytes:
     """Encode the remaining time, rounded down to whole milliseconds."""
     return b"%d" % max(1, int(seconds * 1000))
--- a/tests/gateway/test_boundary.py
+++ b/tests/gateway/test_boundary.py
@@ -9,9 +9,9 @@
 # Field and header names of the platform that are translated by the adapter.
 PLATFORM_NAMES = re.compile(
     r"Response-Seal|Expect-Instance|Instance-Load|Instance-Id|Not-Executed|Shard-Key"
-    r"|routeType|trafficSplit|pathPrefix|targetLatencyS|maxAttempts|holdS|coldLeftS"
+    r"|routeType|trafficSplit|pathPrefix|targetLatencyS|maxAttempts|holdS|coldLeftS|coldPerS"
     r"|warmupS|nodeName|maxConns|ARBUTUSFLOW_CONFIG|/arbutusflow/(?:grant|release|ready)"
-    r"|[Ss]erver-[Ll]eaving"
+    r"|[Ss]erver-[Ll]eaving|[Cc]old-[Mm]s|coldOvershoot|coldSlack"
 )
 MODULES = sorted(
     path for path in PACKAGE.rglob("*.py") if "platform" not in path.parent.parts[-1:]
