Limit the requests that all instances send to a cold endpoint

Change: `Dispatcher._send` asks `ColdSends` right before the exchange, choices leave out cold endpoints that may not be sent to, and requests that only such endpoints can serve are rejected with `endpoint_cold`. The planner assigns keys to warm endpoints first. Health checks of a process in doubt obey the same limit and read its cold time. New: log events `endpoint_cold`, `endpoint_warm`, `cold_endpoints_unused`, `cold_time_malformed`; three metrics.

--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -381,6 +381,15 @@
             )
         if state is None:
             states = self._endpoints.for_service(name)
+            cold = [
+                s
+                for s in states
+                if s.leaving_since is None
+                and not s.replaced
+                and self._endpoints.is_closed_by_limit(s, now)
+            ]
+            if cold:
+                raise self._cold_error(ctx, cold)
             if any(s.wait_seconds(now) for s in states):
                 reason = "endpoints_asked_to_wait"
             elif any(s.leaving_since is not None for s in states):
@@ -390,6 +399,18 @@
             raise self._final_error(ctx, reason)
         return state
 
+    def _cold_error(
+        self, ctx: _RequestContext, states: list[EndpointState]
+    ) -> RequestError:
+        """Return the error for a request that only these cold endpoints can serve."""
+        now = self._loop.time()
+        error = self._final_error(ctx, "endpoint_cold")
+        if error.retry_after is not None:
+            warm_in = min(state.cold_until for state in states) - now
+            wait = min(warm_in, (ctx.caller_deadline - now) / 3)
+            error.retry_after = max(MIN_RETRY_AFTER_SECONDS, wait)
+        return error
+
     async def _wait_for_check(self, ctx: _RequestContext) -> None:
         """Wait for the check of an endpoint if no other one can be chosen."""
         until = min(
@@ -427,6 +448,8 @@
                     await asyncio.sleep(min(wait, KEY_POLL_INTERVAL_SECONDS))
                     continue
                 if state is not None and self._endpoints.may_serve_keys(state, now):
+                    if not self._endpoints.may_send(state, now):
+                        raise self._cold_error(ctx, [state])
                     return state
             else:
                 self._check_unowned(ctx, until)
@@ -470,9 +493,14 @@
                 timeout=remaining,
                 request_id=ctx.request_id,
             ) as conn:
-                if self._loop.time() < state.wait_until or state.pending_check:
+                now = self._loop.time()
+                if (
+                    now < state.wait_until
+                    or state.pending_check
+                    or not self._endpoints.may_send(state, now)
+                ):
                     # It asked to wait while the connection was being opened, or may
-                    # have said that it leaves.
+                    # have said that it leaves, or is cold and has got a request.
                     if not was_tried:
                         ctx.tried.discard(endpoint.id)
                     return None
@@ -481,6 +509,8 @@
                 ctx.sends += 1
                 ctx.req.cancellable, ctx.req.passed_on = ctx.idempotent, True
                 started = self._loop.time()
+                # Nothing is awaited between the check and the first bytes sent.
+                self._endpoints.note_send(state, now)
                 number = self._response_times.begin(endpoint.service, started)
                 has_run = False
                 try:
--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from typing import Protocol
 
 import msgspec
@@ -345,6 +345,19 @@
     def _tick_moves(self, now: float) -> None:
         self.moves.tick(self._partitioned_services, now)
 
+    def granters(self, now: float) -> Collection[str] | None:
+        """Return the names of all granters, if this instance has the right to grant.
+
+        Returns None without that right, and while others are known to have later
+        records and the right does not rest on the store.
+        """
+        evidence = self.fleet.grant_evidence(now)
+        if evidence == "none":
+            return None
+        if evidence == "vouched" and self.relay.is_behind(FLEET_KIND, now):
+            return None
+        return self.fleet.records.keys()
+
     def set_partitioned_services(self, services: list[str]) -> None:
         """Set the names of the services whose keys have owners."""
         self._partitioned_services = services
--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -14,7 +14,7 @@
 import dataclasses
 import functools
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 
 import msgspec
 
@@ -131,6 +131,10 @@
         self.loads_of: Callable[[str], dict[int, float]] = lambda service: {}
         self.capacities_of: Callable[[str], dict[str, float]] = lambda service: {}
         self.has_recent_demand: Callable[[str], bool] = lambda service: True
+        # Returns the endpoints of a service that get no keys while others are warm.
+        self.cold_endpoints: Callable[[str, float], Collection[str]] = (
+            lambda service, now: ()
+        )
 
     def track_table(self, stored: StoredTable, now: float) -> None:
         """Start tracking the leaving ranges of a new table.
@@ -217,6 +221,7 @@
             leaving,
             balance=balance,
             immovable=self._immovable_endpoints(endpoints, now) if balance else (),
+            cold=self.cold_endpoints(service, now),
             own_life=self._fleet.own_record.life,
         )
         if balance:
--- a/arbutusflow/gateway/key_planner.py
+++ b/arbutusflow/gateway/key_planner.py
@@ -147,8 +147,9 @@
 
     ranges: list[KeyRange]
     next_token: int
-    assigned_load: dict[str, float]  # Requests per second, by endpoint.
-    capacity: dict[str, float]  # Requests per second, by endpoint.
+    # Requests per second, by endpoint that may be assigned keys.
+    assigned_load: dict[str, float]
+    capacity: dict[str, float]  # The same.
     own_life: int  # Incarnation of the instance that plans.
 
     def regrant(self, index: int, started_ms: int, handover: str) -> None:
@@ -201,21 +202,24 @@
     *,
     balance: bool = True,
     immovable: Collection[str] = (),
+    cold: Collection[str] = (),
     own_life: int = 0,
 ) -> KeyTable:
     """Return the next table of a service; an equal table if nothing changes.
 
     `endpoints` contains all listed endpoints of the service, including draining ones;
     `capacity` is the number of requests per second that each can serve.
-    Balancing moves no keys away from `immovable` endpoints. `own_life` is the
+    Balancing moves no keys away from `immovable` endpoints. Those that are `cold` keep
+    their keys, and get none while another endpoint is ready and warm. `own_life` is the
     incarnation of the planner, which closes the ranges that it marks as leaving.
     """
     ready = {name: e for name, e in endpoints.items() if not e.draining}
+    targets = sorted(ready.keys() - set(cold)) or sorted(ready)
     draft = _DraftTable(
         ranges=list(table.ranges),
         next_token=table.next_token,
-        assigned_load=dict.fromkeys(sorted(ready), 0.0),
-        capacity={name: capacity[name] for name in ready},
+        assigned_load=dict.fromkeys(targets, 0.0),
+        capacity={name: capacity[name] for name in targets},
         own_life=own_life,
     )
     _mark_leaving(draft, endpoints, leaving)
@@ -358,9 +362,10 @@
         if handover is None:
             continue
         draft.regrant(index, owner.started_ms, handover)
-        draft.assigned_load[key_range.endpoint] += loads.of_range(
-            key_range.first, key_range.last
-        )
+        if key_range.endpoint in draft.assigned_load:
+            draft.assigned_load[key_range.endpoint] += loads.of_range(
+                key_range.first, key_range.last
+            )
 
 
 def _assign_unowned(
--- a/arbutusflow/gateway/leaving_checks.py
+++ b/arbutusflow/gateway/leaving_checks.py
@@ -19,7 +19,7 @@
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.load.endpoint_load import EndpointState, EndpointTable
-from arbutusflow.gateway.model import Endpoint, EndpointProcess, ExchangeError
+from arbutusflow.gateway.model import EndpointProcess, ExchangeError
 from arbutusflow.platform import wire
 
 CHECK_TIMEOUT_SECONDS = 1.0
@@ -116,7 +116,13 @@
         try:
             while (state := self._find_pending(process)) is not None:
                 started = self._loop.time()
-                leaving = await self._says_leaving(state.endpoint)
+                if not self._endpoints.may_send(state, started):
+                    # Until this instance may send a request, nothing depends on the
+                    # result, and checks of all instances at once are a load, too.
+                    await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+                    continue
+                self._endpoints.note_send(state, started)
+                leaving = await self._says_leaving(state)
                 if not self._resolve(process, leaving, started):
                     await asyncio.sleep(CHECK_INTERVAL_SECONDS)
         finally:
@@ -148,8 +154,9 @@
             state.end_check()
         return True
 
-    async def _says_leaving(self, endpoint: Endpoint) -> bool | None:
+    async def _says_leaving(self, state: EndpointState) -> bool | None:
         """Ask an endpoint whether it leaves; return None without its answer."""
+        endpoint = state.endpoint
         path = urllib.parse.quote(self._health_path(endpoint.service), "/?&=%:,;~")
         address = endpoint.address
         head = b"GET /%b HTTP/1.1\r\nHost: %b:%d\r\n%b: %b\r\n\r\n" % (
@@ -171,4 +178,15 @@
             return None
         if response.status == 421:
             return None  # Another endpoint uses the address.
+        self._record_cold_time(state, response.header(wire.COLD_LEFT))
         return wire.parse_leaving(response.header(wire.LEAVING))
+
+    def _record_cold_time(self, state: EndpointState, header: bytes | None) -> None:
+        """Use what an endpoint says about how long it is cold."""
+        seconds = wire.parse_cold_left(header)
+        if seconds:
+            self._endpoints.record_cold(state, seconds, self._loop.time())
+        elif seconds is None and header is not None:
+            self._log.write_rate_limited(
+                "cold_time_malformed", endpoint=state.endpoint.id, header=repr(header)
+            )
--- a/arbutusflow/gateway/load/cold_rate.py
+++ b/arbutusflow/gateway/load/cold_rate.py
@@ -31,7 +31,7 @@
 SETTLE_SECONDS = MAX_LIST_AGE_SECONDS + SEND_INTERVAL_SECONDS
 # A longer time without an observation shows that the process was suspended.
 MAX_OBSERVATION_GAP_SECONDS = 0.5
-MAX_REMEMBERED_SENDS = 4096  # Bounds the memory for endpoints that have left.
+MAX_OLD_SENDS = 4096  # Bounds the memory for endpoints that have left.
 MAX_SENDERS = 1_000_000  # More than granters; a larger limit is none.
 
 
@@ -96,6 +96,7 @@
         self._observed_at = -math.inf
         self._is_sender: dict[str, bool] = {}  # By endpoint, by all lists.
         self._last_sends: dict[str, float] = {}
+        self._max_last_sends = MAX_OLD_SENDS
         self.sends = 0  # To cold endpoints.
 
     def set_limits(self, overshoot: float, slack: float) -> None:
@@ -169,9 +170,11 @@
             return
         self.sends += cold
         self._last_sends[endpoint] = now
-        if len(self._last_sends) > MAX_REMEMBERED_SENDS:
+        if len(self._last_sends) > self._max_last_sends:
             self._last_sends = {
                 name: at
                 for name, at in self._last_sends.items()
                 if now - at < SEND_INTERVAL_SECONDS
             }
+            # Those that are left must not be copied again at each send.
+            self._max_last_sends = max(MAX_OLD_SENDS, 2 * len(self._last_sends))
--- a/arbutusflow/gateway/load/endpoint_load.py
+++ b/arbutusflow/gateway/load/endpoint_load.py
@@ -374,6 +374,11 @@
                 if state.endpoint.cold_seconds > 0:
                     state.mark_cold(state.endpoint.cold_seconds, now)
 
+    def record_cold(self, state: EndpointState, seconds: float, now: float) -> None:
+        """Use that an endpoint said in an answer for how long it is cold."""
+        if self._cold_sends.limits(state.endpoint.service):
+            state.mark_cold(seconds, now)
+
     def is_limited(self, state: EndpointState, now: float) -> bool:
         """Return whether an endpoint is cold and its service has a limit for that."""
         return now < state.cold_until and self._cold_sends.limits(
@@ -386,6 +391,16 @@
             state.endpoint.service, state.endpoint.id, now
         )
 
+    def is_closed_by_limit(self, state: EndpointState, now: float) -> bool:
+        """Return whether the limit keeps a cold endpoint from being chosen.
+
+        It gets one request at a time: of several that were chosen for it, all but one
+        would open a connection in vain.
+        """
+        return self.is_limited(state, now) and (
+            state.own_in_flight > 0 or not self.may_send(state, now)
+        )
+
     def note_send(self, state: EndpointState, now: float) -> None:
         """Count a request that is sent now towards the limit for cold endpoints."""
         endpoint = state.endpoint
@@ -455,11 +470,7 @@
                 some_leave = True
             elif state.wait_seconds(now):
                 some_wait = True
-            elif self.is_limited(state, now) and (
-                # One request at a time: of several that were chosen for it, all but
-                # one would open a connection in vain.
-                state.own_in_flight or not self.may_send(state, now)
-            ):
+            elif self.is_closed_by_limit(state, now):
                 some_cold = True
             elif not state.replaced and state.endpoint.id not in tried:
                 candidates.append(state)
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -41,6 +41,7 @@
 from arbutusflow.gateway.leaving_checks import LeavingChecks
 from arbutusflow.gateway.lifecycle import Lifecycle, Phase, Work
 from arbutusflow.gateway.load.admission import Admission
+from arbutusflow.gateway.load.cold_rate import ColdSends, sender_count
 from arbutusflow.gateway.load.endpoint_load import EndpointTable
 from arbutusflow.gateway.load.retry_budget import RetryBudget
 from arbutusflow.gateway.memory_watch import MemoryWatch, peak_bytes
@@ -73,6 +74,7 @@
 # Largest part of the grace period that a signal counts as noticed late.
 MAX_LAG_FRACTION = 1 / 6
 PRUNE_INTERVAL_SECONDS = 1.0
+COLD_LOG_SECONDS = 1.0  # All endpoints are looked at.
 MEMORY_CHECK_SECONDS = 0.5
 # Fraction of an endpoint's connection limit that all instances together may keep idle.
 # The rest is for connections in use, and for those of a restarted fleet while the
@@ -129,6 +131,7 @@
         self._signal_is_pending = False
         # Outcomes of requests since the stop began.
         self._outcomes_while_stopping: collections.Counter[str] = collections.Counter()
+        self._cold_endpoints: set[str] = set()  # That were logged.
         self._unusable_addresses: set[Address] = set()  # That were logged.
         self._tasks: set[asyncio.Task[None]] = set()
         self._configuration: Configuration | None = None
@@ -155,7 +158,15 @@
         )
         self.endpoint_copy.coalesce_seconds = ENDPOINT_BATCH_SECONDS
         self.config_copy.retry_leader = self.endpoint_copy
-        self.endpoints = EndpointTable(cfg.zone, cfg.drain_seconds, random.Random())
+        self.cold_sends = ColdSends(
+            cfg.instance,
+            cfg.cold_overshoot,
+            cfg.cold_slack,
+            lambda now: self.fleet_task.fleet.may_grant(now),
+        )
+        self.endpoints = EndpointTable(
+            cfg.zone, cfg.drain_seconds, random.Random(), self.cold_sends
+        )
         life = self._rng.getrandbits(48)
         self.fleet_task = FleetTask(
             InstanceRecord(cfg.instance, life, cfg.peer_host, cfg.peer_port, cfg.zone),
@@ -171,6 +182,7 @@
             self._rng,
         )
         self.fleet_task.copy.retry_leader = self.endpoint_copy
+        self.fleet_task.moves.cold_endpoints = self.endpoints.limited_names
         self.directory = EndpointDirectory(
             self.endpoint_copy, self.fleet_task.fleet.store_available_seconds, log
         )
@@ -269,6 +281,7 @@
             (ZONE_REPORT_SECONDS, self.fleet_task.report_if_due),
             (key_demand.DECAY_PERIOD_SECONDS, self.fleet_task.decay_demand),
             (PRUNE_INTERVAL_SECONDS, self._prune_connections),
+            (COLD_LOG_SECONDS, self._log_cold_endpoints),
             (MEMORY_CHECK_SECONDS, self.memory_watch.check),
             (SETTINGS_CHECK_INTERVAL_SECONDS, self._reload),
         ]
@@ -294,6 +307,7 @@
                 self.endpoints.remove_departed,
                 self.endpoints.expire_peer_reports,
                 self.fleet_task.tick,
+                self._observe_granters,
                 self._check_ready,
             ),
             now,
@@ -304,6 +318,25 @@
         if self.directory.expire(now):
             self._use_endpoints(now)
 
+    def _observe_granters(self, now: float) -> None:
+        self.cold_sends.observe(self.fleet_task.granters(now), now)
+
+    def _log_cold_endpoints(self) -> None:
+        """Log the endpoints that have become cold or warm since the last call."""
+        now = self._loop.time()
+        limited = self.endpoints.limited_endpoints(now)
+        for name in self._cold_endpoints - limited.keys():
+            self.log.write("endpoint_warm", endpoint=name)
+        for name in limited.keys() - self._cold_endpoints:
+            state = limited[name]
+            self.log.write(
+                "endpoint_cold",
+                endpoint=name,
+                service=state.endpoint.service,
+                seconds=round(state.cold_until - now, 3),
+            )
+        self._cold_endpoints = set(limited)
+
     def _check_ready(self, now: float) -> None:
         if self._configuration is not None and self.endpoint_copy.was_read:
             self.lifecycle.become_ready(now)
@@ -377,6 +410,7 @@
         self._configuration, self._configuration_since = cfg, self._loop.time()
         self.caller_server.limits = cfg.limits
         self.dispatcher.apply_configuration(cfg)
+        self._apply_cold_rates(cfg, known)
         self.fleet_task.set_partitioned_services(
             [x.name for x in cfg.services.values() if x.partitioned]
         )
@@ -390,6 +424,26 @@
             apply_seconds=round(self._loop.time() - started, 4),
         )
 
+    def _apply_cold_rates(
+        self, cfg: Configuration, known: Configuration | None
+    ) -> None:
+        rates = {
+            x.name: x.cold_rate
+            for x in cfg.services.values()
+            if x.cold_rate is not None
+        }
+        self.endpoints.set_cold_rates(rates, self._loop.time())
+        before = {} if known is None else known.services
+        for service, rate in rates.items():
+            count = sender_count(rate, self._cfg.cold_overshoot, self._cfg.cold_slack)
+            earlier = before.get(service)
+            if not count and (earlier is None or earlier.cold_rate != rate):
+                self.log.write(
+                    "cold_endpoints_unused",
+                    service=service,
+                    reason="limit_below_2" if rate else "rate_unreadable",
+                )
+
     def _on_endpoints(self) -> None:
         self.directory.update(self._loop.time())
         self._use_endpoints(self._loop.time())
@@ -590,8 +644,12 @@
         self.metrics.set_gauge("stray_responses", self.pool.strays)
         self.metrics.set_gauge("log_lines_dropped", self.log.dropped)
         self.metrics.set_gauge("peak_bytes", peak_bytes())
-        for name in ("choices_past_leaving", "choices_past_waiting"):
-            self.metrics.set_gauge(name, getattr(self.endpoints, name))
+        for name in ("leaving", "waiting", "cold"):
+            count = getattr(self.endpoints, f"choices_past_{name}")
+            self.metrics.set_gauge(f"choices_past_{name}", count)
+        limited = self.endpoints.limited_endpoints(self._loop.time())
+        self.metrics.set_gauge("cold_endpoints", len(limited))
+        self.metrics.set_gauge("cold_sends", self.cold_sends.sends)
         self.metrics.set_transfers(self.fleet_task.relay.counts)
         return CallerResponse(
             200, ((b"Content-Type", b"text/plain"),), self.metrics.render()
@@ -619,6 +677,7 @@
         self.retry_budget.set_limits(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_seconds
         )
+        self.cold_sends.set_limits(cfg.cold_overshoot, cfg.cold_slack)
         self.log.write("settings_reloaded")
 
     def _listening_addresses(self) -> tuple[tuple[CallerServer, Address], ...]:
--- a/arbutusflow/gateway/reference.py
+++ b/arbutusflow/gateway/reference.py
@@ -21,6 +21,11 @@
         "sent.",
     ),
     "crashes_endpoints": ("502", "Endpoints ended while they ran this request."),
+    "endpoint_cold": (
+        NOT_RUN,
+        "Only cold endpoints can serve the request, and their limit allows none from "
+        "this instance now.",
+    ),
     "endpoint_full": (NOT_RUN, "The endpoint has no room for requests of this rank."),
     "endpoint_rejected": ("400", "The endpoint found the request malformed."),
     "endpoints_asked_to_wait": (
@@ -86,8 +91,11 @@
     "process_ended": "The process ended.",
 }
 STATES = {
+    "choices_past_cold": "Choices that went past a cold endpoint because of its limit.",
     "choices_past_leaving": "Choices of an endpoint that went past one that leaves.",
     "choices_past_waiting": "Choices that went past one that asked to wait.",
+    "cold_endpoints": "Cold endpoints of services with a limit for them.",
+    "cold_sends": "Requests that were sent to such endpoints.",
     "connections_opened": "Connections to endpoints that were opened.",
     "log_lines_dropped": "Lines of the log that were lost.",
     "peak_bytes": "Largest size of the process in memory so far.",
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -14,6 +14,7 @@
 from arbutusflow.gateway.key_demand import KeyDemand
 from arbutusflow.gateway.lifecycle import Lifecycle, Phase
 from arbutusflow.gateway.load.admission import Admission
+from arbutusflow.gateway.load.cold_rate import ColdSends
 from arbutusflow.gateway.load.endpoint_load import EndpointTable
 from arbutusflow.gateway.load.retry_budget import RetryBudget
 from arbutusflow.gateway.model import (
@@ -29,6 +30,7 @@
     WeightedService,
 )
 from tests.gateway.fakes import FakeLog, FakeTransport
+from tests.gateway.test_cold_rate import settle
 from tests.gateway.virtual_time import run
 
 SIGNATURE_HEADER = (b"Response-Seal", b"s")  # The endpoint signed its response.
@@ -176,21 +178,39 @@
     pause=10.0,
     stop_after=None,
     body=b"",
+    cold=0,
+    sender=False,
+    turns_cold_after=None,
 ):
     """Return the reply, the hosts that were sent the request, and the seconds taken.
 
     With `repetitions` above 1, repeat the request and return only the replies. `full`
     is the number of endpoints without room, and `in_flight` the number of requests that
-    other instances have sent to each other one.
+    other instances have sent to each other one. `cold` is the number of endpoints that
+    are cold for 5 s and have a limit, and `sender` whether this instance may send to
+    them; all turn cold if `turns_cold_after`.
     """
 
     async def main():
         loop = asyncio.get_running_loop()
-        table = EndpointTable("z", 2.0, random.Random(1))
+        cold_sends = ColdSends("n", 1.5, 8.0)
+        settle(
+            cold_sends, {"n"} if sender else {f"n{n}" for n in range(9)}, loop.time()
+        )
+        table = EndpointTable("z", 2.0, random.Random(1), cold_sends)
+        if cold or turns_cold_after:
+            table.set_cold_rates({"s": 7.2}, loop.time())
         table.update(
             {
                 f"e{n}": Endpoint(
-                    f"e{n}", "s", Address(f"e{n}", 1), "z", 2, False, 0.0, 1
+                    f"e{n}",
+                    "s",
+                    Address(f"e{n}", 1),
+                    "z",
+                    2,
+                    False,
+                    5.0 * (n < cold),
+                    1,
                 )
                 for n in range(endpoints)
             },
@@ -198,6 +218,9 @@
         )
         loads = {f"e{n}": 20 if n < full else in_flight for n in range(endpoints)}
         table.update_peer_report("peer", loads, loop.time())
+        if turns_cold_after is not None:
+            for state in table.states.values():
+                loop.call_later(turns_cold_after, state.mark_cold, 5.0, loop.time())
         if unlisted_after is not None:
             loop.call_later(unlisted_after, lambda: table.update({}, loop.time()))
         pool, log = _FakePool(outcomes, alive), FakeLog()
@@ -603,3 +626,27 @@
     assert (reply.status, reply.body) == (503, b"no_descriptors\n")
     assert sent == []
     assert seconds < 0.1
+
+
+@pytest.mark.parametrize("partitioned", [True, False])
+@pytest.mark.parametrize("how", [{"cold": 3}, {"turns_cold_after": 0.00005}])
+def test_a_request_that_only_cold_endpoints_can_serve_is_rejected_at_once(
+    partitioned, how
+):
+    """Guards against sends over the limit, also if the owner turns cold while the
+    connection is being opened, and against callers that wait for nothing."""
+    _FakeConnection.heads.clear()
+    reply, _, seconds = handle(OK, partitioned=partitioned, **how)
+    assert (reply.status, reply.body) == (503, b"endpoint_cold\n")
+    assert _FakeConnection.heads == []
+    assert dict(reply.headers)[b"Retry-After"] == b"0.50"
+    assert seconds < 0.01
+
+
+@pytest.mark.parametrize("partitioned", [True, False])
+def test_a_sender_sends_one_request_a_second_to_a_cold_endpoint(partitioned):
+    options = {"partitioned": partitioned, "sender": True, "cold": 1, "endpoints": 1}
+    replies = handle(OK, repetitions=3, pause=0.15, **options)
+    assert [reply.status for reply in replies] == [200, 503, 503]
+    assert {reply.status for reply in handle(OK, repetitions=9, cold=2)} == {200}
+    assert set(_FakePool.last.sent) == {"e2"}
--- a/tests/gateway/test_documents.py
+++ b/tests/gateway/test_documents.py
@@ -212,3 +212,25 @@
     path.write_text(text.replace("memoryMb = 300", f"memoryMb = {memory}"))
     with pytest.raises(SettingsError, match=str(path)):
         load_settings(path)
+
+
+@pytest.mark.parametrize(
+    ("value", "rate"),
+    [(7.2, 7.2), (3, 3.0)]
+    + [(bad, 0.0) for bad in (0, -1, float("nan"), 10**400, "7", True, None, [])],
+)
+def test_a_cold_rate_that_is_no_positive_number_costs_no_configuration(value, rate):
+    """Guards against a field that makes the whole configuration unusable, and against a
+    bad one that counts as no limit."""
+    document = copy.deepcopy(CONFIGURATION)
+    document["services"][0]["coldPerS"] = value
+    services = decode_configuration(document).services
+    assert (services["a"].cold_rate, services["b"].cold_rate) == (rate, None)
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [(b"1500", 1.5), (b"0", 0.0), (b"-1", None), (b"nan", None), (None, None)],
+)
+def test_the_cold_time_of_a_health_check_is_read(text, seconds):
+    assert wire.parse_cold_left(text) == seconds
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -1,5 +1,6 @@
 """Endpoint selection, admission, retry budget and routes."""
 
+import dataclasses
 import random
 
 import pytest
@@ -235,6 +236,35 @@
     assert result.choose("s", set(), 13.1).endpoint.id != "e9"
 
 
+def cold_after(*entries, limited=True):
+    """Return until when it is cold; entries are numbers and cold times, 1 s apart."""
+    result = table("z0")
+    result.set_cold_rates({"s": 1.0} if limited else {}, 0.0)
+    first = result.states["e0"].endpoint
+    for second, (number, seconds) in enumerate(entries):
+        changes = {"entry_number": number, "cold_seconds": seconds}
+        result.update({"e0": dataclasses.replace(first, **changes)}, second)
+        result.update({"e0": result.states["e0"].endpoint}, second + 0.5)
+    return result.states["e0"].cold_until
+
+
+@pytest.mark.parametrize(
+    ("entries", "until"),
+    [
+        ([(1, 0.0), (2, 5.0)], 6.0),  # It turns cold.
+        ([(1, 5.0), (2, 5.0)], 6.0),  # Its time begins again.
+        ([(1, 9.0), (2, 1.0)], 2.0),  # A later entry is right.
+        ([(2, 9.0), (1, 1.0)], 9.0),  # One that was written before is not.
+        ([(1, 5.0), (1, 5.0)], 5.0),  # The same entry was read again.
+        ([(None, 0.0), (None, 5.0)], 6.0),
+    ],
+)
+def test_an_endpoint_is_cold_again_by_a_later_entry(entries, until):
+    """Guards against the usual load for a process that turns cold while it runs."""
+    assert cold_after(*entries) == until
+    assert cold_after(*entries, limited=False) <= 0.0
+
+
 def route(rank=1, objective=0.5):
     return Route(
         "r",
--- a/tests/gateway/test_key_planner.py
+++ b/tests/gateway/test_key_planner.py
@@ -38,11 +38,12 @@
     capacity=None,
     rounds=30,
     leaving=RELEASED,
+    cold=(),
 ):
     """Plan until nothing changes; by default every range is released at once."""
     capacity = capacity or dict.fromkeys(listed, 10.0)
     for _ in range(rounds):
-        planned = plan(table, listed, capacity, loads, leaving)
+        planned = plan(table, listed, capacity, loads, leaving, cold=cold)
         planned.check()
         if planned == table:
             break
@@ -163,6 +164,26 @@
     assert {"e6", "e7"} <= set(load_by_endpoint(table, loads))
 
 
+@pytest.mark.parametrize(
+    "loads", [NO_LOAD, KeyLoads({n * 700: 1.0 for n in range(90)})]
+)
+def test_a_zone_that_comes_back_cold_gets_keys_when_it_is_warm(loads):
+    """Guards against cold endpoints that get as many keys as warm ones."""
+    old, back = endpoints(4), {"e4", "e5", "e6", "e7"}
+    before = plan_until_stable(KeyTable.empty("s"), old, loads)
+    cold = plan_until_stable(before, endpoints(8), loads, cold=back)
+    assert set(load_by_endpoint(cold, loads)) == set(old)
+    # An owner that turns cold keeps its keys, and gets no others.
+    kept = plan_until_stable(before, endpoints(4, e0=(True, 1)), loads, cold={"e1"})
+    assert [r.key_count for r in kept.ranges if r.endpoint == "e1"] == [
+        r.key_count for r in before.ranges if r.endpoint == "e1"
+    ]
+    warm = plan_until_stable(cold, endpoints(8), loads, cold=back - {"e4"})
+    assert set(load_by_endpoint(warm, loads)) == {*old, "e4"}
+    all_cold = plan_until_stable(KeyTable.empty("s"), old, loads, cold=set(old))
+    assert set(load_by_endpoint(all_cold, loads)) == set(old)
+
+
 def test_keys_leave_a_draining_endpoint_with_a_higher_token():
     table = plan_until_stable(KeyTable.empty("s"), endpoints(4))
     before = max(key_range.token for key_range in table.ranges)
