Apply the limit of a cold process to requests chosen for an earlier one

Cause: a request keeps the state of the process that it was chosen for. If the endpoint starts again while the connection is being opened, that state is warm, and the request reached the new, cold process without a check.

Change: the check looks at the state of the present process, too.

Measured: the case of test_dispatch in which the endpoints start again within the opening; test_dispatch, test_endpoints, test_cold_rate: 120 passed.

--- a/arbutusflow/gateway/load/endpoint_load.py
+++ b/arbutusflow/gateway/load/endpoint_load.py
@@ -380,10 +380,14 @@
             state.mark_cold(seconds, now)
 
     def is_limited(self, state: EndpointState, now: float) -> bool:
-        """Return whether an endpoint is cold and its service has a limit for that."""
-        return now < state.cold_until and self._cold_sends.limits(
-            state.endpoint.service
-        )
+        """Return whether an endpoint is cold and its service has a limit for that.
+
+        What is sent to an earlier process reaches the present one, at the same address.
+        """
+        if not self._cold_sends.limits(state.endpoint.service):
+            return False
+        present = self.states.get(state.endpoint.id, state)
+        return now < max(state.cold_until, present.cold_until)
 
     def may_send(self, state: EndpointState, now: float) -> bool:
         """Return whether the limit for cold endpoints allows a request now."""
@@ -403,9 +407,12 @@
 
     def note_send(self, state: EndpointState, now: float) -> None:
         """Count a request that is sent now towards the limit for cold endpoints."""
-        endpoint = state.endpoint
-        cold = now < state.cold_until
-        self._cold_sends.note_send(endpoint.service, endpoint.id, now, cold=cold)
+        self._cold_sends.note_send(
+            state.endpoint.service,
+            state.endpoint.id,
+            now,
+            cold=self.is_limited(state, now),
+        )
 
     def limited_endpoints(self, now: float) -> dict[str, EndpointState]:
         """Return the cold endpoints of services with a limit, by name."""
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -188,7 +188,7 @@
     is the number of endpoints without room, and `in_flight` the number of requests that
     other instances have sent to each other one. `cold` is the number of endpoints that
     are cold for 5 s and have a limit, and `sender` whether this instance may send to
-    them; all turn cold if `turns_cold_after`.
+    them; all start again cold after `turns_cold_after`.
     """
 
     async def main():
@@ -219,8 +219,11 @@
         loads = {f"e{n}": 20 if n < full else in_flight for n in range(endpoints)}
         table.update_peer_report("peer", loads, loop.time())
         if turns_cold_after is not None:
-            for state in table.states.values():
-                loop.call_later(turns_cold_after, state.mark_cold, 5.0, loop.time())
+            later = {
+                name: dataclasses.replace(s.endpoint, started_ms=2, cold_seconds=5.0)
+                for name, s in table.states.items()
+            }
+            loop.call_later(turns_cold_after, table.update, later, loop.time())
         if unlisted_after is not None:
             loop.call_later(unlisted_after, lambda: table.update({}, loop.time()))
         pool, log = _FakePool(outcomes, alive), FakeLog()
@@ -633,7 +636,7 @@
 def test_a_request_that_only_cold_endpoints_can_serve_is_rejected_at_once(
     partitioned, how
 ):
-    """Guards against sends over the limit, also if the owner turns cold while the
+    """Guards against sends over the limit, also if the owner starts again while the
     connection is being opened, and against callers that wait for nothing."""
     _FakeConnection.heads.clear()
     reply, _, seconds = handle(OK, partitioned=partitioned, **how)
