--- a/arbutusflow/gateway/load/cold_rate.py
+++ b/arbutusflow/gateway/load/cold_rate.py
@@ -32,6 +32,7 @@
 # A longer time without an observation shows that the process was suspended.
 MAX_OBSERVATION_GAP_SECONDS = 0.5
 MAX_OLD_SENDS = 4096  # Bounds the memory for endpoints that have left.
+MAX_CACHED_ENDPOINTS = 65_536  # Twice as many as a large fleet has.
 MAX_SENDERS = 1_000_000  # More than granters; a larger limit is none.
 
 
@@ -155,6 +156,8 @@
     def _is_settled_sender(self, endpoint: str, count: int) -> bool:
         known = self._is_sender.get(endpoint)
         if known is None:
+            if len(self._is_sender) >= MAX_CACHED_ENDPOINTS:
+                self._is_sender.clear()
             known = self._is_sender[endpoint] = all(
                 is_sender(self._instance, known_list.names, endpoint, count)
                 for known_list in self._lists
--- a/tests/gateway/statement_world.py
+++ b/tests/gateway/statement_world.py
@@ -33,6 +33,7 @@
     wait_until: float = -1e9
     work_seconds: float = WORK_SECONDS
     arrivals: int = 0
+    cold_ms: bytes | None = None  # In answers to health checks.
 
     @property
     def id(self):
@@ -75,6 +76,8 @@
             # A health check of the instance, which both rules allow.
             if process.leaving:
                 headers.append((wire.LEAVING, b"1"))
+            if process.cold_ms is not None:
+                headers.append((wire.COLD_LEFT, process.cold_ms))
             return 200
         process.arrivals += 1
         self._world.audit.check_arrival(request_id, process.id, now())
--- a/tests/gateway/test_leaving_checks.py
+++ b/tests/gateway/test_leaving_checks.py
@@ -59,6 +59,27 @@
     play(scenario)
 
 
+def test_a_process_that_says_that_it_is_cold_gets_no_more_than_its_limit():
+    """This instance is no granter, so it may send nothing. Guards against wiring that
+    leaves out the limit, and against the usual load for a cold process."""
+
+    async def scenario(world, inst):
+        document = configuration(8)
+        document["services"] = [s | {"coldPerS": 5} for s in document["services"]]
+        inst.configure(document)
+        process = await leave_and_restart(world, leaves=False)
+        process.cold_ms = b"3000"
+        world.publish("e0")
+        for _ in range(58):
+            assert await world.send("n0", b"/safe/1") == 503
+            await world.run(0.05)
+        assert (checks(inst), process.arrivals) == ([False], 0)
+        await world.run(0.2)
+        assert await world.send("n0", b"/safe/1") == 200
+
+    play(scenario)
+
+
 def test_a_restarted_endpoint_is_checked_once_for_each_statement():
     async def scenario(world, inst):
         for _ in range(3):
