--- a/arbutusflow/gateway/load/endpoint_load.py
+++ b/arbutusflow/gateway/load/endpoint_load.py
@@ -472,12 +472,17 @@
         a few, which a request that would be refused otherwise needs.
         """
         candidates, some_leave, some_wait, some_cold = [], False, False, False
+        limited = self._cold_sends.limits(service)
         for state in self.for_service(service):
             if state.leaving_since is not None:
                 some_leave = True
             elif state.wait_seconds(now):
                 some_wait = True
-            elif self.is_closed_by_limit(state, now):
+            elif (
+                limited
+                and now < state.cold_until
+                and self.is_closed_by_limit(state, now)
+            ):
                 some_cold = True
             elif not state.replaced and state.endpoint.id not in tried:
                 candidates.append(state)
