Count the lost right to grant from the table, and revoke it in the record

An instance that nobody hears, but that reads the store, loses the right to grant 3 s after its last reading.

The right now counts from the later of exclusion and table. So that moves do not wait anew for each table while an ended instance has a record, another instance writes into the record of a silent one that reading the store gives it no right (`store_right`); one that reads the store confirms the right there, and holds it by what it reads after that. A record that says `revoked` ends the right 3.3 s after it was first seen so.

Also: what was read before the own record was written gives no right. A confirmed record is not removed any more; before, it was removed while its instance might grant for 3 s. Two planners that do not hear each other rewrote the table every 8 ms, each taking over the range that the other one had marked; a silent closer that may read the store is now given 9 s.

Scenarios of test_store_eras_in_a_row.py: in lose_an_assignment_after_the_mark the survivor reads the store until just before the assignment, and the others, which do not learn of the second era, grant until their right ends; in give_a_range_back_in_an_era the first two eras last until the rights in them are about to end.

--- a/arbutusflow/gateway/fleet.py
+++ b/arbutusflow/gateway/fleet.py
@@ -8,7 +8,9 @@
 - Keys move only after every recorded instance has applied the table that marks them as
   leaving, or has lost the right to grant. The planner stops vouching for an instance
   that does not report the table, which then loses that right after
-  `CONTACT_TIMEOUT_SECONDS`.
+  `CONTACT_TIMEOUT_SECONDS`. An instance that nobody hears may read the store until it
+  has the table, so this counts from the table, or from when its record said that
+  reading the store gives it no right (`StoreRight`).
 
 Both hold within an era of the store. Evidence of an era counts only for tables of that
 era. When an instance learns of a later era, the end of its right by earlier tables is
@@ -16,6 +18,7 @@
 """
 
 import dataclasses
+import enum
 import functools
 import itertools
 from collections.abc import Iterable
@@ -44,13 +47,16 @@
 STALL_SECONDS = 0.5
 EXCLUDE_AFTER_SECONDS = 1.0  # Without applying a table that moves keys.
 # The record of an unresponsive instance is removed after every lease that it may have
-# granted has expired.
+# granted has expired. It is not revoked a second time sooner than that either.
 RECORD_EXPIRY_SECONDS = 9.0
 # The leases of a zone's endpoints are divided among this many instances. Few instances
 # then need the right to grant, which costs calls to the store while any is
 # unresponsive.
 GRANTER_GROUPS = 2
 MAX_STANDBY_RANK = 1  # Instances up to this rank always maintain the right to grant.
+# Within which an instance that reads the store confirms its right; a slow store takes
+# about 0.3 s for each of the call and the answer of the watch.
+CONFIRM_SECONDS = 1.0
 # When the fleet starts, the store changes with every instance and endpoint that
 # registers, and a close watch would return each change separately.
 STARTUP_GRACE_SECONDS = 2.0
@@ -63,6 +69,19 @@
 MAX_CACHED_GROUPS = 16_384  # More than endpoints of partitioned services.
 
 
+class StoreRight(enum.StrEnum):
+    """Whether an instance may grant keys because it reads the store.
+
+    Another instance revokes this when it no longer hears from the instance. One that
+    has ended does not answer. One that reads the store confirms that it does.
+    """
+
+    UNSTATED = ""  # By an earlier version, which holds the right and is not asked.
+    HELD = "held"
+    REVOKED = "revoked"
+    CONFIRMED = "confirmed"  # Held again, although others may not hear from it.
+
+
 class InstanceRecord(msgspec.Struct, frozen=True):
     """Registration of an instance in the store, by which others find it."""
 
@@ -71,6 +90,11 @@
     host: str
     port: int
     zone: str
+    store_right: StoreRight = StoreRight.UNSTATED
+
+    def with_right(self, right: StoreRight) -> "InstanceRecord":
+        """Return the record with another right."""
+        return msgspec.structs.replace(self, store_right=right)
 
 
 def table_name(service: str, era: int) -> str:
@@ -206,6 +230,8 @@
         self.previous_incarnation_until = now
         self._first_seen: dict[tuple[str, int], float] = {}
         self._excluded: dict[str, _Exclusion] = {}
+        # By instance: revision of its record, and when that was first seen.
+        self._record_seen: dict[str, tuple[StorePoint, float]] = {}
         self._contact_reset_at = -1e9
         # By service: a revision that others have applied and this instance has not, and
         # when it was first reported.
@@ -241,10 +267,14 @@
             except msgspec.ValidationError:
                 continue  # Written by a later version of this program.
             records[record.name] = record
+            if self._record_seen.get(record.name, (None,))[0] != item.revision:
+                self._record_seen[record.name] = item.revision, now
             self._first_seen.setdefault((record.name, record.life), now)
         if records != self.records:
             self._track_removed(records, now)
             self.records = records
+            for name in self._record_seen.keys() - records.keys():
+                del self._record_seen[name]
             self._granters_ahead.clear()
             self._ranks_at = self._alive_at = -1e9
         for name, exclusion in list(self._excluded.items()):
@@ -284,6 +314,43 @@
         record = self.records.get(self.own_record.name)
         return record is not None and record.life == self.own_record.life
 
+    @property
+    def _store_right_since(self) -> StorePoint | None:
+        """Since when reading the store gives the right to grant; None if it doesn't.
+
+        What was read before may lack tables by which others moved keys meanwhile.
+        """
+        item = self._copy.objects.get(INSTANCE_PREFIX + self.own_record.name)
+        if item is None or not self.registered:
+            return None
+        if self.records[self.own_record.name].store_right is StoreRight.REVOKED:
+            return None
+        return item.revision
+
+    def _read_at(self) -> float:
+        """Return when the store was last read in a way that gives the right to grant.
+
+        Very early if never.
+        """
+        since = self._store_right_since
+        if since is None or self._copy.current_revision < since:
+            return -1e9
+        return self._copy.current_at
+
+    def due_right(self, now: float) -> StoreRight | None:
+        """Return what this instance's record should say of its right; None if it does.
+
+        The record says that others may not hear from it until all have.
+        """
+        if not self.registered:
+            return None
+        match self.records[self.own_record.name].store_right:
+            case StoreRight.REVOKED:
+                return StoreRight.CONFIRMED
+            case StoreRight.CONFIRMED if self.is_vouched_for(now):
+                return StoreRight.HELD
+        return None
+
     def note_registered(self, now: float) -> None:
         """Start to judge the other instances: they send no reports to followers."""
         self._started = now
@@ -398,7 +465,7 @@
         """Return how long the right to grant lasts without new evidence."""
         if not self.may_grant(now):
             return -1e9
-        until = self._copy.current_at + CONTACT_TIMEOUT_SECONDS
+        until = self._read_at() + CONTACT_TIMEOUT_SECONDS
         if self.is_vouched_for(now):
             vouched = (
                 self._peers.peers[record.name].vouched_at(self.era)
@@ -485,7 +552,7 @@
         """Return what the right to grant rests on: "store", "vouched" or "none"."""
         if not self.registered or self._copy.revision.era != self.era:
             return "none"
-        if now - self._copy.current_at < CONTACT_TIMEOUT_SECONDS:
+        if now - self._read_at() < CONTACT_TIMEOUT_SECONDS:
             return "store"
         return "vouched" if self.is_vouched_for(now) else "none"
 
@@ -555,7 +622,7 @@
             return since
         if record.name not in self._excluded and now - since >= EXCLUDE_AFTER_SECONDS:
             self._excluded[record.name] = _Exclusion(record.life, now)
-        right_lost_at = self._grant_right_lost_at(record, now)
+        right_lost_at = self._grant_right_lost_at(record, since, now)
         if right_lost_at is not None:
             required_revisions = self._excluded[record.name].required_revisions
             required_revisions[service] = max(
@@ -563,21 +630,53 @@
             )
         return right_lost_at
 
-    def _grant_right_lost_at(self, record: InstanceRecord, now: float) -> float | None:
-        """Return when an excluded instance lost the right to grant; None before."""
+    def _grant_right_lost_at(
+        self, record: InstanceRecord, since: float, now: float
+    ) -> float | None:
+        """Return when an excluded instance lost the right to grant; None before.
+
+        `since` is when this instance first saw a table that the other one has not
+        applied, and so not read.
+        """
         exclusion = self._excluded.get(record.name)
         if exclusion is None:
             return None
+        read_until = since
+        if record.store_right is StoreRight.REVOKED:
+            read_until = min(since, self._record_seen[record.name][1])
         right_lost_at = (
-            exclusion.since + CONTACT_TIMEOUT_SECONDS + CONTACT_SLACK_SECONDS
+            max(exclusion.since, read_until)
+            + CONTACT_TIMEOUT_SECONDS
+            + CONTACT_SLACK_SECONDS
         )
         return right_lost_at if now >= right_lost_at else None
 
-    def latest_possible_grant(self, record: InstanceRecord, now: float) -> float:
-        """Return when an instance that sends no reports may last have granted keys."""
-        right_lost_at = self._grant_right_lost_at(record, now)
+    def latest_possible_grant(
+        self, record: InstanceRecord, now: float, since: float | None = None
+    ) -> float:
+        """Return when an instance that sends no reports may last have granted keys.
+
+        `since` is as in `grants_stopped_at`; without it, it may have read the store
+        until now unless its record says otherwise.
+        """
+        since = now if since is None else since
+        right_lost_at = self._grant_right_lost_at(record, since, now)
         return now if right_lost_at is None else right_lost_at
 
+    def may_read_store(self, life: int, now: float) -> bool:
+        """Return whether another incarnation may read the store, as its record says.
+
+        One that does confirms its right soon after it was revoked.
+        """
+        return any(
+            record.life == life
+            and (
+                record.store_right is not StoreRight.REVOKED
+                or now - self._record_seen[record.name][1] < CONFIRM_SECONDS
+            )
+            for record in self.others()
+        )
+
     def can_move_without_wait(self, now: float) -> bool:
         """Return whether keys can move without waiting for a lease to expire.
 
@@ -601,13 +700,17 @@
     def exclude_unresponsive(self, now: float) -> None:
         """Stop vouching for unresponsive instances; readmit those that report again."""
         for record in self.others():
-            seen = self._first_seen.get((record.name, record.life), now)
-            last = max(self.last_report_at(record) or -1e9, seen, self._started)
-            if now - last >= ALIVE_SECONDS and record.name not in self._excluded:
+            silent = self._silent_seconds(record, now)
+            if silent >= ALIVE_SECONDS and record.name not in self._excluded:
                 self._excluded[record.name] = _Exclusion(record.life, now)
-            elif now - last < ALIVE_SECONDS / 2 and record.name in self._excluded:
+            elif silent < ALIVE_SECONDS / 2 and record.name in self._excluded:
                 self._readmit(record)
 
+    def _silent_seconds(self, record: InstanceRecord, now: float) -> float:
+        """Return for how long no report of an instance has arrived."""
+        seen = self._first_seen.get((record.name, record.life), now)
+        return now - max(self.last_report_at(record) or -1e9, seen, self._started)
+
     def _readmit(self, record: InstanceRecord) -> None:
         # Requires the revisions that were relied on, not the latest ones, because
         # tables may change more often than reports arrive.
@@ -619,6 +722,30 @@
         ):
             del self._excluded[record.name]
 
+    def records_to_revoke(self, now: float) -> list[InstanceRecord]:
+        """Return the silent instances that may hold the right by reading the store.
+
+        An instance that hears from no other one is probably the one that is cut off,
+        and waits longer.
+        """
+        hears_others = len(self.alive(now)) > 1
+        result = []
+        for record in self.others():
+            silent = self._silent_seconds(record, now)
+            unchanged = now - self._record_seen[record.name][1]
+            if record.name not in self._excluded or silent < ALIVE_SECONDS:
+                continue
+            if record.store_right is StoreRight.HELD:
+                is_due = hears_others or silent >= RECORD_EXPIRY_SECONDS
+            else:
+                is_due = (
+                    record.store_right is StoreRight.CONFIRMED
+                    and unchanged >= RECORD_EXPIRY_SECONDS
+                )
+            if is_due:
+                result.append(record)
+        return result
+
     def expired_records(self, now: float) -> list[InstanceRecord]:
         """Return the instances whose records expire because they sent no reports."""
         result = []
@@ -627,6 +754,12 @@
             last_report = self.last_report_at(record)
             if exclusion is None or now - exclusion.since < RECORD_EXPIRY_SECONDS:
                 continue
+            unchanged = now - self._record_seen[record.name][1]
+            if record.store_right is not StoreRight.UNSTATED and (
+                record.store_right is not StoreRight.REVOKED
+                or unchanged < RECORD_EXPIRY_SECONDS
+            ):
+                continue  # It may hold the right, or have held it until just now.
             if last_report is None or now - last_report >= RECORD_EXPIRY_SECONDS:
                 result.append(record)
         return result
--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -22,6 +22,7 @@
     STALL_SECONDS,
     Fleet,
     InstanceRecord,
+    StoreRight,
     rank_hash,
 )
 from arbutusflow.gateway.followers import (
@@ -388,11 +389,50 @@
                 self._writing_record = True
                 self._spawn(self._register())
             return
+        right = self.fleet.due_right(now)
+        if right is not None:
+            self._writing_record = True
+            self._spawn(self._write_right(self.fleet.own_record, right))
+            return
         for record in self.fleet.expired_records(now):
             if self.fleet.is_planner(record.name, now):
                 self._writing_record = True
                 self._spawn(self._remove_record(record))
                 return
+        if not self.fleet.has_store_contact(now):
+            return
+        for record in self.fleet.records_to_revoke(now):
+            if self.fleet.is_planner(record.name, now):
+                self._writing_record = True
+                self._spawn(self._write_right(record, StoreRight.REVOKED))
+                return
+
+    async def _write_right(self, record: InstanceRecord, right: StoreRight) -> None:
+        """Write into a record whether reading the store gives the right to grant."""
+        name = INSTANCE_PREFIX + record.name
+        known = self.copy.objects.get(name)
+        recorded = self.fleet.records.get(record.name)
+        try:
+            if (
+                known is not None
+                and recorded is not None
+                and recorded.life == record.life
+            ):
+                spec = msgspec.to_builtins(record.with_right(right))
+                item = await self._store.replace(FLEET_KIND, name, spec, known.revision)
+                self.copy.adopt(item)
+                self.fleet.update(self._loop.time())
+                self._log.write("store_right", name=record.name, right=right.value)
+        except ConflictError:
+            self.copy.relist()
+            await asyncio.sleep(REGISTER_RETRY_SECONDS)
+        except PlatformError as exc:
+            self._log.write_rate_limited(
+                "store_right_unwritten", name=record.name, detail=str(exc)
+            )
+            await asyncio.sleep(REGISTER_RETRY_SECONDS)
+        finally:
+            self._writing_record = False
 
     def _log_earlier_life(self, known: StoredObject) -> None:
         """Log that an earlier process of this instance has not deregistered."""
@@ -402,7 +442,7 @@
 
     async def _register(self) -> None:
         name = INSTANCE_PREFIX + self.fleet.own_record.name
-        spec = msgspec.to_builtins(self.fleet.own_record)
+        spec = msgspec.to_builtins(self.fleet.own_record.with_right(StoreRight.HELD))
         known = self.copy.objects.get(name)
         try:
             if known is None:
--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -57,6 +57,10 @@
 WAIT_LOG_SECONDS = 1.0
 # The planner takes over a leaving range that another instance has not moved by then.
 TAKE_OVER_SECONDS = 1.5
+# The same if no reports of that instance arrive, but it may read the store. It waits up
+# to 7.6 s after the mark, until this instance has lost the right to grant and a lease
+# by it has expired. Two that took a range from each other sooner would never move it.
+SILENT_TAKE_OVER_SECONDS = 9.0
 # Each write of a table costs every instance a call to the store, and demand is
 # reported only once a second.
 BALANCE_INTERVAL_SECONDS = 1.0
@@ -462,10 +466,15 @@
         revocation = self._find_revocation(service, key_range)
         if revocation is None or not self._fleet.is_planner(service, now):
             return False
+        wait_seconds = 0.0
+        if key_range.closer_life in leaving.alive_lives:
+            wait_seconds = TAKE_OVER_SECONDS
+        elif self._fleet.may_read_store(key_range.closer_life, now):
+            wait_seconds = SILENT_TAKE_OVER_SECONDS
         return (
-            key_range.closer_life not in leaving.alive_lives
-            or now - revocation.first_seen_at >= TAKE_OVER_SECONDS
-        ) and self._handover_if_cancelled(service, key_range, now) is None
+            now - revocation.first_seen_at >= wait_seconds
+            and self._handover_if_cancelled(service, key_range, now) is None
+        )
 
     def _handover_if_transferable(
         self, service: str, key_range: KeyRange, now: float
@@ -563,7 +572,9 @@
                 peer = self._peers.peers[record.name]
                 last_sent, last_unanswered = peer.last_grant_times(endpoint)
             else:
-                last_sent = self._fleet.latest_possible_grant(record, now)
+                last_sent = self._fleet.latest_possible_grant(
+                    record, now, revocation.first_seen_at
+                )
                 last_unanswered = last_sent
             sent = max(sent, last_sent)
             unanswered = max(unanswered, last_unanswered)
--- a/arbutusflow/gateway/store_watch.py
+++ b/arbutusflow/gateway/store_watch.py
@@ -104,6 +104,7 @@
         # Whether the next list of all objects may be seconds old.
         self.list_may_lag = False
         self.current_at = -1e9  # When the copy was last known to be current.
+        self.current_revision = BEFORE_ALL  # That it had then.
         self.unreachable_since: float | None = (
             None  # Since when the store does not answer.
         )
@@ -413,7 +414,7 @@
         self._latest = None
         self.revision, self.updated_by = snapshot.revision, "list"
         if not may_lag:
-            self.current_at = started
+            self.current_at, self.current_revision = started, snapshot.revision
         self._list_needed = False
         self._mark_reachable()
         self._on_change()
@@ -442,7 +443,7 @@
         # possibly as early as the start of the watch.
         if not may_lag:
             waited = wait if not result.changes and elapsed >= wait else 0
-            self.current_at = started + waited
+            self.current_at, self.current_revision = started + waited, result.revision
         self._mark_reachable()
         if not result.changes:
             return
--- a/tests/gateway/test_ownership_under_faults.py
+++ b/tests/gateway/test_ownership_under_faults.py
@@ -493,7 +493,7 @@
     _skip_closing(monkeypatch)
     monkeypatch.setattr(Fleet, "may_grant", lambda self, now: True)
     monkeypatch.setattr(Fleet, "grants_stopped_at", lambda self, *a: a[-1])
-    monkeypatch.setattr(Fleet, "latest_possible_grant", lambda self, r, now: 0.0)
+    monkeypatch.setattr(Fleet, "latest_possible_grant", lambda self, *args: 0.0)
 
 
 def _skip_agreement(monkeypatch):
@@ -515,7 +515,7 @@
 def _keep_right_of_unresponsive_instances(monkeypatch):
     monkeypatch.setattr(fleet_module, "CONTACT_TIMEOUT_SECONDS", 60.0)
     monkeypatch.setattr(
-        Fleet, "_grant_right_lost_at", lambda self, record, now: now - 60.0
+        Fleet, "_grant_right_lost_at", lambda self, record, since, now: now - 60.0
     )
 
 
@@ -606,7 +606,8 @@
     with concurrent.futures.ProcessPoolExecutor(
         min(SEED_PROCESSES, os.cpu_count() or 1), multiprocessing.get_context("spawn")
     ) as pool:
-        runs = [pool.submit(_find_violations, break_rule, seed) for seed in range(40)]
+        # `_skip_agreement` is found by about one seed in twenty.
+        runs = [pool.submit(_find_violations, break_rule, seed) for seed in range(80)]
         try:
             assert any(run.result() for run in runs)
         finally:
--- a/tests/gateway/test_store_eras_in_a_row.py
+++ b/tests/gateway/test_store_eras_in_a_row.py
@@ -7,18 +7,25 @@
 """
 
 import asyncio
+import itertools
 
 import msgspec
 import pytest
 
 from arbutusflow.gateway import key_moves, key_planner
-from arbutusflow.gateway.fleet import CONTACT_TIMEOUT_SECONDS, Fleet
+from arbutusflow.gateway.fleet import (
+    CONTACT_SLACK_SECONDS,
+    CONTACT_TIMEOUT_SECONDS,
+    Fleet,
+)
 from arbutusflow.gateway.key_table import KeyRange
 from arbutusflow.platform.store import StoredObject
 from tests.gateway.sim_fleet import SERVICE, TABLE_NAME, SimInstance, run_fleet
 from tests.gateway.test_store_eras import WAIT_SECONDS, copies_kept, table
 
 RIGHT_SECONDS = CONTACT_TIMEOUT_SECONDS - 0.8  # So long it certainly lasts.
+# After a table that an instance has not reported, when others count it as stopped.
+RIGHT_LOST_SECONDS = CONTACT_TIMEOUT_SECONDS + CONTACT_SLACK_SECONDS
 MOMENT = 0.1  # In which an instance learns of an era, and reads the store.
 SETTLED_SECONDS = 12.0
 
@@ -27,6 +34,13 @@
     sim.store.unreachable_for.update(names)
 
 
+async def cut_store_before_first_table(sim, name):
+    """Let an instance read the store until another one writes a table of the era."""
+    known_at = sim.instances[name].task.fleet.era_since
+    await asyncio.sleep(known_at + key_moves.ERA_REPORT_SECONDS - MOMENT - sim.now)
+    cut_store(sim, name)
+
+
 def cut_peers(sim, name):
     """Let no message of an instance arrive, and none reach it."""
     others = sim.instances.keys() - {name}
@@ -159,25 +173,39 @@
         if not sees_mark:
             cut_store(sim, survivor)
             cut_peers(sim, survivor)
+        else:
+            # The others assign it when the survivor would have lost the right if it had
+            # not read the mark. It reads the store until just before.
+            await wait_until(
+                sim, lambda: any(r.leaving for r in table(sim, survivor).table.ranges)
+            )
+            sim.call_later(
+                RIGHT_LOST_SECONDS - MOMENT, lambda: cut_store(sim, survivor)
+            )
         seen = {}
 
         def is_assigned():
-            if sees_mark and any(r.leaving for r in table(sim, survivor).table.ranges):
-                cut_store(sim, survivor)
             seen.update(owners(sim, planner))
             return "" in before.values() and "" not in seen.values()
 
         # The others may assign it without the survivor, once it has lost the right.
         await wait_until(sim, is_assigned)
+        assigned_at = sim.now
         await asyncio.sleep(2 * MOMENT)  # The grants have arrived.
-        assigned_at = sim.now - begun_at
+        in_time = assigned_at - begun_at >= WAIT_SECONDS - MOMENT
         lacks = "" in owners(sim, survivor).values()
         go_back_at_once(sim, 0.3)
-        end_others(sim, survivor)
         sim.unlisted = {seen[k] for k, v in before.items() if not v} | {"e1"}
         sim.store.unreachable_for.clear()
+        if sees_mark:
+            # They do not learn of the era, and grant on until their right ends.
+            others = sim.instances.keys() - {survivor}
+            cut_store(sim, *others)
+            for name, endpoint in itertools.product(others, sim.unlisted):
+                sim.show_outdated_entry(name, sim.endpoints[endpoint].endpoint, 30.0)
+            await asyncio.sleep(CONTACT_TIMEOUT_SECONDS)
+        end_others(sim, survivor)
         await asyncio.sleep(2 * WAIT_SECONDS)
-        in_time = assigned_at >= WAIT_SECONDS - MOMENT
         return lacks and in_time, sim.violations, sim.held_key_share()
 
 
@@ -214,12 +242,14 @@
                 and tasks[second].fleet.may_grant(sim.now)
             ),
         )
-        cut_store(sim, second)  # It holds the right for 3 s.
+        await cut_store_before_first_table(sim, second)
         await wait_until(sim, lambda: table(sim, first).revision.era == 1)
+        table_at = sim.now
         unowned = "" in owners(sim, first).values()
+        await asyncio.sleep(tasks[second].copy.current_at + RIGHT_SECONDS - sim.now)
         sim.unlisted.clear()
         sim.store.unreachable_for.clear()
-        go_back_at_once(sim, 0.2)
+        go_back_at_once(sim, sim.now - table_at + 0.2)
         await wait_until(
             sim,
             lambda: (
@@ -227,7 +257,7 @@
                 and tasks[first].fleet.may_grant(sim.now)
             ),
         )
-        cut_store(sim, first)
+        await cut_store_before_first_table(sim, first)
         await wait_until(sim, lambda: table(sim, second).revision.era == 2)
         kept = "" not in owners(sim, second).values()
         # Both hold the right; that of the second one lasts longer.
