Try an owner again soon, one request at a time, after a failed connection

No other endpoint can serve these keys.

An owner that has taken no connection for 1.2 s is tried by single requests only, and all others are refused at once. Requests without a key use the backoff as before. The decision is load/owner_probes.py, which reads no clock.

--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -116,6 +116,8 @@
     sends: int = 0  # How often the request was sent to an endpoint.
     may_have_run: bool = False
     tried: set[str] = dataclasses.field(default_factory=set)
+    # Until when it waits for an owner that could not be reached; 0 before.
+    probed_until: float = 0.0
 
     @property
     def response_deadline(self) -> float:
@@ -418,8 +420,8 @@
             if owner is not None:
                 state = self._endpoints.states.get(owner)
                 now = self._loop.time()
-                if state is not None and now < state.backoff_until:
-                    raise self._final_error(ctx, "owner_unreachable")
+                if state is not None and await self._waits_for_probe(ctx, state, until):
+                    continue
                 wait = 0.0 if state is None else state.wait_seconds(now)
                 if wait and now + wait >= until:
                     raise self._final_error(ctx, "owner_asked_to_wait")
@@ -436,6 +438,28 @@
                 raise self._final_error(ctx, reason)
             await asyncio.sleep(KEY_POLL_INTERVAL_SECONDS)
 
+    async def _waits_for_probe(
+        self, ctx: _RequestContext, state: EndpointState, until: float
+    ) -> bool:
+        """Wait a moment if no request may try an owner that could not be reached.
+
+        Raises RequestError if the request has waited for too long.
+        """
+        now = self._loop.time()
+        probes = state.owner_probes
+        wait = probes.wait_seconds(now)
+        if not wait and not state.replaced:
+            return False
+        ctx.probed_until = ctx.probed_until or until
+        if (
+            state.replaced
+            or not probes.may_wait(now)
+            or now + min(wait, KEY_POLL_INTERVAL_SECONDS) >= ctx.probed_until
+        ):
+            raise self._final_error(ctx, "owner_unreachable")
+        await asyncio.sleep(min(wait, KEY_POLL_INTERVAL_SECONDS))
+        return True
+
     def _check_unowned(self, ctx: _RequestContext, until: float) -> None:
         """Raise RequestError if the key certainly gets no owner before `until`."""
         assert ctx.key is not None
@@ -463,6 +487,7 @@
         state.own_in_flight += 1
         was_tried = endpoint.id in ctx.tried
         ctx.tried.add(endpoint.id)
+        state.owner_probes.begin(now)
         try:
             async with self._pool.connection(
                 endpoint.address,
@@ -470,6 +495,7 @@
                 timeout=remaining,
                 request_id=ctx.request_id,
             ) as conn:
+                state.owner_probes.succeed()
                 if self._loop.time() < state.wait_until or state.pending_check:
                     # It asked to wait while the connection was being opened, or may
                     # have said that it leaves.
@@ -662,6 +688,7 @@
             async with self._pool.connection(
                 state.endpoint.address, at_most_once=False, timeout=1.0
             ):
+                state.owner_probes.succeed()
                 self._broken_exchanges.pop(state.endpoint.process, None)
         except ExchangeError as exc:
             if exc.local:
--- a/arbutusflow/gateway/load/endpoint_load.py
+++ b/arbutusflow/gateway/load/endpoint_load.py
@@ -15,6 +15,7 @@
 import random
 from collections.abc import Mapping
 
+from arbutusflow.gateway.load.owner_probes import OwnerProbes
 from arbutusflow.gateway.model import Endpoint
 
 # Estimate of the service time until responses have been measured.
@@ -82,6 +83,8 @@
     # Set while a statement that its endpoint leaves may be of this process; the event
     # occurs when that has been decided.
     pending_check: asyncio.Event | None = None
+    # For requests with keys that the endpoint owns; others use the backoff.
+    owner_probes: OwnerProbes = dataclasses.field(default_factory=OwnerProbes)
 
     def other_in_flight(self, now: float) -> int:
         """Return the number of in-flight requests of other instances."""
@@ -169,6 +172,7 @@
 
     def mark_unreachable(self, now: float) -> None:
         """Apply exponential backoff after a failed connection."""
+        self.owner_probes.fail(now)
         self.backoff_until = now + self.backoff_seconds
         self.backoff_seconds = min(MAX_BACKOFF_SECONDS, self.backoff_seconds * 2)
 
