Grant ranges without an owner first, the busiest ahead

Grants to an endpoint are sent one after the other, in the order of the keys. A new owner got its new ranges between the renewals of those that it held, so busy keys waited for renewals that were not urgent; a grant takes one round trip.

Ranges that this instance has not granted before now come first, those with most of its measured demand ahead. The order is a function, key_leases.grant_order.

--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -214,6 +214,7 @@
         self.orders = KeyOrders(pool, log, max_lease_seconds)
         self.leases = KeyLeases(self.fleet, self.copy, self.orders, log)
         self.leases.on_table_change = self._on_table_change
+        self.leases.demand_of = self._local_demand
         self.moves = KeyMoves(
             self.fleet,
             self.copy,
--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -7,7 +7,7 @@
 import asyncio
 import collections
 import functools
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine, Iterable, Mapping
 
 import msgspec
 
@@ -20,6 +20,7 @@
     parse_table_name,
 )
 from arbutusflow.gateway.key_orders import KeyOrders
+from arbutusflow.gateway.key_planner import KeyLoads
 from arbutusflow.gateway.key_table import (
     GrantId,
     KeyRange,
@@ -52,6 +53,25 @@
 MAX_REMEMBERED_ENDPOINTS = 4096  # Bounds the memory for unlisted endpoints.
 
 
+def grant_order(
+    key_ranges: Iterable[KeyRange],
+    granted: Collection[GrantId],
+    demand: Mapping[int, int],
+) -> list[KeyRange]:
+    """Return the ranges of one endpoint in the order in which they are granted.
+
+    Grants to an endpoint are sent one after the other. Ranges that were not granted
+    before have no owner yet, so they come first, the busiest ones ahead.
+    """
+    loads = KeyLoads(demand)
+    return sorted(
+        key_ranges,
+        key=lambda r: (
+            (1, 0.0) if r.grant_id in granted else (0, -loads.of_range(r.first, r.last))
+        ),
+    )
+
+
 class KeyLeases:
     """Key tables and lease renewals of all partitioned services."""
 
@@ -86,6 +106,8 @@
         self._owned: dict[str, dict[str, list[KeyRange]]] = {}
         self._history: dict[str, collections.deque[StoredTable]] = {}
         self.on_table_change: Callable[[StoredTable], None] = lambda stored: None
+        # Source of the measured demand, set by `FleetTask`.
+        self.demand_of: Callable[[str], dict[int, int]] = lambda service: {}
         self.stopping = False
 
     # Updates of tables and endpoints.
@@ -289,6 +311,8 @@
             if not self._is_due(endpoint, now):
                 continue
             due = [r for r in key_ranges if r.started_ms == endpoint.started_ms]
+            if any(r.grant_id not in self._granted for r in due):
+                due = grant_order(due, self._granted, self.demand_of(service))
             if due:
                 self._spawn(self._grant(endpoint, due))
 
