Stop sending requests to evacuated availability zones

Change: with evacuateS in the settings, the process keeps a copy of the objects of kind evacuations and relays it like the other two. evacuations.py returns the endpoints of these zones as draining, so that their keys move, and keeps the owners of services that exist only there. The zone is served for half of the bound from when the instance learned of the entry, or not at all if the entry may be old. A request is checked again right before it is sent. Reasons, metrics and the state tell of it. Reports name the third kind among the revisions of all copies, so its changes are requested from others also by instances that watch the store; instances whose settings have no such copy are not waited for.

--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -14,6 +14,7 @@
 
 import xxhash
 
+from arbutusflow.gateway import evacuations
 from arbutusflow.gateway.callers.messages import CallerRequest, CallerResponse
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.crash_strikes import CrashStrikes
@@ -381,6 +382,8 @@
             )
         if state is None:
             states = self._endpoints.for_service(name)
+            if any(self._endpoints.rejects_service(s, now) for s in states):
+                raise self._evacuation_error(ctx)
             if any(s.wait_seconds(now) for s in states):
                 reason = "endpoints_asked_to_wait"
             elif any(s.leaving_since is not None for s in states):
@@ -390,6 +393,14 @@
             raise self._final_error(ctx, reason)
         return state
 
+    def _evacuation_error(self, ctx: _RequestContext) -> RequestError:
+        """Return the error for a service that is only in evacuated zones."""
+        error = self._final_error(ctx, "zone_evacuated")
+        if error.retry_after is not None:
+            remaining = ctx.caller_deadline - self._loop.time()
+            error.retry_after = evacuations.retry_after(remaining)
+        return error
+
     async def _wait_for_check(self, ctx: _RequestContext) -> None:
         """Wait for the check of an endpoint if no other one can be chosen."""
         until = min(
@@ -418,6 +429,8 @@
             if owner is not None:
                 state = self._endpoints.states.get(owner)
                 now = self._loop.time()
+                if state is not None and self._endpoints.rejects_service(state, now):
+                    raise self._evacuation_error(ctx)
                 if state is not None and now < state.backoff_until:
                     raise self._final_error(ctx, "owner_unreachable")
                 wait = 0.0 if state is None else state.wait_seconds(now)
@@ -470,9 +483,14 @@
                 timeout=remaining,
                 request_id=ctx.request_id,
             ) as conn:
-                if self._loop.time() < state.wait_until or state.pending_check:
-                    # It asked to wait while the connection was being opened, or may
-                    # have said that it leaves.
+                now = self._loop.time()
+                if (
+                    now < state.wait_until
+                    or state.pending_check
+                    or self._endpoints.is_closed(state, now)
+                ):
+                    # It asked to wait while the connection was being opened, may have
+                    # said that it leaves, or its zone is evacuated.
                     if not was_tried:
                         ctx.tried.discard(endpoint.id)
                     return None
--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -52,7 +52,7 @@
 from arbutusflow.gateway.pieces import PieceRequest, TransferPiece
 from arbutusflow.gateway.state_relay import READ_SPREAD_SECONDS, StateRelay
 from arbutusflow.gateway.store_probes import StoreProbes
-from arbutusflow.gateway.store_watch import ObjectCopy
+from arbutusflow.gateway.store_watch import BEHIND_TOLERANCE_SECONDS, ObjectCopy
 from arbutusflow.gateway.timers import run_each
 from arbutusflow.platform.store import StoreClient, StoredObject
 
@@ -319,8 +319,25 @@
             return False
         if self.relay.is_behind(kind, now) or not self.fleet.has_peer_with_contact(now):
             return False
+        if copy.is_optional and not self._all_keep(kind, now):
+            return False
         return copy is self.copy or not self.fleet.is_zone_watcher(now)
 
+    def _all_keep(self, kind: str, now: float) -> bool:
+        """Return whether all live granters keep copies of a kind.
+
+        They may have other settings while these are changed.
+        """
+        return all(kind in peer.report.copies for peer in self.peers.alive(now))
+
+    def _granter_tells(self, kind: str, now: float) -> bool:
+        """Return whether the granter has read a copy of a kind, or will do so soon."""
+        digest = self.following.digest
+        if digest is None or kind not in digest.copies:
+            return False
+        is_read = digest.copies[kind] > BEFORE_ALL
+        return is_read or now - self._started < RELAY_WAIT_SECONDS
+
     def _is_relayed_to_follower(self, kind: str, copy: ObjectCopy, now: float) -> bool:
         """Return whether a copy of a follower is updated without calls to the store."""
         if self.relay.is_behind(kind, now):
@@ -328,7 +345,8 @@
         if copy is self.copy and (not copy.was_read or self.following.is_claiming(now)):
             return False
         if self.following.is_alive(now):
-            return not self.probes.follower_reads
+            is_told = not copy.is_optional or self._granter_tells(kind, now)
+            return is_told and not self.probes.follower_reads
         if self.copy.unreachable_since is not None:
             return False
         if copy is self.copy:
@@ -502,6 +520,11 @@
             self._workload.service_times(service), now
         )
 
+    def zones(self) -> set[str]:
+        """Return the availability zones of this instance and of the granters."""
+        own = self.fleet.own_record.zone
+        return {own, *(record.zone for record in self.fleet.records.values())}
+
     def instance_count(self, zone: str | None = None) -> int:
         """Return the number of instances of a zone or of the whole fleet."""
         now = self._loop.time()
@@ -849,12 +872,14 @@
         is_same_zone = record is not None and record.zone == self.fleet.own_record.zone
         for kind, copy in self.relay.copies.items():
             # A copy that is read because it is behind still takes what arrives first.
-            if not copy.parked and not self.relay.is_behind(kind, now):
+            if not (copy.parked or copy.is_optional or self.relay.is_behind(kind, now)):
                 continue
             # The watcher of the zone may have lost the store without noticing.
             delay = OTHER_ZONE_EXTRA_DELAY_SECONDS
             if is_same_zone or copy is self.copy:
                 delay = 0.0
+            if not copy.parked and copy.is_optional:
+                delay = 0.0 if copy.may_lag else BEHIND_TOLERANCE_SECONDS
             revisions = {kind: report.copies.get(kind, BEFORE_ALL)}
             self.relay.request_changes(revisions, source, now, delay)
 
--- a/arbutusflow/gateway/instance_state.py
+++ b/arbutusflow/gateway/instance_state.py
@@ -5,6 +5,17 @@
 STATE_PATH = "/state"
 
 
+class EvacuatedZone(msgspec.Struct, frozen=True):
+    """An availability zone that is evacuated, as the instance knows it."""
+
+    zone: str
+    seconds: float  # Since the instance learned of it.
+    endpoints: int
+    endpoints_with_requests: int  # Of any instance.
+    endpoints_with_keys: int
+    services_only_there: tuple[str, ...]  # Without a ready endpoint in other zones.
+
+
 class InstanceState(msgspec.Struct, frozen=True):
     """What an instance is doing. Times are in seconds."""
 
@@ -17,3 +28,4 @@
     ends_in_seconds: float | None  # The latest end of a stop; None if there is none.
     configuration: int | None  # Version in force.
     configuration_seconds: float | None  # Since it is in force.
+    evacuated_zones: tuple[EvacuatedZone, ...] = ()
--- a/arbutusflow/gateway/key_leases.py
+++ b/arbutusflow/gateway/key_leases.py
@@ -240,6 +240,11 @@
         until = self._fleet.earlier_grants_until(now, key_range.unowned_since)
         return max(0.0, lease_expiry(until) - now)
 
+    def owners(self) -> set[str]:
+        """Return the endpoints that own keys by the tables in force."""
+        tables = self.tables.values()
+        return {r.endpoint for stored in tables for r in stored.table.ranges}
+
     def find_owner(self, key_range: KeyRange) -> Endpoint | None:
         """Return the owner of a range, even if it is no longer listed."""
         endpoint = self._remembered.get(key_range.endpoint)
--- a/arbutusflow/gateway/leaving_checks.py
+++ b/arbutusflow/gateway/leaving_checks.py
@@ -150,6 +150,9 @@
 
     async def _says_leaving(self, endpoint: Endpoint) -> bool | None:
         """Ask an endpoint whether it leaves; return None without its answer."""
+        state = self._endpoints.states.get(endpoint.id)
+        if state is not None and self._endpoints.is_closed(state, self._loop.time()):
+            return None  # Nothing may reach it while its zone is evacuated.
         path = urllib.parse.quote(self._health_path(endpoint.service), "/?&=%:,;~")
         address = endpoint.address
         head = b"GET /%b HTTP/1.1\r\nHost: %b:%d\r\n%b: %b\r\n\r\n" % (
--- a/arbutusflow/gateway/load/endpoint_load.py
+++ b/arbutusflow/gateway/load/endpoint_load.py
@@ -1,9 +1,11 @@
 """Load and health of each endpoint as observed by this instance.
 
 Invariants: an endpoint that the store does not list as ready, that said that it leaves,
-or that asked for no requests until later, is never chosen. This holds for its process,
-also if its entry vanishes and comes back. A process that may be the one that said that
-it leaves is not chosen until that is known (see `leaving_checks`).
+that asked for no requests until later, or whose zone is evacuated while others of its
+service are not, is never chosen. This holds for its process, also if its entry vanishes
+and comes back. No endpoint is chosen when the time for which its evacuated zone is
+still served has passed. A process that may be the one that said that it leaves is not
+chosen until that is known (see `leaving_checks`).
 
 The load that other instances cause is known with a delay, in which they all see the
 same endpoint as the least loaded one. Each request is therefore sent to the best of a
@@ -15,7 +17,7 @@
 import random
 from collections.abc import Mapping
 
-from arbutusflow.gateway.model import Endpoint
+from arbutusflow.gateway.model import NO_EVACUATION, Endpoint, EvacuationTimes
 
 # Estimate of the service time until responses have been measured.
 INITIAL_SERVICE_SECONDS = 0.15
@@ -162,6 +164,16 @@
             self.pending_check.set()
             self.pending_check = None
 
+    def note_evacuation_ended(
+        self, cold_seconds: float, now: float, *, is_certain: bool
+    ) -> None:
+        """Set for how long the endpoint is cold after its zone was evacuated.
+
+        Unless that `is_certain`, a longer time that is known remains.
+        """
+        until = now + cold_seconds
+        self.cold_until = until if is_certain else max(until, self.cold_until)
+
     def mark_replaced(self) -> None:
         """Stop using this endpoint for good: its address belongs to another one."""
         self.replaced = True
@@ -193,6 +205,7 @@
         self._departed: dict[tuple[str, int], EndpointState] = {}
         # Until when each endpoint asked for no requests, whichever its process.
         self._wait_until: dict[str, float] = {}
+        self._evacuation = NO_EVACUATION
         self._delisted: list[str] = []  # Endpoints in `states` that are not listed.
         self.states: dict[str, EndpointState] = {}
         self._services: dict[str, list[EndpointState]] = {}
@@ -231,8 +244,14 @@
         reports = self._peer_reports.values()
         return sum(report.in_flight.get(name, 0) for report in reports)
 
-    def update(self, endpoints: dict[str, Endpoint], now: float) -> None:
+    def update(
+        self,
+        endpoints: dict[str, Endpoint],
+        now: float,
+        evacuation: EvacuationTimes = NO_EVACUATION,
+    ) -> None:
         """Replace the set of endpoints that the store lists."""
+        self._evacuation = evacuation
         states: dict[str, EndpointState] = {}
         self._listed = set(endpoints)
         for name, endpoint in endpoints.items():
@@ -265,6 +284,22 @@
                     states[name] = state
         self._replace_states(states)
 
+    def note_returned(
+        self,
+        possibly_cold: Mapping[str, float],
+        said_cold: Mapping[str, float],
+        now: float,
+    ) -> None:
+        """Set cold times of endpoints whose zone is no longer evacuated.
+
+        They are in seconds by endpoint, those of `said_cold` by their later entries.
+        """
+        for seconds_by_name, is_certain in ((possibly_cold, False), (said_cold, True)):
+            for name, seconds in seconds_by_name.items():
+                self.states[name].note_evacuation_ended(
+                    seconds, now, is_certain=is_certain
+                )
+
     def remove_departed(self, now: float) -> None:
         """Remove delisted endpoints that may no longer serve their keys."""
         departed = [
@@ -279,12 +314,25 @@
 
     def may_serve_keys(self, state: EndpointState, now: float) -> bool:
         """Return whether requests for keys that an endpoint owns may be sent to it."""
-        return state.leaving_since is None or now < self._serves_keys_until(state)
+        return now < self._serves_keys_until(state)
+
+    def is_closed(self, state: EndpointState, now: float) -> bool:
+        """Return whether no request may reach an endpoint, as its zone is evacuated."""
+        return now >= self._closes_at(state)
+
+    def rejects_service(self, state: EndpointState, now: float) -> bool:
+        """Return whether an endpoint is closed and its service has no others."""
+        return state.leaving_since is None and self.is_closed(state, now)
+
+    def _closes_at(self, state: EndpointState) -> float:
+        return self._evacuation.serve_until.get(state.endpoint.zone, float("inf"))
 
     def _serves_keys_until(self, state: EndpointState) -> float:
-        if state.leaving_since is None:
-            return float("inf")
-        return state.leaving_since + DRAIN_SERVE_FRACTION * self._drain_seconds
+        closes_at = self._closes_at(state)
+        if state.leaving_since is None or state.endpoint.id in self._evacuation.leaving:
+            return closes_at
+        drained_at = state.leaving_since + DRAIN_SERVE_FRACTION * self._drain_seconds
+        return min(closes_at, drained_at)
 
     def _replace_states(self, states: dict[str, EndpointState]) -> None:
         for name, state in self.states.items():
@@ -332,6 +380,8 @@
         for state in self.for_service(service):
             if state.leaving_since is not None or state.replaced:
                 continue
+            if self.is_closed(state, now):
+                continue
             if not state.wait_seconds(now):
                 return None
             pending = pending or state.pending_check
@@ -362,7 +412,7 @@
         """
         candidates, some_leave, some_wait = [], False, False
         for state in self.for_service(service):
-            if state.leaving_since is not None:
+            if state.leaving_since is not None or self.is_closed(state, now):
                 some_leave = True
             elif state.wait_seconds(now):
                 some_wait = True
--- a/arbutusflow/gateway/model.py
+++ b/arbutusflow/gateway/model.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Mapping
 
 import msgspec
 
@@ -74,6 +75,9 @@
     retry_slack: float
     # Of which some are for files; None if there is no limit but the system's.
     max_descriptors: int | None = None
+    # From when the store has acknowledged the evacuation of an availability zone until
+    # no request may reach its endpoints; None if zones cannot be evacuated.
+    evacuation_seconds: float | None = None
 
 
 class Repeatability(enum.Enum):
@@ -155,6 +159,18 @@
         return self.id, self.started_ms
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationTimes:
+    """Until when endpoints of evacuated availability zones may be sent requests."""
+
+    serve_until: Mapping[str, float] = dataclasses.field(default_factory=dict)  # Zones.
+    # Endpoints that count as draining for no other reason.
+    leaving: frozenset[str] = frozenset()
+
+
+NO_EVACUATION = EvacuationTimes()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpResponse:
     """Complete HTTP response of an endpoint or of the store."""
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -18,7 +18,7 @@
 from arbutusflow.errors import (
     SettingsError,
 )
-from arbutusflow.gateway import error_reports, key_demand
+from arbutusflow.gateway import error_reports, evacuations, key_demand
 from arbutusflow.gateway.body_budget import BodyBudget
 from arbutusflow.gateway.callers.messages import CallerRequest, CallerResponse, Headers
 from arbutusflow.gateway.callers.server import MAX_READ_SECONDS, CallerServer
@@ -27,6 +27,7 @@
 from arbutusflow.gateway.crash_strikes import CrashStrikes
 from arbutusflow.gateway.dispatch import Dispatcher
 from arbutusflow.gateway.endpoint_directory import EndpointDirectory
+from arbutusflow.gateway.evacuations import Evacuations
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.event_loop import SuspendAwareEventLoop
 from arbutusflow.gateway.fleet import (
@@ -66,6 +67,7 @@
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
     ENDPOINTS_KIND,
+    EVACUATIONS_KIND,
     StoreClient,
 )
 
@@ -155,16 +157,21 @@
         )
         self.endpoint_copy.coalesce_seconds = ENDPOINT_BATCH_SECONDS
         self.config_copy.retry_leader = self.endpoint_copy
+        self.evacuations = Evacuations(cfg.evacuation_seconds, log)
+        self.evacuation_copy = self._evacuation_copy()
+        copies = {
+            CONFIGURATION_KIND: self.config_copy,
+            ENDPOINTS_KIND: self.endpoint_copy,
+        }
+        if self.evacuation_copy is not None:
+            copies[EVACUATIONS_KIND] = self.evacuation_copy
         self.endpoints = EndpointTable(cfg.zone, cfg.drain_seconds, random.Random())
         life = self._rng.getrandbits(48)
         self.fleet_task = FleetTask(
             InstanceRecord(cfg.instance, life, cfg.peer_host, cfg.peer_port, cfg.zone),
             self.store,
             ConnectionPool(wire.REQUEST_ID),
-            {
-                CONFIGURATION_KIND: self.config_copy,
-                ENDPOINTS_KIND: self.endpoint_copy,
-            },
+            copies,
             self,
             log,
             cfg.max_lease_seconds,
@@ -216,6 +223,16 @@
             self._readiness, BodyBudget(lambda: 0), log.write_exception
         )
 
+    def _evacuation_copy(self) -> ObjectCopy | None:
+        """Return the copy of evacuations, if the settings enable them."""
+        if self._cfg.evacuation_seconds is None:
+            return None
+        copy = ObjectCopy(
+            self.store, EVACUATIONS_KIND, WATCH_SECONDS, self._on_evacuations, self.log
+        )
+        copy.is_optional, copy.retry_leader = True, self.endpoint_copy
+        return copy
+
     # Main loop and periodic work.
 
     async def run(self) -> None:
@@ -241,7 +258,7 @@
         )
         for period, callback in self._periodic_callbacks():
             self._timers.subscribe(period, callback)
-        for copy in (self.config_copy, self.endpoint_copy, self.fleet_task.copy):
+        for copy in self.fleet_task.relay.copies.values():
             self._start_task(copy.run())
         await self._stopped.wait()
         self.caller_server.report_cut()
@@ -290,6 +307,7 @@
         run_each(
             (
                 self._stop_if_asked,
+                self.evacuations.tick,
                 self._expire_endpoints,
                 self.endpoints.remove_departed,
                 self.endpoints.expire_peer_reports,
@@ -305,7 +323,11 @@
             self._use_endpoints(now)
 
     def _check_ready(self, now: float) -> None:
-        if self._configuration is not None and self.endpoint_copy.was_read:
+        if (
+            self._configuration is not None
+            and self.endpoint_copy.was_read
+            and evacuations.are_known(self.evacuation_copy, now - self._started_at)
+        ):
             self.lifecycle.become_ready(now)
 
     def _prune_connections(self) -> None:
@@ -395,9 +417,23 @@
         self._use_endpoints(self._loop.time())
 
     def _use_endpoints(self, now: float) -> None:
-        self.endpoints.update(self.directory.endpoints, now)
+        view = self.evacuations.view(
+            self.directory.endpoints,
+            self.fleet_task.zones(),
+            self.endpoint_copy.revision_of,
+            now,
+        )
+        self.endpoints.update(view.endpoints, now, view.times)
+        self.endpoints.note_returned(view.possibly_cold, view.said_cold, now)
         self.leaving_checks.update()
-        self.fleet_task.leases.update_endpoints(self.directory.endpoints)
+        self.fleet_task.leases.update_endpoints(view.endpoints)
+
+    def _on_evacuations(self) -> None:
+        assert self.evacuation_copy is not None
+        now = self._loop.time()
+        self.evacuations.learn(self.evacuation_copy, now)
+        if self.endpoint_copy.was_read:
+            self._use_endpoints(now)
 
     # Reports to and from other instances.
 
@@ -576,6 +612,9 @@
             ends_in_seconds=None if plan is None else round(plan.ends_at - now, 3),
             configuration=None if cfg is None else cfg.version,
             configuration_seconds=None if cfg is None else round(now - since, 3),
+            evacuated_zones=self.evacuations.describe(
+                self.endpoints.states.values(), self.fleet_task.leases.owners(), now
+            ),
         )
 
     async def _metrics(self, req: CallerRequest) -> CallerResponse:
@@ -587,6 +626,9 @@
         self.metrics.set_gauge("store_calls", self.store.calls)
         self.metrics.set_gauge("store_era", self.store.era.current)
         self.metrics.set_gauge("connections_opened", self.pool.opened)
+        self.metrics.set_gauge("evacuated_zones", len(self.evacuations.zones))
+        count = self.evacuations.endpoint_count
+        self.metrics.set_gauge("evacuated_endpoints", count)
         self.metrics.set_gauge("stray_responses", self.pool.strays)
         self.metrics.set_gauge("log_lines_dropped", self.log.dropped)
         self.metrics.set_gauge("peak_bytes", peak_bytes())
--- a/arbutusflow/gateway/reference.py
+++ b/arbutusflow/gateway/reference.py
@@ -67,6 +67,10 @@
         "502",
         "An answer to work that may run only once had no signature.",
     ),
+    "zone_evacuated": (
+        NOT_RUN,
+        "All endpoints of the service are in evacuated availability zones.",
+    ),
 }
 # Outcomes that count something else.
 OTHER_OUTCOMES = {
@@ -89,6 +93,8 @@
     "choices_past_leaving": "Choices of an endpoint that went past one that leaves.",
     "choices_past_waiting": "Choices that went past one that asked to wait.",
     "connections_opened": "Connections to endpoints that were opened.",
+    "evacuated_endpoints": "Endpoints in availability zones that are evacuated.",
+    "evacuated_zones": "Availability zones that are evacuated.",
     "log_lines_dropped": "Lines of the log that were lost.",
     "peak_bytes": "Largest size of the process in memory so far.",
     "phase": "Number of the phase: "
--- a/arbutusflow/gateway/store_watch.py
+++ b/arbutusflow/gateway/store_watch.py
@@ -16,7 +16,7 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 
 from arbutusflow.errors import HistoryGoneError, PlatformError
 from arbutusflow.gateway.client_connection import ResponseProgress
@@ -86,6 +86,10 @@
         # but does not show that the copy is current, and peers have to report when it
         # is behind.
         self.may_lag = False
+        # Whether other instances may keep no such copy, as their settings decide. Their
+        # reports name its revision only beside those of all copies, so later objects
+        # are requested from them also while the store is watched.
+        self.is_optional = False
         # Delay after changes, so that one call returns several.
         self.coalesce_seconds = 0.0
         self._next_watch_current = False  # Overrides `may_lag` for the next watch.
@@ -117,6 +121,11 @@
         self._rng = rng or random.Random()  # Jitter of retries.
         store.era.subscribers.append(self._on_era)
 
+    @property
+    def names(self) -> Set[str]:
+        """The names of the objects."""
+        return self.objects.keys()
+
     @property
     def was_read(self) -> bool:
         """Whether the objects were ever read from the store."""
@@ -542,6 +551,11 @@
         self.objects.pop(change.object.name, None)
         self._latest = None
 
+    def revision_of(self, name: str) -> StorePoint | None:
+        """Return the revision of an object, or None if it is not in the copy."""
+        item = self.objects.get(name)
+        return None if item is None else item.revision
+
     def adopt(self, item: StoredObject) -> None:
         """Store an object unless the copy has the same or a later revision of it."""
         known = self.objects.get(item.name)
--- a/arbutusflow/platform/reference.py
+++ b/arbutusflow/platform/reference.py
@@ -43,6 +43,13 @@
     Field("bounds.retryBudgetRatio", "a number", "Repeats for each request; reload."),
     Field("bounds.budgetWindowS", "seconds", "Time over which they count; reload."),
     Field("bounds.retryBudgetSlack", "a number", "Repeats on top of that; reload."),
+    Field(
+        "bounds.evacuateS",
+        SECONDS,
+        "From the store's acknowledgement of an evacuation until no request reaches "
+        "the zone.",
+        "zones cannot be evacuated",
+    ),
     Field("provider.address", ADDRESS, "The object store."),
     Field(
         "seeds", f"list of {ADDRESS}", "Other instances; checked, not used.", "empty"
--- a/arbutusflow/platform/settings.py
+++ b/arbutusflow/platform/settings.py
@@ -53,6 +53,10 @@
     return None if value is None else int(value)
 
 
+def _optional_period(value: Any) -> float | None:
+    return None if value is None else _period(value)
+
+
 def _decode(document: dict[str, Any]) -> GatewaySettings:
     listen, bounds = document["listen"], document["bounds"]
     return GatewaySettings(
@@ -73,4 +77,5 @@
         retry_ratio=float(bounds["retryBudgetRatio"]),
         retry_window_seconds=float(bounds["budgetWindowS"]),
         retry_slack=float(bounds["retryBudgetSlack"]),
+        evacuation_seconds=_optional_period(bounds.get("evacuateS")),
     )
--- a/arbutusflow/platform/store.py
+++ b/arbutusflow/platform/store.py
@@ -39,6 +39,7 @@
 
 ENDPOINTS_KIND = "servers"  # The platform calls endpoints servers.
 CONFIGURATION_KIND = "config"
+EVACUATIONS_KIND = "evacuations"  # Objects have the names of availability zones.
 CONFIGURATION_NAME = "main"
 PROBE_NAME = "none"  # Of an object that does not exist, so that its answer is small.
 
