Tell the fleet of evacuations at once, and test them on the simulated fleet

Cause: zones without a reader learned of an evacuation with the next report across zones, up to 0.9 s later in a large fleet, and watches of their own may lag.

Change: a reader reports news of a kind that has a bound to all granters at once. The simulated fleet keeps copies of evacuations.

--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -549,6 +549,11 @@
             return
         revisions = self._relayed_revisions()
         has_news = revisions != self._told_revisions
+        has_urgent_news = any(
+            self.relay.copies[kind].is_optional
+            and revision != self._told_revisions.get(kind)
+            for kind, revision in revisions.items()
+        )
         self._told_revisions = revisions
         if has_news or now - self._digest_at >= FOLLOWER_REPORT_SECONDS:
             self._digest_at = now
@@ -556,7 +561,10 @@
         fleet_size = len(self.fleet.records)
         period = FLEET_REPORT_SECONDS_PER_INSTANCE * fleet_size
         period = min(max(FLEET_REPORT_SECONDS, period), MAX_FLEET_REPORT_SECONDS)
-        if now - self._fleet_reported_at >= period:
+        # The other zones have to act on some kinds within a bound, and their own
+        # watchers may lag.
+        is_urgent = has_urgent_news and self.fleet.is_reader(now)
+        if is_urgent or now - self._fleet_reported_at >= period:
             self.report_to_fleet()
             return
         if has_news and self.fleet.is_zone_watcher(now):
--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -31,8 +31,9 @@
     PlatformUnavailableError,
 )
 from arbutusflow.gateway.client_connection import ResponseProgress
+from arbutusflow.gateway.evacuations import Evacuations
 from arbutusflow.gateway.event_log import EventLog
-from arbutusflow.gateway.fleet import InstanceRecord
+from arbutusflow.gateway.fleet import FLEET_KIND, InstanceRecord
 from arbutusflow.gateway.fleet_task import WATCH_SECONDS, FleetTask
 from arbutusflow.gateway.key_table import KeyTable, StoredTable
 from arbutusflow.gateway.model import (
@@ -44,6 +45,7 @@
 )
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform.store import (
+    EVACUATIONS_KIND,
     Change,
     Changes,
     Snapshot,
@@ -62,6 +64,7 @@
 SAMPLED_KEYS = tuple(range(0, 65536, 512))
 OTHER_KIND = "config"  # Objects that no instance writes.
 OTHER_NAME = "main"
+ZONES = ("z0", "z1", "z2")  # An object with such a name is an evacuation.
 TABLE_NAME = "keys"  # Start of the names of key tables.
 
 
@@ -161,6 +164,12 @@
         item = StoredObject(OTHER_NAME, self.point, spec, {"spec": spec})
         self.record(item, removed=False)
 
+    def set_evacuated(self, zone: str, evacuated: bool) -> None:
+        """Write or remove the evacuation of a zone, as an operator does."""
+        self.revision += 1
+        item = StoredObject(zone, self.point, {}, {"spec": {}})
+        self.record(item, removed=not evacuated)
+
     def record(self, item: StoredObject, removed: bool) -> None:
         if removed:
             del self.objects[item.name]
@@ -179,7 +188,8 @@
 
 
 def _is_of_kind(item: StoredObject, kind: str) -> bool:
-    return (item.name == OTHER_NAME) == (kind == OTHER_KIND)
+    kinds = {OTHER_NAME: OTHER_KIND, **dict.fromkeys(ZONES, EVACUATIONS_KIND)}
+    return kinds.get(item.name, FLEET_KIND) == kind
 
 
 class SimStoreClient:
@@ -549,6 +559,8 @@
 
     # Whether instances also keep a copy of `OTHER_KIND`.
     has_other_copy = False
+    # Bound for evacuations; no copy of them if None.
+    evacuation_seconds: float | None = None
 
     def __init__(self, sim: "SimFleet", name: str, zone: str) -> None:
         self.sim, self.name, self.zone = sim, name, zone
@@ -572,6 +584,17 @@
                 log,
                 random.Random(life + 1),
             )
+        self.evacuations = Evacuations(self.evacuation_seconds, log)
+        if self.evacuation_seconds is not None:
+            self.evacuation_copy = copies[EVACUATIONS_KIND] = ObjectCopy(
+                client,  # type: ignore[arg-type]
+                EVACUATIONS_KIND,
+                WATCH_SECONDS,
+                self._note_evacuations,
+                log,
+                random.Random(life + 2),
+            )
+            self.evacuation_copy.is_optional = True
         self.task = FleetTask(
             InstanceRecord(name, life, name, 1, zone),
             client,  # type: ignore[arg-type]
@@ -610,6 +633,15 @@
         if item is not None:
             self.in_force_at.setdefault(item.revision, self.sim.now)
 
+    def _note_evacuations(self) -> None:
+        self.evacuations.learn(self.evacuation_copy, self.sim.now)
+        self._use_endpoints()
+
+    def _use_endpoints(self) -> None:
+        listed = self.sim.listed_endpoints(self.name)
+        view = self.evacuations.view(listed, ZONES, lambda name: None, self.sim.now)
+        self.task.leases.update_endpoints(view.endpoints)
+
     async def _run(self) -> None:
         count = 0
         while True:
@@ -617,7 +649,8 @@
             if self.suspended:
                 continue
             count += 1
-            self.task.leases.update_endpoints(self.sim.listed_endpoints(self.name))
+            self.evacuations.tick(self.sim.now)
+            self._use_endpoints()
             self.task.tick(self.sim.now)
             for sender, data in self.unread:
                 self.task.peers.datagram_received(data, (sender, 1))
