Print which zones instances treat as evacuated

Cause: operators have to see whether a zone is free of requests and keys before they work on it.

Change: the command evacuations prints for each instance the evacuated zones, since when, their endpoints, those with requests in flight and with keys, and the services that exist nowhere else. Commands that read states share the reading. The test of the help names the new command.

--- a/arbutusflow/cli/instances.py
+++ b/arbutusflow/cli/instances.py
@@ -1,37 +1,27 @@
 """Command that prints what instances are doing."""
 
-from typing import TYPE_CHECKING, Annotated
+from typing import TYPE_CHECKING
 
 import typer
 
 from arbutusflow.cli.exit_status import ExitStatus
-from arbutusflow.cli.options import JsonOption, print_json
-from arbutusflow.errors import InstanceUnreachableError
+from arbutusflow.cli.options import InstancesArgument, JsonOption, print_json
 
 if TYPE_CHECKING:
     from arbutusflow.gateway.instance_state import InstanceState
 
 
 def instances(
-    addresses: Annotated[
-        list[str],
-        typer.Argument(metavar="HOST:PORT...", help="Metrics addresses of instances."),
-    ],
+    addresses: InstancesArgument,
     as_json: JsonOption = False,
 ) -> None:
     """Print the phase, the pending work and the configuration of instances.
 
     Exit status 3 if one of them does not respond.
     """
-    from arbutusflow.cli.state_client import read_state
-
-    states: dict[str, InstanceState | None] = {}
-    for address in addresses:
-        try:
-            states[address] = read_state(address)
-        except InstanceUnreachableError as exc:
-            typer.echo(f"arbutusflow: {address} does not respond ({exc})", err=True)
-            states[address] = None
+    from arbutusflow.cli.state_client import read_states
+
+    states = read_states(addresses)
     if as_json:
         print_json(states)
     else:
--- a/arbutusflow/cli/main.py
+++ b/arbutusflow/cli/main.py
@@ -10,6 +10,7 @@
 
 from arbutusflow import __version__
 from arbutusflow.cli import explain, gateway, reference
+from arbutusflow.cli.evacuations import evacuations
 from arbutusflow.cli.exit_status import exit_status_for
 from arbutusflow.cli.instances import instances
 from arbutusflow.errors import ArbutusflowError
@@ -43,6 +44,7 @@
 )
 app.command("gateway")(gateway.gateway)
 app.command("instances")(instances)
+app.command("evacuations")(evacuations)
 app.add_typer(explain.app, name="explain")
 app.add_typer(reference.app, name="reference")
 
--- a/arbutusflow/cli/options.py
+++ b/arbutusflow/cli/options.py
@@ -4,6 +4,10 @@
 
 import typer
 
+InstancesArgument = Annotated[
+    list[str],
+    typer.Argument(metavar="HOST:PORT...", help="Metrics addresses of instances."),
+]
 JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON.")]
 
 
--- a/arbutusflow/cli/state_client.py
+++ b/arbutusflow/cli/state_client.py
@@ -4,6 +4,7 @@
 import socket
 
 import msgspec
+import typer
 
 from arbutusflow.errors import (
     InstanceUnreachableError,
@@ -17,6 +18,21 @@
 RESPONSE_TIMEOUT_SECONDS = 10.0
 
 
+def read_states(addresses: list[str]) -> dict[str, InstanceState | None]:
+    """Return the states of instances by address; None for those that do not respond.
+
+    These are reported on standard error. Raises SettingsError and RefusedError.
+    """
+    states: dict[str, InstanceState | None] = {}
+    for address in addresses:
+        try:
+            states[address] = read_state(address)
+        except InstanceUnreachableError as exc:
+            typer.echo(f"arbutusflow: {address} does not respond ({exc})", err=True)
+            states[address] = None
+    return states
+
+
 def read_state(address: str) -> InstanceState:
     """Return the state of the instance at `host:port`.
 
--- a/tests/gateway/test_instance_state.py
+++ b/tests/gateway/test_instance_state.py
@@ -11,13 +11,20 @@
 
 from arbutusflow.cli.main import app
 from arbutusflow.gateway.callers.messages import CallerRequest
-from arbutusflow.gateway.instance_state import STATE_PATH, InstanceState
+from arbutusflow.gateway.instance_state import (
+    STATE_PATH,
+    EvacuatedZone,
+    InstanceState,
+)
 from tests.gateway.test_whole_path import run_with_cluster
 
 STOPPING = InstanceState("n1", "z", "draining", 1.25, 3, 5, 2.0, 7, 60.0)
 STARTING = InstanceState("n2", "z", "starting", 0.5, 0, 0, None, None, None)
 
 
+EVACUATED = EvacuatedZone("z1", 7.25, 30, 2, 9, ("orders", "search"))
+
+
 @pytest.fixture
 def serve():
     """Return a function that starts a server with the state of an instance."""
@@ -48,8 +55,8 @@
         thread.join()
 
 
-def run(*args):
-    return CliRunner().invoke(app, ["instances", *args])
+def run(*args, command="instances"):
+    return CliRunner().invoke(app, [command, *args])
 
 
 def test_one_command_tells_what_each_instance_is_doing(serve):
@@ -74,6 +81,20 @@
     assert "127.0.0.1:1 does not respond" in result.stderr
 
 
+def test_one_command_tells_which_zones_are_evacuated(serve):
+    """Guards against an instance that does not know of an evacuation unnoticed."""
+    evacuated = msgspec.structs.replace(STOPPING, evacuated_zones=(EVACUATED,))
+    addresses = serve(evacuated), serve(STARTING)
+    result = run(*addresses, command="evacuations")
+    first, second = result.stdout.splitlines()[1:]
+    assert first.split()[:6] == ["n1", "z1", "7.2", "30", "2", "9"]
+    assert first.endswith("  orders, search")
+    assert second.split() == ["n2", "none"]
+    printed = json.loads(run(*addresses, "--json", command="evacuations").stdout)
+    assert printed[addresses[0]][0]["services_only_there"] == ["orders", "search"]
+    assert run("127.0.0.1:1", command="evacuations").exit_code == 3
+
+
 @pytest.fixture
 def respond():
     """Return a function that starts a server for one request with a fixed response."""
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -38,6 +38,8 @@
 class Cluster:
     """Store, endpoints and gateway instances of one test."""
 
+    evacuation_seconds = None  # In the settings.
+
     def __init__(self, directory):
         self.directory = directory
         self.store = ObjectStore()
@@ -55,12 +57,12 @@
         for name in ("n1", "n2"):
             await self.add_gateway(name)
 
-    async def add_endpoint(self, name, service):
+    async def add_endpoint(self, name, service, zone="z"):
         endpoint = FakeEndpoint(name, partitioned=service == "a")
         (port,) = free_ports(HOST, 1)
         await endpoint.server.start(HOST, port)
         self.endpoints.append(endpoint)
-        info = {"service": service, "version": "v", "zone": "z", "slots": 2}
+        info = {"service": service, "version": "v", "zone": zone, "slots": 2}
         status = {"state": "ready", "seq": 1, "coldLeftS": 0}
         self.store.put(
             "servers",
@@ -87,7 +89,8 @@
         )
         cfg = platform_settings.load_settings(path)
         # All instances on a host would use the same port for metrics.
-        gateway = Gateway(dataclasses.replace(cfg, metrics_port=None), path)
+        changes = {"metrics_port": None, "evacuation_seconds": self.evacuation_seconds}
+        gateway = Gateway(dataclasses.replace(cfg, **changes), path)
         gateway.log._fd = os.open(os.devnull, os.O_WRONLY)
         self.gateways[name] = gateway
         self.runs[name] = asyncio.create_task(gateway.run())
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -38,6 +38,7 @@
     "args",
     [
         ("instances",),
+        ("evacuations",),
         ("instances", "nowhere"),
         ("explain", "trail"),
         ("explain",),
@@ -57,7 +58,14 @@
     """Guards against a command that is left out, or one that nothing answers."""
     lines = run("--help").output.partition("Commands:")[2].splitlines()
     names = [line.split()[0] for line in lines if line.startswith("  ")]
-    assert names[:5] == ["gateway", "instances", "version", "explain", "reference"]
+    assert names[:6] == [
+        "gateway",
+        "instances",
+        "evacuations",
+        "version",
+        "explain",
+        "reference",
+    ]
 
 
 def test_an_unreadable_log_has_exit_status_1(tmp_path):
