--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -333,6 +333,8 @@
     def _granter_tells(self, kind: str, now: float) -> bool:
         """Return whether the granter has read a copy of a kind, or will do so soon."""
         digest = self.following.digest
+        if self.following.granters_lost_store(now):
+            return True  # Calls of followers would be in vain as well.
         if digest is None or kind not in digest.copies:
             return False
         is_read = digest.copies[kind] > BEFORE_ALL
--- a/arbutusflow/gateway/load/endpoint_load.py
+++ b/arbutusflow/gateway/load/endpoint_load.py
@@ -324,6 +324,10 @@
         """Return whether an endpoint is closed and its service has no others."""
         return state.leaving_since is None and self.is_closed(state, now)
 
+    def _closed_zones(self, now: float) -> set[str]:
+        zones = self._evacuation.serve_until.items()
+        return {zone for zone, until in zones if now >= until}
+
     def _closes_at(self, state: EndpointState) -> float:
         return self._evacuation.serve_until.get(state.endpoint.zone, float("inf"))
 
@@ -411,8 +415,9 @@
         a few, which a request that would be refused otherwise needs.
         """
         candidates, some_leave, some_wait = [], False, False
+        closed = self._closed_zones(now)
         for state in self.for_service(service):
-            if state.leaving_since is not None or self.is_closed(state, now):
+            if state.leaving_since is not None or state.endpoint.zone in closed:
                 some_leave = True
             elif state.wait_seconds(now):
                 some_wait = True
