--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -21,6 +21,7 @@
     CallerLimits,
     Configuration,
     Endpoint,
+    EvacuationTimes,
     ExchangeError,
     HttpResponse,
     Repeatability,
@@ -176,6 +177,7 @@
     pause=10.0,
     stop_after=None,
     body=b"",
+    evacuated_after=None,
 ):
     """Return the reply, the hosts that were sent the request, and the seconds taken.
 
@@ -200,6 +202,10 @@
         table.update_peer_report("peer", loads, loop.time())
         if unlisted_after is not None:
             loop.call_later(unlisted_after, lambda: table.update({}, loop.time()))
+        if evacuated_after is not None:
+            times = EvacuationTimes({"z": loop.time() + evacuated_after})
+            listed = {name: s.endpoint for name, s in table.states.items()}
+            table.update(listed, loop.time(), times)
         pool, log = _FakePool(outcomes, alive), FakeLog()
         _FakePool.log = log
         dispatcher = Dispatcher(
@@ -273,6 +279,15 @@
     assert len(sent) == 1
 
 
+@pytest.mark.parametrize("partitioned", [False, True])
+def test_nothing_is_sent_to_a_zone_that_closes_while_a_connection_opens(partitioned):
+    """Guards against requests that reach an evacuated zone after the bound."""
+    _FakeConnection.heads.clear()
+    reply, opened, _ = handle(OK, evacuated_after=0.00005, partitioned=partitioned)
+    assert (reply.status, reply.body) == (503, b"zone_evacuated\n")
+    assert (len(opened), _FakeConnection.heads) == (1, [])
+
+
 @pytest.mark.parametrize("outcome", [REFUSED, KEY_NOT_HELD, NOT_CONNECTED])
 def test_a_request_that_has_not_run_is_sent_to_another_endpoint(outcome):
     reply, sent, _ = handle(outcome, OK, idempotent=False)
