--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -14,6 +14,7 @@
 
 import xxhash
 
+from arbutusflow.gateway import evacuations
 from arbutusflow.gateway.callers.messages import CallerRequest, CallerResponse
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.crash_strikes import CrashStrikes
@@ -383,6 +384,8 @@
             )
         if state is None:
             states = self._endpoints.for_service(name)
+            if any(self._endpoints.rejects_service(s, now) for s in states):
+                raise self._evacuation_error(ctx)
             cold = [
                 s
                 for s in states
@@ -413,6 +416,14 @@
             error.retry_after = max(MIN_RETRY_AFTER_SECONDS, wait)
         return error
 
+    def _evacuation_error(self, ctx: _RequestContext) -> RequestError:
+        """Return the error for a service that is only in evacuated zones."""
+        error = self._final_error(ctx, "zone_evacuated")
+        if error.retry_after is not None:
+            remaining = ctx.caller_deadline - self._loop.time()
+            error.retry_after = evacuations.retry_after(remaining)
+        return error
+
     async def _wait_for_check(self, ctx: _RequestContext) -> None:
         """Wait for the check of an endpoint if no other one can be chosen."""
         until = min(
@@ -441,6 +452,8 @@
             if owner is not None:
                 state = self._endpoints.states.get(owner)
                 now = self._loop.time()
+                if state is not None and self._endpoints.rejects_service(state, now):
+                    raise self._evacuation_error(ctx)
                 if state is not None and await self._waits_for_probe(ctx, state, until):
                     continue
                 wait = 0.0 if state is None else state.wait_seconds(now)
@@ -523,10 +536,12 @@
                 if (
                     now < state.wait_until
                     or state.pending_check
+                    or self._endpoints.is_closed(state, now)
                     or not self._endpoints.may_send(state, now)
                 ):
-                    # It asked to wait while the connection was being opened, or may
-                    # have said that it leaves, or is cold and has got a request.
+                    # It asked to wait while the connection was being opened, may have
+                    # said that it leaves, its zone is evacuated, or it is cold and has
+                    # got a request.
                     if not was_tried:
                         ctx.tried.discard(endpoint.id)
                     return None
--- a/arbutusflow/gateway/reference.py
+++ b/arbutusflow/gateway/reference.py
@@ -72,6 +72,10 @@
         "502",
         "An answer to work that may run only once had no signature.",
     ),
+    "zone_evacuated": (
+        NOT_RUN,
+        "All endpoints of the service are in evacuated availability zones.",
+    ),
 }
 # Outcomes that count something else.
 OTHER_OUTCOMES = {
@@ -97,6 +101,8 @@
     "cold_endpoints": "Cold endpoints of services with a limit for them.",
     "cold_sends": "Requests that were sent to such endpoints.",
     "connections_opened": "Connections to endpoints that were opened.",
+    "evacuated_endpoints": "Endpoints in availability zones that are evacuated.",
+    "evacuated_zones": "Availability zones that are evacuated.",
     "log_lines_dropped": "Lines of the log that were lost.",
     "peak_bytes": "Largest size of the process in memory so far.",
     "phase": "Number of the phase: "
--- a/arbutusflow/platform/reference.py
+++ b/arbutusflow/platform/reference.py
@@ -50,6 +50,13 @@
         "1.0",
     ),
     Field("bounds.coldSlack", NUMBER, "Requests on top of that; reload.", "0.0"),
+    Field(
+        "bounds.evacuateS",
+        SECONDS,
+        "From the store's acknowledgement of an evacuation until no request reaches "
+        "the zone.",
+        "zones cannot be evacuated",
+    ),
     Field("provider.address", ADDRESS, "The object store."),
     Field(
         "seeds", f"list of {ADDRESS}", "Other instances; checked, not used.", "empty"
--- a/arbutusflow/platform/settings.py
+++ b/arbutusflow/platform/settings.py
@@ -63,6 +63,10 @@
     return None if value is None else int(value)
 
 
+def _optional_period(value: Any) -> float | None:
+    return None if value is None else _period(value)
+
+
 def _decode(document: dict[str, Any]) -> GatewaySettings:
     listen, bounds = document["listen"], document["bounds"]
     return GatewaySettings(
@@ -85,4 +89,5 @@
         retry_slack=float(bounds["retryBudgetSlack"]),
         cold_overshoot=_amount(bounds.get("coldOvershoot", 1.0)),
         cold_slack=_amount(bounds.get("coldSlack", 0.0)),
+        evacuation_seconds=_optional_period(bounds.get("evacuateS")),
     )
