Move the reading of requests into a module of its own

Change: RequestReader parses the bytes of one connection and calls the connection through a protocol. No change of behaviour; one test reads the body of a request at its new place.

--- a/arbutusflow/gateway/callers/connection.py
+++ b/arbutusflow/gateway/callers/connection.py
@@ -11,13 +11,12 @@
 import functools
 from typing import TYPE_CHECKING
 
-import httptools
-
 from arbutusflow.gateway.callers.messages import (
     CallerRequest,
     CallerResponse,
     encode_response,
 )
+from arbutusflow.gateway.callers.request_reader import RETRY_SOON, RequestReader
 from arbutusflow.gateway.callers.watch import CallerWatch
 from arbutusflow.gateway.closing import (
     TwoStepClose,
@@ -34,8 +33,6 @@
 MAX_PIPELINED_REQUESTS = 16
 # How long after its start a connection is not closed as idle by a planned stop.
 NEW_CONNECTION_SECONDS = 0.25
-# For requests that another instance can serve at once.
-RETRY_SOON = ((b"Retry-After", b"0.1"),)
 
 
 class _PipelinedRequest:
@@ -56,43 +53,30 @@
     def __init__(self, server: "CallerServer") -> None:
         self._server = server
         self._loop = asyncio.get_running_loop()
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = RequestReader(self, server)
         self._pipeline: collections.deque[_PipelinedRequest] = collections.deque()
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._opened_at = self.idle_since = self._loop.time()
-        self._input_closed = False  # No further input is processed.
         self._closing: TwoStepClose | None = None  # Set when the responses have ended.
         self._watch: CallerWatch | None = None  # Set while there is a transport.
         self._latest_request: CallerRequest | None = None  # That has a response.
         self._end_cause: str | None = None  # Why this instance ends the connection.
         self._reading_paused = False
         self._writing_paused = False
-        self._reserved_bytes = 0  # Body bytes reserved from the budget.
         self._ready_bytes = 0  # Of responses behind one that is not there yet.
         self._unsent_bytes = 0  # As counted by the budget for them.
-        self._reset_request()
-
-    def _reset_request(self) -> None:
-        self._target = b""
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body = bytearray()
-        self._head_size = 0  # Bytes received since the latest part of the body.
-        self._read_until = float("inf")  # When the request has to be complete.
-        self._request_started = False
-        self._in_body = False
-        self._received_at = 0.0
 
     @property
     def pending_requests(self) -> int:
         """Number of requests without a response, including one being read."""
-        return len(self._pipeline) + (1 if self._request_started else 0)
+        return len(self._pipeline) + (1 if self._reader.request_started else 0)
 
     @property
     def _is_new(self) -> bool:
         """Whether the first request may still be on its way."""
         age = self._loop.time() - self._opened_at
-        return not self._input_closed and age < NEW_CONNECTION_SECONDS
+        return not self._reader.closed and age < NEW_CONNECTION_SECONDS
 
     @property
     def is_closing(self) -> bool:
@@ -121,7 +105,7 @@
         """Whether bytes of the caller are read in the next iteration of the loop."""
         return (
             self._transport is not None
-            and not self._input_closed
+            and not self._reader.closed
             and not self._reading_paused
             and not self._transport.is_closing()
             and unread_bytes(self._transport) > 0
@@ -148,14 +132,14 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the cancellable requests of a caller that disconnected."""
-        self._input_closed = True
+        self._reader.closed = True
         self._server.connections.discard(self)
         self._stop_timer()
         if self._closing is not None:
             self._closing.stop()
         if self._watch is not None:
             self._watch.stop()
-        self._release_body()
+        self._reader.release_body()
         self._count_unsent()
         self._report_end(self._end_cause or _end_cause(exc))
         for pipelined in self._pipeline:
@@ -201,108 +185,37 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
-        if self._input_closed:
-            return
-        if self._server.finished:
-            self._reject(503, RETRY_SOON)
-            return
-        self._head_size += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._input_closed = True
-        except httptools.HttpParserCallbackError as exc:
-            # A bug in this program, as in `_serve`.
-            self._server.on_error("reading a request", exc.__context__ or exc)
-            self._reject(500)
-        except httptools.HttpParserError:
-            self._reject(400)
-        if self._input_closed:
-            return
-        if self._head_size > self._server.limits.header_bytes:
-            # Of the head, trailers or extensions of chunks.
-            self._reject(431)
-        elif len(self._pipeline) >= MAX_PIPELINED_REQUESTS:
+        self._reader.feed(data)
+        if not self._reader.closed and len(self._pipeline) >= MAX_PIPELINED_REQUESTS:
             self._pause()
 
-    # Callbacks of the `httptools` parser.
+    # Calls of the reader.
 
-    def on_message_begin(self) -> None:
-        """Start a request."""
-        if self._input_closed:
-            return
-        self._reset_request()
-        self._request_started = True
-        self._received_at = self._loop.time()
+    @property
+    def has_pending(self) -> bool:
+        """Whether requests that were read before have no response."""
+        return bool(self._pipeline)
+
+    def begin_request(self) -> None:
+        """Start the time limit for a head."""
         if not self._pipeline:
             self._start_timer(self._server.limits.header_seconds)
 
-    def on_url(self, url: bytes) -> None:
-        """Append to the request target."""
-        self._target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header; trailers are ignored."""
-        if not self._in_body:
-            self._headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        """Check the header size and the announced body size."""
-        if self._input_closed:
-            return
-        self._in_body = True
-        size = len(self._target) + sum(len(n) + len(v) + 4 for n, v in self._headers)
-        if size > self._server.limits.header_bytes:
-            self._reject(431)
-            return
-        self._read_until = self._received_at + self._server.read_seconds(self._headers)
+    def begin_body(self, expects_continue: bool) -> None:
+        """Start the time limit for a body, and let the caller send it."""
         self._start_body_timer()
-        content_length, expects_continue = 0, False
-        for name, value in self._headers:
-            if name == b"content-length" and value.isdigit():
-                content_length = int(value)
-            elif name == b"expect" and value.lower() == b"100-continue":
-                expects_continue = True
         if expects_continue and not self._pipeline:
             # Behind another request it would stand before or within its response.
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if content_length > self._server.limits.body_bytes:
-            self._reject(413)
 
-    def on_body(self, body: bytes) -> None:
-        """Append to the body, within the size limit and the memory budget."""
-        if self._input_closed:
-            return
-        self._head_size = 0
-        if len(self._body) + len(body) > self._server.limits.body_bytes:
-            self._reject(413)
-        elif not self._server.budget.take(len(body)):
-            self._reject(503, ((b"Retry-After", b"0.5"),))
-        else:
-            self._reserved_bytes += len(body)
-            self._body += body
-            self._start_body_timer()
+    def continue_body(self) -> None:
+        """Start the time until the next part of the body."""
+        self._start_body_timer()
 
-    def on_message_complete(self) -> None:
-        """Start the handler for the complete request."""
-        if self._input_closed:
-            return
-        if self._server.stopping and self._pipeline:
-            # A caller that sends on resets its connection when the process ends, also
-            # under an answer that the kernel still delivers.
-            self._reject(503, RETRY_SOON)
-            return
+    def accept(self, req: CallerRequest, keep_alive: bool, reserved_bytes: int) -> None:
+        """Start the handler for a complete request."""
         self._stop_timer()
-        request = CallerRequest(
-            method=self._parser.get_method(),
-            target=self._target,
-            headers=self._headers,
-            body=self._body,
-            received_at=self._received_at,
-        )
-        reserved_bytes, self._reserved_bytes = self._reserved_bytes, 0
-        pipelined = _PipelinedRequest(request, self._parser.should_keep_alive())
-        self._reset_request()
+        pipelined = _PipelinedRequest(req, keep_alive)
         self._pipeline.append(pipelined)
         pipelined.task = self._loop.create_task(self._serve(pipelined, reserved_bytes))
 
@@ -331,7 +244,7 @@
             self._count_unsent(len(pipelined.reply.body))
         self._write_ready_responses()
 
-    def _reject(
+    def reject(
         self, status: int, headers: tuple[tuple[bytes, bytes], ...] = ()
     ) -> None:
         """Respond with an error and process no further input."""
@@ -343,17 +256,15 @@
 
     def _close_input(self) -> None:
         """Process no further input; a request that is not complete is dropped."""
-        self._input_closed = True
-        self._request_started = False
+        self._reader.close()
         self._stop_timer()
-        self._release_body()
 
     def finish(self) -> None:
         """Cancel the handlers, which respond, and close the connection after that."""
         if self.is_closing:
             return
-        if self._request_started:
-            self._reject(503, RETRY_SOON)
+        if self._reader.request_started:
+            self.reject(503, RETRY_SOON)
         elif not self._pipeline and self._has_unread_input():
             return  # It is rejected when it is read.
         else:
@@ -375,12 +286,6 @@
             pipelined.reply = CallerResponse(503)
             self._write_ready_responses()
 
-    def _release_body(self) -> None:
-        self._body = bytearray()
-        if self._reserved_bytes:
-            self._server.budget.release(self._reserved_bytes)
-            self._reserved_bytes = 0
-
     def _write_ready_responses(self) -> None:
         try:
             self._write_next_responses()
@@ -398,7 +303,7 @@
                 # Endpoints may be running the requests behind this one.
                 self._close_input()
             keep = pipelined.keep_alive
-            if self._input_closed and not self._pipeline:
+            if self._reader.closed and not self._pipeline:
                 keep = False
             if pipelined.reply is not None:
                 head_only = (
@@ -418,9 +323,9 @@
                 return
         if not self._pipeline:
             self.idle_since = self._loop.time()
-            if not self._request_started:
+            if not self._reader.request_started:
                 self._start_timer(self._server.limits.idle_seconds)
-            elif not self._in_body:
+            elif not self._reader.in_body:
                 # A head that began to arrive behind an earlier request has no timer.
                 self._start_timer(self._server.limits.header_seconds)
         if not self._writing_paused:
@@ -489,7 +394,7 @@
         if self._transport is not None and unsent_bytes(self._transport):
             self._close_after_response()
             return
-        self._input_closed = True
+        self._reader.closed = True
         if self._transport is not None:
             self._transport.close()
 
@@ -517,7 +422,7 @@
         self._timer = self._loop.call_later(seconds, self._time_out)
 
     def _start_body_timer(self) -> None:
-        remaining = self._read_until - self._loop.time()
+        remaining = self._reader.read_until - self._loop.time()
         self._start_timer(max(0.0, min(self._server.limits.idle_seconds, remaining)))
 
     def _stop_timer(self) -> None:
@@ -527,12 +432,12 @@
 
     def _time_out(self) -> None:
         self._timer = None
-        if self._pipeline and self._loop.time() < self._read_until:
-            if self._request_started:
+        if self._pipeline and self._loop.time() < self._reader.read_until:
+            if self._reader.request_started:
                 self._start_body_timer()
             return
-        if self._request_started:
-            self._reject(408)
+        if self._reader.request_started:
+            self.reject(408)
         else:
             self._close_idle()
 
--- a/tests/gateway/test_unsent_responses.py
+++ b/tests/gateway/test_unsent_responses.py
@@ -194,7 +194,7 @@
         world.conn.data_received(head + b"x" * SIZE)
         held = budget.held_bytes
         world.conn.data_received(b"x")
-        return held, world.conn.is_closing, budget.held_bytes, world.conn._body
+        return held, world.conn.is_closing, budget.held_bytes, world.conn._reader._body
 
     (held, closing, left, body), _ = _play(scenario)
     assert (held, closing, left) == (SIZE, True, 0)
