Bound the memory and the processor time that callers take

Cause: 600 open heads of 4-byte lines took 318 MB, heads without end 948 MB, 2,000 heads 1,607 MB and pipelines 774 MB of an instance of 300 MB; 60 bodies in chunks of one byte and 200 pipelines left no time for others.

Change: the parser gets slices of 1 KiB (8 KiB within bodies), after which what is held is charged to the account; when it is full, callers are evicted (503 to what was being read, which has not run, or the end of the connection), and a request that does not fit is refused before its handler. A read is 16 KiB (64 KiB within bodies) into memory that all connections share. Callers whose input takes more than 256 calls of the parser get turns between polls of the event loop, 64 of them at a time; so do pipelined requests behind the first, at most 16 of a connection at once. Responses are counted from the first byte that the kernel does not take (before: above 64 KiB), and the headers of the latest request are kept only until its response is taken. A body that arrives for longer than the idle time needs 64 bytes per second. Empty lines count towards the head behind them. Header lines are counted with 3 bytes beside name and value (before: 4), so that no head of legal size on the wire is refused. A request whose task never began returns the memory of its body. Time limits restart with each slice, not each part of a body. Callers that are turned away are counted and logged by address and reason.

--- a/arbutusflow/gateway/callers/listener.py
+++ b/arbutusflow/gateway/callers/listener.py
@@ -24,7 +24,7 @@
 
     def __init__(
         self,
-        make_protocol: Callable[[], asyncio.Protocol],
+        make_protocol: Callable[[], asyncio.BaseProtocol],
         on_error: Callable[[str, BaseException], None],
         has_room: Callable[[], bool] = lambda: True,
     ) -> None:
--- a/arbutusflow/gateway/callers/server.py
+++ b/arbutusflow/gateway/callers/server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server for callers: accepts connections and ends them at a planned stop."""
 
+import asyncio
 import heapq
 import itertools
 from collections.abc import Awaitable, Callable, Iterable
@@ -7,11 +8,14 @@
 from arbutusflow.gateway.body_budget import BodyBudget
 from arbutusflow.gateway.callers.connection import CallerConnection
 from arbutusflow.gateway.callers.listener import Listener
+from arbutusflow.gateway.callers.memory_account import Holding, MemoryAccount
 from arbutusflow.gateway.callers.messages import (
     CallerRequest,
     CallerResponse,
     Headers,
 )
+from arbutusflow.gateway.callers.request_reader import ReadTurns
+from arbutusflow.gateway.callers.turned_away import TurnedAway
 from arbutusflow.gateway.closing import read_send_buffer_limit
 from arbutusflow.gateway.model import Address, CallerLimits
 
@@ -20,6 +24,9 @@
 CLOSED_AT_ONCE = 200  # Idle connections that one call of `close_idle` closes.
 # For a request whose body takes longer than any caller waits.
 MAX_READ_SECONDS = 60.0
+# After evictions that were not enough, none are tried for this time: what is held then
+# is at endpoints, and looking at all connections takes milliseconds.
+EVICTION_PAUSE_SECONDS = 0.05
 # Used until a configuration is available.
 DEFAULT_LIMITS = CallerLimits(16384, 64 * 1024 * 1024, 3.0, 15.0)
 
@@ -44,6 +51,15 @@
         self.budget = budget
         # For responses that callers have not taken yet.
         self.unsent_budget = BodyBudget(lambda: 0)
+        # What callers make this instance hold; without a bound unless it is replaced
+        # before the server starts.
+        self.account = MemoryAccount()
+        self.unsent_bytes = 0  # Of the budget for responses, by this server.
+        self.turned_away = TurnedAway()
+        self.turns = ReadTurns()
+        self._read_buffer: memoryview | None = None
+        self._no_evictions_until = float("-inf")
+        self._makes_room_soon = False
         self.on_error = on_error
         self.on_cut: CutHandler = lambda req, cause: None
         self.on_end: EndHandler = lambda cause, requests: None
@@ -113,6 +129,49 @@
         self._call_each(lambda conn: conn.close_if_idle(), longest_idle)
         return False
 
+    def read_buffer(self, size: int) -> memoryview:
+        """Return the memory for the bytes that are read next."""
+        if self._read_buffer is None:
+            self._read_buffer = memoryview(bytearray(size))
+        return self._read_buffer
+
+    def count_unsent(self, change: int) -> None:
+        """Count responses that callers have not taken, or that they have taken."""
+        self.unsent_bytes += change
+        self.unsent_budget.count(change)
+        if change > 0:
+            self.make_room_soon()
+
+    def make_room(self) -> bool:
+        """Evict callers until less is held than the bound; return whether it is."""
+        now = asyncio.get_running_loop().time()
+        if now < self._no_evictions_until:
+            return False
+        chosen = set(self.account.choose(now))
+        self._call_each(
+            lambda conn: conn.evict(),
+            [conn for conn in self.connections if conn.holding in chosen],
+        )
+        if self.account.is_full:
+            self._no_evictions_until = now + EVICTION_PAUSE_SECONDS
+        return not self.account.is_full
+
+    def make_room_soon(self) -> None:
+        """Make room outside of the current call, if it is necessary."""
+        if self.account.is_full and not self._makes_room_soon:
+            self._makes_room_soon = True
+            asyncio.get_running_loop().call_soon(self._make_room_if_full)
+
+    def _make_room_if_full(self) -> None:
+        self._makes_room_soon = False
+        if self.account.is_full:
+            self.make_room()
+
+    def report_turned_away(self, holding: Holding, reason: str) -> None:
+        """Report a caller that is rejected or closed for what it did or holds."""
+        now = asyncio.get_running_loop().time()
+        self.turned_away.report(holding.address, reason, holding.held_bytes, now)
+
     def close_after_responses(self) -> None:
         """Read no further requests on a connection after its next response.
 
--- a/arbutusflow/gateway/memory_watch.py
+++ b/arbutusflow/gateway/memory_watch.py
@@ -5,11 +5,13 @@
 Invariant: a process writes at most one line for each of `STEPS`.
 """
 
+import pathlib
 import resource
 
 from arbutusflow.gateway.error_reports import Describe
 from arbutusflow.gateway.event_log import EventLog
 
+SIZE_PATH = pathlib.Path("/proc/self/statm")
 STEPS = (0.5, 0.6, 0.7, 0.8, 0.9)  # Parts of the limit.
 
 
@@ -18,6 +20,15 @@
     return 1024 * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
 
 
+def current_bytes() -> int:
+    """Return the size of the process in memory, or its largest one if unknown."""
+    try:
+        pages = int(SIZE_PATH.read_text().split()[1])
+    except (OSError, ValueError, IndexError):
+        return peak_bytes()
+    return pages * resource.getpagesize()
+
+
 class MemoryWatch:
     """Compares the peak with the limit."""
 
--- a/arbutusflow/gateway/metrics.py
+++ b/arbutusflow/gateway/metrics.py
@@ -25,6 +25,12 @@
             ["cause"],
             registry=self.registry,
         )
+        self._turned_away = prometheus_client.Counter(
+            "arbutusflow_callers_turned_away",
+            "Callers that were rejected or closed for what they sent or held",
+            ["reason"],
+            registry=self.registry,
+        )
         self._latency = prometheus_client.Histogram(
             "arbutusflow_request_seconds",
             "Time from the first byte of a request to its answer",
@@ -53,6 +59,10 @@
         """Count a connection that ended with unanswered requests, by the cause."""
         self._connection_ends.labels(cause).inc()
 
+    def count_turned_away(self, reason: str) -> None:
+        """Count a caller that was rejected or closed, by the reason."""
+        self._turned_away.labels(reason).inc()
+
     def observe_latency(self, seconds: float) -> None:
         """Record the latency of a request."""
         self._latency.observe(seconds)
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -20,8 +20,10 @@
 )
 from arbutusflow.gateway import error_reports, key_demand
 from arbutusflow.gateway.body_budget import BodyBudget
+from arbutusflow.gateway.callers.memory_account import MemoryAccount
 from arbutusflow.gateway.callers.messages import CallerRequest, CallerResponse, Headers
 from arbutusflow.gateway.callers.server import MAX_READ_SECONDS, CallerServer
+from arbutusflow.gateway.callers.turned_away import TurnedAway
 from arbutusflow.gateway.configuration_updates import ConfigurationUpdates
 from arbutusflow.gateway.connection_pool import ConnectionPool
 from arbutusflow.gateway.crash_strikes import CrashStrikes
@@ -43,7 +45,7 @@
 from arbutusflow.gateway.load.admission import Admission
 from arbutusflow.gateway.load.endpoint_load import EndpointTable
 from arbutusflow.gateway.load.retry_budget import RetryBudget
-from arbutusflow.gateway.memory_watch import MemoryWatch, peak_bytes
+from arbutusflow.gateway.memory_watch import MemoryWatch, current_bytes, peak_bytes
 from arbutusflow.gateway.metrics import GatewayMetrics
 from arbutusflow.gateway.model import (
     Address,
@@ -208,6 +210,15 @@
             self.dispatcher.handle, BodyBudget(lambda: body_bytes), log.write_exception
         )
         self.caller_server.unsent_budget = responses
+        self.caller_server.account = MemoryAccount.from_memory(
+            cfg.memory_bytes,
+            current_bytes(),
+            # Those that callers have not taken are in the account itself.
+            lambda: max(0, responses.held_bytes - self.caller_server.unsent_bytes),
+        )
+        self.caller_server.turned_away = TurnedAway(
+            self._log_turned_away, self.metrics.count_turned_away
+        )
         self.caller_server.max_connections = _max_connections(cfg)
         self.caller_server.read_seconds = _read_seconds
         self.caller_server.on_cut = self._log_cut
@@ -306,6 +317,9 @@
 
     def _check_ready(self, now: float) -> None:
         if self._configuration is not None and self.endpoint_copy.was_read:
+            if self.lifecycle.phase is Phase.STARTING:
+                # With the configuration and the endpoints, which may be many.
+                self.caller_server.account.set_start(current_bytes())
             self.lifecycle.become_ready(now)
 
     def _prune_connections(self) -> None:
@@ -590,6 +604,9 @@
         self.metrics.set_gauge("stray_responses", self.pool.strays)
         self.metrics.set_gauge("log_lines_dropped", self.log.dropped)
         self.metrics.set_gauge("peak_bytes", peak_bytes())
+        account = self.caller_server.account
+        self.metrics.set_gauge("callers_held_bytes", account.total_bytes)
+        self.metrics.set_gauge("callers_limit_bytes", account.limit_bytes)
         for name in ("choices_past_leaving", "choices_past_waiting"):
             self.metrics.set_gauge(name, getattr(self.endpoints, name))
         self.metrics.set_transfers(self.fleet_task.relay.counts)
@@ -691,6 +708,7 @@
             "pending": self.caller_server.pending_requests,
             "sent": sum(self.in_flight().values()),
             "peak_bytes": peak_bytes(),
+            "callers_held_bytes": self.caller_server.account.total_bytes,
         }
 
     def _count_outcome(self, outcome: str) -> None:
@@ -709,6 +727,18 @@
             held_seconds=round(self._loop.time() - req.received_at, 4),
         )
 
+    def _log_turned_away(
+        self, address: str, reason: str, held_bytes: int, count: int
+    ) -> None:
+        """Log a caller that was rejected or closed for what it sent or held."""
+        self.log.write_rate_limited(
+            "caller_turned_away",
+            address=address,
+            reason=reason,
+            held_bytes=held_bytes,
+            count=count,
+        )
+
     def _log_connection_end(self, cause: str, requests: list[CallerRequest]) -> None:
         """Log the end of a connection of a caller with unanswered requests."""
         self.metrics.count_connection_end(cause)
--- a/arbutusflow/gateway/reference.py
+++ b/arbutusflow/gateway/reference.py
@@ -85,7 +85,23 @@
     "error": "This instance met an error of its own, which is logged, too.",
     "process_ended": "The process ended.",
 }
+# Why callers were rejected or closed before they had a request that could be passed on.
+TURNED_AWAY = {
+    "bodies_full": "503: the memory for bodies of requests is used up.",
+    "body_too_large": "413: the body is larger than `maxBodyBytes`.",
+    "body_too_slow": "408: the body has been arriving for longer than `idleTimeoutS`, "
+    "at less than 64 bytes per second on average.",
+    "head_too_large": "431: the head, with empty lines in front of it, or a trailer "
+    "or an extension of a chunk is larger than `maxHeaderBytes`.",
+    "malformed": "400: the bytes are no request.",
+    "memory_full": "The memory for callers is used up, and this one had made least "
+    "progress for what it held: 503 to what it was sending, or the end of its "
+    "connection.",
+    "too_late": "408: the head or the body was not complete in time.",
+}
 STATES = {
+    "callers_held_bytes": "Memory that callers make the instance hold, by the account.",
+    "callers_limit_bytes": "How much of it there may be.",
     "choices_past_leaving": "Choices of an endpoint that went past one that leaves.",
     "choices_past_waiting": "Choices that went past one that asked to wait.",
     "connections_opened": "Connections to endpoints that were opened.",
@@ -107,6 +123,12 @@
         "`cause`",
         "Connections of callers that ended with unanswered requests.",
     ),
+    (
+        "arbutusflow_callers_turned_away_total",
+        "counter",
+        "`reason`",
+        "Callers that were rejected or closed for what they sent or held.",
+    ),
     (
         "arbutusflow_request_seconds",
         "histogram, seconds",
@@ -163,6 +185,13 @@
         "ended with unanswered requests.",
         "",
         *markdown_table(("cause", "meaning"), CONNECTION_ENDS.items()),
+        "## Callers that were turned away",
+        "",
+        "The label `reason` of `arbutusflow_callers_turned_away_total` and the log",
+        "line `caller_turned_away` name why. A status of 503 or 408 says that the",
+        "request has not run.",
+        "",
+        *markdown_table(("reason", "meaning"), TURNED_AWAY.items()),
         "## Values of the process",
         "",
         "The label `name` of `arbutusflow_state` is one of these.",
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -52,6 +52,11 @@
     def get_write_buffer_size(self) -> int:
         return self.unsent
 
+    def set_write_buffer_limits(
+        self, high: int | None = None, low: int | None = None
+    ) -> None:
+        pass
+
     def is_closing(self) -> bool:
         return self.closed
 
--- a/tests/gateway/test_fuzzing.py
+++ b/tests/gateway/test_fuzzing.py
@@ -7,15 +7,28 @@
 import asyncio
 import copy
 import dataclasses
+import os
 import random
+import sys
 
 import pytest
 from hypothesis import given, settings, strategies as st
 
 from arbutusflow.errors import ConfigurationError
 from arbutusflow.gateway.body_budget import BodyBudget
-from arbutusflow.gateway.callers.connection import CallerConnection
+from arbutusflow.gateway.callers.connection import (
+    MAX_PIPELINED_REQUESTS,
+    READ_BYTES,
+    CallerConnection,
+)
+from arbutusflow.gateway.callers.memory_account import (
+    CONNECTION_BYTES,
+    HEADER_BYTES,
+    REQUEST_BYTES,
+    WAITING_BYTES,
+)
 from arbutusflow.gateway.callers.messages import CallerResponse
+from arbutusflow.gateway.callers.request_reader import LONG_SLICE_BYTES
 from arbutusflow.gateway.callers.server import CallerServer
 from arbutusflow.gateway.client_connection import ClientConnection
 from arbutusflow.gateway.early_end import CHECK_SECONDS, SETTLING_SECONDS
@@ -48,6 +61,27 @@
     header_bytes=512, body_bytes=100, header_seconds=1.0, idle_seconds=2.0
 )
 DATAGRAMS = 4000
+MAX_TURNS = 1000  # Until reading goes on, unless no request is answered.
+# Of what callers send without end; more of them are for runs by hand.
+FUZZ_EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "100"))
+GET = b"GET /x/c HTTP/1.1\r\nHost: h\r\n\r\n"
+HEAD = b"GET /x/a HTTP/1.1\r\nHost: h\r\n"
+UPLOAD = b"POST /x/a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+# What a caller may repeat: heads, ends of heads, lines, trailers, chunks, bodies.
+HOSTILE_PARTS = (
+    GET,
+    HEAD,
+    UPLOAD,
+    b"\r\n",
+    b"a:\r\n",
+    b"a: b\r\n",
+    b"long-name: long-value-of-a-header\r\n",
+    b"x" * 50,
+    b"1\r\nx\r\n",
+    b"1;e=f\r\nx\r\n",
+    b"0\r\n",
+    b"POST /x/b HTTP/1.1\r\nHost: h\r\nContent-Length: 90\r\n\r\n",
+)
 
 
 def _paths(document, prefix=()):
@@ -149,6 +183,81 @@
     assert written == _serve([b"".join(pieces)])[0]
 
 
+class _PausingTransport(FakeTransport):
+    """Records whether reading is paused."""
+
+    paused = False
+
+    def pause_reading(self):
+        self.paused = True
+
+    def resume_reading(self):
+        self.paused = False
+
+
+def _real_size(reader):
+    """Return the memory of what a reader holds, as the interpreter counts it."""
+    headers = reader._headers
+    objects = [headers, *headers, reader._body, reader._rest, reader._target]
+    objects += [part for pair in headers for part in pair]
+    return sum(map(sys.getsizeof, objects))
+
+
+@settings(max_examples=FUZZ_EXAMPLES, deadline=None)
+@given(
+    parts=st.lists(
+        st.tuples(st.sampled_from(HOSTILE_PARTS), st.integers(1, 2000)), max_size=8
+    ),
+    size=st.integers(100, READ_BYTES),
+    answers=st.booleans(),
+)
+def test_one_connection_holds_a_bounded_amount_of_memory(parts, size, answers):
+    """Guards against bytes that become much more memory than the account knows of."""
+    data = b"".join(part * count for part, count in parts)[: 4 * READ_BYTES]
+    # Full rows of requests, and one slice of more; each byte may become a line in part.
+    received = MAX_PIPELINED_REQUESTS * (LIMITS.header_bytes + LIMITS.body_bytes)
+    received += LONG_SLICE_BYTES
+    bound = CONNECTION_BYTES + len(data) + received * (1 + HEADER_BYTES // 4)
+    bound += MAX_PIPELINED_REQUESTS * REQUEST_BYTES
+    bound += received // len(b"GET / HTTP/1.1\r\n\r\n") * WAITING_BYTES
+
+    async def main():
+        may_answer = asyncio.Event()
+        errors = []
+
+        async def handle(req):
+            await may_answer.wait()
+            return CallerResponse(200)
+
+        server = CallerServer(
+            handle, BodyBudget(lambda: 10**6), lambda *args: errors.append(args)
+        )
+        server.limits = LIMITS
+        if answers:
+            may_answer.set()
+        conn, transport = CallerConnection(server), _PausingTransport()
+        conn.connection_made(transport)
+        for at in range(0, len(data), size):
+            for _ in range(MAX_TURNS):
+                if not transport.paused:
+                    break
+                await asyncio.sleep(0)
+            if transport.paused or transport.closed:
+                break
+            conn.data_received(data[at : at + size])
+            holding = conn.holding
+            assert server.account.held_bytes == holding.held_bytes <= bound
+            assert _real_size(conn._reader) <= holding.reading_bytes + 1000
+            await asyncio.sleep(0)
+        conn.connection_lost(None)
+        may_answer.set()
+        await asyncio.sleep(0.1)
+        assert errors == []
+        assert (server.account.held_bytes, server.budget.held_bytes) == (0, 0)
+
+    run(main())
+
+
 def _exchange(pieces):
     """Return the body of the response that is accepted, or None."""
 
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -160,7 +160,7 @@
     page = metrics_page()
     families = re.findall(r"^# TYPE (\w+) (?:counter|gauge|histogram)$", text, re.M)
     families = [name for name in families if not name.endswith("_created")]
-    assert len(families) == 5
+    assert len(families) == 6
     assert [name for name in families if f"| {name} |" not in page] == []
 
 
