Let watches lag in the simulated fleet also while they wait for changes

Cause: the simulated lag delayed only the start of a watch, so a watcher that was not told by others learned of a change at once; a planted fault (watchers that request no evacuations) was not found.

Change: a lag of changes; the tests of evacuations use it, with instances in three zones, of which one has no reader, after the first watches have ended.

--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -90,7 +90,8 @@
         # By instance: seconds that answers are on their way after they were made.
         self.late_seconds: dict[str, float] = {}
         self.transit_seconds = 0.004  # Per call, and again for the reply of a watch.
-        self.lag_seconds = 0.0  # Delay of watches that may lag.
+        self.lag_seconds = 0.0  # Delay of watches that may lag, at their start.
+        self.change_lag_seconds = 0.0  # The same for changes while they wait.
         self.changed = asyncio.Event()
         # Seconds until an answer of some bytes has reached an instance.
         self.transfer_seconds: Callable[[str, int], float] = lambda name, size: 0.0
@@ -267,6 +268,8 @@
             async with asyncio.timeout(wait_seconds):
                 while store.era == era and not store.changes_since(number, kind):
                     await store.changed.wait()
+        if may_lag:
+            await asyncio.sleep(store.change_lag_seconds)
         if store.era != era:
             raise PlatformUnavailableError("cut off")
         await self._reach_store()
@@ -699,6 +702,8 @@
 class SimFleet:
     """Simulated instances, endpoints and store, with the faults to inject."""
 
+    zone_count = 2  # Of instances.
+
     def __init__(self, seed: int, log_fd: int, instances: int = 5) -> None:
         self.rng = random.Random(seed)
         self.log_fd = log_fd
@@ -734,7 +739,9 @@
         for number in range(4):
             self.add_endpoint(f"e{number}", f"z{number % 2}")
         self.instances = {
-            f"n{number}": SimInstance(self, f"n{number}", f"z{number % 2}")
+            f"n{number}": SimInstance(
+                self, f"n{number}", f"z{number % self.zone_count}"
+            )
             for number in range(instances)
         }
 
--- a/tests/gateway/test_evacuated_fleet.py
+++ b/tests/gateway/test_evacuated_fleet.py
@@ -4,21 +4,24 @@
 
 import pytest
 
-from tests.gateway.sim_fleet import SERVICE, SimInstance, run_fleet
+from tests.gateway.sim_fleet import SERVICE, SimFleet, SimInstance, run_fleet
 
 BOUND_SECONDS = 5.0
 LAG_SECONDS = 5.0  # Of watches that may lag.
+SETTLE_SECONDS = 20.0  # The first watch of a watcher does not lag, and takes 15 s.
 
 
 @pytest.fixture(autouse=True)
 def _keep_evacuations(monkeypatch):
     monkeypatch.setattr(SimInstance, "evacuation_seconds", BOUND_SECONDS)
+    # Readers are in two zones, so the watcher of the third one lags.
+    monkeypatch.setattr(SimFleet, "zone_count", 3)
 
 
 def run_settled(scenario, instances=12, **options):
     async def settled(sim):
-        await asyncio.sleep(12.0)
-        sim.store.lag_seconds = LAG_SECONDS
+        await asyncio.sleep(SETTLE_SECONDS)
+        sim.store.change_lag_seconds = LAG_SECONDS
         return await scenario(sim)
 
     return run_fleet(settled, instances=instances, **options)
