--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -33,7 +33,7 @@
 from arbutusflow.gateway.client_connection import ResponseProgress
 from arbutusflow.gateway.evacuations import Evacuations
 from arbutusflow.gateway.event_log import EventLog
-from arbutusflow.gateway.fleet import FLEET_KIND, InstanceRecord
+from arbutusflow.gateway.fleet import InstanceRecord
 from arbutusflow.gateway.fleet_task import WATCH_SECONDS, FleetTask
 from arbutusflow.gateway.key_table import KeyTable, StoredTable
 from arbutusflow.gateway.model import (
@@ -190,7 +190,10 @@
 
 def _is_of_kind(item: StoredObject, kind: str) -> bool:
     kinds = {OTHER_NAME: OTHER_KIND, **dict.fromkeys(ZONES, EVACUATIONS_KIND)}
-    return kinds.get(item.name, FLEET_KIND) == kind
+    # All other objects are of any other kind.
+    return kinds.get(item.name, kind) == kind and (
+        item.name in kinds or kind not in kinds.values()
+    )
 
 
 class SimStoreClient:
