Write and remove a record only as it was when that was decided

The task that removes or revokes the record of a silent instance began one turn of the event loop after the decision, and took the record as it was then. If the instance had confirmed its right in between, its record was removed although it might grant keys for 3 s more. Found by reading; no test shows it.

The record is now taken with the decision, so the write fails by its revision. A record under the name of another instance is ignored, so that each record has one object.

--- a/arbutusflow/gateway/fleet.py
+++ b/arbutusflow/gateway/fleet.py
@@ -266,6 +266,8 @@
                 record = msgspec.convert(item.spec, InstanceRecord)
             except msgspec.ValidationError:
                 continue  # Written by a later version of this program.
+            if name != INSTANCE_PREFIX + record.name:
+                continue  # No instance writes its record under another name.
             records[record.name] = record
             if self._record_seen.get(record.name, (None,))[0] != item.revision:
                 self._record_seen[record.name] = item.revision, now
--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -393,37 +393,42 @@
         right = self.fleet.due_right(now)
         if right is not None:
             self._writing_record = True
-            self._spawn(self._write_right(self.fleet.own_record, right))
+            known = self._stored_record(self.fleet.own_record)
+            self._spawn(self._write_right(self.fleet.own_record, right, known))
             return
         for record in self.fleet.expired_records(now):
             if self.fleet.is_planner(record.name, now):
                 self._writing_record = True
-                self._spawn(self._remove_record(record))
+                self._spawn(self._remove_record(record, self._stored_record(record)))
                 return
         if not self.fleet.has_store_contact(now):
             return
         for record in self.fleet.records_to_revoke(now):
             if self.fleet.is_planner(record.name, now):
                 self._writing_record = True
-                self._spawn(self._write_right(record, StoreRight.REVOKED))
+                known = self._stored_record(record)
+                self._spawn(self._write_right(record, StoreRight.REVOKED, known))
                 return
 
-    async def _write_right(self, record: InstanceRecord, right: StoreRight) -> None:
-        """Write into a record whether reading the store gives the right to grant."""
-        name = INSTANCE_PREFIX + record.name
-        known = self.copy.objects.get(name)
-        recorded = self.fleet.records.get(record.name)
+    def _stored_record(self, record: InstanceRecord) -> StoredObject:
+        return self.copy.objects[INSTANCE_PREFIX + record.name]
+
+    async def _write_right(
+        self, record: InstanceRecord, right: StoreRight, known: StoredObject
+    ) -> None:
+        """Write into a record whether reading the store gives the right to grant.
+
+        `known` is the record as it was when that was decided: it may say since then
+        that the instance lives.
+        """
+        spec = msgspec.to_builtins(record.with_right(right))
         try:
-            if (
-                known is not None
-                and recorded is not None
-                and recorded.life == record.life
-            ):
-                spec = msgspec.to_builtins(record.with_right(right))
-                item = await self._store.replace(FLEET_KIND, name, spec, known.revision)
-                self.copy.adopt(item)
-                self.fleet.update(self._loop.time())
-                self._log.write("store_right", name=record.name, right=right.value)
+            item = await self._store.replace(
+                FLEET_KIND, known.name, spec, known.revision
+            )
+            self.copy.adopt(item)
+            self.fleet.update(self._loop.time())
+            self._log.write("store_right", name=record.name, right=right.value)
         except ConflictError:
             self.copy.relist()
             await asyncio.sleep(REGISTER_RETRY_SECONDS)
@@ -469,13 +474,10 @@
         finally:
             self._writing_record = False
 
-    async def _remove_record(self, record: InstanceRecord) -> None:
-        name = INSTANCE_PREFIX + record.name
-        item = self.copy.objects.get(name)
+    async def _remove_record(self, record: InstanceRecord, known: StoredObject) -> None:
         try:
-            if item is not None:
-                await self._store.delete(FLEET_KIND, name, item.revision)
-                self._log.write("instance_forgotten", name=record.name)
+            await self._store.delete(FLEET_KIND, known.name, known.revision)
+            self._log.write("instance_forgotten", name=record.name)
         except PlatformError as exc:
             self._log.write_rate_limited(
                 "forget_failed", name=record.name, detail=str(exc)
