Let an answer of an owner end the pause before the next connection to it

An owner at its limit of connections takes no further ones, but answers on those that are open. Requests for its keys waited up to 0.4 s for the next probe, or were refused after 1.2 s, although a connection that is free again would have served them. An answer now lets the next request try at once, and shows that the owner lives.

--- a/arbutusflow/gateway/load/endpoint_load.py
+++ b/arbutusflow/gateway/load/endpoint_load.py
@@ -114,6 +114,7 @@
             # Answers to requests that were sent before the wait say nothing about it.
             self.on_trial = False
         self.last_response_at = now
+        self.owner_probes.note_answer(now)
         self.backoff_seconds = INITIAL_BACKOFF_SECONDS
         self.backoff_until = 0.0
 
--- a/arbutusflow/gateway/load/owner_probes.py
+++ b/arbutusflow/gateway/load/owner_probes.py
@@ -57,6 +57,16 @@
             return  # Begun before the first failure, like the one that was noted.
         self.retry_at, self.probing = now + self.pause_seconds, False
 
+    def note_answer(self, now: float) -> None:
+        """Note that the owner answered a request on a connection opened earlier.
+
+        It lives, and that connection may be free for the next request.
+        """
+        if self.failed_since is not None:
+            self.failed_since, self.pause_seconds = now, INITIAL_PAUSE_SECONDS
+            if not self.probing:
+                self.retry_at = now
+
     def succeed(self) -> None:
         """Note that there is a connection."""
         self.failed_since, self.probing = None, False
--- a/tests/gateway/test_owner_probes.py
+++ b/tests/gateway/test_owner_probes.py
@@ -84,6 +84,22 @@
     assert probes.wait_seconds(5.0) < 2 * 0.05
 
 
+def test_an_answer_shows_that_an_owner_at_its_limit_of_connections_lives():
+    """It takes no further connections, and answers on those that are open.
+
+    Guards against refusals while the next request could use one of them.
+    """
+    probes = OwnerProbes()
+    for now in (0.0, 0.5, 1.0, 1.5):
+        probes.begin(now)
+        probes.fail(now)
+    probes.note_answer(1.6)
+    assert not probes.wait_seconds(1.6)
+    assert probes.may_wait(1.6 + MAX_WAITED_FOR_SECONDS / 2)
+    probes.begin(1.6)
+    assert probes.wait_seconds(1.6)  # One at a time still.
+
+
 def test_a_request_is_sent_when_its_owner_takes_connections_again():
     """Guards against status 503 for a request of which nothing has been sent."""
     reply, sent, seconds = handle(*[NOT_CONNECTED] * 3, OK, partitioned=True)
