Return the memory of large blocks when they are freed

Cause: 60 bodies of 60 MB at once took 167 MB of an instance of 160 MB, of which the bodies held 47 MB. The C library raises the size from which blocks have pages of their own to the largest one that was freed, up to 32 MiB; growing bodies then move within the heap and leave holes.

Change: the process fixes that size to 512 KiB, and the free memory that is kept at the end of the heap to 4 MiB, with mallopt at its start.

--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -47,7 +47,12 @@
 from arbutusflow.gateway.load.cold_rate import ColdSends, sender_count
 from arbutusflow.gateway.load.endpoint_load import EndpointTable
 from arbutusflow.gateway.load.retry_budget import RetryBudget
-from arbutusflow.gateway.memory_watch import MemoryWatch, current_bytes, peak_bytes
+from arbutusflow.gateway.memory_watch import (
+    MemoryWatch,
+    current_bytes,
+    peak_bytes,
+    return_large_blocks,
+)
 from arbutusflow.gateway.metrics import GatewayMetrics
 from arbutusflow.gateway.model import (
     Address,
@@ -931,6 +936,7 @@
     Any error is logged and raised again. Raises OSError if an address is in use.
     """
     gateway: Gateway | None = None
+    return_large_blocks()
 
     async def main() -> None:
         nonlocal gateway
