--- a/arbutusflow/gateway/callers/request_reader.py
+++ b/arbutusflow/gateway/callers/request_reader.py
@@ -38,11 +38,11 @@
 LONG_SLICE_BYTES = 8_192
 FEW_CALLS = 8
 # Calls of the parser for header lines, parts of bodies and requests in one turn of the
-# event loop, above which the rest waits. A call takes about 0.6 us, and a slice of
-# 1 KiB has at most 256. A usual head has 10 to 50.
+# event loop, above which the rest waits. A slice of 1 KiB has at most 256, which take
+# 0.03 to 0.2 ms. A usual head has 10 to 50.
 CALLS_PER_TURN = 256
-# Turns between two polls of the event loop. One parses a slice (0.2 ms) or passes a
-# pipelined request to the handler (0.3 ms), so all of them take 10 to 20 ms.
+# Turns between two polls of the event loop. One parses a slice, so that all of them
+# take 2 to 11 ms, or passes a pipelined request to the handler.
 TURNS_AT_ONCE = 64
 
 
