Evict answers by what callers have taken of them by now

Cause: how much of an answer is taken was counted only when all of it was, so an answer that is being taken came before one that is not. In a stop, a request that waits for the handler in front of a rejection was not answered if its turn came too late (by reading).

Change: what is taken is counted before callers are chosen, and progress counts from the latest response. A stop writes the responses to requests that wait.

--- a/arbutusflow/gateway/callers/connection.py
+++ b/arbutusflow/gateway/callers/connection.py
@@ -419,6 +419,11 @@
         elif not self.is_closing:
             self.close_if_idle()
 
+    def update_holding(self) -> None:
+        """Count what the caller has taken of its responses."""
+        if self._writing_paused:
+            self._count_unsent()
+
     def _close_input(self) -> None:
         """Process no further input; a request that is not complete is dropped."""
         self._reader.close()
@@ -436,6 +441,8 @@
             self._close_input()
         while self._waiting:
             self._waiting.popleft().reply = CallerResponse(503, RETRY_SOON)
+        if self._pipeline:
+            self._write_ready_responses()
         for pipelined in self._pipeline:
             if pipelined.task is not None and pipelined.reply is None:
                 pipelined.task.add_done_callback(
@@ -495,14 +502,15 @@
                 self._close_after_response()
                 return
         if self._waiting and not self._lost:
-            # At once if it is the only one, as without those before it.
-            if len(self._waiting) == len(self._pipeline):
+            # At once if nothing else is with the handler.
+            if self._waiting[0] is self._pipeline[0]:
                 self._start_next()
             else:
                 self._ask_for_turn()
         if not self._pipeline and not self._lost:
             self.idle_since = self._loop.time()
-            self._measure_progress(self.idle_since)
+            # The caller takes this response, or sends the next request.
+            self.holding.restart(self.idle_since)
             if not self._reader.request_started:
                 self._start_timer(self._server.limits.idle_seconds, _Limit.IDLE)
             else:
--- a/arbutusflow/gateway/callers/server.py
+++ b/arbutusflow/gateway/callers/server.py
@@ -147,6 +147,7 @@
         now = asyncio.get_running_loop().time()
         if now < self._no_evictions_until:
             return False
+        self._call_each(lambda conn: conn.update_holding(), list(self.connections))
         chosen = set(self.account.choose(now))
         self._call_each(
             lambda conn: conn.evict(),
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -158,6 +158,42 @@
     assert kept.count([200]) == len(targets)
 
 
+def test_an_answer_that_is_being_taken_is_not_evicted_for_one_that_is_not():
+    """Guards against an eviction by how an answer stood when it was written."""
+
+    async def scenario(world, heads):
+        callers = [world.connect(GET % b"a") for _ in range(2)]
+        await asyncio.sleep(0.01)
+        for conn, transport in callers:
+            transport.unsent = 1_000_000
+            conn.pause_writing()
+        await asyncio.sleep(5.0)
+        callers[0][1].unsent = 400_000
+        for _ in range(heads):
+            world.connect(HEAD + SHORT_LINES)
+        await asyncio.sleep(0.1)
+        return [transport.aborted for _, transport in callers]
+
+    limit = 2_050_000
+    assert _play(lambda world: scenario(world, 1), limit) == [False, False]
+    assert _play(lambda world: scenario(world, 3), limit) == [False, True]
+
+
+def test_an_instance_that_ends_answers_requests_that_wait_for_the_handler():
+    """Guards against a stop that waits for a response that nobody writes."""
+
+    async def scenario(world):
+        world.may_answer.clear()
+        _, transport = world.connect((GET % b"a") * 20 + b"GARBAGE\r\n\r\n")
+        world.server.finish()
+        await asyncio.sleep(0.1)
+        return statuses(transport), world.server.pending_requests, len(world.targets)
+
+    answered, pending, ran = _play(scenario)
+    assert answered == [503] * 20 + [400]
+    assert (pending, ran) == (0, 0)
+
+
 def test_answers_that_are_not_taken_are_evicted():
     async def scenario(world):
         conn, transport = world.connect(GET % b"a")
