Let bodies that stopped give way, and count progress for a second ahead

Cause: bodies that came at once and stopped one byte short counted as ahead of a steady caller for a minute, and held the memory for bodies until their time limit, so other uploads were refused (503).

Change: what is sent or taken counts for at most one second ahead. When the memory for bodies is full, bodies of 16 KiB or more that have been behind for 1 s are rejected (503, not run) for one that arrives.

--- a/arbutusflow/gateway/callers/connection.py
+++ b/arbutusflow/gateway/callers/connection.py
@@ -399,14 +399,13 @@
         self._pipeline.append(pipelined)
         self._write_ready_responses()
 
-    def evict(self) -> None:
+    def evict(self, reason: str = "memory_full") -> None:
         """Return memory: reject what is being read, or close the connection.
 
         What is being read has not run. Requests that were read before it are answered.
         """
         if self._lost or self._transport is None or self._transport.is_closing():
             return
-        reason = "memory_full"
         if self._pipeline or (self._reader.request_started and not self._unsent_bytes):
             if not self._reader.closed:
                 self.reject(503, reason, RETRY_SOON)
@@ -573,6 +572,8 @@
         if not self._writing_paused:
             self._latest_request, self._latest_charge = None, 0
         change, self._unsent_bytes = size - self._unsent_bytes, size
+        if change < 0:
+            self.holding.advance(-change, self._loop.time())
         if change:
             self.holding.set_answers(size + (self._latest_charge if size else 0))
             self._server.count_unsent(change)
@@ -634,6 +635,7 @@
             self._body_at, self._body_size = now, self._reader.body_size
             self._start_timer(self._body_due(now)[0] - now, _Limit.BODY)
         elif self._reader.body_size != self._body_size:
+            self.holding.advance(self._reader.body_size - self._body_size, now)
             self._body_at, self._body_size = now, self._reader.body_size
 
     def _measure_progress(self, now: float) -> None:
--- a/arbutusflow/gateway/callers/memory_account.py
+++ b/arbutusflow/gateway/callers/memory_account.py
@@ -30,6 +30,12 @@
 # Callers that send or take this many bytes per second are not behind: a slow link of
 # 0.5 Mbit/s is as fast.
 STEADY_BYTES_PER_SECOND = 65_536
+# What arrives or is taken faster counts for so long after it, so that a body which came
+# at once and stopped just short of its end is behind soon.
+MOST_AHEAD_SECONDS = 1.0
+# A body that is behind for so long may be given up for another one.
+STALLED_SECONDS = 1.0
+LEAST_STALLED_BYTES = 16_384
 LEAST_SECONDS = 0.001  # Lag of a caller that is not behind, to compare what they hold.
 
 
@@ -40,10 +46,9 @@
         "_account",
         "address",
         "answer_bytes",
-        "progress_bytes",
+        "covered_until",
         "reading_bytes",
         "request_bytes",
-        "since",
     )
 
     def __init__(self, account: "MemoryAccount") -> None:
@@ -52,8 +57,8 @@
         self.reading_bytes = 0  # Of the request that arrives, and unparsed input.
         self.request_bytes = 0  # Of complete requests without a response.
         self.answer_bytes = 0  # Of responses that the caller has not taken.
-        self.since = 0.0  # When it began to hold what it holds.
-        self.progress_bytes = 0  # Sent of a body, or taken of responses, since then.
+        # Until when what was sent or taken suffices for a steady caller.
+        self.covered_until = 0.0
 
     @property
     def held_bytes(self) -> int:
@@ -91,21 +96,22 @@
         self.request_bytes += size
 
     def set_answers(self, size: int) -> None:
-        """Charge for responses that have not been taken; fewer bytes are progress."""
-        change = size - self.answer_bytes
-        if change < 0:
-            self.progress_bytes -= change
-        self._account.held_bytes += change
+        """Charge for responses that have not been taken."""
+        self._account.held_bytes += size - self.answer_bytes
         self.answer_bytes = size
 
     def restart(self, now: float) -> None:
         """Measure progress from now on."""
-        self.since, self.progress_bytes = now, 0
+        self.covered_until = now
+
+    def advance(self, size: int, now: float) -> None:
+        """Note that the caller has sent or taken so many bytes."""
+        covered = self.covered_until + size / STEADY_BYTES_PER_SECOND
+        self.covered_until = min(covered, now + MOST_AHEAD_SECONDS)
 
     def burden(self, now: float) -> float:
         """Return what is held, times the seconds that the caller is behind."""
-        due = now - self.since - self.progress_bytes / STEADY_BYTES_PER_SECOND
-        return self.evictable_bytes * max(due, LEAST_SECONDS)
+        return self.evictable_bytes * max(now - self.covered_until, LEAST_SECONDS)
 
 
 @dataclasses.dataclass(slots=True)
@@ -186,6 +192,23 @@
             chosen += self._choose(now, excess, idle=True)[0]
         return chosen
 
+    def choose_stalled(self, now: float, size: int) -> list[Holding]:
+        """Return the connections whose bodies to give up for one of this size."""
+        stalled = [
+            holding
+            for holding in self._holdings
+            if holding.reading_bytes >= LEAST_STALLED_BYTES
+            and now - holding.covered_until >= STALLED_SECONDS
+        ]
+        stalled.sort(key=lambda holding: holding.burden(now), reverse=True)
+        chosen: list[Holding] = []
+        for holding in stalled:
+            if size <= 0:
+                break
+            chosen.append(holding)
+            size -= holding.reading_bytes
+        return chosen
+
     def _choose(
         self, now: float, excess: float, *, idle: bool
     ) -> tuple[list[Holding], int]:
--- a/arbutusflow/gateway/callers/request_reader.py
+++ b/arbutusflow/gateway/callers/request_reader.py
@@ -290,11 +290,10 @@
         self._head_size = 0
         if len(self._body) + len(body) > self._server.limits.body_bytes:
             self._receiver.reject(413, "body_too_large")
-        elif not self._server.budget.take(len(body)):
+        elif not self._server.take_body(self._holding, len(body)):
             self._receiver.reject(503, "bodies_full", ((b"Retry-After", b"0.5"),))
         else:
             self._reserved_bytes += len(body)
-            self._holding.progress_bytes += len(body)
             self._body += body
 
     def on_message_complete(self) -> None:
--- a/arbutusflow/gateway/callers/server.py
+++ b/arbutusflow/gateway/callers/server.py
@@ -24,6 +24,8 @@
 CLOSED_AT_ONCE = 200  # Idle connections that one call of `close_idle` closes.
 # For a request whose body takes longer than any caller waits.
 MAX_READ_SECONDS = 60.0
+# How much is returned at a time when the budget for bodies is full.
+BODY_RELIEF_BYTES = 1_048_576
 # After evictions that were not enough, none are tried for this time: what is held then
 # is at endpoints, and looking at all connections takes milliseconds.
 EVICTION_PAUSE_SECONDS = 0.05
@@ -59,6 +61,7 @@
         self.turns = ReadTurns()
         self._read_buffer: memoryview | None = None
         self._no_evictions_until = float("-inf")
+        self._no_stalled_until = float("-inf")
         self._makes_room_soon = False
         self.on_error = on_error
         self.on_cut: CutHandler = lambda req, cause: None
@@ -157,6 +160,24 @@
             self._no_evictions_until = now + EVICTION_PAUSE_SECONDS
         return not self.account.is_full
 
+    def take_body(self, holding: Holding, size: int) -> bool:
+        """Reserve memory for a part of a body, if need be that of stalled ones."""
+        if self.budget.take(size):
+            return True
+        now = asyncio.get_running_loop().time()
+        if now < self._no_stalled_until or not self.budget.fits(size):
+            return False
+        chosen = set(self.account.choose_stalled(now, size + BODY_RELIEF_BYTES))
+        chosen.discard(holding)  # It goes on.
+        if not chosen:
+            self._no_stalled_until = now + EVICTION_PAUSE_SECONDS
+            return False
+        self._call_each(
+            lambda conn: conn.evict("bodies_full"),
+            [conn for conn in self.connections if conn.holding in chosen],
+        )
+        return self.budget.take(size)
+
     def make_room_soon(self) -> None:
         """Make room outside of the current call, if it is necessary."""
         if self.account.is_full and not self._makes_room_soon:
--- a/arbutusflow/gateway/reference.py
+++ b/arbutusflow/gateway/reference.py
@@ -96,7 +96,8 @@
 }
 # Why callers were rejected or closed before they had a request that could be passed on.
 TURNED_AWAY = {
-    "bodies_full": "503: the memory for bodies of requests is used up.",
+    "bodies_full": "503: the memory for bodies of requests is used up, or was needed "
+    "for another one while this one did not go on.",
     "body_too_large": "413: the body is larger than `maxBodyBytes`.",
     "body_too_slow": "408: the body has been arriving for longer than `idleTimeoutS`, "
     "at less than 64 bytes per second on average.",
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -179,6 +179,24 @@
     assert _play(lambda world: scenario(world, 3), limit) == [False, True]
 
 
+def test_a_stalled_body_gives_way_to_one_that_arrives():
+    """Guards against uploads that are refused for as long as others stay open."""
+
+    async def scenario(world):
+        world.server.budget = BodyBudget(lambda: 500_000)
+        stalled = [world.connect(POST % 200_001 + b"x" * 200_000) for _ in range(2)]
+        await asyncio.sleep(0.5)
+        _, early = world.connect(POST % 200_000 + b"x" * 200_000)
+        await asyncio.sleep(3.0)
+        _, late = world.connect(POST % 200_000 + b"x" * 200_000)
+        await asyncio.sleep(0.1)
+        return [statuses(x) for x in (early, late, *(y for _, y in stalled))]
+
+    early, late, *stalled = _play(scenario)
+    assert (early, late) == ([503], [200])
+    assert [503] in stalled
+
+
 def test_an_instance_that_ends_answers_requests_that_wait_for_the_handler():
     """Guards against a stop that waits for a response that nobody writes."""
 
--- a/tests/gateway/test_memory_account.py
+++ b/tests/gateway/test_memory_account.py
@@ -57,13 +57,25 @@
     account = MemoryAccount(LIMIT)
     stopped = hold(account, **{kind: LIMIT // 2})
     steady = hold(account, **{kind: LIMIT // 2})
-    steady.progress_bytes = 5 * STEADY_BYTES_PER_SECOND
+    steady.advance(5 * STEADY_BYTES_PER_SECOND, NOW)
     small = hold(account, reading=200, since=NOW - 0.1)
     chosen = account.choose(NOW)
     assert chosen == [stopped]
     assert small not in chosen
 
 
+def test_a_body_that_came_at_once_and_stopped_is_behind_soon():
+    """Guards against a credit of minutes for large bodies one byte short."""
+    account = MemoryAccount(LIMIT)
+    stopped = hold(account, reading=LIMIT // 2, since=NOW - 5.0)
+    stopped.advance(LIMIT, NOW - 5.0)
+    coming = hold(account, reading=LIMIT // 2, since=NOW - 5.0)
+    coming.advance(LIMIT, NOW)
+    assert account.choose(NOW) == [stopped]
+    assert account.choose_stalled(NOW, 1) == [stopped]
+    assert account.choose_stalled(NOW - 4.0, 1) == []
+
+
 def test_a_request_at_an_endpoint_is_never_evicted():
     account = MemoryAccount(LIMIT)
     hold(account, request=2 * LIMIT)
