Keep the keys of a service in evacuated zones where they are

Cause: when the last zone of a service is evacuated, all its endpoints count as ready, and balancing moved keys back to the zone that was evacuated before. test_evacuated_path showed it once in the run of all touched tests.

Change: the planner does not balance a service that exists only in evacuated zones. The copies of the store start in the order of before.

--- a/arbutusflow/gateway/evacuations.py
+++ b/arbutusflow/gateway/evacuations.py
@@ -186,6 +186,13 @@
             seen, times, *self._cold_seconds(endpoints, revision_of, now)
         )
 
+    def may_balance(self, service: str) -> bool:
+        """Return whether keys of a service may move to even out the load.
+
+        Those of a service that exists only in evacuated zones stay where they are.
+        """
+        return not any(service in names for names in self.services_only_there.values())
+
     def describe(
         self, states: Iterable[EndpointState], owners: Collection[str], now: float
     ) -> tuple[EvacuatedZone, ...]:
--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -131,6 +131,8 @@
         self.loads_of: Callable[[str], dict[int, float]] = lambda service: {}
         self.capacities_of: Callable[[str], dict[str, float]] = lambda service: {}
         self.has_recent_demand: Callable[[str], bool] = lambda service: True
+        # Whether keys of a service may move to even out the load; set by the process.
+        self.may_balance: Callable[[str], bool] = lambda service: True
 
     def track_table(self, stored: StoredTable, now: float) -> None:
         """Start tracking the leaving ranges of a new table.
@@ -205,6 +207,7 @@
             and self._fleet.is_planner(service, now)
             and self._fleet.can_move_without_wait(now)
             and self.has_recent_demand(service)
+            and self.may_balance(service)
         )
         leaving = _LeavingState(self, service, now)
         if not balance and not key_planner.needs_change(table, endpoints, leaving):
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -210,6 +210,7 @@
             observe_latency=self.metrics.observe_latency,
         )
         self.fleet_task.orders.on_leaving = self._on_leaving
+        self.fleet_task.moves.may_balance = self.evacuations.may_balance
         body_bytes = int(cfg.memory_bytes * BODY_MEMORY_FRACTION)
         self.caller_server = CallerServer(
             self.dispatcher.handle, BodyBudget(lambda: body_bytes), log.write_exception
@@ -258,7 +259,8 @@
         )
         for period, callback in self._periodic_callbacks():
             self._timers.subscribe(period, callback)
-        for copy in self.fleet_task.relay.copies.values():
+        copies = (self.config_copy, self.endpoint_copy, self.fleet_task.copy)
+        for copy in (*copies, *filter(None, [self.evacuation_copy])):
             self._start_task(copy.run())
         await self._stopped.wait()
         self.caller_server.report_cut()
--- a/tests/gateway/sim_fleet.py
+++ b/tests/gateway/sim_fleet.py
@@ -611,6 +611,7 @@
             max_lease_seconds=10.0,
             rng=random.Random(life),
         )
+        self.task.moves.may_balance = self.evacuations.may_balance
         self.task.peers.connection_made(_DatagramTransport(sim, name))  # type: ignore[arg-type]
         self._check_tables()
         self.task.set_partitioned_services([SERVICE])
