Test that the bound of evacuations is a period

Cause: no test read evacuateS from a settings file.

Change: the test of the grace period checks both fields, and that the bound may be missing.

--- a/tests/gateway/test_documents.py
+++ b/tests/gateway/test_documents.py
@@ -185,21 +185,28 @@
 
 
 @pytest.mark.parametrize(
-    "grace, accepted",
+    "period, accepted",
     [("0", True), ("0.5", True), ("-1", False), ("nan", False), ('"x"', False)],
 )
-def test_a_grace_period_that_is_no_period_is_rejected(grace, accepted, tmp_path):
-    """Guards against a stop that is planned with times in the past."""
+def test_a_period_of_a_stop_or_evacuation_is_one(period, accepted, tmp_path):
+    """Guards against a stop that is planned with times in the past, and against an
+    evacuation that never ends service."""
     ports = {"front": 1, "ready": 2, "peer": 3, "store": 4}
     hosts = {"host": "127.0.0.1", "store_host": "127.0.0.1"}
     text = SETTINGS.format(name="n", zone="z", **hosts, **ports)
     path = tmp_path / "node.toml"
-    path.write_text(text.replace("graceS = 6", f"graceS = {grace}"))
-    if accepted:
-        assert load_settings(path).stop_seconds == float(grace)
-    else:
-        with pytest.raises(SettingsError, match=str(path)):
-            load_settings(path)
+    path.write_text(text)
+    assert load_settings(path).evacuation_seconds is None
+    fields = {"graceS = 6": "stop_seconds", "evacuateS = 5": "evacuation_seconds"}
+    for name, field in fields.items():
+        changed = text.replace("graceS = 6", "graceS = 6\nevacuateS = 5")
+        changed = changed.replace(name, f"{name.split()[0]} = {period}")
+        path.write_text(changed)
+        if accepted:
+            assert getattr(load_settings(path), field) == float(period)
+        else:
+            with pytest.raises(SettingsError, match=str(path)):
+                load_settings(path)
 
 
 @pytest.mark.parametrize("memory", ["inf", "nan", "1e400", '"x"', "[]"])
