--- a/arbutusflow/gateway/key_moves.py
+++ b/arbutusflow/gateway/key_moves.py
@@ -139,6 +139,8 @@
         self.cold_endpoints: Callable[[str, float], Collection[str]] = (
             lambda service, now: ()
         )
+        # Whether keys of a service may move to even out the load; set by the process.
+        self.may_balance: Callable[[str], bool] = lambda service: True
 
     def track_table(self, stored: StoredTable, now: float) -> None:
         """Start tracking the leaving ranges of a new table.
@@ -213,6 +215,7 @@
             and self._fleet.is_planner(service, now)
             and self._fleet.can_move_without_wait(now)
             and self.has_recent_demand(service)
+            and self.may_balance(service)
         )
         leaving = _LeavingState(self, service, now)
         if not balance and not key_planner.needs_change(table, endpoints, leaving):
