Check configurations before they are sent

Cause: an error in a configuration showed only in the log of the instances, the first one alone, and entries without effect or limits that contradict each other showed nowhere.

Change: `arbutusflow config check FILE [--against FILE] [--json]` prints all errors, entries without effect, contradictions, and what differs from the version in force.

--- a/arbutusflow/cli/exit_status.py
+++ b/arbutusflow/cli/exit_status.py
@@ -13,7 +13,8 @@
     """Exit status of a command."""
 
     DONE = 0
-    FAILED = 1  # Refused, or an error without a status of its own.
+    # Refused, warnings of a check, or an error without a status of its own.
+    FAILED = 1
     INVALID_INPUT = 2  # An invalid file or argument.
     UNREACHABLE = 3  # No response from an instance.
 
--- a/arbutusflow/cli/main.py
+++ b/arbutusflow/cli/main.py
@@ -9,7 +9,7 @@
 from typer.core import TyperGroup
 
 from arbutusflow import __version__
-from arbutusflow.cli import explain, gateway, reference
+from arbutusflow.cli import configuration, explain, gateway, reference
 from arbutusflow.cli.evacuations import evacuations
 from arbutusflow.cli.exit_status import exit_status_for
 from arbutusflow.cli.instances import instances
@@ -47,6 +47,7 @@
 app.command("evacuations")(evacuations)
 app.add_typer(explain.app, name="explain")
 app.add_typer(reference.app, name="reference")
+app.add_typer(configuration.app, name="config")
 
 
 @app.command()
--- a/arbutusflow/gateway/model.py
+++ b/arbutusflow/gateway/model.py
@@ -6,9 +6,12 @@
 import dataclasses
 import enum
 from collections.abc import Mapping
+from typing import Generic, TypeVar
 
 import msgspec
 
+T = TypeVar("T")
+
 KEY_SPACE = 65536  # Keys of a partitioned service are integers from 0 to 65535.
 
 
@@ -146,6 +149,80 @@
     limits: CallerLimits
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed(Generic[T]):
+    """A value of a document and its place there, such as `hosts[1].host`."""
+
+    place: str
+    value: T
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetDraft:
+    """A service among the targets of a route; None for values that are invalid."""
+
+    service: Placed[str] | None
+    weight: Placed[float] | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteDraft:
+    """A route that has not been validated; None for values that are invalid."""
+
+    place: str
+    name: Placed[str] | None
+    host: Placed[str] | None  # As written, which may be in upper case.
+    prefix: Placed[str] | None
+    kind: Placed[str] | None
+    timeout_seconds: Placed[float] | None
+    objective_seconds: Placed[float] | None
+    rank: Placed[int] | None
+    max_attempts: Placed[int] | None
+    targets: Placed[tuple[TargetDraft, ...]] | None
+    uploads: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceDraft:
+    """A service that has not been validated; None for values that are invalid."""
+
+    place: str
+    name: Placed[str] | None
+    health_path: Placed[str] | None
+    max_connections: Placed[int] | None
+    protocol: Placed[str]
+    partitioned: Placed[bool]
+    cold_rate: Placed[float | None]
+    served: bool  # Services with other protocols are left out.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitsDraft:
+    """Limits that have not been validated; None for values that are invalid."""
+
+    header_bytes: Placed[int] | None
+    body_bytes: Placed[int] | None
+    header_seconds: Placed[float] | None
+    idle_seconds: Placed[float] | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationDraft:
+    """A configuration that has not been validated, with the places of its values.
+
+    `problems` are the values that the decoder refuses, each with the reason.
+    """
+
+    version: Placed[int] | None
+    hosts: tuple[Placed[str], ...]
+    routes: tuple[RouteDraft, ...]
+    services: tuple[ServiceDraft, ...]
+    limits: LimitsDraft | None
+    problems: tuple[Placed[str], ...]
+    # Whether the routes and their services are all there.
+    references_complete: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Endpoint:
     """Registration of an endpoint in the store."""
--- a/arbutusflow/platform/documents.py
+++ b/arbutusflow/platform/documents.py
@@ -18,7 +18,8 @@
 
 # Of routes; any other kind may run at most once.
 _IDEMPOTENT_KINDS = ("safe", "download")
-_MALFORMED_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
+# Raised for values that cannot be decoded.
+MALFORMED_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
 def decode_configuration(spec: Any) -> Configuration:
@@ -41,7 +42,7 @@
         # Services with other protocols are left out. Their routes remain, and requests
         # to them are refused.
         services = {
-            _text(item["name"]): _service(item)
+            read_text(item["name"]): _service(item)
             for item in spec["services"]
             if item.get("protocol", "h1") == "h1"
         }
@@ -56,24 +57,26 @@
             services=services,
             limits=_limits(spec["limits"]),
         )
-    except _MALFORMED_ERRORS as exc:
+    except MALFORMED_ERRORS as exc:
         raise ConfigurationError(f"malformed configuration: {exc!r}") from exc
 
 
-def _text(value: Any) -> str:
+def read_text(value: Any) -> str:
+    """Return a string. Raises TypeError for any other value."""
     if not isinstance(value, str):
         raise TypeError(f"{value!r} is not a string")
     return value
 
 
-def _number(value: Any) -> float:
+def read_number(value: Any) -> float:
+    """Return a finite number of at least 0. Raises one of `MALFORMED_ERRORS`."""
     number = float(value)
     if not math.isfinite(number) or number < 0:
         raise ValueError(f"{value!r} is not a finite number of at least 0")
     return number
 
 
-def _cold_rate(item: dict[str, Any]) -> float | None:
+def read_cold_rate(item: dict[str, Any]) -> float | None:
     """Return the rate of a service; 0 if it has one that is no positive number."""
     if "coldPerS" not in item:
         return None
@@ -89,22 +92,22 @@
 
 def _service(item: dict[str, Any]) -> Service:
     return Service(
-        name=_text(item["name"]),
+        name=read_text(item["name"]),
         health_path=item["healthPath"],
-        max_connections=int(_number(item["maxConns"])),
+        max_connections=int(read_number(item["maxConns"])),
         partitioned=bool(item.get("sharded", False)),
-        cold_rate=_cold_rate(item),
+        cold_rate=read_cold_rate(item),
     )
 
 
 def _route(host: str, item: dict[str, Any]) -> Route:
     if "trafficSplit" in item:
         targets = tuple(
-            WeightedService(_text(part["service"]), _number(part["weight"]))
+            WeightedService(read_text(part["service"]), read_number(part["weight"]))
             for part in item["trafficSplit"]
         )
     else:
-        targets = (WeightedService(_text(item["service"]), 1.0),)
+        targets = (WeightedService(read_text(item["service"]), 1.0),)
     if not targets:
         raise ValueError(f"route {item['name']!r} has no service")
     repeatability = (
@@ -113,24 +116,24 @@
         else Repeatability.AT_MOST_ONCE
     )
     return Route(
-        name=_text(item["name"]),
-        host=_text(host).lower(),
-        prefix=_text(item["pathPrefix"]),
+        name=read_text(item["name"]),
+        host=read_text(host).lower(),
+        prefix=read_text(item["pathPrefix"]),
         repeatability=repeatability,
         targets=targets,
-        timeout_seconds=_number(item["timeoutS"]),
-        objective_seconds=_number(item["targetLatencyS"]),
-        rank=int(_number(item["priority"])),
-        max_attempts=int(_number(item["maxAttempts"])),
+        timeout_seconds=read_number(item["timeoutS"]),
+        objective_seconds=read_number(item["targetLatencyS"]),
+        rank=int(read_number(item["priority"])),
+        max_attempts=int(read_number(item["maxAttempts"])),
     )
 
 
 def _limits(item: dict[str, Any]) -> CallerLimits:
     return CallerLimits(
-        header_bytes=int(_number(item["maxHeaderBytes"])),
-        body_bytes=int(_number(item["maxBodyBytes"])),
-        header_seconds=_number(item["headerTimeoutS"]),
-        idle_seconds=_number(item["idleTimeoutS"]),
+        header_bytes=int(read_number(item["maxHeaderBytes"])),
+        body_bytes=int(read_number(item["maxBodyBytes"])),
+        header_seconds=read_number(item["headerTimeoutS"]),
+        idle_seconds=read_number(item["idleTimeoutS"]),
     )
 
 
@@ -178,9 +181,9 @@
             zone=info["zone"],
             slots=slots,
             draining=state == "draining",
-            cold_seconds=_number(max(0, cold_seconds)),
+            cold_seconds=read_number(max(0, cold_seconds)),
             started_ms=started_ms,
             entry_number=entry_number(item),
         )
-    except _MALFORMED_ERRORS as exc:
+    except MALFORMED_ERRORS as exc:
         raise ValueError(f"malformed endpoint document: {exc!r}") from exc
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -44,6 +44,8 @@
         ("explain",),
         ("gateway",),
         ("reference", "absent"),
+        ("config",),
+        ("config", "check"),
         ("x",),
     ],
 )
@@ -58,13 +60,14 @@
     """Guards against a command that is left out, or one that nothing answers."""
     lines = run("--help").output.partition("Commands:")[2].splitlines()
     names = [line.split()[0] for line in lines if line.startswith("  ")]
-    assert names[:6] == [
+    assert names[:7] == [
         "gateway",
         "instances",
         "evacuations",
         "version",
         "explain",
         "reference",
+        "config",
     ]
 
 
