State the number of an entry in the demo's endpoints

Cause: decoded endpoints carry the number of their entry since the limit of cold endpoints, and the demo's entries did not state the 1 that the stand-in writes; test_object_store failed. Change: the stand-in writes the number that the endpoint has, and the demo's have 1. Result: test_object_store passes (7).

--- a/arbutusflow/platform/other_side.py
+++ b/arbutusflow/platform/other_side.py
@@ -161,7 +161,7 @@
         },
         "status": {
             "state": "draining" if endpoint.draining else "ready",
-            "seq": 1,
+            "seq": 1 if endpoint.entry_number is None else endpoint.entry_number,
             "coldLeftS": endpoint.cold_seconds,
         },
         "born": endpoint.started_ms,
--- a/arbutusflow/standins/demo_world.py
+++ b/arbutusflow/standins/demo_world.py
@@ -146,6 +146,7 @@
             draining=False,
             cold_seconds=0.0,
             started_ms=1,
+            entry_number=1,
         )
 
     @property
