Learn how much each endpoint handles well, behind a setting

Cause: one instance sends an endpoint 0.1 to 0.2 requests a second, so its own measured time of a request says little, and endpoints of one service differ in speed.

Change: `load/endpoint_room` has the figure (time of a request, requests at once) as a function of samples by band of requests in flight; `load/room_reports` counts answers, merges them at the granters of a zone, and tells followers what has changed. `learnRoom` switches it on; without it messages and choices are as before.

--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -556,6 +556,10 @@
         refused = _is_refusal(response)
         if not refused:
             state.record_response(seconds, ahead, now)
+            # The load in the answer is later than the one known at the send.
+            at_endpoint = ahead if load is None else load.running + load.waiting
+            slowdown = 1.0 if load is None else load.slowdown
+            self._endpoints.count_answer(state, seconds, at_endpoint + 1, slowdown, now)
         elif response.status == 503:
             reported = 0 if load is None else load.running + load.waiting
             state.record_shed(max(ahead, reported), now)
--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -35,6 +35,8 @@
 from arbutusflow.gateway.key_moves import KeyMoves
 from arbutusflow.gateway.key_orders import KeyOrders
 from arbutusflow.gateway.key_table import StoredTable
+from arbutusflow.gateway.load.endpoint_room import Samples
+from arbutusflow.gateway.load.room_reports import RoomExchange
 from arbutusflow.gateway.model import BEFORE_ALL, Address, StorePoint
 from arbutusflow.gateway.peers import (
     CopyRequest,
@@ -182,6 +184,8 @@
         self._partitioned_services: list[str] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self.demand = key_demand.KeyDemand()
+        # What endpoints handle well; None if it is not to be learned.
+        self.rooms: RoomExchange | None = None
         self.peers = PeerReports(
             own_record.name, own_record.life, self._on_report, self._on_message, log
         )
@@ -451,6 +455,7 @@
         in_flight: dict[str, int],
         *,
         vouches: bool,
+        samples: dict[str, Samples] | None = None,
     ) -> PeerReport:
         now = self._loop.time()
         times: dict[str, tuple[float, int]] = {}
@@ -480,8 +485,13 @@
             right_since=self.fleet.right_since,
             unknown_write=self.moves.has_unknown_write(),
             refused=self.leases.refused_grants(now),
+            samples=samples or {},
         )
 
+    def _take_samples(self) -> dict[str, Samples]:
+        """Return the samples of endpoints' answers that are due."""
+        return {} if self.rooms is None else self.rooms.take_samples(self._loop.time())
+
     def _touch_age(self, now: float) -> float:
         """Return for how long the store has answered; negative if it does not."""
         return round(
@@ -602,6 +612,7 @@
             loads,
             times,
             self._workload.leaving_endpoints(),
+            self._take_samples(),
         )
         self.peers.send(report, [granter])
 
@@ -634,11 +645,13 @@
             strikes=self._workload.strikes(),
             without_contact=tuple(self._lost_contact & self.fleet.records.keys()),
             leaving_endpoints=self._workload.leaving_endpoints(),
+            rooms=() if self.rooms is None else self.rooms.figures_to_tell(),
         )
         self.peers.send(digest, targets)
 
     def _send_reports(self, load: dict[str, int], zone: str | None) -> None:
         demand = self._due_demand() if zone is None else {}
+        samples = {} if zone is None else self._take_samples()
         for vouched in (True, False):
             targets = self.fleet.targets(vouched=vouched, zone=zone)
             for planner, loads in demand.items():
@@ -647,7 +660,8 @@
                     report = self._make_report(loads, load, vouches=vouched)
                     self.peers.send(report, [planner])
             if targets:
-                self.peers.send(self._make_report({}, load, vouches=vouched), targets)
+                report = self._make_report({}, load, vouches=vouched, samples=samples)
+                self.peers.send(report, targets)
 
     def decay_demand(self) -> None:
         """Decay the demand, and send it to the planners with the next report."""
@@ -773,6 +787,8 @@
             return
         is_new = self.followers.accept(report, source, now)
         self._workload.apply_follower(report)
+        if self.rooms is not None:
+            self.rooms.add_follower(report.samples)
         if is_new:
             self._send_digest([source])
 
@@ -786,6 +802,8 @@
         self.relay.request_changes(digest.copies, source, now)
         self._request_tables(digest.tables, source, 0.0, now)
         self._workload.apply_digest(digest, self._reported_in_flight)
+        if self.rooms is not None:
+            self.rooms.apply(digest.rooms, now)
 
     def _relay_sources(self) -> list[Address]:
         """Return the granters that may send copies, those of the own zone first."""
@@ -837,6 +855,8 @@
         self._request_copies(report, record, source, now)
         self.leases.record_renewals(report, now)
         self._workload.apply_report(report)
+        if self.rooms is not None:
+            self.rooms.add_granter(report.samples)
 
     def _request_copies(
         self,
--- a/arbutusflow/gateway/load/admission.py
+++ b/arbutusflow/gateway/load/admission.py
@@ -41,12 +41,11 @@
         if expected > remaining * DEADLINE_FRACTION:
             return "too_late_for_deadline"
         rank = min(route.rank, len(MAX_QUEUE_DEPTH_BY_RANK) - 1)
-        depth = (
-            state.own_in_flight + state.other_in_flight(now) + 1
-        ) / state.endpoint.slots
+        in_flight = state.own_in_flight + state.other_in_flight(now) + 1
+        depth = in_flight / state.room_slots
         if depth > MAX_QUEUE_DEPTH_BY_RANK[rank]:
             return "endpoint_full"
-        objective = max(route.objective_seconds, 2 * state.service_seconds)
+        objective = max(route.objective_seconds, 2 * state.base_seconds)
         if elapsed + expected > objective and depth > 1:
             return "too_late_for_objective"
         return None
@@ -67,7 +66,7 @@
             return min(asked) * self._rng.uniform(1.0, 1.3)
         waits = [
             max(
-                state.expected_seconds(now) - state.service_seconds,
+                state.expected_seconds(now) - state.base_seconds,
                 state.backoff_until - now,
             )
             for state in states
--- a/arbutusflow/gateway/load/endpoint_load.py
+++ b/arbutusflow/gateway/load/endpoint_load.py
@@ -15,6 +15,8 @@
 import random
 from collections.abc import Mapping
 
+from arbutusflow.gateway.load.endpoint_room import EndpointRoom
+from arbutusflow.gateway.load.room_reports import RoomExchange
 from arbutusflow.gateway.model import Endpoint
 
 # Estimate of the service time until responses have been measured.
@@ -43,6 +45,10 @@
 MAX_LOCAL_CHOICES = 4
 # Random increase of costs where all endpoints are compared, for the same reason.
 COST_JITTER = 0.3
+# The slowdown that an endpoint reports changes many times a second.
+SLOWDOWN_TTL_SECONDS = 0.2
+# Reported slowdowns beyond these factors count as these.
+MIN_SLOWDOWN, MAX_SLOWDOWN = 0.25, 16.0
 # Share of the drain period in which a leaving endpoint is still sent requests for its
 # keys. It may have started to drain a second before this instance is notified.
 DRAIN_SERVE_FRACTION = 0.4
@@ -79,6 +85,12 @@
     wait_until: float = -1e9  # Until when it asked for no requests.
     # Whether it asked to wait and has run no request since. It then gets one at a time.
     on_trial: bool = False
+    # What the endpoint handles well, learned from the answers that many instances saw;
+    # None if that is not known, or not asked for.
+    room: EndpointRoom | None = None
+    # How long work takes on its host, as it last said, and for how long that holds.
+    slowdown: float = 1.0
+    slowdown_until: float = -1e9
     # Set while a statement that its endpoint leaves may be of this process; the event
     # occurs when that has been decided.
     pending_check: asyncio.Event | None = None
@@ -91,6 +103,12 @@
 
     def expected_seconds(self, now: float) -> float:
         """Return the expected response time of a request sent now."""
+        if self.room is not None:
+            ahead = self.own_in_flight + self.other_in_flight(now)
+            seconds = self.room.expected_seconds(ahead)
+            if now < self.slowdown_until:
+                seconds *= self.slowdown
+            return seconds * (COLD_START_FACTOR if now < self.cold_until else 1.0)
         service_seconds = self.service_seconds
         if now < self.cold_until:
             service_seconds *= COLD_START_FACTOR
@@ -98,6 +116,16 @@
         wait = max(0.0, ahead / self.endpoint.slots) * service_seconds
         return wait + service_seconds
 
+    @property
+    def base_seconds(self) -> float:
+        """Time of a request while the endpoint has room."""
+        return self.service_seconds if self.room is None else self.room.seconds
+
+    @property
+    def room_slots(self) -> float:
+        """Requests at once that the endpoint handles well."""
+        return self.endpoint.slots if self.room is None else self.room.in_flight
+
     def record_response(self, seconds: float, ahead: int, now: float) -> None:
         """Update service times; `ahead` requests were in flight when it was sent."""
         rounds = max(1.0, (ahead + 1) / self.endpoint.slots)
@@ -197,6 +225,8 @@
         self.states: dict[str, EndpointState] = {}
         self._services: dict[str, list[EndpointState]] = {}
         self._peer_reports: dict[str, _PeerLoadReport] = {}
+        # Learns how much endpoints handle well; None if that is not asked for.
+        self.rooms: RoomExchange | None = None
         # How often an endpoint was chosen while others of its service were left out
         # because they leave or asked to wait.
         self.choices_past_leaving = 0
@@ -318,6 +348,38 @@
         if current is not None and current is not state:
             current.on_trial = True
 
+    def learn_rooms(self, now: float, *, as_granter: bool) -> list[str]:
+        """Use what is known by now of how much endpoints handle well.
+
+        Returns the endpoints whose figure has changed by over half. A granter learns
+        the figures, and a follower is told them.
+        """
+        if self.rooms is None:
+            return []
+        changed: list[str] = []
+        if as_granter:
+            listed = {name: state.endpoint for name, state in self.states.items()}
+            changed = self.rooms.learn(listed, now)
+        for name, state in self.states.items():
+            state.room = self.rooms.rooms.get(name)
+        return changed
+
+    def count_answer(
+        self,
+        state: EndpointState,
+        seconds: float,
+        in_flight: int,
+        slowdown: float,
+        now: float,
+    ) -> None:
+        """Count an answer of an endpoint that had `in_flight` requests."""
+        if self.rooms is None:
+            return
+        slowdown = min(max(slowdown, MIN_SLOWDOWN), MAX_SLOWDOWN)
+        state.slowdown, state.slowdown_until = slowdown, now + SLOWDOWN_TTL_SECONDS
+        if now >= state.cold_until:
+            self.rooms.count(state.endpoint, in_flight, seconds / slowdown)
+
     def wait_spread(self, seconds: float) -> float:
         """Return a random addition to a wait, which instances must not end at once."""
         return self._rng.uniform(0.0, min(MAX_WAIT_SPREAD_SECONDS, seconds / 2))
@@ -340,9 +402,9 @@
     def cost(self, state: EndpointState, now: float) -> float:
         """Return the expected cost of a request at the endpoint, in seconds."""
         cost = state.expected_seconds(now)
-        cost += FAILURE_COST_FACTOR * state.failure_rate * state.service_seconds
+        cost += FAILURE_COST_FACTOR * state.failure_rate * state.base_seconds
         if state.endpoint.zone != self._zone:
-            cost += CROSS_ZONE_COST_FACTOR * state.service_seconds
+            cost += CROSS_ZONE_COST_FACTOR * state.base_seconds
         return cost
 
     def choose(
--- a/arbutusflow/gateway/model.py
+++ b/arbutusflow/gateway/model.py
@@ -74,6 +74,8 @@
     retry_slack: float
     # Of which some are for files; None if there is no limit but the system's.
     max_descriptors: int | None = None
+    # Whether to learn how much each endpoint handles well.
+    learn_room: bool = False
 
 
 class Repeatability(enum.Enum):
--- a/arbutusflow/gateway/peers.py
+++ b/arbutusflow/gateway/peers.py
@@ -16,6 +16,8 @@
 
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.key_table import GrantId, KeyRange, KeyTable
+from arbutusflow.gateway.load.endpoint_room import Samples
+from arbutusflow.gateway.load.room_reports import RoomFigure
 from arbutusflow.gateway.model import Address, StorePoint
 from arbutusflow.gateway.pieces import PieceRequest, TransferPiece
 
@@ -92,6 +94,8 @@
     unknown_write: bool = False
     # Grants by the tables of a later era of the store that endpoints have refused.
     refused: tuple[GrantId, ...] = ()
+    # By endpoint: answers that the sender and its followers got; see `room_reports`.
+    samples: dict[str, Samples] = {}
 
 
 class FollowerReport(msgspec.Struct, array_like=True, frozen=True, tag="follow"):
@@ -106,6 +110,7 @@
     key_loads: dict[str, dict[int, int]] = {}  # As in `PeerReport`.
     service_times: dict[str, tuple[float, int]] = {}
     leaving_endpoints: dict[str, int] = {}  # As in `PeerReport`.
+    samples: dict[str, Samples] = {}  # By endpoint; see `room_reports`.
 
 
 class FleetDigest(msgspec.Struct, array_like=True, frozen=True, tag="digest"):
@@ -127,6 +132,7 @@
     # Granters that followers must not choose then: they cannot read the store.
     without_contact: tuple[str, ...] = ()
     leaving_endpoints: dict[str, int] = {}  # As in `PeerReport`.
+    rooms: tuple[RoomFigure, ...] = ()  # What endpoints handle well.
 
 
 # Name, revision, and the whole document of an object; None if it was removed.
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -43,6 +43,7 @@
 from arbutusflow.gateway.load.admission import Admission
 from arbutusflow.gateway.load.endpoint_load import EndpointTable
 from arbutusflow.gateway.load.retry_budget import RetryBudget
+from arbutusflow.gateway.load.room_reports import RoomExchange
 from arbutusflow.gateway.memory_watch import MemoryWatch, peak_bytes
 from arbutusflow.gateway.metrics import GatewayMetrics
 from arbutusflow.gateway.model import (
@@ -171,6 +172,8 @@
             self._rng,
         )
         self.fleet_task.copy.retry_leader = self.endpoint_copy
+        if cfg.learn_room:
+            self.endpoints.rooms = self.fleet_task.rooms = RoomExchange()
         self.directory = EndpointDirectory(
             self.endpoint_copy, self.fleet_task.fleet.store_available_seconds, log
         )
@@ -293,6 +296,7 @@
                 self._expire_endpoints,
                 self.endpoints.remove_departed,
                 self.endpoints.expire_peer_reports,
+                self._learn_rooms,
                 self.fleet_task.tick,
                 self._check_ready,
             ),
@@ -300,6 +304,19 @@
             self.log.write_exception,
         )
 
+    def _learn_rooms(self, now: float) -> None:
+        registered = self.fleet_task.fleet.registered
+        for name in self.endpoints.learn_rooms(now, as_granter=registered):
+            room = self.endpoints.states[name].room
+            assert room is not None
+            self.log.write_rate_limited(
+                "endpoint_room",
+                endpoint=name,
+                seconds=round(room.seconds, 3),
+                in_flight=round(room.in_flight, 1),
+                answers=round(room.answers),
+            )
+
     def _expire_endpoints(self, now: float) -> None:
         if self.directory.expire(now):
             self._use_endpoints(now)
--- a/arbutusflow/platform/reference.py
+++ b/arbutusflow/platform/reference.py
@@ -44,6 +44,13 @@
     Field("bounds.budgetWindowS", "seconds", "Time over which they count; reload."),
     Field("bounds.retryBudgetSlack", "a number", "Repeats on top of that; reload."),
     Field("provider.address", ADDRESS, "The object store."),
+    Field(
+        "learnRoom",
+        "true or false",
+        "Whether to learn how much each endpoint handles well; the environment variable"
+        " `ARBUTUSFLOW_LEARN_ROOM` has precedence.",
+        "false",
+    ),
     Field(
         "seeds", f"list of {ADDRESS}", "Other instances; checked, not used.", "empty"
     ),
--- a/arbutusflow/platform/settings.py
+++ b/arbutusflow/platform/settings.py
@@ -9,6 +9,8 @@
 from arbutusflow.gateway.model import Address, GatewaySettings
 
 SETTINGS_VARIABLE = "ARBUTUSFLOW_CONFIG"
+# Has precedence over the field `learnRoom` of the file.
+LEARN_ROOM_VARIABLE = "ARBUTUSFLOW_LEARN_ROOM"
 # Port for metrics; `deploy/system.toml` announces it to the platform.
 METRICS_PORT = 9187
 
@@ -53,6 +55,19 @@
     return None if value is None else int(value)
 
 
+def _switch(value: Any, variable: str) -> bool:
+    """Return whether a feature is on; a variable of the environment has precedence.
+
+    Raises ValueError if the value is no boolean.
+    """
+    text = os.environ.get(variable)
+    if text is not None:
+        value = {"true": True, "false": False}.get(text)
+    if not isinstance(value, bool):
+        raise ValueError(f"{variable} must be true or false")
+    return value
+
+
 def _decode(document: dict[str, Any]) -> GatewaySettings:
     listen, bounds = document["listen"], document["bounds"]
     return GatewaySettings(
@@ -73,4 +88,5 @@
         retry_ratio=float(bounds["retryBudgetRatio"]),
         retry_window_seconds=float(bounds["budgetWindowS"]),
         retry_slack=float(bounds["retryBudgetSlack"]),
+        learn_room=_switch(document.get("learnRoom", False), LEARN_ROOM_VARIABLE),
     )
--- a/tests/gateway/zone_load_model.py
+++ b/tests/gateway/zone_load_model.py
@@ -9,9 +9,10 @@
 import itertools
 import math
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from arbutusflow.gateway.load.endpoint_load import EndpointTable
+from arbutusflow.gateway.load.room_reports import RoomExchange
 from arbutusflow.gateway.model import Address, Endpoint
 
 SERVICE = "gallery"
@@ -19,6 +20,10 @@
 SPEEDS = (0.6, 1.0, 1.4)
 DIGEST_SECONDS = 0.15
 
+# Returns by which factor work takes longer, by number of the endpoint in its zone, time
+# and requests at the endpoint.
+Slowdown = Callable[[int, float, int], float]
+
 
 @dataclasses.dataclass(frozen=True)
 class Work:
@@ -43,6 +48,7 @@
     requests: int
     left_zone: int  # Requests that were sent to another zone.
     response_seconds: tuple[float, ...]
+    expected_ratios: tuple[float, ...] = ()  # Expected over measured time.
 
     @property
     def left_zone_share(self) -> float:
@@ -57,15 +63,18 @@
 class _Server:
     """An endpoint that serves `SLOTS` requests at once, in order of arrival."""
 
-    def __init__(self, speed: float) -> None:
-        self.speed = speed
+    def __init__(self, number: int, speed: float, slowdown: Slowdown | None) -> None:
+        self.number, self.speed, self.slowdown = number, speed, slowdown
         self.free_at = [0.0] * SLOTS
         self.in_flight = 0
 
     def finish_time(self, now: float, work: float) -> float:
         start = max(now, heapq.heappop(self.free_at))
-        heapq.heappush(self.free_at, start + work / self.speed)
-        return start + work / self.speed
+        taken = work / self.speed
+        if self.slowdown is not None:
+            taken *= self.slowdown(self.number, now, self.in_flight)
+        heapq.heappush(self.free_at, start + taken)
+        return start + taken
 
 
 def run_zones(
@@ -75,14 +84,21 @@
     endpoints_per_zone: int,
     seconds: float,
     seed: int,
+    *,
+    speeds: tuple[float, ...] = SPEEDS,
+    slowdown: Slowdown | None = None,
+    learn: bool = False,
 ) -> ZoneLoads:
-    """Run requests for `seconds`; the load is given by zone, as share of its slots."""
+    """Run requests for `seconds`; the load is given by zone, as share of its slots.
+
+    With `learn` the instances of a zone exchange what they see of endpoints.
+    """
     rng = random.Random(seed)
     servers: dict[str, _Server] = {}
     endpoints: dict[str, Endpoint] = {}
     for zone, number in itertools.product(utilizations, range(endpoints_per_zone)):
         name = f"{zone}-e{number}"
-        servers[name] = _Server(SPEEDS[number % len(SPEEDS)])
+        servers[name] = _Server(number, speeds[number % len(speeds)], slowdown)
         endpoints[name] = Endpoint(
             name, SERVICE, Address(name, 1), zone, SLOTS, False, 0.0, 1
         )
@@ -95,12 +111,13 @@
     }
     for table in itertools.chain(*tables.values()):
         table.update(endpoints, 0.0)
+    exchanges = {zone: RoomExchange() for zone in utilizations}
     events: list[tuple[float, int, object]] = []
     numbers = itertools.count()
     mean = (
         work.mean_seconds
         * (1 + work.tail_share * (work.tail_factor - 1))
-        / (sum(SPEEDS) / len(SPEEDS))
+        / (sum(speeds) / len(speeds))
     )
     for zone, utilization in utilizations.items():
         per_second = utilization * endpoints_per_zone * SLOTS / mean
@@ -108,7 +125,7 @@
             heapq.heappush(events, (at, next(numbers), zone))
     for step in range(int(seconds / DIGEST_SECONDS)):
         heapq.heappush(events, (step * DIGEST_SECONDS, next(numbers), None))
-    left, times, requests = 0, [], 0
+    left, times, requests, errors = 0, [], 0, []
     while events:
         now, _, event = heapq.heappop(events)
         if event is None:
@@ -118,6 +135,11 @@
                     for name, server in servers.items()
                 }
                 table.update_peer_report("fleet", others, now)
+            for zone, exchange in exchanges.items() if learn else ():
+                exchange.take_samples(now)
+                for table in tables[zone]:
+                    table.rooms = exchange
+                    table.learn_rooms(now, as_granter=True)
         elif isinstance(event, str):
             table = rng.choice(tables[event])
             state = table.choose(SERVICE, set(), now)
@@ -130,13 +152,18 @@
             left += state.endpoint.zone != event
             end = server.finish_time(now, work.draw(rng))
             times.append(end - now)
-            heapq.heappush(events, (end, next(numbers), (state, ahead, end - now)))
+            ended = (state, ahead, end - now, event, state.expected_seconds(now))
+            heapq.heappush(events, (end, next(numbers), ended))
         else:
-            state, ahead, taken = event  # type: ignore[misc]
+            state, ahead, taken, zone, expected = event  # type: ignore[misc]
+            errors.append(expected / taken)
+            exchanges[zone].count(
+                state.endpoint, servers[state.endpoint.id].in_flight, taken
+            )
             state.own_in_flight -= 1
             servers[state.endpoint.id].in_flight -= 1
             state.record_response(taken, ahead, now)
-    return ZoneLoads(requests, left, tuple(times))
+    return ZoneLoads(requests, left, tuple(times), tuple(errors))
 
 
 def _arrivals(per_second: float, seconds: float, rng: random.Random) -> Iterator[float]:
