Draw the endpoints that a request is compared for by learned capacity

Cause: all instances learned one figure and used it as cost, so they gathered at the endpoints that looked fast until the next digest. Granters also sent samples with reports to their zone only, which a fleet of up to eleven granters never sends, and not to the planner; a duplicated report of a follower counted twice; with the setting off, messages had one more byte; figures of a granter that is gone never expired.

Change: with `learnRoom` a request is compared for three endpoints of its zone and one of another, drawn by learned requests per second. The cost uses the instance's own time of a request, bounded to a factor of two of the learned one, and the learned requests at once. Admission, `Retry-After` and the planner use the learned figure. Messages with the figures have tags of their own. Samples go to the zone with any report. One answer counts as at most four times the expected time. A new process of an endpoint begins without a figure. `/state`, the gauge `learned_endpoints` and `answer_late` show what was learned.

Without the setting messages are the same bytes and choices the same.

--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -116,6 +116,8 @@
     sends: int = 0  # How often the request was sent to an endpoint.
     may_have_run: bool = False
     tried: set[str] = dataclasses.field(default_factory=set)
+    # What was learned of the endpoint of the latest send, as the choice used it.
+    learned: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
     def response_deadline(self) -> float:
@@ -483,6 +485,7 @@
         if remaining < MIN_ATTEMPT_SECONDS:
             raise self._final_error(ctx, "no_time_left")
         ahead = state.own_in_flight + state.other_in_flight(now)
+        ctx.learned = state.learned_fields(now)
         state.own_in_flight += 1
         was_tried = endpoint.id in ctx.tried
         ctx.tried.add(endpoint.id)
@@ -738,6 +741,7 @@
             endpoint_seconds=round(seconds, 4),
             expected_seconds=round(state.service_seconds, 4),
             objective_seconds=ctx.route.objective_seconds,
+            **ctx.learned,
         )
 
     def _log_failed_attempt(
--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -41,10 +41,13 @@
 from arbutusflow.gateway.peers import (
     CopyRequest,
     CopyTransfer,
+    FigureDigest,
     FleetDigest,
     FollowerReport,
     PeerReport,
     PeerReports,
+    SampledFollowerReport,
+    SampledReport,
     StrikeReport,
     SyncMessage,
     TableChanged,
@@ -472,7 +475,6 @@
         in_flight: dict[str, int],
         *,
         vouches: bool,
-        samples: dict[str, Samples] | None = None,
     ) -> PeerReport:
         now = self._loop.time()
         times: dict[str, tuple[float, int]] = {}
@@ -502,7 +504,6 @@
             right_since=self.fleet.right_since,
             unknown_write=self.moves.has_unknown_write(),
             refused=self.leases.refused_grants(now),
-            samples=samples or {},
         )
 
     def _take_samples(self) -> dict[str, Samples]:
@@ -629,8 +630,12 @@
             loads,
             times,
             self._workload.leaving_endpoints(),
-            self._take_samples(),
         )
+        samples = self._take_samples()
+        if samples:
+            report = SampledFollowerReport(
+                **msgspec.structs.asdict(report), samples=samples
+            )
         self.peers.send(report, [granter])
 
     def _send_digest(self, targets: list[Address]) -> None:
@@ -662,23 +667,45 @@
             strikes=self._workload.strikes(),
             without_contact=tuple(self._lost_contact & self.fleet.records.keys()),
             leaving_endpoints=self._workload.leaving_endpoints(),
-            rooms=() if self.rooms is None else self.rooms.figures_to_tell(),
         )
+        figures = () if self.rooms is None else self.rooms.figures_to_tell()
+        if figures:
+            digest = FigureDigest(**msgspec.structs.asdict(digest), rooms=figures)
         self.peers.send(digest, targets)
 
     def _send_reports(self, load: dict[str, int], zone: str | None) -> None:
         demand = self._due_demand() if zone is None else {}
-        samples = {} if zone is None else self._take_samples()
+        samples = self._take_samples()
         for vouched in (True, False):
             targets = self.fleet.targets(vouched=vouched, zone=zone)
             for planner, loads in demand.items():
                 if planner in targets:
                     targets.remove(planner)
                     report = self._make_report(loads, load, vouches=vouched)
-                    self.peers.send(report, [planner])
+                    self._send_report(report, [planner], samples)
             if targets:
-                report = self._make_report({}, load, vouches=vouched, samples=samples)
-                self.peers.send(report, targets)
+                report = self._make_report({}, load, vouches=vouched)
+                self._send_report(report, targets, samples)
+
+    def _send_report(
+        self, report: PeerReport, targets: list[Address], samples: dict[str, Samples]
+    ) -> None:
+        """Send a report, with the samples to the granters of this zone only.
+
+        Reports across zones are priced by the byte.
+        """
+        if samples:
+            zone = self.fleet.own_record.zone
+            near = {
+                Address(record.host, record.port)
+                for record in self.fleet.others()
+                if record.zone == zone
+            }
+            fields = msgspec.structs.asdict(report)
+            extended = SampledReport(**fields, samples=samples)
+            self.peers.send(extended, [target for target in targets if target in near])
+            targets = [target for target in targets if target not in near]
+        self.peers.send(report, targets)
 
     def decay_demand(self) -> None:
         """Decay the demand, and send it to the planners with the next report."""
@@ -766,6 +793,7 @@
         return key_demand.capacities(
             [e for e in self.leases.endpoints.values() if e.service == service],
             measured,
+            None if self.rooms is None else self.rooms.rooms,
         )
 
     def _on_message(self, message: SyncMessage, source: Address) -> None:
@@ -804,7 +832,11 @@
             return
         is_new = self.followers.accept(report, source, now)
         self._workload.apply_follower(report)
-        if self.rooms is not None:
+        if (
+            self.rooms is not None
+            and isinstance(report, SampledFollowerReport)
+            and self.followers.holds(report)
+        ):
             self.rooms.add_follower(report.samples)
         if is_new:
             self._send_digest([source])
@@ -819,7 +851,7 @@
         self.relay.request_changes(digest.copies, source, now)
         self._request_tables(digest.tables, source, 0.0, now)
         self._workload.apply_digest(digest, self._reported_in_flight)
-        if self.rooms is not None:
+        if self.rooms is not None and isinstance(digest, FigureDigest):
             self.rooms.apply(digest.rooms, now)
 
     def _relay_sources(self) -> list[Address]:
@@ -872,7 +904,7 @@
         self._request_copies(report, record, source, now)
         self.leases.record_renewals(report, now)
         self._workload.apply_report(report)
-        if self.rooms is not None:
+        if self.rooms is not None and isinstance(report, SampledReport):
             self.rooms.add_granter(report.samples)
 
     def _request_copies(
--- a/arbutusflow/gateway/followers.py
+++ b/arbutusflow/gateway/followers.py
@@ -77,6 +77,11 @@
         )
         return is_new
 
+    def holds(self, report: FollowerReport) -> bool:
+        """Return whether a report is the latest of its sender, and no duplicate."""
+        known = self._followers.get(report.instance)
+        return known is not None and known.report is report
+
     def expire(self, now: float) -> None:
         """Forget followers that have been silent for long."""
         for name, follower in list(self._followers.items()):
--- a/arbutusflow/gateway/instance_state.py
+++ b/arbutusflow/gateway/instance_state.py
@@ -5,6 +5,15 @@
 STATE_PATH = "/state"
 
 
+class EndpointFigure(msgspec.Struct, frozen=True):
+    """What was learned of an endpoint."""
+
+    seconds: float  # Time of a request while the endpoint has room.
+    in_flight: float  # Requests at once that take no longer than that.
+    answers: float  # Decayed number of answers that the figure is based on.
+    changed_seconds: float  # Since it last changed by over half.
+
+
 class InstanceState(msgspec.Struct, frozen=True):
     """What an instance is doing. Times are in seconds."""
 
@@ -17,3 +26,5 @@
     ends_in_seconds: float | None  # The latest end of a stop; None if there is none.
     configuration: int | None  # Version in force.
     configuration_seconds: float | None  # Since it is in force.
+    # By endpoint with a figure; empty without the setting `learnRoom`.
+    rooms: dict[str, EndpointFigure] = {}
--- a/arbutusflow/gateway/key_demand.py
+++ b/arbutusflow/gateway/key_demand.py
@@ -5,7 +5,10 @@
 import math
 from collections.abc import Iterable, Mapping, Sequence
 
-from arbutusflow.gateway.load.endpoint_load import INITIAL_SERVICE_SECONDS
+from arbutusflow.gateway.load.endpoint_room import (
+    INITIAL_SERVICE_SECONDS,
+    EndpointRoom,
+)
 from arbutusflow.gateway.model import KEY_SPACE, Endpoint
 
 DECAY_PERIOD_SECONDS = 0.5
@@ -63,16 +66,23 @@
 
 
 def capacities(
-    endpoints: Iterable[Endpoint], measured: Sequence[Mapping[str, tuple[float, int]]]
+    endpoints: Iterable[Endpoint],
+    measured: Sequence[Mapping[str, tuple[float, int]]],
+    rooms: Mapping[str, EndpointRoom] | None = None,
 ) -> dict[str, float]:
     """Return the requests per second that each endpoint can serve.
 
     `measured` holds for each instance the mean service time in seconds by endpoint and
     the number of answers that it is based on. The means are combined, because a single
-    instance sees too few answers of an endpoint.
+    instance sees too few answers of an endpoint. What was learned of an endpoint
+    (`rooms`) takes precedence.
     """
     result = {}
     for endpoint in endpoints:
+        room = (rooms or {}).get(endpoint.id)
+        if room is not None:
+            result[endpoint.id] = room.per_second
+            continue
         # The initial estimate counts as one answer.
         total_seconds, total_answers = INITIAL_SERVICE_SECONDS, 1
         for times in measured:
--- a/arbutusflow/gateway/load/endpoint_load.py
+++ b/arbutusflow/gateway/load/endpoint_load.py
@@ -12,16 +12,18 @@
 
 import asyncio
 import dataclasses
+import heapq
 import random
 from collections.abc import Mapping
 
 from arbutusflow.gateway.load.cold_rate import ColdSends
-from arbutusflow.gateway.load.endpoint_room import EndpointRoom
+from arbutusflow.gateway.load.endpoint_room import (
+    INITIAL_SERVICE_SECONDS,
+    EndpointRoom,
+)
 from arbutusflow.gateway.load.room_reports import RoomExchange
 from arbutusflow.gateway.model import Endpoint
 
-# Estimate of the service time until responses have been measured.
-INITIAL_SERVICE_SECONDS = 0.15
 # Weight of the latest response in the moving averages.
 SERVICE_TIME_GAIN = 0.1
 FAILURE_RATE_GAIN = 0.15
@@ -44,6 +46,15 @@
 # availability zone, the others from other zones.
 CHOICES = 6
 MAX_LOCAL_CHOICES = 4
+# With learned figures: fewer, which are drawn with weights. With six, a lightly loaded
+# endpoint is among those of nearly every instance until the next digest.
+WEIGHTED_LOCAL_CHOICES, WEIGHTED_OTHER_CHOICES = 3, 1
+# Answers longer than this multiple of the expected time count as this long: one answer
+# of the tail would otherwise decide the figure of an endpoint.
+MAX_ANSWER_RATIO = 4.0
+# Ratio of an instance's own estimate of the time of a request to the learned one, up to
+# which the choice uses its own. At 1.5 and less the instances choose too much alike.
+MAX_OWN_RATIO = 2.0
 # Random increase of costs where all endpoints are compared, for the same reason.
 COST_JITTER = 0.3
 # The slowdown that an endpoint reports changes many times a second.
@@ -119,6 +130,36 @@
         wait = max(0.0, ahead / self.endpoint.slots) * service_seconds
         return wait + service_seconds
 
+    def choice_seconds(self, now: float) -> float:
+        """Return the expected response time that the choice among endpoints uses.
+
+        The time of a request is this instance's own estimate, which differs from that
+        of the others: with one learned figure all instances would prefer the same
+        endpoint. The figure only bounds it.
+        """
+        if self.room is None:
+            return self.expected_seconds(now)
+        at_once = self.own_in_flight + self.other_in_flight(now) + 1
+        learned = self.room.seconds
+        seconds = max(self.service_seconds, learned / MAX_OWN_RATIO)
+        seconds = min(seconds, learned * MAX_OWN_RATIO)
+        seconds *= max(1.0, at_once / self.room.in_flight)
+        if now < self.slowdown_until:
+            seconds *= self.slowdown
+        return seconds * (COLD_START_FACTOR if now < self.cold_until else 1.0)
+
+    def learned_fields(self, now: float) -> dict[str, float]:
+        """Return for the log what was learned of the endpoint and is used now."""
+        if self.room is None:
+            return {}
+        return {
+            "room_seconds": round(self.room.seconds, 4),
+            "room_in_flight": round(self.room.in_flight, 1),
+            "room_answers": round(self.room.answers, 1),
+            "admission_seconds": round(self.expected_seconds(now), 4),
+            "choice_seconds": round(self.choice_seconds(now), 4),
+        }
+
     @property
     def base_seconds(self) -> float:
         """Time of a request while the endpoint has room."""
@@ -312,6 +353,8 @@
                     state.end_check()
             if state is None:
                 state = EndpointState(endpoint, cold_until=now + endpoint.cold_seconds)
+                if self.rooms is not None:
+                    self.rooms.forget(name)
                 state.service_seconds = self._median_service_seconds(endpoint.service)
                 # Without a first request it would never be chosen while endpoints with
                 # lower measured service times are idle.
@@ -396,12 +439,18 @@
         """
         if self.rooms is None:
             return []
-        changed: list[str] = []
         if as_granter:
             listed = {name: state.endpoint for name, state in self.states.items()}
-            changed = self.rooms.learn(listed, now)
+            self.rooms.learn(listed, now)
+        else:
+            self.rooms.expire(now)
+        changed = []
         for name, state in self.states.items():
-            state.room = self.rooms.rooms.get(name)
+            before, state.room = state.room, self.rooms.rooms.get(name)
+            if before is None or state.room is None:
+                continue
+            if before.changed_at != state.room.changed_at:
+                changed.append(name)
         return changed
 
     def count_answer(
@@ -417,8 +466,13 @@
             return
         slowdown = min(max(slowdown, MIN_SLOWDOWN), MAX_SLOWDOWN)
         state.slowdown, state.slowdown_until = slowdown, now + SLOWDOWN_TTL_SECONDS
-        if now >= state.cold_until:
-            self.rooms.count(state.endpoint, in_flight, seconds / slowdown)
+        if now < state.cold_until:
+            return
+        rounds = max(1.0, in_flight / state.endpoint.slots)
+        longest = (
+            MAX_ANSWER_RATIO * rounds * max(state.service_seconds, state.base_seconds)
+        )
+        self.rooms.count(state.endpoint, in_flight, min(seconds / slowdown, longest))
 
     def wait_spread(self, seconds: float) -> float:
         """Return a random addition to a wait, which instances must not end at once."""
@@ -512,10 +566,10 @@
 
     def cost(self, state: EndpointState, now: float) -> float:
         """Return the expected cost of a request at the endpoint, in seconds."""
-        cost = state.expected_seconds(now)
-        cost += FAILURE_COST_FACTOR * state.failure_rate * state.base_seconds
+        cost = state.choice_seconds(now)
+        cost += FAILURE_COST_FACTOR * state.failure_rate * state.service_seconds
         if state.endpoint.zone != self._zone:
-            cost += CROSS_ZONE_COST_FACTOR * state.base_seconds
+            cost += CROSS_ZONE_COST_FACTOR * state.service_seconds
         return cost
 
     def choose(
@@ -582,6 +636,8 @@
 
     def _sample(self, states: list[EndpointState]) -> list[EndpointState]:
         """Return up to `CHOICES` random endpoints, preferably of this zone."""
+        if self.rooms is not None and self.rooms.rooms:
+            return self._weighted_sample(states)
         if len(states) <= CHOICES:
             return states
         local = [s for s in states if s.endpoint.zone == self._zone]
@@ -590,3 +646,21 @@
         others = [s for s in states if s.endpoint.zone != self._zone]
         count = min(CHOICES - len(local), len(others))
         return local + self._rng.sample(others, count)
+
+    def _weighted_sample(self, states: list[EndpointState]) -> list[EndpointState]:
+        """Return a few random endpoints, weighted by what they can serve."""
+        if len(states) <= WEIGHTED_LOCAL_CHOICES + WEIGHTED_OTHER_CHOICES:
+            return states
+        known = [s.room.per_second for s in states if s.room is not None]
+        mean = sum(known) / len(known) if known else 1.0
+        local: list[tuple[float, int, EndpointState]] = []
+        others: list[tuple[float, int, EndpointState]] = []
+        for number, state in enumerate(states):
+            weight = mean if state.room is None else state.room.per_second
+            # The smallest of exponential times are a weighted sample without repeats.
+            drawn = (self._rng.expovariate(weight), number, state)
+            (local if state.endpoint.zone == self._zone else others).append(drawn)
+        count = min(len(local), WEIGHTED_LOCAL_CHOICES)
+        count_others = WEIGHTED_LOCAL_CHOICES + WEIGHTED_OTHER_CHOICES - count
+        chosen = heapq.nsmallest(count, local) + heapq.nsmallest(count_others, others)
+        return [state for _, _, state in chosen]
--- a/arbutusflow/gateway/load/endpoint_room.py
+++ b/arbutusflow/gateway/load/endpoint_room.py
@@ -16,6 +16,8 @@
 
 # Requests at an endpoint by band: up to half of its slots, up to all, and above.
 BANDS = 3
+# Estimate of the time of a request until answers have been measured.
+INITIAL_SERVICE_SECONDS = 0.15
 # Sums lose this part of their weight each second, so that a change for some seconds is
 # followed while it lasts.
 DECAY_PER_SECOND = 0.3
@@ -31,6 +33,9 @@
 GROWTH_PER_SECOND = 1.0
 MIN_SECONDS = 0.001
 MAX_SECONDS = 60.0
+MAX_IN_FLIGHT = 10_000.0
+MAX_COUNT = 1_000_000  # Answers in one report.
+CHANGE_RATIO = 1.5  # Smaller changes are not logged, and not shown as the last change.
 
 
 class BandSum(msgspec.Struct, array_like=True, frozen=True):
@@ -52,7 +57,22 @@
     seconds: float  # Time of a request while the endpoint has room.
     in_flight: float  # Requests at once that take no longer than that.
     answers: float = 0.0  # Decayed number of answers that the figure is based on.
-    changed_at: float = -1e9  # When it last changed by over half.
+    # When it had last changed by over half, and requests per second then.
+    changed_at: float = -1e9
+    changed_to: float = 0.0
+
+    def __post_init__(self) -> None:
+        if not self.changed_to:
+            object.__setattr__(self, "changed_to", self.per_second)
+
+    def follow(self, known: "EndpointRoom | None", now: float) -> "EndpointRoom":
+        """Return this figure with the time of the last change after a known one."""
+        changed_at, changed_to = now, self.per_second
+        if known is not None:
+            ratio = self.per_second / known.changed_to
+            if 1 / CHANGE_RATIO <= ratio <= CHANGE_RATIO:
+                changed_at, changed_to = known.changed_at, known.changed_to
+        return dataclasses.replace(self, changed_at=changed_at, changed_to=changed_to)
 
     def expected_seconds(self, ahead: int) -> float:
         """Return the expected time of a request behind `ahead` others."""
@@ -71,6 +91,19 @@
     return 1 if in_flight <= slots else 2
 
 
+def is_valid(samples: Samples) -> bool:
+    """Return whether samples of another instance may be used.
+
+    Each answer has taken no time or more, and one request or more was there.
+    """
+    return all(
+        0 <= band.count <= MAX_COUNT
+        and 0 <= band.milliseconds <= 1000 * MAX_SECONDS * band.count
+        and band.count <= band.in_flight <= MAX_IN_FLIGHT * band.count
+        for band in samples
+    )
+
+
 def add_samples(first: Samples, second: Samples) -> Samples:
     """Return the sums of two sets of samples."""
     low, middle, high = (
@@ -140,10 +173,7 @@
     target = _in_flight(sums, slots, seconds)
     before = float(slots) if known is None else known.in_flight
     in_flight = min(target, before + GROWTH_PER_SECOND * elapsed)
-    changed_at = now if known is None else known.changed_at
-    if known is not None and _differs(known, seconds, in_flight):
-        changed_at = now
-    return EndpointRoom(seconds, in_flight, sums.answers, changed_at)
+    return EndpointRoom(seconds, in_flight, sums.answers).follow(known, now)
 
 
 def _seconds(sums: DecayedSums, slots: int, service_seconds: float) -> float:
@@ -177,9 +207,3 @@
         weight += count
         total += count * min(shown, slots)
     return min(max(total / weight, 1.0), float(slots))
-
-
-def _differs(known: EndpointRoom, seconds: float, in_flight: float) -> bool:
-    """Return whether the figures differ by over half."""
-    ratios = (seconds / known.seconds, in_flight / known.in_flight)
-    return any(ratio > 1.5 or ratio < 1 / 1.5 for ratio in ratios)
--- a/arbutusflow/gateway/load/room_reports.py
+++ b/arbutusflow/gateway/load/room_reports.py
@@ -16,6 +16,10 @@
 import msgspec
 
 from arbutusflow.gateway.load.endpoint_room import (
+    INITIAL_SERVICE_SECONDS,
+    MAX_IN_FLIGHT,
+    MAX_SECONDS,
+    MIN_SECONDS,
     NO_SAMPLES,
     BandSum,
     DecayedSums,
@@ -23,6 +27,7 @@
     Samples,
     add_samples,
     band_of,
+    is_valid,
     learn,
 )
 from arbutusflow.gateway.model import Endpoint
@@ -60,11 +65,10 @@
 
     def to_room(self, known: EndpointRoom | None, now: float) -> EndpointRoom:
         """Decode the figure."""
-        seconds, in_flight = max(1, self.milliseconds) / 1000, max(10, self.tenths) / 10
-        changed_at = now if known is None else known.changed_at
-        if known is not None and _ratio(known, seconds, in_flight) > 1.5:
-            changed_at = now
-        return EndpointRoom(seconds, in_flight, self.answers, changed_at)
+        seconds = min(max(self.milliseconds / 1000, MIN_SECONDS), MAX_SECONDS)
+        in_flight = min(max(self.tenths / 10, 1.0), MAX_IN_FLIGHT)
+        answers = float(max(0, self.answers))
+        return EndpointRoom(seconds, in_flight, answers).follow(known, now)
 
 
 def _ratio(room: EndpointRoom, seconds: float, in_flight: float) -> float:
@@ -90,6 +94,8 @@
     def add(self, samples: Mapping[str, Samples]) -> None:
         """Add the samples of another instance."""
         for name, sums in samples.items():
+            if not is_valid(sums):
+                continue
             self._samples[name] = add_samples(self._samples.get(name, NO_SAMPLES), sums)
 
     def take(self) -> dict[str, Samples]:
@@ -105,7 +111,6 @@
 class _Learned:
     """What a granter knows of one process of an endpoint."""
 
-    started_ms: int
     sums: DecayedSums
     room: EndpointRoom | None = None
 
@@ -151,26 +156,29 @@
 
     def _learn_from(self, samples: Mapping[str, Samples]) -> None:
         for name, sums in samples.items():
-            learned = self._learned.setdefault(name, _Learned(0, DecayedSums()))
+            if not is_valid(sums):
+                continue
+            learned = self._learned.setdefault(name, _Learned(DecayedSums()))
             learned.sums = learned.sums.plus(sums)
 
-    def learn(self, endpoints: Mapping[str, Endpoint], now: float) -> list[str]:
-        """Update the figures of a granter; return the endpoints that changed much."""
+    def forget(self, endpoint: str) -> None:
+        """Forget an endpoint; an earlier process says nothing about a later one."""
+        self._learned.pop(endpoint, None)
+        self._told.pop(endpoint, None)
+        self._heard_at.pop(endpoint, None)
+        self.rooms.pop(endpoint, None)
+
+    def learn(self, endpoints: Mapping[str, Endpoint], now: float) -> None:
+        """Update the figures of a granter."""
         elapsed = now - self._learned_at
         if elapsed < LEARN_SECONDS:
-            return []
+            return
         elapsed, self._learned_at = min(elapsed, 10.0), now
         for name in self._learned.keys() - endpoints.keys():
             del self._learned[name]
         means = self._service_seconds(endpoints)
         for name, learned in self._learned.items():
             endpoint = endpoints[name]
-            if learned.started_ms != endpoint.started_ms:
-                # What an earlier process did says nothing about this one.
-                known = learned.started_ms != 0
-                learned.started_ms = endpoint.started_ms
-                if known:
-                    learned.sums, learned.room = DecayedSums(), None
             learned.sums = learned.sums.after(elapsed)
             learned.room = learn(
                 learned.room,
@@ -180,15 +188,12 @@
                 elapsed,
                 now,
             )
-        before, self.rooms = (
-            self.rooms,
-            {
-                name: learned.room
-                for name, learned in self._learned.items()
-                if learned.room is not None
-            },
-        )
-        return _changed_much(before, self.rooms)
+        self._heard_at = {}
+        self.rooms = {
+            name: learned.room
+            for name, learned in self._learned.items()
+            if learned.room is not None
+        }
 
     def _service_seconds(self, endpoints: Mapping[str, Endpoint]) -> dict[str, float]:
         """Return the mean time of a request by service, over its endpoints' answers."""
@@ -203,7 +208,7 @@
                     total[0] += seconds / max(1.0, in_flight / count / endpoint.slots)
                     total[1] += count
         return {
-            service: seconds / count if count else 0.15
+            service: seconds / count if count else INITIAL_SERVICE_SECONDS
             for service, (seconds, count) in totals.items()
         }
 
@@ -226,29 +231,17 @@
         self._told.update({name: self.rooms[name] for name in names})
         return tuple(RoomFigure.from_room(name, self.rooms[name]) for name in names)
 
-    def apply(self, figures: tuple[RoomFigure, ...], now: float) -> list[str]:
-        """Use the figures that a granter tells; return endpoints that changed much."""
-        before = {
-            f.endpoint: self.rooms[f.endpoint]
-            for f in figures
-            if f.endpoint in self.rooms
-        }
+    def apply(self, figures: tuple[RoomFigure, ...], now: float) -> None:
+        """Use the figures that a granter tells."""
         for figure in figures:
             known = self.rooms.get(figure.endpoint)
             self.rooms[figure.endpoint] = figure.to_room(known, now)
             self._heard_at[figure.endpoint] = now
-        for name, heard_at in list(self._heard_at.items()):
-            if now - heard_at >= FIGURE_EXPIRY_SECONDS:
-                del self._heard_at[name]
-                self.rooms.pop(name, None)
-        return _changed_much(before, self.rooms)
-
-
-def _changed_much(
-    before: Mapping[str, EndpointRoom], after: Mapping[str, EndpointRoom]
-) -> list[str]:
-    return [
-        name
-        for name, room in before.items()
-        if name in after and after[name].changed_at != room.changed_at
-    ]
+
+    def expire(self, now: float) -> None:
+        """Forget figures that nobody has told for long; called by a follower."""
+        self._learned.clear()
+        for name in list(self.rooms):
+            # Those that this instance learned as a granter count as told now.
+            if now - self._heard_at.setdefault(name, now) >= FIGURE_EXPIRY_SECONDS:
+                self.forget(name)
--- a/arbutusflow/gateway/peers.py
+++ b/arbutusflow/gateway/peers.py
@@ -94,6 +94,14 @@
     unknown_write: bool = False
     # Grants by the tables of a later era of the store that endpoints have refused.
     refused: tuple[GrantId, ...] = ()
+
+
+class SampledReport(PeerReport, array_like=True, frozen=True, tag="report+"):
+    """A report with what is learned of endpoints (setting `learnRoom`).
+
+    It has a tag of its own, so that reports without it are as they would be otherwise.
+    """
+
     # By endpoint: answers that the sender and its followers got; see `room_reports`.
     samples: dict[str, Samples] = {}
 
@@ -110,7 +118,14 @@
     key_loads: dict[str, dict[int, int]] = {}  # As in `PeerReport`.
     service_times: dict[str, tuple[float, int]] = {}
     leaving_endpoints: dict[str, int] = {}  # As in `PeerReport`.
-    samples: dict[str, Samples] = {}  # By endpoint; see `room_reports`.
+
+
+class SampledFollowerReport(
+    FollowerReport, array_like=True, frozen=True, tag="follow+"
+):
+    """A follower's report with what is learned of endpoints."""
+
+    samples: dict[str, Samples] = {}  # As in `SampledReport`.
 
 
 class FleetDigest(msgspec.Struct, array_like=True, frozen=True, tag="digest"):
@@ -132,6 +147,11 @@
     # Granters that followers must not choose then: they cannot read the store.
     without_contact: tuple[str, ...] = ()
     leaving_endpoints: dict[str, int] = {}  # As in `PeerReport`.
+
+
+class FigureDigest(FleetDigest, array_like=True, frozen=True, tag="digest+"):
+    """A digest with what was learned of endpoints."""
+
     rooms: tuple[RoomFigure, ...] = ()  # What endpoints handle well.
 
 
@@ -195,9 +215,11 @@
     | TransferPiece
     | PieceRequest
     | FollowerReport
+    | SampledFollowerReport
     | FleetDigest
+    | FigureDigest
 )
-Message = PeerReport | QueueMarker | SyncMessage
+Message = PeerReport | SampledReport | QueueMarker | SyncMessage
 
 
 class PeerState:
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -10,7 +10,7 @@
 import signal
 import sys
 import types
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import NoReturn
 
 import msgspec
@@ -37,12 +37,17 @@
     ZONE_REPORT_SECONDS,
     FleetTask,
 )
-from arbutusflow.gateway.instance_state import STATE_PATH, InstanceState
+from arbutusflow.gateway.instance_state import (
+    STATE_PATH,
+    EndpointFigure,
+    InstanceState,
+)
 from arbutusflow.gateway.leaving_checks import LeavingChecks
 from arbutusflow.gateway.lifecycle import Lifecycle, Phase, Work
 from arbutusflow.gateway.load.admission import Admission
 from arbutusflow.gateway.load.cold_rate import ColdSends, sender_count
 from arbutusflow.gateway.load.endpoint_load import EndpointTable
+from arbutusflow.gateway.load.endpoint_room import EndpointRoom
 from arbutusflow.gateway.load.retry_budget import RetryBudget
 from arbutusflow.gateway.load.room_reports import RoomExchange
 from arbutusflow.gateway.memory_watch import MemoryWatch, peak_bytes
@@ -647,8 +652,21 @@
             ends_in_seconds=None if plan is None else round(plan.ends_at - now, 3),
             configuration=None if cfg is None else cfg.version,
             configuration_seconds=None if cfg is None else round(now - since, 3),
+            rooms={
+                name: EndpointFigure(
+                    round(room.seconds, 4),
+                    round(room.in_flight, 1),
+                    round(room.answers, 1),
+                    round(now - room.changed_at, 3),
+                )
+                for name, room in self._rooms().items()
+            },
         )
 
+    def _rooms(self) -> Mapping[str, EndpointRoom]:
+        """Return what was learned of endpoints."""
+        return {} if self.endpoints.rooms is None else self.endpoints.rooms.rooms
+
     async def _metrics(self, req: CallerRequest) -> CallerResponse:
         if req.target == STATE_PATH.encode():
             headers = ((b"Content-Type", b"application/json"),)
@@ -666,6 +684,7 @@
             self.metrics.set_gauge(f"choices_past_{name}", count)
         limited = self.endpoints.limited_endpoints(self._loop.time())
         self.metrics.set_gauge("cold_endpoints", len(limited))
+        self.metrics.set_gauge("learned_endpoints", len(self._rooms()))
         self.metrics.set_gauge("cold_sends", self.cold_sends.sends)
         self.metrics.set_transfers(self.fleet_task.relay.counts)
         return CallerResponse(
--- a/arbutusflow/gateway/reference.py
+++ b/arbutusflow/gateway/reference.py
@@ -97,6 +97,7 @@
     "cold_endpoints": "Cold endpoints of services with a limit for them.",
     "cold_sends": "Requests that were sent to such endpoints.",
     "connections_opened": "Connections to endpoints that were opened.",
+    "learned_endpoints": "Endpoints of which it is learned how much they handle well.",
     "log_lines_dropped": "Lines of the log that were lost.",
     "peak_bytes": "Largest size of the process in memory so far.",
     "phase": "Number of the phase: "
--- a/arbutusflow/gateway/trail.py
+++ b/arbutusflow/gateway/trail.py
@@ -16,6 +16,7 @@
         "configuration",
         "endpoint_gone",
         "endpoint_listed",
+        "endpoint_room",
         "grant_refused",
         "key_table",
         "keys_granted",
--- a/tests/gateway/zone_load_model.py
+++ b/tests/gateway/zone_load_model.py
@@ -11,14 +11,18 @@
 import random
 from collections.abc import Callable, Iterator
 
-from arbutusflow.gateway.load.endpoint_load import EndpointTable
+from arbutusflow.gateway.load.admission import Admission
+from arbutusflow.gateway.load.endpoint_load import EndpointState, EndpointTable
 from arbutusflow.gateway.load.room_reports import RoomExchange
-from arbutusflow.gateway.model import Address, Endpoint
+from arbutusflow.gateway.model import Address, Endpoint, Repeatability, Route
 
 SERVICE = "gallery"
 SLOTS = 4
 SPEEDS = (0.6, 1.0, 1.4)
 DIGEST_SECONDS = 0.15
+OBJECTIVE_SECONDS = 0.8
+DEADLINE_SECONDS = 2.4
+ROUTE = Route("r", "h", "/", Repeatability.IDEMPOTENT, (), 3.0, OBJECTIVE_SECONDS, 0, 3)
 
 # Returns by which factor work takes longer, by number of the endpoint in its zone, time
 # and requests at the endpoint.
@@ -48,7 +52,8 @@
     requests: int
     left_zone: int  # Requests that were sent to another zone.
     response_seconds: tuple[float, ...]
-    expected_ratios: tuple[float, ...] = ()  # Expected over measured time.
+    # Endpoint, requests ahead, expected and measured seconds of each answer.
+    answers: tuple[tuple[str, int, float, float], ...] = ()
 
     @property
     def left_zone_share(self) -> float:
@@ -88,10 +93,12 @@
     speeds: tuple[float, ...] = SPEEDS,
     slowdown: Slowdown | None = None,
     learn: bool = False,
+    admission: bool = False,
 ) -> ZoneLoads:
     """Run requests for `seconds`; the load is given by zone, as share of its slots.
 
-    With `learn` the instances of a zone exchange what they see of endpoints.
+    With `learn` the instances of a zone exchange what they see of endpoints. With
+    `admission` they refuse requests that are not expected to be in time.
     """
     rng = random.Random(seed)
     servers: dict[str, _Server] = {}
@@ -125,7 +132,7 @@
             heapq.heappush(events, (at, next(numbers), zone))
     for step in range(int(seconds / DIGEST_SECONDS)):
         heapq.heappush(events, (step * DIGEST_SECONDS, next(numbers), None))
-    left, times, requests, errors = 0, [], 0, []
+    left, times, requests, answers = 0, [], 0, []
     while events:
         now, _, event = heapq.heappop(events)
         if event is None:
@@ -142,8 +149,10 @@
                     table.learn_rooms(now, as_granter=True)
         elif isinstance(event, str):
             table = rng.choice(tables[event])
-            state = table.choose(SERVICE, set(), now)
-            assert state is not None
+            state = _choose(table, now, admission=admission)
+            if state is None:
+                requests += 1
+                continue
             ahead = state.own_in_flight + state.other_in_flight(now)
             server = servers[state.endpoint.id]
             state.own_in_flight += 1
@@ -152,18 +161,32 @@
             left += state.endpoint.zone != event
             end = server.finish_time(now, work.draw(rng))
             times.append(end - now)
-            ended = (state, ahead, end - now, event, state.expected_seconds(now))
+            ended = (state, ahead, end - now, table, state.expected_seconds(now))
             heapq.heappush(events, (end, next(numbers), ended))
         else:
-            state, ahead, taken, zone, expected = event  # type: ignore[misc]
-            errors.append(expected / taken)
-            exchanges[zone].count(
-                state.endpoint, servers[state.endpoint.id].in_flight, taken
-            )
+            state, ahead, taken, table, expected = event  # type: ignore[misc]
+            answers.append((state.endpoint.id, ahead, expected, taken))
+            at_once = servers[state.endpoint.id].in_flight
+            table.count_answer(state, taken, at_once, 1.0, now)
             state.own_in_flight -= 1
             servers[state.endpoint.id].in_flight -= 1
             state.record_response(taken, ahead, now)
-    return ZoneLoads(requests, left, tuple(times), tuple(errors))
+    return ZoneLoads(requests, left, tuple(times), tuple(answers))
+
+
+def _choose(
+    table: EndpointTable, now: float, *, admission: bool
+) -> EndpointState | None:
+    """Return the endpoint for a request as `Dispatcher` does; None if refused."""
+    for compare_all in (False, True):
+        state = table.choose(SERVICE, set(), now, compare_all=compare_all)
+        assert state is not None
+        if not admission:
+            return state
+        check = Admission(table, random.Random(1)).check
+        if check(state, ROUTE, DEADLINE_SECONDS, 0.0, now) is None:
+            return state
+    return None
 
 
 def _arrivals(per_second: float, seconds: float, rng: random.Random) -> Iterator[float]:
