Bound what learning costs a granter of a large fleet

Cause: a granter updated all figures twice a second, each instance looked at all endpoints at every step, and reports of samples grew with the number of granters and followers.

Change: at most 200 endpoints are learned at once, in turn, and only changed figures are passed on. Those that report to the same granters share 128 endpoints a second. One answer counts as at most six times the expected time, of four before: the expected time was too low.

--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -508,7 +508,14 @@
 
     def _take_samples(self) -> dict[str, Samples]:
         """Return the samples of endpoints' answers that are due."""
-        return {} if self.rooms is None else self.rooms.take_samples(self._loop.time())
+        if self.rooms is None:
+            return {}
+        digest = self.following.digest
+        # Those that report to the same granters as this instance.
+        senders = 1 if digest is None else digest.followers
+        if self.fleet.registered:
+            senders = self.fleet.zone_size - 1
+        return self.rooms.take_samples(self._loop.time(), senders)
 
     def _touch_age(self, now: float) -> float:
         """Return for how long the store has answered; negative if it does not."""
@@ -905,7 +912,7 @@
         self.leases.record_renewals(report, now)
         self._workload.apply_report(report)
         if self.rooms is not None and isinstance(report, SampledReport):
-            self.rooms.add_granter(report.samples)
+            self.rooms.add_granter(report.samples, now)
 
     def _request_copies(
         self,
--- a/arbutusflow/gateway/load/endpoint_load.py
+++ b/arbutusflow/gateway/load/endpoint_load.py
@@ -12,7 +12,6 @@
 
 import asyncio
 import dataclasses
-import heapq
 import random
 from collections.abc import Mapping
 
@@ -49,9 +48,10 @@
 # With learned figures: fewer, which are drawn with weights. With six, a lightly loaded
 # endpoint is among those of nearly every instance until the next digest.
 WEIGHTED_LOCAL_CHOICES, WEIGHTED_OTHER_CHOICES = 3, 1
+DRAWS_PER_CHOICE = 4
 # Answers longer than this multiple of the expected time count as this long: one answer
 # of the tail would otherwise decide the figure of an endpoint.
-MAX_ANSWER_RATIO = 4.0
+MAX_ANSWER_RATIO = 6.0
 # Ratio of an instance's own estimate of the time of a request to the learned one, up to
 # which the choice uses its own. At 1.5 and less the instances choose too much alike.
 MAX_OWN_RATIO = 2.0
@@ -301,6 +301,7 @@
         self._wait_until: dict[str, float] = {}
         self._delisted: list[str] = []  # Endpoints in `states` that are not listed.
         self.states: dict[str, EndpointState] = {}
+        self._endpoints: dict[str, Endpoint] = {}  # Those of `states`.
         self._services: dict[str, list[EndpointState]] = {}
         self._peer_reports: dict[str, _PeerLoadReport] = {}
         # Learns how much endpoints handle well; None if that is not asked for.
@@ -351,6 +352,8 @@
                 if state is not None:
                     state.peer_in_flight = self._peer_in_flight(name)
                     state.end_check()
+                    if self.rooms is not None:
+                        self.rooms.changed.add(name)
             if state is None:
                 state = EndpointState(endpoint, cold_until=now + endpoint.cold_seconds)
                 if self.rooms is not None:
@@ -407,6 +410,7 @@
             del self._departed[next(iter(self._departed))]
         self.states = states
         self._delisted = [name for name in states if name not in self._listed]
+        self._endpoints = {name: state.endpoint for name, state in states.items()}
         self._services = {}
         for state in states.values():
             self._services.setdefault(state.endpoint.service, []).append(state)
@@ -440,12 +444,15 @@
         if self.rooms is None:
             return []
         if as_granter:
-            listed = {name: state.endpoint for name, state in self.states.items()}
-            self.rooms.learn(listed, now)
+            self.rooms.learn(self._endpoints, now)
         else:
             self.rooms.expire(now)
         changed = []
-        for name, state in self.states.items():
+        while self.rooms.changed:
+            name = self.rooms.changed.pop()
+            state = self.states.get(name)
+            if state is None:
+                continue
             before, state.room = state.room, self.rooms.rooms.get(name)
             if before is None or state.room is None:
                 continue
@@ -651,16 +658,32 @@
         """Return a few random endpoints, weighted by what they can serve."""
         if len(states) <= WEIGHTED_LOCAL_CHOICES + WEIGHTED_OTHER_CHOICES:
             return states
-        known = [s.room.per_second for s in states if s.room is not None]
+        rooms = [state.room for state in states]
+        known = [room.in_flight / room.seconds for room in rooms if room is not None]
         mean = sum(known) / len(known) if known else 1.0
-        local: list[tuple[float, int, EndpointState]] = []
-        others: list[tuple[float, int, EndpointState]] = []
-        for number, state in enumerate(states):
-            weight = mean if state.room is None else state.room.per_second
-            # The smallest of exponential times are a weighted sample without repeats.
-            drawn = (self._rng.expovariate(weight), number, state)
-            (local if state.endpoint.zone == self._zone else others).append(drawn)
-        count = min(len(local), WEIGHTED_LOCAL_CHOICES)
-        count_others = WEIGHTED_LOCAL_CHOICES + WEIGHTED_OTHER_CHOICES - count
-        chosen = heapq.nsmallest(count, local) + heapq.nsmallest(count_others, others)
-        return [state for _, _, state in chosen]
+        local: list[EndpointState] = []
+        others: list[EndpointState] = []
+        local_weights: list[float] = []
+        other_weights: list[float] = []
+        for state, room in zip(states, rooms, strict=True):
+            weight = mean if room is None else room.in_flight / room.seconds
+            if state.endpoint.zone == self._zone:
+                local.append(state)
+                local_weights.append(weight)
+            else:
+                others.append(state)
+                other_weights.append(weight)
+        chosen = self._draw(local, local_weights, WEIGHTED_LOCAL_CHOICES)
+        count = WEIGHTED_LOCAL_CHOICES + WEIGHTED_OTHER_CHOICES - len(chosen)
+        return chosen + self._draw(others, other_weights, count)
+
+    def _draw(
+        self, states: list[EndpointState], weights: list[float], count: int
+    ) -> list[EndpointState]:
+        """Return up to `count` different states, drawn with weights."""
+        if len(states) <= count:
+            return states
+        # Repeats are dropped. Where one weight is far above all others, fewer endpoints
+        # are compared rather than drawn without end.
+        drawn = self._rng.choices(states, weights, k=DRAWS_PER_CHOICE * count)
+        return list({state.endpoint.id: state for state in drawn}.values())[:count]
--- a/arbutusflow/gateway/load/room_reports.py
+++ b/arbutusflow/gateway/load/room_reports.py
@@ -11,6 +11,8 @@
 
 import collections
 import dataclasses
+import heapq
+import itertools
 from collections.abc import Mapping
 
 import msgspec
@@ -34,8 +36,17 @@
 
 REPORT_SECONDS = 1.0  # Between reports of samples.
 LEARN_SECONDS = 0.5  # Between updates of the figures.
-# Endpoints in one report of samples, those with the most answers first: 27 bytes each.
+# Endpoints of one update, in turn; with more of them, each is updated less often.
+MAX_LEARNED_AT_ONCE = 200
+MEANS_SECONDS = 2.0  # Between updates of the mean time of a request of each service.
+# Endpoints with a lower decayed number of answers are forgotten by a granter: by then
+# what is left is the mean of their service.
+MIN_ANSWERS = 0.1
+# Endpoints in one report of samples, those with the most answers first: 26 bytes each.
+# The followers of a granter share a number of them, and the granters of a zone as well,
+# so that what a granter receives does not grow with their number.
 MAX_SAMPLED_ENDPOINTS = 64
+MAX_SAMPLED_BY_ALL = 128
 # Figures in one digest, of 16 bytes each: digests are sent every 0.15 s at most.
 MAX_TOLD_FIGURES = 12
 REPEATED_FIGURES = 2  # Of these, told again in turn: a digest may be lost.
@@ -99,20 +110,32 @@
             self._samples[name] = add_samples(self._samples.get(name, NO_SAMPLES), sums)
 
     def take(self) -> dict[str, Samples]:
-        """Return the samples to report, and forget all of them."""
+        """Return the samples, and forget them."""
         samples, self._samples = self._samples, {}
-        if len(samples) <= MAX_SAMPLED_ENDPOINTS:
-            return samples
-        names = sorted(samples, key=lambda name: -sum(b.count for b in samples[name]))
-        return {name: samples[name] for name in names[:MAX_SAMPLED_ENDPOINTS]}
+        return samples
+
+
+def to_report(samples: Mapping[str, Samples], senders: int) -> dict[str, Samples]:
+    """Return the samples for a report; so many instances report to the receivers."""
+    limit = max(1, min(MAX_SAMPLED_ENDPOINTS, MAX_SAMPLED_BY_ALL // max(1, senders)))
+    names = heapq.nlargest(
+        limit, samples, key=lambda name: sum(band.count for band in samples[name])
+    )
+    return {name: samples[name] for name in names}
 
 
 @dataclasses.dataclass(slots=True)
 class _Learned:
     """What a granter knows of one process of an endpoint."""
 
-    sums: DecayedSums
+    at: float  # Time that the sums are decayed to.
+    sums: DecayedSums = DecayedSums()
     room: EndpointRoom | None = None
+    learned_at: float | None = None  # Time of the figure.
+
+    def add(self, samples: Samples, now: float) -> None:
+        """Add samples of now."""
+        self.sums, self.at = self.sums.after(now - self.at).plus(samples), now
 
 
 class RoomExchange:
@@ -128,78 +151,91 @@
         self._told: dict[str, EndpointRoom] = {}  # As last told to followers.
         self._turn: collections.deque[str] = collections.deque()
         self._heard_at: dict[str, float] = {}  # When a figure was last told.
+        self._to_learn: dict[str, None] = {}  # Those of `_learned`, in turn.
+        self._untold: dict[str, None] = {}  # Endpoints to compare with `_told`.
+        self._means: dict[str, float] = {}  # Time of a request, by service.
+        self._means_at = -1e9
         self.rooms: dict[str, EndpointRoom] = {}
+        self.changed: set[str] = set()  # Endpoints whose figure the user has not seen.
 
     def count(self, endpoint: Endpoint, in_flight: int, seconds: float) -> None:
         """Count an answer of an endpoint."""
         self._own.count(endpoint, in_flight, seconds)
 
-    def take_samples(self, now: float) -> dict[str, Samples]:
-        """Return the samples for a report; empty if none is due.
+    def take_samples(self, now: float, senders: int = 1) -> dict[str, Samples]:
+        """Return the samples for a report to granters; empty if none is due.
 
-        A granter learns from them as well.
+        A granter itself learns from all that it has.
         """
         if now - self._reported_at < REPORT_SECONDS:
             return {}
         self._reported_at = now
         samples = self._own.take()
-        self._learn_from(samples)
-        return samples
+        self._learn_from(samples, now)
+        return to_report(samples, senders)
 
     def add_follower(self, samples: Mapping[str, Samples]) -> None:
         """Use the samples of a follower; they are reported to the other granters."""
         self._own.add(samples)
 
-    def add_granter(self, samples: Mapping[str, Samples]) -> None:
+    def add_granter(self, samples: Mapping[str, Samples], now: float) -> None:
         """Use the samples of another granter of the zone."""
-        self._learn_from(samples)
+        self._learn_from(samples, now)
 
-    def _learn_from(self, samples: Mapping[str, Samples]) -> None:
+    def _learn_from(self, samples: Mapping[str, Samples], now: float) -> None:
         for name, sums in samples.items():
             if not is_valid(sums):
                 continue
-            learned = self._learned.setdefault(name, _Learned(DecayedSums()))
-            learned.sums = learned.sums.plus(sums)
+            if name not in self._learned:
+                self._learned[name] = _Learned(now)
+                self._to_learn[name] = None
+            self._learned[name].add(sums, now)
 
     def forget(self, endpoint: str) -> None:
         """Forget an endpoint; an earlier process says nothing about a later one."""
         self._learned.pop(endpoint, None)
+        self._to_learn.pop(endpoint, None)
         self._told.pop(endpoint, None)
         self._heard_at.pop(endpoint, None)
         self.rooms.pop(endpoint, None)
+        self.changed.add(endpoint)
 
     def learn(self, endpoints: Mapping[str, Endpoint], now: float) -> None:
         """Update the figures of a granter."""
-        elapsed = now - self._learned_at
-        if elapsed < LEARN_SECONDS:
+        if now - self._learned_at < LEARN_SECONDS:
             return
-        elapsed, self._learned_at = min(elapsed, 10.0), now
-        for name in self._learned.keys() - endpoints.keys():
-            del self._learned[name]
-        means = self._service_seconds(endpoints)
-        for name, learned in self._learned.items():
-            endpoint = endpoints[name]
-            learned.sums = learned.sums.after(elapsed)
-            learned.room = learn(
+        self._learned_at = now
+        self._heard_at = {}
+        if now - self._means_at >= MEANS_SECONDS:
+            self._means, self._means_at = self._service_seconds(endpoints), now
+        for name in list(itertools.islice(self._to_learn, MAX_LEARNED_AT_ONCE)):
+            learned, endpoint = self._learned[name], endpoints.get(name)
+            learned.sums, learned.at = learned.sums.after(now - learned.at), now
+            if endpoint is None or learned.sums.answers < MIN_ANSWERS:
+                self.forget(name)
+                continue
+            before = now if learned.learned_at is None else learned.learned_at
+            learned.room = self.rooms[name] = learn(
                 learned.room,
                 learned.sums,
                 endpoint.slots,
-                means[endpoint.service],
-                elapsed,
+                self._means.get(endpoint.service, INITIAL_SERVICE_SECONDS),
+                now - before,
                 now,
             )
-        self._heard_at = {}
-        self.rooms = {
-            name: learned.room
-            for name, learned in self._learned.items()
-            if learned.room is not None
-        }
+            learned.learned_at = now
+            self.changed.add(name)
+            self._untold[name] = None
+            del self._to_learn[name]
+            self._to_learn[name] = None
 
     def _service_seconds(self, endpoints: Mapping[str, Endpoint]) -> dict[str, float]:
         """Return the mean time of a request by service, over its endpoints' answers."""
         totals: dict[str, list[float]] = {}
         for name, learned in self._learned.items():
-            endpoint, sums = endpoints[name], learned.sums
+            endpoint, sums = endpoints.get(name), learned.sums
+            if endpoint is None:
+                continue
             total = totals.setdefault(endpoint.service, [0.0, 0.0])
             for count, seconds, in_flight in zip(
                 sums.counts, sums.seconds, sums.in_flight, strict=True
@@ -214,20 +250,22 @@
 
     def figures_to_tell(self) -> tuple[RoomFigure, ...]:
         """Return the figures for the next digest."""
-        changed = [
-            name
-            for name, room in self.rooms.items()
-            if (told := self._told.get(name)) is None
-            or _ratio(told, room.seconds, room.in_flight) > TOLD_RATIO
-        ]
-        names = changed[: MAX_TOLD_FIGURES - REPEATED_FIGURES]
+        names: list[str] = []
+        for name in list(self._untold):
+            if len(names) == MAX_TOLD_FIGURES - REPEATED_FIGURES:
+                break
+            del self._untold[name]
+            room, told = self.rooms.get(name), self._told.get(name)
+            if room is not None and (
+                told is None or _ratio(told, room.seconds, room.in_flight) > TOLD_RATIO
+            ):
+                names.append(name)
         for _ in range(min(REPEATED_FIGURES, len(self.rooms))):
             if not self._turn:
                 self._turn.extend(self.rooms)
             name = self._turn.popleft()
             if name in self.rooms and name not in names:
                 names.append(name)
-        self._told = {k: v for k, v in self._told.items() if k in self.rooms}
         self._told.update({name: self.rooms[name] for name in names})
         return tuple(RoomFigure.from_room(name, self.rooms[name]) for name in names)
 
@@ -237,10 +275,15 @@
             known = self.rooms.get(figure.endpoint)
             self.rooms[figure.endpoint] = figure.to_room(known, now)
             self._heard_at[figure.endpoint] = now
+            self.changed.add(figure.endpoint)
 
     def expire(self, now: float) -> None:
         """Forget figures that nobody has told for long; called by a follower."""
+        if now - self._learned_at < LEARN_SECONDS:
+            return
+        self._learned_at = now
         self._learned.clear()
+        self._to_learn.clear()
         for name in list(self.rooms):
             # Those that this instance learned as a granter count as told now.
             if now - self._heard_at.setdefault(name, now) >= FIGURE_EXPIRY_SECONDS:
--- a/tests/gateway/zone_load_model.py
+++ b/tests/gateway/zone_load_model.py
@@ -146,6 +146,8 @@
                 exchange.take_samples(now)
                 for table in tables[zone]:
                     table.rooms = exchange
+                    # Any of them may have learned: all use the figures at once.
+                    exchange.changed = set(exchange.rooms)
                     table.learn_rooms(now, as_granter=True)
         elif isinstance(event, str):
             table = rng.choice(tables[event])
