--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -119,6 +119,8 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     # Until when it waits for an owner that could not be reached; 0 before.
     probed_until: float = 0.0
+    # What was learned of the endpoint of the latest send, as the choice used it.
+    learned: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
     def response_deadline(self) -> float:
@@ -520,6 +522,7 @@
         if remaining < MIN_ATTEMPT_SECONDS:
             raise self._final_error(ctx, "no_time_left")
         ahead = state.own_in_flight + state.other_in_flight(now)
+        ctx.learned = state.learned_fields(now)
         state.own_in_flight += 1
         was_tried = endpoint.id in ctx.tried
         ctx.tried.add(endpoint.id)
@@ -627,6 +630,10 @@
         refused = _is_refusal(response)
         if not refused:
             state.record_response(seconds, ahead, now)
+            # The load in the answer is later than the one known at the send.
+            at_endpoint = ahead if load is None else load.running + load.waiting
+            slowdown = 1.0 if load is None else load.slowdown
+            self._endpoints.count_answer(state, seconds, at_endpoint + 1, slowdown, now)
         elif response.status == 503:
             reported = 0 if load is None else load.running + load.waiting
             state.record_shed(max(ahead, reported), now)
@@ -776,6 +783,7 @@
             endpoint_seconds=round(seconds, 4),
             expected_seconds=round(state.service_seconds, 4),
             objective_seconds=ctx.route.objective_seconds,
+            **ctx.learned,
         )
 
     def _log_failed_attempt(
--- a/arbutusflow/gateway/fleet_task.py
+++ b/arbutusflow/gateway/fleet_task.py
@@ -36,14 +36,19 @@
 from arbutusflow.gateway.key_moves import KeyMoves
 from arbutusflow.gateway.key_orders import KeyOrders
 from arbutusflow.gateway.key_table import StoredTable
+from arbutusflow.gateway.load.endpoint_room import Samples
+from arbutusflow.gateway.load.room_reports import RoomExchange
 from arbutusflow.gateway.model import BEFORE_ALL, Address, StorePoint
 from arbutusflow.gateway.peers import (
     CopyRequest,
     CopyTransfer,
+    FigureDigest,
     FleetDigest,
     FollowerReport,
     PeerReport,
     PeerReports,
+    SampledFollowerReport,
+    SampledReport,
     StrikeReport,
     SyncMessage,
     TableChanged,
@@ -186,6 +191,8 @@
         self._partitioned_services: list[str] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self.demand = key_demand.KeyDemand()
+        # What endpoints handle well; None if it is not to be learned.
+        self.rooms: RoomExchange | None = None
         self.peers = PeerReports(
             own_record.name, own_record.life, self._on_report, self._on_message, log
         )
@@ -562,6 +569,17 @@
             refused=self.leases.refused_grants(now),
         )
 
+    def _take_samples(self) -> dict[str, Samples]:
+        """Return the samples of endpoints' answers that are due."""
+        if self.rooms is None:
+            return {}
+        digest = self.following.digest
+        # Those that report to the same granters as this instance.
+        senders = 1 if digest is None else digest.followers
+        if self.fleet.registered:
+            senders = self.fleet.zone_size - 1
+        return self.rooms.take_samples(self._loop.time(), senders)
+
     def _touch_age(self, now: float) -> float:
         """Return for how long the store has answered; negative if it does not."""
         return round(
@@ -696,6 +714,11 @@
             times,
             self._workload.leaving_endpoints(),
         )
+        samples = self._take_samples()
+        if samples:
+            report = SampledFollowerReport(
+                **msgspec.structs.asdict(report), samples=samples
+            )
         self.peers.send(report, [granter])
 
     def _send_digest(self, targets: list[Address]) -> None:
@@ -728,19 +751,44 @@
             without_contact=tuple(self._lost_contact & self.fleet.records.keys()),
             leaving_endpoints=self._workload.leaving_endpoints(),
         )
+        figures = () if self.rooms is None else self.rooms.figures_to_tell()
+        if figures:
+            digest = FigureDigest(**msgspec.structs.asdict(digest), rooms=figures)
         self.peers.send(digest, targets)
 
     def _send_reports(self, load: dict[str, int], zone: str | None) -> None:
         demand = self._due_demand() if zone is None else {}
+        samples = self._take_samples()
         for vouched in (True, False):
             targets = self.fleet.targets(vouched=vouched, zone=zone)
             for planner, loads in demand.items():
                 if planner in targets:
                     targets.remove(planner)
                     report = self._make_report(loads, load, vouches=vouched)
-                    self.peers.send(report, [planner])
+                    self._send_report(report, [planner], samples)
             if targets:
-                self.peers.send(self._make_report({}, load, vouches=vouched), targets)
+                report = self._make_report({}, load, vouches=vouched)
+                self._send_report(report, targets, samples)
+
+    def _send_report(
+        self, report: PeerReport, targets: list[Address], samples: dict[str, Samples]
+    ) -> None:
+        """Send a report, with the samples to the granters of this zone only.
+
+        Reports across zones are priced by the byte.
+        """
+        if samples:
+            zone = self.fleet.own_record.zone
+            near = {
+                Address(record.host, record.port)
+                for record in self.fleet.others()
+                if record.zone == zone
+            }
+            fields = msgspec.structs.asdict(report)
+            extended = SampledReport(**fields, samples=samples)
+            self.peers.send(extended, [target for target in targets if target in near])
+            targets = [target for target in targets if target not in near]
+        self.peers.send(report, targets)
 
     def decay_demand(self) -> None:
         """Decay the demand, and send it to the planners with the next report."""
@@ -828,6 +876,7 @@
         return key_demand.capacities(
             [e for e in self.leases.endpoints.values() if e.service == service],
             measured,
+            None if self.rooms is None else self.rooms.rooms,
         )
 
     def _on_message(self, message: SyncMessage, source: Address) -> None:
@@ -866,6 +915,12 @@
             return
         is_new = self.followers.accept(report, source, now)
         self._workload.apply_follower(report)
+        if (
+            self.rooms is not None
+            and isinstance(report, SampledFollowerReport)
+            and self.followers.holds(report)
+        ):
+            self.rooms.add_follower(report.samples)
         if is_new:
             self._send_digest([source])
 
@@ -879,6 +934,8 @@
         self.relay.request_changes(digest.copies, source, now)
         self._request_tables(digest.tables, source, 0.0, now)
         self._workload.apply_digest(digest, self._reported_in_flight)
+        if self.rooms is not None and isinstance(digest, FigureDigest):
+            self.rooms.apply(digest.rooms, now)
 
     def _relay_sources(self) -> list[Address]:
         """Return the granters that may send copies, those of the own zone first."""
@@ -930,6 +987,8 @@
         self._request_copies(report, record, source, now)
         self.leases.record_renewals(report, now)
         self._workload.apply_report(report)
+        if self.rooms is not None and isinstance(report, SampledReport):
+            self.rooms.add_granter(report.samples, now)
 
     def _request_copies(
         self,
--- a/arbutusflow/gateway/instance_state.py
+++ b/arbutusflow/gateway/instance_state.py
@@ -16,6 +16,15 @@
     services_only_there: tuple[str, ...]  # Without a ready endpoint in other zones.
 
 
+class EndpointFigure(msgspec.Struct, frozen=True):
+    """What was learned of an endpoint."""
+
+    seconds: float  # Time of a request while the endpoint has room.
+    in_flight: float  # Requests at once that take no longer than that.
+    answers: float  # Decayed number of answers that the figure is based on.
+    changed_seconds: float  # Since it last changed by over half.
+
+
 class InstanceState(msgspec.Struct, frozen=True):
     """What an instance is doing. Times are in seconds."""
 
@@ -29,3 +38,5 @@
     configuration: int | None  # Version in force.
     configuration_seconds: float | None  # Since it is in force.
     evacuated_zones: tuple[EvacuatedZone, ...] = ()
+    # By endpoint with a figure; empty without the setting `learnRoom`.
+    rooms: dict[str, EndpointFigure] = {}
--- a/arbutusflow/gateway/load/endpoint_load.py
+++ b/arbutusflow/gateway/load/endpoint_load.py
@@ -18,11 +18,14 @@
 from collections.abc import Mapping
 
 from arbutusflow.gateway.load.cold_rate import ColdSends
+from arbutusflow.gateway.load.endpoint_room import (
+    INITIAL_SERVICE_SECONDS,
+    EndpointRoom,
+)
 from arbutusflow.gateway.load.owner_probes import OwnerProbes
+from arbutusflow.gateway.load.room_reports import RoomExchange
 from arbutusflow.gateway.model import NO_EVACUATION, Endpoint, EvacuationTimes
 
-# Estimate of the service time until responses have been measured.
-INITIAL_SERVICE_SECONDS = 0.15
 # Weight of the latest response in the moving averages.
 SERVICE_TIME_GAIN = 0.1
 FAILURE_RATE_GAIN = 0.15
@@ -45,8 +48,22 @@
 # availability zone, the others from other zones.
 CHOICES = 6
 MAX_LOCAL_CHOICES = 4
+# With learned figures: fewer, which are drawn with weights. With six, a lightly loaded
+# endpoint is among those of nearly every instance until the next digest.
+WEIGHTED_LOCAL_CHOICES, WEIGHTED_OTHER_CHOICES = 3, 1
+DRAWS_PER_CHOICE = 4
+# Answers longer than this multiple of the expected time count as this long: one answer
+# of the tail would otherwise decide the figure of an endpoint.
+MAX_ANSWER_RATIO = 6.0
+# Ratio of an instance's own estimate of the time of a request to the learned one, up to
+# which the choice uses its own. At 1.5 and less the instances choose too much alike.
+MAX_OWN_RATIO = 2.0
 # Random increase of costs where all endpoints are compared, for the same reason.
 COST_JITTER = 0.3
+# The slowdown that an endpoint reports changes many times a second.
+SLOWDOWN_TTL_SECONDS = 0.2
+# Reported slowdowns beyond these factors count as these.
+MIN_SLOWDOWN, MAX_SLOWDOWN = 0.25, 16.0
 # Share of the drain period in which a leaving endpoint is still sent requests for its
 # keys. It may have started to drain a second before this instance is notified.
 DRAIN_SERVE_FRACTION = 0.4
@@ -85,6 +102,12 @@
     wait_until: float = -1e9  # Until when it asked for no requests.
     # Whether it asked to wait and has run no request since. It then gets one at a time.
     on_trial: bool = False
+    # What the endpoint handles well, learned from the answers that many instances saw;
+    # None if that is not known, or not asked for.
+    room: EndpointRoom | None = None
+    # How long work takes on its host, as it last said, and for how long that holds.
+    slowdown: float = 1.0
+    slowdown_until: float = -1e9
     # Set while a statement that its endpoint leaves may be of this process; the event
     # occurs when that has been decided.
     pending_check: asyncio.Event | None = None
@@ -99,6 +122,12 @@
 
     def expected_seconds(self, now: float) -> float:
         """Return the expected response time of a request sent now."""
+        if self.room is not None:
+            ahead = self.own_in_flight + self.other_in_flight(now)
+            seconds = self.room.expected_seconds(ahead)
+            if now < self.slowdown_until:
+                seconds *= self.slowdown
+            return seconds * (COLD_START_FACTOR if now < self.cold_until else 1.0)
         service_seconds = self.service_seconds
         if now < self.cold_until:
             service_seconds *= COLD_START_FACTOR
@@ -106,6 +135,46 @@
         wait = max(0.0, ahead / self.endpoint.slots) * service_seconds
         return wait + service_seconds
 
+    def choice_seconds(self, now: float) -> float:
+        """Return the expected response time that the choice among endpoints uses.
+
+        The time of a request is this instance's own estimate, which differs from that
+        of the others: with one learned figure all instances would prefer the same
+        endpoint. The figure only bounds it.
+        """
+        if self.room is None:
+            return self.expected_seconds(now)
+        at_once = self.own_in_flight + self.other_in_flight(now) + 1
+        learned = self.room.seconds
+        seconds = max(self.service_seconds, learned / MAX_OWN_RATIO)
+        seconds = min(seconds, learned * MAX_OWN_RATIO)
+        seconds *= max(1.0, at_once / self.room.in_flight)
+        if now < self.slowdown_until:
+            seconds *= self.slowdown
+        return seconds * (COLD_START_FACTOR if now < self.cold_until else 1.0)
+
+    def learned_fields(self, now: float) -> dict[str, float]:
+        """Return for the log what was learned of the endpoint and is used now."""
+        if self.room is None:
+            return {}
+        return {
+            "room_seconds": round(self.room.seconds, 4),
+            "room_in_flight": round(self.room.in_flight, 1),
+            "room_answers": round(self.room.answers, 1),
+            "admission_seconds": round(self.expected_seconds(now), 4),
+            "choice_seconds": round(self.choice_seconds(now), 4),
+        }
+
+    @property
+    def base_seconds(self) -> float:
+        """Time of a request while the endpoint has room."""
+        return self.service_seconds if self.room is None else self.room.seconds
+
+    @property
+    def room_slots(self) -> float:
+        """Requests at once that the endpoint handles well."""
+        return self.endpoint.slots if self.room is None else self.room.in_flight
+
     def record_response(self, seconds: float, ahead: int, now: float) -> None:
         """Update service times; `ahead` requests were in flight when it was sent."""
         rounds = max(1.0, (ahead + 1) / self.endpoint.slots)
@@ -252,8 +321,11 @@
         self._evacuation = NO_EVACUATION
         self._delisted: list[str] = []  # Endpoints in `states` that are not listed.
         self.states: dict[str, EndpointState] = {}
+        self._endpoints: dict[str, Endpoint] = {}  # Those of `states`.
         self._services: dict[str, list[EndpointState]] = {}
         self._peer_reports: dict[str, _PeerLoadReport] = {}
+        # Learns how much endpoints handle well; None if that is not asked for.
+        self.rooms: RoomExchange | None = None
         # How often an endpoint was chosen while others of its service were left out
         # because they leave, asked to wait, or are cold.
         self.choices_past_leaving = 0
@@ -306,8 +378,12 @@
                 if state is not None:
                     state.peer_in_flight = self._peer_in_flight(name)
                     state.end_check()
+                    if self.rooms is not None:
+                        self.rooms.changed.add(name)
             if state is None:
                 state = EndpointState(endpoint, cold_until=now + endpoint.cold_seconds)
+                if self.rooms is not None:
+                    self.rooms.forget(name)
                 state.service_seconds = self._median_service_seconds(endpoint.service)
                 # Without a first request it would never be chosen while endpoints with
                 # lower measured service times are idle.
@@ -393,6 +469,7 @@
             del self._departed[next(iter(self._departed))]
         self.states = states
         self._delisted = [name for name in states if name not in self._listed]
+        self._endpoints = {name: state.endpoint for name, state in states.items()}
         self._services = {}
         for state in states.values():
             self._services.setdefault(state.endpoint.service, []).append(state)
@@ -417,6 +494,52 @@
         if current is not None and current is not state:
             current.on_trial = True
 
+    def learn_rooms(self, now: float, *, as_granter: bool) -> list[str]:
+        """Use what is known by now of how much endpoints handle well.
+
+        Returns the endpoints whose figure has changed by over half. A granter learns
+        the figures, and a follower is told them.
+        """
+        if self.rooms is None:
+            return []
+        if as_granter:
+            self.rooms.learn(self._endpoints, now)
+        else:
+            self.rooms.expire(now)
+        changed = []
+        while self.rooms.changed:
+            name = self.rooms.changed.pop()
+            state = self.states.get(name)
+            if state is None:
+                continue
+            before, state.room = state.room, self.rooms.rooms.get(name)
+            if before is None or state.room is None:
+                continue
+            if before.changed_at != state.room.changed_at:
+                changed.append(name)
+        return changed
+
+    def count_answer(
+        self,
+        state: EndpointState,
+        seconds: float,
+        in_flight: int,
+        slowdown: float,
+        now: float,
+    ) -> None:
+        """Count an answer of an endpoint that had `in_flight` requests."""
+        if self.rooms is None:
+            return
+        slowdown = min(max(slowdown, MIN_SLOWDOWN), MAX_SLOWDOWN)
+        state.slowdown, state.slowdown_until = slowdown, now + SLOWDOWN_TTL_SECONDS
+        if now < state.cold_until:
+            return
+        rounds = max(1.0, in_flight / state.endpoint.slots)
+        longest = (
+            MAX_ANSWER_RATIO * rounds * max(state.service_seconds, state.base_seconds)
+        )
+        self.rooms.count(state.endpoint, in_flight, min(seconds / slowdown, longest))
+
     def wait_spread(self, seconds: float) -> float:
         """Return a random addition to a wait, which instances must not end at once."""
         return self._rng.uniform(0.0, min(MAX_WAIT_SPREAD_SECONDS, seconds / 2))
@@ -509,7 +632,7 @@
 
     def cost(self, state: EndpointState, now: float) -> float:
         """Return the expected cost of a request at the endpoint, in seconds."""
-        cost = state.expected_seconds(now)
+        cost = state.choice_seconds(now)
         cost += FAILURE_COST_FACTOR * state.failure_rate * state.service_seconds
         if state.endpoint.zone != self._zone:
             cost += CROSS_ZONE_COST_FACTOR * state.service_seconds
@@ -580,6 +703,8 @@
 
     def _sample(self, states: list[EndpointState]) -> list[EndpointState]:
         """Return up to `CHOICES` random endpoints, preferably of this zone."""
+        if self.rooms is not None and self.rooms.rooms:
+            return self._weighted_sample(states)
         if len(states) <= CHOICES:
             return states
         local = [s for s in states if s.endpoint.zone == self._zone]
@@ -588,3 +713,37 @@
         others = [s for s in states if s.endpoint.zone != self._zone]
         count = min(CHOICES - len(local), len(others))
         return local + self._rng.sample(others, count)
+
+    def _weighted_sample(self, states: list[EndpointState]) -> list[EndpointState]:
+        """Return a few random endpoints, weighted by what they can serve."""
+        if len(states) <= WEIGHTED_LOCAL_CHOICES + WEIGHTED_OTHER_CHOICES:
+            return states
+        rooms = [state.room for state in states]
+        known = [room.in_flight / room.seconds for room in rooms if room is not None]
+        mean = sum(known) / len(known) if known else 1.0
+        local: list[EndpointState] = []
+        others: list[EndpointState] = []
+        local_weights: list[float] = []
+        other_weights: list[float] = []
+        for state, room in zip(states, rooms, strict=True):
+            weight = mean if room is None else room.in_flight / room.seconds
+            if state.endpoint.zone == self._zone:
+                local.append(state)
+                local_weights.append(weight)
+            else:
+                others.append(state)
+                other_weights.append(weight)
+        chosen = self._draw(local, local_weights, WEIGHTED_LOCAL_CHOICES)
+        count = WEIGHTED_LOCAL_CHOICES + WEIGHTED_OTHER_CHOICES - len(chosen)
+        return chosen + self._draw(others, other_weights, count)
+
+    def _draw(
+        self, states: list[EndpointState], weights: list[float], count: int
+    ) -> list[EndpointState]:
+        """Return up to `count` different states, drawn with weights."""
+        if len(states) <= count:
+            return states
+        # Repeats are dropped. Where one weight is far above all others, fewer endpoints
+        # are compared rather than drawn without end.
+        drawn = self._rng.choices(states, weights, k=DRAWS_PER_CHOICE * count)
+        return list({state.endpoint.id: state for state in drawn}.values())[:count]
--- a/arbutusflow/gateway/model.py
+++ b/arbutusflow/gateway/model.py
@@ -84,6 +84,8 @@
     # From when the store has acknowledged the evacuation of an availability zone until
     # no request may reach its endpoints; None if zones cannot be evacuated.
     evacuation_seconds: float | None = None
+    # Whether to learn how much each endpoint handles well.
+    learn_room: bool = False
 
 
 class Repeatability(enum.Enum):
--- a/arbutusflow/gateway/peers.py
+++ b/arbutusflow/gateway/peers.py
@@ -16,6 +16,8 @@
 
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.key_table import GrantId, KeyRange, KeyTable
+from arbutusflow.gateway.load.endpoint_room import Samples
+from arbutusflow.gateway.load.room_reports import RoomFigure
 from arbutusflow.gateway.model import Address, StorePoint
 from arbutusflow.gateway.pieces import PieceRequest, TransferPiece
 
@@ -94,6 +96,16 @@
     refused: tuple[GrantId, ...] = ()
 
 
+class SampledReport(PeerReport, array_like=True, frozen=True, tag="report+"):
+    """A report with what is learned of endpoints (setting `learnRoom`).
+
+    It has a tag of its own, so that reports without it are as they would be otherwise.
+    """
+
+    # By endpoint: answers that the sender and its followers got; see `room_reports`.
+    samples: dict[str, Samples] = {}
+
+
 class FollowerReport(msgspec.Struct, array_like=True, frozen=True, tag="follow"):
     """Regular report of a follower to the granter that it follows."""
 
@@ -108,6 +120,14 @@
     leaving_endpoints: dict[str, int] = {}  # As in `PeerReport`.
 
 
+class SampledFollowerReport(
+    FollowerReport, array_like=True, frozen=True, tag="follow+"
+):
+    """A follower's report with what is learned of endpoints."""
+
+    samples: dict[str, Samples] = {}  # As in `SampledReport`.
+
+
 class FleetDigest(msgspec.Struct, array_like=True, frozen=True, tag="digest"):
     """State of the fleet as a granter knows it, for its followers."""
 
@@ -129,6 +149,12 @@
     leaving_endpoints: dict[str, int] = {}  # As in `PeerReport`.
 
 
+class FigureDigest(FleetDigest, array_like=True, frozen=True, tag="digest+"):
+    """A digest with what was learned of endpoints."""
+
+    rooms: tuple[RoomFigure, ...] = ()  # What endpoints handle well.
+
+
 # Name, revision, and the whole document of an object; None if it was removed.
 PackedChange = tuple[str, StorePoint, Any]
 
@@ -189,9 +215,11 @@
     | TransferPiece
     | PieceRequest
     | FollowerReport
+    | SampledFollowerReport
     | FleetDigest
+    | FigureDigest
 )
-Message = PeerReport | QueueMarker | SyncMessage
+Message = PeerReport | SampledReport | QueueMarker | SyncMessage
 
 
 class PeerState:
--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -10,7 +10,7 @@
 import signal
 import sys
 import types
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import NoReturn
 
 import msgspec
@@ -40,13 +40,19 @@
     ZONE_REPORT_SECONDS,
     FleetTask,
 )
-from arbutusflow.gateway.instance_state import STATE_PATH, InstanceState
+from arbutusflow.gateway.instance_state import (
+    STATE_PATH,
+    EndpointFigure,
+    InstanceState,
+)
 from arbutusflow.gateway.leaving_checks import LeavingChecks
 from arbutusflow.gateway.lifecycle import Lifecycle, Phase, Work
 from arbutusflow.gateway.load.admission import Admission
 from arbutusflow.gateway.load.cold_rate import ColdSends, sender_count
 from arbutusflow.gateway.load.endpoint_load import EndpointTable
+from arbutusflow.gateway.load.endpoint_room import EndpointRoom
 from arbutusflow.gateway.load.retry_budget import RetryBudget
+from arbutusflow.gateway.load.room_reports import RoomExchange
 from arbutusflow.gateway.memory_watch import (
     MemoryWatch,
     current_bytes,
@@ -196,6 +202,8 @@
             self._rng,
         )
         self.fleet_task.copy.retry_leader = self.endpoint_copy
+        if cfg.learn_room:
+            self.endpoints.rooms = self.fleet_task.rooms = RoomExchange()
         self.fleet_task.moves.cold_endpoints = self.endpoints.limited_names
         self.directory = EndpointDirectory(
             self.endpoint_copy, self.fleet_task.fleet.store_available_seconds, log
@@ -342,6 +350,7 @@
                 self._expire_endpoints,
                 self.endpoints.remove_departed,
                 self.endpoints.expire_peer_reports,
+                self._learn_rooms,
                 self.fleet_task.tick,
                 self._observe_granters,
                 self._check_ready,
@@ -350,6 +359,19 @@
             self.log.write_exception,
         )
 
+    def _learn_rooms(self, now: float) -> None:
+        registered = self.fleet_task.fleet.registered
+        for name in self.endpoints.learn_rooms(now, as_granter=registered):
+            room = self.endpoints.states[name].room
+            assert room is not None
+            self.log.write_rate_limited(
+                "endpoint_room",
+                endpoint=name,
+                seconds=round(room.seconds, 3),
+                in_flight=round(room.in_flight, 1),
+                answers=round(room.answers),
+            )
+
     def _expire_endpoints(self, now: float) -> None:
         if self.directory.expire(now):
             self._use_endpoints(now)
@@ -690,8 +712,21 @@
             evacuated_zones=self.evacuations.describe(
                 self.endpoints.states.values(), self.fleet_task.leases.owners(), now
             ),
+            rooms={
+                name: EndpointFigure(
+                    round(room.seconds, 4),
+                    round(room.in_flight, 1),
+                    round(room.answers, 1),
+                    round(now - room.changed_at, 3),
+                )
+                for name, room in self._rooms().items()
+            },
         )
 
+    def _rooms(self) -> Mapping[str, EndpointRoom]:
+        """Return what was learned of endpoints."""
+        return {} if self.endpoints.rooms is None else self.endpoints.rooms.rooms
+
     async def _metrics(self, req: CallerRequest) -> CallerResponse:
         if req.target == STATE_PATH.encode():
             headers = ((b"Content-Type", b"application/json"),)
@@ -715,6 +750,7 @@
             self.metrics.set_gauge(f"choices_past_{name}", count)
         limited = self.endpoints.limited_endpoints(self._loop.time())
         self.metrics.set_gauge("cold_endpoints", len(limited))
+        self.metrics.set_gauge("learned_endpoints", len(self._rooms()))
         self.metrics.set_gauge("cold_sends", self.cold_sends.sends)
         self.metrics.set_transfers(self.fleet_task.relay.counts)
         return CallerResponse(
--- a/arbutusflow/gateway/reference.py
+++ b/arbutusflow/gateway/reference.py
@@ -120,6 +120,7 @@
     "connections_opened": "Connections to endpoints that were opened.",
     "evacuated_endpoints": "Endpoints in availability zones that are evacuated.",
     "evacuated_zones": "Availability zones that are evacuated.",
+    "learned_endpoints": "Endpoints of which it is learned how much they handle well.",
     "log_lines_dropped": "Lines of the log that were lost.",
     "peak_bytes": "Largest size of the process in memory so far.",
     "phase": "Number of the phase: "
--- a/arbutusflow/platform/reference.py
+++ b/arbutusflow/platform/reference.py
@@ -58,6 +58,13 @@
         "zones cannot be evacuated",
     ),
     Field("provider.address", ADDRESS, "The object store."),
+    Field(
+        "learnRoom",
+        "true or false",
+        "Whether to learn how much each endpoint handles well; the environment variable"
+        " `ARBUTUSFLOW_LEARN_ROOM` has precedence.",
+        "false",
+    ),
     Field(
         "seeds", f"list of {ADDRESS}", "Other instances; checked, not used.", "empty"
     ),
