Move the exchange of strikes out of process

Change: StrikeReports holds the strikes that an instance reports and has counted; no change of behaviour.

--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -74,6 +74,7 @@
     StrikeReport,
 )
 from arbutusflow.gateway.store_watch import ObjectCopy
+from arbutusflow.gateway.strike_reports import StrikeReports
 from arbutusflow.gateway.timers import TimerService, run_each
 from arbutusflow.platform import wire
 from arbutusflow.platform.documents import decode_configuration_in_steps
@@ -109,12 +110,8 @@
 # one to an endpoint, and some of these stay open for reuse.
 CALLER_CONNECTIONS_FRACTION = 0.6
 LEAVE_TIMEOUT_SECONDS = 0.2  # For the write that deregisters this instance.
-# Strikes are repeated in all reports of this period, because datagrams can be lost.
-STRIKE_REPORT_SECONDS = 3.0
-MAX_REPORTED_STRIKES = 8  # Bounds the size of a report.
 # Endpoints that say that they leave are named in all reports of this period.
 LEAVING_REPORT_SECONDS = 5.0
-MAX_KNOWN_STRIKES = 1024  # Bounds the memory for strikes that were counted.
 MAX_LOGGED_IDS = 8  # Of the requests of one connection; bounds the size of a line.
 FLEET_LOAD = "fleet"  # Names the load of the fleet among the loads of instances.
 
@@ -131,12 +128,6 @@
         self._started_at = self._loop.time()
         self.lifecycle = Lifecycle(self._started_at)
         self._stopped = asyncio.Event()
-        self._strikes: collections.deque[tuple[float, StrikeReport]] = (
-            collections.deque(maxlen=MAX_REPORTED_STRIKES)
-        )
-        self._strike_count = 0
-        # Strikes that were counted, by instance and number; oldest first.
-        self._known_strikes: dict[tuple[str, int], None] = {}
         # By process of an endpoint that said that it leaves: when it became known.
         self._leaving: dict[EndpointProcess, float] = {}
         self._leave_task: asyncio.Task[None] | None = None
@@ -215,6 +206,10 @@
             self.endpoints, self.pool, self._health_path, self._on_leaving, log
         )
         self.crash_strikes = CrashStrikes()
+        self.strike_reports = StrikeReports(
+            cfg.instance, self.crash_strikes, log, self._started_at, self._loop.time
+        )
+        self.strike_reports.on_news = self.fleet_task.report_to_fleet
         self.retry_budget = RetryBudget(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_seconds
         )
@@ -230,8 +225,8 @@
             lifecycle=self.lifecycle,
             instance_count=self.fleet_task.instance_count,
             tries_suspect=self.fleet_task.fleet.tries_suspect,
-            on_strike=self._on_strike,
-            on_cleared=self._on_cleared,
+            on_strike=self.strike_reports.report_strike,
+            on_cleared=self.strike_reports.report_cleared,
             on_leaving=self._on_leaving,
             count_outcome=self._count_outcome,
             observe_latency=self.metrics.observe_latency,
@@ -555,10 +550,7 @@
 
     def strikes(self) -> tuple[StrikeReport, ...]:
         """Return the recent strikes against requests."""
-        since = self._loop.time() - STRIKE_REPORT_SECONDS
-        while self._strikes and self._strikes[0][0] < since:
-            self._strikes.popleft()
-        return tuple(strike for _, strike in self._strikes)
+        return self.strike_reports.recent()
 
     def service_times(self, service: str) -> dict[str, tuple[float, int]]:
         """Return the mean service time and the number of responses, by endpoint."""
@@ -577,14 +569,14 @@
         self.config_copy.note_peer_revision(report.configuration, now)
         self.endpoint_copy.note_peer_revision(report.endpoints, now)
         self.endpoints.update_peer_report(report.instance, report.in_flight, now)
-        self._learn_strikes(report.strikes, now)
+        self.strike_reports.learn(report.strikes, now)
         self._learn_leaving(report.leaving_endpoints)
 
     def apply_follower(self, report: FollowerReport) -> None:
         """Apply the load and the strikes that a follower reports."""
         now = self._loop.time()
         self.endpoints.update_peer_report(report.instance, report.in_flight, now)
-        self._learn_strikes(report.strikes, now)
+        self.strike_reports.learn(report.strikes, now)
         self._learn_leaving(report.leaving_endpoints)
 
     def apply_digest(self, digest: FleetDigest, reported: dict[str, int]) -> None:
@@ -599,7 +591,7 @@
             if count > reported.get(endpoint, 0)
         }
         self.endpoints.update_peer_report(FLEET_LOAD, others, now)
-        self._learn_strikes(digest.strikes, now)
+        self.strike_reports.learn(digest.strikes, now)
         self._learn_leaving(digest.leaving_endpoints)
 
     def fleet_in_flight(self) -> dict[str, int]:
@@ -610,43 +602,6 @@
             if state.own_in_flight + state.peer_in_flight
         }
 
-    def _learn_strikes(self, strikes: tuple[StrikeReport, ...], now: float) -> None:
-        """Count the strikes that are new, and repeat them in the next reports."""
-        for strike in strikes:
-            if self._is_new_strike(strike):
-                if strike.endpoint:
-                    process = (strike.endpoint, strike.started_ms)
-                    self.crash_strikes.add(strike.digest, process, now)
-                else:
-                    self.crash_strikes.clear(strike.digest)
-                self._strikes.append((now, strike))
-
-    def _is_new_strike(self, strike: StrikeReport) -> bool:
-        strike_id = (strike.instance, strike.number)
-        if strike_id in self._known_strikes:
-            return False
-        self._known_strikes[strike_id] = None
-        if len(self._known_strikes) > MAX_KNOWN_STRIKES:
-            del self._known_strikes[next(iter(self._known_strikes))]
-        return True
-
-    def _on_strike(self, digest: bytes, process: EndpointProcess) -> None:
-        self.log.write("request_struck", digest=digest.hex(), endpoint=process[0])
-        self._report_strike(digest, *process)
-
-    def _on_cleared(self, digest: bytes) -> None:
-        self.log.write("request_cleared", digest=digest.hex())
-        self._report_strike(digest, "", 0)
-
-    def _report_strike(self, digest: bytes, endpoint: str, started_ms: int) -> None:
-        self._strike_count += 1
-        # Always higher than the numbers used before a restart of this instance.
-        number = int(self._started_at * 1000) + self._strike_count
-        strike = StrikeReport(number, digest, self._cfg.instance, endpoint, started_ms)
-        self._is_new_strike(strike)
-        self._strikes.append((self._loop.time(), strike))
-        self.fleet_task.report_to_fleet()
-
     # Endpoints that say that they leave.
 
     def leaving_endpoints(self) -> dict[str, int]:
