Test the switch for learned capacity, and the figures in the state

Cause: the switch had no test, and leaving out the removal of a restarted endpoint's figure failed none. The name of the setting stood outside the platform's package.

Change: tests of the switch, of `/state`, and of the removal; the comments name the field.

--- a/arbutusflow/gateway/instance_state.py
+++ b/arbutusflow/gateway/instance_state.py
@@ -26,5 +26,5 @@
     ends_in_seconds: float | None  # The latest end of a stop; None if there is none.
     configuration: int | None  # Version in force.
     configuration_seconds: float | None  # Since it is in force.
-    # By endpoint with a figure; empty without the setting `learnRoom`.
+    # By endpoint with a figure; empty if none is learned.
     rooms: dict[str, EndpointFigure] = {}
--- a/arbutusflow/gateway/peers.py
+++ b/arbutusflow/gateway/peers.py
@@ -97,7 +97,7 @@
 
 
 class SampledReport(PeerReport, array_like=True, frozen=True, tag="report+"):
-    """A report with what is learned of endpoints (setting `learnRoom`).
+    """A report with what is learned of endpoints (`GatewaySettings.learn_room`).
 
     It has a tag of its own, so that reports without it are as they would be otherwise.
     """
--- a/tests/gateway/test_documents.py
+++ b/tests/gateway/test_documents.py
@@ -231,3 +231,31 @@
 def test_the_cold_time_of_a_health_check_is_read():
     texts = (b"1500", b"0", b"-1", b"nan", None)
     assert [wire.parse_cold_left(x) for x in texts] == [1.5, 0.0, None, None, None]
+
+
+@pytest.mark.parametrize(
+    "field, variable, learned",
+    [
+        ("", None, False),
+        ("learnRoom = true", None, True),
+        ("learnRoom = true", "false", False),
+        ("", "true", True),
+        ("", "yes", None),
+        ('learnRoom = "yes"', None, None),
+        ("learnRoom = 1", None, None),
+    ],
+)
+def test_learned_capacity_is_switched(field, variable, learned, tmp_path, monkeypatch):
+    """Guards against a typing error that switches it silently."""
+    if variable is not None:
+        monkeypatch.setenv("ARBUTUSFLOW_LEARN_ROOM", variable)
+    ports = {"front": 1, "ready": 2, "peer": 3, "store": 4}
+    hosts = {"host": "127.0.0.1", "store_host": "127.0.0.1"}
+    path = tmp_path / "node.toml"
+    text = SETTINGS.format(name="n", zone="z", **hosts, **ports)
+    path.write_text(f"{field}\n{text}")
+    if learned is None:
+        with pytest.raises(SettingsError):
+            load_settings(path)
+    else:
+        assert load_settings(path).learn_room is learned
--- a/tests/gateway/test_endpoint_room.py
+++ b/tests/gateway/test_endpoint_room.py
@@ -264,6 +264,7 @@
     table.update({"e0": _endpoint("e0"), "e1": _endpoint("e1", 2)}, 32.0)
     table.learn_rooms(32.0, as_granter=False)
     assert table.states["e1"].room is None
+    assert exchange.rooms == {}
 
 
 @pytest.mark.parametrize(
--- a/tests/gateway/test_instance_state.py
+++ b/tests/gateway/test_instance_state.py
@@ -1,5 +1,6 @@
 """What operators see of an instance, from its state to the command line."""
 
+import asyncio
 import json
 import socket
 import threading
@@ -12,6 +13,7 @@
 from arbutusflow.cli.main import app
 from arbutusflow.gateway.callers.messages import CallerRequest
 from arbutusflow.gateway.instance_state import STATE_PATH, InstanceState
+from arbutusflow.gateway.load.room_reports import RoomExchange, RoomFigure
 from tests.gateway.test_whole_path import run_with_cluster
 
 STOPPING = InstanceState("n1", "z", "draining", 1.25, 3, 5, 2.0, 7, 60.0)
@@ -141,6 +143,8 @@
         before = gateway.state()
         gateway._stop()
         target = STATE_PATH.encode()
+        rooms = gateway.endpoints.rooms = RoomExchange()
+        rooms.apply((RoomFigure("e0", 250, 40, 9),), asyncio.get_running_loop().time())
         reply = await gateway._metrics(CallerRequest(b"GET", target, [], b"", 0.0))
         return before, msgspec.json.decode(reply.body, type=InstanceState)
 
@@ -148,4 +152,8 @@
     assert (before.phase, before.ends_in_seconds) == ("ready", None)
     assert before.configuration is not None
     assert after.phase == "leaving_rotation"
+    assert before.rooms == {}
+    figure = after.rooms["e0"]
+    assert (figure.seconds, figure.in_flight, figure.answers) == (0.25, 4.0, 9.0)
+    assert 0.0 <= figure.changed_seconds < 5.0
     assert 5.0 < after.ends_in_seconds <= 5.6
