--- a/arbutusflow/gateway/instance_state.py
+++ b/arbutusflow/gateway/instance_state.py
@@ -38,5 +38,5 @@
     configuration: int | None  # Version in force.
     configuration_seconds: float | None  # Since it is in force.
     evacuated_zones: tuple[EvacuatedZone, ...] = ()
-    # By endpoint with a figure; empty without the setting `learnRoom`.
+    # By endpoint with a figure; empty if none is learned.
     rooms: dict[str, EndpointFigure] = {}
