--- a/arbutusflow/gateway/configuration_check.py
+++ b/arbutusflow/gateway/configuration_check.py
@@ -214,14 +214,20 @@
 def differences(
     draft: ConfigurationDraft, in_force: ConfigurationDraft
 ) -> list[Finding]:
-    """Return what a configuration changes of the one in force."""
+    """Return what a configuration changes of the one in force.
+
+    A version number that is not higher is an error: instances ignore the version.
+    """
+    errors = _compare_versions(draft.version, in_force.version)
     found = [
-        *_compare_versions(draft.version, in_force.version),
         *_compare_limits(draft.limits, in_force.limits),
         *_compare_entries(_named_services(draft), _named_services(in_force)),
         *_compare_entries(_named_routes(draft), _named_routes(in_force)),
     ]
-    return [Finding(FindingKind.DIFFERENCE, p.place, p.value) for p in found]
+    return [
+        *(Finding(FindingKind.ERROR, p.place, p.value) for p in errors),
+        *(Finding(FindingKind.DIFFERENCE, p.place, p.value) for p in found),
+    ]
 
 
 def _compare_versions(
--- a/tests/gateway/test_configuration_check.py
+++ b/tests/gateway/test_configuration_check.py
@@ -96,7 +96,8 @@
 def test_each_finding_of_the_page_is_printed(changes, others, line, tmp_path):
     """Guards against a finding that is lost or printed beside the cause, and a page
     that shows another text."""
-    in_force = VALID if line.startswith("difference") else None
+    compares = line.startswith("difference") or "in force" in line
+    in_force = VALID if compares else None
     status, lines, _ = run(tmp_path, changed(changes), in_force=in_force)
     assert line in lines and len(lines) == 1 + others
     kinds = {line.partition(":")[0] for line in lines}
