Count responses that are written behind one that is not taken

The transport calls pause_writing only for the first bytes that it keeps, so responses that ended in their order were in neither the account nor the budget until the buffer was empty: 6 of 100 kB counted as one.

--- a/arbutusflow/gateway/callers/connection.py
+++ b/arbutusflow/gateway/callers/connection.py
@@ -491,7 +491,8 @@
                 self._latest_charge = pipelined.charge
                 self._return_charge(pipelined)
                 self._write(data)
-                if pipelined.ready_bytes:
+                if pipelined.ready_bytes or self._writing_paused:
+                    # The transport reports only the first bytes that it keeps.
                     self._count_unsent(-pipelined.ready_bytes)
                 if not self._writing_paused:
                     self._latest_request, self._latest_charge = None, 0
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -226,6 +226,41 @@
     assert reasons == ["memory_full"]
 
 
+class _StuckTransport(FakeTransport):
+    """Transport to a caller that takes nothing."""
+
+    def __init__(self, conn):
+        super().__init__()
+        self._conn = conn
+
+    def write(self, data):
+        super().write(data)
+        self.unsent += len(data)
+        if self.unsent == len(data):
+            self._conn.pause_writing()
+
+
+def test_answers_behind_one_that_is_not_taken_are_charged():
+    """Guards against answers that end in their order and are counted by nothing."""
+
+    async def scenario(world):
+        async def handle(req):
+            await asyncio.sleep(0.1 * int(req.target[1:]))
+            return CallerResponse(200, body=b"x" * 100_000)
+
+        world.server.handler = handle
+        conn = CallerConnection(world.server)
+        transport = _StuckTransport(conn)
+        conn.connection_made(transport)
+        conn.data_received(b"".join(GET % b"%d" % number for number in range(6)))
+        await asyncio.sleep(1.0)
+        return transport.unsent, world.server.unsent_bytes, conn.holding.answer_bytes
+
+    unsent, counted, charged = _play(scenario)
+    assert counted == unsent > 600_000
+    assert charged >= unsent
+
+
 @pytest.mark.parametrize(
     "data",
     [
