--- a/arbutusflow/gateway/callers/request_reader.py
+++ b/arbutusflow/gateway/callers/request_reader.py
@@ -318,6 +318,10 @@
         charge = WAITING_BYTES + self._head_charge
         self._reset_request()
         self._head_size = 0
+        if self._holding.reading_bytes:
+            # Charged as a complete request from now on. What follows it is charged
+            # again after this slice.
+            self._holding.set_reading(0)
         self._receiver.accept(
             request, self._parser.should_keep_alive(), reserved_bytes, charge
         )
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -197,6 +197,21 @@
     assert [503] in stalled
 
 
+def test_a_body_is_charged_once_while_the_request_behind_it_is_parsed():
+    """Guards against refusals and evictions for memory that nobody holds."""
+
+    async def scenario(world):
+        world.may_answer.clear()
+        conn, transport = world.connect(POST % 1_000_000 + b"x" * 999_990)
+        await asyncio.sleep(0.1)
+        conn.data_received(b"x" * 10 + GET % b"a")
+        world.may_answer.set()
+        await asyncio.sleep(0.1)
+        return statuses(transport), world.reasons
+
+    assert _play(scenario, 1_500_000) == ([200, 200], [])
+
+
 def test_an_instance_that_ends_answers_requests_that_wait_for_the_handler():
     """Guards against a stop that waits for a response that nobody writes."""
 
