Keep the cold time that an endpoint stated when its zone has returned

The first entry after an evacuation replaced it, although the entry may have been written before the answer. An endpoint that was cold for 6.7 s more counted as warm.

--- a/arbutusflow/gateway/load/endpoint_load.py
+++ b/arbutusflow/gateway/load/endpoint_load.py
@@ -65,6 +65,9 @@
     cold_until: float
     # Until when it is cold by other evidence than its entries. `mark_cold` sets it.
     marked_cold_until: float = -1e9
+    # Until when it counts as cold after an evacuation of its zone, unless a later entry
+    # says for how long it is.
+    possibly_cold_until: float = -1e9
     own_in_flight: int = 0  # In-flight requests of this instance.
     service_seconds: float = INITIAL_SERVICE_SECONDS
     # Mean service time over the first responses, then a moving average; reported to the
@@ -164,7 +167,7 @@
         number, known = endpoint.entry_number, self.endpoint.entry_number
         if number is not None and known is not None:
             if number > known:
-                self.cold_until = self.marked_cold_until
+                self.cold_until = max(self.marked_cold_until, self.possibly_cold_until)
             elif (
                 number == known and endpoint.cold_seconds == self.endpoint.cold_seconds
             ):
@@ -203,12 +206,16 @@
     ) -> None:
         """Set for how long the endpoint is cold after its zone was evacuated.
 
-        Unless that `is_certain`, a longer time that is known remains.
+        Unless that `is_certain`, a longer time that is known remains. Time that was
+        marked remains in any case: the endpoint may have said it later than its entry.
         """
         if is_certain:
-            self.marked_cold_until, self.cold_until = -1e9, now + cold_seconds
+            self.possibly_cold_until = -1e9
+            self.cold_until = max(self.marked_cold_until, now + cold_seconds)
         else:
-            self.mark_cold(cold_seconds, now)
+            until = max(self.possibly_cold_until, now + cold_seconds)
+            self.possibly_cold_until = until
+            self.cold_until = max(self.cold_until, until)
 
     def mark_replaced(self) -> None:
         """Stop using this endpoint for good: its address belongs to another one."""
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -11,6 +11,7 @@
 
 from arbutusflow.gateway import evacuations
 from arbutusflow.gateway.evacuations import Evacuations
+from arbutusflow.gateway.load.cold_rate import ColdSends
 from arbutusflow.gateway.load.endpoint_load import EndpointTable
 from arbutusflow.gateway.model import Address, Endpoint, StorePoint
 
@@ -133,6 +134,22 @@
     assert [state.cold_until for state in states] == [117.5, 50.0, 110.5]
 
 
+def test_cold_time_that_an_answer_stated_outlasts_an_entry():
+    """Guards against the usual load because an entry was written before the answer."""
+    world = World()
+    sends = ColdSends("a")
+    world.table = EndpointTable("z0", 2.0, random.Random(1), sends)
+    world.table.set_cold_rates({"s": 7.0}, 50.0)
+    world.use(50.0)
+    world.evacuate(100.0, "z0")
+    world.evacuate(110.0)
+    state = world.table.states["s0"]
+    world.table.record_cold(state, 7.0, 110.2)
+    world.list("s0", "s", "z0")
+    world.use(110.5)
+    assert state.cold_until == 117.2
+
+
 @pytest.mark.parametrize(
     ("was_read", "lost", "seconds", "known"),
     [(1, None, 0.0, 1), (0, None, 9.0, 0), (0, 1.0, 2.9, 0), (0, 1.0, 3.0, 1)],
