Do not measure the rate of a body while a request before it is in hand

A caller that waited for the response before it sent the body got status 408 after 15 s, which it did not get before there was a lowest rate.

--- a/arbutusflow/gateway/callers/connection.py
+++ b/arbutusflow/gateway/callers/connection.py
@@ -648,6 +648,8 @@
         idle = self._server.limits.idle_seconds
         if self._pipeline or self._reading_paused:
             self._body_at = now  # The caller may wait for its responses.
+        if self._pipeline:
+            self._body_began_at = now
         due = min(self._body_at + idle, self._reader.read_until)
         if self._reading_paused:
             return due, "too_late"
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -372,6 +372,22 @@
     assert _play(scenario) == ([status], reasons)
 
 
+def test_a_body_may_wait_for_the_response_before_it():
+    """Guards against a rate that counts while the caller waits for a response."""
+
+    async def scenario(world):
+        world.may_answer.clear()
+        conn, transport = world.connect(GET % b"a" + POST % 100)
+        await asyncio.sleep(16.0)
+        world.may_answer.set()
+        await asyncio.sleep(0.1)
+        conn.data_received(b"x" * 100)
+        await asyncio.sleep(0.1)
+        return statuses(transport), world.reasons
+
+    assert _play(scenario) == ([200, 200], [])
+
+
 @pytest.mark.parametrize(("lines", "status"), [(7000, 200), (8500, 431)])
 def test_empty_lines_count_towards_the_head_that_follows(lines, status):
     """Guards against empty lines without end that nothing limits."""
