Return the charge of a response that was ready when its caller left

A request that may not be cancelled kept its charge if its response waited behind one that was cancelled. Each such caller took 17 kB of the account for ever, until all callers were refused.

--- a/arbutusflow/gateway/callers/connection.py
+++ b/arbutusflow/gateway/callers/connection.py
@@ -191,7 +191,8 @@
         self._count_unsent()
         self._report_end(self._end_cause or _end_cause(exc))
         for pipelined in self._pipeline:
-            if pipelined.task is None:
+            if pipelined.task is None or pipelined.reply is not None:
+                # No task that ends later returns it.
                 self._return_charge(pipelined)
             elif pipelined.request and pipelined.request.cancellable:
                 pipelined.task.cancel()
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -341,6 +341,25 @@
     assert _play(scenario) == (0, 0)
 
 
+def test_a_caller_that_leaves_before_a_response_that_is_ready_holds_nothing():
+    """Guards against an account that grows with each of them until it is full."""
+
+    async def scenario(world):
+        async def handle(req):
+            req.cancellable = req.method == b"GET"
+            await asyncio.sleep(1.0 if req.cancellable else 0.0)
+            return CallerResponse(200)
+
+        world.server.handler = handle
+        conn, _ = world.connect(GET % b"a" + POST % 5 + b"abcde")
+        await asyncio.sleep(0.1)
+        conn.connection_lost(None)
+        await asyncio.sleep(2.0)
+        return world.held, world.server.budget.held_bytes
+
+    assert _play(scenario) == (0, 0)
+
+
 def test_a_task_that_never_begins_returns_the_memory_of_its_body():
     """Guards against a budget that shrinks with each caller who leaves at once."""
 
