--- a/arbutusflow/gateway/callers/connection.py
+++ b/arbutusflow/gateway/callers/connection.py
@@ -191,7 +191,8 @@
         self._count_unsent()
         self._report_end(self._end_cause or _end_cause(exc))
         for pipelined in self._pipeline:
-            if pipelined.task is None:
+            if pipelined.task is None or pipelined.reply is not None:
+                # No task that ends later returns it.
                 self._return_charge(pipelined)
             elif pipelined.request and pipelined.request.cancellable:
                 pipelined.task.cancel()
@@ -491,7 +492,8 @@
                 self._latest_charge = pipelined.charge
                 self._return_charge(pipelined)
                 self._write(data)
-                if pipelined.ready_bytes:
+                if pipelined.ready_bytes or self._writing_paused:
+                    # The transport reports only the first bytes that it keeps.
                     self._count_unsent(-pipelined.ready_bytes)
                 if not self._writing_paused:
                     self._latest_request, self._latest_charge = None, 0
@@ -647,6 +649,8 @@
         idle = self._server.limits.idle_seconds
         if self._pipeline or self._reading_paused:
             self._body_at = now  # The caller may wait for its responses.
+        if self._pipeline:
+            self._body_began_at = now
         due = min(self._body_at + idle, self._reader.read_until)
         if self._reading_paused:
             return due, "too_late"
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -197,6 +197,21 @@
     assert [503] in stalled
 
 
+def test_a_body_is_charged_once_while_the_request_behind_it_is_parsed():
+    """Guards against refusals and evictions for memory that nobody holds."""
+
+    async def scenario(world):
+        world.may_answer.clear()
+        conn, transport = world.connect(POST % 1_000_000 + b"x" * 999_990)
+        await asyncio.sleep(0.1)
+        conn.data_received(b"x" * 10 + GET % b"a")
+        world.may_answer.set()
+        await asyncio.sleep(0.1)
+        return statuses(transport), world.reasons
+
+    assert _play(scenario, 1_500_000) == ([200, 200], [])
+
+
 def test_an_instance_that_ends_answers_requests_that_wait_for_the_handler():
     """Guards against a stop that waits for a response that nobody writes."""
 
@@ -226,6 +241,41 @@
     assert reasons == ["memory_full"]
 
 
+class _StuckTransport(FakeTransport):
+    """Transport to a caller that takes nothing."""
+
+    def __init__(self, conn):
+        super().__init__()
+        self._conn = conn
+
+    def write(self, data):
+        super().write(data)
+        self.unsent += len(data)
+        if self.unsent == len(data):
+            self._conn.pause_writing()
+
+
+def test_answers_behind_one_that_is_not_taken_are_charged():
+    """Guards against answers that end in their order and are counted by nothing."""
+
+    async def scenario(world):
+        async def handle(req):
+            await asyncio.sleep(0.1 * int(req.target[1:]))
+            return CallerResponse(200, body=b"x" * 100_000)
+
+        world.server.handler = handle
+        conn = CallerConnection(world.server)
+        transport = _StuckTransport(conn)
+        conn.connection_made(transport)
+        conn.data_received(b"".join(GET % b"%d" % number for number in range(6)))
+        await asyncio.sleep(1.0)
+        return transport.unsent, world.server.unsent_bytes, conn.holding.answer_bytes
+
+    unsent, counted, charged = _play(scenario)
+    assert counted == unsent > 600_000
+    assert charged >= unsent
+
+
 @pytest.mark.parametrize(
     "data",
     [
@@ -291,6 +341,25 @@
     assert _play(scenario) == (0, 0)
 
 
+def test_a_caller_that_leaves_before_a_response_that_is_ready_holds_nothing():
+    """Guards against an account that grows with each of them until it is full."""
+
+    async def scenario(world):
+        async def handle(req):
+            req.cancellable = req.method == b"GET"
+            await asyncio.sleep(1.0 if req.cancellable else 0.0)
+            return CallerResponse(200)
+
+        world.server.handler = handle
+        conn, _ = world.connect(GET % b"a" + POST % 5 + b"abcde")
+        await asyncio.sleep(0.1)
+        conn.connection_lost(None)
+        await asyncio.sleep(2.0)
+        return world.held, world.server.budget.held_bytes
+
+    assert _play(scenario) == (0, 0)
+
+
 def test_a_task_that_never_begins_returns_the_memory_of_its_body():
     """Guards against a budget that shrinks with each caller who leaves at once."""
 
@@ -322,6 +391,22 @@
     assert _play(scenario) == ([status], reasons)
 
 
+def test_a_body_may_wait_for_the_response_before_it():
+    """Guards against a rate that counts while the caller waits for a response."""
+
+    async def scenario(world):
+        world.may_answer.clear()
+        conn, transport = world.connect(GET % b"a" + POST % 100)
+        await asyncio.sleep(16.0)
+        world.may_answer.set()
+        await asyncio.sleep(0.1)
+        conn.data_received(b"x" * 100)
+        await asyncio.sleep(0.1)
+        return statuses(transport), world.reasons
+
+    assert _play(scenario) == ([200, 200], [])
+
+
 @pytest.mark.parametrize(("lines", "status"), [(7000, 200), (8500, 431)])
 def test_empty_lines_count_towards_the_head_that_follows(lines, status):
     """Guards against empty lines without end that nothing limits."""
