--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -407,6 +407,22 @@
     assert _play(scenario) == ([200, 200], [])
 
 
+def test_the_time_for_a_body_begins_with_the_response_before_it():
+    """Guards against status 408 for a caller that sends once it has its response."""
+
+    async def scenario(world):
+        world.may_answer.clear()
+        conn, transport = world.connect(GET % b"a" + POST % 100)
+        await asyncio.sleep(14.5)
+        world.may_answer.set()
+        await asyncio.sleep(1.0)
+        conn.data_received(b"x" * 100)
+        await asyncio.sleep(0.1)
+        return statuses(transport), world.reasons
+
+    assert _play(scenario) == ([200, 200], [])
+
+
 @pytest.mark.parametrize(("lines", "status"), [(7000, 200), (8500, 431)])
 def test_empty_lines_count_towards_the_head_that_follows(lines, status):
     """Guards against empty lines without end that nothing limits."""
