--- a/arbutusflow/gateway/callers/connection.py
+++ b/arbutusflow/gateway/callers/connection.py
@@ -515,8 +515,8 @@
             if not self._reader.request_started:
                 self._start_timer(self._server.limits.idle_seconds, _Limit.IDLE)
             else:
-                # A head that began to arrive behind an earlier request has no timer. The
-                # caller may have waited with its body for this response.
+                # A head that began to arrive behind an earlier request has no timer.
+                # The caller may have waited with its body for this response.
                 self._body_at = self._body_began_at = self.idle_since
                 self._limit_request()
         if not self._writing_paused and not self.is_full:
