Read little of a response until there is memory for its body

A response that waits for memory keeps what asyncio has read by then, up to 256 KiB: 60 MB for 240 of them.

Change: connections to endpoints read 16 KiB at a time until memory for the body is reserved, then 256 KiB as before.

--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 from collections.abc import Callable
+from typing import Any, cast
 
 import httptools
 
@@ -28,6 +29,7 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Bytes without a part of the body: heads of responses, trailers and chunk extensions.
 MAX_HEAD_BYTES = 64 * 1024
+LONG_READ_BYTES = 262_144  # At a time, once there is memory for a body.
 # A response of 1 MB takes 2 s over a link of 5 Mbit/s.
 MAX_RECEIVE_SECONDS = 15.0
 # Bounds the memory for the identifiers that a connection has carried.
@@ -143,6 +145,7 @@
         """Set socket options."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._limit_reads(SMALL_BODY_BYTES)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -449,6 +452,7 @@
         if self._memory_wait is not None:
             self._memory_wait.size = max(missing, self._memory_wait.size)
         elif missing > 0 and self._budget.take(missing):
+            self._limit_reads(LONG_READ_BYTES)
             self._reserved_bytes += missing
         elif missing > 0:
             self._memory_wait = MemoryWait(missing, self._use_memory)
@@ -456,8 +460,19 @@
             assert self._transport is not None
             self._transport.pause_reading()
 
+    def _limit_reads(self, size: int) -> None:
+        """Read at most so many bytes at a time, if memory for bodies is limited.
+
+        240 responses that waited for memory held 60 MB by default, as asyncio reads up
+        to 256 KiB before it knows that there is no memory for the rest.
+        """
+        if self._budget is not None and self._transport is not None:
+            # An attribute of asyncio's transports that their interface does not name.
+            cast(Any, self._transport).max_size = size
+
     def _use_memory(self, size: int) -> None:
         """Read on: so many bytes have been reserved."""
+        self._limit_reads(LONG_READ_BYTES)
         self._reserved_bytes += size
         self._resume_reading()
 
@@ -474,6 +489,7 @@
             self._resume_reading()
         reserved, self._reserved_bytes = self._reserved_bytes, 0
         if reserved:
+            self._limit_reads(SMALL_BODY_BYTES)
             # Later, so that the receiver of the response reserves them before others.
             asyncio.get_running_loop().call_soon(self._budget.release, reserved)
 
--- a/tests/gateway/test_response_memory.py
+++ b/tests/gateway/test_response_memory.py
@@ -6,7 +6,7 @@
 
 from arbutusflow.gateway.body_budget import SMALL_BODY_BYTES, BodyBudget
 from arbutusflow.gateway.client_connection import ClientConnection
-from arbutusflow.gateway.model import ExchangeError
+from arbutusflow.gateway.model import Address, ExchangeError
 from tests.gateway.fakes import FakeTransport
 from tests.gateway.virtual_time import run
 
@@ -156,3 +156,40 @@
     assert usable == complete
     assert body == (BODY if complete else "no response within the time limit")
     assert (kept, held) == ([], 0)
+
+
+def test_a_response_that_waits_for_memory_holds_two_small_reads():
+    """Guards against hundreds of waiting responses that hold a large read each.
+
+    Its size is unknown, so the first read is a small body, which is not counted.
+    """
+    reads = []
+
+    class Connection(ClientConnection):
+        def data_received(self, data):
+            reads.append(len(data))
+            super().data_received(data)
+
+    async def main():
+        async def answer(reader, writer):
+            await reader.readuntil(b"GET")
+            writer.write(CHUNKED + b"%x\r\n" % 10**6 + bytes(10**6) + b"\r\n" + END)
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        budget = BodyBudget(lambda: 2 * 10**6)
+        budget.count(2 * 10**6)
+        address = Address(*server.sockets[0].getsockname())
+        conn = await Connection.open(address, 5.0, b"request-id", budget)
+        task = asyncio.ensure_future(conn.exchange(b"GET", b"", 30.0))
+        while not reads:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        waiting = sum(reads)
+        budget.count(-2 * 10**6)
+        body = (await task).body
+        conn.close()
+        server.close()
+        return waiting, len(body)
+
+    waiting, size = asyncio.run(main())
+    assert waiting <= 2 * SMALL_BODY_BYTES and size == 10**6
