--- a/arbutusflow/gateway/load/endpoint_room.py
+++ b/arbutusflow/gateway/load/endpoint_room.py
@@ -74,10 +74,6 @@
                 changed_at, changed_to = known.changed_at, known.changed_to
         return dataclasses.replace(self, changed_at=changed_at, changed_to=changed_to)
 
-    def expected_seconds(self, ahead: int) -> float:
-        """Return the expected time of a request behind `ahead` others."""
-        return self.seconds * max(1.0, (ahead + 1) / self.in_flight)
-
     @property
     def per_second(self) -> float:
         """Requests per second that the endpoint can serve."""
