--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -126,6 +126,7 @@
 
     def __init__(self) -> None:
         self._server: asyncio.Server | None = None
+        self._earlier: list[asyncio.Server] = []  # At addresses of before.
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self.address = ""
@@ -138,11 +139,30 @@
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{host}:{port}"
 
+    async def move(self, host: str) -> None:
+        """Listen at a second address, which is the one that is told from now on."""
+        server = self._server
+        await self.listen(host)
+        if server is not None:
+            self._earlier.append(server)
+
+    def end_listening(self, address: str) -> None:
+        """Stop listening at an earlier address and reset its connections."""
+        for server in self._earlier:
+            server.close()
+        self._earlier.clear()
+        host, _, port = address.rpartition(":")
+        for writer in list(self._writers):
+            if writer.get_extra_info("sockname")[:2] == (host, int(port)):
+                writer.transport.abort()
+
     def end(self) -> None:
         """Stop listening and reset all connections, as a killed process does."""
         if self._server is not None:
             self._server.close()
             self._server = None
+        for server in self._earlier:
+            server.close()
         for writer in list(self._writers):
             writer.transport.abort()
         for task in list(self._tasks):
