--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -126,7 +126,6 @@
 
     def __init__(self) -> None:
         self._server: asyncio.Server | None = None
-        self._earlier: list[asyncio.Server] = []  # At addresses of before.
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self.address = ""
@@ -139,30 +138,11 @@
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{host}:{port}"
 
-    async def move(self, host: str) -> None:
-        """Listen at a second address, which is the one that is told from now on."""
-        server = self._server
-        await self.listen(host)
-        if server is not None:
-            self._earlier.append(server)
-
-    def end_listening(self, address: str) -> None:
-        """Stop listening at an earlier address and reset its connections."""
-        for server in self._earlier:
-            server.close()
-        self._earlier.clear()
-        host, _, port = address.rpartition(":")
-        for writer in list(self._writers):
-            if writer.get_extra_info("sockname")[:2] == (host, int(port)):
-                writer.transport.abort()
-
     def end(self) -> None:
         """Stop listening and reset all connections, as a killed process does."""
         if self._server is not None:
             self._server.close()
             self._server = None
-        for server in self._earlier:
-            server.close()
         for writer in list(self._writers):
             writer.transport.abort()
         for task in list(self._tasks):
@@ -689,14 +669,6 @@
             self.process.kill()
             self.process.wait()
 
-    def memory_mb(self, field: str = "VmRSS") -> float:
-        """Return memory of the process in MB; 0 if it does not run."""
-        if self.process is None or not self.running:
-            return 0.0
-        text = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
-        line = next((x for x in text.splitlines() if x.startswith(field + ":")), "")
-        return int(line.split()[1]) * 1024 / 1e6 if line else 0.0
-
     async def is_ready(self) -> bool:
         """Ask as the platform does."""
         answer = await ask(self.ready, "GET /arbutusflow/ready", "-", deadline_ms=1000)
@@ -836,55 +808,6 @@
         self._record.close()
 
 
-class Platform:
-    """Kills processes above their memory limit, and restarts those that have ended.
-
-    Counts the ends by process. Only processes that were started by `world` are ended.
-    """
-
-    LIMIT_MB = 300.0  # `memoryMb` of the settings.
-    RESTART_SECONDS = 1.0
-
-    def __init__(self, world: World) -> None:
-        self.world = world
-        self.ends = dict.fromkeys([i.name for i in world.instances], 0)
-        self.peaks = dict.fromkeys([i.name for i in world.instances], 0.0)
-        self._restart_at: dict[str, float] = {}
-
-    async def run(self) -> None:
-        """Watch all processes until cancelled."""
-        while True:
-            for instance in self.world.instances:
-                self._check(instance)
-            await asyncio.sleep(0.02)
-
-    def _check(self, instance: Instance) -> None:
-        name, now = instance.name, time.monotonic()
-        if instance.running:
-            used = instance.memory_mb()
-            self.peaks[name] = max(self.peaks[name], used)
-            if used <= self.LIMIT_MB:
-                return
-            instance.kill()
-            self.world.note(f"{name} killed by the platform: it uses {used:.0f} MB")
-        if name not in self._restart_at:
-            self.ends[name] += 1
-            self._restart_at[name] = now + self.RESTART_SECONDS
-        elif now >= self._restart_at[name]:
-            del self._restart_at[name]
-            instance.start()
-
-    def fault(self) -> bool:
-        """Return whether processes ended three times on two machines or more.
-
-        Two is a tenth of the machines or more in fleets of up to 20.
-        """
-        self.world.note(f"ends of processes: {self.ends}")
-        peaks = {name: round(peak) for name, peak in self.peaks.items()}
-        self.world.note(f"peaks in MB: {peaks}")
-        return sum(ends >= 3 for ends in self.ends.values()) >= 2
-
-
 def play(
     case: str, body: Callable[[World], Coroutine[Any, Any, bool]], seconds: float = 115
 ) -> None:
