--- a/review/8/case.py
+++ b/review/8/case.py
@@ -27,6 +27,7 @@
 
 INSTANCES = 3
 SERVERS = 3  # A further one joins.
+FLEET_SECONDS = 10.0  # For which the processes run before the first server starts.
 HEARTBEAT_SECONDS = 0.87
 COPY_AGE_SECONDS = 4.0  # Of the copy, when the store comes back.
 AWAY_SECONDS = 0.3
@@ -198,11 +199,12 @@
     document = configuration(7, routes, ["registro"], sharded=("registro",))
     store.put("config", "main", document)
     known: set[str] = set()
+    world.start_instances(INSTANCES)
+    await asyncio.sleep(FLEET_SECONDS)
     for number in range(SERVERS):
         server = Server(f"i-7f3a91c{number}", "registro", f"z{number}", sharded=True)
         await world.start_server(server)
         known.add(server.name)
-    world.start_instances(INSTANCES)
     beats = asyncio.create_task(heartbeats(world, known))
     watcher = Watcher(world)
     watching = asyncio.create_task(watcher.run())
