Encode the names of objects in request targets of the store

Cause: names stood in request targets as they are. An entry with a space in its name, at which a page of the list ends, made the next call no HTTP: the store answered 400, and the list began anew for ever. "&", "#", "+", "%" and "?" changed the meaning of a call.

Evidence: the entries were decoded, and the store counted 131 malformed calls, all "servers?after=audit dump 0". The log said only "status 400 to GET"; it names the target now, so that a refused call differs from an unreadable page.

A name that no path can hold is refused before the call. The stand-ins of store decode names.

--- a/arbutusflow/platform/other_side.py
+++ b/arbutusflow/platform/other_side.py
@@ -7,7 +7,7 @@
 import dataclasses
 from collections.abc import Iterable, Mapping
 from typing import Any
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs, unquote, urlsplit
 
 import msgspec
 
@@ -19,8 +19,8 @@
     Route,
 )
 from arbutusflow.platform import wire
+from arbutusflow.platform.targets import OBJECTS_PATH
 
-_OBJECTS_PATH = "/arbutusflow/objects/"
 _SETTINGS = """\
 nodeName = "{instance}"
 ip = "{peer_host}"
@@ -69,17 +69,17 @@
 def decode_store_call(method: str, target: str, body: bytes) -> StoreCall:
     """Decode a call to the store. Raises ValueError."""
     url = urlsplit(target)
-    if not url.path.startswith(_OBJECTS_PATH):
+    if not url.path.startswith(OBJECTS_PATH):
         raise ValueError(f"{target!r} is not a path of the store")
     query = {name: values[0] for name, values in parse_qs(url.query).items()}
-    kind, _, name = url.path.removeprefix(_OBJECTS_PATH).partition("/")
+    kind, _, name = url.path.removeprefix(OBJECTS_PATH).partition("/")
     document = msgspec.json.decode(body) if body else {}
     metadata = document.get("metadata", query)
     revision, watch = metadata.get("revision"), query.get("watch")
     return StoreCall(
         method,
         kind,
-        name or document.get("metadata", {}).get("name", ""),
+        unquote(name) or document.get("metadata", {}).get("name", ""),
         None if revision is None else int(revision),
         None if watch is None else int(watch),
         int(query.get("waitMs", "0")) / 1000,
--- a/arbutusflow/platform/store.py
+++ b/arbutusflow/platform/store.py
@@ -26,6 +26,7 @@
     StorePoint,
 )
 from arbutusflow.platform import entries, wire
+from arbutusflow.platform.targets import kind_target, object_target
 
 # The store normally responds within milliseconds; a slow one takes up to 60 times as
 # long.
@@ -35,7 +36,7 @@
 WATCH_SLACK_SECONDS = 3.0
 PEEK_WAIT_MS = 1  # Of a watch that only returns the changes that there are.
 MAX_IDLE_SECONDS = 8.0
-_OBJECTS_PATH = "/arbutusflow/objects/"
+MAX_SHOWN_TARGET_CHARACTERS = 120  # Of a target in a message.
 
 ENDPOINTS_KIND = "servers"  # The platform calls endpoints servers.
 CONFIGURATION_KIND = "config"
@@ -191,11 +192,10 @@
         objects: list[StoredObject] = []
         left_out: list[str] = []
         first_revision: StorePoint | None = None
-        option = "serializable=1" if may_lag else ""
-        query = f"?{option}" if option else ""
+        query: dict[str, str | int] = {"serializable": 1} if may_lag else {}
         while True:
             response = await self._call(
-                "GET", f"{kind}{query}", timeout=timeout, progress=progress
+                "GET", kind_target(kind, **query), timeout=timeout, progress=progress
             )
             era = _era_of(response)
             page = entries.split_page(response.body, "items")
@@ -215,8 +215,7 @@
                     f"the list of {kind} cannot go on, its last page has no readable"
                     f" name: {reason}"
                 )
-            query = f"?after={objects[-1].name}"
-            query += f"&{option}" if option else ""
+            query["after"] = objects[-1].name
 
     async def watch(
         self,
@@ -235,11 +234,11 @@
         Raises HistoryGoneError if the store does not have the changes after `revision`,
         also because it has entered another era, and PlatformError on other errors.
         """
-        path = f"{kind}?watch={revision.number}&waitMs={int(wait_seconds * 1000)}"
-        if may_lag:
-            path += "&serializable=1"
         response = await self._call(
-            "GET", path, timeout=wait_seconds + WATCH_SLACK_SECONDS, progress=progress
+            "GET",
+            _watch_target(kind, revision, int(wait_seconds * 1000), may_lag=may_lag),
+            timeout=wait_seconds + WATCH_SLACK_SECONDS,
+            progress=progress,
         )
         return _decode_watch(response, revision)
 
@@ -258,14 +257,14 @@
         Raises HistoryGoneError if the store does not have the changes after `revision`,
         also because it has entered another era, and PlatformError on other errors.
         """
-        path = f"{kind}?watch={revision.number}&waitMs={PEEK_WAIT_MS}&serializable=1"
-        response = await self._call("GET", path, timeout=timeout, progress=progress)
+        target = _watch_target(kind, revision, PEEK_WAIT_MS, may_lag=True)
+        response = await self._call("GET", target, timeout=timeout, progress=progress)
         return _decode_watch(response, revision)
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or None if it does not exist. Raises PlatformError."""
         response = await self._call(
-            "GET", f"{kind}/{name}", accepted_statuses=(200, 404)
+            "GET", object_target(kind, name), accepted_statuses=(200, 404)
         )
         return _decode_answer(response) if response.status == 200 else None
 
@@ -276,7 +275,7 @@
         """
         await self._call(
             "GET",
-            f"{CONFIGURATION_KIND}/{PROBE_NAME}?serializable=1",
+            object_target(CONFIGURATION_KIND, PROBE_NAME, serializable=1),
             timeout=timeout,
             accepted_statuses=(200, 404),
         )
@@ -287,7 +286,7 @@
         Raises ConflictError if it exists, and PlatformError on other errors.
         """
         document = {"metadata": {"name": name}, "spec": spec}
-        return _decode_answer(await self._call("POST", kind, document))
+        return _decode_answer(await self._call("POST", kind_target(kind), document))
 
     async def replace(
         self, kind: str, name: str, spec: Any, revision: StorePoint
@@ -299,7 +298,8 @@
         self._check_condition(revision)
         metadata = {"name": name, "revision": revision.number}
         document = {"metadata": metadata, "spec": spec}
-        return _decode_answer(await self._call("PUT", f"{kind}/{name}", document))
+        target = object_target(kind, name)
+        return _decode_answer(await self._call("PUT", target, document))
 
     async def delete(self, kind: str, name: str, revision: StorePoint) -> None:
         """Delete an object if its revision is still `revision`.
@@ -308,8 +308,8 @@
         revision, and PlatformError on other errors.
         """
         self._check_condition(revision)
-        path = f"{kind}/{name}?revision={revision.number}"
-        await self._call("DELETE", path, accepted_statuses=(200, 204, 404))
+        target = object_target(kind, name, revision=revision.number)
+        await self._call("DELETE", target, accepted_statuses=(200, 204, 404))
 
     def _check_condition(self, revision: StorePoint) -> None:
         """Raise ConflictError if a revision is not of the current era.
@@ -322,7 +322,7 @@
     async def _call(
         self,
         method: str,
-        path: str,
+        target: str,
         document: Any = None,
         timeout: float = CALL_TIMEOUT_SECONDS,
         accepted_statuses: tuple[int, ...] = (200, 201),
@@ -331,7 +331,7 @@
         """Return an answer of the current era. Raises PlatformError."""
         body = b"" if document is None else msgspec.json.encode(document)
         host = f"{self._address.host}:{self._address.port}"
-        lines = [f"{method} {_OBJECTS_PATH}{path} HTTP/1.1", f"Host: {host}"]
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
         if document is not None:
             lines += ["Content-Type: application/json", f"Content-Length: {len(body)}"]
         head = ("\r\n".join(lines) + "\r\n\r\n").encode()
@@ -348,8 +348,9 @@
             raise ConflictError(_decode_conflict(response))
         if response.status == 410:
             raise HistoryGoneError("the store no longer has the requested history")
+        shown = target[:MAX_SHOWN_TARGET_CHARACTERS]
         raise PlatformUnavailableError(
-            f"the store responded with status {response.status} to {method}"
+            f"the store responded with status {response.status} to {method} {shown}"
         )
 
     async def _exchange(
@@ -384,6 +385,15 @@
         return None
 
 
+def _watch_target(
+    kind: str, revision: StorePoint, wait_ms: int, *, may_lag: bool
+) -> str:
+    query: dict[str, str | int] = {"watch": revision.number, "waitMs": wait_ms}
+    if may_lag:
+        query["serializable"] = 1
+    return kind_target(kind, **query)
+
+
 def _era_of(response: HttpResponse) -> int:
     """Return the era of an answer that was accepted."""
     return wire.parse_era(response.header(wire.STORE_ERA)) or 0
--- a/tests/gateway/object_platform.py
+++ b/tests/gateway/object_platform.py
@@ -9,7 +9,7 @@
 import dataclasses
 import time
 from typing import Any
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs, unquote, urlsplit
 
 import msgspec
 
@@ -125,7 +125,7 @@
             return CallerResponse(503)
         url = urlsplit(req.target.decode())
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
-        kind, _, name = url.path.removeprefix(_BASE).partition("/")
+        kind, _, name = unquote(url.path).removeprefix(_BASE).partition("/")
         document = msgspec.json.decode(req.body) if req.body else {}
         if req.method == b"GET":
             return await self._read(kind, name, query)
--- /dev/null
+++ b/tests/gateway/test_store_targets.py
@@ -0,0 +1,120 @@
+"""Names of objects in the targets of calls to the store.
+
+Guards against a name that changes the meaning of a call: a space ended the list of all
+endpoints, so that no instance learned of any after a restart.
+"""
+
+import asyncio
+import re
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import msgspec
+import pytest
+from hypothesis import example, given, settings, strategies as st
+
+from arbutusflow.errors import PlatformError
+from arbutusflow.gateway.client_connection import ResponseProgress
+from arbutusflow.gateway.model import Address, HttpResponse
+from arbutusflow.gateway.store_watch import ObjectCopy
+from arbutusflow.platform.store import StoreClient
+from arbutusflow.platform.targets import OBJECTS_PATH
+from tests.gateway.fakes import FakeLog, at
+from tests.gateway.virtual_time import run
+
+REQUEST_LINE = re.compile(rb"([A-Z]+) ([!-~]+) HTTP/1\.1\r\n")
+ODD_NAMES = ["a b", "a&after=z", "a#b", "a+b", "a%20b", "a?watch=1", "a/b", "../b"]
+ODD_NAMES += ["a\r\nX: y", "a\x00b", "žluť", "\U0001f40e", "n" * 3000]
+NAMES = st.text(st.characters(exclude_categories=["Cs"]), max_size=12)
+
+
+def entry(name):
+    return {"metadata": {"name": name, "revision": 3}, "spec": {"name": name}}
+
+
+class StrictStore(StoreClient):
+    """Lists one object a page, and refuses request lines that are no HTTP."""
+
+    def __init__(self, names):
+        super().__init__(Address("store", 1))
+        self.names = sorted(names)
+
+    async def _exchange(self, head, body, timeout, progress):
+        line = REQUEST_LINE.match(head)
+        if line is None:
+            return self.reply(400, {})
+        url = urlsplit(line[2].decode())
+        query = parse_qs(url.query, keep_blank_values=True)
+        kind, _, name = url.path.removeprefix(OBJECTS_PATH).partition("/")
+        if unquote(kind) != "servers" or len(query) != url.query.count("="):
+            return self.reply(400, {})
+        if "watch" in query:
+            await asyncio.sleep(60.0)
+        if name:
+            known = unquote(name) in self.names
+            return self.reply(*((200, entry(unquote(name))) if known else (404, {})))
+        if line[1] == b"POST":
+            return self.reply(201, msgspec.json.decode(body))
+        left = [n for n in self.names if n > query.get("after", [""])[0]]
+        items = [entry(n) for n in left[:1]]
+        return self.reply(200, {"items": items, "hasMore": len(left) > 1, "asOf": 9})
+
+    def reply(self, status, document):
+        return HttpResponse(status, b"", (), msgspec.json.encode(document), True)
+
+
+def listed_names(names):
+    """Return the names in a copy after its first list."""
+
+    async def main():
+        store = StrictStore(names)
+        copy = ObjectCopy(store, "servers", 15.0, lambda: None, FakeLog())
+        task = asyncio.create_task(copy.run())
+        await asyncio.sleep(1.0)
+        task.cancel()
+        return set(copy.objects)
+
+    return run(main())
+
+
+@settings(deadline=None)
+@given(names=st.sets(NAMES.filter(bool), min_size=1, max_size=5))
+@example(names={*ODD_NAMES, "i-1", "zz"})
+def test_a_list_goes_on_behind_any_name(names):
+    assert listed_names(names) == names
+
+
+@settings(deadline=None)
+@given(name=NAMES.filter(lambda name: name not in ("", ".", "..")))
+@example(name="a b")
+@example(name="../b")
+def test_any_object_can_be_read_and_written(name):
+    async def main():
+        store = StrictStore([name])
+        item = await store.get("servers", name)
+        replaced = await store.replace("servers", name, {}, item.revision)
+        await store.delete("servers", name, item.revision)
+        created = await store.create("servers", name, {})
+        return {item.name, replaced.name, created.name}
+
+    assert run(main()) == {name}
+
+
+@pytest.mark.parametrize("name", ["", ".", "..", "\udcff"])
+def test_a_name_that_no_path_can_hold_is_refused_before_the_call(name):
+    """Guards against a call on another object, or on all of a kind."""
+
+    async def main():
+        store = StrictStore([name])
+        with pytest.raises(PlatformError):
+            await store.delete("servers", name, at(3))
+        return store.calls
+
+    assert run(main()) == 0
+
+
+def test_a_refused_call_is_told_with_its_target():
+    async def main():
+        with pytest.raises(PlatformError, match="400 to GET /arbutusflow/objects/x"):
+            await StrictStore([]).list("x", 1.0, ResponseProgress(1.0))
+
+    run(main())
