--- a/arbutusflow/gateway/configuration_updates.py
+++ b/arbutusflow/gateway/configuration_updates.py
@@ -13,7 +13,7 @@
 from arbutusflow.errors import ConfigurationError
 from arbutusflow.gateway.event_log import EventLog
 from arbutusflow.gateway.model import Configuration
-from arbutusflow.gateway.steps import Steps, finish_between_events
+from arbutusflow.platform.steps import Steps, finish_between_events
 
 ROUTES_PER_STEP = 250  # 2 ms on the slowest machines deployed.
 
--- a/arbutusflow/platform/documents.py
+++ b/arbutusflow/platform/documents.py
@@ -14,7 +14,7 @@
     Service,
     WeightedService,
 )
-from arbutusflow.gateway.steps import Steps, finish
+from arbutusflow.platform.steps import Steps, finish
 
 # Of routes; any other kind may run at most once.
 _IDEMPOTENT_KINDS = ("safe", "download")
--- a/arbutusflow/platform/entries.py
+++ b/arbutusflow/platform/entries.py
@@ -17,8 +17,8 @@
 import msgspec
 
 from arbutusflow.errors import PlatformError
-from arbutusflow.gateway.steps import Steps
 from arbutusflow.platform.entry_fields import ANY_ENTRY
+from arbutusflow.platform.steps import Steps
 
 # A string without an end goes on to the end of the data.
 _STRING = rb'"(?:[^"\\]++|\\.)*+(?:"|\\?\Z)'
--- a/arbutusflow/platform/store.py
+++ b/arbutusflow/platform/store.py
@@ -26,8 +26,8 @@
     HttpResponse,
     StorePoint,
 )
-from arbutusflow.gateway.steps import Result, Steps, finish, finish_between_events
 from arbutusflow.platform import entries, entry_fields, wire
+from arbutusflow.platform.steps import Result, Steps, finish, finish_between_events
 from arbutusflow.platform.targets import kind_target, marker_behind, object_target
 
 # The store normally responds within milliseconds; a slow one takes up to 60 times as
--- a/tests/gateway/test_unreadable_entries.py
+++ b/tests/gateway/test_unreadable_entries.py
@@ -17,10 +17,10 @@
 from arbutusflow.gateway.endpoint_directory import EndpointDirectory
 from arbutusflow.gateway.model import Address, HttpResponse, StorePoint
 from arbutusflow.gateway.peers import CopyTransfer
-from arbutusflow.gateway.steps import finish
 from arbutusflow.gateway.store_watch import ObjectCopy
 from arbutusflow.platform import entries
 from arbutusflow.platform.entries import split_event, split_page
+from arbutusflow.platform.steps import finish
 from arbutusflow.platform.store import StoreClient
 from tests.gateway.fakes import FakeLog
 from tests.gateway.test_documents import ENTRY
