Refuse responses that are made of a part of one and of the next

Cause: a second copy of a rejection that breaks off in its head was joined with the answer behind it; any value of Not-Executed, and any 421, counted as a refusal.

Evidence: fed to ClientConnection byte by byte, rejections that are cut in their reason or in a value, in front of an answer, gave status 503, 421 or 429 with the identifier of the answer; cut elsewhere, the parser refused them or their identifier told them apart.

Change: a head with a status line in its reason or in a value, or with two identifiers, is malformed; the request may have run. A signed response is no refusal, and an order gets 502 for a signed 421 as for the other statuses that promise.

--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -24,6 +24,7 @@
 from arbutusflow.gateway.closing import socket_error, unsent_bytes
 from arbutusflow.gateway.early_end import EarlyEnd
 from arbutusflow.gateway.model import Address, ExchangeError, HttpResponse
+from arbutusflow.gateway.response_heads import joined_error
 
 # Responses are buffered completely; see docs/platform.md.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -385,6 +386,9 @@
         names = {name.lower() for name, _ in self._headers}
         has_framing = b"content-length" in names or b"transfer-encoding" in names
         error = self._status_error(status, has_framing)
+        joined = joined_error(self._reason, self._headers, self._id_header)
+        if joined:
+            error = f"two responses were joined: {joined}"
         if error:
             self._set_must_close()
             self._fail(error)
--- a/arbutusflow/gateway/dispatch.py
+++ b/arbutusflow/gateway/dispatch.py
@@ -79,12 +79,17 @@
     }
 )
 # Statuses by which callers learn that a request has not run and will not run.
-_NOT_RUN_STATUSES = frozenset({408, 429, 503})
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _REPLACED_HEADERS = frozenset({wire.DEADLINE, wire.EXPECTED_ENDPOINT})
 
 
 def _is_refusal(response: HttpResponse) -> bool:
-    """Return whether the endpoint says that it has not run the request."""
+    """Return whether the endpoint says that it has not run the request.
+
+    A signature shows that it has run, whatever else the response says.
+    """
+    if response.header(wire.SIGNATURE) is not None:
+        return False
     return response.header(wire.NOT_RUN) is not None or response.status == 421
 
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -365,12 +365,14 @@
     assert len(sent) == 1
 
 
-@pytest.mark.parametrize("status", [408, 429, 503])
-def test_a_rejection_that_may_have_run_is_no_promise_to_the_caller(status):
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+@pytest.mark.parametrize("marks", [(), ((b"Not-Executed", b"1"),)])
+def test_a_rejection_that_may_have_run_is_no_promise_to_the_caller(status, marks):
     """Guards against a status that tells the caller of an order that it has not run,
-    although the endpoint does not say so.
+    although the endpoint does not say so, or signs what would be the answer.
     """
-    reply, sent, _ = handle(response(status, SIGNATURE_HEADER), idempotent=False)
+    rejection = response(status, *marks, SIGNATURE_HEADER)
+    reply, sent, _ = handle(rejection, idempotent=False)
     assert reply.status == 502
     assert SIGNATURE_HEADER not in reply.headers
     assert len(sent) == 1
