Require all fields of an entry, and names and addresses that headers carry

Cause: an entry of another writer without version, seq and born was taken for an endpoint; a line end in its name ended the head of requests in front of Content-Length.

A name passes check_header_text, an address a pattern of hosts and ports; a host that no resolver takes is a failed connection. Fields have at most 1,000 characters.

--- a/arbutusflow/gateway/client_connection.py
+++ b/arbutusflow/gateway/client_connection.py
@@ -136,7 +136,8 @@
                     address.host,
                     address.port,
                 )
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, ValueError) as exc:
+            # Hosts that no resolver takes are a ValueError.
             detail = f"cannot connect to {address.host}:{address.port}: {exc!r}"
             local = isinstance(exc, OSError) and exc.errno in LOCAL_SHORTAGES
             raise ExchangeError(detail, sent=False, local=local) from exc
--- a/arbutusflow/gateway/model.py
+++ b/arbutusflow/gateway/model.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import enum
+import re
 from collections.abc import Mapping
 from typing import Generic, TypeVar
 
@@ -40,9 +41,18 @@
 EndpointProcess = tuple[str, int]
 
 
+# Names and numbers that a resolver and the header "Host" take.
+_ADDRESS = re.compile(
+    r"(?P<host>[\w-]{1,63}(?:\.[\w-]{1,63})*\.?|\[?[0-9a-f:.]*:[0-9a-f:.]*\]?)"
+    r":(?P<port>\d{1,5})",
+    re.ASCII | re.IGNORECASE,
+)
+MAX_SHOWN_CHARACTERS = 80  # Of an invalid text in a message.
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
-    """IPv4 address and port."""
+    """Host and port; a host holds no character that could end a header."""
 
     host: str
     port: int
@@ -50,10 +60,10 @@
     @classmethod
     def parse(cls, text: str) -> "Address":
         """Parse `host:port`. Raises ValueError."""
-        host, separator, port = text.rpartition(":")
-        if not separator or not host or not 0 < int(port) < 65536:
-            raise ValueError(f"{text!r} is not host:port")
-        return cls(host, int(port))
+        match = _ADDRESS.fullmatch(text)
+        if match is None or not 0 < int(match["port"]) < 65536:
+            raise ValueError(f"{text[:MAX_SHOWN_CHARACTERS]!r} is not host:port")
+        return cls(match["host"], int(match["port"]))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/arbutusflow/platform/documents.py
+++ b/arbutusflow/platform/documents.py
@@ -14,6 +14,7 @@
     Service,
     WeightedService,
 )
+from arbutusflow.platform import wire
 from arbutusflow.platform.steps import Steps, finish
 
 # Of routes; any other kind may run at most once.
@@ -144,8 +145,9 @@
 def decode_endpoint(item: Any) -> Endpoint:
     """Decode the document of an endpoint. Raises ValueError.
 
-    Any client of the store can write documents of this kind, so the type of each field
-    is checked: requests must not be sent to an address from an invalid document.
+    Any client of the store can write documents of this kind, so all fields but `born`
+    have to be there, and the type of each is checked: requests must not be sent to an
+    address from an invalid document.
     """
     try:
         spec = item["spec"] if isinstance(item.get("spec"), dict) else {}
@@ -159,17 +161,21 @@
         started_ms = fields.get("born", 0)
         slots, cold_seconds = info["slots"], status["coldLeftS"]
         name = item["metadata"]["name"]
-        strings = (name, info["service"], fields["address"], info["zone"])
+        strings = [info[field] for field in ("service", "zone", "version")]
+        strings += [name, fields["address"]]
         if not all(isinstance(text, str) and text for text in strings):
             raise ValueError(
-                "name, service, address and zone must be non-empty strings"
+                "name, service, address, zone and version must be non-empty strings"
+            )
+        integers = (slots, status["seq"], started_ms)
+        if not all(type(number) is int for number in integers) or slots < 1:
+            raise ValueError(
+                "seq and born must be integers and slots a positive integer"
             )
-        if type(slots) is not int or slots < 1 or type(started_ms) is not int:
-            raise ValueError("slots must be a positive integer and born an integer")
         if isinstance(cold_seconds, bool) or not isinstance(cold_seconds, int | float):
             raise ValueError("coldLeftS must be a number")
         return Endpoint(
-            id=name,
+            id=wire.check_header_text(name),
             service=info["service"],
             address=Address.parse(fields["address"]),
             zone=info["zone"],
--- a/arbutusflow/platform/entry_fields.py
+++ b/arbutusflow/platform/entry_fields.py
@@ -1,14 +1,16 @@
 """The fields of entries that are used; a decoder by them builds nothing else.
 
-Invariant: a field that is used holds text, a number, a boolean or null, so what is kept
-of an entry and sent to other instances does not grow with its structure.
+Invariant: a field that is used holds short text, a number, a boolean or null, so what
+is kept of an entry and sent to other instances does not grow with its content.
 """
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
-Scalar = str | int | float | bool | None
+MAX_FIELD_CHARACTERS = 1000
+FieldText = Annotated[str, msgspec.Meta(max_length=MAX_FIELD_CHARACTERS)]
+Scalar = FieldText | int | float | bool | None
 MaybeScalar = Scalar | msgspec.UnsetType
 
 
--- a/arbutusflow/platform/wire.py
+++ b/arbutusflow/platform/wire.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from arbutusflow.gateway.model import MAX_SHOWN_CHARACTERS
+
 REQUEST_ID = b"request-id"
 DEADLINE = b"deadline-ms"
 SIGNATURE = b"response-seal"  # Signature of an endpoint over its response.
@@ -30,6 +32,19 @@
 MAX_REPORTED_PERCENT = 10_000
 
 
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x1f\x7f-\x9f\u2028\u2029]")
+
+
+def check_header_text(text: str) -> str:
+    """Return text that a header carries unchanged. Raises ValueError for other text.
+
+    A line end would end the header, and spaces at the ends would be lost.
+    """
+    if not text or text != text.strip() or _CONTROL_CHARACTER.search(text):
+        raise ValueError(f"{text[:MAX_SHOWN_CHARACTERS]!r} cannot stand in a header")
+    return text
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedLoad:
     """Load of an endpoint, as it reports it in a response."""
--- a/tests/gateway/test_documents.py
+++ b/tests/gateway/test_documents.py
@@ -1,8 +1,11 @@
 """Decoding of valid and malformed documents and settings."""
 
 import copy
+from types import SimpleNamespace
 
+import httptools
 import pytest
+from hypothesis import given, strategies as st
 
 from arbutusflow.errors import ConfigurationError, SettingsError
 from arbutusflow.gateway.model import Address, Repeatability
@@ -110,6 +113,15 @@
         (("status", "coldLeftS"), None),
         (("status",), []),
         (("born",), 1.5),
+        (("info", "version"), 1),
+        (("info", "version"), ""),
+        (("status", "seq"), "4"),
+        (("status", "seq"), True),
+        (("address",), "10.0.0.1\r\nX-Y: 1:80"),
+        (("address",), "10.0.0.1:8_0"),
+        (("address",), "10.0.0.1: 80"),
+        (("address",), "a" * 64 + ":80"),
+        (("address",), "a..b:80"),
     ],
 )
 def test_an_endpoint_entry_with_an_invalid_field_is_rejected(path, value):
@@ -122,6 +134,38 @@
         decode_endpoint(entry)
 
 
+@pytest.mark.parametrize(
+    ("section", "field"),
+    [("info", name) for name in ("service", "version", "zone", "slots")]
+    + [("status", name) for name in ("state", "seq", "coldLeftS")],
+)
+def test_an_endpoint_entry_without_a_field_is_rejected(section, field):
+    """Guards against requests and keys for entries of other writers."""
+    entry = copy.deepcopy(ENTRY)
+    del entry["spec"][section][field]
+    with pytest.raises(ValueError):
+        decode_endpoint(entry)
+
+
+@given(
+    name=st.text(max_size=8) | st.sampled_from(["i\r\n", "i\n", " i", "i\x00", "i\x85"])
+)
+def test_the_name_of_an_endpoint_stands_in_a_header_as_it_is(name):
+    """Guards against a name that ends a header or the head of a request, which makes an
+    endpoint run an upload with an empty body."""
+    try:
+        endpoint = decode_endpoint(ENTRY | {"metadata": {"name": name, "revision": 5}})
+    except ValueError:
+        return
+    seen = {}
+    parser = httptools.HttpRequestParser(
+        SimpleNamespace(on_header=lambda header, value: seen.update({header: value}))
+    )
+    lines = [b"POST / HTTP/1.1", b"expect-instance: " + endpoint.id.encode(), b"z: 1"]
+    parser.feed_data(b"\r\n".join(lines) + b"\r\n\r\n")
+    assert seen == {b"expect-instance": name.encode(), b"z": b"1"}
+
+
 @pytest.mark.parametrize("item", [None, 5, "x", [], {"metadata": {}}, {"spec": 1}])
 def test_a_document_that_is_no_endpoint_entry_is_rejected(item):
     with pytest.raises(ValueError):
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -373,7 +373,7 @@
     names = [f"e{number}" for number in range(300)]
     copy = FakeCopy(*names)
     directory = make_directory(copy)
-    changed = {**entry("e7"), "status": {"state": "draining", "coldLeftS": 0}}
+    changed = {**entry("e7"), "status": {"state": "draining", "seq": 2, "coldLeftS": 0}}
     copy.objects["e7"] = StoredObject("e7", at(2), None, changed)
     decoded.clear()
     directory.update(1.0)
--- a/tests/gateway/test_unreadable_entries.py
+++ b/tests/gateway/test_unreadable_entries.py
@@ -45,7 +45,7 @@
     "array": b"[[],{}]",
 }
 # These are readable; they only have to do no harm.
-READABLE = ("brackets in a string", "megabytes", "null")
+READABLE = ("brackets in a string", "null")
 MAX_SECONDS = 5.0  # For a list with 3 MB; a test host can be slow.
 
 
