Bound what is kept for other instances in bytes, and the length of names

Cause: a copy kept 64 batches of changes with all versions of the objects, whatever their size, and names of any length.

Evidence: 39 writes of an object of 400 kB were all kept, 15.6 MB; now at most 4 MiB are (the new test failed with that figure).

Change: batches are dropped from 4 MiB on, the latest one is always kept. An object knows the size of its content as it is sent. A name of more than 1,000 characters is left out, told in the log, and a list goes on behind it.

--- a/arbutusflow/gateway/state_relay.py
+++ b/arbutusflow/gateway/state_relay.py
@@ -467,4 +467,6 @@
     name, revision, raw = packed
     if not isinstance(raw, dict):
         return Change(StoredObject(name, revision, None, {}), removed=True)
-    return Change(StoredObject(name, revision, raw.get("spec"), raw), removed=False)
+    size = len(msgspec.msgpack.encode(raw))
+    item = StoredObject(name, revision, raw.get("spec"), raw, size=size)
+    return Change(item, removed=False)
--- a/arbutusflow/gateway/store_watch.py
+++ b/arbutusflow/gateway/store_watch.py
@@ -46,6 +46,7 @@
 ERA_SPREAD_SECONDS = 0.3
 # Recent changes that are kept, so that other instances need not be sent all objects.
 MAX_KEPT_BATCHES = 64
+MAX_KEPT_BYTES = 4 * 1024 * 1024  # Of their objects; the latest batch is always kept.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,6 +57,11 @@
     revision: StorePoint
     changes: tuple[Change, ...]
 
+    @property
+    def size(self) -> int:
+        """Bytes of the objects that the changes keep."""
+        return sum(change.object.size for change in self.changes)
+
 
 class ObjectCopy:
     """Objects of one kind as the store had them at `revision`."""
@@ -104,9 +110,8 @@
         self.retry_leader: ObjectCopy | None = None
         self.revision = BEFORE_ALL
         self._relayed_prefix = relayed_prefix  # Of the objects that are sent to others.
-        self._batches: collections.deque[ChangeBatch] = collections.deque(
-            maxlen=MAX_KEPT_BATCHES
-        )
+        self._batches: collections.deque[ChangeBatch] = collections.deque()
+        self._kept_bytes = 0  # Of all batches.
         self._unparked = asyncio.Event()
         self._unparked.set()
         # Whether the next list of all objects may be seconds old.
@@ -160,7 +165,7 @@
         """
         if not self.was_read or revision.era == self.revision.era:
             return False
-        self._batches.clear()
+        self._forget_batches()
         self.era_entered_at = asyncio.get_running_loop().time()
         return True
 
@@ -230,8 +235,19 @@
         relayed = tuple(
             c for c in changes if c.object.name.startswith(self._relayed_prefix)
         )
-        if relayed or not self._batches:
-            self._batches.append(ChangeBatch(base, revision, relayed))
+        if not relayed and self._batches:
+            return
+        batch = ChangeBatch(base, revision, relayed)
+        self._batches.append(batch)
+        self._kept_bytes += batch.size
+        while len(self._batches) > 1 and (
+            len(self._batches) > MAX_KEPT_BATCHES or self._kept_bytes > MAX_KEPT_BYTES
+        ):
+            self._kept_bytes -= self._batches.popleft().size
+
+    def _forget_batches(self) -> None:
+        self._batches.clear()
+        self._kept_bytes = 0
 
     def apply_relayed_changes(
         self, base: StorePoint, revision: StorePoint, changes: Iterable[Change]
@@ -262,7 +278,7 @@
             return  # The store has lost what came after these objects, or more.
         self._enter_era(revision)
         self.objects = {item.name: item for item in objects}
-        self._batches.clear()
+        self._forget_batches()
         self._keep_batch(revision, revision, ())
         self._log.write("store_copy_told", kind=self._kind, objects=len(self.objects))
         self._end_relayed_update(revision, "objects")
--- a/arbutusflow/platform/entries.py
+++ b/arbutusflow/platform/entries.py
@@ -41,6 +41,7 @@
 _ENCODE_ERRORS = (OverflowError, RecursionError, UnicodeEncodeError)
 _MALFORMED_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 MAX_REASON_CHARACTERS = 200
+MAX_NAME_CHARACTERS = 1000
 TOKENS_PER_STEP = 1000
 _CONTROL_CHARACTERS = bytes(max(byte, 0x20) for byte in range(256))
 
@@ -189,20 +190,28 @@
     return _TOKEN.search(data, content.end() if content else place)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DecodedEntry:
+    """The fields of an entry, or why it is unreadable."""
+
+    document: Any
+    size: int  # In bytes, as it is sent to other instances.
+    reason: str = ""
+
+
 def decode_entry(
     data: bytes, fields: msgspec.json.Decoder[Any] = ANY_ENTRY
-) -> tuple[Any, str]:
-    """Decode one entry; return it and why it is unreadable, if it is.
+) -> DecodedEntry:
+    """Decode one entry.
 
     An entry is unreadable if it cannot be sent to other instances, or if one of the
     `fields` has a structure that it does not have in any readable entry.
     """
     try:
         document = msgspec.to_builtins(fields.decode(data))
-        msgspec.msgpack.encode(document)
+        return DecodedEntry(document, len(msgspec.msgpack.encode(document)))
     except (*_DECODE_ERRORS, *_ENCODE_ERRORS) as exc:
-        return None, _reason(exc)
-    return document, ""
+        return DecodedEntry(None, 0, _reason(exc))
 
 
 def decode_name(data: bytes) -> Steps[tuple[str, int]]:
@@ -225,7 +234,7 @@
 
 
 def marker_of_unreadable(data: bytes) -> Steps[str | None]:
-    """Return the text behind which a list goes on after an entry without readable name.
+    """Return the text behind which a list goes on after an entry without usable name.
 
     Returns None if the name is no text.
     """
@@ -238,7 +247,8 @@
         name = msgspec.json.decode(text, type=str)
     except (KeyError, *_DECODE_ERRORS):
         return None
-    return name.partition(_FIRST_BEHIND)[0] + _FIRST_BEHIND
+    readable, separator, _ = name.partition(_FIRST_BEHIND)
+    return readable + separator
 
 
 def checked_name(metadata: Any) -> tuple[str, int]:
@@ -249,6 +259,8 @@
         raise ValueError(f"no name: {exc!r}") from exc
     if not isinstance(name, str) or type(revision) is not int:
         raise ValueError("the name must be a string and the revision an integer")
+    if len(name) > MAX_NAME_CHARACTERS:
+        raise ValueError(f"the name {name[:80]!r}... is too long")
     return name, revision
 
 
--- a/arbutusflow/platform/store.py
+++ b/arbutusflow/platform/store.py
@@ -60,6 +60,8 @@
     spec: Any
     raw: dict[str, Any]
     unreadable: str = ""  # Why `spec` and `raw` lack the content, if they do.
+    # Bytes of `raw` as it is sent to other instances.
+    size: int = dataclasses.field(default=0, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,18 +137,20 @@
 def _decode_object(data: bytes, kind: str, era: int) -> Steps[StoredObject]:
     """Decode one object; its content is left out if it cannot be read.
 
-    Raises ValueError if not even its name can be read.
+    Raises ValueError if not even its name can be used.
     """
-    raw, reason = entries.decode_entry(data, _FIELDS.get(kind, entry_fields.ANY_ENTRY))
-    if reason:
+    entry = entries.decode_entry(data, _FIELDS.get(kind, entry_fields.ANY_ENTRY))
+    if entry.reason:
         name, revision = yield from entries.decode_name(data)
         metadata = {"name": name, "revision": revision}
         point = StorePoint(era, revision)
-        return StoredObject(name, point, None, {"metadata": metadata}, reason)
+        return StoredObject(name, point, None, {"metadata": metadata}, entry.reason)
+    raw = entry.document
     if not isinstance(raw, dict):
         raise ValueError("an object of the store must be a JSON object")
     name, revision = entries.checked_name(raw.get("metadata"))
-    return StoredObject(name, StorePoint(era, revision), raw.get("spec"), raw)
+    point = StorePoint(era, revision)
+    return StoredObject(name, point, raw.get("spec"), raw, size=entry.size)
 
 
 class _Pause:
@@ -187,7 +191,7 @@
             left_out.append(str(exc))
             marker = yield from entries.marker_of_unreadable(part)
             if marker is not None:
-                guessed.append(marker)
+                guessed.append(marker_behind(marker))
     # Names that are known exactly come first, as the order of others is not certain.
     markers = [marker_behind(item.name) for item in reversed(objects)]
     markers += reversed(guessed)
--- a/tests/gateway/test_bounded_memory.py
+++ b/tests/gateway/test_bounded_memory.py
@@ -16,6 +16,10 @@
     WeightedService,
 )
 from arbutusflow.gateway.routing import WeightedRoundRobin
+from arbutusflow.gateway.state_relay import _pack, _unpack
+from arbutusflow.gateway.store_watch import MAX_KEPT_BYTES, ObjectCopy
+from arbutusflow.platform.store import Change, StoreClient, StoredObject
+from tests.gateway.fakes import FakeLog, at
 from tests.gateway.virtual_time import run
 
 WINDOW_SECONDS = 10.0
@@ -92,3 +96,27 @@
         return len(pool._in_use), len(pool._idle)
 
     assert run(scenario()) == (0, 0)
+
+
+def test_changes_for_other_instances_are_bounded_in_bytes():
+    """Large objects, each written again and again, filled the memory with versions."""
+    text = "x" * 400_000
+
+    async def main():
+        store = StoreClient(Address("store", 1))
+        copy = ObjectCopy(store, "k", 15.0, lambda: None, FakeLog())
+        copy.use_relayed_objects(at(1), ())
+        for number in range(1, 40):
+            item = StoredObject("a", at(number + 1), text, {"spec": text})
+            relayed = _unpack(_pack(Change(item, removed=False)))
+            copy.apply_relayed_changes(at(number), at(number + 1), [relayed])
+        kept = sum(
+            len(change.object.raw["spec"])
+            for batch in copy._batches
+            for change in batch.changes
+        )
+        return kept, copy.changes_between(at(39), at(40)) is not None
+
+    kept, knows_latest = run(main())
+    assert 0 < kept <= MAX_KEPT_BYTES
+    assert knows_latest
