Take only eras that the store can have from the names of tables

Cause: any decimal digits were read as the era of a table, and Python raises ValueError for more than 4,300 of them. Digits of other scripts named a table, too.

Evidence: on the commit before, parse_table_name raises "Exceeds the limit (4300 digits)" for 5,000 digits and gives era 3 for an Arabic digit; the new checks of test_era_answers pass.

Change: one pattern, with an era of one to seven ASCII digits.

Result: test_era_answers, test_store_eras and test_endpoints pass.

--- a/arbutusflow/gateway/fleet.py
+++ b/arbutusflow/gateway/fleet.py
@@ -21,6 +21,7 @@
 import enum
 import functools
 import itertools
+import re
 from collections.abc import Iterable
 
 import msgspec
@@ -38,6 +39,9 @@
 # Of tables of later eras, followed by the era and the service: no late write of an
 # earlier era reaches them, and no restored table is taken for one of this era.
 ERA_TABLE_PREFIX = "keys."
+_ERA_TABLE_NAME = re.compile(
+    re.escape(ERA_TABLE_PREFIX) + r"(?P<era>[1-9][0-9]{0,6})-(?P<service>.*)", re.DOTALL
+)
 # Bounds how long an isolated instance continues to grant keys, and so how long it
 # delays a move. Ten consecutive reports across zones may be lost without effect.
 CONTACT_TIMEOUT_SECONDS = 3.0
@@ -106,10 +110,8 @@
     """Return the service and the era of a stored table; None for other objects."""
     if name.startswith(TABLE_PREFIX):
         return name.removeprefix(TABLE_PREFIX), 0
-    era, separator, service = name.removeprefix(ERA_TABLE_PREFIX).partition("-")
-    if not name.startswith(ERA_TABLE_PREFIX) or not separator or not era.isdecimal():
-        return None
-    return service, int(era)
+    match = _ERA_TABLE_NAME.fullmatch(name)
+    return (match["service"], int(match["era"])) if match else None
 
 
 @functools.lru_cache(maxsize=MAX_CACHED_HASHES)
--- a/tests/gateway/test_era_answers.py
+++ b/tests/gateway/test_era_answers.py
@@ -244,6 +244,9 @@
         ]
     assert parse_table_name("instance-a") is None
     assert parse_table_name("keys.x-a") is None
+    # Python reads no number of so many digits, and these are digits as well.
+    assert parse_table_name(f"keys.{'9' * 5000}-a") is None
+    assert parse_table_name("keys.\u0663-a") is None
 
 
 def test_only_ranges_that_cannot_have_moved_keep_their_owner():
