Bound the text of others in lines of the log

Operators saw, by trial: a name of 1 MB makes a line of 1 MB, at each revision of its entry.

Cause: the log wrote fields of any length, and endpoint_unreadable without a limit of rate.

Change: a text field ends after 4,000 characters, and endpoint_unreadable counts towards the limit of lines of a second.

--- a/arbutusflow/gateway/endpoint_directory.py
+++ b/arbutusflow/gateway/endpoint_directory.py
@@ -247,7 +247,7 @@
             except ValueError as exc:
                 if self._unreadable_revisions.get(name) != item.revision:
                     self._unreadable_revisions[name] = item.revision
-                    self._log.write(
+                    self._log.write_rate_limited(
                         "endpoint_unreadable", endpoint=name, detail=str(exc)
                     )
         self._decoded = decoded
--- a/arbutusflow/gateway/event_log.py
+++ b/arbutusflow/gateway/event_log.py
@@ -15,6 +15,7 @@
 import msgspec
 
 MAX_LINES_PER_SECOND = 200  # Limits the CPU time spent on rate-limited events.
+MAX_TEXT_CHARACTERS = 4000  # Of a field; text of others may be megabytes long.
 STDOUT = 1
 
 
@@ -68,7 +69,8 @@
             return False
         self._is_writing = True
         try:
-            line = {"time": round(time.time(), 4), "instance": self._instance, **fields}
+            line = {"time": round(time.time(), 4), "instance": self._instance}
+            line.update((name, _shortened(value)) for name, value in fields.items())
             data = self._unwritten + self._encoder.encode(line) + b"\n"
             written = os.write(self._fd, data)
             self._unwritten = data[written:]
@@ -78,3 +80,9 @@
         finally:
             self._is_writing = False
         return True
+
+
+def _shortened(value: Any) -> Any:
+    if isinstance(value, str) and len(value) > MAX_TEXT_CHARACTERS:
+        return value[:MAX_TEXT_CHARACTERS] + "..."
+    return value
--- a/tests/gateway/test_event_log.py
+++ b/tests/gateway/test_event_log.py
@@ -3,7 +3,11 @@
 import json
 import os
 
-from arbutusflow.gateway.event_log import MAX_LINES_PER_SECOND, EventLog
+from arbutusflow.gateway.event_log import (
+    MAX_LINES_PER_SECOND,
+    MAX_TEXT_CHARACTERS,
+    EventLog,
+)
 
 
 def lines(fd):
@@ -48,6 +52,17 @@
     assert len(lines(reader)) <= 2 * MAX_LINES_PER_SECOND
 
 
+def test_a_line_with_long_text_is_short_and_one_line():
+    """Guards against text of others that fills the log, or ends a line of it."""
+    reader, writer = os.pipe()
+    log = EventLog("n1", fd=writer)
+    log.write("event", name="i-1\r\n\u2028" + "x" * 1_000_000, number=3)
+    (line,) = lines(reader)
+    assert line["name"].startswith("i-1\r\n\u2028xx")
+    assert len(line["name"]) <= MAX_TEXT_CHARACTERS + 3
+    assert line["number"] == 3
+
+
 def test_a_closed_output_does_not_raise():
     reader, writer = os.pipe()
     os.close(reader)
