Name the settings that change and need a restart

Cause: a reload takes the bounds that can change, and said nothing of the other fields.

Evidence: the new test of test_reload writes another address of the store; without the change nothing but settings_reloaded is logged.

Change: settings_need_restart names the fields that differ from those of the start.

The address is still not applied; docs/operators/running.md asks for a restart.

--- a/arbutusflow/gateway/process.py
+++ b/arbutusflow/gateway/process.py
@@ -97,6 +97,19 @@
 # endpoint still counts the old ones.
 IDLE_CONNECTIONS_FRACTION = 0.35
 SETTINGS_CHECK_INTERVAL_SECONDS = 1.0
+# Fields that are used from the start on only.
+FIXED_SETTINGS = (
+    "instance",
+    "zone",
+    "peer_host",
+    "peer_port",
+    "metrics_port",
+    "store_address",
+    "drain_seconds",
+    "max_lease_seconds",
+    "evacuation_seconds",
+    "learn_room",
+)
 # Interval for batching changes of endpoint entries, which change in groups, mainly when
 # all endpoints start. The delay is acceptable because a leaving endpoint continues to
 # serve for 2 s.
@@ -121,7 +134,7 @@
 
     def __init__(self, cfg: GatewaySettings, path: pathlib.Path) -> None:
         self._loop = asyncio.get_running_loop()
-        self._cfg = cfg
+        self._cfg = self._started_cfg = cfg
         self._path = path
         self._settings_text = _read(path)
         self._rng = random.Random()
@@ -741,13 +754,20 @@
         except SettingsError as exc:
             self.log.write("settings_rejected", detail=str(exc))
             return
+        kept = [name for name in FIXED_SETTINGS if self._differs(cfg, name)]
         self._cfg = cfg
+        if kept:
+            self.log.write("settings_need_restart", fields=kept)
         self.retry_budget.set_limits(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_seconds
         )
         self.cold_sends.set_limits(cfg.cold_overshoot, cfg.cold_slack)
         self.log.write("settings_reloaded")
 
+    def _differs(self, cfg: GatewaySettings, name: str) -> bool:
+        """Return whether a setting is not the one that the process was started with."""
+        return bool(getattr(cfg, name) != getattr(self._started_cfg, name))
+
     def _listening_addresses(self) -> tuple[tuple[CallerServer, Address], ...]:
         return (
             (self.caller_server, self._cfg.caller_address),
--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -36,6 +36,25 @@
     assert 7.0 < state.ends_in_seconds <= 8.0
 
 
+def test_a_setting_that_needs_a_restart_is_named(tmp_path):
+    """Guards against another address of the store that nothing tells is not called."""
+
+    async def scenario(cluster):
+        gateway, path = cluster.gateways["n1"], settings_file(cluster)
+        gateway.log = FakeLog()
+        store = gateway._cfg.store_address
+        text = path.read_text()
+        moved = text.replace(f":{store.port}", f":{store.port % 60000 + 1}")
+        for changed in (text.replace("graceS = 6", "graceS = 8"), moved, moved + "\n"):
+            path.write_text(changed)
+            gateway._reload()
+        return [f["fields"] for event, f in gateway.log.events if "need" in event]
+
+    # The cluster is started without metrics, which its file has.
+    expected = [["metrics_port"], *[["metrics_port", "store_address"]] * 2]
+    assert run_with_cluster(scenario, tmp_path) == expected
+
+
 @pytest.mark.parametrize("text", ["", "nodeName = [", "nodeName = 'n1'\n", "\xff"])
 def test_a_file_with_an_error_changes_nothing(tmp_path, text):
     """Guards against a typing error in the file that ends or changes an instance."""
