Say on the reference page which fields of an entry are required

Cause: since entries need version and seq, and addresses are checked, 18 cases of test_reference failed in a run of all tests on: the page called seq optional and did not name version, and the example of the settings had "{host}:8080" for an address.

Change: the page names them; the example has an address in place of the pattern.

--- a/arbutusflow/platform/reference.py
+++ b/arbutusflow/platform/reference.py
@@ -133,10 +133,15 @@
 )
 
 ENDPOINT = (
-    Field("metadata.name", "text", "Identifier of the endpoint."),
+    Field(
+        "metadata.name",
+        "text that a header carries, without spaces at its ends",
+        "Identifier of the endpoint.",
+    ),
     Field("spec.address", ADDRESS, "Where it serves requests."),
     Field("spec.info.service", "text", "Its service."),
     Field("spec.info.zone", "text", "Its availability zone."),
+    Field("spec.info.version", "text", "Version of its software."),
     Field("spec.info.slots", "a whole number from 1", "Requests that it runs at once."),
     Field("spec.status.state", "`ready` or `draining`", "Whether it leaves."),
     Field("spec.status.coldLeftS", "seconds", "Rest of its cold start."),
@@ -144,7 +149,6 @@
         "spec.status.seq",
         "a whole number",
         "How often it has written its entry; tells a restored entry from a new one.",
-        "unknown",
     ),
     Field("spec.born", "milliseconds", "Start of the process.", "0"),
     Field("status", "a mapping", "Replaces `spec.status`.", "empty"),
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -48,7 +48,11 @@
 
 
 SETTINGS_EXAMPLE = tomllib.loads(
-    re.sub(r"\{(?:peer|front|ready|store)\}", "8080", SETTINGS_FILE)
+    re.sub(
+        r"\{(?:peer|front|ready|store)\}",
+        "8080",
+        re.sub(r"\{(?:host|store_host)\}", "127.0.0.1", SETTINGS_FILE),
+    )
 )
 DOCUMENTS = [
     (SETTINGS, SETTINGS_EXAMPLE, settings._decode, KeyError),
