Ask a store that repeats a page once more, not once for each object of it

Cause: found when the change was read again. A list tried the name of each object of a page as the place to go on behind, so a store that ignores `after` was called once for each of them.

Change: a list goes on behind the last name that is known exactly, or behind the last marker of an entry without one; if it did so before, it is cut off.

--- a/arbutusflow/platform/entries.py
+++ b/arbutusflow/platform/entries.py
@@ -105,9 +105,8 @@
             event = _event_decoder.decode(text)
         except _DECODE_ERRORS:
             continue
-        return _originals(data, text, [event.object])[0], bytes(
-            event.removed
-        ) == b"true"
+        removed = bytes(event.removed) == b"true"
+        return _originals(data, text, [event.object])[0], removed
     members = yield from split_object(data)
     if "object" not in members:
         raise ValueError("an event without an object")
--- a/arbutusflow/platform/store.py
+++ b/arbutusflow/platform/store.py
@@ -172,14 +172,15 @@
 
     objects: list[StoredObject]
     left_out: tuple[str, ...]
-    markers: list[str]  # Behind which the list may go on, the best one first.
+    marker: str | None  # Behind which the list may go on.
     revision: int
     has_more: bool
 
 
 def _decode_page(response: HttpResponse, kind: str) -> Steps[_DecodedPage]:
     page = yield from entries.split_page(response.body, "items")
-    objects, left_out, guessed = [], [], []
+    objects, left_out = [], []
+    guessed: str | None = None
     pause, era = _Pause(), _era_of(response)
     for part in page.entries:
         if pause.is_due(part):
@@ -190,12 +191,11 @@
         except ValueError as exc:
             left_out.append(str(exc))
             marker = yield from entries.marker_of_unreadable(part)
-            if marker is not None:
-                guessed.append(marker_behind(marker))
-    # Names that are known exactly come first, as the order of others is not certain.
-    markers = [marker_behind(item.name) for item in reversed(objects)]
-    markers += reversed(guessed)
-    return _DecodedPage(objects, tuple(left_out), markers, page.revision, page.has_more)
+            guessed = marker or guessed
+    # A name that is known exactly comes first: the order of others is not certain.
+    last = objects[-1].name if objects else guessed
+    marker = None if last is None else marker_behind(last)
+    return _DecodedPage(objects, tuple(left_out), marker, page.revision, page.has_more)
 
 
 def _decode_changes(
@@ -272,14 +272,14 @@
                 first_revision = StorePoint(era, page.revision)
             if not page.has_more:
                 return Snapshot(tuple(objects), first_revision, tuple(left_out))
-            # A marker that was used before would repeat pages.
-            new = (marker for marker in page.markers if marker not in used_markers)
-            marker = next(new, None)
-            if marker is None:
+            if page.marker is None:
                 reason = "its last page has no name to go on behind"
                 break
-            used_markers.append(marker)
-            query["after"] = marker
+            if page.marker in used_markers:
+                reason = "the store repeats a page"
+                break
+            used_markers.append(page.marker)
+            query["after"] = page.marker
         raise ListCutOffError(
             f"the list of {kind} cannot go on: {reason}",
             Snapshot(tuple(objects), first_revision, tuple(left_out)),
--- a/tests/gateway/test_store_targets.py
+++ b/tests/gateway/test_store_targets.py
@@ -13,7 +13,7 @@
 import pytest
 from hypothesis import example, given, settings, strategies as st
 
-from arbutusflow.errors import PlatformError
+from arbutusflow.errors import ListCutOffError, PlatformError
 from arbutusflow.gateway.client_connection import ResponseProgress
 from arbutusflow.gateway.model import Address, HttpResponse
 from arbutusflow.gateway.store_watch import ObjectCopy
@@ -134,7 +134,25 @@
     assert set(copy.objects) == {"a", "b", "c", "d"}
     assert (copy.lists_cut_off, copy.unreachable_since) == (1, None)
     assert [event for event, _ in log.events].count("store_list_cut_off") == 1
-    assert store.calls <= 5
+    assert store.calls <= 5  # Pages, one more, and a watch.
+
+
+def test_a_store_that_repeats_its_first_page_is_asked_twice():
+    """Guards against a call for each object of a page, and all of it kept each time."""
+
+    class FirstPageStore(StrictStore):
+        async def _call(self, method, target, *args, **options):
+            self.calls += 1
+            items = [entry(f"e{number}") for number in range(300)]
+            return self.reply(200, {"items": items, "hasMore": True, "asOf": 9})
+
+    async def main():
+        store = FirstPageStore([])
+        with pytest.raises(ListCutOffError) as caught:
+            await store.list("servers", 1.0, ResponseProgress(1.0))
+        return store.calls, len(caught.value.part.objects)
+
+    assert run(main()) == (2, 600)
 
 
 def test_a_copy_for_which_a_missing_object_counts_takes_no_part_of_a_list():
