Go on behind a name that is no UTF-8 when a list has no other

Callers would see: after a restart of all instances, no answer from services whose endpoints stand behind such an entry. Seen here on a stand-in: 66 to 69 of 100 requests served, for as long as the entry stands; those of the service behind it fail. As the name of an object of "config" or of the instances' own kind it would hold up all requests, as a part of those lists is not used (by reading; not run with processes).

Of a name without a readable text the list took the part before lone surrogates, but none of a name whose bytes are no UTF-8 ("bytes that can't be read"). Alone on its page, or on a page of such names, it ended the list.

Change: the marker keeps these bytes as `surrogateescape` does, and the query carries them as they were. A store that refuses or repeats the page then cuts the list off as before.

The stand-in encodes lone surrogates as escapes now. The new test allows one page more than that of readable names: a page that ends with unreadable ones goes on behind its last readable name first, as before.

Open: a name of more than 340 bytes above 0xf4, as its beginning is cut; a name that is no text.

--- a/arbutusflow/platform/entries.py
+++ b/arbutusflow/platform/entries.py
@@ -10,6 +10,7 @@
 """
 
 import dataclasses
+import json
 import re
 from collections.abc import Iterable
 from typing import Any
@@ -235,7 +236,8 @@
 def marker_of_unreadable(data: bytes) -> Steps[str | None]:
     """Return the text behind which a list goes on after an entry without usable name.
 
-    Returns None if the name is no text.
+    Bytes that are no UTF-8 are escaped as `surrogateescape` does. Returns None if the
+    name is no text.
     """
     try:
         metadata = yield from _encoded_metadata(data)
@@ -243,8 +245,11 @@
         text = _LONE_SURROGATE.sub(
             lambda match: match[1] or _BEHIND_SURROGATES, members["name"]
         )
-        name = msgspec.json.decode(text, type=str)
-    except (KeyError, *_DECODE_ERRORS):
+        # Unlike msgspec, the decoder of the standard library takes escaped bytes.
+        name = json.loads(text.decode(errors="surrogateescape"))
+    except (KeyError, ValueError, RecursionError):
+        return None
+    if not isinstance(name, str):
         return None
     readable, separator, _ = name.partition(_FIRST_BEHIND)
     return readable + separator
--- a/arbutusflow/platform/targets.py
+++ b/arbutusflow/platform/targets.py
@@ -18,7 +18,8 @@
 def kind_target(kind: str, **query: str | int) -> str:
     """Return the target of all objects of a kind, with options in its query.
 
-    Raises PlatformError for text that is not Unicode.
+    Bytes that `surrogateescape` has escaped stand in the query as they were. Raises
+    PlatformError for other text that is not Unicode.
     """
     target = OBJECTS_PATH + _segment(kind)
     return f"{target}?{_encoded(query)}" if query else target
@@ -55,6 +56,6 @@
 
 def _encoded(query: dict[str, str | int]) -> str:
     try:
-        return urlencode(query, quote_via=quote, safe="")
+        return urlencode(query, quote_via=quote, safe="", errors="surrogateescape")
     except UnicodeEncodeError as exc:
         raise PlatformError(f"an option of a call is not Unicode: {exc}") from exc
--- a/tests/gateway/paged_store.py
+++ b/tests/gateway/paged_store.py
@@ -32,7 +32,10 @@
 
 
 def quoted(text):
-    """Encode bytes as a JSON string; bytes that are not ASCII stay as they are."""
+    """Encode bytes as a JSON string; bytes that are no UTF-8 stay as they are."""
+    with contextlib.suppress(UnicodeDecodeError):
+        # Lone surrogates become escapes, which is valid JSON.
+        return json.dumps(text.decode("utf-8", "surrogatepass")).encode()
     escaped = text.replace(b"\\", b"\\\\").replace(b'"', b'\\"')
     controls = re.compile(rb"[\x00-\x1f]")
     return b'"%b"' % controls.sub(lambda m: b"\\u%04x" % ord(m[0]), escaped)
--- a/tests/gateway/test_foreign_entries.py
+++ b/tests/gateway/test_foreign_entries.py
@@ -34,6 +34,16 @@
 ODD = [b"&", b"&after=i-0", b"+", b"#", b"%", b"%20", b"%2B", b"%2", b" ", b"  ", b"?"]
 ODD += [b"/", b"/../..", b";", b"=", b'"', b"\\", b"\0", b"\r\nX: y", "é".encode()]
 ODD += ["e\u0301".encode(), "\U0001f40e".encode(), b"\x7f", "\u2028".encode()]
+# Parts of names that are no UTF-8, no Unicode, or longer than any call can hold.
+UNREADABLE = [
+    b"\xff",
+    b"\xff\xfe",
+    b"a\xc3",
+    b"\xc0\xaf",
+    b"\xf4\x90\x80\x80",
+    b"+\xff&",
+]
+UNREADABLE += [b"\xed\xb3\xbf", b"\xed\xa0\x80x", b"n" * 5000, b"\x80" * 5000]
 
 
 def foreign(size=0):
@@ -94,6 +104,18 @@
     assert (store.pages, store.malformed) == (3, [])
 
 
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("layout", LAYOUTS)
+@pytest.mark.parametrize("odd", UNREADABLE)
+def test_a_list_reaches_each_entry_behind_an_unreadable_name(kind, layout, odd):
+    entries = layout(odd) | dict.fromkeys(SOUND, foreign())
+    names, store = list_names(kind, entries)
+    assert names == sorted(name for name in entries if odd not in name)
+    # Of a page, what stands behind its last readable name may be read again.
+    assert store.pages <= 4
+    assert store.malformed == []
+
+
 @pytest.mark.parametrize("odd", ODD)
 def test_an_object_with_an_odd_name_is_read_and_written(odd):
     """Guards against a call that reads, changes or removes another object."""
@@ -205,7 +227,7 @@
 
 
 @pytest.mark.parametrize("layout", LAYOUTS)
-@pytest.mark.parametrize("odd", [b"&", b"+", b"#", b"%20", b" "])
+@pytest.mark.parametrize("odd", [b"&", b"+", b"#", b"%20", b" ", b"\xff"])
 def test_requests_are_served_while_an_odd_entry_stands(tmp_path, layout, odd):
     async def main():
         async with running_service(tmp_path) as service:
