--- a/tests/gateway/paged_store.py
+++ b/tests/gateway/paged_store.py
@@ -19,7 +19,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Stored:
+class StoredEntry:
     """An object; `content` holds its encoded members but the metadata."""
 
     name: bytes
@@ -28,10 +28,10 @@
 
     def encoded(self):
         head = b'{"metadata":{"name":%b,"revision":%d},'
-        return head % (quoted(self.name), self.revision) + self.content + b"}"
+        return head % (json_string(self.name), self.revision) + self.content + b"}"
 
 
-def quoted(text):
+def json_string(text):
     """Encode bytes as a JSON string; bytes that are no UTF-8 stay as they are."""
     with contextlib.suppress(UnicodeDecodeError):
         # Lone surrogates become escapes, which is valid JSON.
@@ -41,7 +41,7 @@
     return b'"%b"' % controls.sub(lambda m: b"\\u%04x" % ord(m[0]), escaped)
 
 
-def decoded_query(text):
+def decode_form(text):
     """Return the options of a query as a form encodes them."""
     pairs = (part.partition(b"=") for part in text.split(b"&") if part)
     return {
@@ -66,7 +66,9 @@
         """Write an object from its encoded members, as any client may."""
         known = self.objects.get((kind, name))
         if known is None or known.content != content:
-            self._record(kind, Stored(name, self.revision + 1, content), removed=False)
+            self._record(
+                kind, StoredEntry(name, self.revision + 1, content), removed=False
+            )
         return self.objects[kind, name]
 
     def remove(self, kind, name):
@@ -109,7 +111,7 @@
 
     async def _answer(self, method, target, body):
         path, _, options = target.partition(b"#")[0].partition(b"?")
-        query = decoded_query(options)
+        query = decode_form(options)
         parts = [unquote_to_bytes(p) for p in path.removeprefix(BASE).split(b"/")]
         kind, names = parts[0], parts[1:]
         if method == b"GET" and not names:
