Decode only strings when looking for the name behind which a list goes on

It decodes whatever stands in the place of the name, so an array of a megabyte there is built in one step, while no request is served.

Change: text that does not begin as a string is no name.

--- a/arbutusflow/platform/entries.py
+++ b/arbutusflow/platform/entries.py
@@ -245,11 +245,11 @@
         text = _LONE_SURROGATE.sub(
             lambda match: match[1] or _BEHIND_SURROGATES, members["name"]
         )
+        if not text.lstrip().startswith(b'"'):
+            return None
         # Unlike msgspec, the decoder of the standard library takes escaped bytes.
-        name = json.loads(text.decode(errors="surrogateescape"))
-    except (KeyError, ValueError, RecursionError):
-        return None
-    if not isinstance(name, str):
+        name: str = json.loads(text.decode(errors="surrogateescape"))
+    except (KeyError, ValueError):
         return None
     readable, separator, _ = name.partition(_FIRST_BEHIND)
     return readable + separator
