Go on behind a name with control characters when a list has no other

Callers would see what describes, with a name in which control characters stand as they are ("bytes that can't be read"): of a page without another name, the list ends there.

Evidence: the new test fails in 2 of 2 cases without the change ("its last page has no name to go on behind"). Real instances were not run with it.

Change: the decoder of such a name takes control characters. Of escapes that JSON does not have it is not known what they mean; behind these a list still ends.

--- a/arbutusflow/platform/entries.py
+++ b/arbutusflow/platform/entries.py
@@ -247,8 +247,9 @@
         )
         if not text.lstrip().startswith(b'"'):
             return None
-        # Unlike msgspec, the decoder of the standard library takes escaped bytes.
-        name: str = json.loads(text.decode(errors="surrogateescape"))
+        # Unlike msgspec, the decoder of the standard library takes escaped bytes, and
+        # control characters as they are.
+        name: str = json.loads(text.decode(errors="surrogateescape"), strict=False)
     except (KeyError, ValueError):
         return None
     readable, separator, _ = name.partition(_FIRST_BEHIND)
--- a/tests/gateway/test_unreadable_entries.py
+++ b/tests/gateway/test_unreadable_entries.py
@@ -166,6 +166,16 @@
     assert [item.name for item in snapshot.objects] == ["i-1", "i-2", "i-3"]
 
 
+@pytest.mark.parametrize(
+    "raw, after", [(b"i-1\x01", "i-1%01"), (b"i-1\r\n", "i-1%0D%0A")]
+)
+def test_a_list_goes_on_behind_a_name_that_is_no_well_formed_string(raw, after):
+    """Guards against endpoints that are lost behind an entry alone on its page."""
+    odd = b'{"metadata":{"name":"%b"},"spec":{}}' % raw
+    pages = {"": page("items", [odd], MORE), after: page("items", [entry(2)])}
+    assert [item.name for item in list_pages(pages).objects] == ["i-2"]
+
+
 NO_TEXT = b'{"metadata":{"name":7},"spec":{}}'
 
 
