Keep names that hold U+E000 whole when a list goes on behind them

Cause: the place of a lone surrogate was marked with that character, and the name was then cut at the first such character, also at one of its own. The list went on before the entry, the store repeated the page, and the list was cut off.

Change: the encoded name is cut at its first lone surrogate, and decoded after that. One match of a regular expression finds the place, in place of a call for each escape.

--- a/arbutusflow/platform/entries.py
+++ b/arbutusflow/platform/entries.py
@@ -30,14 +30,13 @@
     rb"(?:%b|[\[{](?:%b)*+[\]}]){0,2000}+" % (_PLAIN, _PLAIN), re.DOTALL
 )
 _KEY = re.compile(rb"\s*(%b)\s*:" % _STRING, re.DOTALL)
-# Group 1: a pair of surrogates, or another escape.
-_LONE_SURROGATE = re.compile(
-    rb"(\\u[dD][89abAB]..\\u[dD][c-fC-F]..|\\(?!u[dD][89a-fA-F]).)"
-    rb"|\\u[dD][89a-fA-F]..",
+# Up to the first escape of a surrogate that is not part of a pair.
+_UP_TO_LONE_SURROGATE = re.compile(
+    rb"(?:[^\\]++|\\u[dD][89abAB]..\\u[dD][c-fC-F]..|\\(?!u[dD][89a-fA-F]).)*+"
+    rb"(?=\\u[dD])",
     re.DOTALL,
 )
-_FIRST_BEHIND = "\ue000"  # The first character that sorts behind all surrogates.
-_BEHIND_SURROGATES = rb"\ue000"
+_BEHIND_SURROGATES = rb"\ue000"  # The first character that sorts behind them.
 _DECODE_ERRORS = (msgspec.DecodeError, RecursionError, UnicodeDecodeError)
 _ENCODE_ERRORS = (OverflowError, RecursionError, UnicodeEncodeError)
 _MALFORMED_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
@@ -242,18 +241,17 @@
     try:
         metadata = yield from _encoded_metadata(data)
         members = yield from split_object(metadata)
-        text = _LONE_SURROGATE.sub(
-            lambda match: match[1] or _BEHIND_SURROGATES, members["name"]
-        )
+        text = members["name"]
         if not text.lstrip().startswith(b'"'):
             return None
+        if match := _UP_TO_LONE_SURROGATE.match(text):
+            text = match[0] + _BEHIND_SURROGATES + b'"'
         # Unlike msgspec, the decoder of the standard library takes escaped bytes, and
         # control characters as they are.
         name: str = json.loads(text.decode(errors="surrogateescape"), strict=False)
     except (KeyError, ValueError):
         return None
-    readable, separator, _ = name.partition(_FIRST_BEHIND)
-    return readable + separator
+    return name
 
 
 def checked_name(metadata: Any) -> tuple[str, int]:
--- a/tests/gateway/test_foreign_entries.py
+++ b/tests/gateway/test_foreign_entries.py
@@ -28,6 +28,7 @@
 # Parts of names that are no UTF-8, no Unicode, or longer than any call can hold.
 UNREADABLE_PARTS = [b"\xff", b"\xff\xfe", b"a\xc3", b"\xc0\xaf", b"\xf4\x90\x80\x80"]
 UNREADABLE_PARTS += [b"+\xff&", b"\xed\xb3\xbf", b"\xed\xa0\x80x"]
+UNREADABLE_PARTS += [b"\xee\x80\x80\xff", b"\xee\x80\x80\xed\xb3\xbf"]
 UNREADABLE_PARTS += [b"n" * 5000, b"\x80" * 5000]
 
 
