--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -468,6 +468,12 @@
     async def _handle(self, req: Request) -> Reply | None:
         if req.headers.get("expect-instance", self.name) != self.name:
             return Reply(421, {"Instance-Id": self.name})
+        reply = await self._answer(req)
+        if self.state == "draining":
+            reply.headers["Server-Leaving"] = "1"
+        return reply
+
+    async def _answer(self, req: Request) -> Reply:
         if req.target == "/arbutusflow/grant":
             return self._grant(json.loads(req.body))
         if req.target == "/arbutusflow/release":
