--- a/review/11/case.py
+++ b/review/11/case.py
@@ -31,7 +31,7 @@
 STABLE_WINDOW_SECONDS = 3.0  # `stableWindowS`.
 RESTART_SECONDS = 2.0  # For which the machines of killed processes have no power.
 BURST_AT_SECONDS = (2.03, 2.08, 2.13, 2.18, 2.23)  # After the acknowledgement.
-ROUNDS = 3
+ROUNDS = 2
 ROUND_SECONDS = 25.0
 
 
@@ -90,7 +90,7 @@
         self.spawn(self.store.expire())
         for gateway in self.gateways:
             gateway.start()
-        for _ in range(300):
+        for _ in range(400):
             await asyncio.sleep(0.1)
             if all([await gateway.is_ready() for gateway in self.gateways]):
                 return True
